--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+GO ?= go
+
+.PHONY: run test lint model generate bench
+
+# run starts a small hall on loopback.
+run:
+	$(GO) run ./cmd/barleystep-dev
+
+# test passes all tests with the race detector on.
+test:
+	$(GO) test -race -timeout 20m ./...
+
+# lint checks formatting and the linter's rules with the pinned linter.
+lint:
+	cd tools/lint && $(GO) build -o ../../build/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+	build/golangci-lint fmt --diff
+	build/golangci-lint run ./...
+
+# model checks the specifications with spin.
+model:
+	docs/spec/check.sh
+
+# generate makes the committed code from api/*.proto anew.
+generate:
+	cd tools/gen && $(GO) build -o ../../build/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/build:$$PATH" build/buf generate
--- /dev/null
+++ b/alloc.go
@@ -0,0 +1,97 @@
+package barleystep
+
+import (
+	"context"
+	"time"
+)
+
+// Demand is what one request needs of a model's targets.
+type Demand struct {
+	Attempt AttemptID
+	Account string
+	Class   string
+	Model   string
+	// Prompt and Output are token counts: the prompt's estimated length and the
+	// most that may be generated.
+	Prompt int
+	Output int
+	// Since is when the request was admitted; it keeps its age over retries.
+	Since    time.Time
+	Deadline time.Time
+	// Prefix holds hashes of growing prefixes of the prompt, shortest first.
+	Prefix []uint64
+	// Avoid names targets that have already failed the request.
+	Avoid []TargetID
+}
+
+// Tokens returns the KV memory that the request needs, in tokens.
+func (d Demand) Tokens() int { return d.Prompt + d.Output }
+
+// Allotment is the right to send one attempt to targets. The holder must call
+// Release once, whatever became of the attempt.
+type Allotment struct {
+	targets  []TargetID
+	priority int
+	hooks    AllotmentHooks
+}
+
+// AllotmentHooks is how an Allocator learns what becomes of an allotment. Each
+// may be nil.
+type AllotmentHooks struct {
+	// First is called when the first token came.
+	First func()
+	// Release is called when the attempt has ended.
+	Release func(Usage)
+}
+
+// NewAllotment returns an allotment. It is meant for implementations of
+// Allocator.
+func NewAllotment(targets []TargetID, priority int, hooks AllotmentHooks) Allotment {
+	return Allotment{targets: targets, priority: priority, hooks: hooks}
+}
+
+// Target returns the target to which the attempt goes.
+func (a Allotment) Target() TargetID { return a.targets[0] }
+
+// Group returns all targets that serve the prompt together; it holds more than
+// one only for a prompt that is longer than an engine's memory.
+func (a Allotment) Group() []TargetID { return a.targets }
+
+// Priority returns the priority to hand to the engine, lower first.
+func (a Allotment) Priority() int { return a.priority }
+
+// Release gives the allotment back with what was learnt of the target.
+func (a Allotment) Release(u Usage) {
+	if a.hooks.Release != nil {
+		a.hooks.Release(u)
+	}
+}
+
+// First tells that the first token of the attempt came.
+func (a Allotment) First() {
+	if a.hooks.First != nil {
+		a.hooks.First()
+	}
+}
+
+// Usage is what an attempt taught about its target.
+type Usage struct {
+	// Outcome is how the attempt ended.
+	Outcome Outcome
+	// First is the time from sending to the first event, zero if there was none.
+	First time.Duration
+	// Prompt and Cached are token counts that the engine reported, zero if it
+	// reported none.
+	Prompt int
+	Cached int
+	// Full is set when the target refused for lack of room.
+	Full bool
+}
+
+// Allocator decides where and when a request runs. Implementations are safe
+// for concurrent use.
+type Allocator interface {
+	// Acquire waits until the request may run. It returns a *Refusal when the
+	// request cannot be served, or the context's error.
+	Acquire(ctx context.Context, d Demand) (Allotment, error)
+}
--- /dev/null
+++ b/box.go
@@ -0,0 +1,50 @@
+package barleystep
+
+import (
+	"context"
+	"fmt"
+)
+
+// BoxID names a box in the platform's list, for example "cluj-hala1-e3".
+type BoxID string
+
+// HallID names a hall, for example "dej-hala".
+type HallID string
+
+// Incarnation tells apart the starts of the same box. It is drawn at random at
+// each start; zero is never used.
+type Incarnation uint64
+
+// String returns the incarnation as sixteen hexadecimal digits.
+func (i Incarnation) String() string { return fmt.Sprintf("%016x", uint64(i)) }
+
+// Box is one entry of the platform's list of boxes.
+type Box struct {
+	id      BoxID
+	hall    HallID
+	addr    string
+	leaving bool
+}
+
+// NewBox returns a box. The address is the IP and port of its peer listener.
+func NewBox(id BoxID, hall HallID, addr string, leaving bool) Box {
+	return Box{id: id, hall: hall, addr: addr, leaving: leaving}
+}
+
+// ID returns the name of the box.
+func (b Box) ID() BoxID { return b.id }
+
+// Hall returns the hall in which the box stands.
+func (b Box) Hall() HallID { return b.hall }
+
+// Addr returns the IP and port of the peer listener.
+func (b Box) Addr() string { return b.addr }
+
+// Leaving reports whether the platform has announced a stop of the box.
+func (b Box) Leaving() bool { return b.leaving }
+
+// BoxList is the platform's list of live and leaving boxes. It lags behind.
+type BoxList interface {
+	// Boxes returns all boxes that the platform knows, or ErrUnavailable.
+	Boxes(ctx context.Context) ([]Box, error)
+}
--- /dev/null
+++ b/internal/box/status.go
@@ -0,0 +1,28 @@
+package box
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// status serves metrics and the two health checks.
+func (e *Entry) status() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.Exporter)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", e.readyz)
+	return mux
+}
+
+// readyz says whether the balancer should send callers here.
+func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	v, confirmed := e.Configuration.View()
+	switch {
+	case v == nil:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	case !confirmed:
+		fmt.Fprintf(w, "ok; configuration %d is not confirmed\n", v.Version())
+	default:
+		fmt.Fprintf(w, "ok; configuration %d\n", v.Version())
+	}
+}
--- /dev/null
+++ b/internal/capacity/allocator.go
@@ -0,0 +1,310 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// Allocator is a box's way to capacity: short prompts run on the credits that
+// it holds, the others ask the pool's dispenser. Its exported fields are set
+// before use; it is safe for concurrent use.
+type Allocator struct {
+	Clock         barleystep.Clock
+	Box           barleystep.BoxID
+	Configuration Configuration
+	Membership    barleystep.Membership
+	// Local is this box's own desk, the last resort when no other answers.
+	Local Desk
+	// Remote returns the desk of another box.
+	Remote   func(barleystep.BoxID) (d Desk, ok bool)
+	Meter    *metric.Meter
+	Log      *log.Logger
+	Settings Settings
+
+	mu      sync.Mutex
+	pools   map[string]*pool
+	avoided map[barleystep.BoxID]time.Time
+}
+
+// pool is the box's side of one pool.
+type pool struct {
+	name   string
+	mu     sync.Mutex
+	holder *Holder
+	used   time.Time
+}
+
+const (
+	// avoidFor is how long a desk that failed is passed over.
+	avoidFor = time.Second
+	// quietLife is how long a pool is reported after its last use.
+	quietLife = 30 * time.Second
+	// notice bounds the messages about first tokens and releases, which a report
+	// repeats if they are lost.
+	notice = time.Second
+)
+
+var _ barleystep.Allocator = (*Allocator)(nil)
+
+// Acquire waits until the request may run.
+func (a *Allocator) Acquire(ctx context.Context, d barleystep.Demand) (barleystep.Allotment, error) {
+	p := a.pool(d.Model)
+	if target, ok := p.try(a.Clock.Now(), d); ok {
+		rank := a.share(d).Rank
+		return a.allotment(p, d, []barleystep.TargetID{target}, priority(a.weighing(), rank, d.Prompt), nil), nil
+	}
+	return a.ask(ctx, p, d)
+}
+
+func (p *pool) try(now time.Time, d barleystep.Demand) (barleystep.TargetID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used = now
+	return p.holder.Try(now, d)
+}
+
+// ask asks one desk after the other until one answers or ctx ends.
+func (a *Allocator) ask(ctx context.Context, p *pool, d barleystep.Demand) (barleystep.Allotment, error) {
+	s := a.share(d)
+	question := Ask{Demand: d, Box: a.Box, Weight: s.Weight, Rank: s.Rank, Limit: s.Limit}
+	for {
+		id := a.dispenser(p.name)
+		desk := a.desk(id)
+		g, err := a.askOne(ctx, id, p.name, desk, question)
+		if err == nil {
+			p.hold(a.Clock.Now(), d, g.Targets)
+			return a.allotment(p, d, g.Targets, g.Priority, desk), nil
+		}
+		if refused(err) || ctx.Err() != nil {
+			return barleystep.Allotment{}, err
+		}
+		a.Meter.Retried("dispenser_lost")
+	}
+}
+
+// askOne asks one desk. When the pool's dispenser moves meanwhile, the question
+// is withdrawn.
+func (a *Allocator) askOne(ctx context.Context, id barleystep.BoxID, pool string, desk Desk, q Ask) (Grant, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	moved := a.whenMoved(ctx, id, pool, cancel)
+	g, err := desk.Ask(ctx, pool, q)
+	if err != nil && !refused(err) && !moved() && id != a.Box {
+		a.avoid(id)
+	}
+	return g, err
+}
+
+// whenMoved cancels the question when another box becomes the dispenser.
+func (a *Allocator) whenMoved(ctx context.Context, id barleystep.BoxID, pool string, cancel context.CancelFunc) (moved func() bool) {
+	var mu sync.Mutex
+	gone := false
+	go func() {
+		for {
+			changed := a.Membership.Changed()
+			if a.dispenser(pool) != id {
+				mu.Lock()
+				gone = true
+				mu.Unlock()
+				cancel()
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return gone
+	}
+}
+
+func refused(err error) bool {
+	var r *barleystep.Refusal
+	return errors.As(err, &r)
+}
+
+func (p *pool) hold(now time.Time, d barleystep.Demand, targets []barleystep.TargetID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder.Hold(now, d, targets)
+}
+
+// allotment wires what becomes of an attempt back to the holder, and to the
+// desk that granted it.
+func (a *Allocator) allotment(p *pool, d barleystep.Demand, targets []barleystep.TargetID, priority int, desk Desk) barleystep.Allotment {
+	id := d.Attempt
+	return barleystep.NewAllotment(targets, priority, barleystep.AllotmentHooks{
+		First: func() {
+			p.first(a.Clock.Now(), id)
+			if desk != nil {
+				a.notify(func(ctx context.Context) error { return desk.First(ctx, p.name, id) })
+			}
+		},
+		Release: func(u barleystep.Usage) {
+			p.end(id, u)
+			if desk != nil {
+				a.notify(func(ctx context.Context) error { return desk.Release(ctx, p.name, id, u) })
+			}
+		},
+	})
+}
+
+func (p *pool) first(now time.Time, id barleystep.AttemptID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder.First(now, id)
+}
+
+func (p *pool) end(id barleystep.AttemptID, u barleystep.Usage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder.End(id, u)
+}
+
+// notify sends a message without making the request wait for it.
+func (a *Allocator) notify(send func(context.Context) error) {
+	go func() {
+		ctx, cancel := clock.WithDeadline(context.Background(), a.Clock, a.Clock.Now().Add(notice))
+		defer cancel()
+		if send(ctx) != nil {
+			a.Meter.Retried("notice_lost")
+		}
+	}()
+}
+
+// Serve reports to the dispensers at intervals until ctx ends.
+func (a *Allocator) Serve(ctx context.Context) error {
+	for clock.Sleep(ctx, a.Clock, a.Settings.withDefaults().Interval) {
+		var wait sync.WaitGroup
+		for _, p := range a.used() {
+			wait.Go(func() { a.report(ctx, p) })
+		}
+		wait.Wait()
+	}
+	return ctx.Err()
+}
+
+func (a *Allocator) report(ctx context.Context, p *pool) {
+	now := a.Clock.Now()
+	ctx, cancel := clock.WithDeadline(ctx, a.Clock, now.Add(a.Settings.withDefaults().Interval))
+	defer cancel()
+	p.mu.Lock()
+	r := p.holder.Report(now)
+	p.mu.Unlock()
+	id := a.dispenser(p.name)
+	c, err := a.desk(id).Report(ctx, p.name, r)
+	if err != nil {
+		a.avoid(id)
+		a.Meter.Retried("report_lost")
+		return
+	}
+	// The dispenser's clock may differ from this box's.
+	c.Until = now.Add(a.Settings.withDefaults().life())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder.SetCredits(c)
+}
+
+// used returns the pools that were lately used, and forgets the others.
+func (a *Allocator) used() []*pool {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []*pool
+	for name, p := range a.pools {
+		if p.quiet(now) {
+			delete(a.pools, name)
+			continue
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+func (p *pool) quiet(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.used) > quietLife && len(p.holder.running) == 0
+}
+
+func (a *Allocator) pool(name string) *pool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p, ok := a.pools[name]; ok {
+		return p
+	}
+	if a.pools == nil {
+		a.pools = make(map[string]*pool)
+	}
+	p := &pool{name: name, holder: NewHolder(a.Box), used: a.Clock.Now()}
+	a.pools[name] = p
+	return p
+}
+
+// dispenser returns the box that hands out the pool: the first in the pool's
+// order that is alive and has not just failed.
+func (a *Allocator) dispenser(pool string) barleystep.BoxID {
+	now := a.Clock.Now()
+	var names []string
+	a.mu.Lock()
+	for _, id := range a.Membership.Alive() {
+		if !now.Before(a.avoided[id]) {
+			names = append(names, string(id))
+		}
+	}
+	a.mu.Unlock()
+	if best := place.Highest(pool, names); best != "" {
+		return barleystep.BoxID(best)
+	}
+	return a.Box
+}
+
+func (a *Allocator) desk(id barleystep.BoxID) Desk {
+	if id == a.Box {
+		return a.Local
+	}
+	if d, ok := a.Remote(id); ok {
+		return d
+	}
+	return a.Local
+}
+
+func (a *Allocator) avoid(id barleystep.BoxID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.avoided == nil {
+		a.avoided = make(map[barleystep.BoxID]time.Time)
+	}
+	a.avoided[id] = a.Clock.Now().Add(avoidFor)
+}
+
+func (a *Allocator) share(d barleystep.Demand) config.Share {
+	v, _ := a.Configuration.View()
+	if v == nil {
+		return config.Share{Weight: config.DefaultWeight, Limit: 1}
+	}
+	return v.Share(d.Account, d.Class)
+}
+
+func (a *Allocator) weighing() float64 {
+	v, _ := a.Configuration.View()
+	if v == nil {
+		return 0
+	}
+	return v.Weighing()
+}
--- /dev/null
+++ b/internal/capacity/desk.go
@@ -0,0 +1,277 @@
+package capacity
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Desk is where the boxes of a hall reach a pool's dispenser: LocalDesk on the
+// box that dispenses, a peer's adapter on the others. Implementations are safe
+// for concurrent use.
+type Desk interface {
+	// Ask waits for a grant. It returns a *barleystep.Refusal, or another error
+	// if the dispenser could not be asked; the request is then withdrawn.
+	Ask(ctx context.Context, pool string, a Ask) (Grant, error)
+	// First notes the first token of a granted attempt.
+	First(ctx context.Context, pool string, id barleystep.AttemptID) error
+	// Release takes a grant back.
+	Release(ctx context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error
+	// Report takes in a box's report.
+	Report(ctx context.Context, pool string, r Report) (Credits, error)
+}
+
+// Configuration gives the version in force.
+type Configuration interface {
+	// View returns the version in force, nil before there is one.
+	View() (v *config.View, confirmed bool)
+}
+
+// LocalDesk runs the dispensers of the pools that this box hands out. Its
+// exported fields are set before use.
+type LocalDesk struct {
+	Clock         barleystep.Clock
+	Hall          barleystep.HallID
+	Configuration Configuration
+	Meter         *metric.Meter
+	Settings      Settings
+
+	mu    sync.Mutex
+	pools map[string]*dispensed
+}
+
+// dispensed is one pool at a desk.
+type dispensed struct {
+	name      string
+	mu        sync.Mutex
+	dispenser *Dispenser
+	version   int64
+	waiting   map[barleystep.AttemptID]chan Grant
+	used      time.Time
+}
+
+var _ Desk = (*LocalDesk)(nil)
+
+const (
+	// tickEvery is the time between decisions when nothing else causes one.
+	tickEvery = 100 * time.Millisecond
+	// idleLife is how long a pool stays at a desk that nobody uses.
+	idleLife = time.Minute
+)
+
+// Ask waits for a grant of the pool's dispenser.
+func (l *LocalDesk) Ask(ctx context.Context, pool string, a Ask) (g Grant, err error) {
+	p := l.pool(pool)
+	answer := make(chan Grant, 1)
+	id := a.Demand.Attempt
+	if refusal := l.enter(p, a, answer); refusal != nil {
+		return Grant{}, refusal
+	}
+	select {
+	case g = <-answer:
+	case <-ctx.Done():
+		return Grant{}, l.leave(p, id, answer, ctx)
+	}
+	if g.Refusal != nil {
+		return Grant{}, g.Refusal
+	}
+	return g, nil
+}
+
+func (l *LocalDesk) enter(p *dispensed, a Ask, answer chan Grant) error {
+	now := l.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.refresh(p)
+	if r := p.dispenser.Ask(now, a); r != nil {
+		return r
+	}
+	p.used = now
+	p.waiting[a.Demand.Attempt] = answer
+	p.tick(now)
+	return nil
+}
+
+// leave withdraws a request whose caller has gone. A grant that crossed with
+// it is given back.
+func (l *LocalDesk) leave(p *dispensed, id barleystep.AttemptID, answer chan Grant, ctx context.Context) error {
+	now := l.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispenser.Withdraw(id)
+	delete(p.waiting, id)
+	select {
+	case <-answer:
+		p.dispenser.Release(now, id, barleystep.Usage{Outcome: barleystep.OutcomeNotRun, Full: true})
+		p.tick(now)
+	default:
+	}
+	return eris.Wrap(context.Cause(ctx), "capacity: ask")
+}
+
+// First notes a first token.
+func (l *LocalDesk) First(_ context.Context, pool string, id barleystep.AttemptID) error {
+	return l.change(pool, func(d *Dispenser, _ time.Time) { d.First(id, 0) })
+}
+
+// Release takes a grant back.
+func (l *LocalDesk) Release(_ context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
+	return l.change(pool, func(d *Dispenser, now time.Time) { d.Release(now, id, u) })
+}
+
+// Report takes in a report.
+func (l *LocalDesk) Report(_ context.Context, pool string, r Report) (c Credits, err error) {
+	err = l.change(pool, func(d *Dispenser, now time.Time) { c = d.Report(now, r) })
+	return c, err
+}
+
+// Load takes in a load report of a target of the pool.
+func (l *LocalDesk) Load(pool string, id barleystep.TargetID, load barleystep.Load) {
+	p := l.pool(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispenser.Load(id, load)
+	p.tick(l.Clock.Now())
+}
+
+// Gone forgets a box in all pools.
+func (l *LocalDesk) Gone(id barleystep.BoxID) {
+	for _, name := range l.Pools() {
+		_ = l.change(name, func(d *Dispenser, now time.Time) { d.Gone(now, id) })
+	}
+}
+
+// Pools returns the names of the pools that are in use at this desk.
+func (l *LocalDesk) Pools() []string {
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for name, p := range l.pools {
+		if p.idle(now) {
+			delete(l.pools, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+func (p *dispensed) idle(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting) == 0 && now.Sub(p.used) > idleLife
+}
+
+// change lets f change the pool's dispenser and hands out what follows.
+func (l *LocalDesk) change(pool string, f func(*Dispenser, time.Time)) error {
+	p := l.pool(pool)
+	now := l.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.refresh(p)
+	p.used = now
+	f(p.dispenser, now)
+	p.tick(now)
+	return nil
+}
+
+func (l *LocalDesk) pool(name string) *dispensed {
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.pools[name]; ok {
+		return p
+	}
+	if l.pools == nil {
+		l.pools = make(map[string]*dispensed)
+	}
+	l.Meter.TookOver("dispenser")
+	p := &dispensed{
+		name:      name,
+		dispenser: NewDispenser(l.Settings, now),
+		waiting:   make(map[barleystep.AttemptID]chan Grant),
+		used:      now,
+	}
+	l.pools[name] = p
+	return p
+}
+
+// Serve decides at intervals until ctx ends.
+func (l *LocalDesk) Serve(ctx context.Context) error {
+	for clock.Sleep(ctx, l.Clock, tickEvery) {
+		for _, name := range l.Pools() {
+			p := l.pool(name)
+			now := l.Clock.Now()
+			p.mu.Lock()
+			l.refresh(p)
+			p.tick(now)
+			p.mu.Unlock()
+		}
+	}
+	return ctx.Err()
+}
+
+// tick hands out what was decided. The caller holds the lock.
+func (p *dispensed) tick(now time.Time) {
+	for _, g := range p.dispenser.Tick(now) {
+		answer, ok := p.waiting[g.Attempt]
+		if !ok {
+			p.dispenser.Release(now, g.Attempt, barleystep.Usage{Full: true})
+			continue
+		}
+		delete(p.waiting, g.Attempt)
+		answer <- g
+	}
+}
+
+// refresh gives the dispenser the targets of the configuration in force. The
+// caller holds the lock.
+func (l *LocalDesk) refresh(p *dispensed) {
+	v, _ := l.Configuration.View()
+	if v == nil || v.Version() == p.version {
+		return
+	}
+	p.version = v.Version()
+	p.dispenser.SetWeighing(v.Weighing())
+	p.dispenser.SetTargets(Specs(v, string(l.Hall), p.name))
+}
+
+// servicePrefix begins the names of the pools of plain services.
+const servicePrefix = "service:"
+
+// ServicePool returns the name of the pool of a plain service. No model has
+// such a name.
+func ServicePool(service string) string { return servicePrefix + service }
+
+// serviceCalls is how many calls one server of a plain service is sent at a
+// time; a call counts as one token.
+const serviceCalls = 64
+
+// Specs returns the targets of a pool in a hall.
+func Specs(v *config.View, hall, pool string) []Spec {
+	service, isService := strings.CutPrefix(pool, servicePrefix)
+	model, _ := v.Model(pool)
+	targets := v.Targets(func(t config.Target) bool {
+		if isService {
+			return t.Hall == hall && t.Service == service
+		}
+		return t.Hall == hall && t.Model == pool
+	})
+	specs := make([]Spec, len(targets))
+	for i, t := range targets {
+		specs[i] = Spec{ID: barleystep.TargetID(t.ID), Tokens: model.EngineTokens, Rate: model.PrefillRate, Drain: t.Drain}
+		if isService {
+			specs[i].Tokens = serviceCalls
+		}
+	}
+	return specs
+}
--- /dev/null
+++ b/internal/capacity/lane.go
@@ -0,0 +1,172 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// lane keeps requests apart whose lengths would get in each other's way.
+type lane int
+
+const (
+	laneShort lane = iota // laneShort holds prompts that are read in a moment.
+	laneLong              // laneLong holds prompts that fit one engine.
+	laneGiant             // laneGiant holds prompts that several engines serve together.
+	laneCount
+)
+
+// usableMemory is the part of an engine's memory that is planned with.
+const usableMemory = 0.95
+
+func (d *Dispenser) lane(w *waiter) (lane, *barleystep.Refusal) {
+	largest := 0
+	for _, t := range d.sorted {
+		largest = max(largest, t.spec.Tokens)
+	}
+	room := int(float64(largest) * usableMemory)
+	switch {
+	case len(d.sorted) == 0:
+		return 0, notRun(barleystep.ReasonNoTarget, "No target serves the model here.", time.Second)
+	case w.tokens > room:
+		return d.giantLane(w, room)
+	case barleystep.BandOf(w.ask.Demand.Prompt).Long():
+		return laneLong, nil
+	default:
+		return laneShort, nil
+	}
+}
+
+func (d *Dispenser) giantLane(w *waiter, room int) (lane, *barleystep.Refusal) {
+	if engines(w.tokens, room) > len(d.sorted) {
+		return 0, notRun(barleystep.ReasonNoTarget, "All engines together can't hold the prompt.", 0)
+	}
+	return laneGiant, nil
+}
+
+// engines returns how many engines with the given room hold the tokens.
+func engines(tokens, room int) int { return (tokens + room - 1) / room }
+
+// hopeless refuses a request that would miss its deadline even if only the
+// requests of its own lane that are older in its own flow ran before it, on
+// the whole pool.
+func (d *Dispenser) hopeless(now time.Time, w *waiter, l lane) *barleystep.Refusal {
+	fastest := 0.0
+	for _, t := range d.sorted {
+		fastest = max(fastest, t.spec.Rate)
+	}
+	members := 1
+	if l == laneGiant {
+		members = len(d.sorted)
+	}
+	read := seconds(float64(w.ask.Demand.Prompt) / (fastest * float64(members)))
+	left := w.ask.Demand.Deadline.Sub(now)
+	if read <= left {
+		return nil
+	}
+	return notRun(barleystep.ReasonCannotMeet, "The prompt can't be read before the time limit.", 0)
+}
+
+// drainTime estimates how long the lane's queue takes to empty.
+func (d *Dispenser) drainTime(l lane) time.Duration {
+	rate := 0.0
+	for _, t := range d.sorted {
+		rate += t.spec.Rate
+	}
+	if rate == 0 {
+		return time.Second
+	}
+	return max(time.Second, seconds(d.lanes[l].Cost()/rate))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// choose returns the target at which the request is expected to get its first
+// token soonest, or nil if none may take it now.
+func (d *Dispenser) choose(now time.Time, w *waiter, l lane) *target {
+	if d.overLimit(w) {
+		return nil
+	}
+	allowed := d.roomForShort
+	if l == laneLong {
+		if d.longReads() >= d.longEngines() {
+			return nil
+		}
+		allowed = d.roomForLong
+	}
+	warm, part := d.prefixes.Find(w.ask.Demand.Prefix)
+	var best *target
+	var bestTime time.Duration
+	for _, t := range d.sorted {
+		if !t.usable(now) || slices.Contains(w.ask.Demand.Avoid, t.spec.ID) || !allowed(now, t, w) {
+			continue
+		}
+		cached := 0
+		if t.spec.ID == warm {
+			cached = int(part * float64(w.ask.Demand.Prompt))
+		}
+		e := place.Expect(t.snapshot(now), w.ask.Demand.Prompt, cached)
+		if best == nil || e < bestTime {
+			best, bestTime = t, e
+		}
+	}
+	return best
+}
+
+// overLimit reports whether the account holds all that its policy allows. An
+// account that holds nothing is never over its limit.
+func (d *Dispenser) overLimit(w *waiter) bool {
+	if w.ask.Limit >= 1 || w.ask.Limit <= 0 {
+		return false
+	}
+	total, held := 0, 0
+	for _, t := range d.sorted {
+		total += t.spec.Tokens
+	}
+	for _, h := range d.holdings {
+		if h.account == w.ask.Demand.Account {
+			held += h.prompt + h.output
+		}
+	}
+	return held > 0 && float64(held+w.tokens) > w.ask.Limit*float64(total)
+}
+
+// roomForShort lets short prompts queue in an engine only for as long as the
+// window, so that the order stays the dispenser's to decide.
+func (d *Dispenser) roomForShort(now time.Time, t *target, w *waiter) bool {
+	if t.free(now) < w.tokens {
+		return false
+	}
+	short, _ := t.reading()
+	window := int(t.spec.Rate * d.settings.Window.Seconds())
+	return short == 0 || short+w.ask.Demand.Prompt <= window
+}
+
+func (d *Dispenser) roomForLong(now time.Time, t *target, w *waiter) bool {
+	reading, memory := t.longs()
+	if reading >= d.settings.LongReads {
+		return false
+	}
+	most := int(float64(t.spec.Tokens) * (1 - d.settings.ShortMemory))
+	alone := memory == 0
+	return t.free(now) >= w.tokens && (alone || memory+w.tokens <= most)
+}
+
+// longReads counts the engines that read long prompts.
+func (d *Dispenser) longReads() int {
+	n := 0
+	for _, t := range d.sorted {
+		if reading, _ := t.longs(); reading > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// longEngines returns how many engines may read long prompts at the same time.
+func (d *Dispenser) longEngines() int {
+	part := d.settings.LongPart + (1-d.settings.LongPart)*d.settings.Weighing
+	return max(1, int(part*float64(len(d.sorted))+0.5))
+}
--- /dev/null
+++ b/internal/capacity/poller.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Loads asks a target for its load report.
+type Loads interface {
+	// Engine returns the adapter of a configured target.
+	Engine(id barleystep.TargetID, fresh bool) (e barleystep.Engine, ok bool)
+}
+
+// Poller collects the load reports of the targets whose pools a desk
+// dispenses. Its exported fields are set before Serve.
+type Poller struct {
+	Clock         barleystep.Clock
+	Desk          *LocalDesk
+	Configuration Configuration
+	Targets       Loads
+	Meter         *metric.Meter
+	// Every is the time between reports of one target; the default is 1 second.
+	Every time.Duration
+}
+
+// Serve polls until ctx ends.
+func (p *Poller) Serve(ctx context.Context) error {
+	if p.Every == 0 {
+		p.Every = time.Second
+	}
+	for clock.Sleep(ctx, p.Clock, p.Every) {
+		p.round(ctx)
+	}
+	return ctx.Err()
+}
+
+func (p *Poller) round(ctx context.Context) {
+	v, _ := p.Configuration.View()
+	if v == nil {
+		return
+	}
+	ctx, cancel := clock.WithDeadline(ctx, p.Clock, p.Clock.Now().Add(p.Every))
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, name := range p.Desk.Pools() {
+		for _, s := range Specs(v, string(p.Desk.Hall), name) {
+			wait.Go(func() { p.poll(ctx, name, s.ID) })
+		}
+	}
+	wait.Wait()
+}
+
+func (p *Poller) poll(ctx context.Context, pool string, id barleystep.TargetID) {
+	e, ok := p.Targets.Engine(id, false)
+	if !ok {
+		return
+	}
+	l, err := e.Load(ctx)
+	if err != nil {
+		p.Meter.Retried("load_report_lost")
+		return
+	}
+	// Targets' clocks differ from ours; a report counts from its arrival.
+	l.At = p.Clock.Now()
+	p.Desk.Load(pool, id, l)
+}
--- /dev/null
+++ b/internal/capacity/settings.go
@@ -0,0 +1,59 @@
+package capacity
+
+import "time"
+
+// Settings tunes a dispenser. The zero value takes the defaults, which the
+// table in docs/PLACEMENT.md speaks for.
+type Settings struct {
+	// Window bounds how far ahead short prompts are sent to an engine, as
+	// reading time; the default is 600 ms.
+	Window time.Duration
+	// LongReads is how many long prompts an engine reads at a time; the default
+	// is 1.
+	LongReads int
+	// LongPart is the part of the engines that may read long prompts at the same
+	// time, from 0 to 1; the default is 0.5. It grows with Weighing.
+	LongPart float64
+	// ShortMemory is the part of an engine's memory that long prompts leave
+	// free; the default is 0.2.
+	ShortMemory float64
+	// Weighing moves the balance from short prompts (0) to long ones (1).
+	Weighing float64
+	// Interval is the time between a box's reports; the default is 500 ms.
+	Interval time.Duration
+	// QueueLimit bounds the waiting requests; the default is 20,000.
+	QueueLimit int
+	// Least is the reading credit, in tokens, that every box gets at every
+	// usable target of a pool that is not contended; the default is 4,096.
+	Least int
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Window == 0 {
+		s.Window = 600 * time.Millisecond
+	}
+	if s.LongReads == 0 {
+		s.LongReads = 1
+	}
+	if s.LongPart == 0 {
+		s.LongPart = 0.5
+	}
+	if s.ShortMemory == 0 {
+		s.ShortMemory = 0.2
+	}
+	if s.Interval == 0 {
+		s.Interval = 500 * time.Millisecond
+	}
+	if s.QueueLimit == 0 {
+		s.QueueLimit = 20_000
+	}
+	if s.Least == 0 {
+		s.Least = 4_096
+	}
+	return s
+}
+
+// creditLife is how many report intervals credits last.
+const creditLife = 4
+
+func (s Settings) life() time.Duration { return creditLife * s.Interval }
--- /dev/null
+++ b/internal/claim/book.go
@@ -0,0 +1,215 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Book makes and settles claims for one box. Its exported fields are set before
+// use; it is safe for concurrent use.
+type Book struct {
+	Table   barleystep.Table
+	Objects barleystep.ObjectStore
+	Clock   barleystep.Clock
+	Source  *identity.Source
+	Meter   *metric.Meter
+	Log     *log.Logger
+	// Patience is how long a claim waits for the store; the default is 2 seconds.
+	Patience time.Duration
+	// Grace is added to a holder's deadline before it counts as gone; it covers
+	// the difference between boxes' clocks. The default is 5 seconds.
+	Grace time.Duration
+
+	open chan task
+}
+
+// The defaults of a Book.
+const (
+	DefaultPatience = 2 * time.Second
+	DefaultGrace    = 5 * time.Second
+
+	firstPause = 10 * time.Millisecond
+	lastPause  = time.Second
+	taskQueue  = 4096
+	workers    = 16
+)
+
+// NewBook returns a book whose fields are yet to be set.
+func NewBook() *Book { return &Book{open: make(chan task, taskQueue)} }
+
+// Request is what is claimed.
+type Request struct {
+	Account string
+	Key     string
+	// Digest is a hash of the request.
+	Digest string
+	// Deadline is when the request will have ended.
+	Deadline time.Time
+}
+
+// Claim is the right to send one request once.
+type Claim struct {
+	book    *Book
+	request Request
+	machine Machine
+}
+
+// Decision is the result of Book.Claim. Exactly one of its parts is set.
+type Decision struct {
+	claim  *Claim
+	answer []byte
+}
+
+// Claim returns the right to send, or nil.
+func (d Decision) Claim() *Claim { return d.claim }
+
+// Answer returns the stored answer of an earlier run, or nil.
+func (d Decision) Answer() []byte { return d.answer }
+
+// Claim decides whether this box may send the request. It returns a
+// *barleystep.Refusal if not.
+func (b *Book) Claim(ctx context.Context, r Request) (d Decision, err error) {
+	m := b.decide(ctx, r)
+	if m.Open && m.Verdict != VerdictSend {
+		b.later(task{request: r, machine: m})
+	}
+	if m.Verdict == VerdictSend {
+		return Decision{claim: &Claim{book: b, request: r, machine: m}}, nil
+	}
+	return b.earlier(ctx, m)
+}
+
+// decide drives one claim to its verdict.
+func (b *Book) decide(ctx context.Context, r Request) Machine {
+	ctx, cancel := clock.WithDeadline(ctx, b.Clock, b.Clock.Now().Add(b.patience()))
+	defer cancel()
+	nonce := b.Source.Attempt().String()
+	m, action := Start(nonce, r.Digest, b.grace())
+	pause := firstPause
+	for action != ActionNone {
+		if ctx.Err() != nil {
+			m, action = Step(m, Input{Event: EventDeadline})
+			continue
+		}
+		in := b.perform(ctx, r, m, action)
+		if in.Event == EventLost || in.Event == EventUnavailable {
+			clock.Sleep(ctx, b.Clock, pause)
+			pause = min(2*pause, lastPause)
+		}
+		m, action = Step(m, in)
+	}
+	return m
+}
+
+// perform carries out one action and reports what came of it.
+func (b *Book) perform(ctx context.Context, r Request, m Machine, a Action) Input {
+	key := rowKey(r.Account, r.Key)
+	switch a {
+	case ActionRead:
+		row, err := b.read(ctx, key)
+		if err != nil {
+			return Input{Event: EventUnavailable}
+		}
+		return Input{Event: EventRow, Row: row, Now: b.Clock.Now()}
+	case ActionExclude:
+		return b.write(ctx, key, m.Base, Row{State: StateNotRun, Nonce: m.Nonce, Digest: r.Digest, Deadline: r.Deadline})
+	default:
+		return b.write(ctx, key, m.Base, Row{State: StateHeld, Nonce: m.Nonce, Digest: r.Digest, Deadline: r.Deadline})
+	}
+}
+
+func (b *Book) read(ctx context.Context, key string) (Row, error) {
+	rows, err := b.Table.Read(ctx, key)
+	if err != nil {
+		b.Meter.StoreFault("claim_read", barleystep.FaultOf(err).String())
+		return Row{}, err
+	}
+	return decodeRow(rows[0])
+}
+
+func (b *Book) write(ctx context.Context, key string, base int64, row Row) Input {
+	err := b.Table.Commit(ctx, barleystep.Txn{
+		Conditions: []barleystep.Condition{barleystep.IfVersion(key, base)},
+		Writes:     []barleystep.Write{barleystep.Put(key, row.encode())},
+	})
+	fault := barleystep.FaultOf(err)
+	if fault != barleystep.FaultNone && fault != barleystep.FaultConflict {
+		b.Meter.StoreFault("claim_write", fault.String())
+	}
+	switch fault {
+	case barleystep.FaultNone:
+		return Input{Event: EventWritten}
+	case barleystep.FaultConflict:
+		return Input{Event: EventConflict}
+	case barleystep.FaultUnavailable:
+		return Input{Event: EventUnavailable}
+	default:
+		return Input{Event: EventLost}
+	}
+}
+
+// earlier answers a request whose key is held or was settled by another claim.
+func (b *Book) earlier(ctx context.Context, m Machine) (Decision, error) {
+	switch m.Verdict {
+	case VerdictDone:
+		return b.stored(ctx, m.Row)
+	case VerdictRunning:
+		wait := max(time.Second, m.Row.Deadline.Sub(b.Clock.Now()))
+		return Decision{}, barleystep.NewRefusal(barleystep.ReasonRunning, barleystep.OutcomePending,
+			"A request with this key is running.").WithRetryAfter(min(wait, time.Minute))
+	case VerdictFailed:
+		return Decision{}, barleystep.NewRefusal(barleystep.ReasonTargetFailed, barleystep.OutcomeFailed,
+			"The request with this key was run and failed.")
+	case VerdictReused:
+		return Decision{}, barleystep.NewRefusal(barleystep.ReasonKeyReused, barleystep.OutcomeNotRun,
+			"The key belongs to another request.")
+	case VerdictRefused:
+		return Decision{}, barleystep.NewRefusal(barleystep.ReasonStoreDown, barleystep.OutcomeNotRun,
+			"The claim could not be written; nothing was run.").WithRetryAfter(b.patience())
+	default:
+		return Decision{}, b.unknown(m)
+	}
+}
+
+func (b *Book) unknown(m Machine) error {
+	if m.Foreign {
+		return barleystep.NewRefusal(barleystep.ReasonStoreDown, barleystep.OutcomeUnknown,
+			"The state of this key could not be read.").WithRetryAfter(b.patience())
+	}
+	return barleystep.NewRefusal(barleystep.ReasonEarlierUnknown, barleystep.OutcomeUnknown,
+		"A request with this key may have run; nobody can tell.")
+}
+
+func (b *Book) stored(ctx context.Context, r Row) (Decision, error) {
+	data, err := b.Objects.Get(ctx, r.Object)
+	if err != nil {
+		return Decision{}, barleystep.NewRefusal(barleystep.ReasonStoreDown, barleystep.OutcomeDone,
+			"The request was run; its answer can't be read now.").WithRetryAfter(b.patience())
+	}
+	return Decision{answer: data}, nil
+}
+
+func (b *Book) patience() time.Duration {
+	if b.Patience == 0 {
+		return DefaultPatience
+	}
+	return b.Patience
+}
+
+func (b *Book) grace() time.Duration {
+	if b.Grace == 0 {
+		return DefaultGrace
+	}
+	return b.Grace
+}
+
+// errUnsettled is returned by a task that has to be tried again.
+var errUnsettled = eris.New("claim: not settled yet")
--- /dev/null
+++ b/internal/claim/finish.go
@@ -0,0 +1,157 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// task is work on a row that goes on after its request has ended.
+type task struct {
+	request Request
+	machine Machine
+	// state and answer are what a sent claim came to; state is empty for a claim
+	// that was never sent.
+	state  State
+	answer []byte
+}
+
+// Finish records what became of a claim that was sent. The answer is stored
+// first, so that a row in StateDone always has one. It tries once, for no longer
+// than the request may take, and then in the background until the platform
+// takes it.
+func (c *Claim) Finish(ctx context.Context, o barleystep.Outcome, answer []byte) {
+	t := task{request: c.request, machine: c.machine, state: stateOf(o), answer: answer}
+	until := c.book.Clock.Now().Add(c.book.patience())
+	if c.request.Deadline.Before(until) {
+		until = c.request.Deadline
+	}
+	ctx, cancel := clock.WithDeadline(ctx, c.book.Clock, until)
+	defer cancel()
+	if c.book.settle(ctx, t) != nil {
+		c.book.later(t)
+	}
+}
+
+func stateOf(o barleystep.Outcome) State {
+	switch o {
+	case barleystep.OutcomeDone:
+		return StateDone
+	case barleystep.OutcomeNotRun, barleystep.OutcomePending:
+		return StateNotRun
+	case barleystep.OutcomeFailed:
+		return StateFailed
+	default:
+		return StateUnknown
+	}
+}
+
+func (b *Book) later(t task) {
+	select {
+	case b.open <- t:
+	default:
+		b.Meter.StoreFault("claim_finish", "queue_full")
+		b.Log.Warn().Str("account", t.request.Account).Msg(logPrefix + "Too many claims wait for the store.")
+	}
+}
+
+const logPrefix = "claim: "
+
+// Serve settles the claims that their requests left open, until ctx ends.
+func (b *Book) Serve(ctx context.Context) error {
+	done := make(chan struct{})
+	for range workers {
+		go func() {
+			b.work(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range workers {
+		<-done
+	}
+	return ctx.Err()
+}
+
+func (b *Book) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-b.open:
+			b.persist(ctx, t)
+		}
+	}
+}
+
+// persist tries until the task is settled.
+func (b *Book) persist(ctx context.Context, t task) {
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		try, cancel := clock.WithDeadline(ctx, b.Clock, b.Clock.Now().Add(b.patience()))
+		err := b.settle(try, t)
+		cancel()
+		if err == nil || !clock.Sleep(ctx, b.Clock, pause) {
+			return
+		}
+	}
+}
+
+// settle makes one try at writing the claim's final row.
+func (b *Book) settle(ctx context.Context, t task) error {
+	if t.state == "" {
+		return b.withdraw(ctx, t)
+	}
+	final := Row{State: t.state, Nonce: t.machine.Nonce, Digest: t.request.Digest, Deadline: t.request.Deadline}
+	if t.state == StateDone {
+		final.Object = objectName(t.request.Account, t.machine.Nonce)
+		if err := b.Objects.Put(ctx, final.Object, t.answer); err != nil {
+			b.Meter.StoreFault("answer_put", barleystep.FaultOf(err).String())
+			return err
+		}
+	}
+	return b.replaceMine(ctx, t, final)
+}
+
+// withdraw gives up a claim that was never sent. A write of it may yet take
+// effect, which the exclusion prevents or the replacement undoes.
+func (b *Book) withdraw(ctx context.Context, t task) error {
+	key := rowKey(t.request.Account, t.request.Key)
+	free := Row{State: StateNotRun, Nonce: t.machine.Nonce, Digest: t.request.Digest, Deadline: t.request.Deadline}
+	switch b.write(ctx, key, t.machine.Base, free).Event {
+	case EventWritten:
+		return nil
+	case EventConflict:
+		return b.replaceMine(ctx, t, free)
+	default:
+		return errUnsettled
+	}
+}
+
+// replaceMine writes final over the held row of the claim. A row of another
+// claim is left alone, and a read that still shows the row's past is not
+// believed.
+func (b *Book) replaceMine(ctx context.Context, t task, final Row) error {
+	key := rowKey(t.request.Account, t.request.Key)
+	r, err := b.read(ctx, key)
+	if err != nil {
+		return err
+	}
+	held := r.Nonce == t.machine.Nonce && r.State == StateHeld
+	switch {
+	case r.Version() <= t.machine.Base:
+		return errUnsettled
+	case !held:
+		return nil
+	}
+	if b.write(ctx, key, r.Version(), final).Event == EventWritten {
+		return nil
+	}
+	return errUnsettled
+}
+
+// Expired reports whether a claim's row may be cleared: its holder has ended
+// and callers no longer retry.
+func Expired(r Row, now time.Time, keep time.Duration) bool {
+	return now.Sub(r.Deadline) > keep
+}
--- /dev/null
+++ b/internal/clock/deadline.go
@@ -0,0 +1,42 @@
+package clock
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// WithDeadline returns a context that ends with context.DeadlineExceeded as
+// its cause when clk reaches deadline. The cancel function must be called.
+func WithDeadline(ctx context.Context, clk barleystep.Clock, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := clk.NewTimer(deadline.Sub(clk.Now()))
+	go func() {
+		defer timer.Stop()
+		select {
+		case <-timer.C():
+			cancel(context.DeadlineExceeded)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// Sleep waits for d or until ctx ends, and reports whether the time passed.
+func Sleep(ctx context.Context, clk barleystep.Clock, d time.Duration) bool {
+	timer := clk.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Wall converts a time of clk into one of the operating system's clock, which
+// sockets need for their deadlines.
+func Wall(clk barleystep.Clock, t time.Time) time.Time {
+	return time.Now().Add(t.Sub(clk.Now()))
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,134 @@
+// Package command builds the command line that all programs share.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"github.com/barleystep/barleystep/internal/settings"
+)
+
+// Exit codes of all programs.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitSettings means that the settings were refused.
+	ExitSettings = 2
+)
+
+// Program describes one program.
+type Program struct {
+	// Name is the program's name, Short one line about it.
+	Name  string
+	Short string
+	// Check refuses settings that the program in particular can't use; may be
+	// nil.
+	Check func(settings.Settings) error
+	// Run runs the program until ctx ends.
+	Run func(ctx context.Context, s settings.Settings, l *log.Logger) error
+}
+
+// Main runs the program and returns its exit code. SIGINT and SIGTERM stop it.
+func Main(p Program) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := New(p).ExecuteContext(ctx)
+	var refused *settingsError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &refused):
+		return ExitSettings
+	default:
+		return ExitFailure
+	}
+}
+
+type settingsError struct{ cause error }
+
+// Error returns what is wrong with the settings.
+func (e *settingsError) Error() string { return e.cause.Error() }
+
+// New returns the command of the program with its subcommands.
+func New(p Program) *cobra.Command {
+	var file string
+	root := &cobra.Command{
+		Use:          p.Name,
+		Short:        p.Short,
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := p.read(file)
+			if err != nil {
+				return err
+			}
+			err = p.Run(cmd.Context(), s, Logger(s.Log))
+			if errors.Is(err, context.Canceled) {
+				return nil
+			}
+			return err
+		},
+	}
+	root.PersistentFlags().StringVar(&file, "config", "barleystep.toml", "settings file")
+	root.AddCommand(p.checkCommand(&file), VersionCommand())
+	return root
+}
+
+func (p Program) read(file string) (settings.Settings, error) {
+	s, err := settings.Read(file)
+	if err == nil && p.Check != nil {
+		err = p.Check(s)
+	}
+	if err != nil {
+		return s, &settingsError{err}
+	}
+	return s, nil
+}
+
+func (p Program) checkCommand(file *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check",
+		Short: "Check the settings file and say what is wrong",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := p.read(*file); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", *file)
+			return nil
+		},
+	}
+}
+
+// VersionCommand returns the command that prints the program's version.
+func VersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), version)
+		},
+	}
+}
+
+// Logger returns the logger that the settings ask for. It writes one JSON
+// object a line to standard error.
+func Logger(s settings.Log) *log.Logger {
+	level := s.Level
+	if level == "" {
+		level = "info"
+	}
+	return &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: os.Stderr}}
+}
--- /dev/null
+++ b/internal/config/share.go
@@ -0,0 +1,79 @@
+package config
+
+import "github.com/barleystep/barleystep/internal/policy"
+
+// Share is what the policy gives to one account in one class.
+type Share = policy.Share
+
+type shareKey struct {
+	account string
+	class   string
+}
+
+// evaluate runs the policy once for each account and class, so that no request
+// has to.
+func evaluate(v *View) (shares map[shareKey]Share, err error) {
+	program, err := v.program()
+	if err != nil {
+		return nil, err
+	}
+	shares = make(map[shareKey]Share)
+	for _, a := range v.accounts {
+		for _, c := range v.classes {
+			s, err := program.Share(policyInput(a, c))
+			if err != nil {
+				return nil, err
+			}
+			shares[shareKey{a.Name, c.Name}] = s
+		}
+	}
+	return shares, nil
+}
+
+// program compiles the active policy: the one that sorts first by name.
+func (v *View) program() (*policy.Program, error) {
+	names := sortedNames(v.policies)
+	if len(names) == 0 {
+		return policy.Default(), nil
+	}
+	return policy.Compile(names[0], v.policies[names[0]].Program)
+}
+
+// Weighing returns the active policy's balance between short and long prompts,
+// from 0 (short first) to 1 (all alike).
+func (v *View) Weighing() float64 {
+	names := sortedNames(v.policies)
+	if len(names) == 0 {
+		return 0
+	}
+	return v.policies[names[0]].Weighing
+}
+
+// Share returns what the policy gives to the account in the class.
+func (v *View) Share(account, class string) Share {
+	return v.shares[shareKey{account, class}]
+}
+
+// Explain runs the policy anew for one account and class.
+func (v *View) Explain(account, class string) (s Share, err error) {
+	program, err := v.program()
+	if err != nil {
+		return Share{}, err
+	}
+	return program.Share(policyInput(v.accounts[account], v.classes[class]))
+}
+
+func policyInput(a Account, c Class) policy.Input {
+	weight := a.Weight
+	if weight == 0 {
+		weight = DefaultWeight
+	}
+	return policy.Input{
+		Account: a.Name,
+		Weight:  weight,
+		Rate:    a.Rate,
+		Labels:  a.Labels,
+		Class:   c.Name,
+		Rank:    c.Rank,
+	}
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,212 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+)
+
+const (
+	controlLimit = 4 << 20 // controlLimit bounds an answer of the control interface, in bytes.
+	drainLimit   = 64 << 10
+)
+
+// Client talks to one target over HTTP. Its exported fields are set before
+// use; it is safe for concurrent use.
+type Client struct {
+	// URL is the root of the target, without a slash at the end.
+	URL string
+	// HTTP sends the requests. It must neither follow redirects nor set a
+	// timeout of its own. The default is a client made by NewHTTP.
+	HTTP *http.Client
+	// Fresh opens a connection for each attempt, so that a connection that the
+	// target closed while idle cannot leave the attempt's fate open.
+	Fresh      bool
+	EventLimit int // EventLimit bounds one event in bytes; the default is 1 MiB.
+}
+
+const defaultEventLimit = 1 << 20
+
+var (
+	_ barleystep.Engine  = (*Client)(nil)
+	_ barleystep.Service = (*Client)(nil)
+)
+
+// NewHTTP returns a client for targets that keeps up to idle connections to
+// each. It sends nothing twice by itself: bodies cannot be rewound.
+func NewHTTP(idle int) *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	t.MaxIdleConnsPerHost = idle
+	t.MaxIdleConns = 0
+	t.DisableCompression = true
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Start runs or resumes the attempt.
+func (c *Client) Start(ctx context.Context, a barleystep.Attempt) (s barleystep.Stream, err error) {
+	return c.Call(ctx, a)
+}
+
+// Call runs the attempt.
+func (c *Client) Call(ctx context.Context, a barleystep.Attempt) (s barleystep.Stream, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "engine: attempt %s", a.ID)
+		}
+	}()
+	reached := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached = true }}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), a)
+	if err != nil {
+		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, classify(err, reached)
+	}
+	return c.open(resp, a)
+}
+
+func classify(err error, reached bool) error {
+	if !reached {
+		return eris.Wrap(barleystep.ErrNotStarted, err.Error())
+	}
+	return eris.Wrap(barleystep.ErrUnknownEffect, err.Error())
+}
+
+func (c *Client) request(ctx context.Context, a barleystep.Attempt) (*http.Request, error) {
+	method := a.Method
+	if method == "" {
+		method = http.MethodPost
+	}
+	// The body is wrapped so that net/http cannot rewind it: a request that can
+	// be rewound may be sent a second time on a connection that broke.
+	body := io.NopCloser(bytes.NewReader(a.Body))
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+a.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(a.Body))
+	req.Close = c.Fresh
+	setHeaders(req.Header, a)
+	return req, nil
+}
+
+func setHeaders(h http.Header, a barleystep.Attempt) {
+	h.Set(HeaderAttempt, a.ID.String())
+	h.Set(HeaderPriority, strconv.Itoa(a.Priority))
+	if a.Type != "" {
+		h.Set("Content-Type", a.Type)
+	}
+	if !a.Deadline.IsZero() {
+		h.Set(HeaderDeadline, a.Deadline.UTC().Format(DeadlineLayout))
+	}
+	if a.From > 0 {
+		h.Set(HeaderFrom, strconv.FormatUint(a.From, 10))
+	}
+	if len(a.Group) > 1 {
+		h.Set(HeaderGroup, joinTargets(a.Group))
+	}
+}
+
+func joinTargets(ids []barleystep.TargetID) string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return strings.Join(names, ",")
+}
+
+func (c *Client) open(resp *http.Response, a barleystep.Attempt) (barleystep.Stream, error) {
+	if resp.Header.Get(HeaderStarted) == "false" {
+		drain(resp.Body)
+		_ = resp.Body.Close()
+		return nil, eris.Wrapf(barleystep.ErrNotStarted, "target answered %s", resp.Status)
+	}
+	if got := resp.Header.Get(HeaderAttempt); got != a.ID.String() {
+		_ = resp.Body.Close()
+		return nil, eris.Wrapf(barleystep.ErrForeign, "target answered for %q", got)
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return newEventStream(resp, a, c.eventLimit()), nil
+	}
+	return &bodyStream{resp: resp}, nil
+}
+
+func (c *Client) eventLimit() int {
+	if c.EventLimit == 0 {
+		return defaultEventLimit
+	}
+	return c.EventLimit
+}
+
+// Cancel ends the attempt at the target.
+func (c *Client) Cancel(ctx context.Context, id string) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "engine: cancel %s", id)
+		}
+	}()
+	return c.control(ctx, http.MethodDelete, PathAttempts+"/"+url.PathEscape(id), nil)
+}
+
+// Load asks the target for its load report.
+func (c *Client) Load(ctx context.Context) (l barleystep.Load, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "engine: load")
+		}
+	}()
+	err = c.control(ctx, http.MethodGet, PathLoad, &l)
+	return l, err
+}
+
+// List asks the target which attempts it holds memory for.
+func (c *Client) List(ctx context.Context) (work []barleystep.Work, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "engine: list")
+		}
+	}()
+	err = c.control(ctx, http.MethodGet, PathAttempts, &work)
+	return work, err
+}
+
+func (c *Client) control(ctx context.Context, method, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return eris.Wrap(barleystep.ErrUnavailable, err.Error())
+	}
+	defer resp.Body.Close()
+	defer drain(resp.Body)
+	if resp.StatusCode/100 != 2 {
+		return eris.Wrapf(barleystep.ErrUnavailable, "target answered %s", resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, controlLimit)).Decode(out)
+}
+
+// drain reads what is left of a short body, so that the connection is kept.
+func drain(body io.Reader) {
+	_, _ = io.CopyN(io.Discard, body, drainLimit)
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/config"
+)
+
+// Configuration gives the version in force.
+type Configuration interface {
+	// View returns the version in force, nil before there is one.
+	View() (v *config.View, confirmed bool)
+}
+
+// Pool finds the adapters of the configured targets. Its exported field is set
+// before use; it is safe for concurrent use.
+type Pool struct {
+	Configuration Configuration
+
+	once  sync.Once
+	http  *http.Client
+	mu    sync.Mutex
+	byURL map[clientKey]*Client
+}
+
+type clientKey struct {
+	url   string
+	fresh bool
+}
+
+// idlePerTarget is how many idle connections are kept to each target.
+const idlePerTarget = 64
+
+// Engine returns the adapter of the target in the configuration in force.
+func (p *Pool) Engine(id barleystep.TargetID, fresh bool) (barleystep.Engine, bool) {
+	v, _ := p.Configuration.View()
+	if v == nil {
+		return nil, false
+	}
+	t, ok := v.Target(string(id))
+	if !ok {
+		return nil, false
+	}
+	return p.client(clientKey{t.URL, fresh}), true
+}
+
+func (p *Pool) client(k clientKey) *Client {
+	p.once.Do(func() {
+		p.http = NewHTTP(idlePerTarget)
+		p.byURL = make(map[clientKey]*Client)
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.byURL[k]
+	if !ok {
+		c = &Client{URL: k.url, HTTP: p.http, Fresh: k.fresh}
+		p.byURL[k] = c
+	}
+	return c
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/barleystep/barleystep"
+)
+
+// eventStream reads a streamed answer. Each event's id is the attempt, a slash
+// and the event's number.
+type eventStream struct {
+	resp    *http.Response
+	next    func() (sse.Event, error, bool)
+	stop    func()
+	attempt string
+	want    uint64
+	ended   bool
+}
+
+func newEventStream(resp *http.Response, a barleystep.Attempt, limit int) *eventStream {
+	events := sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: limit})
+	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](events))
+	return &eventStream{
+		resp:    resp,
+		next:    next,
+		stop:    stop,
+		attempt: a.ID.String(),
+		want:    max(a.From, 1),
+	}
+}
+
+// Status returns the HTTP status.
+func (s *eventStream) Status() int { return s.resp.StatusCode }
+
+// ContentType returns the content type.
+func (s *eventStream) ContentType() string { return s.resp.Header.Get("Content-Type") }
+
+// Next returns the next event of the attempt. Events that were already
+// returned are skipped, as a resumed stream may repeat them.
+func (s *eventStream) Next() (barleystep.Event, error) {
+	if s.ended {
+		return barleystep.Event{}, io.EOF
+	}
+	for {
+		e, err, ok := s.next()
+		if err != nil {
+			return barleystep.Event{}, eris.Wrap(barleystep.ErrTorn, err.Error())
+		}
+		if !ok {
+			return barleystep.Event{}, eris.Wrap(barleystep.ErrTorn, "stream ended early")
+		}
+		number, err := s.number(e.LastEventID)
+		if err != nil {
+			return barleystep.Event{}, err
+		}
+		if number < s.want {
+			continue
+		}
+		if number > s.want {
+			return barleystep.Event{}, eris.Wrapf(barleystep.ErrTorn, "event %d came in place of %d", number, s.want)
+		}
+		s.want++
+		s.ended = e.Data == Done
+		return barleystep.NewEvent(number, []byte(e.Data), s.ended), nil
+	}
+}
+
+func (s *eventStream) number(id string) (uint64, error) {
+	text, ok := strings.CutPrefix(id, s.attempt)
+	if !ok || !strings.HasPrefix(text, "/") {
+		return 0, eris.Wrapf(barleystep.ErrForeign, "event has id %q", id)
+	}
+	n, err := strconv.ParseUint(text[1:], 10, 64)
+	if err != nil {
+		return 0, eris.Wrapf(barleystep.ErrTorn, "event has id %q", id)
+	}
+	return n, nil
+}
+
+// Close gives up the stream.
+func (s *eventStream) Close() error {
+	err := s.resp.Body.Close()
+	s.stop()
+	return err
+}
+
+// bodyStream reads an answer that comes as one body: a single event.
+type bodyStream struct {
+	resp *http.Response
+	read bool
+}
+
+// Status returns the HTTP status.
+func (s *bodyStream) Status() int { return s.resp.StatusCode }
+
+// ContentType returns the content type.
+func (s *bodyStream) ContentType() string { return s.resp.Header.Get("Content-Type") }
+
+// Next returns the whole body as one event. A body without a declared length
+// or chunked framing cannot be told from a torn one and is refused.
+func (s *bodyStream) Next() (barleystep.Event, error) {
+	if s.read {
+		return barleystep.Event{}, io.EOF
+	}
+	if s.resp.ContentLength < 0 && len(s.resp.TransferEncoding) == 0 && s.resp.ProtoMajor == 1 {
+		return barleystep.Event{}, eris.Wrap(barleystep.ErrTorn, "body has no end mark")
+	}
+	data, err := io.ReadAll(s.resp.Body)
+	if err != nil {
+		return barleystep.Event{}, eris.Wrap(barleystep.ErrTorn, err.Error())
+	}
+	s.read = true
+	return barleystep.NewEvent(1, data, true), nil
+}
+
+// Close gives up the stream.
+func (s *bodyStream) Close() error { return s.resp.Body.Close() }
--- /dev/null
+++ b/internal/gate/answer.go
@@ -0,0 +1,210 @@
+package gate
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// answer writes to the caller. It is used by one goroutine.
+type answer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+	stream  bool
+	// events counts the events that were passed on.
+	events uint64
+	// copy keeps what was sent, for requests whose result is stored.
+	copy *Result
+	// beforeLast runs before the event that completes the answer is sent.
+	beforeLast func()
+}
+
+// Result is a whole answer as it is stored for the caller's retries.
+type Result struct {
+	Status int    `json:"status"`
+	Type   string `json:"type"`
+	Body   []byte `json:"body"`
+}
+
+func newAnswer(w http.ResponseWriter) *answer {
+	return &answer{w: w, control: http.NewResponseController(w)}
+}
+
+// limit keeps a caller that reads slowly from holding the request for ever.
+func (a *answer) limit(clk barleystep.Clock, deadline time.Time) {
+	_ = a.control.SetWriteDeadline(clock.Wall(clk, deadline)) // Recorders in tests have no deadline.
+}
+
+func (a *answer) begin(status int, contentType string, stream bool) {
+	a.begun = true
+	a.stream = stream
+	h := a.w.Header()
+	h.Set("Content-Type", contentType)
+	if stream {
+		h.Set("Trailer", HeaderOutcome)
+		h.Set("Cache-Control", "no-cache")
+	} else {
+		h.Set(HeaderOutcome, barleystep.OutcomeDone.String())
+	}
+	if a.copy != nil {
+		a.copy.Status = status
+		a.copy.Type = contentType
+	}
+	a.w.WriteHeader(status)
+}
+
+var (
+	eventStart = []byte("data: ")
+	eventEnd   = []byte("\n\n")
+	newline    = []byte("\n")
+	eventLine  = []byte("\ndata: ")
+)
+
+// event passes on one event.
+func (a *answer) event(e barleystep.Event) error {
+	data := e.Data()
+	if a.stream {
+		data = frame(data)
+	}
+	if a.copy != nil {
+		a.copy.Body = append(a.copy.Body, data...)
+	}
+	if e.Last() && a.beforeLast != nil {
+		a.beforeLast()
+	}
+	a.events++
+	if _, err := a.w.Write(data); err != nil {
+		return err
+	}
+	if !a.stream {
+		return nil
+	}
+	return a.control.Flush()
+}
+
+// frame writes data as one event of an event stream.
+func frame(data []byte) []byte {
+	if bytes.Contains(data, newline) {
+		data = bytes.ReplaceAll(data, newline, eventLine)
+	}
+	framed := make([]byte, 0, len(eventStart)+len(data)+len(eventEnd))
+	framed = append(framed, eventStart...)
+	framed = append(framed, data...)
+	return append(framed, eventEnd...)
+}
+
+// replay sends a stored result.
+func (a *answer) replay(r Result) {
+	a.begin(r.Status, r.Type, false)
+	_, _ = a.w.Write(r.Body) // The caller may have gone away.
+}
+
+// outcome tells the outcome of a streamed answer.
+func (a *answer) outcome(o barleystep.Outcome) {
+	if a.stream {
+		a.w.Header().Set(HeaderOutcome, o.String())
+	}
+}
+
+// errorBody has the shape that clients of the OpenAI interface parse.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+}
+
+// refuse ends the answer with an error: as a whole answer, or as an error event
+// when the stream has begun.
+func (a *answer) refuse(r *barleystep.Refusal) {
+	body, err := json.Marshal(errorBody{errorDetail{
+		Message: r.Error(),
+		Type:    errorType(r),
+		Code:    string(r.Reason()),
+		Outcome: r.Outcome().String(),
+	}})
+	if err != nil {
+		body = nil
+	}
+	if a.begun {
+		a.refuseLate(body, r)
+		return
+	}
+	h := a.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, r.Outcome().String())
+	h.Set(HeaderReason, string(r.Reason()))
+	if r.RetryAfter() > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter().Seconds()))))
+	}
+	a.w.WriteHeader(statusOf(r))
+	_, _ = a.w.Write(body) // The caller may have gone away.
+}
+
+func (a *answer) refuseLate(body []byte, r *barleystep.Refusal) {
+	if !a.stream {
+		// A body that was cut must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = a.w.Write([]byte("event: error\n")) // The caller may have gone away.
+	_, _ = a.w.Write(frame(body))
+	a.outcome(r.Outcome())
+	_ = a.control.Flush()
+}
+
+func errorType(r *barleystep.Refusal) string {
+	switch s := statusOf(r); {
+	case s == http.StatusUnauthorized:
+		return "authentication_error"
+	case s == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case s < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+var statuses = map[barleystep.Reason]int{
+	barleystep.ReasonMalformed:        http.StatusBadRequest,
+	barleystep.ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	barleystep.ReasonEmptyPrompt:      http.StatusBadRequest,
+	barleystep.ReasonPromptTooLong:    http.StatusBadRequest,
+	barleystep.ReasonUnknownModel:     http.StatusNotFound,
+	barleystep.ReasonUnknownClass:     http.StatusForbidden,
+	barleystep.ReasonUnknownService:   http.StatusNotFound,
+	barleystep.ReasonNoKey:            http.StatusUnauthorized,
+	barleystep.ReasonBadKey:           http.StatusUnauthorized,
+	barleystep.ReasonBadTimeLimit:     http.StatusBadRequest,
+	barleystep.ReasonNoIdempotencyKey: http.StatusBadRequest,
+	barleystep.ReasonKeyReused:        http.StatusUnprocessableEntity,
+	barleystep.ReasonRunning:          http.StatusConflict,
+	barleystep.ReasonEarlierUnknown:   http.StatusConflict,
+	barleystep.ReasonOverShare:        http.StatusTooManyRequests,
+	barleystep.ReasonCannotMeet:       http.StatusTooManyRequests,
+	barleystep.ReasonQueueFull:        http.StatusTooManyRequests,
+	barleystep.ReasonDeadline:         http.StatusGatewayTimeout,
+	barleystep.ReasonTargetFailed:     http.StatusBadGateway,
+	barleystep.ReasonTorn:             http.StatusBadGateway,
+	barleystep.ReasonForeign:          http.StatusBadGateway,
+	barleystep.ReasonInternal:         http.StatusInternalServerError,
+}
+
+// statusOf returns the HTTP status for a refusal.
+func statusOf(r *barleystep.Refusal) int {
+	if s, ok := statuses[r.Reason()]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/gate/attempt.go
@@ -0,0 +1,175 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// attempt queues the request for targets, sends it, and tries again where that
+// is safe.
+type attempt struct {
+	clock     barleystep.Clock
+	source    *identity.Source
+	allocator barleystep.Allocator
+	dispatch  *dispatch
+	canceller *Canceller
+	estimator *Estimator
+	meter     *metric.Meter
+}
+
+const (
+	maxTries = 6
+	// firstPause is the wait before the first new try when a target refused; it
+	// doubles with each try.
+	firstPause = 20 * time.Millisecond
+)
+
+// Run makes attempts until one ends the request.
+func (a *attempt) Run(ctx context.Context, x *Exchange, next Next) error {
+	d := a.demand(x)
+	var last error
+	for try := range maxTries {
+		d.Attempt = a.source.Attempt()
+		err := a.once(ctx, x, d)
+		if err == nil {
+			return next(ctx, x)
+		}
+		last = err
+		var retry *retryError
+		if !errors.As(err, &retry) {
+			return a.ended(ctx, x, err)
+		}
+		a.meter.Retried(string(retry.reason))
+		d.Avoid = append(d.Avoid, retry.target)
+		if !clock.Sleep(ctx, a.clock, firstPause<<try) {
+			return a.ended(ctx, x, ctx.Err())
+		}
+	}
+	return a.ended(ctx, x, last)
+}
+
+func (a *attempt) demand(x *Exchange) barleystep.Demand {
+	d := barleystep.Demand{
+		Account:  x.account.Name,
+		Class:    x.class.Name,
+		Model:    x.prompt.model,
+		Prompt:   x.prompt.tokens,
+		Output:   x.prompt.output,
+		Since:    x.started,
+		Deadline: x.deadline,
+		Prefix:   x.prompt.prefix,
+	}
+	if x.isService() {
+		d.Model = capacity.ServicePool(x.service)
+		d.Output = 1
+	}
+	return d
+}
+
+// retryError says that the request may be tried at another target.
+type retryError struct {
+	reason barleystep.Reason
+	target barleystep.TargetID
+	cause  error
+}
+
+// Error returns the cause.
+func (e *retryError) Error() string { return e.cause.Error() }
+
+// once makes one attempt. It returns a retryError if another may follow.
+func (a *attempt) once(ctx context.Context, x *Exchange, d barleystep.Demand) (err error) {
+	allotment, err := a.allocator.Acquire(ctx, d)
+	if err != nil {
+		return err
+	}
+	usage := barleystep.Usage{Outcome: barleystep.OutcomeFailed}
+	defer func() { allotment.Release(usage) }()
+	r := &relay{
+		stage:     a.dispatch,
+		exchange:  x,
+		allotment: allotment,
+		id:        d.Attempt,
+	}
+	err = r.run(ctx)
+	usage = r.usage
+	if err == nil {
+		usage.Outcome = barleystep.OutcomeDone
+		x.targetState = barleystep.OutcomeDone
+		a.estimator.Learn(x.prompt.model, x.prompt.textBytes, usage.Prompt)
+		return nil
+	}
+	return a.judge(x, r, err)
+}
+
+// judge decides what a failed attempt means for the request.
+func (a *attempt) judge(x *Exchange, r *relay, err error) error {
+	target := r.allotment.Target()
+	if eris.Is(err, barleystep.ErrNotStarted) {
+		r.usage.Full = true
+		return &retryError{barleystep.ReasonTargetRefused, target, err}
+	}
+	for _, id := range r.allotment.Group() {
+		a.canceller.Add(id, r.id)
+	}
+	if !x.repeatable {
+		x.targetState = barleystep.OutcomeUnknown
+		return err
+	}
+	x.targetState = barleystep.OutcomeFailed
+	if x.answer.events > 0 || x.answer.begun {
+		return err
+	}
+	return &retryError{reasonOf(err), target, err}
+}
+
+func reasonOf(err error) barleystep.Reason {
+	switch {
+	case eris.Is(err, barleystep.ErrTorn):
+		return barleystep.ReasonTorn
+	case eris.Is(err, barleystep.ErrForeign):
+		return barleystep.ReasonForeign
+	default:
+		return barleystep.ReasonTargetFailed
+	}
+}
+
+// ended turns the last error into a refusal with a truthful outcome.
+func (a *attempt) ended(ctx context.Context, x *Exchange, err error) error {
+	outcome := x.targetState
+	if outcome == barleystep.OutcomePending {
+		outcome = barleystep.OutcomeNotRun
+	}
+	var refusal *barleystep.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.WithOutcome(outcome)
+	}
+	if ctx.Err() != nil {
+		return interrupted(ctx, outcome)
+	}
+	var retry *retryError
+	if errors.As(err, &retry) {
+		err = retry.cause
+	}
+	if eris.Is(err, barleystep.ErrNotStarted) {
+		return barleystep.NewRefusal(barleystep.ReasonNoTarget, outcome, "No target took the request.").
+			WithRetryAfter(time.Second)
+	}
+	return barleystep.NewRefusal(reasonOf(err), outcome, "The target failed before the answer was whole.")
+}
+
+// interrupted returns the refusal for a request whose context has ended.
+func interrupted(ctx context.Context, outcome barleystep.Outcome) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
+	}
+	return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
+}
--- /dev/null
+++ b/internal/gate/cancel.go
@@ -0,0 +1,100 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Canceller tells targets to drop attempts that nobody waits for. What it
+// cannot deliver is found later by the keeper's clean-up. Its exported fields
+// are set before Serve.
+type Canceller struct {
+	Clock   barleystep.Clock
+	Targets Targets
+	Meter   *metric.Meter
+	Log     *log.Logger
+
+	queue chan cancellation
+}
+
+type cancellation struct {
+	target barleystep.TargetID
+	id     barleystep.AttemptID
+}
+
+const (
+	cancelQueue   = 4096
+	cancelWorkers = 8
+	cancelTries   = 4
+	cancelPause   = 250 * time.Millisecond
+	cancelTimeout = 5 * time.Second
+)
+
+// NewCanceller returns a canceller whose fields are yet to be set.
+func NewCanceller() *Canceller { return &Canceller{queue: make(chan cancellation, cancelQueue)} }
+
+// Add asks for the attempt to be cancelled. It does not wait.
+func (c *Canceller) Add(target barleystep.TargetID, id barleystep.AttemptID) {
+	select {
+	case c.queue <- cancellation{target, id}:
+	default:
+		c.Meter.Cleaned("queue_full")
+	}
+}
+
+// Serve delivers cancellations until ctx ends.
+func (c *Canceller) Serve(ctx context.Context) error {
+	done := make(chan struct{})
+	for range cancelWorkers {
+		go func() {
+			c.work(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range cancelWorkers {
+		<-done
+	}
+	return ctx.Err()
+}
+
+func (c *Canceller) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-c.queue:
+			c.deliver(ctx, n)
+		}
+	}
+}
+
+func (c *Canceller) deliver(ctx context.Context, n cancellation) {
+	e, ok := c.Targets.Engine(n.target, false)
+	if !ok {
+		return
+	}
+	for try := range cancelTries {
+		if c.cancel(ctx, e, n.id) == nil {
+			c.Meter.Cleaned("abandoned")
+			return
+		}
+		if !clock.Sleep(ctx, c.Clock, cancelPause<<try) {
+			return
+		}
+	}
+	c.Meter.Cleaned("undelivered")
+	c.Log.Warn().Str("target", string(n.target)).Stringer("attempt", n.id).
+		Msg(logPrefix + "Target did not take a cancellation.")
+}
+
+func (c *Canceller) cancel(ctx context.Context, e barleystep.Engine, id barleystep.AttemptID) error {
+	ctx, done := clock.WithDeadline(ctx, c.Clock, c.Clock.Now().Add(cancelTimeout))
+	defer done()
+	return e.Cancel(ctx, id.String())
+}
--- /dev/null
+++ b/internal/gate/claim.go
@@ -0,0 +1,83 @@
+package gate
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/claim"
+)
+
+// claimOnce lets a request that is marked as not repeatable through only under
+// a claim, and answers its retries.
+type claimOnce struct {
+	clock barleystep.Clock
+	book  *claim.Book
+}
+
+// Run claims the request's key, and records what became of the request.
+func (c *claimOnce) Run(ctx context.Context, x *Exchange, next Next) error {
+	if x.repeatable {
+		return next(ctx, x)
+	}
+	d, err := c.book.Claim(ctx, claim.Request{
+		Account:  x.account.Name,
+		Key:      x.key,
+		Digest:   digest(x),
+		Deadline: x.deadline,
+	})
+	if err != nil {
+		return err
+	}
+	if d.Claim() == nil {
+		return replay(x, d.Answer())
+	}
+	return c.run(ctx, x, d.Claim(), next)
+}
+
+func (c *claimOnce) run(ctx context.Context, x *Exchange, held *claim.Claim, next Next) error {
+	result := &Result{}
+	finished := false
+	finish := func(o barleystep.Outcome, answer []byte) {
+		if finished {
+			return
+		}
+		finished = true
+		// The request's own context may have ended; the claim's end must still
+		// be recorded.
+		held.Finish(context.WithoutCancel(ctx), o, answer)
+	}
+	x.answer.copy = result
+	x.answer.beforeLast = func() { finish(barleystep.OutcomeDone, encode(result)) }
+	err := next(ctx, x)
+	finish(x.targetState, encode(result))
+	return err
+}
+
+func encode(r *Result) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // All fields have plain types.
+	}
+	return data
+}
+
+func replay(x *Exchange, stored []byte) error {
+	var r Result
+	if err := json.Unmarshal(stored, &r); err != nil {
+		return barleystep.NewRefusal(barleystep.ReasonInternal, barleystep.OutcomeDone, "The stored answer is damaged.")
+	}
+	x.answer.replay(r)
+	return nil
+}
+
+// digest tells apart requests that use the same key.
+func digest(x *Exchange) string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\n%s\n%s\n", x.r.Method, x.service, x.path)
+	h.Write(x.prompt.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/gate/prompt.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+
+	"github.com/barleystep/barleystep"
+)
+
+// prompt is what the decisions need to know of a body.
+type prompt struct {
+	body      []byte
+	model     string
+	stream    bool
+	textBytes int
+	tokens    int // tokens is the estimated length.
+	output    int // output is the most tokens that may be generated.
+	prefix    []uint64
+}
+
+const (
+	startRatio = 4.0 // startRatio is the first guess of bytes per token.
+	// firstPrefix is the length in bytes of the shortest prefix that is hashed;
+	// each further one is twice as long.
+	firstPrefix = 4 << 10
+	// minimumRatio and maximumRatio bound the learnt bytes per token.
+	minimumRatio = 1.0
+	maximumRatio = 8.0
+	// learning is the weight of a new observation of bytes per token.
+	learning = 0.05
+)
+
+// parsePrompt reads the few fields that are needed and leaves the body alone.
+func parsePrompt(body []byte) (p prompt, err error) {
+	if !gjson.ValidBytes(body) {
+		return prompt{}, refuse(barleystep.ReasonMalformed, "The body is not valid JSON.")
+	}
+	fields := gjson.GetManyBytes(body, "model", "stream", "messages", "prompt", "max_completion_tokens", "max_tokens")
+	text := fields[2]
+	if !text.Exists() {
+		text = fields[3]
+	}
+	if isEmpty(text) {
+		return prompt{}, refuse(barleystep.ReasonEmptyPrompt, "The prompt is empty.")
+	}
+	output := fields[4]
+	if !output.Exists() {
+		output = fields[5]
+	}
+	return prompt{
+		body:      body,
+		model:     fields[0].String(),
+		stream:    fields[1].Bool(),
+		textBytes: len(text.Raw),
+		output:    int(output.Int()),
+		prefix:    prefixHashes(text.Raw),
+	}, nil
+}
+
+func isEmpty(text gjson.Result) bool {
+	switch {
+	case text.IsArray():
+		return !text.Get("0").Exists()
+	case text.Type == gjson.String:
+		return text.Str == ""
+	default:
+		return true
+	}
+}
+
+// prefixHashes hashes prefixes of growing length, shortest first.
+func prefixHashes(text string) []uint64 {
+	var hashes []uint64
+	d := xxhash.New()
+	done := 0
+	for size := firstPrefix; size <= len(text); size *= 2 {
+		_, _ = d.WriteString(text[done:size]) // A hash never fails to write.
+		done = size
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
+}
+
+// Estimator guesses prompt lengths and learns from what engines report. Its
+// zero value is ready; it is safe for concurrent use.
+type Estimator struct {
+	mu     sync.Mutex
+	ratios map[string]float64 // ratios holds bytes per token by model.
+}
+
+// Tokens returns the estimated tokens of a text of the given size.
+func (e *Estimator) Tokens(model string, textBytes int) int {
+	return int(float64(textBytes)/e.ratio(model)) + 1
+}
+
+// Learn corrects the model's bytes per token by one report of usage.
+func (e *Estimator) Learn(model string, textBytes, tokens int) {
+	if textBytes <= 0 || tokens <= 0 {
+		return
+	}
+	seen := min(max(float64(textBytes)/float64(tokens), minimumRatio), maximumRatio)
+	old := e.ratio(model)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ratios == nil {
+		e.ratios = make(map[string]float64)
+	}
+	e.ratios[model] = old + learning*(seen-old)
+}
+
+func (e *Estimator) ratio(model string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r, ok := e.ratios[model]; ok {
+		return r
+	}
+	return startRatio
+}
--- /dev/null
+++ b/internal/gate/server.go
@@ -0,0 +1,157 @@
+package gate
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/claim"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Configuration gives the version in force. Implementations are safe for
+// concurrent use.
+type Configuration interface {
+	// View returns the version in force, nil before there is one, and whether
+	// it was lately confirmed to be the newest.
+	View() (v *config.View, confirmed bool)
+}
+
+// Server serves callers. Its exported fields are set before Handler; the ones
+// with a default may be left out.
+type Server struct {
+	Clock         barleystep.Clock
+	Source        *identity.Source
+	Configuration Configuration
+	Allocator     barleystep.Allocator
+	Targets       Targets
+	Canceller     *Canceller
+	Claims        *claim.Book
+	Meter         *metric.Meter
+	Log           *log.Logger
+	Limits        Limits
+	// Stall is how long a target may send nothing in the midst of an answer; the
+	// default is 20 seconds.
+	Stall time.Duration
+
+	estimator Estimator
+	pipeline  Pipeline
+	running   atomic.Int64
+}
+
+const defaultStall = 20 * time.Second
+
+// Handler wires the stages and returns the handler for callers.
+func (s *Server) Handler() http.Handler {
+	if s.Stall == 0 {
+		s.Stall = defaultStall
+	}
+	d := &dispatch{clock: s.Clock, targets: s.Targets, meter: s.Meter, stall: s.Stall}
+	s.pipeline = Pipeline{
+		&settle{clock: s.Clock, meter: s.Meter, log: s.Log},
+		authenticate{},
+		&classify{clock: s.Clock, estimator: &s.estimator, limits: s.Limits.withDefaults()},
+		&claimOnce{clock: s.Clock, book: s.Claims},
+		&attempt{
+			clock:     s.Clock,
+			source:    s.Source,
+			allocator: s.Allocator,
+			dispatch:  d,
+			canceller: s.Canceller,
+			estimator: &s.estimator,
+			meter:     s.Meter,
+		},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.complete)
+	mux.HandleFunc("POST /v1/completions", s.complete)
+	mux.HandleFunc("GET /v1/models", s.models)
+	mux.HandleFunc("/v1/services/{service}/{path...}", s.call)
+	return mux
+}
+
+// Running returns how many requests are being served.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, &Exchange{path: r.URL.Path})
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	s.serve(w, r, &Exchange{service: r.PathValue("service"), path: path})
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, x *Exchange) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	if !s.begin(w, r, x) {
+		return
+	}
+	// The settling stage has told the caller of any error.
+	_ = s.pipeline.Run(r.Context(), x)
+}
+
+// begin fills in what every exchange has. It answers for itself when there is
+// no configuration yet.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request, x *Exchange) (ok bool) {
+	x.w = w
+	x.r = r
+	x.id = s.Source.Request()
+	x.started = s.Clock.Now()
+	x.answer = newAnswer(w)
+	x.answer.limit(s.Clock, x.started.Add(s.Limits.withDefaults().MaxTime))
+	w.Header().Set(HeaderRequest, x.id)
+	view, confirmed := s.Configuration.View()
+	if view == nil {
+		refusal := refuse(barleystep.ReasonNoConfiguration, "This box has no configuration yet.")
+		s.Meter.Refused(string(refusal.Reason()), refusal.Outcome().String())
+		x.answer.refuse(refusal.WithRetryAfter(time.Second))
+		return false
+	}
+	x.view = view
+	w.Header().Set(HeaderConfig, strconv.FormatInt(view.Version(), 10))
+	if !confirmed {
+		w.Header().Set(HeaderConfigConfirmed, "no")
+	}
+	return true
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	x := &Exchange{}
+	if !s.begin(w, r, x) {
+		return
+	}
+	list := func(*Exchange) {
+		body := modelList{Object: "list", Data: []modelItem{}}
+		for _, name := range x.view.Models() {
+			body.Data = append(body.Data, modelItem{ID: name, Object: "model", OwnedBy: "barleystep"})
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(body) // The caller may have gone away.
+	}
+	p := Pipeline{s.pipeline[0], authenticate{}, final(list)}
+	_ = p.Run(r.Context(), x) // The settling stage has told the caller.
+}
--- /dev/null
+++ b/internal/gate/settle.go
@@ -0,0 +1,37 @@
+package gate
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// settle ends every request with exactly one outcome, which it counts.
+type settle struct {
+	clock barleystep.Clock
+	meter *metric.Meter
+	log   *log.Logger
+}
+
+// Run runs the rest and tells the caller what became of the request.
+func (s *settle) Run(ctx context.Context, x *Exchange, next Next) error {
+	err := next(ctx, x)
+	if err == nil {
+		x.answer.outcome(barleystep.OutcomeDone)
+		s.meter.Ended(barleystep.OutcomeDone.String())
+		return nil
+	}
+	r := barleystep.AsRefusal(err)
+	s.meter.Ended(r.Outcome().String())
+	s.meter.Refused(string(r.Reason()), r.Outcome().String())
+	s.log.Info().Str("request", x.id).Str("account", x.account.Name).
+		Str("reason", string(r.Reason())).Stringer("outcome", r.Outcome()).
+		Dur("took", s.clock.Now().Sub(x.started)).Msg(logPrefix + "Request ended without an answer.")
+	x.answer.refuse(r)
+	return err
+}
+
+const logPrefix = "gate: "
--- /dev/null
+++ b/internal/identity/identity.go
@@ -0,0 +1,53 @@
+// Package identity makes the names by which a box's starts, requests and
+// attempts are told apart.
+package identity
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/barleystep/barleystep"
+)
+
+// NewIncarnation draws a random incarnation that is not zero.
+func NewIncarnation() barleystep.Incarnation {
+	for {
+		var b [8]byte
+		_, _ = rand.Read(b[:]) // It never fails on the supported systems.
+		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
+			return barleystep.Incarnation(n)
+		}
+	}
+}
+
+// Source numbers the requests and attempts of one start of a box. It is safe
+// for concurrent use.
+type Source struct {
+	box         barleystep.BoxID
+	incarnation barleystep.Incarnation
+	attempts    atomic.Uint64
+	requests    atomic.Uint64
+}
+
+// NewSource returns a source for the given start of a box.
+func NewSource(box barleystep.BoxID, inc barleystep.Incarnation) *Source {
+	return &Source{box: box, incarnation: inc}
+}
+
+// Box returns the name of the box.
+func (s *Source) Box() barleystep.BoxID { return s.box }
+
+// Incarnation returns the incarnation of the start.
+func (s *Source) Incarnation() barleystep.Incarnation { return s.incarnation }
+
+// Attempt returns an attempt id that was never returned before.
+func (s *Source) Attempt() barleystep.AttemptID {
+	return barleystep.NewAttemptID(s.box, s.incarnation, s.attempts.Add(1))
+}
+
+// Request returns a request id that was never returned before.
+func (s *Source) Request() string {
+	return "r." + string(s.box) + "." + s.incarnation.String() + "." + strconv.FormatUint(s.requests.Add(1), 10)
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,133 @@
+// Package metric names the counters of a box and exports them. All counters
+// are safe for concurrent use.
+package metric
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+const scope = "barleystep"
+
+// Exporter collects metrics and serves them in the Prometheus text format.
+type Exporter struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+}
+
+// NewExporter returns an exporter with a registry of its own.
+func NewExporter() (e *Exporter, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "metric: new exporter")
+		}
+	}()
+	registry := prometheus.NewRegistry()
+	reader, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, err
+	}
+	return &Exporter{
+		provider: sdk.NewMeterProvider(sdk.WithReader(reader)),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}, nil
+}
+
+// ServeHTTP writes all metrics.
+func (e *Exporter) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.handler.ServeHTTP(w, r) }
+
+// Meter returns the counters that feed the exporter.
+func (e *Exporter) Meter() *Meter { return newMeter(e.provider.Meter(scope)) }
+
+// Discard returns counters that go nowhere, for tests and tools.
+func Discard() *Meter { return newMeter(noop.NewMeterProvider().Meter(scope)) }
+
+// Meter holds the counters of a box.
+type Meter struct {
+	ended    metric.Int64Counter
+	refused  metric.Int64Counter
+	retried  metric.Int64Counter
+	events   metric.Int64Counter
+	takeover metric.Int64Counter
+	cleaned  metric.Int64Counter
+	store    metric.Int64Counter
+	config   metric.Int64Counter
+	first    metric.Float64Histogram
+}
+
+func newMeter(m metric.Meter) *Meter {
+	return &Meter{
+		ended:    counter(m, "barleystep_requests_ended", "Requests that ended, by outcome."),
+		refused:  counter(m, "barleystep_requests_refused", "Requests that ended without a whole answer, by reason."),
+		retried:  counter(m, "barleystep_attempts_retried", "Attempts that were tried again, by reason."),
+		events:   counter(m, "barleystep_membership_events", "Changes seen in the set of live boxes, by kind."),
+		takeover: counter(m, "barleystep_takeovers", "Duties taken over from another box, by duty."),
+		cleaned:  counter(m, "barleystep_cleanups", "Attempts cancelled at targets, by reason."),
+		store:    counter(m, "barleystep_store_faults", "Failed calls to the platform's stores, by operation and fault."),
+		config:   counter(m, "barleystep_configuration_events", "Changes of the configuration in force, by kind."),
+		first:    histogram(m, "barleystep_first_token_seconds", "Time to first token, by band of prompt length."),
+	}
+}
+
+func counter(m metric.Meter, name, help string) metric.Int64Counter {
+	c, err := m.Int64Counter(name, metric.WithDescription(help))
+	if err != nil {
+		panic(err) // The names are constants of this file.
+	}
+	return c
+}
+
+func histogram(m metric.Meter, name, help string) metric.Float64Histogram {
+	h, err := m.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"))
+	if err != nil {
+		panic(err) // The names are constants of this file.
+	}
+	return h
+}
+
+func add(c metric.Int64Counter, kv ...attribute.KeyValue) {
+	c.Add(context.Background(), 1, metric.WithAttributes(kv...))
+}
+
+// Ended counts a request that ended with the outcome.
+func (m *Meter) Ended(outcome string) { add(m.ended, attribute.String("outcome", outcome)) }
+
+// Refused counts a request that ended without a whole answer.
+func (m *Meter) Refused(reason, outcome string) {
+	add(m.refused, attribute.String("reason", reason), attribute.String("outcome", outcome))
+}
+
+// Retried counts an attempt that is tried again.
+func (m *Meter) Retried(reason string) { add(m.retried, attribute.String("reason", reason)) }
+
+// Membership counts a change in the set of live boxes.
+func (m *Meter) Membership(kind string) { add(m.events, attribute.String("kind", kind)) }
+
+// TookOver counts a duty that moved to this box.
+func (m *Meter) TookOver(duty string) { add(m.takeover, attribute.String("duty", duty)) }
+
+// Cleaned counts an attempt that was cancelled at a target.
+func (m *Meter) Cleaned(reason string) { add(m.cleaned, attribute.String("reason", reason)) }
+
+// StoreFault counts a failed call to the platform's stores.
+func (m *Meter) StoreFault(op, fault string) {
+	add(m.store, attribute.String("operation", op), attribute.String("fault", fault))
+}
+
+// Configuration counts a change of the configuration in force.
+func (m *Meter) Configuration(kind string) { add(m.config, attribute.String("kind", kind)) }
+
+// FirstToken records the time to first token of a prompt in a length band.
+func (m *Meter) FirstToken(band string, d time.Duration) {
+	m.first.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("band", band)))
+}
--- /dev/null
+++ b/internal/object/memory.go
@@ -0,0 +1,71 @@
+// Package object implements barleystep.ObjectStore: Memory for tests and the
+// local hall.
+package object
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Memory keeps all objects in memory. Its zero value is empty; it is safe for
+// concurrent use.
+type Memory struct {
+	// Fail is asked before each call; an error is returned in the call's place.
+	// Nil fails nothing.
+	Fail func(op, name string) error
+
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+var _ barleystep.ObjectStore = (*Memory)(nil)
+
+// Put stores a copy of data.
+func (m *Memory) Put(_ context.Context, name string, data []byte) error {
+	if err := m.fail("put", name); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects == nil {
+		m.objects = make(map[string][]byte)
+	}
+	m.objects[name] = append([]byte(nil), data...)
+	return nil
+}
+
+// Get returns the object.
+func (m *Memory) Get(_ context.Context, name string) ([]byte, error) {
+	if err := m.fail("get", name); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, ok := m.objects[name]
+	if !ok {
+		return nil, eris.Wrap(barleystep.ErrNotFound, name)
+	}
+	return data, nil
+}
+
+// Delete removes the object.
+func (m *Memory) Delete(_ context.Context, name string) error {
+	if err := m.fail("delete", name); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.objects, name)
+	return nil
+}
+
+func (m *Memory) fail(op, name string) error {
+	if m.Fail == nil {
+		return nil
+	}
+	return m.Fail(op, name)
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,81 @@
+// Package place scores targets for a request by the time to its first token
+// that is expected there.
+package place
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Target is what is known of a target when a request is placed.
+type Target struct {
+	ID barleystep.TargetID
+	// Rate is the reading speed in tokens per second.
+	Rate float64
+	// Slow is how much longer than expected the target has lately taken; 1 is
+	// as expected.
+	Slow float64
+	// Short and Long are the prompt tokens that wait to be read, ahead of a
+	// short and in addition ahead of a long prompt.
+	Short int
+	Long  int
+	// Running counts attempts.
+	Running int
+	// Free is the KV memory that may be used, in tokens.
+	Free int
+}
+
+// Delays that reading does not explain. Measured effects on the fake engine are
+// in docs/design/placement.md.
+const (
+	// besideLong is what a short prompt waits for the chunk of a long prompt
+	// that the engine is reading.
+	besideLong = 120 * time.Millisecond
+	// perRunning is how much each attempt that is generating slows a step.
+	perRunning = time.Millisecond
+)
+
+// Expect returns the expected time to first token of a prompt at the target, of
+// which cached tokens need not be read.
+func Expect(t Target, prompt, cached int) time.Duration {
+	long := barleystep.BandOf(prompt).Long()
+	ahead := t.Short
+	if long {
+		ahead += t.Long
+	}
+	read := float64(ahead+max(prompt-cached, 0)) / t.Rate
+	d := time.Duration(read * float64(time.Second))
+	if !long && t.Long > 0 {
+		d += besideLong
+	}
+	d += time.Duration(t.Running) * perRunning
+	return time.Duration(float64(d) * max(t.Slow, minimumSlow))
+}
+
+const minimumSlow = 0.1
+
+// Rank returns a number by which boxes that share no state order the same
+// targets the same way for one key: rendezvous hashing.
+func Rank(key string, node string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)  // A hash never fails to write.
+	_, _ = d.WriteString("\n") //
+	_, _ = d.WriteString(node) //
+	return d.Sum64()
+}
+
+// Highest returns the node with the highest rank for the key, "" if there are
+// no nodes.
+func Highest(key string, nodes []string) string {
+	best, bestRank := "", uint64(0)
+	for _, n := range nodes {
+		r := Rank(key, n)
+		if best == "" || r > bestRank || (r == bestRank && n < best) {
+			best, bestRank = n, r
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/policy/program.go
@@ -0,0 +1,181 @@
+// Package policy compiles and runs the short programs by which operators state
+// who may use what share of the fleet and in what order.
+//
+// A program is one CEL expression that yields a map. It reads the variables
+// account, weight, rate, labels, class and rank and nothing else, has no clock
+// and no randomness, and is bounded by a cost that covers steps and memory.
+package policy
+
+import (
+	"math"
+
+	"github.com/google/cel-go/cel"
+	"github.com/google/cel-go/common/types"
+	"github.com/google/cel-go/common/types/ref"
+	"github.com/google/cel-go/common/types/traits"
+	"github.com/rotisserie/eris"
+)
+
+// Bounds on a program.
+const (
+	// MaxCost bounds one run, in CEL cost units: about one for each step and
+	// each ten bytes that are made.
+	MaxCost = 10_000
+	// MaxProgram bounds the text of a program, in bytes.
+	MaxProgram = 16 << 10
+)
+
+// Input is all that a program can read.
+type Input struct {
+	Account string
+	Weight  float64
+	Rate    float64 // Rate is in tokens per second.
+	Labels  []string
+	Class   string
+	Rank    int
+}
+
+// Share is the result of a program for one account and class.
+type Share struct {
+	// Weight is the account's part of a contended fleet against the others.
+	Weight float64
+	// Rate bounds the account's tokens per second; zero is no bound.
+	Rate float64
+	// Rank orders classes in a queue, lower first.
+	Rank int
+	// Limit is the largest part of a pool that the account may hold, from 0 to
+	// 1; 1 is no bound.
+	Limit float64
+}
+
+// Program is a compiled policy. It is safe for concurrent use.
+type Program struct {
+	name    string
+	program cel.Program
+}
+
+// Default returns the program that is in force when no policy is configured:
+// weights, rates and ranks as they stand in the accounts and classes.
+func Default() *Program { return &Program{name: "default"} }
+
+// Compile checks a program's text. Errors give line and column.
+func Compile(name, text string) (p *Program, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "policy %q", name)
+		}
+	}()
+	if len(text) > MaxProgram {
+		return nil, eris.Errorf("program has %d bytes; at most %d are allowed", len(text), MaxProgram)
+	}
+	env, err := newEnv()
+	if err != nil {
+		return nil, err
+	}
+	ast, issues := env.Compile(text)
+	if issues.Err() != nil {
+		return nil, issues.Err()
+	}
+	program, err := env.Program(ast, cel.CostLimit(MaxCost))
+	if err != nil {
+		return nil, err
+	}
+	return &Program{name: name, program: program}, nil
+}
+
+func newEnv() (*cel.Env, error) {
+	return cel.NewEnv(
+		cel.Variable("account", cel.StringType),
+		cel.Variable("weight", cel.DoubleType),
+		cel.Variable("rate", cel.DoubleType),
+		cel.Variable("labels", cel.ListType(cel.StringType)),
+		cel.Variable("class", cel.StringType),
+		cel.Variable("rank", cel.IntType),
+	)
+}
+
+// Share runs the program. A result with an unknown name, a wrong type or a
+// value out of range is an error.
+func (p *Program) Share(in Input) (s Share, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "policy %q for account %q in class %q", p.name, in.Account, in.Class)
+		}
+	}()
+	s = Share{Weight: in.Weight, Rate: in.Rate, Rank: in.Rank, Limit: 1}
+	if p.program == nil {
+		return s, nil
+	}
+	out, _, err := p.program.Eval(map[string]any{
+		"account": in.Account,
+		"weight":  in.Weight,
+		"rate":    in.Rate,
+		"labels":  in.Labels,
+		"class":   in.Class,
+		"rank":    in.Rank,
+	})
+	if err != nil {
+		return Share{}, err
+	}
+	if err := s.merge(out); err != nil {
+		return Share{}, err
+	}
+	return s, s.check()
+}
+
+func (s *Share) merge(out ref.Val) error {
+	m, ok := out.(traits.Mapper)
+	if !ok {
+		return eris.Errorf("result is a %s; it must be a map", out.Type().TypeName())
+	}
+	for it := m.Iterator(); it.HasNext() == types.True; {
+		key := it.Next()
+		if err := s.set(key.Value(), m.Get(key).Value()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Share) set(key, value any) error {
+	n, ok := number(value)
+	if !ok {
+		return eris.Errorf("%v is %v; it must be a number", key, value)
+	}
+	switch key {
+	case "weight":
+		s.Weight = n
+	case "rate":
+		s.Rate = n
+	case "rank":
+		s.Rank = int(n)
+	case "limit":
+		s.Limit = n
+	default:
+		return eris.Errorf("%v is unknown; weight, rate, rank and limit are allowed", key)
+	}
+	return nil
+}
+
+func number(v any) (n float64, ok bool) {
+	switch v := v.(type) {
+	case float64:
+		return v, !math.IsNaN(v) && !math.IsInf(v, 0)
+	case int64:
+		return float64(v), true
+	default:
+		return 0, false
+	}
+}
+
+func (s Share) check() error {
+	switch {
+	case s.Weight <= 0:
+		return eris.Errorf("weight is %g; it must be above 0", s.Weight)
+	case s.Rate < 0:
+		return eris.Errorf("rate is %g; it must not be negative", s.Rate)
+	case s.Limit <= 0 || s.Limit > 1:
+		return eris.Errorf("limit is %g; it must be above 0 and at most 1", s.Limit)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/queue/fair.go
@@ -0,0 +1,204 @@
+// Package queue holds the queue in which requests wait for capacity: weighted
+// fair in cost between flows, oldest first within a flow.
+package queue
+
+import (
+	"container/heap"
+	"sort"
+	"time"
+)
+
+// Entry is one waiting item.
+type Entry[T any] struct {
+	Item T
+	// Since orders the entries of a flow, oldest first. An item that comes back
+	// keeps its age.
+	Since time.Time
+	// Cost is what serving the item takes, in tokens.
+	Cost float64
+}
+
+// Fair is a start-time fair queue. Each flow gets a part of the service in
+// proportion to its weight whenever it has work, and what idle flows leave is
+// divided among the others. The zero value is empty. It is not safe for
+// concurrent use.
+//
+// A flow with weight w among flows whose weights add up to W waits, for a head
+// entry of cost c, no longer than the service of c*W/w plus one largest entry
+// of each other flow takes.
+type Fair[T any] struct {
+	flows   map[string]*flow[T]
+	active  flowHeap[T]
+	virtual float64
+	length  int
+	cost    float64
+}
+
+type flow[T any] struct {
+	name    string
+	weight  float64
+	start   float64 // start is the virtual time at which the head begins.
+	entries []Entry[T]
+	index   int // index is the place in the heap, -1 while the flow is idle.
+}
+
+// maxProbes bounds how many heads that do not fit are passed over in one call.
+const maxProbes = 32
+
+// Len returns the number of waiting entries.
+func (q *Fair[T]) Len() int { return q.length }
+
+// Cost returns the total cost of the waiting entries.
+func (q *Fair[T]) Cost() float64 { return q.cost }
+
+// Push adds an entry to the flow, whose weight must be above 0.
+func (q *Fair[T]) Push(name string, weight float64, e Entry[T]) {
+	f := q.flow(name)
+	f.weight = weight
+	f.insert(e)
+	q.length++
+	q.cost += e.Cost
+	if f.index < 0 {
+		f.start = max(f.start, q.virtual)
+		heap.Push(&q.active, f)
+	}
+}
+
+func (q *Fair[T]) flow(name string) *flow[T] {
+	if f, ok := q.flows[name]; ok {
+		return f
+	}
+	if q.flows == nil {
+		q.flows = make(map[string]*flow[T])
+	}
+	f := &flow[T]{name: name, index: -1}
+	q.flows[name] = f
+	return f
+}
+
+func (f *flow[T]) insert(e Entry[T]) {
+	i := sort.Search(len(f.entries), func(i int) bool { return f.entries[i].Since.After(e.Since) })
+	f.entries = append(f.entries, Entry[T]{})
+	copy(f.entries[i+1:], f.entries[i:])
+	f.entries[i] = e
+}
+
+// Take removes and returns the first head, in fair order, for which fits
+// returns true. It passes over a bounded number of heads that do not fit; they
+// keep their place.
+func (q *Fair[T]) Take(fits func(T) bool) (item T, ok bool) {
+	var passed []*flow[T]
+	for len(q.active) > 0 && len(passed) < maxProbes {
+		f := heap.Pop(&q.active).(*flow[T])
+		if fits(f.entries[0].Item) {
+			item, ok = q.serve(f), true
+			break
+		}
+		passed = append(passed, f)
+	}
+	for _, f := range passed {
+		heap.Push(&q.active, f)
+	}
+	return item, ok
+}
+
+// serve removes the head of a flow that is not on the heap.
+func (q *Fair[T]) serve(f *flow[T]) T {
+	e := f.entries[0]
+	q.drop(f, 0)
+	q.virtual = max(q.virtual, f.start)
+	f.start += e.Cost / f.weight
+	q.restore(f)
+	return e.Item
+}
+
+func (q *Fair[T]) drop(f *flow[T], i int) {
+	q.length--
+	q.cost -= f.entries[i].Cost
+	f.entries = append(f.entries[:i], f.entries[i+1:]...)
+}
+
+// restore puts a flow back on the heap if it has work. An idle flow is kept
+// only while its last service still counts against it.
+func (q *Fair[T]) restore(f *flow[T]) {
+	if len(f.entries) > 0 {
+		heap.Push(&q.active, f)
+		return
+	}
+	if f.start <= q.virtual {
+		delete(q.flows, f.name)
+	}
+}
+
+// Remove takes out all entries for which gone returns true and returns them.
+func (q *Fair[T]) Remove(gone func(T) bool) []T {
+	var removed []T
+	for _, f := range q.sorted() {
+		for i := len(f.entries) - 1; i >= 0; i-- {
+			if gone(f.entries[i].Item) {
+				removed = append(removed, f.entries[i].Item)
+				q.drop(f, i)
+			}
+		}
+		q.settle(f)
+	}
+	return removed
+}
+
+// settle takes a flow without work off the heap.
+func (q *Fair[T]) settle(f *flow[T]) {
+	if len(f.entries) > 0 {
+		return
+	}
+	if f.index >= 0 {
+		heap.Remove(&q.active, f.index)
+	}
+	if f.start <= q.virtual {
+		delete(q.flows, f.name)
+	}
+}
+
+func (q *Fair[T]) sorted() []*flow[T] {
+	flows := make([]*flow[T], 0, len(q.flows))
+	for _, f := range q.flows {
+		flows = append(flows, f)
+	}
+	sort.Slice(flows, func(i, j int) bool { return flows[i].name < flows[j].name })
+	return flows
+}
+
+type flowHeap[T any] []*flow[T]
+
+// Len returns the number of flows with work.
+func (h flowHeap[T]) Len() int { return len(h) }
+
+// Less orders flows by virtual start, and by name where that is equal.
+func (h flowHeap[T]) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].name < h[j].name
+}
+
+// Swap exchanges two flows.
+func (h flowHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push appends a flow.
+func (h *flowHeap[T]) Push(x any) {
+	f := x.(*flow[T])
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop removes the last flow.
+func (h *flowHeap[T]) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	f.index = -1
+	*h = old[:len(old)-1]
+	return f
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"slices"
+	"time"
+)
+
+// checker collects what is wrong with settings.
+type checker struct{ problems []string }
+
+func (c *checker) add(key string, value any, allowed string) {
+	c.problems = append(c.problems, fmt.Sprintf("%s = %v: must be %s", key, value, allowed))
+}
+
+func (s Settings) check() []string {
+	c := &checker{}
+	c.name("box.id", s.Box.ID)
+	c.name("box.hall", s.Box.Hall)
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.admin", s.Listen.Admin)
+	c.address("listen.peers", s.Listen.Peers)
+	c.url("platform.url", s.Platform.URL)
+	c.positive("platform.timeout", s.Platform.Timeout)
+	c.limits(s.Limits)
+	c.peers(s)
+	c.part("capacity.long_part", s.Capacity.LongPart)
+	c.part("capacity.short_memory", s.Capacity.ShortMemory)
+	c.positive("capacity.interval", s.Capacity.Interval)
+	c.positive("capacity.window", s.Capacity.Window)
+	c.operators(s.Admin.Operators)
+	levels := []string{"", "debug", "info", "warn", "error"}
+	if !slices.Contains(levels, s.Log.Level) {
+		c.add("log.level", s.Log.Level, "debug, info, warn or error")
+	}
+	return c.problems
+}
+
+func (c *checker) name(key, value string) {
+	if value == "" {
+		c.add(key, `""`, "a name")
+	}
+}
+
+func (c *checker) address(key, value string) {
+	if value == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(key, value, "an IP number and port, such as 127.0.0.1:8080")
+	}
+}
+
+func (c *checker) url(key, value string) {
+	if value == "" {
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.add(key, value, "http://host:port or https://host:port")
+	}
+}
+
+func (c *checker) positive(key string, d Duration) {
+	if d < 0 {
+		c.add(key, time.Duration(d), "a duration above 0, such as 2s")
+	}
+}
+
+func (c *checker) part(key string, v float64) {
+	if v < 0 || v > 1 {
+		c.add(key, v, "from 0 to 1")
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	if l.Body < 0 {
+		c.add("limits.body", l.Body, "a number of bytes above 0")
+	}
+	c.positive("limits.min_time", l.MinTime)
+	c.positive("limits.max_time", l.MaxTime)
+	c.positive("limits.stall", l.Stall)
+	c.positive("limits.grace", l.Grace)
+	c.positive("limits.notice", l.Notice)
+	if l.MaxTime != 0 && l.MinTime > l.MaxTime {
+		c.add("limits.min_time", time.Duration(l.MinTime), "at most limits.max_time")
+	}
+}
+
+// peers refuses a listener that anybody could reach and nobody would have to
+// prove themselves to.
+func (c *checker) peers(s Settings) {
+	host, _, err := net.SplitHostPort(s.Listen.Peers)
+	if err != nil {
+		return
+	}
+	ip, err := netip.ParseAddr(host)
+	if err != nil || ip.IsLoopback() || s.Peers.Secret != "" {
+		return
+	}
+	c.add("peers.secret", `""`, "set when listen.peers is not on loopback")
+}
+
+func (c *checker) operators(list []Operator) {
+	const digits = 64
+	for _, o := range list {
+		if len(o.SHA256) != digits {
+			c.add("admin.operator.sha256", o.SHA256, "64 hexadecimal digits")
+		}
+		if !slices.Contains([]string{"viewer", "team", "admin"}, o.Role) {
+			c.add("admin.operator.role", o.Role, "viewer, team or admin")
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,176 @@
+// Package settings reads the TOML file with which a program is started and
+// checks it.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Settings is the content of the file. All programs share one format; a program
+// ignores the sections that it has no use for.
+type Settings struct {
+	Box      Box      `toml:"box"`
+	Listen   Listen   `toml:"listen"`
+	Platform Platform `toml:"platform"`
+	Peers    Peers    `toml:"peers"`
+	Limits   Limits   `toml:"limits"`
+	Capacity Capacity `toml:"capacity"`
+	Admin    Admin    `toml:"admin"`
+	Log      Log      `toml:"log"`
+}
+
+// Box says which box this is.
+type Box struct {
+	ID   string `toml:"id"`
+	Hall string `toml:"hall"`
+}
+
+// Listen holds the addresses of the listeners, IP and port each.
+type Listen struct {
+	Callers string `toml:"callers"`
+	Admin   string `toml:"admin"`
+	Peers   string `toml:"peers"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// URL is the root of the table service, object store and box list.
+	URL string `toml:"url"`
+	// Timeout bounds one call; the default is 2 seconds.
+	Timeout Duration `toml:"timeout"`
+}
+
+// Peers says how boxes prove themselves to each other.
+type Peers struct {
+	// Secret is shared by all boxes; it signs what they send. It may be empty
+	// only while the peer listener is on loopback.
+	Secret string `toml:"secret"`
+	// Certificate, Key and Authority are PEM files for TLS between boxes.
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
+}
+
+// Limits bounds requests.
+type Limits struct {
+	// Body bounds a request's body in bytes; the default is 16 MiB.
+	Body int64 `toml:"body"`
+	// MinTime and MaxTime bound the time limit of a request.
+	MinTime Duration `toml:"min_time"`
+	MaxTime Duration `toml:"max_time"`
+	// Stall is how long a target may send nothing; the default is 20 seconds.
+	Stall Duration `toml:"stall"`
+	// Grace is how long a planned stop waits for running requests; the default
+	// is one hour, the longest a request may take.
+	Grace Duration `toml:"grace"`
+	// Notice is how long the balancer is given after readiness goes off; the
+	// default is 5 seconds.
+	Notice Duration `toml:"notice"`
+}
+
+// Capacity tunes the dispensers.
+type Capacity struct {
+	// Interval is the time between a box's reports; the default is 500 ms.
+	Interval Duration `toml:"interval"`
+	// LongPart is the part of the engines that may read long prompts at once.
+	LongPart float64 `toml:"long_part"`
+	// ShortMemory is the part of an engine's memory that long prompts leave free.
+	ShortMemory float64 `toml:"short_memory"`
+	// Window bounds how far ahead short prompts are sent to an engine.
+	Window Duration `toml:"window"`
+}
+
+// Admin says who may use the administration API.
+type Admin struct {
+	Operators []Operator `toml:"operator"`
+}
+
+// Operator is one person or program that may use the administration API.
+type Operator struct {
+	Name string `toml:"name"`
+	// SHA256 is the hexadecimal hash of the operator's token.
+	SHA256 string `toml:"sha256"`
+	// Role is "viewer", "team" or "admin".
+	Role string `toml:"role"`
+	// Team names the accounts' team that a "team" operator may change.
+	Team string `toml:"team"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is debug, info, warn or error; the default is info.
+	Level string `toml:"level"`
+}
+
+// Duration is a time.Duration written as text, such as "2s".
+type Duration time.Duration
+
+// UnmarshalText reads a duration such as "2s".
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// Or returns the duration, or other if it is zero.
+func (d Duration) Or(other time.Duration) time.Duration {
+	if d == 0 {
+		return other
+	}
+	return time.Duration(d)
+}
+
+// Read reads and checks the file.
+func Read(name string) (s Settings, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "settings: %s", name)
+		}
+	}()
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(text)
+}
+
+// Parse reads and checks the text of a file. The error lists all that is wrong,
+// a line each: place, key, value and what is allowed.
+func Parse(text []byte) (s Settings, err error) {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err = d.Decode(&s); err != nil {
+		return Settings{}, eris.New(place(err))
+	}
+	if problems := s.check(); len(problems) > 0 {
+		return Settings{}, eris.New(strings.Join(problems, "\n"))
+	}
+	return s, nil
+}
+
+// place words an error of the decoder with its line and key.
+func place(err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		lines := make([]string, len(strict.Errors))
+		for i, e := range strict.Errors {
+			row, _ := e.Position()
+			lines[i] = fmt.Sprintf("line %d: %s: there is no such key", row, strings.Join(e.Key(), "."))
+		}
+		return strings.Join(lines, "\n")
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, column := bad.Position()
+		return fmt.Sprintf("line %d, column %d: %s: %s", row, column, strings.Join(bad.Key(), "."), bad.Error())
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,388 @@
+// Package standin holds small stand-ins for the systems around barleystep: a
+// model engine, a plain service and the platform's stores. They speak the
+// published protocols and serve tests and the local hall; they are not meant
+// for production.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/engine"
+)
+
+const (
+	bytesPerToken  = 4
+	defaultTokens  = 16
+	minuteOfAnswer = time.Minute // minuteOfAnswer is how long a finished answer can be resumed.
+)
+
+// Fault makes a stand-in engine misbehave on one attempt.
+type Fault uint8
+
+// The faults of a stand-in engine.
+const (
+	// FaultNone serves the attempt well.
+	FaultNone Fault = iota
+	// FaultRefuse answers that the attempt was not started.
+	FaultRefuse
+	// FaultSilent runs the attempt and closes the connection unanswered.
+	FaultSilent
+	// FaultTear breaks the stream after the second event; it can be resumed.
+	FaultTear
+	// FaultForeign answers with another attempt's id.
+	FaultForeign
+	// FaultCross puts an event of another attempt into the stream.
+	FaultCross
+	// FaultGap leaves an event out.
+	FaultGap
+	// FaultRepeat sends an event twice.
+	FaultRepeat
+	// FaultHang starts the attempt and sends nothing.
+	FaultHang
+)
+
+// Engine is a stand-in model engine. Its exported fields are set before it
+// serves.
+type Engine struct {
+	Clock barleystep.Clock
+	// Tokens is the KV memory in tokens; the default is 400,000.
+	Tokens int
+	// Step is the time between generated tokens; the default is none.
+	Step time.Duration
+	// PrefillRate is the reading speed in tokens per second; the default reads
+	// at once.
+	PrefillRate float64
+	// Fault is asked for each attempt that starts; nil means FaultNone.
+	Fault func(attempt string) Fault
+
+	mu       sync.Mutex
+	attempts map[string]*held
+	runs     map[string]int
+	leaving  bool
+	fence    int64
+	weights  string
+}
+
+type held struct {
+	tokens int
+	events []string
+	ready  chan struct{} // ready is closed when the answer is complete.
+	gone   chan struct{} // gone is closed when the attempt is cancelled.
+	closed bool
+	ended  time.Time
+}
+
+const defaultEngineTokens = 400_000
+
+// ServeHTTP serves the engine's protocol.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == engine.PathLoad:
+		writeJSON(w, e.load())
+	case r.URL.Path == engine.PathAttempts:
+		writeJSON(w, e.list())
+	case r.URL.Path == engine.PathOrders:
+		e.order(w, r)
+	case strings.HasPrefix(r.URL.Path, engine.PathAttempts+"/"):
+		e.cancel(strings.TrimPrefix(r.URL.Path, engine.PathAttempts+"/"))
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		e.serveAttempt(w, r)
+	}
+}
+
+// Runs returns how often each attempt has been started.
+func (e *Engine) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make(map[string]int, len(e.runs))
+	for id, n := range e.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// SetLeaving makes the engine report that it is leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// UsedTokens returns the KV memory in use.
+func (e *Engine) UsedTokens() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.used()
+}
+
+func (e *Engine) used() int {
+	used := 0
+	for _, h := range e.attempts {
+		if h.ended.IsZero() {
+			used += h.tokens
+		}
+	}
+	return used
+}
+
+func (e *Engine) capacity() int {
+	if e.Tokens == 0 {
+		return defaultEngineTokens
+	}
+	return e.Tokens
+}
+
+func (e *Engine) load() barleystep.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running := 0
+	for _, h := range e.attempts {
+		if h.ended.IsZero() {
+			running++
+		}
+	}
+	return barleystep.Load{
+		At:          e.Clock.Now(),
+		Running:     running,
+		FreeTokens:  e.capacity() - e.used(),
+		TotalTokens: e.capacity(),
+		Leaving:     e.leaving,
+	}
+}
+
+func (e *Engine) list() []barleystep.Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	work := []barleystep.Work{}
+	for id, h := range e.attempts {
+		if h.ended.IsZero() {
+			work = append(work, barleystep.Work{Attempt: id, Tokens: h.tokens})
+		}
+	}
+	return work
+}
+
+func (e *Engine) cancel(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h, ok := e.attempts[id]; ok {
+		h.close()
+		delete(e.attempts, id)
+	}
+}
+
+func (h *held) close() {
+	if !h.closed {
+		h.closed = true
+		close(h.gone)
+	}
+}
+
+func (e *Engine) serveAttempt(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(engine.HeaderAttempt)
+	body, err := readAll(r)
+	if err != nil {
+		return
+	}
+	from, resume := strconv.ParseUint(r.Header.Get(engine.HeaderFrom), 10, 64)
+	fault := FaultNone
+	if resume != nil {
+		from = 1
+		if e.Fault != nil {
+			fault = e.Fault(id)
+		}
+	}
+	if fault == FaultRefuse {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	h, ok := e.admit(id, body, resume == nil, r)
+	if !ok {
+		refuse(w, http.StatusTooManyRequests)
+		return
+	}
+	e.answer(w, r, id, h, from, fault, gjson.GetBytes(body, "stream").Bool())
+}
+
+// admit finds the attempt, or starts it if it is new and there is room.
+func (e *Engine) admit(id string, body []byte, resume bool, r *http.Request) (h *held, ok bool) {
+	prompt := len(body) / bytesPerToken
+	output := int(gjson.GetBytes(body, "max_tokens").Int())
+	if output == 0 {
+		output = defaultTokens
+	}
+	members := 1 + strings.Count(r.Header.Get(engine.HeaderGroup), ",")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgetEnded()
+	if h, ok := e.attempts[id]; ok {
+		return h, true
+	}
+	need := (prompt + output) / members
+	if resume || e.leaving || need > e.capacity()-e.used() {
+		return nil, false
+	}
+	if e.attempts == nil {
+		e.attempts = make(map[string]*held)
+		e.runs = make(map[string]int)
+	}
+	e.runs[id]++
+	h = &held{tokens: need, ready: make(chan struct{}), gone: make(chan struct{})}
+	h.events = answerEvents(id, prompt, output, r.URL.Path)
+	e.attempts[id] = h
+	go e.generate(h, prompt, output)
+	return h, true
+}
+
+func (e *Engine) forgetEnded() {
+	now := e.Clock.Now()
+	for id, h := range e.attempts {
+		if !h.ended.IsZero() && now.Sub(h.ended) > minuteOfAnswer {
+			delete(e.attempts, id)
+		}
+	}
+}
+
+// generate waits as long as the answer takes and then marks it complete.
+func (e *Engine) generate(h *held, prompt, output int) {
+	d := time.Duration(output) * e.Step
+	if e.PrefillRate > 0 {
+		d += time.Duration(float64(prompt) / e.PrefillRate * float64(time.Second))
+	}
+	if d > 0 {
+		t := e.Clock.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-t.C():
+		case <-h.gone:
+			return
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h.ended = e.Clock.Now()
+	close(h.ready)
+}
+
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, id string, h *held, from uint64, fault Fault, stream bool) {
+	if fault == FaultHang || fault == FaultSilent {
+		e.silence(r.Context(), h, fault)
+		panic(http.ErrAbortHandler)
+	}
+	echo := id
+	if fault == FaultForeign {
+		echo = "other.0000000000000001.1"
+	}
+	w.Header().Set(engine.HeaderAttempt, echo)
+	if !h.wait(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+	if !stream {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprint(w, wholeAnswer(id, h.events))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	writeEvents(w, id, h.events, from, fault)
+}
+
+func (e *Engine) silence(ctx context.Context, h *held, fault Fault) {
+	if fault == FaultSilent {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-h.gone:
+	}
+}
+
+func (h *held) wait(ctx context.Context) bool {
+	select {
+	case <-h.ready:
+		return true
+	case <-h.gone:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func writeEvents(w http.ResponseWriter, id string, events []string, from uint64, fault Fault) {
+	for i := from - 1; i < uint64(len(events)); i++ {
+		number := i + 1
+		if number == 3 {
+			switch fault {
+			case FaultTear:
+				panic(http.ErrAbortHandler)
+			case FaultCross:
+				writeEvent(w, "other.0000000000000001.1", number, "{}")
+			case FaultGap:
+				continue
+			case FaultRepeat:
+				writeEvent(w, id, number, events[i])
+			}
+		}
+		writeEvent(w, id, number, events[i])
+	}
+}
+
+func writeEvent(w http.ResponseWriter, id string, number uint64, data string) {
+	fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", id, number, data)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// answerEvents makes the events of an answer. The text names the attempt, so
+// that a test can tell whose answer it is.
+func answerEvents(id string, prompt, output int, path string) []string {
+	events := make([]string, 0, output+2)
+	for i := range output {
+		events = append(events, chunk(id, path, fmt.Sprintf("%s#%d ", id, i)))
+	}
+	usage := fmt.Sprintf(`{"id":%q,"object":"chat.completion.chunk","choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`,
+		id, prompt, output, prompt+output)
+	return append(events, usage, engine.Done)
+}
+
+func chunk(id, path, text string) string {
+	if strings.HasSuffix(path, "/chat/completions") {
+		return fmt.Sprintf(`{"id":%q,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":%q},"finish_reason":null}]}`, id, text)
+	}
+	return fmt.Sprintf(`{"id":%q,"object":"text_completion","choices":[{"index":0,"text":%q,"finish_reason":null}]}`, id, text)
+}
+
+func wholeAnswer(id string, events []string) string {
+	var text strings.Builder
+	usage := "{}"
+	for _, e := range events {
+		text.WriteString(gjson.Get(e, "choices.0.delta.content").String())
+		text.WriteString(gjson.Get(e, "choices.0.text").String())
+		if u := gjson.Get(e, "usage"); u.Exists() {
+			usage = u.Raw
+		}
+	}
+	return fmt.Sprintf(`{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"text":%q,"finish_reason":"stop"}],"usage":%s}`,
+		id, text.String(), text.String(), usage)
+}
+
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(engine.HeaderStarted, "false")
+	w.WriteHeader(status)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // The reader may have gone away.
+}
--- /dev/null
+++ b/internal/standin/order.go
@@ -0,0 +1,44 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/barleystep/barleystep/internal/engine"
+)
+
+// Order is an order to a target.
+type Order struct {
+	Weights string `json:"weights"`
+}
+
+// order takes an order unless its fencing token is older than the last one.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	fence, err := strconv.ParseInt(r.Header.Get(engine.HeaderFence), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence < e.fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.fence = fence
+	e.weights = o.Weights
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Weights returns the version of the weights that was last ordered.
+func (e *Engine) Weights() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.weights
+}
--- /dev/null
+++ b/internal/table/faulty.go
@@ -0,0 +1,163 @@
+package table
+
+import (
+	"context"
+	"sync"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Failure is one way in which a call of a Faulty table goes wrong.
+type Failure uint8
+
+// The failures of a Faulty table.
+const (
+	// FailureNone lets the call through.
+	FailureNone Failure = iota
+	// FailureBefore answers ErrUnavailable and has no effect.
+	FailureBefore
+	// FailureAfter has the effect and loses the answer.
+	FailureAfter
+	// FailureLost has no effect yet and loses the answer; the commit takes
+	// effect when ReleaseLate is called.
+	FailureLost
+	// FailureHang waits until the context ends; there is no effect.
+	FailureHang
+	// FailureStale answers a read with the rows as they were at MarkStale.
+	FailureStale
+)
+
+// Faulty wraps a table and fails its calls by plan. It is safe for concurrent
+// use.
+type Faulty struct {
+	// Table is the table behind; it must be set.
+	Table barleystep.Table
+	// Plan decides what happens to a call. A nil Plan fails nothing.
+	Plan func(call Call) Failure
+
+	mu    sync.Mutex
+	late  []barleystep.Txn
+	stale map[string]barleystep.Row
+}
+
+// Call describes a call to a Faulty table.
+type Call struct {
+	write bool
+	keys  []string
+}
+
+// Write reports whether the call is a commit.
+func (c Call) Write() bool { return c.write }
+
+// Keys returns the keys that are read or written, or the prefix of a scan.
+func (c Call) Keys() []string { return c.keys }
+
+var _ barleystep.Table = (*Faulty)(nil)
+
+// MarkStale keeps the rows with the keys as they are now, for FailureStale.
+func (f *Faulty) MarkStale(ctx context.Context, keys ...string) (err error) {
+	rows, err := f.Table.Read(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stale = make(map[string]barleystep.Row)
+	for _, r := range rows {
+		f.stale[r.Key()] = r
+	}
+	return nil
+}
+
+// ReleaseLate lets the lost commits take effect now and returns how many did.
+func (f *Faulty) ReleaseLate(ctx context.Context) (applied int) {
+	f.mu.Lock()
+	late := f.late
+	f.late = nil
+	f.mu.Unlock()
+	for _, t := range late {
+		if f.Table.Commit(ctx, t) == nil {
+			applied++
+		}
+	}
+	return applied
+}
+
+// Read reads from the table behind unless the plan says otherwise.
+func (f *Faulty) Read(ctx context.Context, keys ...string) ([]barleystep.Row, error) {
+	switch f.failure(Call{keys: keys}) {
+	case FailureHang:
+		<-ctx.Done()
+		return nil, barleystep.ErrUnavailable
+	case FailureStale:
+		return f.staleRows(keys), nil
+	case FailureNone:
+		return f.Table.Read(ctx, keys...)
+	default:
+		return nil, barleystep.ErrUnavailable
+	}
+}
+
+// Scan scans the table behind unless the plan says otherwise.
+func (f *Faulty) Scan(ctx context.Context, prefix, after string, limit int) ([]barleystep.Row, error) {
+	switch f.failure(Call{keys: []string{prefix}}) {
+	case FailureHang:
+		<-ctx.Done()
+		return nil, barleystep.ErrUnavailable
+	case FailureNone, FailureStale:
+		return f.Table.Scan(ctx, prefix, after, limit)
+	default:
+		return nil, barleystep.ErrUnavailable
+	}
+}
+
+// Commit commits to the table behind unless the plan says otherwise.
+func (f *Faulty) Commit(ctx context.Context, t barleystep.Txn) error {
+	switch f.failure(Call{write: true, keys: writtenKeys(t)}) {
+	case FailureBefore:
+		return barleystep.ErrUnavailable
+	case FailureAfter:
+		if err := f.Table.Commit(ctx, t); err != nil {
+			return err
+		}
+		return barleystep.ErrUnknownEffect
+	case FailureLost:
+		f.mu.Lock()
+		f.late = append(f.late, t)
+		f.mu.Unlock()
+		return barleystep.ErrUnknownEffect
+	case FailureHang:
+		<-ctx.Done()
+		return barleystep.ErrUnknownEffect
+	default:
+		return f.Table.Commit(ctx, t)
+	}
+}
+
+func (f *Faulty) failure(c Call) Failure {
+	if f.Plan == nil {
+		return FailureNone
+	}
+	return f.Plan(c)
+}
+
+func (f *Faulty) staleRows(keys []string) []barleystep.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := make([]barleystep.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = barleystep.NewRow(k, nil, 0)
+		if r, ok := f.stale[k]; ok {
+			rows[i] = r
+		}
+	}
+	return rows
+}
+
+func writtenKeys(t barleystep.Txn) []string {
+	keys := make([]string, len(t.Writes))
+	for i, w := range t.Writes {
+		keys[i] = w.Key()
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/table/memory.go
@@ -0,0 +1,99 @@
+// Package table implements barleystep.Table: Memory for tests and the local
+// hall, and Faulty to make any other table fail.
+package table
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Memory keeps all rows in memory. Its zero value is an empty table.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[string]barleystep.Row
+	version int64
+	reads   int64
+	commits int64
+}
+
+var _ barleystep.Table = (*Memory)(nil)
+
+// Read returns the present rows.
+func (m *Memory) Read(_ context.Context, keys ...string) ([]barleystep.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	rows := make([]barleystep.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = m.row(k)
+	}
+	return rows, nil
+}
+
+// Scan returns the present rows below prefix.
+func (m *Memory) Scan(_ context.Context, prefix, after string, limit int) ([]barleystep.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	var keys []string
+	for k := range m.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	if len(keys) > limit {
+		keys = keys[:limit]
+	}
+	rows := make([]barleystep.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = m.rows[k]
+	}
+	return rows, nil
+}
+
+// Commit applies t or returns ErrConflict.
+func (m *Memory) Commit(_ context.Context, t barleystep.Txn) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commits++
+	for _, c := range t.Conditions {
+		if m.row(c.Key()).Version() != c.Version() {
+			return barleystep.ErrConflict
+		}
+	}
+	for _, w := range t.Writes {
+		m.write(w)
+	}
+	return nil
+}
+
+// Operations returns how many reads and commits the table has served.
+func (m *Memory) Operations() (reads, commits int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.commits
+}
+
+func (m *Memory) row(key string) barleystep.Row {
+	if r, ok := m.rows[key]; ok {
+		return r
+	}
+	return barleystep.NewRow(key, nil, 0)
+}
+
+func (m *Memory) write(w barleystep.Write) {
+	if w.Removes() {
+		delete(m.rows, w.Key())
+		return
+	}
+	if m.rows == nil {
+		m.rows = make(map[string]barleystep.Row)
+	}
+	m.version++
+	m.rows[w.Key()] = barleystep.NewRow(w.Key(), w.Value(), m.version)
+}
--- /dev/null
+++ b/internal/web/server.go
@@ -0,0 +1,102 @@
+// Package web runs HTTP listeners as supervised services.
+package web
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// Server is one listener. Its exported fields are set before Serve.
+type Server struct {
+	// Name tells listeners apart in logs.
+	Name string
+	// Addr is the IP and port to listen on; port 0 takes any.
+	Addr    string
+	Handler http.Handler
+	Clock   barleystep.Clock
+	Log     *log.Logger
+	// Grace bounds how long running requests may take after the stop.
+	Grace time.Duration
+	// Unencrypted allows HTTP/2 without TLS, for peers.
+	Unencrypted bool
+
+	once  sync.Once
+	ready chan struct{}
+	addr  string
+}
+
+const headerTimeout = 10 * time.Second
+
+const logPrefix = "web: "
+
+// Serve listens until ctx ends; then it lets running requests finish.
+func (s *Server) Serve(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "web: %s", s.Name)
+		}
+	}()
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	h := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, Protocols: s.protocols()}
+	s.listening(l.Addr().String())
+	failed := make(chan error, 1)
+	go func() { failed <- h.Serve(l) }()
+	select {
+	case err = <-failed:
+		return err
+	case <-ctx.Done():
+		return s.stop(h)
+	}
+}
+
+func (s *Server) protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(s.Unencrypted)
+	return p
+}
+
+func (s *Server) stop(h *http.Server) error {
+	ctx, cancel := clock.WithDeadline(context.Background(), s.Clock, s.Clock.Now().Add(s.Grace))
+	defer cancel()
+	if err := h.Shutdown(ctx); err != nil {
+		s.Log.Warn().Str("listener", s.Name).Msg(logPrefix + "Requests were cut at the end of the grace.")
+		return h.Close()
+	}
+	return context.Canceled
+}
+
+func (s *Server) init() { s.once.Do(func() { s.ready = make(chan struct{}) }) }
+
+func (s *Server) listening(addr string) {
+	s.init()
+	select {
+	case <-s.ready:
+		return
+	default:
+	}
+	s.addr = addr
+	s.Log.Info().Str("listener", s.Name).Str("addr", addr).Msg(logPrefix + "Listening.")
+	close(s.ready)
+}
+
+// Ready returns a channel that is closed when the listener is open.
+func (s *Server) Ready() <-chan struct{} {
+	s.init()
+	return s.ready
+}
+
+// ListenAddr returns the address; it is set once Ready is closed.
+func (s *Server) ListenAddr() string { return s.addr }
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,91 @@
+package barleystep
+
+import (
+	"errors"
+	"time"
+)
+
+// Reason names why a request was refused or did not finish. Each reason has a
+// counter of its own.
+type Reason string
+
+// The reasons of refusals and failures.
+const (
+	ReasonMalformed        Reason = "malformed_body"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonEmptyPrompt      Reason = "empty_prompt"
+	ReasonPromptTooLong    Reason = "prompt_too_long"
+	ReasonUnknownModel     Reason = "unknown_model"
+	ReasonUnknownClass     Reason = "unknown_class"
+	ReasonUnknownService   Reason = "unknown_service"
+	ReasonNoKey            Reason = "missing_key"
+	ReasonBadKey           Reason = "invalid_key"
+	ReasonBadTimeLimit     Reason = "time_limit_out_of_range"
+	ReasonNoIdempotencyKey Reason = "missing_idempotency_key"
+	ReasonKeyReused        Reason = "idempotency_key_reused"
+	ReasonRunning          Reason = "still_running"
+	ReasonEarlierUnknown   Reason = "earlier_outcome_unknown"
+	ReasonStoreDown        Reason = "store_unavailable"
+	ReasonOverShare        Reason = "over_share"
+	ReasonDeadline         Reason = "deadline"
+	ReasonCannotMeet       Reason = "deadline_cannot_be_met"
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonNoTarget         Reason = "no_target"
+	ReasonTargetFailed     Reason = "target_failed"
+	ReasonTargetRefused    Reason = "target_refused"
+	ReasonTorn             Reason = "torn_answer"
+	ReasonForeign          Reason = "foreign_answer"
+	ReasonCallerGone       Reason = "caller_gone"
+	ReasonStopping         Reason = "stopping"
+	ReasonNoConfiguration  Reason = "no_configuration"
+	ReasonInternal         Reason = "internal"
+)
+
+// Refusal is the typed error by which a request ends without a whole answer.
+type Refusal struct {
+	reason  Reason
+	outcome Outcome
+	message string
+	after   time.Duration
+}
+
+// NewRefusal returns a refusal. The message is shown to the caller.
+func NewRefusal(reason Reason, outcome Outcome, message string) *Refusal {
+	return &Refusal{reason: reason, outcome: outcome, message: message}
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.after = d
+	return &c
+}
+
+// WithOutcome returns a copy with another outcome.
+func (r *Refusal) WithOutcome(o Outcome) *Refusal {
+	c := *r
+	c.outcome = o
+	return &c
+}
+
+// Reason returns why the request ended.
+func (r *Refusal) Reason() Reason { return r.reason }
+
+// Outcome returns what became of the request.
+func (r *Refusal) Outcome() Outcome { return r.outcome }
+
+// RetryAfter returns when the caller may come back; zero says nothing.
+func (r *Refusal) RetryAfter() time.Duration { return r.after }
+
+// Error returns the message for the caller.
+func (r *Refusal) Error() string { return r.message }
+
+// AsRefusal finds the refusal in err's chain, or makes one with ReasonInternal
+// and OutcomeFailed.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return NewRefusal(ReasonInternal, OutcomeFailed, "barleystep: "+err.Error())
+}
