--- a/attempt.go
+++ b/attempt.go
@@ -30,6 +30,9 @@
 // Incarnation returns the start of the box that made the attempt.
 func (a AttemptID) Incarnation() Incarnation { return a.incarnation }
 
+// Number returns the number of the attempt within its incarnation.
+func (a AttemptID) Number() uint64 { return a.number }
+
 // ParseAttemptID reads the text made by String; ok is false for any other.
 func ParseAttemptID(s string) (id AttemptID, ok bool) {
 	rest, num, found := cutLast(s)
--- a/box.go
+++ b/box.go
@@ -11,8 +11,8 @@
 // HallID names a hall, for example "dej-hala".
 type HallID string
 
-// Incarnation tells apart the starts of the same box. It is drawn at random at
-// each start; zero is never used.
+// Incarnation tells apart the starts of the same box. A later start has a
+// greater one, as far as the box's clock is right; zero is never used.
 type Incarnation uint64
 
 // String returns the incarnation as sixteen hexadecimal digits.
--- /dev/null
+++ b/cmd/barleystep-dev/main.go
@@ -0,0 +1,63 @@
+// Command barleystep-dev runs a small hall on loopback in one process.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/local"
+	"github.com/barleystep/barleystep/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		os.Exit(command.ExitFailure)
+	}
+}
+
+func newCommand() *cobra.Command {
+	h := &local.Hall{Clock: clock.System{}, FixedPorts: true}
+	level := "warn"
+	cmd := &cobra.Command{
+		Use:          "barleystep-dev",
+		Short:        "Run a small hall on loopback",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			h.Log = command.Logger(settings.Log{Level: level})
+			h.Init()
+			go greet(cmd, h)
+			err := h.Run(cmd.Context())
+			if errors.Is(err, context.Canceled) {
+				return nil
+			}
+			return err
+		},
+	}
+	cmd.Flags().IntVar(&h.Boxes, "boxes", 0, "number of entry boxes (default 3)")
+	cmd.Flags().IntVar(&h.Engines, "engines", 0, "number of stand-in engines (default 4)")
+	cmd.Flags().StringVar(&level, "log", level, "log level")
+	cmd.AddCommand(command.VersionCommand())
+	return cmd
+}
+
+const greeting = `ready: callers on http://127.0.0.1:%d, administration, /metrics, /livez and /readyz on http://127.0.0.1:%d
+try:
+  curl -sN http://127.0.0.1:%d/v1/chat/completions -H 'Authorization: Bearer %s' \
+    -d '{"model":"%s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"Read this deed."}]}'
+`
+
+func greet(cmd *cobra.Command, h *local.Hall) {
+	<-h.Ready()
+	fmt.Fprintf(cmd.OutOrStdout(), greeting, local.CallersPort, local.AdminPort, local.CallersPort, local.KeyConversia, local.Model)
+}
--- /dev/null
+++ b/cmd/barleystep-entry/main.go
@@ -0,0 +1,59 @@
+// Command barleystep-entry holds callers' connections and streams on a box.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/box"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/platform"
+	"github.com/barleystep/barleystep/internal/settings"
+)
+
+func main() {
+	os.Exit(command.Main(command.Program{
+		Name:  "barleystep-entry",
+		Short: "Serve callers on this box",
+		Check: check,
+		Run:   run,
+	}))
+}
+
+// check refuses settings without which the program can't serve.
+func check(s settings.Settings) error {
+	switch {
+	case s.Listen.Callers == "":
+		return eris.New(`listen.callers = "": must be an IP number and port, such as 0.0.0.0:8080`)
+	case s.Listen.Peers == "":
+		return eris.New(`listen.peers = "": must be the IP number and port at which other boxes reach this one`)
+	case s.Platform.URL == "":
+		return eris.New(`platform.url = "": must be the root of the platform's services`)
+	}
+	return nil
+}
+
+func run(ctx context.Context, s settings.Settings, l *log.Logger) error {
+	exporter, err := metric.NewExporter()
+	if err != nil {
+		return err
+	}
+	p := &platform.Client{URL: s.Platform.URL, Clock: clock.System{}, Timeout: time.Duration(s.Platform.Timeout)}
+	e := &box.Entry{
+		Settings: s,
+		Clock:    clock.System{},
+		Table:    p,
+		Objects:  p,
+		Boxes:    p,
+		Exporter: exporter,
+		Log:      l,
+	}
+	e.Build(context.WithoutCancel(ctx))
+	return e.Run(ctx)
+}
--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/phuslu/log"
@@ -12,71 +13,125 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/capacity"
 	"github.com/barleystep/barleystep/internal/claim"
+	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/engine"
 	"github.com/barleystep/barleystep/internal/gate"
 	"github.com/barleystep/barleystep/internal/identity"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/version"
 	"github.com/barleystep/barleystep/internal/web"
 )
 
 // Entry is the process that holds callers' connections. Its exported fields are
 // set before Run.
 type Entry struct {
-	Settings      settings.Settings
-	Clock         barleystep.Clock
-	Table         barleystep.Table
-	Objects       barleystep.ObjectStore
-	Configuration gate.Configuration
-	Membership    barleystep.Membership
-	Exporter      *metric.Exporter
-	Log           *log.Logger
-
-	source  *identity.Source
+	Settings settings.Settings
+	Clock    barleystep.Clock
+	Table    barleystep.Table
+	Objects  barleystep.ObjectStore
+	Boxes    barleystep.BoxList
+	Exporter *metric.Exporter
+	Log      *log.Logger
+
+	node    node
 	meter   *metric.Meter
+	desk    *capacity.LocalDesk
 	server  *gate.Server
 	callers *web.Server
 	admin   *web.Server
+	top     *suture.Supervisor
 }
 
-const defaultGrace = time.Hour
+const (
+	defaultGrace  = time.Hour
+	defaultNotice = 5 * time.Second
+)
 
-// Run serves until ctx ends and running requests have finished.
+// Run serves until ctx ends. Then it announces the stop, gives the balancer its
+// time and lets running requests finish. Build must have been called.
 func (e *Entry) Run(ctx context.Context) error {
-	return e.Supervisor().Serve(ctx)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := e.top.ServeBackground(work)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	e.leave(work)
+	stop()
+	return <-done
 }
 
-// Supervisor builds the tree of the process's services. It is called once.
-func (e *Entry) Supervisor() *suture.Supervisor {
-	e.source = identity.NewSource(barleystep.BoxID(e.Settings.Box.ID), identity.NewIncarnation())
+// leave is the planned stop.
+func (e *Entry) leave(ctx context.Context) {
+	e.Log.Info().Msg(logPrefix + "Stopping. New callers are sent elsewhere.")
+	e.node.tracker.Leave()
+	e.server.Leave()
+	clock.Sleep(ctx, e.Clock, e.Settings.Limits.Notice.Or(defaultNotice))
+}
+
+// Build makes the parts of the process. It is called once; ctx bounds their
+// life.
+func (e *Entry) Build(ctx context.Context) {
 	e.meter = e.Exporter.Meter()
-	targets := &engine.Pool{Configuration: e.Configuration}
-	desk := e.desk()
-	allocator := e.allocator(desk)
+	id := barleystep.BoxID(e.Settings.Box.ID)
+	e.node = node{
+		settings: e.Settings,
+		clock:    e.Clock,
+		table:    e.Table,
+		objects:  e.Objects,
+		boxes:    e.Boxes,
+		meter:    e.meter,
+		log:      e.Log,
+		source:   identity.NewSource(id, identity.NewIncarnation(e.Clock)),
+		advert:   e.Settings.Listen.Peers,
+	}
+	e.desk = e.newDesk()
+	e.node.build(ctx, e.desk)
+	e.desk.Configuration = e.node.follower
+	e.wire()
+}
+
+// wire connects the stages of the request path and adds all services to the
+// tree.
+func (e *Entry) wire() {
+	targets := &engine.Pool{Configuration: e.node.follower}
+	allocator := e.newAllocator()
+	claims := e.newClaims()
 	canceller := gate.NewCanceller()
 	canceller.Clock, canceller.Targets, canceller.Meter, canceller.Log = e.Clock, targets, e.meter, e.Log
-	claims := e.claims()
-	e.server = e.gate(allocator, targets, canceller, claims)
-	e.callers = e.listener("callers", e.Settings.Listen.Callers)
-	e.callers.Handler = e.server.Handler()
-	poller := &capacity.Poller{Clock: e.Clock, Desk: desk, Configuration: e.Configuration, Targets: targets, Meter: e.meter}
-	top := NewSupervisor("entry", e.Log, e.grace())
-	for _, s := range []suture.Service{canceller, claims, desk, allocator, poller, e.callers} {
-		top.Add(s)
+	e.server = e.newServer(allocator, targets, canceller, claims)
+	e.callers = e.newListener("callers", e.Settings.Listen.Callers, e.server.Handler())
+	e.admin = e.newListener("admin", e.Settings.Listen.Admin, e.status())
+	poller := &capacity.Poller{
+		Clock:         e.Clock,
+		Desk:          e.desk,
+		Configuration: e.node.follower,
+		Targets:       targets,
+		Meter:         e.meter,
+	}
+	e.top = NewSupervisor("entry", e.Log, e.grace())
+	for _, s := range []suture.Service{canceller, claims, e.desk, allocator, poller, e.callers} {
+		e.top.Add(s)
+	}
+	for _, s := range e.node.services() {
+		e.top.Add(s)
+	}
+	if e.Settings.Listen.Admin != "" {
+		e.top.Add(e.admin)
 	}
-	e.addAdmin(top)
-	return top
 }
 
 func (e *Entry) grace() time.Duration { return e.Settings.Limits.Grace.Or(defaultGrace) }
 
-func (e *Entry) desk() *capacity.LocalDesk {
+func (e *Entry) newDesk() *capacity.LocalDesk {
 	return &capacity.LocalDesk{
-		Clock:         e.Clock,
-		Hall:          barleystep.HallID(e.Settings.Box.Hall),
-		Configuration: e.Configuration,
-		Meter:         e.meter,
-		Settings:      e.capacity(),
+		Clock:    e.Clock,
+		Hall:     barleystep.HallID(e.Settings.Box.Hall),
+		Meter:    e.meter,
+		Settings: e.capacity(),
 	}
 }
 
@@ -90,37 +145,37 @@
 	}
 }
 
-func (e *Entry) allocator(desk *capacity.LocalDesk) *capacity.Allocator {
+func (e *Entry) newAllocator() *capacity.Allocator {
 	return &capacity.Allocator{
 		Clock:         e.Clock,
-		Box:           barleystep.BoxID(e.Settings.Box.ID),
-		Configuration: e.Configuration,
-		Membership:    e.Membership,
-		Local:         desk,
-		Remote:        func(barleystep.BoxID) (capacity.Desk, bool) { return nil, false },
+		Box:           e.node.source.Box(),
+		Configuration: e.node.follower,
+		Membership:    e.node.tracker,
+		Local:         e.desk,
+		Remote:        e.node.client.Desk,
 		Meter:         e.meter,
 		Log:           e.Log,
 		Settings:      e.capacity(),
 	}
 }
 
-func (e *Entry) claims() *claim.Book {
+func (e *Entry) newClaims() *claim.Book {
 	b := claim.NewBook()
 	b.Table = e.Table
 	b.Objects = e.Objects
 	b.Clock = e.Clock
-	b.Source = e.source
+	b.Source = e.node.source
 	b.Meter = e.meter
 	b.Log = e.Log
 	return b
 }
 
-func (e *Entry) gate(a barleystep.Allocator, t gate.Targets, c *gate.Canceller, b *claim.Book) *gate.Server {
+func (e *Entry) newServer(a barleystep.Allocator, t gate.Targets, c *gate.Canceller, b *claim.Book) *gate.Server {
 	l := e.Settings.Limits
 	return &gate.Server{
 		Clock:         e.Clock,
-		Source:        e.source,
-		Configuration: e.Configuration,
+		Source:        e.node.source,
+		Configuration: e.node.follower,
 		Allocator:     a,
 		Targets:       t,
 		Canceller:     c,
@@ -132,22 +187,22 @@
 	}
 }
 
-func (e *Entry) listener(name, addr string) *web.Server {
-	return &web.Server{Name: name, Addr: addr, Clock: e.Clock, Log: e.Log, Grace: e.grace()}
+func (e *Entry) newListener(name, addr string, h http.Handler) *web.Server {
+	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: e.Clock, Log: e.Log, Grace: e.grace()}
 }
 
-func (e *Entry) addAdmin(top *suture.Supervisor) {
-	if e.Settings.Listen.Admin == "" {
-		return
-	}
-	e.admin = e.listener("admin", e.Settings.Listen.Admin)
-	e.admin.Handler = e.status()
-	top.Add(e.admin)
-}
+// Ready returns a channel that is closed when callers can connect.
+func (e *Entry) Ready() <-chan struct{} { return e.callers.Ready() }
+
+// CallersAddr returns the address of the listener for callers, once Ready is
+// closed.
+func (e *Entry) CallersAddr() string { return e.callers.ListenAddr() }
+
+// Supervisor returns the tree of the process's services, once it is built.
+func (e *Entry) Supervisor() *suture.Supervisor { return e.top }
 
-// Callers returns the listener for callers. It is set once Supervisor was
-// called.
-func (e *Entry) Callers() *web.Server { return e.callers }
+// Follower returns the configuration in force.
+func (e *Entry) Follower() *version.Follower { return e.node.follower }
 
 // Running returns how many requests are being served.
 func (e *Entry) Running() int64 { return e.server.Running() }
--- a/internal/box/hall_test.go
+++ b/internal/box/hall_test.go
@@ -13,12 +13,12 @@
 	"github.com/barleystep/barleystep/internal/box"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/config"
-	"github.com/barleystep/barleystep/internal/member"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/object"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/standin"
 	"github.com/barleystep/barleystep/internal/table"
+	"github.com/barleystep/barleystep/internal/version"
 )
 
 const key = "dev-conversia"
@@ -44,33 +44,43 @@
 	t.Cleanup(engines.Close)
 	services := httptest.NewServer(&standin.Service{})
 	t.Cleanup(services.Close)
-	d, err := file(engines.URL, services.URL).Document()
-	c.Assert(err, quicktest.IsNil)
-	view, err := config.NewView(1, d)
-	c.Assert(err, quicktest.IsNil)
 	exporter, err := metric.NewExporter()
 	c.Assert(err, quicktest.IsNil)
 	b := &box.Entry{
 		Settings: settings.Settings{
 			Box:    settings.Box{ID: "b1", Hall: "cluj"},
 			Listen: settings.Listen{Callers: "127.0.0.1:0"},
+			Limits: settings.Limits{Notice: settings.Duration(1)},
 		},
-		Clock:         clock.System{},
-		Table:         &table.Memory{},
-		Objects:       &object.Memory{},
-		Configuration: config.NewFixed(view),
-		Membership:    member.NewFixed("b1"),
-		Exporter:      exporter,
-		Log:           &log.Logger{Level: log.PanicLevel},
+		Clock:    clock.System{},
+		Table:    &table.Memory{},
+		Objects:  &object.Memory{},
+		Boxes:    &standin.Platform{},
+		Exporter: exporter,
+		Log:      &log.Logger{Level: log.PanicLevel},
 	}
+	submit(t, b, file(engines.URL, services.URL))
 	ctx, cancel := context.WithCancel(context.Background())
-	done := b.Supervisor().ServeBackground(ctx)
+	done := make(chan error, 1)
+	b.Build(ctx)
+	go func() { done <- b.Supervisor().Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-done
 	})
-	<-b.Callers().Ready()
-	return "http://" + b.Callers().ListenAddr()
+	b.Follower().Await(1)
+	<-b.Ready()
+	return "http://" + b.CallersAddr()
+}
+
+// submit makes f the first version.
+func submit(t *testing.T, b *box.Entry, f config.File) {
+	c := quicktest.New(t)
+	d, err := f.Document()
+	c.Assert(err, quicktest.IsNil)
+	store := &version.Store{Table: b.Table, Objects: b.Objects, Clock: b.Clock, Meter: metric.Discard()}
+	_, err = store.Submit(context.Background(), config.Document{}, version.Submission{ID: "first", Document: d})
+	c.Assert(err, quicktest.IsNil)
 }
 
 func TestOpenAIClient(t *testing.T) {
--- /dev/null
+++ b/internal/box/node.go
@@ -0,0 +1,88 @@
+package box
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/peer"
+	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/version"
+	"github.com/barleystep/barleystep/internal/web"
+)
+
+// node is a box's part in its hall: membership, the configuration in force and
+// the way to the other boxes.
+type node struct {
+	settings settings.Settings
+	clock    barleystep.Clock
+	table    barleystep.Table
+	objects  barleystep.ObjectStore
+	boxes    barleystep.BoxList
+	meter    *metric.Meter
+	log      *log.Logger
+	source   *identity.Source
+	advert   string // advert is the address at which the other boxes find the peer listener.
+
+	tracker  *member.Tracker
+	follower *version.Follower
+	reader   *version.Reader
+	client   *peer.Client
+	listener *web.Server
+}
+
+// build makes the parts. The desk answers the other boxes' questions about
+// capacity.
+func (n *node) build(ctx context.Context, desk *capacity.LocalDesk) {
+	n.follower = &version.Follower{Clock: n.clock, Meter: n.meter}
+	auth := peer.Auth{Secret: n.settings.Peers.Secret, Box: n.source.Box(), Clock: n.clock}
+	n.tracker = &member.Tracker{
+		Clock:  n.clock,
+		Hall:   barleystep.HallID(n.settings.Box.Hall),
+		Boxes:  n.boxes,
+		Meter:  n.meter,
+		Log:    n.log,
+		OnGone: desk.Gone,
+		Self: member.Rumour{
+			Box:         n.source.Box(),
+			Addr:        n.advert,
+			Incarnation: n.source.Incarnation(),
+		},
+	}
+	n.client = &peer.Client{Auth: auth, Clock: n.clock, Addr: n.tracker.Addr, Base: ctx}
+	n.tracker.Sender = n.client
+	n.reader = &version.Reader{
+		Clock:      n.clock,
+		Box:        n.source.Box(),
+		Store:      &version.Store{Table: n.table, Objects: n.objects, Clock: n.clock, Meter: n.meter},
+		Follower:   n.follower,
+		Membership: n.tracker,
+		Peer:       n.client.Upstream,
+		Meter:      n.meter,
+		Log:        n.log,
+	}
+	server := &peer.Server{Auth: auth, Clock: n.clock, Desk: desk, Receiver: n.tracker, Follower: n.follower}
+	n.listener = &web.Server{
+		Name:        "peers",
+		Addr:        n.settings.Listen.Peers,
+		Handler:     server.Handler(),
+		Clock:       n.clock,
+		Log:         n.log,
+		Unencrypted: true,
+	}
+}
+
+// services returns what has to run. A box without a peer listener serves alone.
+func (n *node) services() []suture.Service {
+	list := []suture.Service{n.reader, n.tracker}
+	if n.settings.Listen.Peers != "" {
+		list = append(list, n.listener)
+	}
+	return list
+}
--- a/internal/box/status.go
+++ b/internal/box/status.go
@@ -16,8 +16,10 @@
 
 // readyz says whether the balancer should send callers here.
 func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
-	v, confirmed := e.Configuration.View()
+	v, confirmed := e.node.follower.View()
 	switch {
+	case e.server.Leaving():
+		http.Error(w, fmt.Sprintf("stopping; %d requests run", e.Running()), http.StatusServiceUnavailable)
 	case v == nil:
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 	case !confirmed:
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -44,6 +44,7 @@
 	estimator Estimator
 	pipeline  Pipeline
 	running   atomic.Int64
+	leaving   atomic.Bool
 }
 
 const defaultStall = 20 * time.Second
@@ -80,6 +81,13 @@
 // Running returns how many requests are being served.
 func (s *Server) Running() int64 { return s.running.Load() }
 
+// Leave marks the box as stopping: callers' connections are closed after the
+// answers that are under way, so that they connect elsewhere.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Leaving reports whether Leave was called.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
 	s.serve(w, r, &Exchange{path: r.URL.Path})
 }
@@ -112,6 +120,9 @@
 	x.answer = newAnswer(w)
 	x.answer.limit(s.Clock, x.started.Add(s.Limits.withDefaults().MaxTime))
 	w.Header().Set(HeaderRequest, x.id)
+	if s.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	view, confirmed := s.Configuration.View()
 	if view == nil {
 		refusal := refuse(barleystep.ReasonNoConfiguration, "This box has no configuration yet.")
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -11,15 +11,17 @@
 	"github.com/barleystep/barleystep"
 )
 
-// NewIncarnation draws a random incarnation that is not zero.
-func NewIncarnation() barleystep.Incarnation {
-	for {
-		var b [8]byte
-		_, _ = rand.Read(b[:]) // It never fails on the supported systems.
-		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
-			return barleystep.Incarnation(n)
-		}
-	}
+// randomBits is how many low bits of an incarnation are drawn at random; the
+// others are the time of the start in milliseconds, so that a later start of a
+// box has a greater incarnation.
+const randomBits = 20
+
+// NewIncarnation returns an incarnation for a start at the present time.
+func NewIncarnation(clk barleystep.Clock) barleystep.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // It never fails on the supported systems.
+	random := binary.BigEndian.Uint64(b[:]) >> (64 - randomBits)
+	return barleystep.Incarnation(uint64(clk.Now().UnixMilli())<<randomBits | random)
 }
 
 // Source numbers the requests and attempts of one start of a box. It is safe
--- /dev/null
+++ b/internal/local/configuration.go
@@ -0,0 +1,58 @@
+package local
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep/internal/config"
+)
+
+// The names in the configuration of the local hall.
+const (
+	Model   = "reader"
+	Service = "portal"
+	// KeyConversia and KeyChaiyaphruek are the keys of the two client accounts.
+	KeyConversia    = "dev-conversia"
+	KeyChaiyaphruek = "dev-chaiyaphruek"
+)
+
+// The model of the local hall: prompts of a million tokens need three engines.
+const (
+	engineTokens = 400_000
+	maxPrompt    = 1_100_000
+	maxOutput    = 256
+)
+
+// Configuration returns the configuration of the local hall without targets.
+func Configuration() config.File {
+	return config.File{
+		Accounts: []config.Account{
+			{
+				Name:   "conversia",
+				Weight: 1,
+				Labels: []string{"documents"},
+				Team:   "cluj",
+				Keys:   []config.Key{{ID: "dev", SHA256: config.HashKey(KeyConversia)}},
+			},
+			{
+				Name:   "chaiyaphruek",
+				Weight: 1,
+				Labels: []string{"quotes"},
+				Team:   "bangkok",
+				Keys:   []config.Key{{ID: "dev", SHA256: config.HashKey(KeyChaiyaphruek)}},
+			},
+		},
+		Classes: []config.Class{
+			{Name: "urgent", Rank: 0, Limit: config.Duration(2 * time.Minute)},
+			{Name: "normal", Rank: 1, Limit: config.Duration(10 * time.Minute)},
+			{Name: "bulk", Rank: 2, Limit: config.Duration(time.Hour)},
+		},
+		Models: []config.Model{{
+			Name:         Model,
+			EngineTokens: engineTokens,
+			MaxPrompt:    maxPrompt,
+			MaxOutput:    maxOutput,
+			PrefillRate:  enginePrefill,
+		}},
+		Services: []config.Service{{Name: Service}},
+	}
+}
--- /dev/null
+++ b/internal/local/hall.go
@@ -0,0 +1,241 @@
+// Package local runs a small hall in one process: several entry boxes, stand-in
+// engines, a plain service and the platform in memory. The boxes are composed
+// of the very parts that the programs run.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/box"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/object"
+	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/standin"
+	"github.com/barleystep/barleystep/internal/table"
+	"github.com/barleystep/barleystep/internal/version"
+	"github.com/barleystep/barleystep/internal/web"
+)
+
+// Name is the name of the hall.
+const Name = "local"
+
+// The ports of the first box; the others follow.
+const (
+	CallersPort = 8080
+	AdminPort   = 8090
+)
+
+// Hall is the local hall. Its exported fields are set before Run.
+type Hall struct {
+	Clock barleystep.Clock
+	Log   *log.Logger
+	// Boxes and Engines count them; the defaults are 3 and 4.
+	Boxes   int
+	Engines int
+	// FixedPorts puts the first box's listeners on CallersPort and AdminPort.
+	FixedPorts bool
+	// Table and Objects replace the platform's stores; the defaults keep all in
+	// memory.
+	Table   barleystep.Table
+	Objects barleystep.ObjectStore
+	// Fault is asked for each attempt that an engine starts; nil means no fault.
+	Fault func(attempt string) standin.Fault
+
+	platform standin.Platform
+	engines  []*standin.Engine
+	service  standin.Service
+	entries  []*box.Entry
+	stops    []context.CancelFunc
+	ready    chan struct{}
+}
+
+const (
+	defaultBoxes   = 3
+	defaultEngines = 4
+	engineStep     = 10 * time.Millisecond
+	enginePrefill  = 20_000
+)
+
+// Init fills in what was left out. It is called once before Run.
+func (h *Hall) Init() {
+	if h.Boxes == 0 {
+		h.Boxes = defaultBoxes
+	}
+	if h.Engines == 0 {
+		h.Engines = defaultEngines
+	}
+	if h.Table == nil {
+		h.Table = &table.Memory{}
+	}
+	if h.Objects == nil {
+		h.Objects = &object.Memory{}
+	}
+	h.ready = make(chan struct{})
+}
+
+// Ready returns a channel that is closed when all boxes serve.
+func (h *Hall) Ready() <-chan struct{} { return h.ready }
+
+// Run runs the hall until ctx ends and running requests have finished.
+func (h *Hall) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "local: run")
+		}
+	}()
+	back, stopBack := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBack()
+	if err := h.submit(ctx, h.startTargets(back)); err != nil {
+		return err
+	}
+	done, err := h.startBoxes(ctx)
+	if err != nil {
+		return err
+	}
+	for _, e := range h.entries {
+		e.Follower().Await(1)
+		<-e.Ready()
+	}
+	close(h.ready)
+	for range h.entries {
+		if e := <-done; e != nil && !errors.Is(e, context.Canceled) {
+			err = e
+		}
+	}
+	return err
+}
+
+// startTargets starts the stand-ins and returns the configuration that names
+// them.
+func (h *Hall) startTargets(ctx context.Context) config.File {
+	f := Configuration()
+	top := box.NewSupervisor("stand-ins", h.Log, 0)
+	var servers []*web.Server
+	for i := range h.Engines {
+		e := &standin.Engine{Clock: h.Clock, Step: engineStep, PrefillRate: enginePrefill, Fault: h.Fault}
+		h.engines = append(h.engines, e)
+		servers = append(servers, &web.Server{Name: fmt.Sprintf("engine%d", i+1), Handler: e})
+	}
+	servers = append(servers, &web.Server{Name: "service", Handler: &h.service})
+	for _, s := range servers {
+		s.Addr = "127.0.0.1:0"
+		s.Clock = h.Clock
+		s.Log = h.Log
+		top.Add(s)
+	}
+	top.ServeBackground(ctx)
+	for i, s := range servers {
+		<-s.Ready()
+		t := config.Target{ID: s.Name, Hall: Name, URL: "http://" + s.ListenAddr(), Model: Model}
+		if i == h.Engines {
+			t.Model, t.Service = "", Service
+		}
+		f.Targets = append(f.Targets, t)
+	}
+	return f
+}
+
+func (h *Hall) submit(ctx context.Context, f config.File) error {
+	d, err := f.Document()
+	if err != nil {
+		return err
+	}
+	_, err = h.Store().Submit(ctx, config.Document{}, version.Submission{
+		ID:       "local-first",
+		Document: d,
+		Author:   "local",
+		Reason:   "first configuration of the local hall",
+	})
+	return err
+}
+
+// Store returns the hall's store of versions.
+func (h *Hall) Store() *version.Store {
+	return &version.Store{Table: h.Table, Objects: h.Objects, Clock: h.Clock, Meter: metric.Discard()}
+}
+
+// startBoxes starts all boxes. Each sends on done when it has ended.
+func (h *Hall) startBoxes(ctx context.Context) (done <-chan error, err error) {
+	ended := make(chan error, h.Boxes)
+	var list []barleystep.Box
+	for i := range h.Boxes {
+		e, err := h.newBox(i)
+		if err != nil {
+			return nil, err
+		}
+		h.entries = append(h.entries, e)
+		s := e.Settings
+		list = append(list, barleystep.NewBox(barleystep.BoxID(s.Box.ID), Name, s.Listen.Peers, false))
+	}
+	h.platform.SetBoxes(list...)
+	for _, e := range h.entries {
+		ctx, cancel := context.WithCancel(ctx)
+		h.stops = append(h.stops, cancel)
+		e.Build(context.WithoutCancel(ctx))
+		go func() { ended <- e.Run(ctx) }()
+	}
+	return ended, nil
+}
+
+func (h *Hall) newBox(i int) (*box.Entry, error) {
+	exporter, err := metric.NewExporter()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Settings{
+		Box:    settings.Box{ID: fmt.Sprintf("box%d", i+1), Hall: Name},
+		Listen: settings.Listen{Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peers: peers},
+		Limits: settings.Limits{Notice: settings.Duration(100 * time.Millisecond)},
+	}
+	if h.FixedPorts {
+		s.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", CallersPort+i)
+		s.Listen.Admin = fmt.Sprintf("127.0.0.1:%d", AdminPort+i)
+	}
+	return &box.Entry{
+		Settings: s,
+		Clock:    h.Clock,
+		Table:    h.Table,
+		Objects:  h.Objects,
+		Boxes:    &h.platform,
+		Exporter: exporter,
+		Log:      h.Log,
+	}, nil
+}
+
+// freePort finds a port that a peer listener can take; peers have to know it
+// before it listens.
+func freePort() (string, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// URL returns the address of a box's listener for callers.
+func (h *Hall) URL(i int) string { return "http://" + h.entries[i].CallersAddr() }
+
+// Entry returns a box.
+func (h *Hall) Entry(i int) *box.Entry { return h.entries[i] }
+
+// Engine returns a stand-in engine.
+func (h *Hall) Engine(i int) *standin.Engine { return h.engines[i] }
+
+// Service returns the stand-in service.
+func (h *Hall) Service() *standin.Service { return &h.service }
+
+// Stop makes a planned stop of one box.
+func (h *Hall) Stop(i int) { h.stops[i]() }
--- /dev/null
+++ b/internal/member/state.go
@@ -0,0 +1,453 @@
+package member
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// Status is what is thought of a box.
+type Status uint8
+
+// The states of a box. A later one outweighs an earlier one that is said of the
+// same incarnation and number.
+const (
+	// StatusUnheard is a listed box from which nothing was heard yet.
+	StatusUnheard Status = iota
+	// StatusAlive is a box that sends heartbeats.
+	StatusAlive
+	// StatusLeaving is a box that has announced its stop.
+	StatusLeaving
+	// StatusSuspect is a box whose heartbeats one of its watchers misses.
+	StatusSuspect
+	// StatusDead is a suspect that nobody has heard in time.
+	StatusDead
+)
+
+// String returns the name of the status.
+func (s Status) String() string {
+	return [...]string{"unheard", "alive", "leaving", "suspect", "dead"}[s]
+}
+
+// Rumour is what a heartbeat says of some box.
+type Rumour struct {
+	Box         barleystep.BoxID
+	Addr        string
+	Incarnation barleystep.Incarnation
+	// Number grows whenever the box contradicts a rumour about itself.
+	Number uint64
+	Status Status
+}
+
+// Beat is one heartbeat.
+type Beat struct {
+	From    Rumour // From is the sender's word on itself.
+	Hall    barleystep.HallID
+	Rumours []Rumour
+}
+
+// Message is a heartbeat and where it goes.
+type Message struct {
+	To   barleystep.BoxID
+	Addr string
+	Beat Beat
+}
+
+// Settings tunes the detection. The zero value takes the defaults.
+type Settings struct {
+	// Every is the time between heartbeats; the default is 500 ms.
+	Every time.Duration
+	// SuspectAfter is how long a watched box may be silent; the default is five
+	// heartbeats.
+	SuspectAfter time.Duration
+	// DeadAfter is how long a suspect has to contradict; the default is five
+	// heartbeats.
+	DeadAfter time.Duration
+	// ForgetAfter is how long a dead box is remembered; the default is 10
+	// minutes.
+	ForgetAfter time.Duration
+}
+
+const (
+	defaultEvery  = 500 * time.Millisecond
+	defaultBeats  = 5
+	defaultForget = 10 * time.Minute
+	// rings is how many rings the boxes form. Each box beats to its successor in
+	// every ring, so the cost of a box does not depend on their number. Four
+	// random rings together are a graph in which news reaches 400 boxes in about
+	// five beats.
+	rings = 4
+	// rumoursPerBeat bounds what one heartbeat carries.
+	rumoursPerBeat = 8
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.Every == 0 {
+		s.Every = defaultEvery
+	}
+	if s.SuspectAfter == 0 {
+		s.SuspectAfter = defaultBeats * s.Every
+	}
+	if s.DeadAfter == 0 {
+		s.DeadAfter = defaultBeats * s.Every
+	}
+	if s.ForgetAfter == 0 {
+		s.ForgetAfter = defaultForget
+	}
+	return s
+}
+
+// State is a box's picture of its hall. It is a state machine without
+// goroutines, and not safe for concurrent use.
+type State struct {
+	settings Settings
+	self     Rumour
+	hall     barleystep.HallID
+	peers    map[barleystep.BoxID]*peer
+	ticked   time.Time
+	watched  map[barleystep.BoxID]time.Time // watched says since when this box has watched a peer.
+	events   []Event
+}
+
+type peer struct {
+	Rumour
+	heard time.Time // heard is when the box itself was last heard.
+	since time.Time // since is when the status last changed.
+	told  int       // told is how often the status was passed on.
+}
+
+// Event is a change that the state has seen.
+type Event struct {
+	Box    barleystep.BoxID
+	Status Status
+}
+
+// NewState returns the state of a box that knows only itself.
+func NewState(s Settings, self Rumour, hall barleystep.HallID) *State {
+	self.Status = StatusAlive
+	return &State{
+		settings: s.withDefaults(),
+		self:     self,
+		hall:     hall,
+		peers:    make(map[barleystep.BoxID]*peer),
+		watched:  make(map[barleystep.BoxID]time.Time),
+	}
+}
+
+// List takes in the platform's list of boxes. It only adds: the list lags, and
+// the heartbeats say who is alive. Boxes that are not listed and dead for long
+// are forgotten.
+func (s *State) List(now time.Time, boxes []barleystep.Box) {
+	listed := make(map[barleystep.BoxID]bool)
+	for _, b := range boxes {
+		if b.Hall() != s.hall || b.ID() == s.self.Box {
+			continue
+		}
+		listed[b.ID()] = true
+		if p, ok := s.peers[b.ID()]; ok {
+			p.Addr = b.Addr()
+			continue
+		}
+		s.peers[b.ID()] = &peer{Rumour: Rumour{Box: b.ID(), Addr: b.Addr()}, since: now}
+	}
+	for id, p := range s.peers {
+		if !listed[id] && p.Status != StatusAlive && now.Sub(p.since) > s.settings.ForgetAfter {
+			delete(s.peers, id)
+		}
+	}
+}
+
+// Leave announces the planned stop of this box.
+func (s *State) Leave() { s.self.Status = StatusLeaving }
+
+// Receive takes in a heartbeat.
+func (s *State) Receive(now time.Time, b Beat) {
+	if b.Hall != s.hall || b.From.Box == s.self.Box {
+		return
+	}
+	s.learn(now, b.From)
+	p := s.peers[b.From.Box]
+	if p.Incarnation == b.From.Incarnation {
+		p.heard = now
+		s.revive(now, p, b.From)
+	}
+	for _, r := range b.Rumours {
+		s.learn(now, r)
+	}
+}
+
+// revive believes a suspect that is heard directly more than the rumour. A dead
+// box has to raise its number first, so that all hear of it.
+func (s *State) revive(now time.Time, p *peer, word Rumour) {
+	if p.Status == StatusSuspect && p.Number == word.Number {
+		p.Status = word.Status
+		p.since = now
+		p.told = 0
+	}
+}
+
+// learn takes in what is said of a box, if it outweighs what is known.
+func (s *State) learn(now time.Time, r Rumour) {
+	if r.Box == s.self.Box {
+		s.contradict(r)
+		return
+	}
+	p, ok := s.peers[r.Box]
+	if !ok {
+		p = &peer{Rumour: Rumour{Box: r.Box, Addr: r.Addr}, since: now}
+		s.peers[r.Box] = p
+	}
+	if !outweighs(r, p.Rumour) {
+		return
+	}
+	s.change(now, p, r)
+}
+
+func (s *State) change(now time.Time, p *peer, r Rumour) {
+	replaced := p.Incarnation != 0 && p.Incarnation != r.Incarnation && p.Status != StatusDead
+	if p.Status != r.Status || p.Incarnation != r.Incarnation {
+		p.since = now
+		s.events = append(s.events, Event{Box: p.Box, Status: r.Status})
+	}
+	if p.Incarnation != r.Incarnation {
+		// A new start of the box: the old one's silence does not count.
+		p.heard = now
+	}
+	if replaced {
+		s.events = append(s.events, Event{Box: p.Box, Status: StatusDead})
+	}
+	addr := p.Addr
+	p.Rumour = r
+	if r.Addr == "" {
+		p.Addr = addr
+	}
+	p.told = 0
+}
+
+// contradict answers a rumour that this incarnation is suspect or dead.
+func (s *State) contradict(r Rumour) {
+	if r.Incarnation == s.self.Incarnation && r.Status >= StatusSuspect && r.Number >= s.self.Number {
+		s.self.Number = r.Number + 1
+	}
+}
+
+// outweighs reports whether r is newer than, or a graver word on the same state
+// than, the known one. Incarnations grow from start to start.
+func outweighs(r, known Rumour) bool {
+	switch {
+	case known.Status == StatusUnheard:
+		return r.Status != StatusUnheard
+	case r.Incarnation != known.Incarnation:
+		return r.Incarnation > known.Incarnation
+	case r.Number != known.Number:
+		return r.Number > known.Number
+	default:
+		return r.Status > known.Status
+	}
+}
+
+// Tick judges silence and returns the heartbeats to send.
+func (s *State) Tick(now time.Time) []Message {
+	if !s.ticked.IsZero() && now.Sub(s.ticked) > s.settings.SuspectAfter/2 {
+		s.paused(now)
+	}
+	s.ticked = now
+	s.judge(now)
+	rumours := s.rumours()
+	var list []Message
+	for _, id := range s.successors() {
+		p := s.peers[id]
+		list = append(list, Message{
+			To:   id,
+			Addr: p.Addr,
+			Beat: Beat{From: s.self, Hall: s.hall, Rumours: rumours},
+		})
+	}
+	return list
+}
+
+// paused starts all silences anew: it was this box that did not listen.
+func (s *State) paused(now time.Time) {
+	for _, p := range s.peers {
+		p.heard = now
+		if p.Status == StatusSuspect {
+			p.since = now
+		}
+	}
+	s.events = append(s.events, Event{Box: s.self.Box, Status: StatusSuspect})
+}
+
+func (s *State) judge(now time.Time) {
+	watching := make(map[barleystep.BoxID]bool)
+	for _, id := range s.predecessors() {
+		watching[id] = true
+		if _, ok := s.watched[id]; !ok {
+			s.watched[id] = now
+		}
+	}
+	for id := range s.watched {
+		if !watching[id] {
+			delete(s.watched, id)
+		}
+	}
+	for id, p := range s.peers {
+		switch p.Status {
+		case StatusAlive, StatusLeaving:
+			s.judgeAlive(now, id, p)
+		case StatusSuspect:
+			if now.Sub(p.since) >= s.settings.DeadAfter {
+				s.bury(now, p)
+			}
+		}
+	}
+}
+
+func (s *State) judgeAlive(now time.Time, id barleystep.BoxID, p *peer) {
+	since, ok := s.watched[id]
+	if !ok {
+		return
+	}
+	last := p.heard
+	if since.After(last) {
+		last = since
+	}
+	if now.Sub(last) < s.settings.SuspectAfter {
+		return
+	}
+	r := p.Rumour
+	r.Status = StatusSuspect
+	s.change(now, p, r)
+}
+
+func (s *State) bury(now time.Time, p *peer) {
+	r := p.Rumour
+	r.Status = StatusDead
+	s.change(now, p, r)
+}
+
+// rumours returns the news that was passed on least often so far. Each change
+// is told a number of times that grows with the logarithm of the hall.
+func (s *State) rumours() []Rumour {
+	limit := 4 * bitLength(len(s.peers)+1)
+	var fresh []*peer
+	for _, p := range s.peers {
+		if p.Status != StatusUnheard && p.told < limit {
+			fresh = append(fresh, p)
+		}
+	}
+	sort.Slice(fresh, func(i, j int) bool {
+		if fresh[i].told != fresh[j].told {
+			return fresh[i].told < fresh[j].told
+		}
+		return fresh[i].Box < fresh[j].Box
+	})
+	if len(fresh) > rumoursPerBeat {
+		fresh = fresh[:rumoursPerBeat]
+	}
+	list := make([]Rumour, len(fresh))
+	for i, p := range fresh {
+		p.told++
+		list[i] = p.Rumour
+	}
+	return list
+}
+
+func bitLength(n int) int {
+	bits := 0
+	for ; n > 0; n /= 2 {
+		bits++
+	}
+	return bits
+}
+
+// ring returns the boxes that take part, this one among them, in the order of
+// the i-th ring. Dead boxes are left out; a box that comes back beats by itself.
+func (s *State) ring(i int) []barleystep.BoxID {
+	type placed struct {
+		id   barleystep.BoxID
+		rank uint64
+	}
+	key := "ring" + strconv.Itoa(i)
+	order := []placed{{s.self.Box, place.Rank(key, string(s.self.Box))}}
+	for id, p := range s.peers {
+		if p.Status != StatusDead {
+			order = append(order, placed{id, place.Rank(key, string(id))})
+		}
+	}
+	sort.Slice(order, func(i, j int) bool { return order[i].rank < order[j].rank })
+	ids := make([]barleystep.BoxID, len(order))
+	for i, p := range order {
+		ids[i] = p.id
+	}
+	return ids
+}
+
+func (s *State) successors() []barleystep.BoxID   { return s.neighbours(1) }
+func (s *State) predecessors() []barleystep.BoxID { return s.neighbours(-1) }
+
+// neighbours returns the boxes next to this one in each ring, without repeats.
+func (s *State) neighbours(step int) []barleystep.BoxID {
+	var ids []barleystep.BoxID
+	for i := range rings {
+		order := s.ring(i)
+		at := slices.Index(order, s.self.Box)
+		next := order[(at+step+len(order))%len(order)]
+		if next != s.self.Box && !slices.Contains(ids, next) {
+			ids = append(ids, next)
+		}
+	}
+	return ids
+}
+
+// Alive returns the boxes that are alive and not leaving, this one among them
+// unless it leaves, sorted by name.
+func (s *State) Alive() []barleystep.BoxID {
+	var ids []barleystep.BoxID
+	if s.self.Status == StatusAlive {
+		ids = append(ids, s.self.Box)
+	}
+	for id, p := range s.peers {
+		if p.Status == StatusAlive {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Peer returns what is known of a box.
+func (s *State) Peer(id barleystep.BoxID) (r Rumour, ok bool) {
+	p, ok := s.peers[id]
+	if !ok {
+		return Rumour{}, false
+	}
+	return p.Rumour, true
+}
+
+// Members returns what is known of all boxes that were heard of, this one among
+// them, sorted by name.
+func (s *State) Members() []Rumour {
+	list := []Rumour{s.self}
+	for _, p := range s.peers {
+		if p.Status != StatusUnheard {
+			list = append(list, p.Rumour)
+		}
+	}
+	slices.SortFunc(list, func(a, b Rumour) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	return list
+}
+
+// Self returns this box's word on itself.
+func (s *State) Self() Rumour { return s.self }
+
+// Events returns what has changed since the last call.
+func (s *State) Events() []Event {
+	events := s.events
+	s.events = nil
+	return events
+}
--- /dev/null
+++ b/internal/member/tracker.go
@@ -0,0 +1,167 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Sender sends heartbeats to other boxes. It never waits: what can't be sent at
+// once is dropped.
+type Sender interface {
+	// Beat sends one heartbeat.
+	Beat(to barleystep.BoxID, addr string, b Beat)
+	// Keep ends what is open towards all but the given addresses.
+	Keep(addrs map[string]bool)
+}
+
+// Tracker runs a State: it sends heartbeats, takes them in and reads the
+// platform's list. Its exported fields are set before Serve; it is safe for
+// concurrent use.
+type Tracker struct {
+	Clock    barleystep.Clock
+	Self     Rumour
+	Hall     barleystep.HallID
+	Boxes    barleystep.BoxList
+	Sender   Sender
+	Meter    *metric.Meter
+	Log      *log.Logger
+	Settings Settings
+	// OnGone is called for each box that has died or was replaced; may be nil.
+	OnGone func(barleystep.BoxID)
+	// ListEvery is the time between reads of the list; the default is 5 seconds.
+	ListEvery time.Duration
+
+	mu      sync.Mutex
+	state   *State
+	changed chan struct{}
+}
+
+var _ barleystep.Membership = (*Tracker)(nil)
+
+const (
+	defaultListEvery = 5 * time.Second
+	logPrefix        = "member: "
+)
+
+// locked returns the state; the caller holds the lock.
+func (t *Tracker) locked() *State {
+	if t.state == nil {
+		t.state = NewState(t.Settings, t.Self, t.Hall)
+	}
+	return t.state
+}
+
+// Serve runs until ctx ends.
+func (t *Tracker) Serve(ctx context.Context) error {
+	if t.ListEvery == 0 {
+		t.ListEvery = defaultListEvery
+	}
+	go t.list(ctx)
+	for {
+		t.tick()
+		if !clock.Sleep(ctx, t.Clock, t.Settings.withDefaults().Every) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (t *Tracker) list(ctx context.Context) {
+	for {
+		if boxes, err := t.Boxes.Boxes(ctx); err == nil {
+			t.mu.Lock()
+			t.locked().List(t.Clock.Now(), boxes)
+			t.mu.Unlock()
+		}
+		if !clock.Sleep(ctx, t.Clock, t.ListEvery) {
+			return
+		}
+	}
+}
+
+func (t *Tracker) tick() {
+	t.mu.Lock()
+	messages := t.locked().Tick(t.Clock.Now())
+	events := t.state.Events()
+	t.mu.Unlock()
+	addrs := make(map[string]bool, len(messages))
+	for _, m := range messages {
+		addrs[m.Addr] = true
+		t.Sender.Beat(m.To, m.Addr, m.Beat)
+	}
+	t.Sender.Keep(addrs)
+	t.announce(events)
+}
+
+// Receive takes in a heartbeat of another box.
+func (t *Tracker) Receive(b Beat) {
+	t.mu.Lock()
+	t.locked().Receive(t.Clock.Now(), b)
+	events := t.state.Events()
+	t.mu.Unlock()
+	t.announce(events)
+}
+
+func (t *Tracker) announce(events []Event) {
+	if len(events) == 0 {
+		return
+	}
+	t.mu.Lock()
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+	t.mu.Unlock()
+	for _, e := range events {
+		t.Meter.Membership(e.Status.String())
+		t.Log.Info().Str("box", string(e.Box)).Stringer("status", e.Status).Msg(logPrefix + "A box has changed.")
+		if e.Status == StatusDead && t.OnGone != nil {
+			t.OnGone(e.Box)
+		}
+	}
+}
+
+// Leave announces the planned stop of this box.
+func (t *Tracker) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.locked().Leave()
+}
+
+// Alive returns the boxes of the hall that are alive.
+func (t *Tracker) Alive() []barleystep.BoxID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.locked().Alive()
+}
+
+// Changed returns a channel that is closed at the next change.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+// Addr returns the address of a box's peer listener.
+func (t *Tracker) Addr(id barleystep.BoxID) (addr string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.locked().Peer(id)
+	return r.Addr, ok && r.Addr != ""
+}
+
+// Members returns what is known of the boxes of the hall, this one among them.
+func (t *Tracker) Members() []Rumour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.locked().Members()
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -88,13 +88,17 @@
 }
 
 func histogram(m metric.Meter, name, help string) metric.Float64Histogram {
-	h, err := m.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"))
+	h, err := m.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(firstTokenBounds...))
 	if err != nil {
 		panic(err) // The names are constants of this file.
 	}
 	return h
 }
 
+// firstTokenBounds are the bounds of the histogram's buckets, in seconds.
+var firstTokenBounds = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.54, 0.8, 1.2, 2, 4, 8, 15, 30, 60, 120, 300, 900}
+
 func add(c metric.Int64Counter, kv ...attribute.KeyValue) {
 	c.Add(context.Background(), 1, metric.WithAttributes(kv...))
 }
--- /dev/null
+++ b/internal/peer/auth.go
@@ -0,0 +1,106 @@
+// Package peer carries what the boxes of a hall say to each other, over
+// connect: heartbeats, capacity and the configuration.
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Auth signs calls with the secret that all boxes share, and checks the
+// signatures of incoming ones. With an empty secret, which settings allow only
+// on loopback, nothing is signed or checked.
+type Auth struct {
+	Secret string
+	Box    barleystep.BoxID
+	Clock  barleystep.Clock
+}
+
+const (
+	headerPeer = "Barleystep-Peer"
+	// skew is how far apart two boxes' clocks may be.
+	skew = time.Minute
+)
+
+var _ connect.Interceptor = Auth{}
+
+// sign returns "box time signature" for a call of the procedure.
+func (a Auth) sign(procedure string) string {
+	at := strconv.FormatInt(a.Clock.Now().Unix(), 10)
+	return string(a.Box) + " " + at + " " + a.signature(string(a.Box), at, procedure)
+}
+
+func (a Auth) signature(box, at, procedure string) string {
+	mac := hmac.New(sha256.New, []byte(a.Secret))
+	mac.Write([]byte(box + "\n" + at + "\n" + procedure))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+var errPeer = eris.New("peer: the caller did not prove that it is a box")
+
+func (a Auth) check(h http.Header, procedure string) error {
+	if a.Secret == "" {
+		return nil
+	}
+	parts := strings.Split(h.Get(headerPeer), " ")
+	if len(parts) != 3 {
+		return connect.NewError(connect.CodeUnauthenticated, errPeer)
+	}
+	want := a.signature(parts[0], parts[1], procedure)
+	if !hmac.Equal([]byte(want), []byte(parts[2])) || !a.recent(parts[1]) {
+		return connect.NewError(connect.CodeUnauthenticated, errPeer)
+	}
+	return nil
+}
+
+func (a Auth) recent(at string) bool {
+	sec, err := strconv.ParseInt(at, 10, 64)
+	if err != nil {
+		return false
+	}
+	return a.Clock.Now().Sub(time.Unix(sec, 0)).Abs() <= skew
+}
+
+// WrapUnary signs or checks a call.
+func (a Auth) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		if req.Spec().IsClient {
+			req.Header().Set(headerPeer, a.sign(req.Spec().Procedure))
+			return next(ctx, req)
+		}
+		if err := a.check(req.Header(), req.Spec().Procedure); err != nil {
+			return nil, err
+		}
+		return next(ctx, req)
+	}
+}
+
+// WrapStreamingClient signs a stream.
+func (a Auth) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		conn.RequestHeader().Set(headerPeer, a.sign(spec.Procedure))
+		return conn
+	}
+}
+
+// WrapStreamingHandler checks a stream.
+func (a Auth) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return func(ctx context.Context, conn connect.StreamingHandlerConn) error {
+		if err := a.check(conn.RequestHeader(), conn.Spec().Procedure); err != nil {
+			return err
+		}
+		return next(ctx, conn)
+	}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	peerv1 "github.com/barleystep/barleystep/api/peer/v1"
+	"github.com/barleystep/barleystep/api/peer/v1/peerv1connect"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// Client reaches the other boxes. Its exported fields are set before use; it is
+// safe for concurrent use.
+type Client struct {
+	Auth  Auth
+	Clock barleystep.Clock
+	// Addr returns the address of a box's peer listener.
+	Addr func(barleystep.BoxID) (addr string, ok bool)
+	// TLS encrypts the connections; nil uses HTTP/2 in the clear.
+	TLS *tls.Config
+	// Base bounds the life of heartbeat streams; it ends with the process.
+	Base context.Context
+
+	once    sync.Once
+	http    *http.Client
+	scheme  string
+	mu      sync.Mutex
+	streams map[string]*beatStream
+}
+
+var _ member.Sender = (*Client)(nil)
+
+// pingAfter and pingTimeout find connections to boxes that have vanished.
+const (
+	pingAfter   = 3 * time.Second
+	pingTimeout = 2 * time.Second
+)
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		p := new(http.Protocols)
+		p.SetUnencryptedHTTP2(c.TLS == nil)
+		p.SetHTTP2(c.TLS != nil)
+		c.scheme = "http://"
+		if c.TLS != nil {
+			c.scheme = "https://"
+		}
+		c.http = &http.Client{Transport: &http.Transport{
+			Protocols:       p,
+			TLSClientConfig: c.TLS,
+			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		}}
+		c.streams = make(map[string]*beatStream)
+	})
+}
+
+func (c *Client) at(addr string) peerv1connect.PeerClient {
+	c.init()
+	return peerv1connect.NewPeerClient(c.http, c.scheme+addr, connect.WithInterceptors(c.Auth))
+}
+
+// Desk returns the desk of another box.
+func (c *Client) Desk(id barleystep.BoxID) (capacity.Desk, bool) {
+	addr, ok := c.Addr(id)
+	if !ok {
+		return nil, false
+	}
+	return &remoteDesk{client: c.at(addr), clock: c.Clock}, true
+}
+
+// Upstream returns the way to another box's versions.
+func (c *Client) Upstream(id barleystep.BoxID) (version.Upstream, bool) {
+	addr, ok := c.Addr(id)
+	if !ok {
+		return nil, false
+	}
+	return upstream{c.at(addr)}, true
+}
+
+// Members asks the box at the address what it knows of its hall.
+func (c *Client) Members(ctx context.Context, addr string) ([]member.Rumour, error) {
+	resp, err := c.at(addr).Members(ctx, connect.NewRequest(&peerv1.MembersRequest{}))
+	if err != nil {
+		return nil, eris.Wrap(err, "peer: members")
+	}
+	return convert(resp.Msg.GetMembers(), fromRumour), nil
+}
+
+// remoteDesk is the desk of another box.
+type remoteDesk struct {
+	client peerv1connect.PeerClient
+	clock  barleystep.Clock
+}
+
+// Ask waits for a grant.
+func (d *remoteDesk) Ask(ctx context.Context, pool string, a capacity.Ask) (g capacity.Grant, err error) {
+	resp, err := d.client.Ask(ctx, connect.NewRequest(toAsk(pool, a, d.clock.Now())))
+	if err != nil {
+		return capacity.Grant{}, eris.Wrap(err, "peer: ask")
+	}
+	if r := resp.Msg.GetRefusal(); r != nil {
+		return capacity.Grant{}, fromRefusal(r)
+	}
+	return capacity.Grant{
+		Attempt:  a.Demand.Attempt,
+		Box:      a.Box,
+		Targets:  fromTargets(resp.Msg.GetTargets()),
+		Priority: int(resp.Msg.GetPriority()),
+	}, nil
+}
+
+// First notes a first token.
+func (d *remoteDesk) First(ctx context.Context, pool string, id barleystep.AttemptID) error {
+	_, err := d.client.First(ctx, connect.NewRequest(&peerv1.FirstRequest{Pool: pool, Attempt: toAttempt(id)}))
+	return err
+}
+
+// Release gives a grant back.
+func (d *remoteDesk) Release(ctx context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
+	_, err := d.client.Release(ctx, connect.NewRequest(&peerv1.ReleaseRequest{
+		Pool:    pool,
+		Attempt: toAttempt(id),
+		Outcome: u.Outcome.String(),
+		FirstMs: u.First.Milliseconds(),
+		Full:    u.Full,
+	}))
+	return err
+}
+
+// Report sends a report.
+func (d *remoteDesk) Report(ctx context.Context, pool string, r capacity.Report) (capacity.Credits, error) {
+	now := d.clock.Now()
+	resp, err := d.client.Report(ctx, connect.NewRequest(toReport(pool, r, now)))
+	if err != nil {
+		return capacity.Credits{}, eris.Wrap(err, "peer: report")
+	}
+	return fromCredits(resp.Msg, now), nil
+}
+
+type upstream struct{ client peerv1connect.PeerClient }
+
+// Follow passes on what the peer sends until the stream ends.
+func (u upstream) Follow(ctx context.Context, have int64, sink func(version.Update) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := u.client.Follow(ctx, connect.NewRequest(&peerv1.FollowRequest{Version: have}))
+	if err != nil {
+		return eris.Wrap(err, "peer: follow")
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		update, err := fromUpdate(stream.Msg())
+		if err != nil {
+			return err
+		}
+		if err := sink(update); err != nil {
+			return err
+		}
+	}
+	return stream.Err()
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,268 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+	peerv1 "github.com/barleystep/barleystep/api/peer/v1"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// Times travel as ages, since the clocks of boxes differ.
+
+func toAttempt(a barleystep.AttemptID) *peerv1.Attempt {
+	return &peerv1.Attempt{Box: string(a.Box()), Incarnation: uint64(a.Incarnation()), Number: a.Number()}
+}
+
+func fromAttempt(a *peerv1.Attempt) barleystep.AttemptID {
+	return barleystep.NewAttemptID(barleystep.BoxID(a.GetBox()), barleystep.Incarnation(a.GetIncarnation()), a.GetNumber())
+}
+
+func toTargets(ids []barleystep.TargetID) []string {
+	return convert(ids, func(id barleystep.TargetID) string { return string(id) })
+}
+
+func fromTargets(names []string) []barleystep.TargetID {
+	return convert(names, func(n string) barleystep.TargetID { return barleystep.TargetID(n) })
+}
+
+func convert[A, B any](list []A, f func(A) B) []B {
+	out := make([]B, len(list))
+	for i, a := range list {
+		out[i] = f(a)
+	}
+	return out
+}
+
+func toAsk(pool string, a capacity.Ask, now time.Time) *peerv1.AskRequest {
+	d := a.Demand
+	return &peerv1.AskRequest{
+		Pool:    pool,
+		Box:     string(a.Box),
+		Attempt: toAttempt(d.Attempt),
+		Account: d.Account,
+		Class:   d.Class,
+		Prompt:  uint32(d.Prompt),
+		Output:  uint32(d.Output),
+		AgeMs:   now.Sub(d.Since).Milliseconds(),
+		LeftMs:  d.Deadline.Sub(now).Milliseconds(),
+		Prefix:  d.Prefix,
+		Avoid:   toTargets(d.Avoid),
+		Weight:  a.Weight,
+		Rank:    int32(a.Rank),
+		Limit:   a.Limit,
+	}
+}
+
+func fromAsk(r *peerv1.AskRequest, now time.Time) capacity.Ask {
+	return capacity.Ask{
+		Box:    barleystep.BoxID(r.GetBox()),
+		Weight: r.GetWeight(),
+		Rank:   int(r.GetRank()),
+		Limit:  r.GetLimit(),
+		Demand: barleystep.Demand{
+			Attempt:  fromAttempt(r.GetAttempt()),
+			Account:  r.GetAccount(),
+			Class:    r.GetClass(),
+			Model:    r.GetPool(),
+			Prompt:   int(r.GetPrompt()),
+			Output:   int(r.GetOutput()),
+			Since:    now.Add(-millis(r.GetAgeMs())),
+			Deadline: now.Add(millis(r.GetLeftMs())),
+			Prefix:   r.GetPrefix(),
+			Avoid:    fromTargets(r.GetAvoid()),
+		},
+	}
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func toRefusal(r *barleystep.Refusal) *peerv1.Refusal {
+	return &peerv1.Refusal{Reason: string(r.Reason()), Message: r.Error(), RetryAfterMs: r.RetryAfter().Milliseconds()}
+}
+
+func fromRefusal(r *peerv1.Refusal) *barleystep.Refusal {
+	return barleystep.NewRefusal(barleystep.Reason(r.GetReason()), barleystep.OutcomeNotRun, r.GetMessage()).
+		WithRetryAfter(millis(r.GetRetryAfterMs()))
+}
+
+func toReport(pool string, r capacity.Report, now time.Time) *peerv1.ReportRequest {
+	return &peerv1.ReportRequest{
+		Pool:   pool,
+		Box:    string(r.Box),
+		Wanted: uint32(r.Wanted),
+		Uses: convert(r.Uses, func(u capacity.Use) *peerv1.Use {
+			return &peerv1.Use{
+				Target:   string(u.Target),
+				Reading:  uint32(u.Reading),
+				Memory:   uint32(u.Memory),
+				Running:  uint32(u.Running),
+				Answers:  uint32(u.Answers),
+				Failures: uint32(u.Failures),
+				Slow:     float32(u.Slow),
+				SilentMs: u.Silent.Milliseconds(),
+			}
+		}),
+		Held: convert(r.Held, func(h capacity.Held) *peerv1.Held {
+			return &peerv1.Held{
+				Attempt: toAttempt(h.Attempt),
+				Account: h.Account,
+				Targets: toTargets(h.Targets),
+				Prompt:  uint32(h.Prompt),
+				Output:  uint32(h.Output),
+				AgeMs:   now.Sub(h.Since).Milliseconds(),
+				Reading: h.Reading,
+			}
+		}),
+	}
+}
+
+func fromReport(r *peerv1.ReportRequest, now time.Time) capacity.Report {
+	return capacity.Report{
+		Box:    barleystep.BoxID(r.GetBox()),
+		Wanted: int(r.GetWanted()),
+		Uses: convert(r.GetUses(), func(u *peerv1.Use) capacity.Use {
+			return capacity.Use{
+				Target:   barleystep.TargetID(u.GetTarget()),
+				Reading:  int(u.GetReading()),
+				Memory:   int(u.GetMemory()),
+				Running:  int(u.GetRunning()),
+				Answers:  int(u.GetAnswers()),
+				Failures: int(u.GetFailures()),
+				Slow:     float64(u.GetSlow()),
+				Silent:   millis(u.GetSilentMs()),
+			}
+		}),
+		Held: convert(r.GetHeld(), func(h *peerv1.Held) capacity.Held {
+			return capacity.Held{
+				Attempt: fromAttempt(h.GetAttempt()),
+				Account: h.GetAccount(),
+				Targets: fromTargets(h.GetTargets()),
+				Prompt:  int(h.GetPrompt()),
+				Output:  int(h.GetOutput()),
+				Since:   now.Add(-millis(h.GetAgeMs())),
+				Reading: h.GetReading(),
+			}
+		}),
+	}
+}
+
+func toCredits(c capacity.Credits, now time.Time) *peerv1.ReportResponse {
+	return &peerv1.ReportResponse{
+		LifeMs: c.Until.Sub(now).Milliseconds(),
+		Credits: convert(c.Credits, func(c capacity.Credit) *peerv1.Credit {
+			return &peerv1.Credit{
+				Target:  string(c.Target),
+				Reading: uint32(c.Reading),
+				Memory:  uint32(c.Memory),
+				Others:  uint32(c.Others),
+				Long:    uint32(c.Long),
+				Running: uint32(c.Running),
+				Rate:    float32(c.Rate),
+				Slow:    float32(c.Slow),
+			}
+		}),
+	}
+}
+
+func fromCredits(r *peerv1.ReportResponse, now time.Time) capacity.Credits {
+	return capacity.Credits{
+		Until: now.Add(millis(r.GetLifeMs())),
+		Credits: convert(r.GetCredits(), func(c *peerv1.Credit) capacity.Credit {
+			return capacity.Credit{
+				Target:  barleystep.TargetID(c.GetTarget()),
+				Reading: int(c.GetReading()),
+				Memory:  int(c.GetMemory()),
+				Others:  int(c.GetOthers()),
+				Long:    int(c.GetLong()),
+				Running: int(c.GetRunning()),
+				Rate:    float64(c.GetRate()),
+				Slow:    float64(c.GetSlow()),
+			}
+		}),
+	}
+}
+
+func toBeat(b member.Beat) *peerv1.Beat {
+	return &peerv1.Beat{
+		Box:         string(b.From.Box),
+		Hall:        string(b.Hall),
+		Addr:        b.From.Addr,
+		Incarnation: uint64(b.From.Incarnation),
+		Number:      b.From.Number,
+		Leaving:     b.From.Status == member.StatusLeaving,
+		Rumours:     convert(b.Rumours, toRumour),
+	}
+}
+
+func fromBeat(b *peerv1.Beat) member.Beat {
+	status := member.StatusAlive
+	if b.GetLeaving() {
+		status = member.StatusLeaving
+	}
+	return member.Beat{
+		Hall: barleystep.HallID(b.GetHall()),
+		From: member.Rumour{
+			Box:         barleystep.BoxID(b.GetBox()),
+			Addr:        b.GetAddr(),
+			Incarnation: barleystep.Incarnation(b.GetIncarnation()),
+			Number:      b.GetNumber(),
+			Status:      status,
+		},
+		Rumours: convert(b.GetRumours(), fromRumour),
+	}
+}
+
+func toRumour(r member.Rumour) *peerv1.Rumour {
+	return &peerv1.Rumour{
+		Box:         string(r.Box),
+		Addr:        r.Addr,
+		Incarnation: uint64(r.Incarnation),
+		Number:      r.Number,
+		Status:      peerv1.Status(r.Status),
+	}
+}
+
+func fromRumour(r *peerv1.Rumour) member.Rumour {
+	return member.Rumour{
+		Box:         barleystep.BoxID(r.GetBox()),
+		Addr:        r.GetAddr(),
+		Incarnation: barleystep.Incarnation(r.GetIncarnation()),
+		Number:      r.GetNumber(),
+		Status:      fromStatus(r.GetStatus()),
+	}
+}
+
+// fromStatus reads a status; one that this version does not know counts as
+// alive, which the box's own heartbeats then confirm or not.
+func fromStatus(s peerv1.Status) member.Status {
+	if s < peerv1.Status_STATUS_ALIVE || s > peerv1.Status_STATUS_DEAD {
+		return member.StatusAlive
+	}
+	return member.Status(s)
+}
+
+func toUpdate(list []version.Increment, snapshot bool, newest int64, age time.Duration) *peerv1.FollowResponse {
+	return &peerv1.FollowResponse{
+		Snapshot: snapshot,
+		Version:  newest,
+		AgeMs:    age.Milliseconds(),
+		Increments: convert(list, func(i version.Increment) *peerv1.Increment {
+			return &peerv1.Increment{Version: i.Version, Digest: i.Digest, Body: i.Encode()}
+		}),
+	}
+}
+
+func fromUpdate(r *peerv1.FollowResponse) (u version.Update, err error) {
+	u = version.Update{Snapshot: r.GetSnapshot(), Version: r.GetVersion(), Age: millis(r.GetAgeMs())}
+	for _, i := range r.GetIncrements() {
+		inc, err := version.DecodeIncrement(i.GetBody())
+		if err != nil {
+			return version.Update{}, err
+		}
+		u.Increments = append(u.Increments, inc)
+	}
+	return u, nil
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	peerv1 "github.com/barleystep/barleystep/api/peer/v1"
+	"github.com/barleystep/barleystep/api/peer/v1/peerv1connect"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// Receiver takes in heartbeats and tells who is alive.
+type Receiver interface {
+	// Receive takes in one heartbeat.
+	Receive(b member.Beat)
+	// Members returns what is known of the boxes of the hall.
+	Members() []member.Rumour
+}
+
+// Server answers the other boxes. Its exported fields are set before Handler.
+type Server struct {
+	Auth     Auth
+	Clock    barleystep.Clock
+	Desk     capacity.Desk
+	Receiver Receiver
+	Follower *version.Follower
+}
+
+// confirmEvery is the time between messages of a stream of versions that only
+// say how fresh the newest one is.
+const confirmEvery = time.Second
+
+// Handler returns the handler for peers.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerHandler(handler{s}, connect.WithInterceptors(s.Auth)))
+	return mux
+}
+
+type handler struct{ *Server }
+
+// Beats takes in heartbeats until the stream ends.
+func (h handler) Beats(_ context.Context, stream *connect.ClientStream[peerv1.Beat]) (*connect.Response[peerv1.BeatsResponse], error) {
+	for stream.Receive() {
+		h.Receiver.Receive(fromBeat(stream.Msg()))
+	}
+	return connect.NewResponse(&peerv1.BeatsResponse{}), stream.Err()
+}
+
+// Members tells what is known of the boxes of the hall.
+func (h handler) Members(context.Context, *connect.Request[peerv1.MembersRequest]) (*connect.Response[peerv1.MembersResponse], error) {
+	return connect.NewResponse(&peerv1.MembersResponse{Members: convert(h.Receiver.Members(), toRumour)}), nil
+}
+
+// Ask waits for a grant. A refusal is an answer, not an error.
+func (h handler) Ask(ctx context.Context, req *connect.Request[peerv1.AskRequest]) (*connect.Response[peerv1.AskResponse], error) {
+	now := h.Clock.Now()
+	g, err := h.Desk.Ask(ctx, req.Msg.GetPool(), fromAsk(req.Msg, now))
+	var refusal *barleystep.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return connect.NewResponse(&peerv1.AskResponse{Refusal: toRefusal(refusal)}), nil
+	case err != nil:
+		return nil, err
+	}
+	return connect.NewResponse(&peerv1.AskResponse{Targets: toTargets(g.Targets), Priority: int32(g.Priority)}), nil
+}
+
+// First notes a first token.
+func (h handler) First(ctx context.Context, req *connect.Request[peerv1.FirstRequest]) (*connect.Response[peerv1.FirstResponse], error) {
+	err := h.Desk.First(ctx, req.Msg.GetPool(), fromAttempt(req.Msg.GetAttempt()))
+	return connect.NewResponse(&peerv1.FirstResponse{}), err
+}
+
+// Release takes a grant back.
+func (h handler) Release(ctx context.Context, req *connect.Request[peerv1.ReleaseRequest]) (*connect.Response[peerv1.ReleaseResponse], error) {
+	m := req.Msg
+	outcome, _ := barleystep.ParseOutcome(m.GetOutcome())
+	u := barleystep.Usage{Outcome: outcome, First: millis(m.GetFirstMs()), Full: m.GetFull()}
+	err := h.Desk.Release(ctx, m.GetPool(), fromAttempt(m.GetAttempt()), u)
+	return connect.NewResponse(&peerv1.ReleaseResponse{}), err
+}
+
+// Report takes in a report.
+func (h handler) Report(ctx context.Context, req *connect.Request[peerv1.ReportRequest]) (*connect.Response[peerv1.ReportResponse], error) {
+	now := h.Clock.Now()
+	c, err := h.Desk.Report(ctx, req.Msg.GetPool(), fromReport(req.Msg, now))
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(toCredits(c, now)), nil
+}
+
+// Follow streams versions until the peer goes away.
+func (h handler) Follow(ctx context.Context, req *connect.Request[peerv1.FollowRequest], stream *connect.ServerStream[peerv1.FollowResponse]) error {
+	sent := req.Msg.GetVersion()
+	for {
+		changed := h.Follower.Changed()
+		list, snapshot := h.Follower.Since(sent)
+		newest := h.Follower.Version()
+		if err := stream.Send(toUpdate(list, snapshot, newest, h.age())); err != nil {
+			return err
+		}
+		sent = max(sent, newest)
+		if !h.wait(ctx, changed) {
+			return eris.Wrap(ctx.Err(), "peer: follow")
+		}
+	}
+}
+
+// age returns how long ago the version was confirmed, negative for never.
+func (h handler) age() time.Duration {
+	at := h.Follower.ConfirmedAt()
+	if at.IsZero() {
+		return -time.Second
+	}
+	return h.Clock.Now().Sub(at)
+}
+
+func (h handler) wait(ctx context.Context, changed <-chan struct{}) bool {
+	t := h.Clock.NewTimer(confirmEvery)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-t.C():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -76,6 +76,7 @@
 type held struct {
 	tokens int
 	events []string
+	first  time.Time     // first is when the first token is due.
 	ready  chan struct{} // ready is closed when the answer is complete.
 	gone   chan struct{} // gone is closed when the attempt is cancelled.
 	closed bool
@@ -240,11 +241,24 @@
 	e.runs[id]++
 	h = &held{tokens: need, ready: make(chan struct{}), gone: make(chan struct{})}
 	h.events = answerEvents(id, prompt, output, r.URL.Path)
+	h.first = e.Clock.Now().Add(e.readingTime(prompt))
 	e.attempts[id] = h
-	go e.generate(h, prompt, output)
+	go e.generate(h)
 	return h, true
 }
 
+func (e *Engine) readingTime(prompt int) time.Duration {
+	if e.PrefillRate == 0 {
+		return 0
+	}
+	return time.Duration(float64(prompt) / e.PrefillRate * float64(time.Second))
+}
+
+// due returns when the event with the index has been generated.
+func (e *Engine) due(h *held, index int) time.Time {
+	return h.first.Add(time.Duration(index) * e.Step)
+}
+
 func (e *Engine) forgetEnded() {
 	now := e.Clock.Now()
 	for id, h := range e.attempts {
@@ -255,19 +269,9 @@
 }
 
 // generate waits as long as the answer takes and then marks it complete.
-func (e *Engine) generate(h *held, prompt, output int) {
-	d := time.Duration(output) * e.Step
-	if e.PrefillRate > 0 {
-		d += time.Duration(float64(prompt) / e.PrefillRate * float64(time.Second))
-	}
-	if d > 0 {
-		t := e.Clock.NewTimer(d)
-		defer t.Stop()
-		select {
-		case <-t.C():
-		case <-h.gone:
-			return
-		}
+func (e *Engine) generate(h *held) {
+	if !h.waitUntil(context.Background(), e.Clock, e.due(h, len(h.events))) {
+		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -275,6 +279,21 @@
 	close(h.ready)
 }
 
+// waitUntil waits for a time; it reports false if the attempt was cancelled or
+// its caller went away first.
+func (h *held) waitUntil(ctx context.Context, clk barleystep.Clock, at time.Time) bool {
+	t := clk.NewTimer(at.Sub(clk.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C():
+		return true
+	case <-h.gone:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, id string, h *held, from uint64, fault Fault, stream bool) {
 	if fault == FaultHang || fault == FaultSilent {
 		e.silence(r.Context(), h, fault)
@@ -285,16 +304,21 @@
 		echo = "other.0000000000000001.1"
 	}
 	w.Header().Set(engine.HeaderAttempt, echo)
-	if !h.wait(r.Context()) {
-		panic(http.ErrAbortHandler)
-	}
 	if !stream {
+		if !h.wait(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set("Content-Type", "application/json")
 		fmt.Fprint(w, wholeAnswer(id, h.events))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	writeEvents(w, id, h.events, from, fault)
+	for i := int(from) - 1; i < len(h.events); i++ {
+		if !h.waitUntil(r.Context(), e.Clock, e.due(h, i)) {
+			panic(http.ErrAbortHandler)
+		}
+		writeNumbered(w, id, h.events[i], uint64(i)+1, fault)
+	}
 }
 
 func (e *Engine) silence(ctx context.Context, h *held, fault Fault) {
@@ -318,23 +342,23 @@
 	}
 }
 
-func writeEvents(w http.ResponseWriter, id string, events []string, from uint64, fault Fault) {
-	for i := from - 1; i < uint64(len(events)); i++ {
-		number := i + 1
-		if number == 3 {
-			switch fault {
-			case FaultTear:
-				panic(http.ErrAbortHandler)
-			case FaultCross:
-				writeEvent(w, "other.0000000000000001.1", number, "{}")
-			case FaultGap:
-				continue
-			case FaultRepeat:
-				writeEvent(w, id, number, events[i])
-			}
+// faultyEvent is the number of the event at which a fault shows.
+const faultyEvent = 3
+
+func writeNumbered(w http.ResponseWriter, id, data string, number uint64, fault Fault) {
+	if number == faultyEvent {
+		switch fault {
+		case FaultTear:
+			panic(http.ErrAbortHandler)
+		case FaultCross:
+			writeEvent(w, "other.0000000000000001.1", number, "{}")
+		case FaultGap:
+			return
+		case FaultRepeat:
+			writeEvent(w, id, number, data)
 		}
-		writeEvent(w, id, number, events[i])
 	}
+	writeEvent(w, id, number, data)
 }
 
 func writeEvent(w http.ResponseWriter, id string, number uint64, data string) {
--- /dev/null
+++ b/internal/version/follower.go
@@ -0,0 +1,191 @@
+package version
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Follower holds the version that is in force on this box. Whatever a stale
+// read, a restart of a peer or a peer itself says, it never goes back. Its
+// exported fields are set before use; it is safe for concurrent use.
+type Follower struct {
+	Clock barleystep.Clock
+	Meter *metric.Meter
+	// ConfirmWithin is how long a version counts as confirmed to be the newest;
+	// the default is 4 seconds.
+	ConfirmWithin time.Duration
+
+	mu        sync.Mutex
+	view      *config.View
+	history   []Increment // history holds the latest increments, oldest first.
+	confirmed time.Time
+	changed   chan struct{}
+}
+
+const (
+	defaultConfirm = 4 * time.Second
+	// historyLength is how many increments are kept for peers that lag.
+	historyLength = 256
+)
+
+// ErrGap means that increments do not follow on the version in force.
+var ErrGap = eris.New("version: increments do not follow on the version in force")
+
+// View returns the version in force, nil before there is one, and whether it
+// was confirmed lately to be the newest.
+func (f *Follower) View() (v *config.View, confirmed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	within := f.ConfirmWithin
+	if within == 0 {
+		within = defaultConfirm
+	}
+	fresh := !f.confirmed.IsZero() && f.Clock.Now().Sub(f.confirmed) <= within
+	return f.view, f.view != nil && fresh
+}
+
+// Version returns the number of the version in force, zero if there is none.
+func (f *Follower) Version() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version()
+}
+
+func (f *Follower) version() int64 {
+	if f.view == nil {
+		return 0
+	}
+	return f.view.Version()
+}
+
+// Confirm notes that the version was the newest at the given time. A version
+// that is not in force confirms nothing.
+func (f *Follower) Confirm(version int64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version == f.version() && at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// ConfirmedAt returns the time of the last confirmation.
+func (f *Follower) ConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// Apply brings increments into force. Those that are in force already are
+// passed over. It returns ErrGap if one does not follow.
+func (f *Follower) Apply(list []Increment) (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, inc := range list {
+		if inc.Version <= f.version() {
+			continue
+		}
+		if inc.Version != f.version()+1 {
+			return ErrGap
+		}
+		if err = f.advance(inc, f.document().Apply(inc.Change)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Load brings a whole document into force if it is newer.
+func (f *Follower) Load(snapshot Increment) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if snapshot.Version <= f.version() {
+		return nil
+	}
+	f.history = nil
+	return f.advance(snapshot, config.Document{}.Apply(snapshot.Change))
+}
+
+// advance puts a document into force. The caller holds the lock.
+func (f *Follower) advance(inc Increment, d config.Document) error {
+	if got := d.Digest(); got != inc.Digest {
+		f.Meter.Configuration("digest_mismatch")
+		return eris.Errorf("version %d: digest is %s, expected %s", inc.Version, got, inc.Digest)
+	}
+	v, err := config.NewView(inc.Version, d)
+	if err != nil {
+		f.Meter.Configuration("refused")
+		return eris.Wrapf(err, "version %d", inc.Version)
+	}
+	if f.view != nil {
+		f.history = append(f.history, inc)
+	}
+	if len(f.history) > historyLength {
+		f.history = append([]Increment(nil), f.history[len(f.history)-historyLength:]...)
+	}
+	f.view = v
+	f.Meter.Configuration("in_force")
+	f.signal()
+	return nil
+}
+
+func (f *Follower) document() config.Document {
+	if f.view == nil {
+		return config.Document{}
+	}
+	return f.view.Document()
+}
+
+func (f *Follower) signal() {
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// Changed returns a channel that is closed when another version comes into
+// force.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
+// Await waits until at least the given version is in force.
+func (f *Follower) Await(version int64) {
+	for {
+		changed := f.Changed()
+		if f.Version() >= version {
+			return
+		}
+		<-changed
+	}
+}
+
+// Since returns what a peer with the given version lacks: increments, or a
+// whole document if it lags too far.
+func (f *Follower) Since(version int64) (list []Increment, snapshot bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view == nil || version >= f.version() {
+		return nil, false
+	}
+	if len(f.history) == 0 || f.history[0].Version > version+1 {
+		d := f.view.Document()
+		return []Increment{{Version: f.version(), Change: d.Entries(), Digest: d.Digest()}}, true
+	}
+	for i, inc := range f.history {
+		if inc.Version > version {
+			return f.history[i:], false
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/version/reader.go
@@ -0,0 +1,207 @@
+package version
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// Upstream brings versions from a peer.
+type Upstream interface {
+	// Follow passes on what the peer sends until the stream ends.
+	Follow(ctx context.Context, version int64, sink func(Update) error) error
+}
+
+// Update is one message of a peer.
+type Update struct {
+	Increments []Increment
+	// Snapshot is set when Increments holds one whole document.
+	Snapshot bool
+	// Version is the newest that the peer has, and Age is how long ago the table
+	// service confirmed it.
+	Version int64
+	Age     time.Duration
+}
+
+// Reader keeps a Follower up to date. Few boxes of a hall read the table; the
+// others follow one of them, and read the table themselves only while that
+// fails. Its exported fields are set before Serve.
+type Reader struct {
+	Clock      barleystep.Clock
+	Box        barleystep.BoxID
+	Store      *Store
+	Follower   *Follower
+	Membership barleystep.Membership
+	// Peer returns the way to a peer's versions.
+	Peer  func(barleystep.BoxID) (u Upstream, ok bool)
+	Meter *metric.Meter
+	Log   *log.Logger
+	// Every is the time between reads of the head; the default is 1 second.
+	Every time.Duration
+	// Readers is how many boxes of the hall read the table; the default is 2.
+	Readers int
+}
+
+const (
+	defaultEvery   = time.Second
+	defaultReaders = 2
+	// staleAfter is how long a follower goes without confirmation before it
+	// reads the table itself.
+	staleAfter = 2500 * time.Millisecond
+	logPrefix  = "version: "
+)
+
+// Serve keeps the follower up to date until ctx ends.
+func (r *Reader) Serve(ctx context.Context) error {
+	if r.Every == 0 {
+		r.Every = defaultEvery
+	}
+	if r.Readers == 0 {
+		r.Readers = defaultReaders
+	}
+	go r.follow(ctx)
+	for {
+		if r.mustRead() {
+			r.read(ctx)
+		}
+		if !clock.Sleep(ctx, r.Clock, r.Every) {
+			return ctx.Err()
+		}
+	}
+}
+
+// readers returns the boxes of the hall that read the table.
+func (r *Reader) readers() []string {
+	left := make([]string, 0)
+	for _, id := range r.Membership.Alive() {
+		left = append(left, string(id))
+	}
+	var chosen []string
+	for len(chosen) < r.Readers && len(left) > 0 {
+		best := place.Highest("configuration", left)
+		chosen = append(chosen, best)
+		left = without(left, best)
+	}
+	return chosen
+}
+
+func without(list []string, name string) []string {
+	var kept []string
+	for _, n := range list {
+		if n != name {
+			kept = append(kept, n)
+		}
+	}
+	return kept
+}
+
+func (r *Reader) mustRead() bool {
+	for _, name := range r.readers() {
+		if name == string(r.Box) {
+			return true
+		}
+	}
+	return r.Clock.Now().Sub(r.Follower.ConfirmedAt()) > staleAfter
+}
+
+// read looks at the head once and brings what is newer into force.
+func (r *Reader) read(ctx context.Context) {
+	asked := r.Clock.Now()
+	version, err := r.Store.Head(ctx)
+	if err != nil {
+		return
+	}
+	if version < r.Follower.Version() {
+		r.Meter.Configuration("older_head_ignored")
+		return
+	}
+	if err := r.catchUp(ctx, version); err != nil {
+		r.Log.Warn().Err(err).Int64("version", version).Msg(logPrefix + "A version could not be read.")
+		return
+	}
+	r.Follower.Confirm(version, asked)
+}
+
+func (r *Reader) catchUp(ctx context.Context, version int64) error {
+	if version-r.Follower.Version() > readBatch {
+		if err := r.loadSnapshot(ctx); err != nil {
+			return err
+		}
+	}
+	for r.Follower.Version() < version {
+		list, err := r.Store.Increments(ctx, r.Follower.Version()+1, version)
+		if err != nil {
+			return err
+		}
+		if len(list) == 0 {
+			return eris.Wrap(ErrGap, "a version is missing")
+		}
+		if err := r.Follower.Apply(list); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reader) loadSnapshot(ctx context.Context) error {
+	inc, err := r.Store.Snapshot(ctx)
+	if err != nil || inc.Version == 0 {
+		return err
+	}
+	return r.Follower.Load(inc)
+}
+
+// follow listens to one of the hall's readers, or to any peer while this box
+// has no version.
+func (r *Reader) follow(ctx context.Context) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		if u, ok := r.upstream(attempt); ok {
+			_ = u.Follow(ctx, r.Follower.Version(), r.take) // The stream is opened anew.
+			r.Meter.Configuration("stream_ended")
+		}
+		clock.Sleep(ctx, r.Clock, r.Every)
+	}
+}
+
+func (r *Reader) upstream(attempt int) (u Upstream, ok bool) {
+	candidates := without(r.readers(), string(r.Box))
+	if r.Follower.Version() == 0 {
+		candidates = candidates[:0]
+		for _, id := range r.Membership.Alive() {
+			if id != r.Box {
+				candidates = append(candidates, string(id))
+			}
+		}
+	}
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	return r.Peer(barleystep.BoxID(candidates[attempt%len(candidates)]))
+}
+
+// take brings a peer's update into force.
+func (r *Reader) take(u Update) error {
+	now := r.Clock.Now()
+	var err error
+	if u.Snapshot {
+		for _, inc := range u.Increments {
+			err = r.Follower.Load(inc)
+		}
+	} else {
+		err = r.Follower.Apply(u.Increments)
+	}
+	if err != nil {
+		return err
+	}
+	if u.Age >= 0 {
+		r.Follower.Confirm(u.Version, now.Add(-u.Age))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/version/store.go
@@ -0,0 +1,236 @@
+package version
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Store reads and submits versions. Its exported fields are set before use; it
+// is safe for concurrent use.
+type Store struct {
+	Table   barleystep.Table
+	Objects barleystep.ObjectStore
+	Clock   barleystep.Clock
+	Meter   *metric.Meter
+	// Patience is how long a submission waits for the store; the default is 10
+	// seconds.
+	Patience time.Duration
+}
+
+const (
+	defaultPatience = 10 * time.Second
+	storePause      = 50 * time.Millisecond
+	readBatch       = 64 // readBatch is how many versions one read brings.
+)
+
+// The errors of Submit.
+var (
+	// ErrConflict means that another version was accepted first.
+	ErrConflict = eris.New("version: another version was accepted first")
+	// ErrNotAccepted means that the submission was not and will not be accepted.
+	ErrNotAccepted = eris.New("version: not accepted; the store did not take it")
+	// ErrUnknown means that the store gave no answer in time. Submitting again
+	// with the same id settles it.
+	ErrUnknown = eris.New("version: the store did not say whether it was accepted; submit again with the same id")
+	// ErrInvalid wraps what is wrong with a configuration.
+	ErrInvalid = eris.New("version: invalid configuration")
+)
+
+// Submission is an offer of a new version.
+type Submission struct {
+	// ID names the submission; the same ID again gets the first result.
+	ID string
+	// Base is the version against which it was made.
+	Base     int64
+	Document config.Document
+	Author   string
+	Reason   string
+}
+
+// Submit offers the document as version base+1. The base is the document of
+// that version. On a conflict it returns the winner with ErrConflict.
+func (s *Store) Submit(ctx context.Context, base config.Document, sub Submission) (version int64, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "submission %s", sub.ID)
+		}
+	}()
+	if _, err := config.NewView(sub.Base+1, sub.Document); err != nil {
+		return 0, eris.Wrap(ErrInvalid, err.Error())
+	}
+	inc := Increment{
+		Version: sub.Base + 1,
+		ID:      sub.ID,
+		Author:  sub.Author,
+		Reason:  sub.Reason,
+		At:      s.Clock.Now(),
+		Change:  base.Changes(sub.Document),
+		Digest:  sub.Document.Digest(),
+	}
+	m := s.drive(ctx, inc)
+	switch m.verdict {
+	case verdictAccepted:
+		s.snapshot(ctx, inc.Version, sub.Document)
+		return inc.Version, nil
+	case verdictConflict:
+		return m.winner, ErrConflict
+	case verdictRefused:
+		return 0, ErrNotAccepted
+	default:
+		return 0, ErrUnknown
+	}
+}
+
+func (s *Store) drive(ctx context.Context, inc Increment) submission {
+	patience := s.Patience
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	ctx, cancel := clock.WithDeadline(ctx, s.Clock, s.Clock.Now().Add(patience))
+	defer cancel()
+	m, act := newSubmission(inc.ID, inc.Version-1)
+	for act != actionNone {
+		if ctx.Err() != nil {
+			return m.giveUp()
+		}
+		before := m.phase
+		m, act = m.step(s.perform(ctx, m, act, inc))
+		if m.phase == before && act != actionNone {
+			clock.Sleep(ctx, s.Clock, storePause)
+		}
+	}
+	return m
+}
+
+func (s *Store) perform(ctx context.Context, m submission, act action, inc Increment) observation {
+	switch act {
+	case actionAccept:
+		next := head{Version: inc.Version, ID: inc.ID}
+		return s.commit(ctx, m.rowVersion, next, barleystep.Put(versionKey(inc.Version), inc.Encode()))
+	case actionExclude:
+		// The head's content stays; only its row's version changes.
+		return s.commit(ctx, m.rowVersion, m.old)
+	default:
+		o, err := s.readState(ctx, inc.Version)
+		if err != nil {
+			return observation{fault: barleystep.FaultUnavailable}
+		}
+		return o
+	}
+}
+
+func (s *Store) commit(ctx context.Context, rowVersion int64, h head, extra ...barleystep.Write) observation {
+	data, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // All fields have plain types.
+	}
+	err = s.Table.Commit(ctx, barleystep.Txn{
+		Conditions: []barleystep.Condition{barleystep.IfVersion(headKey, rowVersion)},
+		Writes:     append([]barleystep.Write{barleystep.Put(headKey, data)}, extra...),
+	})
+	fault := barleystep.FaultOf(err)
+	if fault != barleystep.FaultNone && fault != barleystep.FaultConflict {
+		s.Meter.StoreFault("config_write", fault.String())
+	}
+	return observation{fault: fault}
+}
+
+// readState reads the head and the row of one version.
+func (s *Store) readState(ctx context.Context, version int64) (o observation, err error) {
+	rows, err := s.Table.Read(ctx, headKey, versionKey(version))
+	if err != nil {
+		s.Meter.StoreFault("config_read", barleystep.FaultOf(err).String())
+		return observation{}, err
+	}
+	o.rowVersion = rows[0].Version()
+	if rows[0].Exists() {
+		if err := json.Unmarshal(rows[0].Value(), &o.head); err != nil {
+			return observation{}, eris.Wrap(err, "version: head row")
+		}
+	}
+	if rows[1].Exists() {
+		if o.row, err = DecodeIncrement(rows[1].Value()); err != nil {
+			return observation{}, err
+		}
+	}
+	return o, nil
+}
+
+// Head returns the number of the newest version, zero if there is none.
+func (s *Store) Head(ctx context.Context) (int64, error) {
+	o, err := s.readState(ctx, 0)
+	return o.head.Version, err
+}
+
+// Increments returns the accepted versions from first to last, as far as the
+// read shows them without a gap.
+func (s *Store) Increments(ctx context.Context, first, last int64) ([]Increment, error) {
+	last = min(last, first+readBatch-1)
+	var keys []string
+	for v := first; v <= last; v++ {
+		keys = append(keys, versionKey(v))
+	}
+	rows, err := s.Table.Read(ctx, keys...)
+	if err != nil {
+		s.Meter.StoreFault("config_read", barleystep.FaultOf(err).String())
+		return nil, err
+	}
+	var list []Increment
+	for _, r := range rows {
+		if !r.Exists() {
+			break
+		}
+		inc, err := DecodeIncrement(r.Value())
+		if err != nil {
+			return list, err
+		}
+		list = append(list, inc)
+	}
+	return list, nil
+}
+
+// snapshot writes a document whole now and then, so that new boxes need not
+// read all versions. Losing one costs only reads.
+func (s *Store) snapshot(ctx context.Context, version int64, d config.Document) {
+	if version%snapshotEvery != 0 {
+		return
+	}
+	whole := Increment{Version: version, Change: d.Entries(), Digest: d.Digest(), At: s.Clock.Now()}
+	if err := s.Objects.Put(ctx, snapshotObject(version), whole.Encode()); err != nil {
+		s.Meter.StoreFault("snapshot_put", barleystep.FaultOf(err).String())
+		return
+	}
+	data, err := json.Marshal(head{Version: version})
+	if err != nil {
+		panic(err) // All fields have plain types.
+	}
+	if err := s.Table.Commit(ctx, barleystep.Txn{Writes: []barleystep.Write{barleystep.Put(snapshotKey, data)}}); err != nil {
+		s.Meter.StoreFault("snapshot_row", barleystep.FaultOf(err).String())
+	}
+}
+
+// Snapshot returns the newest whole document, a zero increment if there is
+// none.
+func (s *Store) Snapshot(ctx context.Context) (inc Increment, err error) {
+	rows, err := s.Table.Read(ctx, snapshotKey)
+	if err != nil || !rows[0].Exists() {
+		return Increment{}, err
+	}
+	var h head
+	if err := json.Unmarshal(rows[0].Value(), &h); err != nil {
+		return Increment{}, eris.Wrap(err, "version: snapshot row")
+	}
+	data, err := s.Objects.Get(ctx, snapshotObject(h.Version))
+	if err != nil {
+		return Increment{}, err
+	}
+	return DecodeIncrement(data)
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,67 @@
+// Package version keeps the versions of the configuration in the platform's
+// table service and brings each new one into force on every box.
+//
+// A version is accepted by one conditional transaction on the head row. Store
+// submits and reads versions; Follower holds the one in force on this box and
+// never goes back to an older one.
+package version
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/config"
+)
+
+// Increment is one accepted version: what it changed, and who wanted it.
+type Increment struct {
+	Version int64 `json:"version"`
+	// ID names the submission, so that its fate can be told when an answer is
+	// lost.
+	ID     string          `json:"id"`
+	Author string          `json:"author"`
+	Reason string          `json:"reason"`
+	At     time.Time       `json:"at"`
+	Change []config.Change `json:"changes"`
+	// Digest is that of the whole document after the change.
+	Digest string `json:"digest"`
+}
+
+// Encode returns the increment as it is stored and sent.
+func (i Increment) Encode() []byte {
+	data, err := json.Marshal(i)
+	if err != nil {
+		panic(err) // All fields have plain types.
+	}
+	return data
+}
+
+// DecodeIncrement reads what Encode wrote.
+func DecodeIncrement(data []byte) (i Increment, err error) {
+	if err = json.Unmarshal(data, &i); err != nil {
+		return Increment{}, eris.Wrap(err, "version: decode increment")
+	}
+	return i, nil
+}
+
+// head is the content of the head row.
+type head struct {
+	Version int64  `json:"version"`
+	ID      string `json:"id"`
+}
+
+const (
+	headKey = "config/head"
+	// snapshotKey names the row that says which version was last written whole
+	// to the object store.
+	snapshotKey = "config/snapshot"
+	// snapshotEvery is the number of versions between snapshots.
+	snapshotEvery = 64
+)
+
+func versionKey(v int64) string { return fmt.Sprintf("config/v/%012d", v) }
+
+func snapshotObject(v int64) string { return fmt.Sprintf("config/snapshot/%012d", v) }
--- a/internal/web/server.go
+++ b/internal/web/server.go
@@ -24,7 +24,8 @@
 	Handler http.Handler
 	Clock   barleystep.Clock
 	Log     *log.Logger
-	// Grace bounds how long running requests may take after the stop.
+	// Grace bounds how long running requests may take after the stop; without it
+	// they are cut at once.
 	Grace time.Duration
 	// Unencrypted allows HTTP/2 without TLS, for peers.
 	Unencrypted bool
@@ -69,6 +70,10 @@
 }
 
 func (s *Server) stop(h *http.Server) error {
+	if s.Grace == 0 {
+		_ = h.Close() // Only listeners whose streams never end have no grace.
+		return context.Canceled
+	}
 	ctx, cancel := clock.WithDeadline(context.Background(), s.Clock, s.Clock.Now().Add(s.Grace))
 	defer cancel()
 	if err := h.Shutdown(ctx); err != nil {
