Measure placement over fake engines, and test the path under faults

The trial drives the real Dispenser and Holder, and four baselines, over fake engines with continuous batching, chunked reading and a bounded cache.

--- /dev/null
+++ b/cmd/barleystep-trial/main.go
@@ -0,0 +1,36 @@
+// Command barleystep-trial measures how requests are placed, by our decisions
+// and by simple baselines, over small fake engines in simulated time.
+package main
+
+import (
+	"os"
+	"runtime"
+
+	"github.com/spf13/cobra"
+
+	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/trial"
+)
+
+func main() {
+	if err := newCommand().Execute(); err != nil {
+		os.Exit(command.ExitFailure)
+	}
+}
+
+func newCommand() *cobra.Command {
+	p := trial.Plan{Workers: runtime.NumCPU()}
+	cmd := &cobra.Command{
+		Use:          "barleystep-trial",
+		Short:        "Measure placement over fake engines and print the tables",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return trial.WriteTables(cmd.OutOrStdout(), p)
+		},
+	}
+	cmd.Flags().Uint64Var(&p.Seed, "seed", 1, "seed of the loads")
+	cmd.Flags().BoolVar(&p.Quick, "quick", false, "only the middle engines, and no faults")
+	cmd.AddCommand(command.VersionCommand())
+	return cmd
+}
--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -61,7 +61,7 @@
 	p := a.pool(d.Model)
 	if target, ok := p.try(a.Clock.Now(), d); ok {
 		rank := a.share(d).Rank
-		return a.allotment(p, d, []barleystep.TargetID{target}, priority(a.weighing(), rank, d.Prompt), nil), nil
+		return a.allotment(p, d, []barleystep.TargetID{target}, Priority(a.weighing(), rank, d.Prompt), nil), nil
 	}
 	return a.ask(ctx, p, d)
 }
--- a/internal/capacity/dispenser.go
+++ b/internal/capacity/dispenser.go
@@ -231,7 +231,7 @@
 		Attempt:  dem.Attempt,
 		Box:      w.ask.Box,
 		Targets:  ids,
-		Priority: priority(d.settings.Weighing, w.ask.Rank, dem.Prompt),
+		Priority: Priority(d.settings.Weighing, w.ask.Rank, dem.Prompt),
 	}
 }
 
@@ -242,9 +242,9 @@
 	}
 }
 
-// priority orders work inside an engine, lower first. Shorter prompts go first
+// Priority orders work inside an engine, lower first. Shorter prompts go first
 // unless long ones are weighed as much; then the class does.
-func priority(weighing float64, rank, prompt int) int {
+func Priority(weighing float64, rank, prompt int) int {
 	const step = 16
 	band := int(barleystep.BandOf(prompt))
 	if weighing < 0.5 {
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -53,6 +53,12 @@
 // Version returns the version of the row in the table, zero if it is absent.
 func (r Row) Version() int64 { return r.version }
 
+// WithVersion returns the row with the version that the table has given it.
+func (r Row) WithVersion(v int64) Row {
+	r.version = v
+	return r
+}
+
 func decodeRow(t barleystep.Row) (r Row, err error) {
 	if !t.Exists() {
 		return Row{}, nil
@@ -60,8 +66,7 @@
 	if err = json.Unmarshal(t.Value(), &r); err != nil {
 		return Row{}, eris.Wrapf(err, "claim: row %s", t.Key())
 	}
-	r.version = t.Version()
-	return r, nil
+	return r.WithVersion(t.Version()), nil
 }
 
 func (r Row) encode() []byte {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -64,6 +64,8 @@
 	PrefillRate float64
 	// Fault is asked for each attempt that starts; nil means FaultNone.
 	Fault func(attempt string) Fault
+	// Forget drops an attempt when its stream breaks, so that it can't be resumed.
+	Forget bool
 
 	mu       sync.Mutex
 	attempts map[string]*held
@@ -317,6 +319,9 @@
 		if !h.waitUntil(r.Context(), e.Clock, e.due(h, i)) {
 			panic(http.ErrAbortHandler)
 		}
+		if fault == FaultTear && e.Forget {
+			defer e.cancel(id)
+		}
 		writeNumbered(w, id, h.events[i], uint64(i)+1, fault)
 	}
 }
--- a/internal/table/faulty.go
+++ b/internal/table/faulty.go
@@ -32,10 +32,9 @@
 type Faulty struct {
 	// Table is the table behind; it must be set.
 	Table barleystep.Table
-	// Plan decides what happens to a call. A nil Plan fails nothing.
-	Plan func(call Call) Failure
 
 	mu    sync.Mutex
+	plan  func(call Call) Failure
 	late  []barleystep.Txn
 	stale map[string]barleystep.Row
 }
@@ -54,6 +53,13 @@
 
 var _ barleystep.Table = (*Faulty)(nil)
 
+// SetPlan sets what decides what happens to a call; nil fails nothing.
+func (f *Faulty) SetPlan(plan func(call Call) Failure) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plan = plan
+}
+
 // MarkStale keeps the rows with the keys as they are now, for FailureStale.
 func (f *Faulty) MarkStale(ctx context.Context, keys ...string) (err error) {
 	rows, err := f.Table.Read(ctx, keys...)
@@ -135,10 +141,13 @@
 }
 
 func (f *Faulty) failure(c Call) Failure {
-	if f.Plan == nil {
+	f.mu.Lock()
+	plan := f.plan
+	f.mu.Unlock()
+	if plan == nil {
 		return FailureNone
 	}
-	return f.Plan(c)
+	return plan(c)
 }
 
 func (f *Faulty) staleRows(keys []string) []barleystep.Row {
--- /dev/null
+++ b/internal/trial/engine.go
@@ -0,0 +1,278 @@
+// Package trial measures the decisions: it drives the real Dispenser and Holder,
+// and simple baselines, over small fake engines in simulated time. A run is
+// deterministic: the same seed gives the same figures.
+package trial
+
+import (
+	"container/list"
+	"sort"
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Speed is how fast the engines of a run are. The users' engines are not
+// settled, so several sets are tried.
+type Speed struct {
+	Name string
+	// Rate is the reading speed in tokens per second.
+	Rate float64
+	// Step is the time of a step that reads nothing.
+	Step time.Duration
+	// Sequence is what each sequence that generates adds to a step.
+	Sequence time.Duration
+	// Chunk is how many prompt tokens one step reads at most.
+	Chunk int
+	// Tokens is the KV memory.
+	Tokens int
+}
+
+// Speeds are the sets of engine speeds that are tried.
+var Speeds = []Speed{
+	{Name: "slow", Rate: 3_000, Step: 40 * time.Millisecond, Sequence: 400 * time.Microsecond, Chunk: 1024, Tokens: 400_000},
+	{Name: "middle", Rate: 8_000, Step: 25 * time.Millisecond, Sequence: 200 * time.Microsecond, Chunk: 2048, Tokens: 400_000},
+	{Name: "fast", Rate: 20_000, Step: 15 * time.Millisecond, Sequence: 100 * time.Microsecond, Chunk: 4096, Tokens: 400_000},
+}
+
+// job is one attempt, or a member's part of one, at an engine.
+type job struct {
+	request  *request
+	attempt  barleystep.AttemptID
+	priority int
+	order    int // order is the arrival at the engine.
+	conv     uint64
+	unread   int // unread is the prompt tokens left to read.
+	left     int // left is the tokens left to generate; a member's part has none.
+	tokens   int // tokens is the memory that the job takes.
+	first    func(now time.Duration)
+	done     func(now time.Duration)
+	failed   func(now time.Duration)
+}
+
+// fakeEngine batches continuously, reads prompts in chunks by priority, and
+// keeps the prefixes of ended conversations in what memory is left.
+type fakeEngine struct {
+	id      barleystep.TargetID
+	speed   Speed
+	sim     *sim
+	waiting []*job
+	running []*job
+	memory  int // memory is what running jobs take.
+	order   int
+	busy    bool
+	dead    bool
+	hung    bool
+	cache   prefixCache
+	hits    int // hits and read count prompt tokens from cache and in all.
+	read    int
+}
+
+// add queues a job.
+func (e *fakeEngine) add(j *job) {
+	if e.dead {
+		e.sim.after(0, func() { j.failed(e.sim.now) })
+		return
+	}
+	e.order++
+	j.order = e.order
+	e.waiting = append(e.waiting, j)
+	sort.SliceStable(e.waiting, func(a, b int) bool { return before(e.waiting[a], e.waiting[b]) })
+	e.wake()
+}
+
+func before(a, b *job) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	return a.order < b.order
+}
+
+func (e *fakeEngine) wake() {
+	if e.busy || e.hung || e.dead {
+		return
+	}
+	e.admit()
+	if len(e.running) == 0 {
+		return
+	}
+	e.busy = true
+	duration, apply := e.plan()
+	e.sim.after(duration, func() {
+		e.busy = false
+		if e.dead || e.hung {
+			return
+		}
+		apply()
+		e.wake()
+	})
+}
+
+// admit starts waiting jobs in order of priority while there is memory.
+func (e *fakeEngine) admit() {
+	for len(e.waiting) > 0 {
+		j := e.waiting[0]
+		if e.memory+j.tokens > e.speed.Tokens {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.memory += j.tokens
+		hit := min(e.cache.take(j.conv), j.unread)
+		e.hits += hit
+		e.read += j.unread
+		j.unread = max(j.unread-hit, 1)
+		e.cache.shrink(e.speed.Tokens - e.memory)
+		e.running = append(e.running, j)
+		sort.SliceStable(e.running, func(a, b int) bool { return before(e.running[a], e.running[b]) })
+	}
+}
+
+// plan decides one step: every sequence that generates gets a token, and the
+// chunk is read for the others in order of priority.
+func (e *fakeEngine) plan() (d time.Duration, apply func()) {
+	d = e.speed.Step
+	budget := e.speed.Chunk
+	chunks := make(map[*job]int)
+	var generating []*job
+	for _, j := range e.running {
+		if j.unread == 0 {
+			generating = append(generating, j)
+			d += e.speed.Sequence
+			continue
+		}
+		n := min(j.unread, budget)
+		if n > 0 {
+			chunks[j] = n
+			budget -= n
+		}
+	}
+	d += time.Duration(float64(e.speed.Chunk-budget) / e.speed.Rate * float64(time.Second))
+	return d, func() { e.apply(chunks, generating) }
+}
+
+func (e *fakeEngine) apply(chunks map[*job]int, generating []*job) {
+	for _, j := range generating {
+		j.left--
+	}
+	for _, j := range append([]*job(nil), e.running...) {
+		if n, ok := chunks[j]; ok {
+			j.unread -= n
+			if j.unread == 0 {
+				j.left--
+				j.first(e.sim.now)
+			}
+		}
+		if j.unread == 0 && j.left <= 0 {
+			e.finish(j)
+		}
+	}
+}
+
+// finish ends a job. A member's part stays in memory until the whole has ended.
+func (e *fakeEngine) finish(j *job) {
+	if !e.remove(j) {
+		return
+	}
+	e.memory -= j.tokens
+	e.cache.put(j.conv, j.tokens)
+	e.cache.shrink(e.speed.Tokens - e.memory)
+	j.done(e.sim.now)
+}
+
+func (e *fakeEngine) remove(j *job) bool {
+	for i, other := range e.running {
+		if other == j {
+			e.running = append(e.running[:i], e.running[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// cancel drops a job wherever it stands.
+func (e *fakeEngine) cancel(j *job) {
+	if e.remove(j) {
+		e.memory -= j.tokens
+		return
+	}
+	for i, other := range e.waiting {
+		if other == j {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// kill ends the engine; its jobs fail.
+func (e *fakeEngine) kill() {
+	e.dead = true
+	jobs := append(append([]*job(nil), e.running...), e.waiting...)
+	e.running, e.waiting, e.memory = nil, nil, 0
+	e.cache = prefixCache{}
+	for _, j := range jobs {
+		j.failed(e.sim.now)
+	}
+}
+
+// revive starts the engine anew, or lets it go on after a hang.
+func (e *fakeEngine) revive() {
+	e.dead, e.hung = false, false
+	e.wake()
+}
+
+// load is the engine's report. A hung engine still reports.
+func (e *fakeEngine) load() barleystep.Load {
+	return barleystep.Load{
+		At:          e.sim.clock(),
+		Running:     len(e.running),
+		Waiting:     len(e.waiting),
+		FreeTokens:  e.speed.Tokens - e.memory,
+		TotalTokens: e.speed.Tokens,
+	}
+}
+
+// prefixCache keeps the prompts of conversations, the latest used longest.
+type prefixCache struct {
+	order  list.List
+	byConv map[uint64]*list.Element
+	tokens int
+}
+
+type cached struct {
+	conv   uint64
+	tokens int
+}
+
+// take returns how many tokens of the conversation are cached, and removes them:
+// the running job holds them now.
+func (c *prefixCache) take(conv uint64) int {
+	el, ok := c.byConv[conv]
+	if !ok {
+		return 0
+	}
+	n := el.Value.(cached).tokens
+	c.drop(el)
+	return n
+}
+
+func (c *prefixCache) put(conv uint64, tokens int) {
+	c.take(conv)
+	if c.byConv == nil {
+		c.byConv = make(map[uint64]*list.Element)
+	}
+	c.byConv[conv] = c.order.PushFront(cached{conv, tokens})
+	c.tokens += tokens
+}
+
+// shrink evicts until the cache fits the room.
+func (c *prefixCache) shrink(room int) {
+	for c.tokens > room && c.order.Len() > 0 {
+		c.drop(c.order.Back())
+	}
+}
+
+func (c *prefixCache) drop(el *list.Element) {
+	entry := el.Value.(cached)
+	c.order.Remove(el)
+	delete(c.byConv, entry.conv)
+	c.tokens -= entry.tokens
+}
--- /dev/null
+++ b/internal/trial/fleet.go
@@ -0,0 +1,215 @@
+package trial
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+const (
+	boxes   = 3
+	engines = 8
+	// hop is the way of a message within a hall.
+	hop = 300 * time.Microsecond
+	// stall is after how long without a token a box gives an attempt up, beyond
+	// the reading time.
+	stall = 20 * time.Second
+	// retryPause is the wait before a failed request is tried again.
+	retryPause = 20 * time.Millisecond
+	loadEvery  = time.Second
+)
+
+// dispatcher decides where and when requests run.
+type dispatcher interface {
+	// submit takes a request that has arrived or comes back.
+	submit(r *request)
+	// first and ended tell what became of an attempt. Full is false.
+	first(a *attempt)
+	ended(a *attempt, ok bool)
+	// load brings a load report.
+	load(id barleystep.TargetID, l barleystep.Load)
+	// boxDied tells that a box is gone; its requests were already dropped.
+	boxDied(box int)
+}
+
+// fleet is the engines of a run and the attempts at them.
+type fleet struct {
+	sim      *sim
+	speed    Speed
+	engines  []*fakeEngine
+	byID     map[barleystep.TargetID]*fakeEngine
+	lag      time.Duration // lag is how late load reports come.
+	dispatch dispatcher
+	serial   uint64
+	live     map[*attempt]bool
+}
+
+// attempt is one try of a request at one engine, or at several together.
+type attempt struct {
+	id      barleystep.AttemptID
+	request *request
+	targets []barleystep.TargetID
+	jobs    []*job
+	unread  int // unread counts the parts that are still being read.
+	started bool
+	over    bool
+}
+
+func newFleet(s *sim, speed Speed) *fleet {
+	f := &fleet{sim: s, speed: speed, byID: make(map[barleystep.TargetID]*fakeEngine), lag: loadEvery / 2, live: make(map[*attempt]bool)}
+	for i := range engines {
+		e := &fakeEngine{id: barleystep.TargetID(fmt.Sprintf("e%02d", i)), speed: speed, sim: s}
+		f.engines = append(f.engines, e)
+		f.byID[e.id] = e
+	}
+	s.every(loadEvery, f.report)
+	return f
+}
+
+func (f *fleet) report() {
+	for _, e := range f.engines {
+		if e.dead {
+			continue
+		}
+		l := e.load()
+		id := e.id
+		f.sim.after(f.lag, func() {
+			l.At = f.sim.clock()
+			f.dispatch.load(id, l)
+		})
+	}
+}
+
+// nextID returns an attempt id.
+func (f *fleet) nextID(box int) barleystep.AttemptID {
+	f.serial++
+	return barleystep.NewAttemptID(barleystep.BoxID(fmt.Sprintf("b%d", box)), 1, f.serial)
+}
+
+// send starts an attempt at the targets. Together they read and hold a part of
+// the prompt each; the first of them generates.
+func (f *fleet) send(r *request, id barleystep.AttemptID, targets []barleystep.TargetID, priority int) {
+	a := &attempt{id: id, request: r, targets: targets, unread: len(targets)}
+	r.tries++
+	f.live[a] = true
+	n := len(targets)
+	for range targets {
+		j := &job{
+			request:  r,
+			attempt:  id,
+			priority: priority,
+			conv:     r.conv,
+			unread:   (r.prompt + n - 1) / n,
+			tokens:   (r.prompt + r.output + n - 1) / n,
+			// Every part is held as long as the whole generates.
+			left:   r.output,
+			failed: func(time.Duration) { f.fail(a) },
+		}
+		j.first = func(time.Duration) { f.read(a) }
+		j.done = func(time.Duration) { f.partDone(a) }
+		a.jobs = append(a.jobs, j)
+	}
+	f.sim.after(hop, func() {
+		for i, t := range targets {
+			f.byID[t].add(a.jobs[i])
+		}
+	})
+	f.watch(a)
+}
+
+// watch gives up an attempt that has got no token for too long, as an entry box
+// does.
+func (f *fleet) watch(a *attempt) {
+	const margin = 8
+	read := time.Duration(float64(a.request.prompt) / f.speed.Rate * margin * float64(time.Second))
+	f.sim.after(stall+read, func() {
+		if !a.over && !a.started {
+			f.fail(a)
+		}
+	})
+}
+
+func (f *fleet) read(a *attempt) {
+	a.unread--
+	if a.unread > 0 || a.over {
+		return
+	}
+	a.started = true
+	if a.request.first == 0 {
+		a.request.first = f.sim.now
+	}
+	f.sim.after(hop, func() {
+		if !a.over {
+			f.dispatch.first(a)
+		}
+	})
+}
+
+// partDone ends the attempt when its first part has generated all.
+func (f *fleet) partDone(a *attempt) {
+	if a.over || a.unread > 0 {
+		return
+	}
+	a.over = true
+	delete(f.live, a)
+	f.drop(a)
+	a.request.ended = true
+	f.sim.after(hop, func() { f.dispatch.ended(a, true) })
+}
+
+// drop frees what the attempt holds anywhere.
+func (f *fleet) drop(a *attempt) {
+	for i, t := range a.targets {
+		f.byID[t].cancel(a.jobs[i])
+	}
+}
+
+// fail ends an attempt without an answer; the request is tried elsewhere unless
+// the caller has seen a part of the answer.
+func (f *fleet) fail(a *attempt) {
+	if a.over {
+		return
+	}
+	a.over = true
+	delete(f.live, a)
+	f.drop(a)
+	for _, t := range a.targets {
+		f.byID[t].wake()
+	}
+	f.dispatch.ended(a, false)
+	r := a.request
+	if a.started {
+		r.ended = true
+		return
+	}
+	r.avoid = append(r.avoid, a.targets[0])
+	f.sim.after(retryPause, func() { f.dispatch.submit(r) })
+}
+
+// killBox drops the requests of a box that has died. Its clean-up frees the
+// engines a few seconds later.
+func (f *fleet) killBox(box int) {
+	for _, a := range f.attempts() {
+		if a.request.box != box {
+			continue
+		}
+		a.over = true
+		a.request.refused = true
+		delete(f.live, a)
+		f.sim.after(cleanUp, func() { f.drop(a) })
+	}
+}
+
+// attempts returns the live attempts in the order of their ids.
+func (f *fleet) attempts() []*attempt {
+	list := make([]*attempt, 0, len(f.live))
+	for a := range f.live {
+		list = append(list, a)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id.Number() < list[j].id.Number() })
+	return list
+}
+
+const cleanUp = 5 * time.Second
--- /dev/null
+++ b/internal/trial/load.go
@@ -0,0 +1,204 @@
+package trial
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// request is one request of the load.
+type request struct {
+	id       int
+	at       time.Duration
+	account  string
+	class    string
+	rank     int
+	prompt   int
+	output   int
+	conv     uint64
+	limit    time.Duration
+	box      int
+	warmedUp bool // warmedUp is set for requests that are measured.
+
+	first   time.Duration // first is the time of the first token, zero if there was none.
+	ended   bool
+	refused bool
+	avoid   []barleystep.TargetID
+	tries   int
+}
+
+// band returns the request's band of prompt length.
+func (r *request) band() barleystep.Band { return barleystep.BandOf(r.prompt) }
+
+// prefixes returns the hashes that an entry box would make of the prompt.
+func (r *request) prefixes() []uint64 {
+	const firstTokens = 1024
+	var hashes []uint64
+	for size := firstTokens; size <= r.prompt; size *= 2 {
+		hashes = append(hashes, r.conv*prefixMix+uint64(size))
+	}
+	return hashes
+}
+
+// prefixMix keeps the hashes of conversations apart.
+const prefixMix = 0x9E3779B97F4A7C15
+
+// Load describes the requests of a run.
+type Load struct {
+	Name string
+	// Bands is the part of each band of prompt length.
+	Bands [len(barleystep.Bands)]float64
+	// Growing is the part of requests that go on with a conversation.
+	Growing float64
+	// Province is how many long bulk prompts arrive at once in the midst of a
+	// run.
+	Province int
+	// UrgentLong is the part of long prompts that are urgent.
+	UrgentLong float64
+}
+
+// Loads are the loads of the two users. One prompt in fifty is over 100,000
+// tokens.
+var Loads = []Load{
+	{Name: "Conversia", Bands: [...]float64{0.42, 0.36, 0.20, 0.02}, Growing: 0.2, UrgentLong: 0.4},
+	{Name: "Chaiyaphruek", Bands: [...]float64{0.60, 0.28, 0.10, 0.02}, Growing: 0.4, Province: 40, UrgentLong: 0.1},
+}
+
+var bandLimits = [...][2]float64{{1_000, 4_000}, {4_000, 16_000}, {16_000, 100_000}, {100_000, 1_000_000}}
+
+// mean returns the mean prompt length of the load in tokens.
+func (l Load) mean() float64 {
+	sum := 0.0
+	for i, part := range l.Bands {
+		low, high := bandLimits[i][0], bandLimits[i][1]
+		sum += part * (high - low) / math.Log(high/low)
+	}
+	return sum
+}
+
+const (
+	accounts   = 10
+	meanOutput = 150
+	turnTokens = 1_500
+)
+
+// requests draws the requests of a run. Level is the part of the fleet's
+// reading speed that they take; without long ones, the short ones stay as they
+// are.
+func (l Load) requests(seed uint64, speed Speed, engines int, level float64, span, warmup time.Duration, withLong bool) []*request {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	rate := level * speed.Rate * float64(engines) / l.mean()
+	var list []*request
+	var convs []*request
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / rate
+		r := l.draw(rng, len(list), convs)
+		r.at = time.Duration(at * float64(time.Second))
+		if r.at > span {
+			break
+		}
+		r.warmedUp = r.at >= warmup
+		convs = append(convs, r)
+		list = append(list, r)
+	}
+	list = append(list, l.province(rng, len(list), span/2)...)
+	if withLong {
+		return list
+	}
+	var short []*request
+	for _, r := range list {
+		if !r.band().Long() {
+			short = append(short, r)
+		}
+	}
+	return short
+}
+
+func (l Load) draw(rng *rand.Rand, id int, convs []*request) *request {
+	r := &request{id: id, conv: uint64(id) + 1, box: rng.IntN(boxes)}
+	r.account = drawAccount(rng)
+	r.prompt = l.drawPrompt(rng)
+	r.output = int(min(rng.ExpFloat64()*meanOutput+8, 2_000))
+	growing, pick, urgent := rng.Float64(), rng.IntN(recentConvs), rng.Float64()
+	if growing < l.Growing && len(convs) > recentConvs {
+		old := convs[len(convs)-1-pick]
+		r.conv, r.account = old.conv, old.account
+		r.prompt = min(old.prompt+old.output+turnTokens, 1_000_000)
+	}
+	l.classify(r, urgent)
+	return r
+}
+
+// recentConvs is how far back a conversation may be that goes on.
+const recentConvs = 40
+
+func (l Load) drawPrompt(rng *rand.Rand) int {
+	u, v := rng.Float64(), rng.Float64()
+	for i, part := range l.Bands {
+		if u < part || i == len(l.Bands)-1 {
+			low, high := bandLimits[i][0], bandLimits[i][1]
+			return int(low * math.Pow(high/low, v))
+		}
+		u -= part
+	}
+	return 0
+}
+
+// drawAccount makes the first two accounts large: together half of all.
+func drawAccount(rng *rand.Rand) string {
+	if rng.Float64() < 0.5 {
+		return string(rune('a' + rng.IntN(2)))
+	}
+	return string(rune('a' + 2 + rng.IntN(accounts-2)))
+}
+
+func (l Load) classify(r *request, urgent float64) {
+	switch {
+	case !r.band().Long():
+		r.class, r.rank, r.limit = "urgent", 0, 2*time.Minute
+	case urgent < l.UrgentLong:
+		r.class, r.rank, r.limit = "urgent", 0, 10*time.Minute
+	default:
+		r.class, r.rank, r.limit = "normal", 1, 20*time.Minute
+	}
+}
+
+// province is the monthly burst of long bulk prompts of one account.
+func (l Load) province(rng *rand.Rand, id int, at time.Duration) []*request {
+	var list []*request
+	for i := range l.Province {
+		v := rng.Float64()
+		list = append(list, &request{
+			id:       id + i,
+			at:       at,
+			account:  "a",
+			class:    "bulk",
+			rank:     2,
+			prompt:   int(30_000 * math.Pow(10, v)),
+			output:   meanOutput,
+			conv:     uint64(id+i) + 1,
+			limit:    time.Hour,
+			box:      rng.IntN(boxes),
+			warmedUp: true,
+		})
+	}
+	return list
+}
+
+// demand returns the request as the decision packages take it.
+func (r *request) demand(id barleystep.AttemptID) barleystep.Demand {
+	return barleystep.Demand{
+		Attempt:  id,
+		Account:  r.account,
+		Class:    r.class,
+		Model:    "model",
+		Prompt:   r.prompt,
+		Output:   r.output,
+		Since:    epoch.Add(r.at),
+		Deadline: epoch.Add(r.at + r.limit),
+		Prefix:   r.prefixes(),
+		Avoid:    r.avoid,
+	}
+}
--- /dev/null
+++ b/internal/trial/ours.go
@@ -0,0 +1,179 @@
+package trial
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+)
+
+// ours drives the real Dispenser and one Holder for each box.
+type ours struct {
+	fleet     *fleet
+	settings  capacity.Settings
+	credits   bool // credits lets short prompts run without asking.
+	dispenser *capacity.Dispenser
+	owner     int
+	holders   []*capacity.Holder
+	waiting   map[barleystep.AttemptID]*request
+	granted   map[barleystep.AttemptID]bool
+	down      bool // down is set while the dispenser's box is dead and not replaced.
+	dead      map[int]bool
+}
+
+// takeOver is how long the boxes need to notice that the dispenser's box died.
+const takeOver = 3 * time.Second
+
+func newOurs(f *fleet, s capacity.Settings, credits bool) *ours {
+	o := &ours{
+		fleet:    f,
+		settings: s,
+		credits:  credits,
+		waiting:  make(map[barleystep.AttemptID]*request),
+		granted:  make(map[barleystep.AttemptID]bool),
+		dead:     make(map[int]bool),
+	}
+	for i := range boxes {
+		o.holders = append(o.holders, capacity.NewHolder(boxName(i)))
+	}
+	o.found()
+	interval := s.Interval
+	if interval == 0 {
+		interval = 500 * time.Millisecond
+	}
+	f.sim.every(interval, o.reportAll)
+	f.sim.every(100*time.Millisecond, o.tick)
+	return o
+}
+
+func boxName(i int) barleystep.BoxID { return barleystep.BoxID(string(rune('0' + i))) }
+
+// found starts a dispenser that knows nothing yet.
+func (o *ours) found() {
+	o.dispenser = capacity.NewDispenser(o.settings, o.fleet.sim.clock())
+	var specs []capacity.Spec
+	for _, e := range o.fleet.engines {
+		specs = append(specs, capacity.Spec{ID: e.id, Tokens: o.fleet.speed.Tokens, Rate: o.fleet.speed.Rate})
+	}
+	o.dispenser.SetTargets(specs)
+	o.down = false
+}
+
+func (o *ours) submit(r *request) {
+	if o.dead[r.box] {
+		r.refused = true
+		return
+	}
+	now := o.fleet.sim.clock()
+	id := o.fleet.nextID(r.box)
+	d := r.demand(id)
+	if o.credits {
+		if target, ok := o.holders[r.box].Try(now, d); ok {
+			o.fleet.send(r, id, []barleystep.TargetID{target}, capacity.Priority(o.settings.Weighing, r.rank, r.prompt))
+			return
+		}
+	}
+	o.fleet.sim.after(hop, func() { o.ask(r, id) })
+}
+
+func (o *ours) ask(r *request, id barleystep.AttemptID) {
+	if o.down {
+		o.fleet.sim.after(takeOver, func() { o.ask(r, id) })
+		return
+	}
+	a := capacity.Ask{Demand: r.demand(id), Box: boxName(r.box), Weight: 1, Rank: r.rank, Limit: 1}
+	if o.dispenser.Ask(o.fleet.sim.clock(), a) != nil {
+		r.refused = true
+		return
+	}
+	o.waiting[id] = r
+	o.tick()
+}
+
+func (o *ours) tick() {
+	if o.down {
+		return
+	}
+	for _, g := range o.dispenser.Tick(o.fleet.sim.clock()) {
+		r, ok := o.waiting[g.Attempt]
+		delete(o.waiting, g.Attempt)
+		switch {
+		case !ok:
+		case g.Refusal != nil:
+			r.refused = true
+		default:
+			o.fleet.sim.after(hop, func() { o.start(r, g) })
+		}
+	}
+}
+
+func (o *ours) start(r *request, g capacity.Grant) {
+	o.granted[g.Attempt] = true
+	o.holders[r.box].Hold(o.fleet.sim.clock(), r.demand(g.Attempt), g.Targets)
+	o.fleet.send(r, g.Attempt, g.Targets, g.Priority)
+}
+
+func (o *ours) first(a *attempt) {
+	now := o.fleet.sim.clock()
+	o.holders[a.request.box].First(now, a.id)
+	if o.granted[a.id] && !o.down {
+		o.dispenser.First(a.id, 0)
+		o.tick()
+	}
+}
+
+func (o *ours) ended(a *attempt, ok bool) {
+	u := barleystep.Usage{Outcome: barleystep.OutcomeDone}
+	if !ok {
+		u.Outcome = barleystep.OutcomeFailed
+	}
+	if a.started {
+		u.First = 1
+	}
+	o.holders[a.request.box].End(a.id, u)
+	if !o.granted[a.id] || o.down {
+		return
+	}
+	delete(o.granted, a.id)
+	o.dispenser.Release(o.fleet.sim.clock(), a.id, u)
+	o.tick()
+}
+
+func (o *ours) load(id barleystep.TargetID, l barleystep.Load) {
+	if !o.down {
+		o.dispenser.Load(id, l)
+	}
+}
+
+func (o *ours) reportAll() {
+	if o.down {
+		return
+	}
+	now := o.fleet.sim.clock()
+	for i, h := range o.holders {
+		if !o.dead[i] {
+			h.SetCredits(o.dispenser.Report(now, h.Report(now)))
+		}
+	}
+}
+
+// boxDied loses the box's dispenser, if it has it: what waited there is asked
+// again at the next one.
+func (o *ours) boxDied(box int) {
+	o.dead[box] = true
+	if box != o.owner {
+		o.dispenser.Gone(o.fleet.sim.clock(), boxName(box))
+		return
+	}
+	o.down = true
+	o.owner = (box + 1) % boxes
+	lost := o.waiting
+	o.waiting = make(map[barleystep.AttemptID]*request)
+	o.fleet.sim.after(takeOver, func() {
+		o.found()
+		o.reportAll()
+		for _, r := range sortedRequests(lost) {
+			o.submit(r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/trial/run.go
@@ -0,0 +1,208 @@
+package trial
+
+import (
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+)
+
+// Fault is what fails in the midst of a run.
+type Fault string
+
+// The faults of runs.
+const (
+	FaultNone        Fault = "none"
+	FaultEngineDeath Fault = "engine dies"
+	FaultEngineHang  Fault = "engine hangs"
+	FaultBoxDeath    Fault = "box dies"
+	FaultLateReports Fault = "reports late"
+)
+
+// Faults lists all faults.
+var Faults = []Fault{FaultNone, FaultEngineDeath, FaultEngineHang, FaultBoxDeath, FaultLateReports}
+
+// Variant is one way to decide.
+type Variant struct {
+	Name  string
+	build func(f *fleet, seed uint64) dispatcher
+}
+
+// Variants are the baselines and our own versions, the present one last.
+var Variants = []Variant{
+	{"random", simple(pickRandom, false)},
+	{"round robin", simple(pickRoundRobin, false)},
+	{"least loaded", simple(pickLeastLoaded, false)},
+	{"first come", simple(pickFewestSent, true)},
+	{"barleystep, no credits", decided(capacity.Settings{}, false)},
+	{"barleystep", decided(capacity.Settings{}, true)},
+}
+
+func simple(pick func(*baseline) []*fakeEngine, central bool) func(*fleet, uint64) dispatcher {
+	return func(f *fleet, seed uint64) dispatcher {
+		b := newBaseline(f, seed, pick)
+		b.central = central
+		return b
+	}
+}
+
+func decided(s capacity.Settings, credits bool) func(*fleet, uint64) dispatcher {
+	return func(f *fleet, _ uint64) dispatcher { return newOurs(f, s, credits) }
+}
+
+// Case is one run.
+type Case struct {
+	Variant Variant
+	Load    Load
+	Speed   Speed
+	Level   float64
+	Fault   Fault
+	// Short leaves the long prompts out.
+	Short bool
+	Seed  uint64
+}
+
+// Result is what a run measured.
+type Result struct {
+	Case Case
+	// First holds the times to first token in microseconds, by band.
+	First [len(barleystep.Bands)]*hdrhistogram.Histogram
+	// ShortFirst holds those of both short bands.
+	ShortFirst *hdrhistogram.Histogram
+	// Requests counts what was measured; Good was answered within the time
+	// limit, Refused was told at once, Starved got nothing by its limit.
+	Requests int
+	Good     int
+	Refused  int
+	Starved  int
+	// Fairness is Jain's index of the accounts' answered part.
+	Fairness float64
+	// Cached is the part of prompt tokens that came from cache.
+	Cached float64
+}
+
+const (
+	span    = 20 * time.Minute
+	warmup  = 2 * time.Minute
+	tail    = 30 * time.Minute // tail is how long after the last arrival a run goes on.
+	faultAt = 8 * time.Minute
+	healAt  = 11 * time.Minute
+	lateBy  = 5 * time.Second
+)
+
+// Run carries out one case.
+func Run(c Case) Result {
+	s := &sim{}
+	f := newFleet(s, c.Speed)
+	f.dispatch = c.Variant.build(f, c.Seed)
+	list := c.Load.requests(c.Seed, c.Speed, engines, c.Level, span, warmup, !c.Short)
+	for _, r := range list {
+		s.after(r.at, func() { f.dispatch.submit(r) })
+	}
+	c.fault(s, f)
+	s.run(span + tail)
+	return measure(c, f, list)
+}
+
+func (c Case) fault(s *sim, f *fleet) {
+	e := f.engines[3]
+	switch c.Fault {
+	case FaultEngineDeath:
+		s.after(faultAt, e.kill)
+		s.after(healAt, e.revive)
+	case FaultEngineHang:
+		s.after(faultAt, func() { e.hung = true })
+		s.after(healAt, e.revive)
+	case FaultBoxDeath:
+		s.after(faultAt, func() {
+			f.killBox(0)
+			f.dispatch.boxDied(0)
+		})
+	case FaultLateReports:
+		f.lag = lateBy
+	}
+}
+
+const (
+	longestMicros = int64(time.Hour / time.Microsecond)
+	digits        = 3
+)
+
+func measure(c Case, f *fleet, list []*request) Result {
+	res := Result{Case: c, ShortFirst: hdrhistogram.New(1, longestMicros, digits)}
+	for i := range res.First {
+		res.First[i] = hdrhistogram.New(1, longestMicros, digits)
+	}
+	asked, served := make(map[string]float64), make(map[string]float64)
+	for _, r := range list {
+		if !r.warmedUp || (c.Fault == FaultBoxDeath && r.box == 0) {
+			continue
+		}
+		res.count(r)
+		asked[r.account] += float64(r.prompt)
+		if r.first > 0 && r.first-r.at <= r.limit {
+			served[r.account] += float64(r.prompt)
+		}
+	}
+	res.Fairness = jain(asked, served)
+	hits, read := 0, 0
+	for _, e := range f.engines {
+		hits += e.hits
+		read += e.read
+	}
+	res.Cached = float64(hits) / float64(max(read, 1))
+	return res
+}
+
+func (res *Result) count(r *request) {
+	res.Requests++
+	if r.refused {
+		res.Refused++
+		return
+	}
+	took := r.first - r.at
+	if r.first == 0 || took > r.limit {
+		res.Starved++
+		took = max(r.limit, took)
+	} else {
+		res.Good++
+	}
+	micros := min(took.Microseconds(), longestMicros)
+	_ = res.First[r.band()].RecordValue(micros) // The value is within the histogram's range.
+	if !r.band().Long() {
+		_ = res.ShortFirst.RecordValue(micros) // As above.
+	}
+}
+
+// jain returns Jain's fairness index of the served parts, 1 when all accounts
+// got the same part of what they asked for.
+func jain(asked, served map[string]float64) float64 {
+	sum, squares, n := 0.0, 0.0, 0.0
+	names := make([]string, 0, len(asked))
+	for a := range asked {
+		names = append(names, a)
+	}
+	sort.Strings(names)
+	for _, a := range names {
+		part := served[a] / asked[a]
+		sum += part
+		squares += part * part
+		n++
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (n * squares)
+}
+
+func sortedRequests(m map[barleystep.AttemptID]*request) []*request {
+	list := make([]*request, 0, len(m))
+	for _, r := range m {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id < list[j].id })
+	return list
+}
--- /dev/null
+++ b/internal/trial/table.go
@@ -0,0 +1,152 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Plan says what to run.
+type Plan struct {
+	Seed    uint64
+	Workers int
+	// Quick runs only the middle engines, without faults.
+	Quick bool
+}
+
+// Level is how much of the fleet's reading speed a load takes.
+type Level struct {
+	Name string
+	Part float64
+}
+
+// Levels are the levels that are tried. Full is what leaves an engine time for
+// the steps that generate.
+var Levels = []Level{{"light", 0.3}, {"full", 0.8}, {"1.3 x full", 1.04}}
+
+// cell is a case together with the same case without long prompts.
+type cell struct {
+	level   Level
+	mixed   Case
+	result  Result
+	without Result
+}
+
+// WriteTables runs the plan and writes its tables as Markdown.
+func WriteTables(w io.Writer, p Plan) error {
+	for _, load := range Loads {
+		for _, speed := range p.speeds() {
+			if err := p.table(w, load, speed); err != nil {
+				return err
+			}
+		}
+	}
+	if p.Quick {
+		return nil
+	}
+	for _, load := range Loads {
+		if err := p.faults(w, load); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p Plan) speeds() []Speed {
+	if p.Quick {
+		return Speeds[1:2]
+	}
+	return Speeds
+}
+
+func (p Plan) table(w io.Writer, load Load, speed Speed) error {
+	var cells []*cell
+	for _, level := range Levels {
+		for _, v := range Variants {
+			cells = append(cells, &cell{level: level, mixed: Case{
+				Variant: v, Load: load, Speed: speed, Level: level.Part, Fault: FaultNone, Seed: p.Seed,
+			}})
+		}
+	}
+	p.run(cells)
+	title := fmt.Sprintf("%s, %s engines (%.0f tokens/s)", load.Name, speed.Name, speed.Rate)
+	return write(w, title, "load", cells, func(c *cell) string { return c.level.Name })
+}
+
+func (p Plan) faults(w io.Writer, load Load) error {
+	var cells []*cell
+	ours := Variants[len(Variants)-1]
+	for _, f := range Faults {
+		cells = append(cells, &cell{level: Levels[1], mixed: Case{
+			Variant: ours, Load: load, Speed: Speeds[1], Level: Levels[1].Part, Fault: f, Seed: p.Seed,
+		}})
+	}
+	p.run(cells)
+	title := fmt.Sprintf("%s, middle engines, full load, with faults", load.Name)
+	return write(w, title, "fault", cells, func(c *cell) string { return string(c.mixed.Fault) })
+}
+
+// run runs all cells, several at a time. Each run is deterministic by itself.
+func (p Plan) run(cells []*cell) {
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, max(p.Workers, 1))
+	for _, c := range cells {
+		slots <- struct{}{}
+		wait.Go(func() {
+			c.result = Run(c.mixed)
+			short := c.mixed
+			short.Short = true
+			short.Fault = FaultNone
+			c.without = Run(short)
+			<-slots
+		})
+	}
+	wait.Wait()
+}
+
+func write(w io.Writer, title, first string, cells []*cell, label func(*cell) string) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n### %s\n\n", title)
+	fmt.Fprintf(&b, "| %s | decided by | %s | slowdown of short, p95 | good | refused | starved | fairness | cached |\n", first, bandTitles())
+	fmt.Fprintf(&b, "|---|---|%s---|---|---|---|---|---|\n", strings.Repeat("---|", len(barleystep.Bands)))
+	for _, c := range cells {
+		r := c.result
+		fmt.Fprintf(&b, "| %s | %s | %s | %.2f | %.3f | %d | %d | %.3f | %.2f |\n", label(c), c.mixed.Variant.Name,
+			bandCells(r), slowdown(c), float64(r.Good)/float64(max(r.Requests, 1)), r.Refused, r.Starved, r.Fairness, r.Cached)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func bandTitles() string {
+	names := make([]string, len(barleystep.Bands))
+	for i, b := range barleystep.Bands {
+		names[i] = b.String()
+	}
+	return strings.Join(names, " | ")
+}
+
+// bandCells gives p50, p95 and p99 of the time to first token in seconds.
+func bandCells(r Result) string {
+	cells := make([]string, len(r.First))
+	for i, h := range r.First {
+		cells[i] = fmt.Sprintf("%s / %s / %s", quantile(h, 50), quantile(h, 95), quantile(h, 99))
+	}
+	return strings.Join(cells, " | ")
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) string {
+	d := time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+	return fmt.Sprintf("%.2f", d.Seconds())
+}
+
+// slowdown is the ratio of the short prompts' p95 with and without long ones.
+func slowdown(c *cell) float64 {
+	return float64(c.result.ShortFirst.ValueAtQuantile(95)) / float64(c.without.ShortFirst.ValueAtQuantile(95))
+}
