Let every engine read long prompts, and backfill engines that are set aside

Cause: at most half of the engines could read long prompts, which are four fifths of the tokens, and engines set aside for a prompt longer than an engine stood idle until the last of them was ready.

--- a/internal/capacity/gang.go
+++ b/internal/capacity/gang.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// pickGang returns the engines that will be free soonest, as many as the
-// prompt needs, or nil if there are too few.
+// pickGang returns the engines that are expected to be ready soonest, as many as
+// the prompt needs, or nil if there are too few.
 func (d *Dispenser) pickGang(now time.Time, w *waiter) []*target {
 	var usable []*target
 	for _, t := range d.sorted {
@@ -56,7 +56,7 @@
 			usable = append(usable, t)
 		}
 	}
-	sort.SliceStable(usable, func(i, j int) bool { return usable[i].memory() < usable[j].memory() })
+	sort.SliceStable(usable, func(i, j int) bool { return usable[i].readyIn(now) < usable[j].readyIn(now) })
 	for n := 1; n <= len(usable); n++ {
 		room := int(float64(smallest(usable[:n])) * usableMemory)
 		if engines(w.tokens, room) <= n {
@@ -74,22 +74,48 @@
 	return least
 }
 
-// gangReady reports whether all members have the memory that they need.
+// gangReady reports whether all members have the memory that they need, and
+// read no other long prompt.
 func (d *Dispenser) gangReady(now time.Time) bool {
 	d.checkMembers(now)
 	if d.gang == nil {
 		return false
 	}
-	n := len(d.gang.members)
-	share := (d.gang.waiter.tokens + n - 1) / n
 	for _, t := range d.gang.members {
-		if t.free(now) < share {
+		reading, _ := t.longs()
+		if reading > 0 || t.free(now) < d.gang.share() {
 			return false
 		}
 	}
 	return true
 }
 
+// share is the memory that the prompt needs at each member.
+func (g *gang) share() int {
+	n := len(g.members)
+	return (g.waiter.tokens + n - 1) / n
+}
+
+// readyIn is how long the slowest member is expected to need.
+func (g *gang) readyIn(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, t := range g.members {
+		longest = max(longest, t.readyIn(now))
+	}
+	return longest
+}
+
+// mayBackfill reports whether a member that waits for the others may take the
+// request meanwhile: a short prompt where memory is left, a long one that will
+// have been read before the slowest member is ready.
+func (d *Dispenser) mayBackfill(now time.Time, t *target, w *waiter, l lane) bool {
+	if l == laneShort {
+		return t.free(now)-w.tokens >= d.gang.share()
+	}
+	read := seconds(float64(w.ask.Demand.Prompt) / t.spec.Rate)
+	return read <= d.gang.readyIn(now) && t.free(now)-w.tokens >= d.gang.share()
+}
+
 // checkMembers gives up a gang of which a member was lost; the prompt goes back
 // to its queue with its age.
 func (d *Dispenser) checkMembers(now time.Time) {
--- a/internal/capacity/lane.go
+++ b/internal/capacity/lane.go
@@ -103,6 +103,9 @@
 		if !t.usable(now) || slices.Contains(w.ask.Demand.Avoid, t.spec.ID) || !allowed(now, t, w) {
 			continue
 		}
+		if t.reserved && !d.mayBackfill(now, t, w, l) {
+			continue
+		}
 		cached := 0
 		if t.spec.ID == warm {
 			cached = int(part * float64(w.ask.Demand.Prompt))
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -110,7 +110,7 @@
 	}
 	part := d.part(now, b)
 	for _, t := range d.sorted {
-		if t.usable(now) {
+		if t.usable(now) && !t.reserved {
 			c.Credits = append(c.Credits, d.credit(now, t, part))
 		}
 	}
--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -36,7 +36,7 @@
 		s.LongReads = 1
 	}
 	if s.LongPart == 0 {
-		s.LongPart = 0.5
+		s.LongPart = 1
 	}
 	if s.ShortMemory == 0 {
 		s.ShortMemory = 0.2
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -58,7 +58,20 @@
 
 // usable reports whether new work may go to the target at all.
 func (t *target) usable(now time.Time) bool {
-	return !t.spec.Drain && !t.load.Leaving && !t.reserved && !t.health.suspended(now)
+	return !t.spec.Drain && !t.load.Leaving && !t.health.suspended(now)
+}
+
+// readyIn estimates how long the target still reads the long prompts that it
+// has.
+func (t *target) readyIn(now time.Time) time.Duration {
+	left := time.Duration(0)
+	for _, h := range t.held {
+		if h.long && h.reading {
+			read := seconds(float64(h.prompt) / float64(len(h.targets)) / t.spec.Rate)
+			left += max(read-now.Sub(h.since), 0)
+		}
+	}
+	return left
 }
 
 // memory returns the KV memory, in tokens, that is known to be taken by the
