Set engines aside for every prompt over half an engine's memory

Cause: prompts of 200k to 400k tokens found no engine with enough memory free and were passed for minutes by smaller ones (one of 310,684 tokens waited 399 s), while prompts over an engine had one gang at a time. Now several gangs may form, each whole or not at all; members are chosen by when reading and memory are expected to allow them, and short prompts keep a tenth of the memory everywhere.

--- a/cmd/barleystep-trial/main.go
+++ b/cmd/barleystep-trial/main.go
@@ -29,7 +29,7 @@
 			return trial.WriteTables(cmd.OutOrStdout(), p)
 		},
 	}
-	cmd.Flags().Uint64Var(&p.Seed, "seed", 1, "seed of the loads")
+	cmd.Flags().IntVar(&p.Seeds, "seeds", 3, "number of loads that are drawn for each case")
 	cmd.Flags().BoolVar(&p.Quick, "quick", false, "only the middle engines, and no faults")
 	cmd.AddCommand(command.VersionCommand())
 	return cmd
--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -119,7 +119,7 @@
 
 // First notes a first token.
 func (l *LocalDesk) First(_ context.Context, pool string, id barleystep.AttemptID) error {
-	return l.change(pool, func(d *Dispenser, _ time.Time) { d.First(id, 0) })
+	return l.change(pool, func(d *Dispenser, now time.Time) { d.First(now, id, 0) })
 }
 
 // Release takes a grant back.
--- a/internal/capacity/dispenser.go
+++ b/internal/capacity/dispenser.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,9 +21,10 @@
 	boxes    map[barleystep.BoxID]*box
 	holdings map[barleystep.AttemptID]*holding
 	lanes    [laneCount]queue.Fair[*waiter]
-	gang     *gang
+	gangs    []*gang
 	prefixes place.Prefixes
-	expired  time.Time // expired is when the queues were last searched for expired requests.
+	pace     time.Duration // pace is the smoothed time per generated token.
+	expired  time.Time     // expired is when the queues were last searched for expired requests.
 }
 
 // box is what the dispenser keeps of a reporting box.
@@ -45,6 +47,7 @@
 		targets:  make(map[barleystep.TargetID]*target),
 		boxes:    make(map[barleystep.BoxID]*box),
 		holdings: make(map[barleystep.AttemptID]*holding),
+		pace:     firstPace,
 	}
 }
 
@@ -69,7 +72,11 @@
 		d.sorted = append(d.sorted, t)
 	}
 	sort.Slice(d.sorted, func(i, j int) bool { return d.sorted[i].spec.ID < d.sorted[j].spec.ID })
-	d.checkGang()
+	for _, g := range slices.Clone(d.gangs) {
+		if slices.ContainsFunc(g.members, func(t *target) bool { return d.targets[t.spec.ID] != t }) {
+			d.requeue(g)
+		}
+	}
 }
 
 // Load takes in a target's load report. Older reports than the last are
@@ -107,7 +114,9 @@
 	return barleystep.NewRefusal(reason, barleystep.OutcomeNotRun, message).WithRetryAfter(after)
 }
 
-func flowName(a Ask) string { return a.Demand.Class + "/" + a.Demand.Account }
+func flowName(a Ask) string {
+	return a.Demand.Class + "/" + a.Demand.Account + "/" + barleystep.BandOf(a.Demand.Prompt).String()
+}
 
 // classStep is how much more of a contended pool a class gets than the one
 // that ranks next below it.
@@ -132,19 +141,18 @@
 	for i := range d.lanes {
 		d.lanes[i].Remove(mine)
 	}
-	if d.gang != nil && mine(d.gang.waiter) {
-		d.dropGang()
-	}
+	d.dropGangs(mine)
 }
 
 // First notes that the attempt's first token came. Ratio is the measured over
 // the expected time, zero if nothing was expected.
-func (d *Dispenser) First(id barleystep.AttemptID, ratio float64) {
+func (d *Dispenser) First(now time.Time, id barleystep.AttemptID, ratio float64) {
 	h, ok := d.holdings[id]
-	if !ok {
+	if !ok || !h.reading {
 		return
 	}
 	h.reading = false
+	h.firstAt = now
 	for _, t := range d.members(h) {
 		if ratio > 0 {
 			t.health.answered(ratio)
@@ -158,6 +166,7 @@
 	if !ok {
 		return
 	}
+	d.learnPace(now, h, u)
 	d.drop(now, h)
 	if u.Outcome != barleystep.OutcomeDone && u.First == 0 && !u.Full {
 		for _, t := range d.members(h) {
@@ -166,6 +175,20 @@
 	}
 }
 
+// The time per generated token is learnt from answers that were whole.
+const (
+	firstPace    = 50 * time.Millisecond
+	paceLearning = 0.05
+)
+
+func (d *Dispenser) learnPace(now time.Time, h *holding, u barleystep.Usage) {
+	if u.Outcome != barleystep.OutcomeDone || h.reading || h.output == 0 {
+		return
+	}
+	seen := now.Sub(h.firstAt) / time.Duration(h.output)
+	d.pace += time.Duration(paceLearning * float64(seen-d.pace))
+}
+
 func (d *Dispenser) drop(now time.Time, h *holding) {
 	for _, t := range d.members(h) {
 		t.remove(h, now)
@@ -186,7 +209,7 @@
 // Tick decides all that can be decided now.
 func (d *Dispenser) Tick(now time.Time) []Grant {
 	grants := d.expire(now)
-	grants = append(grants, d.tickGang(now)...)
+	grants = append(grants, d.tickGangs(now)...)
 	grants = append(grants, d.tickLane(now, laneLong)...)
 	return append(grants, d.tickLane(now, laneShort)...)
 }
@@ -263,9 +286,14 @@
 	}
 	d.expired = now
 	var grants []Grant
+	late := func(w *waiter) bool { return !now.Before(w.ask.Demand.Deadline) }
+	for _, g := range slices.Clone(d.gangs) {
+		if late(g.waiter) {
+			d.requeue(g)
+		}
+	}
 	for i := range d.lanes {
-		gone := d.lanes[i].Remove(func(w *waiter) bool { return !now.Before(w.ask.Demand.Deadline) })
-		for _, w := range gone {
+		for _, w := range d.lanes[i].Remove(late) {
 			r := notRun(barleystep.ReasonDeadline, "The time limit was reached in the queue.", d.drainTime(lane(i)))
 			grants = append(grants, Grant{Attempt: w.ask.Demand.Attempt, Box: w.ask.Box, Refusal: r})
 		}
--- a/internal/capacity/gang.go
+++ b/internal/capacity/gang.go
@@ -8,62 +8,89 @@
 	"github.com/barleystep/barleystep"
 )
 
-// gang is the engines that are being set aside for one prompt that is longer
-// than an engine's memory. There is at most one in a pool, so that two such
-// prompts cannot wait for each other's engines.
+// gang is the engines that are set aside for one prompt: several for a prompt
+// that is longer than an engine's memory, one for a prompt so large that it
+// would else wait for ever behind smaller ones. An engine is in one gang at
+// most and a gang is formed whole or not at all, so that two prompts cannot
+// wait for each other's engines: each waits only for work that is running.
 type gang struct {
 	waiter  *waiter
 	members []*target
-	since   time.Time
 }
 
-// tickGang sets engines aside for the next giant prompt, and grants them when
-// all are free enough.
-func (d *Dispenser) tickGang(now time.Time) []Grant {
-	if d.gang == nil {
-		d.formGang(now)
-	}
-	if d.gang == nil || !d.gangReady(now) {
-		return nil
+// tickGangs sets engines aside for the next large prompts, and grants those for
+// which all are free enough.
+func (d *Dispenser) tickGangs(now time.Time) []Grant {
+	for d.formGang(now) {
+	}
+	var grants []Grant
+	for _, g := range slices.Clone(d.gangs) {
+		switch {
+		case g.lost(now):
+			d.requeue(g)
+		case g.ready(now):
+			d.disband(g)
+			grants = append(grants, d.grant(now, g.waiter, g.members, laneGiant))
+		}
 	}
-	g := d.gang
-	d.dropGang()
-	return []Grant{d.grant(now, g.waiter, g.members, laneGiant)}
+	return grants
 }
 
-// formGang takes the first giant prompt for which there are engines.
-func (d *Dispenser) formGang(now time.Time) {
+// formGang takes the first large prompt for which there are engines. It reports
+// whether it took one.
+func (d *Dispenser) formGang(now time.Time) bool {
 	var members []*target
 	w, ok := d.lanes[laneGiant].Take(func(w *waiter) bool {
 		members = d.pickGang(now, w)
-		return members != nil
+		return members != nil && !d.overLimit(w)
 	})
 	if !ok {
-		return
+		return false
 	}
-	d.gang = &gang{waiter: w, members: members, since: now}
+	g := &gang{waiter: w, members: members}
+	d.gangs = append(d.gangs, g)
 	for _, t := range members {
-		t.reserved = true
+		t.gang = g
 	}
+	return true
 }
 
 // pickGang returns the engines that are expected to be ready soonest, as many as
-// the prompt needs, or nil if there are too few.
+// the prompt needs, or nil if there are too few or too many are set aside.
 func (d *Dispenser) pickGang(now time.Time, w *waiter) []*target {
 	var usable []*target
+	aside := 0
 	for _, t := range d.sorted {
-		if t.usable(now) && !slices.Contains(w.ask.Demand.Avoid, t.spec.ID) {
+		switch {
+		case t.gang != nil:
+			aside++
+		case t.usable(now) && !slices.Contains(w.ask.Demand.Avoid, t.spec.ID):
 			usable = append(usable, t)
 		}
 	}
-	sort.SliceStable(usable, func(i, j int) bool { return usable[i].readyIn(now) < usable[j].readyIn(now) })
-	for n := 1; n <= len(usable); n++ {
-		room := int(float64(smallest(usable[:n])) * usableMemory)
-		if engines(w.tokens, room) <= n {
-			return usable[:n]
-		}
+	if len(usable) == 0 {
+		return nil
+	}
+	n := engines(w.tokens, d.gangRoom(smallest(usable)))
+	if n > len(usable) || aside > 0 && float64(aside+n) > d.settings.AsidePart*float64(len(d.sorted)) {
+		return nil
 	}
-	return nil
+	d.sortByReady(now, usable, (w.tokens+n-1)/n)
+	return usable[:n]
+}
+
+// gangRoom is the part of an engine's memory that a gang may take: what short
+// prompts are left with is left by gangs too.
+func (d *Dispenser) gangRoom(tokens int) int {
+	return int(float64(tokens) * (usableMemory - d.settings.ShortMemory))
+}
+
+func (d *Dispenser) sortByReady(now time.Time, list []*target, memory int) {
+	ready := make(map[*target]time.Duration, len(list))
+	for _, t := range list {
+		ready[t] = t.readyIn(now, memory, d.pace)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return ready[list[i]] < ready[list[j]] })
 }
 
 func smallest(targets []*target) int {
@@ -74,22 +101,28 @@
 	return least
 }
 
-// gangReady reports whether all members have the memory that they need, and
-// read no other long prompt.
-func (d *Dispenser) gangReady(now time.Time) bool {
-	d.checkMembers(now)
-	if d.gang == nil {
-		return false
-	}
-	for _, t := range d.gang.members {
+// ready reports whether all members have the memory that they need, and read no
+// other long prompt.
+func (g *gang) ready(now time.Time) bool {
+	for _, t := range g.members {
 		reading, _ := t.longs()
-		if reading > 0 || t.free(now) < d.gang.share() {
+		if reading > 0 || t.free(now) < g.share() {
 			return false
 		}
 	}
 	return true
 }
 
+// lost reports whether a member can no longer take part.
+func (g *gang) lost(now time.Time) bool {
+	for _, t := range g.members {
+		if !t.usable(now) || t.gang != g {
+			return true
+		}
+	}
+	return false
+}
+
 // share is the memory that the prompt needs at each member.
 func (g *gang) share() int {
 	n := len(g.members)
@@ -97,69 +130,58 @@
 }
 
 // readyIn is how long the slowest member is expected to need.
-func (g *gang) readyIn(now time.Time) time.Duration {
+func (g *gang) readyIn(now time.Time, perToken time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for _, t := range g.members {
-		longest = max(longest, t.readyIn(now))
+		longest = max(longest, t.readyIn(now, g.share(), perToken))
 	}
 	return longest
 }
 
 // mayBackfill reports whether a member that waits for the others may take the
-// request meanwhile: a short prompt where memory is left, a long one that will
-// have been read before the slowest member is ready.
+// request meanwhile: a short prompt, or a long one that will have ended before
+// the slowest member is ready.
 func (d *Dispenser) mayBackfill(now time.Time, t *target, w *waiter, l lane) bool {
 	if l == laneShort {
-		return t.free(now)-w.tokens >= d.gang.share()
+		return true
 	}
-	read := seconds(float64(w.ask.Demand.Prompt) / t.spec.Rate)
-	return read <= d.gang.readyIn(now) && t.free(now)-w.tokens >= d.gang.share()
+	whole := seconds(float64(w.ask.Demand.Prompt)/t.spec.Rate) + time.Duration(w.ask.Demand.Output)*d.pace
+	return whole <= t.gang.readyIn(now, d.pace)
 }
 
-// checkMembers gives up a gang of which a member was lost; the prompt goes back
-// to its queue with its age.
-func (d *Dispenser) checkMembers(now time.Time) {
-	for _, t := range d.gang.members {
-		if t.health.suspended(now) || t.spec.Drain || t.load.Leaving {
-			d.requeueGang()
-			return
-		}
-	}
+// requeue gives up a gang; its prompt goes back to its queue with its age.
+func (d *Dispenser) requeue(g *gang) {
+	d.disband(g)
+	a := g.waiter.ask
+	// The request was queued before; a refusal now would mean that the pool has
+	// shrunk below its need, which its deadline then ends.
+	_ = d.Ask(a.Demand.Since, a)
 }
 
-// checkGang gives up a gang of which a member is no longer configured.
-func (d *Dispenser) checkGang() {
-	if d.gang == nil {
-		return
-	}
-	for _, t := range d.gang.members {
-		if d.targets[t.spec.ID] != t {
-			d.requeueGang()
-			return
+// disband frees the members.
+func (d *Dispenser) disband(g *gang) {
+	for _, t := range g.members {
+		if t.gang == g {
+			t.gang = nil
 		}
 	}
+	d.gangs = slices.DeleteFunc(d.gangs, func(other *gang) bool { return other == g })
 }
 
-func (d *Dispenser) requeueGang() {
-	a := d.gang.waiter.ask
-	d.dropGang()
-	// The request was queued before; a refusal now would mean that the pool has
-	// shrunk below its need, which its deadline then ends.
-	_ = d.Ask(a.Demand.Since, a)
-}
-
-func (d *Dispenser) dropGang() {
-	for _, t := range d.gang.members {
-		t.reserved = false
+// dropGangs disbands the gangs whose prompt is gone.
+func (d *Dispenser) dropGangs(gone func(*waiter) bool) {
+	for _, g := range slices.Clone(d.gangs) {
+		if gone(g.waiter) {
+			d.disband(g)
+		}
 	}
-	d.gang = nil
 }
 
-// Reserved returns the targets that are being set aside for a giant prompt.
-func (d *Dispenser) Reserved() []barleystep.TargetID {
+// Aside returns the targets that are set aside for large prompts.
+func (d *Dispenser) Aside() []barleystep.TargetID {
 	var ids []barleystep.TargetID
 	for _, t := range d.sorted {
-		if t.reserved {
+		if t.gang != nil {
 			ids = append(ids, t.spec.ID)
 		}
 	}
--- a/internal/capacity/lane.go
+++ b/internal/capacity/lane.go
@@ -14,7 +14,7 @@
 const (
 	laneShort lane = iota // laneShort holds prompts that are read in a moment.
 	laneLong              // laneLong holds prompts that fit one engine.
-	laneGiant             // laneGiant holds prompts that several engines serve together.
+	laneGiant             // laneGiant holds prompts for which engines are set aside.
 	laneCount
 )
 
@@ -26,11 +26,11 @@
 	for _, t := range d.sorted {
 		largest = max(largest, t.spec.Tokens)
 	}
-	room := int(float64(largest) * usableMemory)
+	room := d.gangRoom(largest)
 	switch {
 	case len(d.sorted) == 0:
 		return 0, notRun(barleystep.ReasonNoTarget, "No target serves the model here.", time.Second)
-	case w.tokens > room:
+	case float64(w.tokens) > d.settings.GiantPart*float64(room):
 		return d.giantLane(w, room)
 	case barleystep.BandOf(w.ask.Demand.Prompt).Long():
 		return laneLong, nil
@@ -103,7 +103,7 @@
 		if !t.usable(now) || slices.Contains(w.ask.Demand.Avoid, t.spec.ID) || !allowed(now, t, w) {
 			continue
 		}
-		if t.reserved && !d.mayBackfill(now, t, w, l) {
+		if t.gang != nil && !d.mayBackfill(now, t, w, l) {
 			continue
 		}
 		cached := 0
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -55,7 +55,9 @@
 	for _, h := range r.Held {
 		has[h.Attempt] = true
 		if known, ok := d.holdings[h.Attempt]; ok {
-			known.reading = known.reading && h.Reading
+			if known.reading && !h.Reading {
+				known.reading, known.firstAt = false, now
+			}
 			continue
 		}
 		d.keep(&holding{
@@ -66,6 +68,7 @@
 			prompt:  h.Prompt,
 			output:  h.Output,
 			since:   h.Since,
+			firstAt: now,
 			reading: h.Reading,
 			long:    barleystep.BandOf(h.Prompt).Long(),
 		})
@@ -89,12 +92,11 @@
 			d.drop(now, h)
 		}
 	}
+	gone := func(w *waiter) bool { return w.ask.Box == id }
 	for i := range d.lanes {
-		d.lanes[i].Remove(func(w *waiter) bool { return w.ask.Box == id })
-	}
-	if d.gang != nil && d.gang.waiter.ask.Box == id {
-		d.dropGang()
+		d.lanes[i].Remove(gone)
 	}
+	d.dropGangs(gone)
 }
 
 // Contended reports whether short prompts wait: then none may pass the queue.
@@ -110,7 +112,7 @@
 	}
 	part := d.part(now, b)
 	for _, t := range d.sorted {
-		if t.usable(now) && !t.reserved {
+		if t.usable(now) && t.gang == nil {
 			c.Credits = append(c.Credits, d.credit(now, t, part))
 		}
 	}
--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -12,11 +12,17 @@
 	// is 1.
 	LongReads int
 	// LongPart is the part of the engines that may read long prompts at the same
-	// time, from 0 to 1; the default is 0.5. It grows with Weighing.
+	// time, from 0 to 1; the default is 1. It grows with Weighing.
 	LongPart float64
 	// ShortMemory is the part of an engine's memory that long prompts leave
-	// free; the default is 0.2.
+	// free; the default is 0.1.
 	ShortMemory float64
+	// GiantPart is the part of an engine's memory beyond which a prompt has
+	// engines set aside for it; the default is 0.5.
+	GiantPart float64
+	// AsidePart bounds the part of the engines that are set aside at the same
+	// time, unless a single prompt needs more; the default is 0.5.
+	AsidePart float64
 	// Weighing moves the balance from short prompts (0) to long ones (1).
 	Weighing float64
 	// Interval is the time between a box's reports; the default is 500 ms.
@@ -39,7 +45,13 @@
 		s.LongPart = 1
 	}
 	if s.ShortMemory == 0 {
-		s.ShortMemory = 0.2
+		s.ShortMemory = 0.1
+	}
+	if s.GiantPart == 0 {
+		s.GiantPart = 0.5
+	}
+	if s.AsidePart == 0 {
+		s.AsidePart = 0.5
 	}
 	if s.Interval == 0 {
 		s.Interval = 500 * time.Millisecond
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -15,7 +17,7 @@
 	released []release
 	uses     map[barleystep.BoxID]Use
 	health   health
-	reserved bool // reserved is set while a prompt longer than an engine waits for the target.
+	gang     *gang // gang is set while the target is set aside for a large prompt.
 }
 
 // holding is a grant as the dispenser keeps it. A grant over several targets is
@@ -28,6 +30,7 @@
 	prompt  int
 	output  int
 	since   time.Time
+	firstAt time.Time // firstAt is when the first token came.
 	reading bool
 	long    bool
 }
@@ -61,17 +64,43 @@
 	return !t.spec.Drain && !t.load.Leaving && !t.health.suspended(now)
 }
 
-// readyIn estimates how long the target still reads the long prompts that it
-// has.
-func (t *target) readyIn(now time.Time) time.Duration {
-	left := time.Duration(0)
+// readyIn estimates how long it takes until the target reads no long prompt any
+// more and has the memory free.
+func (t *target) readyIn(now time.Time, memory int, perToken time.Duration) time.Duration {
+	type end struct {
+		in     time.Duration
+		tokens int
+	}
+	ready := time.Duration(0)
+	ends := make([]end, 0, len(t.held))
 	for _, h := range t.held {
+		read, whole := h.endsIn(now, t.spec.Rate, perToken)
 		if h.long && h.reading {
-			read := seconds(float64(h.prompt) / float64(len(h.targets)) / t.spec.Rate)
-			left += max(read-now.Sub(h.since), 0)
+			ready = max(ready, read)
+		}
+		ends = append(ends, end{whole, h.share()})
+	}
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.in, b.in) })
+	free := t.free(now)
+	for _, e := range ends {
+		if free >= memory {
+			break
 		}
+		free += e.tokens
+		ready = max(ready, e.in)
+	}
+	return ready
+}
+
+// endsIn estimates how long the holding's prompt is still read, and how long it
+// takes until its answer is whole.
+func (h *holding) endsIn(now time.Time, rate float64, perToken time.Duration) (read, whole time.Duration) {
+	generate := time.Duration(h.output) * perToken
+	if !h.reading {
+		return 0, max(generate-now.Sub(h.firstAt), 0)
 	}
-	return left
+	read = max(seconds(float64(h.prompt)/float64(len(h.targets))/rate)-now.Sub(h.since), 0)
+	return read, read + generate
 }
 
 // memory returns the KV memory, in tokens, that is known to be taken by the
--- a/internal/trial/ours.go
+++ b/internal/trial/ours.go
@@ -117,7 +117,7 @@
 	now := o.fleet.sim.clock()
 	o.holders[a.request.box].First(now, a.id)
 	if o.granted[a.id] && !o.down {
-		o.dispenser.First(a.id, 0)
+		o.dispenser.First(now, a.id, 0)
 		o.tick()
 	}
 }
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -177,6 +177,21 @@
 	}
 }
 
+// add takes in another run of the same case.
+func (res *Result) add(other Result) {
+	n, m := float64(res.Requests), float64(other.Requests)
+	res.Fairness = (n*res.Fairness + m*other.Fairness) / (n + m)
+	res.Cached = (n*res.Cached + m*other.Cached) / (n + m)
+	res.Requests += other.Requests
+	res.Good += other.Good
+	res.Refused += other.Refused
+	res.Starved += other.Starved
+	for i, h := range res.First {
+		h.Merge(other.First[i])
+	}
+	res.ShortFirst.Merge(other.ShortFirst)
+}
+
 // jain returns Jain's fairness index of the served parts, 1 when all accounts
 // got the same part of what they asked for.
 func jain(asked, served map[string]float64) float64 {
--- a/internal/trial/table.go
+++ b/internal/trial/table.go
@@ -14,7 +14,8 @@
 
 // Plan says what to run.
 type Plan struct {
-	Seed    uint64
+	// Seeds is how many loads are drawn for each case.
+	Seeds   int
 	Workers int
 	// Quick runs only the middle engines, without faults.
 	Quick bool
@@ -70,7 +71,7 @@
 	for _, level := range Levels {
 		for _, v := range Variants {
 			cells = append(cells, &cell{level: level, mixed: Case{
-				Variant: v, Load: load, Speed: speed, Level: level.Part, Fault: FaultNone, Seed: p.Seed,
+				Variant: v, Load: load, Speed: speed, Level: level.Part, Fault: FaultNone,
 			}})
 		}
 	}
@@ -84,7 +85,7 @@
 	ours := Variants[len(Variants)-1]
 	for _, f := range Faults {
 		cells = append(cells, &cell{level: Levels[1], mixed: Case{
-			Variant: ours, Load: load, Speed: Speeds[1], Level: Levels[1].Part, Fault: f, Seed: p.Seed,
+			Variant: ours, Load: load, Speed: Speeds[1], Level: Levels[1].Part, Fault: f,
 		}})
 	}
 	p.run(cells)
@@ -99,17 +100,28 @@
 	for _, c := range cells {
 		slots <- struct{}{}
 		wait.Go(func() {
-			c.result = Run(c.mixed)
+			c.result = p.runSeeds(c.mixed)
 			short := c.mixed
 			short.Short = true
 			short.Fault = FaultNone
-			c.without = Run(short)
+			c.without = p.runSeeds(short)
 			<-slots
 		})
 	}
 	wait.Wait()
 }
 
+// runSeeds runs the case with several loads and adds up what they measured.
+func (p Plan) runSeeds(c Case) Result {
+	c.Seed = 1
+	sum := Run(c)
+	for seed := 2; seed <= p.Seeds; seed++ {
+		c.Seed = uint64(seed)
+		sum.add(Run(c))
+	}
+	return sum
+}
+
 func write(w io.Writer, title, first string, cells []*cell, label func(*cell) string) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "\n### %s\n\n", title)
