--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test lint model generate bench
+.PHONY: run test lint model generate placement
 
 # run starts a small hall on loopback.
 run:
@@ -24,3 +24,8 @@
 generate:
 	cd tools/gen && $(GO) build -o ../../build/ github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/build:$$PATH" build/buf generate
+
+# placement measures the decisions and writes the tables of docs/placement-tables.md.
+placement:
+	$(GO) run ./cmd/barleystep-trial > docs/placement-tables.md.new
+	mv docs/placement-tables.md.new docs/placement-tables.md
--- a/internal/capacity/dispenser.go
+++ b/internal/capacity/dispenser.go
@@ -51,6 +51,10 @@
 	}
 }
 
+// settling is how long a new dispenser takes a target without a load report for
+// full: the work that an earlier dispenser gave it may not be known yet.
+const settling = 3 * time.Second
+
 // SetWeighing sets the balance between short (0) and long (1) prompts.
 func (d *Dispenser) SetWeighing(w float64) { d.settings.Weighing = w }
 
@@ -61,7 +65,7 @@
 	for _, s := range specs {
 		t, ok := d.targets[s.ID]
 		if !ok {
-			t = newTarget(s)
+			t = newTarget(s, d.born.Add(settling))
 		}
 		t.spec = s
 		keep[s.ID] = t
--- /dev/null
+++ b/internal/capacity/dispenser_test.go
@@ -0,0 +1,363 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+)
+
+var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+const engineTokens = 100_000
+
+// pool is a dispenser with engines that report to be empty.
+type pool struct {
+	*capacity.Dispenser
+	now    time.Time
+	serial uint64
+}
+
+func newPool(engines int) *pool {
+	p := &pool{now: start}
+	p.found(engines)
+	return p
+}
+
+// found starts a dispenser that knows only the configuration.
+func (p *pool) found(engines int) {
+	p.Dispenser = capacity.NewDispenser(capacity.Settings{}, p.now)
+	var specs []capacity.Spec
+	for i := range engines {
+		specs = append(specs, capacity.Spec{ID: engine(i), Tokens: engineTokens, Rate: 10_000})
+	}
+	p.SetTargets(specs)
+}
+
+func engine(i int) barleystep.TargetID { return barleystep.TargetID(fmt.Sprintf("e%d", i)) }
+
+func (p *pool) load(i, free int) {
+	p.Load(engine(i), barleystep.Load{At: p.now, TotalTokens: engineTokens, FreeTokens: free})
+}
+
+func (p *pool) empty(engines int) {
+	for i := range engines {
+		p.load(i, engineTokens)
+	}
+}
+
+func (p *pool) ask(account string, prompt int) capacity.Ask {
+	p.serial++
+	return capacity.Ask{
+		Box:    "b1",
+		Weight: 1,
+		Limit:  1,
+		Demand: barleystep.Demand{
+			Attempt:  barleystep.NewAttemptID("b1", 1, p.serial),
+			Account:  account,
+			Class:    "normal",
+			Prompt:   prompt,
+			Output:   100,
+			Since:    p.now,
+			Deadline: p.now.Add(time.Hour),
+		},
+	}
+}
+
+// want asks and returns the id of the attempt.
+func (p *pool) want(t *testing.T, account string, prompt int) barleystep.AttemptID {
+	a := p.ask(account, prompt)
+	if r := p.Ask(p.now, a); r != nil {
+		t.Fatalf("refused: %v", r)
+	}
+	return a.Demand.Attempt
+}
+
+func (p *pool) tick() map[barleystep.AttemptID]capacity.Grant {
+	grants := make(map[barleystep.AttemptID]capacity.Grant)
+	for _, g := range p.Tick(p.now) {
+		grants[g.Attempt] = g
+	}
+	return grants
+}
+
+func (p *pool) done(id barleystep.AttemptID) {
+	p.Release(p.now, id, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: time.Second})
+}
+
+// TestNewDispenser lets a dispenser die with running work: its successor hands
+// out no more than load and reports show free.
+func TestNewDispenser(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	first := p.want(t, "a", 40_000)
+	c.Assert(p.tick(), quicktest.HasLen, 1)
+
+	p.now = p.now.Add(10 * time.Second)
+	p.found(1)
+	next := p.want(t, "a", 45_000)
+	c.Check(p.tick(), quicktest.HasLen, 0, quicktest.Commentf("before any load report"))
+	p.load(0, engineTokens-40_100)
+	held := capacity.Held{Attempt: first, Account: "a", Targets: []barleystep.TargetID{engine(0)}, Prompt: 40_000, Output: 100, Since: start, Reading: true}
+	p.Report(p.now, capacity.Report{Box: "b1", Held: []capacity.Held{held}})
+	c.Check(p.tick(), quicktest.HasLen, 0, quicktest.Commentf("while the engine reads another long prompt"))
+	p.done(first)
+	c.Check(p.tick()[next].Targets, quicktest.DeepEquals, []barleystep.TargetID{engine(0)})
+}
+
+func TestForeignWorkCounts(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.load(0, 20_000)
+	p.want(t, "a", 30_000)
+	c.Check(p.tick(), quicktest.HasLen, 0)
+	p.now = p.now.Add(time.Second)
+	p.load(0, 90_000)
+	c.Check(p.tick(), quicktest.HasLen, 1)
+}
+
+// TestStaleLoad checks that own grants count although the last report is older.
+func TestStaleLoad(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	p.now = p.now.Add(time.Second)
+	for range 40 {
+		p.want(t, "a", 3_900)
+	}
+	granted := 0
+	for range 40 {
+		for id := range p.tick() {
+			granted++
+			p.First(p.now, id, 0)
+		}
+	}
+	c.Check(granted, quicktest.Equals, engineTokens/4_000)
+}
+
+func TestLostGrantIsTakenBack(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	p.want(t, "a", 40_000)
+	c.Assert(p.tick(), quicktest.HasLen, 1)
+	p.want(t, "a", 40_000)
+	p.Report(p.now, capacity.Report{Box: "b1"})
+	c.Check(p.tick(), quicktest.HasLen, 0)
+	p.now = p.now.Add(4 * time.Second)
+	p.load(0, engineTokens)
+	p.Report(p.now, capacity.Report{Box: "b1"})
+	c.Check(p.tick(), quicktest.HasLen, 1)
+}
+
+// TestBoxDies checks that the memory of a dead box's work is not handed out
+// until the engine reports it free.
+func TestBoxDies(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	p.want(t, "a", 40_000)
+	c.Assert(p.tick(), quicktest.HasLen, 1)
+	p.now = p.now.Add(time.Second)
+	p.load(0, engineTokens-40_100)
+	p.Gone(p.now, "b1")
+	p.now = p.now.Add(time.Second)
+	p.load(0, engineTokens-40_100)
+	a := p.ask("a", 45_000)
+	a.Box = "b2"
+	a.Demand.Output = 20_000
+	c.Assert(p.Ask(p.now, a) == nil, quicktest.IsTrue)
+	c.Check(p.tick(), quicktest.HasLen, 0)
+	p.now = p.now.Add(time.Second)
+	p.load(0, engineTokens)
+	c.Check(p.tick(), quicktest.HasLen, 1)
+}
+
+// TestFloodCostsOthersLittle holds the queue to its bound: the account that
+// asks for little waits for one request of the flood at most.
+func TestFloodCostsOthersLittle(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	for range 500 {
+		p.want(t, "flood", 6_000)
+	}
+	p.tick()
+	other := p.want(t, "other", 6_000)
+	served := 0
+	for range 20 {
+		for id, g := range p.tick() {
+			served++
+			if id == other {
+				c.Check(served <= 3, quicktest.IsTrue, quicktest.Commentf("served after %d", served))
+				return
+			}
+			c.Check(g.Refusal, quicktest.IsNil)
+		}
+		p.finishAll()
+	}
+	c.Fatal("the other account was not served")
+}
+
+// finishAll ends all that runs.
+func (p *pool) finishAll() {
+	for n := uint64(1); n <= p.serial; n++ {
+		id := barleystep.NewAttemptID("b1", 1, n)
+		p.First(p.now, id, 0)
+		p.done(id)
+	}
+	p.now = p.now.Add(time.Second)
+	p.load(0, engineTokens)
+}
+
+// TestLongUnderFlood checks that a steady flood of short prompts does not keep
+// a long one waiting: it has the lane of long prompts to itself.
+func TestLongUnderFlood(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	for range 200 {
+		p.want(t, "quotes", 2_000)
+	}
+	long := p.want(t, "court", 40_000)
+	_, ok := p.tick()[long]
+	c.Check(ok, quicktest.IsTrue)
+}
+
+// TestGang checks prompts longer than an engine: whole or not at all, no
+// deadlock between two, and another choice when a member dies.
+func TestGang(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(3)
+	p.empty(3)
+	busy := p.want(t, "a", 30_000)
+	g := p.tick()
+	c.Assert(g, quicktest.HasLen, 1)
+	first := p.want(t, "a", 210_000)
+	second := p.want(t, "b", 210_000)
+	c.Check(p.tick(), quicktest.HasLen, 0, quicktest.Commentf("one engine still reads"))
+	c.Check(p.Aside(), quicktest.HasLen, 3)
+	c.Check(p.tick(), quicktest.HasLen, 0)
+	p.done(busy)
+	granted := p.tick()
+	c.Assert(granted, quicktest.HasLen, 1)
+	c.Check(granted[first].Targets, quicktest.HasLen, 3)
+	p.done(first)
+	c.Check(p.tick()[second].Targets, quicktest.HasLen, 3)
+}
+
+func TestGangMemberDies(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(4)
+	p.empty(4)
+	for range 4 {
+		p.want(t, "a", 30_000)
+	}
+	running := p.tick()
+	c.Assert(running, quicktest.HasLen, 4)
+	giant := p.want(t, "b", 160_000)
+	p.tick()
+	lost := p.Aside()[0]
+	for range 3 {
+		p.Report(p.now, capacity.Report{Box: "b1", Held: heldOf(running), Uses: []capacity.Use{{Target: lost, Failures: 2}}})
+	}
+	for id := range running {
+		p.done(id)
+	}
+	p.tick()
+	g := p.tick()[giant]
+	for _, id := range g.Targets {
+		c.Check(id, quicktest.Not(quicktest.Equals), lost)
+	}
+}
+
+func heldOf(grants map[barleystep.AttemptID]capacity.Grant) []capacity.Held {
+	var held []capacity.Held
+	for id, g := range grants {
+		held = append(held, capacity.Held{Attempt: id, Targets: g.Targets, Prompt: 30_000, Output: 100, Reading: true})
+	}
+	return held
+}
+
+func TestRefusals(t *testing.T) {
+	p := newPool(1)
+	p.empty(1)
+	late := p.ask("a", 90_000)
+	late.Demand.Deadline = p.now.Add(time.Second)
+	cases := map[string]struct {
+		ask    capacity.Ask
+		reason barleystep.Reason
+	}{
+		"can't be read in time":       {late, barleystep.ReasonCannotMeet},
+		"longer than all engines":     {p.ask("a", 5_000_000), barleystep.ReasonNoTarget},
+		"no engine serves the model":  {p.ask("a", 1_000), barleystep.ReasonNoTarget},
+		"more waits than is sensible": {p.ask("a", 1_000), barleystep.ReasonQueueFull},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			p := newPool(1)
+			switch tc.reason {
+			case barleystep.ReasonNoTarget:
+				if tc.ask.Demand.Prompt == 1_000 {
+					p.SetTargets(nil)
+				}
+			case barleystep.ReasonQueueFull:
+				for range 20_000 {
+					p.want(t, "a", 1_000)
+				}
+			}
+			r := p.Ask(p.now, tc.ask)
+			c.Assert(r, quicktest.IsNotNil)
+			c.Check(r.Reason(), quicktest.Equals, tc.reason)
+			c.Check(r.Outcome(), quicktest.Equals, barleystep.OutcomeNotRun)
+		})
+	}
+}
+
+// TestUnusableTargets lists why a target gets no new work.
+func TestUnusableTargets(t *testing.T) {
+	cases := map[string]func(p *pool){
+		"drained": func(p *pool) {
+			p.SetTargets([]capacity.Spec{{ID: engine(0), Tokens: engineTokens, Rate: 10_000, Drain: true}})
+		},
+		"leaving by its own word": func(p *pool) {
+			p.Load(engine(0), barleystep.Load{At: p.now.Add(1), TotalTokens: engineTokens, FreeTokens: engineTokens, Leaving: true})
+		},
+		"failing": func(p *pool) {
+			p.Report(p.now, capacity.Report{Box: "b1", Uses: []capacity.Use{{Target: engine(0), Failures: 2}}})
+		},
+		"hung while its reports go on": func(p *pool) {
+			p.Report(p.now, capacity.Report{Box: "b1", Uses: []capacity.Use{{Target: engine(0), Silent: time.Minute}}})
+		},
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			p := newPool(1)
+			p.empty(1)
+			spoil(p)
+			p.want(t, "a", 1_000)
+			c.Check(p.tick(), quicktest.HasLen, 0)
+			c.Check(p.Report(p.now, capacity.Report{Box: "b1"}).Credits, quicktest.HasLen, 0)
+		})
+	}
+}
+
+// TestSuspensionEndsWithATrial checks that a target that failed gets one more
+// chance after a while, and is back with its first answer.
+func TestSuspensionEndsWithATrial(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(1)
+	p.empty(1)
+	p.Report(p.now, capacity.Report{Box: "b1", Uses: []capacity.Use{{Target: engine(0), Failures: 2}}})
+	p.want(t, "a", 1_000)
+	c.Assert(p.tick(), quicktest.HasLen, 0)
+	p.now = p.now.Add(3 * time.Second)
+	c.Check(p.tick(), quicktest.HasLen, 1)
+}
--- a/internal/capacity/gang.go
+++ b/internal/capacity/gang.go
@@ -71,7 +71,7 @@
 	if len(usable) == 0 {
 		return nil
 	}
-	n := engines(w.tokens, d.gangRoom(smallest(usable)))
+	n := d.gangSize(w.tokens, smallest(usable), len(usable))
 	if n > len(usable) || aside > 0 && float64(aside+n) > d.settings.AsidePart*float64(len(d.sorted)) {
 		return nil
 	}
@@ -79,12 +79,21 @@
 	return usable[:n]
 }
 
-// gangRoom is the part of an engine's memory that a gang may take: what short
-// prompts are left with is left by gangs too.
-func (d *Dispenser) gangRoom(tokens int) int {
-	return int(float64(tokens) * (usableMemory - d.settings.ShortMemory))
+// gangSize returns how many engines of the given memory the prompt needs. What
+// short prompts are left with is left by gangs too, unless that takes more
+// engines than there are.
+func (d *Dispenser) gangSize(tokens, memory, available int) int {
+	room := usableMemory * float64(memory)
+	n := engines(tokens, int(room-d.settings.ShortMemory*float64(memory)))
+	if n <= available {
+		return n
+	}
+	return engines(tokens, int(room))
 }
 
+// engines returns how many engines with the given room hold the tokens.
+func engines(tokens, room int) int { return (tokens + room - 1) / room }
+
 func (d *Dispenser) sortByReady(now time.Time, list []*target, memory int) {
 	ready := make(map[*target]time.Duration, len(list))
 	for _, t := range list {
--- /dev/null
+++ b/internal/capacity/holder_test.go
@@ -0,0 +1,73 @@
+package capacity_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+)
+
+func demand(n uint64, prompt int) barleystep.Demand {
+	return barleystep.Demand{Attempt: barleystep.NewAttemptID("b1", 1, n), Prompt: prompt, Output: 10}
+}
+
+func credits(until time.Time, reading int) capacity.Credits {
+	return capacity.Credits{Until: until, Credits: []capacity.Credit{
+		{Target: "e0", Reading: reading, Memory: 50_000, Rate: 10_000, Slow: 1},
+		{Target: "e1", Reading: reading, Memory: 50_000, Rate: 10_000, Slow: 1, Others: 8_000},
+	}}
+}
+
+func TestHolderTry(t *testing.T) {
+	until := start.Add(time.Second)
+	cases := map[string]struct {
+		credits capacity.Credits
+		now     time.Time
+		demand  barleystep.Demand
+		target  barleystep.TargetID
+	}{
+		"takes the target with less work": {credits(until, 4_000), start, demand(1, 2_000), "e0"},
+		"no credits":                      {capacity.Credits{}, start, demand(1, 2_000), ""},
+		"credits have run out":            {credits(until, 4_000), until, demand(1, 2_000), ""},
+		"long prompts ask":                {credits(until, 4_000), start, demand(1, 20_000), ""},
+		"memory is bounded": {capacity.Credits{Until: until, Credits: []capacity.Credit{
+			{Target: "e0", Reading: 4_000, Memory: 1_000, Rate: 1},
+		}}, start, demand(1, 2_000), ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := capacity.NewHolder("b1")
+			h.SetCredits(tc.credits)
+			target, _ := h.Try(tc.now, tc.demand)
+			quicktest.Check(t, target, quicktest.Equals, tc.target)
+		})
+	}
+}
+
+// TestHolderStaysWithinItsCredits checks that reading credits bound what a box
+// sends, and that first tokens free them.
+func TestHolderStaysWithinItsCredits(t *testing.T) {
+	c := quicktest.New(t)
+	h := capacity.NewHolder("b1")
+	h.SetCredits(credits(start.Add(time.Hour), 4_000))
+	sent := uint64(0)
+	for n := uint64(1); ; n++ {
+		if _, ok := h.Try(start, demand(n, 2_000)); !ok {
+			break
+		}
+		sent++
+	}
+	c.Check(sent, quicktest.Equals, uint64(4))
+	h.First(start.Add(time.Millisecond), demand(1, 0).Attempt)
+	_, ok := h.Try(start, demand(9, 2_000))
+	c.Check(ok, quicktest.IsTrue)
+	r := h.Report(start)
+	total := 0
+	for _, u := range r.Uses {
+		total += u.Reading
+	}
+	c.Check(total, quicktest.Equals, 8_000)
+}
--- a/internal/capacity/lane.go
+++ b/internal/capacity/lane.go
@@ -26,12 +26,11 @@
 	for _, t := range d.sorted {
 		largest = max(largest, t.spec.Tokens)
 	}
-	room := d.gangRoom(largest)
 	switch {
 	case len(d.sorted) == 0:
 		return 0, notRun(barleystep.ReasonNoTarget, "No target serves the model here.", time.Second)
-	case float64(w.tokens) > d.settings.GiantPart*float64(room):
-		return d.giantLane(w, room)
+	case float64(w.tokens) > d.settings.GiantPart*float64(largest):
+		return d.giantLane(w, largest)
 	case barleystep.BandOf(w.ask.Demand.Prompt).Long():
 		return laneLong, nil
 	default:
@@ -39,16 +38,13 @@
 	}
 }
 
-func (d *Dispenser) giantLane(w *waiter, room int) (lane, *barleystep.Refusal) {
-	if engines(w.tokens, room) > len(d.sorted) {
+func (d *Dispenser) giantLane(w *waiter, largest int) (lane, *barleystep.Refusal) {
+	if d.gangSize(w.tokens, largest, len(d.sorted)) > len(d.sorted) {
 		return 0, notRun(barleystep.ReasonNoTarget, "All engines together can't hold the prompt.", 0)
 	}
 	return laneGiant, nil
 }
 
-// engines returns how many engines with the given room hold the tokens.
-func engines(tokens, room int) int { return (tokens + room - 1) / room }
-
 // hopeless refuses a request that would miss its deadline even if only the
 // requests of its own lane that are older in its own flow ran before it, on
 // the whole pool.
--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -18,10 +18,10 @@
 	// free; the default is 0.1.
 	ShortMemory float64
 	// GiantPart is the part of an engine's memory beyond which a prompt has
-	// engines set aside for it; the default is 0.5.
+	// engines set aside for it; the default is 0.4.
 	GiantPart float64
 	// AsidePart bounds the part of the engines that are set aside at the same
-	// time, unless a single prompt needs more; the default is 0.5.
+	// time, unless a single prompt needs more; the default is 0.4.
 	AsidePart float64
 	// Weighing moves the balance from short prompts (0) to long ones (1).
 	Weighing float64
@@ -48,10 +48,10 @@
 		s.ShortMemory = 0.1
 	}
 	if s.GiantPart == 0 {
-		s.GiantPart = 0.5
+		s.GiantPart = 0.4
 	}
 	if s.AsidePart == 0 {
-		s.AsidePart = 0.5
+		s.AsidePart = 0.4
 	}
 	if s.Interval == 0 {
 		s.Interval = 500 * time.Millisecond
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -17,7 +17,8 @@
 	released []release
 	uses     map[barleystep.BoxID]Use
 	health   health
-	gang     *gang // gang is set while the target is set aside for a large prompt.
+	unsure   time.Time // unsure is until when a missing load report means a full target.
+	gang     *gang     // gang is set while the target is set aside for a large prompt.
 }
 
 // holding is a grant as the dispenser keeps it. A grant over several targets is
@@ -51,11 +52,12 @@
 // loadLife is how long a load report counts.
 const loadLife = 15 * time.Second
 
-func newTarget(s Spec) *target {
+func newTarget(s Spec, unsure time.Time) *target {
 	return &target{
-		spec: s,
-		held: make(map[barleystep.AttemptID]*holding),
-		uses: make(map[barleystep.BoxID]Use),
+		spec:   s,
+		held:   make(map[barleystep.AttemptID]*holding),
+		uses:   make(map[barleystep.BoxID]Use),
+		unsure: unsure,
 	}
 }
 
@@ -140,8 +142,12 @@
 	return max(0, t.load.TotalTokens-t.load.FreeTokens-own)
 }
 
-// free returns the memory that new work may take.
+// free returns the memory that new work may take. Before its first load report
+// a target that may hold work of an earlier dispenser has none.
 func (t *target) free(now time.Time) int {
+	if t.load.At.IsZero() && now.Before(t.unsure) {
+		return 0
+	}
 	return t.spec.Tokens - t.memory() - t.foreign(now)
 }
 
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -154,6 +154,14 @@
 	return string(rune('a' + 2 + rng.IntN(accounts-2)))
 }
 
+// weightOf is the account's weight: the two large accounts pay for their part.
+func weightOf(account string) float64 {
+	if account < "c" {
+		return 4
+	}
+	return 1
+}
+
 func (l Load) classify(r *request, urgent float64) {
 	switch {
 	case !r.band().Long():
--- a/internal/trial/ours.go
+++ b/internal/trial/ours.go
@@ -81,7 +81,7 @@
 		o.fleet.sim.after(takeOver, func() { o.ask(r, id) })
 		return
 	}
-	a := capacity.Ask{Demand: r.demand(id), Box: boxName(r.box), Weight: 1, Rank: r.rank, Limit: 1}
+	a := capacity.Ask{Demand: r.demand(id), Box: boxName(r.box), Weight: weightOf(r.account), Rank: r.rank, Limit: 1}
 	if o.dispenser.Ask(o.fleet.sim.clock(), a) != nil {
 		r.refused = true
 		return
