Measure the slopes of each role, and let a healed hall join again

Two faults found by the new tests of membership: a box that came back from a pause was never told that it counts as dead, and the two sides of a cut hall never spoke again. Both are answered now: a dead box that is heard is told directly, and dead boxes are probed one at a time.

--- /dev/null
+++ b/internal/capacity/bench_test.go
@@ -0,0 +1,104 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+)
+
+// sizes are the sizes at which one decision is measured: accounts that wait,
+// requests in the queue, and targets of the pool. The last is letter 1's size
+// for one hall that serves one model alone.
+var sizes = []struct{ accounts, queued, targets, running int }{
+	{10, 100, 8, 8},
+	{100, 1_000, 8, 8},
+	{970, 5_000, 8, 8},
+	{970, 5_000, 32, 8},
+	{970, 5_000, 92, 8},
+	{970, 5_000, 92, 32},
+}
+
+// BenchmarkCapacityDecision measures one short prompt that is asked for,
+// granted and released in a pool whose engines run others.
+func BenchmarkCapacityDecision(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("accounts=%d/queued=%d/targets=%d/running=%d", s.accounts, s.queued, s.targets, s.running), func(b *testing.B) {
+			p := busyPool(s.targets, s.running)
+			for i := range s.queued {
+				// These wait for memory that no engine has.
+				a := p.ask(fmt.Sprint("a", i%s.accounts), 15_000)
+				a.Demand.Output = engineTokens * 3 / 10
+				p.Ask(p.now, a)
+			}
+			p.tick()
+			b.ReportAllocs()
+			for b.Loop() {
+				a := p.ask("bench", 1_000)
+				p.Ask(p.now, a)
+				for id := range p.tick() {
+					p.done(id)
+				}
+			}
+		})
+	}
+}
+
+// busyPool returns a pool whose engines each run as many short prompts and have
+// a quarter of their memory left.
+func busyPool(targets, running int) *pool {
+	p := newPool(targets)
+	p.empty(targets)
+	for range targets * running {
+		a := p.ask("busy", 100)
+		a.Demand.Output = engineTokens * 3 / 4 / running
+		p.Ask(p.now, a)
+		for id := range p.tick() {
+			p.First(p.now, id, 0)
+		}
+	}
+	return p
+}
+
+// BenchmarkCapacityReport measures a box's report and its credits.
+func BenchmarkCapacityReport(b *testing.B) {
+	for _, targets := range []int{8, 32, 92} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			p := busyPool(targets, 8)
+			r := capacity.Report{Box: "b1"}
+			for i := range targets {
+				r.Uses = append(r.Uses, capacity.Use{Target: engine(i), Reading: 100, Memory: 500, Running: 2})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.now = p.now.Add(time.Millisecond)
+				p.Report(p.now, r)
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityHolder measures a short prompt on credits.
+func BenchmarkCapacityHolder(b *testing.B) {
+	for _, targets := range []int{8, 32, 92} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			h := capacity.NewHolder("b1")
+			c := capacity.Credits{Until: start.Add(time.Hour)}
+			for i := range targets {
+				c.Credits = append(c.Credits, capacity.Credit{Target: engine(i), Reading: 1 << 30, Memory: 1 << 30, Rate: 1, Slow: 1})
+			}
+			h.SetCredits(c)
+			n := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				n++
+				d := demand(n, 1_000)
+				h.Try(start, d)
+				h.First(start, d.Attempt)
+				h.End(d.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gate/bench_test.go
@@ -0,0 +1,105 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/claim"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/gate"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// fixedAllocator always allots the same target.
+type fixedAllocator struct{}
+
+// Acquire returns the target at once.
+func (fixedAllocator) Acquire(context.Context, barleystep.Demand) (barleystep.Allotment, error) {
+	return barleystep.NewAllotment([]barleystep.TargetID{"e"}, 0, barleystep.AllotmentHooks{}), nil
+}
+
+// chunks answers every attempt with a stream of n events, written at once.
+func chunks(n int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(engine.HeaderAttempt)
+		w.Header().Set(engine.HeaderAttempt, id)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i < n; i++ {
+			fmt.Fprintf(w, "id: %s/%d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},\"finish_reason\":null}]}\n\n", id, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		fmt.Fprintf(w, "id: %s/%d\ndata: [DONE]\n\n", id, n)
+	})
+}
+
+// serve starts the path before a target and returns its address.
+func serve(b *testing.B, target string) string {
+	d, err := config.File{
+		Accounts: []config.Account{{Name: "a", Keys: []config.Key{{ID: "1", SHA256: config.HashKey("k")}}}},
+		Classes:  []config.Class{{Name: "normal"}},
+		Models:   []config.Model{{Name: "m", EngineTokens: 1 << 30, MaxPrompt: 1 << 30}},
+		Targets:  []config.Target{{ID: "e", Hall: "h", URL: target, Model: "m"}},
+	}.Document()
+	quicktest.Assert(b, err, quicktest.IsNil)
+	view, err := config.NewView(1, d)
+	quicktest.Assert(b, err, quicktest.IsNil)
+	configuration := config.NewFixed(view)
+	s := &gate.Server{
+		Clock:         clock.System{},
+		Source:        identity.NewSource("b", 1),
+		Configuration: configuration,
+		Allocator:     fixedAllocator{},
+		Targets:       &engine.Pool{Configuration: configuration},
+		Canceller:     gate.NewCanceller(),
+		Claims:        claim.NewBook(),
+		Meter:         metric.Discard(),
+		Log:           &log.Logger{Level: log.PanicLevel},
+	}
+	server := httptest.NewServer(s.Handler())
+	b.Cleanup(server.Close)
+	return server.URL
+}
+
+func ask(b *testing.B, url string, body string) {
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	quicktest.Assert(b, err, quicktest.IsNil)
+	req.Header.Set("Authorization", "Bearer k")
+	req.Header.Set(engine.HeaderAttempt, "x.0000000000000001.1")
+	resp, err := http.DefaultClient.Do(req)
+	quicktest.Assert(b, err, quicktest.IsNil)
+	_, err = io.Copy(io.Discard, resp.Body)
+	quicktest.Assert(b, err, quicktest.IsNil)
+	resp.Body.Close()
+}
+
+// BenchmarkCapacityPath compares a request through the path with a direct call
+// of the same target, for prompts and answers of several sizes. The difference
+// of two answer lengths is the cost of a chunk.
+func BenchmarkCapacityPath(b *testing.B) {
+	for _, s := range []struct{ prompt, chunks int }{{1_000, 1}, {1_000, 300}, {1_000_000, 1}} {
+		target := httptest.NewServer(chunks(s.chunks))
+		b.Cleanup(target.Close)
+		body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("word", s.prompt) + `"}]}`
+		through := serve(b, target.URL)
+		for name, url := range map[string]string{"direct": target.URL, "path": through} {
+			b.Run(fmt.Sprintf("%s/prompt=%d/chunks=%d", name, s.prompt, s.chunks), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					ask(b, url, body)
+				}
+			})
+		}
+	}
+}
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -112,6 +112,9 @@
 	ticked   time.Time
 	watched  map[barleystep.BoxID]time.Time // watched says since when this box has watched a peer.
 	events   []Event
+	order    [rings][]barleystep.BoxID // order is the rings; empty after a change.
+	answers  map[barleystep.BoxID]bool // answers names dead boxes that were heard and must be told.
+	ticks    int
 }
 
 type peer struct {
@@ -136,6 +139,7 @@
 		hall:     hall,
 		peers:    make(map[barleystep.BoxID]*peer),
 		watched:  make(map[barleystep.BoxID]time.Time),
+		answers:  make(map[barleystep.BoxID]bool),
 	}
 }
 
@@ -154,10 +158,12 @@
 			continue
 		}
 		s.peers[b.ID()] = &peer{Rumour: Rumour{Box: b.ID(), Addr: b.Addr()}, since: now}
+		s.reorder()
 	}
 	for id, p := range s.peers {
 		if !listed[id] && p.Status != StatusAlive && now.Sub(p.since) > s.settings.ForgetAfter {
 			delete(s.peers, id)
+			s.reorder()
 		}
 	}
 }
@@ -176,6 +182,9 @@
 		p.heard = now
 		s.revive(now, p, b.From)
 	}
+	if p.Status == StatusDead {
+		s.answers[p.Box] = true
+	}
 	for _, r := range b.Rumours {
 		s.learn(now, r)
 	}
@@ -201,6 +210,7 @@
 	if !ok {
 		p = &peer{Rumour: Rumour{Box: r.Box, Addr: r.Addr}, since: now}
 		s.peers[r.Box] = p
+		s.reorder()
 	}
 	if !outweighs(r, p.Rumour) {
 		return
@@ -221,6 +231,9 @@
 	if replaced {
 		s.events = append(s.events, Event{Box: p.Box, Status: StatusDead})
 	}
+	if (p.Status == StatusDead) != (r.Status == StatusDead) {
+		s.reorder()
+	}
 	addr := p.Addr
 	p.Rumour = r
 	if r.Addr == "" {
@@ -261,14 +274,43 @@
 	rumours := s.rumours()
 	var list []Message
 	for _, id := range s.successors() {
-		p := s.peers[id]
-		list = append(list, Message{
-			To:   id,
-			Addr: p.Addr,
-			Beat: Beat{From: s.self, Hall: s.hall, Rumours: rumours},
-		})
+		list = append(list, s.message(s.peers[id], rumours))
 	}
-	return list
+	for id := range s.answers {
+		if p, ok := s.peers[id]; ok {
+			list = append(list, s.message(p, []Rumour{p.Rumour}))
+		}
+	}
+	clear(s.answers)
+	return append(list, s.probe()...)
+}
+
+func (s *State) message(p *peer, rumours []Rumour) Message {
+	return Message{To: p.Box, Addr: p.Addr, Beat: Beat{From: s.self, Hall: s.hall, Rumours: rumours}}
+}
+
+// probeEvery is how many heartbeats pass between two probes.
+const probeEvery = 4
+
+// probe beats to one dead box after the other: after a cut both sides think
+// that the other is dead, and somebody has to speak first.
+func (s *State) probe() []Message {
+	s.ticks++
+	if s.ticks%probeEvery != 0 {
+		return nil
+	}
+	var dead []barleystep.BoxID
+	for id, p := range s.peers {
+		if p.Status == StatusDead {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	slices.Sort(dead)
+	p := s.peers[dead[s.ticks/probeEvery%len(dead)]]
+	return []Message{s.message(p, []Rumour{p.Rumour})}
 }
 
 // paused starts all silences anew: it was this box that did not listen.
@@ -366,8 +408,15 @@
 }
 
 // ring returns the boxes that take part, this one among them, in the order of
-// the i-th ring. Dead boxes are left out; a box that comes back beats by itself.
+// the i-th ring. Dead boxes are left out.
 func (s *State) ring(i int) []barleystep.BoxID {
+	if s.order[i] == nil {
+		s.order[i] = s.sortRing(i)
+	}
+	return s.order[i]
+}
+
+func (s *State) sortRing(i int) []barleystep.BoxID {
 	type placed struct {
 		id   barleystep.BoxID
 		rank uint64
@@ -387,6 +436,9 @@
 	return ids
 }
 
+// reorder makes the rings be sorted anew.
+func (s *State) reorder() { s.order = [rings][]barleystep.BoxID{} }
+
 func (s *State) successors() []barleystep.BoxID   { return s.neighbours(1) }
 func (s *State) predecessors() []barleystep.BoxID { return s.neighbours(-1) }
 
--- /dev/null
+++ b/internal/peer/bench_internal_test.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// The sizes of messages, with what HTTP/2 and connect add to each.
+const (
+	framing = 9 + 5 // framing is an HTTP/2 frame header and a connect envelope.
+	// unary is the headers of a call and its answer on a warm connection, about.
+	unary = 250
+)
+
+var now = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+// BenchmarkCapacityHeartbeats measures the work of a box for one heartbeat
+// interval in halls of several sizes, and the bytes that it sends in a second
+// while boxes come and go.
+func BenchmarkCapacityHeartbeats(b *testing.B) {
+	for _, n := range []int{9, 35, 140, 390} {
+		b.Run(fmt.Sprintf("boxes=%d", n), func(b *testing.B) {
+			var list []barleystep.Box
+			states := make(map[barleystep.BoxID]*member.State)
+			for i := range n {
+				list = append(list, barleystep.NewBox(barleystep.BoxID(fmt.Sprintf("cluj-hala1-e%03d", i)), "cluj-hala1", "10.20.30.40:7070", false))
+			}
+			for i, box := range list {
+				self := member.Rumour{Box: box.ID(), Addr: box.Addr(), Incarnation: barleystep.Incarnation(1<<60 + i)}
+				states[box.ID()] = member.NewState(member.Settings{}, self, "cluj-hala1")
+				states[box.ID()].List(now, list)
+			}
+			at := now
+			bytes, ticks := 0, 0
+			for b.Loop() {
+				at = at.Add(500 * time.Millisecond)
+				for _, box := range list {
+					for _, m := range states[box.ID()].Tick(at) {
+						bytes += proto.Size(toBeat(m.Beat)) + framing
+						states[m.To].Receive(at, m.Beat)
+					}
+				}
+				ticks++
+			}
+			perTick := float64(n) * float64(ticks)
+			b.ReportMetric(2*float64(bytes)/perTick, "sent-B/box/s")
+			b.ReportMetric(2*float64(b.Elapsed().Nanoseconds())/perTick, "cpu-ns/box/s")
+		})
+	}
+}
+
+// BenchmarkCapacityReportSize gives the bytes of a box's report of one pool and
+// of its answer.
+func BenchmarkCapacityReportSize(b *testing.B) {
+	for _, targets := range []int{1, 8, 32, 92} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			r := capacity.Report{Box: "cluj-hala1-e001", Wanted: 100_000}
+			c := capacity.Credits{Until: now.Add(time.Second)}
+			for i := range targets {
+				id := barleystep.TargetID(fmt.Sprintf("cluj-hala1-t%03d", i))
+				r.Uses = append(r.Uses, capacity.Use{Target: id, Reading: 5_000, Memory: 50_000, Running: 9, Answers: 4, Slow: 1.1})
+				c.Credits = append(c.Credits, capacity.Credit{Target: id, Reading: 4_096, Memory: 90_000, Others: 4_000, Running: 20, Rate: 8_000, Slow: 1})
+			}
+			up, down := 0, 0
+			for b.Loop() {
+				up = proto.Size(toReport("document-reader-large", r, now)) + unary
+				down = proto.Size(toCredits(c, now)) + framing
+			}
+			b.ReportMetric(float64(up), "report-B")
+			b.ReportMetric(float64(down), "credits-B")
+		})
+	}
+}
+
+// BenchmarkCapacityAskSize gives the bytes of a question for a grant, with the
+// messages that follow it.
+func BenchmarkCapacityAskSize(b *testing.B) {
+	a := capacity.Ask{Box: "cluj-hala1-e001", Weight: 1, Rank: 1, Limit: 1, Demand: barleystep.Demand{
+		Attempt: barleystep.NewAttemptID("cluj-hala1-e001", 1<<60, 1<<20),
+		Account: "conversia-archive", Class: "normal", Model: "document-reader-large", Prompt: 200_000, Output: 4_096,
+		Since: now, Deadline: now.Add(time.Hour), Prefix: make([]uint64, 8),
+	}}
+	bytes := 0
+	for b.Loop() {
+		bytes = proto.Size(toAsk(a.Demand.Model, a, now)) + 3*unary
+	}
+	b.ReportMetric(float64(bytes), "B/grant")
+}
+
+// BenchmarkCapacityUpdateSize gives the bytes of a change of one target and of
+// a message that only confirms.
+func BenchmarkCapacityUpdateSize(b *testing.B) {
+	body := []byte(`{"id":"cluj-hala1-t001","hall":"cluj-hala1","url":"http://10.20.30.41:8000","model":"document-reader-large","drain":true}`)
+	inc := version.Increment{
+		Version: 123_456, ID: "01890a5d-ac96-774b-bcce-b302099a8057", Author: "operator", Reason: "drain for maintenance",
+		At: now, Digest: config.HashKey(""), Change: []config.Change{{Kind: config.KindTarget, Name: "cluj-hala1-t001", Body: body}},
+	}
+	change, confirm := 0, 0
+	for b.Loop() {
+		change = proto.Size(toUpdate([]version.Increment{inc}, false, inc.Version, time.Second)) + framing
+		confirm = proto.Size(toUpdate(nil, false, inc.Version, time.Second)) + framing
+	}
+	b.ReportMetric(float64(change), "B/change")
+	b.ReportMetric(float64(confirm), "B/confirmation")
+}
--- /dev/null
+++ b/internal/version/bench_test.go
@@ -0,0 +1,96 @@
+package version_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// large returns a configuration with as many accounts and targets.
+func large(b *testing.B, accounts, targets, models int) config.Document {
+	f := config.File{
+		Classes:  []config.Class{{Name: "urgent"}, {Name: "normal", Rank: 1}, {Name: "bulk", Rank: 2}},
+		Policies: []config.Policy{{Name: "main", Program: `{"weight": class == "urgent" ? weight * 2.0 : weight, "limit": rank > 1 ? 0.5 : 1.0}`}},
+	}
+	for i := range models {
+		f.Models = append(f.Models, config.Model{Name: fmt.Sprint("model-", i), EngineTokens: 400_000, MaxPrompt: 1_000_000})
+	}
+	for i := range accounts {
+		name := fmt.Sprint("account-", i)
+		f.Accounts = append(f.Accounts, config.Account{
+			Name: name, Weight: 1, Rate: 1_000, Labels: []string{"label"}, Team: "team",
+			Keys: []config.Key{{ID: "1", SHA256: config.HashKey(name)}, {ID: "2", SHA256: config.HashKey(name + "2")}},
+		})
+	}
+	for i := range targets {
+		f.Targets = append(f.Targets, config.Target{
+			ID: fmt.Sprint("hall-", i%11, "-target-", i), Hall: fmt.Sprint("hall-", i%11), URL: fmt.Sprintf("http://10.0.%d.%d:8000", i/256, i%256),
+			Model: fmt.Sprint("model-", i%models),
+		})
+	}
+	d, err := f.Document()
+	quicktest.Assert(b, err, quicktest.IsNil)
+	return d
+}
+
+// BenchmarkCapacityChange measures how a box brings one changed target into
+// force, and what the configuration takes in memory and as a snapshot.
+func BenchmarkCapacityChange(b *testing.B) {
+	for _, s := range []struct{ accounts, targets, models int }{{10, 23, 2}, {100, 100, 5}, {970, 1_000, 20}} {
+		b.Run(fmt.Sprintf("accounts=%d/targets=%d", s.accounts, s.targets), func(b *testing.B) {
+			before := heap()
+			d := large(b, s.accounts, s.targets, s.models)
+			f := &version.Follower{Clock: clock.NewManual(start), Meter: metric.Discard()}
+			whole := version.Increment{Version: 1, Change: d.Entries(), Digest: d.Digest()}
+			quicktest.Assert(b, f.Load(whole), quicktest.IsNil)
+			snapshot := len(whole.Encode())
+			whole = version.Increment{}
+			used := heap() - before
+			n := int64(1)
+			for b.Loop() {
+				b.StopTimer()
+				n++
+				inc := drain(b, d, n)
+				d = d.Apply(inc.Change)
+				inc.Digest = d.Digest()
+				b.StartTimer()
+				quicktest.Assert(b, f.Apply([]version.Increment{inc}), quicktest.IsNil)
+			}
+			b.ReportMetric(float64(snapshot), "snapshot-B")
+			b.ReportMetric(float64(used), "memory-B")
+			runtime.KeepAlive(f)
+		})
+	}
+}
+
+// drain returns the change that drains a target or lets it back.
+func drain(b *testing.B, d config.Document, n int64) version.Increment {
+	for _, e := range d.Entries() {
+		if e.Kind != config.KindTarget {
+			continue
+		}
+		var t config.Target
+		quicktest.Assert(b, json.Unmarshal(e.Body, &t), quicktest.IsNil)
+		t.Drain = n%2 == 0
+		body, err := json.Marshal(t)
+		quicktest.Assert(b, err, quicktest.IsNil)
+		return version.Increment{Version: n, At: start.Add(time.Duration(n)), Change: []config.Change{{Kind: e.Kind, Name: e.Name, Body: body}}}
+	}
+	return version.Increment{}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
