Add the keeper: clean-up at engines, orders under a lease, old claims

Work of a box that may be alive is never touched before its deadline: missing heartbeats are not enough, the platform must have stopped listing the box or a new start of it must have been seen. An order to a target that checks no fencing token is announced by an intent row first, and no other giver sends one until the holder of an open intent is known to be gone.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -132,7 +132,7 @@
 		b.Meter.StoreFault("claim_read", barleystep.FaultOf(err).String())
 		return Row{}, err
 	}
-	return decodeRow(rows[0])
+	return Decode(rows[0])
 }
 
 func (b *Book) write(ctx context.Context, key string, base int64, row Row) Input {
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -59,7 +59,8 @@
 	return r
 }
 
-func decodeRow(t barleystep.Row) (r Row, err error) {
+// Decode reads the content of a row of the table; a missing one gives a zero Row.
+func Decode(t barleystep.Row) (r Row, err error) {
 	if !t.Exists() {
 		return Row{}, nil
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -186,6 +186,43 @@
 	return work, err
 }
 
+// orderBody is the body of an order.
+type orderBody struct {
+	Weights string `json:"weights"`
+}
+
+// Order gives the target an order.
+func (c *Client) Order(ctx context.Context, o barleystep.Order) (err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrap(err, "engine: order")
+		}
+	}()
+	body, err := json.Marshal(orderBody{o.Weights})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+PathOrders, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set(HeaderFence, strconv.FormatInt(o.Fence, 10))
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return eris.Wrap(barleystep.ErrUnknownEffect, err.Error())
+	}
+	defer resp.Body.Close()
+	defer drain(resp.Body)
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return barleystep.ErrConflict
+	case resp.StatusCode/100 != 2:
+		return eris.Wrapf(barleystep.ErrUnavailable, "target answered %s", resp.Status)
+	}
+	return nil
+}
+
 func (c *Client) control(ctx context.Context, method, path string, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, nil)
 	if err != nil {
--- /dev/null
+++ b/internal/keeper/cleaner.go
@@ -0,0 +1,169 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/claim"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// Cleaner frees engines of what nobody waits for. Its exported fields are set
+// before Serve.
+type Cleaner struct {
+	Clock         barleystep.Clock
+	Box           barleystep.BoxID
+	Hall          barleystep.HallID
+	Configuration Configuration
+	Targets       Targets
+	Watcher       *Watcher
+	Meter         *metric.Meter
+	Log           *log.Logger
+	// Every is the time between rounds; the default is 5 seconds.
+	Every time.Duration
+}
+
+const defaultCleanEvery = 5 * time.Second
+
+// Serve cleans until ctx ends.
+func (c *Cleaner) Serve(ctx context.Context) error {
+	if c.Every == 0 {
+		c.Every = defaultCleanEvery
+	}
+	for clock.Sleep(ctx, c.Clock, c.Every) {
+		c.Round(ctx)
+	}
+	return ctx.Err()
+}
+
+// Round looks once at each engine that is this box's to clean. Serve calls it;
+// tests may.
+func (c *Cleaner) Round(ctx context.Context) {
+	v, _ := c.Configuration.View()
+	if v == nil {
+		return
+	}
+	p := c.Watcher.Picture()
+	engines := v.Targets(func(t config.Target) bool { return t.Hall == string(c.Hall) && t.Model != "" })
+	for _, t := range engines {
+		if place.Highest("clean/"+t.ID, p.alive()) == string(c.Box) {
+			c.clean(ctx, barleystep.TargetID(t.ID), p)
+		}
+	}
+}
+
+func (c *Cleaner) clean(ctx context.Context, id barleystep.TargetID, p Picture) {
+	e, ok := c.Targets.Engine(id, false)
+	if !ok {
+		return
+	}
+	ctx, cancel := clock.WithDeadline(ctx, c.Clock, c.Clock.Now().Add(c.timeout()))
+	defer cancel()
+	work, err := e.List(ctx)
+	if err != nil {
+		c.Meter.Retried("list_lost")
+		return
+	}
+	for _, w := range work {
+		reason := Judge(w, p, c.Clock.Now())
+		if reason == ReasonNone || e.Cancel(ctx, w.Attempt) != nil {
+			continue
+		}
+		c.Meter.Cleaned(string(reason))
+		c.Log.Info().Str("target", string(id)).Str("attempt", w.Attempt).Str("reason", string(reason)).
+			Msg(logPrefix + "Left-over attempt cancelled.")
+	}
+}
+
+func (c *Cleaner) timeout() time.Duration {
+	if c.Every == 0 {
+		return defaultCleanEvery
+	}
+	return c.Every
+}
+
+// Sweeper clears old claims from the table. Its exported fields are set before
+// Serve.
+type Sweeper struct {
+	Clock   barleystep.Clock
+	Box     barleystep.BoxID
+	Table   barleystep.Table
+	Objects barleystep.ObjectStore
+	Watcher *Watcher
+	Meter   *metric.Meter
+	// Keep is how long a claim is kept after its request's deadline; the default
+	// is 24 hours. No write may take effect later than that.
+	Keep time.Duration
+	// Every is the time between rounds; the default is 1 minute.
+	Every time.Duration
+
+	after string // after is the key at which the next round goes on.
+}
+
+const (
+	defaultKeep       = 24 * time.Hour
+	defaultSweepEvery = time.Minute
+	sweepBatch        = 200
+)
+
+// Serve sweeps until ctx ends.
+func (s *Sweeper) Serve(ctx context.Context) error {
+	if s.Every == 0 {
+		s.Every = defaultSweepEvery
+	}
+	for clock.Sleep(ctx, s.Clock, s.Every) {
+		s.Round(ctx)
+	}
+	return ctx.Err()
+}
+
+// Round looks at one batch of rows if this box is the sweeper. Serve calls it;
+// tests may.
+func (s *Sweeper) Round(ctx context.Context) {
+	if place.Highest("sweep", s.Watcher.Picture().alive()) != string(s.Box) {
+		return
+	}
+	rows, err := s.Table.Scan(ctx, claim.Prefix, s.after, sweepBatch)
+	if err != nil {
+		s.Meter.StoreFault("sweep", barleystep.FaultOf(err).String())
+		return
+	}
+	s.after = ""
+	if len(rows) == sweepBatch {
+		s.after = rows[len(rows)-1].Key()
+	}
+	s.clear(ctx, rows)
+}
+
+// clear deletes the old rows of a batch in one transaction: answers first, so
+// that none is left without a row that names it.
+func (s *Sweeper) clear(ctx context.Context, rows []barleystep.Row) {
+	keep := s.Keep
+	if keep == 0 {
+		keep = defaultKeep
+	}
+	var t barleystep.Txn
+	for _, r := range rows {
+		c, err := claim.Decode(r)
+		if err != nil || !claim.Expired(c, s.Clock.Now(), keep) {
+			continue
+		}
+		if c.Object != "" && s.Objects.Delete(ctx, c.Object) != nil {
+			continue
+		}
+		t.Conditions = append(t.Conditions, barleystep.IfVersion(r.Key(), r.Version()))
+		t.Writes = append(t.Writes, barleystep.Delete(r.Key()))
+	}
+	if len(t.Writes) == 0 {
+		return
+	}
+	if err := s.Table.Commit(ctx, t); err != nil {
+		s.Meter.StoreFault("sweep", barleystep.FaultOf(err).String())
+	}
+}
--- /dev/null
+++ b/internal/keeper/giver.go
@@ -0,0 +1,225 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// Giver gives the hall's orders while its box holds the lease. Its exported
+// fields are set before Serve.
+type Giver struct {
+	Clock         barleystep.Clock
+	Hall          barleystep.HallID
+	Source        *identity.Source
+	Table         barleystep.Table
+	Configuration Configuration
+	Targets       Targets
+	Watcher       *Watcher
+	Meter         *metric.Meter
+	Log           *log.Logger
+	// Every is the time between rounds, and Pause the least time between two
+	// orders, as the weight store's rate is limited; the defaults are 2 and 10
+	// seconds.
+	Every time.Duration
+	Pause time.Duration
+
+	lease   Lease
+	ordered time.Time // ordered is when the last order was sent.
+	// unsure says until when an order whose answer was lost may yet arrive.
+	unsure map[barleystep.TargetID]time.Time
+}
+
+const (
+	defaultGiverEvery = 2 * time.Second
+	defaultOrderPause = 10 * time.Second
+	// leaseLife is how long a lease lasts; it is renewed in every round.
+	leaseLife = 15 * time.Second
+	// leaseGrace is added before another box takes a lease over.
+	leaseGrace = 5 * time.Second
+	// orderLife is how long an order whose answer was lost may take to arrive.
+	orderLife = time.Minute
+)
+
+func (g *Giver) leaseKey() string { return "order/lease/" + string(g.Hall) }
+
+func intentKey(id barleystep.TargetID) string { return "order/intent/" + string(id) }
+
+// Serve gives orders until ctx ends.
+func (g *Giver) Serve(ctx context.Context) error {
+	if g.Every == 0 {
+		g.Every = defaultGiverEvery
+	}
+	if g.Pause == 0 {
+		g.Pause = defaultOrderPause
+	}
+	for clock.Sleep(ctx, g.Clock, g.Every) {
+		g.Round(ctx)
+	}
+	return ctx.Err()
+}
+
+// Round looks at each target once. Serve calls it; tests may.
+func (g *Giver) Round(ctx context.Context) {
+	v, _ := g.Configuration.View()
+	if v == nil || !g.wanted(v) || !g.hold(ctx) {
+		return
+	}
+	for _, t := range g.targets(v) {
+		g.look(ctx, t)
+	}
+}
+
+func (g *Giver) targets(v *config.View) []config.Target {
+	return v.Targets(func(t config.Target) bool { return t.Hall == string(g.Hall) && t.Weights != "" })
+}
+
+// wanted reports whether any target has a desired state; without one the lease
+// is not worth its writes.
+func (g *Giver) wanted(v *config.View) bool { return len(g.targets(v)) > 0 }
+
+// hold takes or renews the lease. A write whose answer was lost is looked at
+// again in the next round; until then there is no lease.
+func (g *Giver) hold(ctx context.Context) bool {
+	now := g.Clock.Now()
+	rows, err := g.Table.Read(ctx, g.leaseKey())
+	if err != nil {
+		g.Meter.StoreFault("lease_read", barleystep.FaultOf(err).String())
+		return now.Before(g.lease.Until)
+	}
+	found, err := decode[Lease](rows[0])
+	if err != nil {
+		g.Log.Error().Err(err).Msg(logPrefix + "The lease can't be read.")
+		return false
+	}
+	mine := found.Holder == g.Source.Box() && found.Incarnation == g.Source.Incarnation()
+	if !mine && now.Before(found.Until.Add(leaseGrace)) {
+		g.lease = Lease{}
+		return false
+	}
+	return g.take(ctx, rows[0].Version(), found, mine, now)
+}
+
+func (g *Giver) take(ctx context.Context, rowVersion int64, found Lease, mine bool, now time.Time) bool {
+	next := Lease{Holder: g.Source.Box(), Incarnation: g.Source.Incarnation(), Token: found.Token, Until: now.Add(leaseLife)}
+	if !mine {
+		next.Token++
+		g.Meter.TookOver("orders")
+	}
+	err := g.Table.Commit(ctx, barleystep.Txn{
+		Conditions: []barleystep.Condition{barleystep.IfVersion(g.leaseKey(), rowVersion)},
+		Writes:     []barleystep.Write{barleystep.Put(g.leaseKey(), encode(next))},
+	})
+	if err != nil {
+		g.Meter.StoreFault("lease_write", barleystep.FaultOf(err).String())
+		return now.Before(g.lease.Until)
+	}
+	g.lease = next
+	return true
+}
+
+// look takes one step about one target.
+func (g *Giver) look(ctx context.Context, t config.Target) {
+	id := barleystep.TargetID(t.ID)
+	e, ok := g.Targets.Engine(id, true)
+	if !ok {
+		return
+	}
+	load, err := e.Load(ctx)
+	if err != nil {
+		return
+	}
+	rows, err := g.Table.Read(ctx, intentKey(id))
+	if err != nil {
+		return
+	}
+	intent, err := decode[Intent](rows[0])
+	if err != nil {
+		g.Log.Error().Err(err).Msg(logPrefix + "An intent can't be read.")
+		return
+	}
+	s := Sight{
+		Now:        g.Clock.Now(),
+		Self:       g.lease,
+		Wanted:     t.Weights,
+		Loaded:     load.Weights,
+		Idle:       t.Drain && load.Running == 0 && load.Waiting == 0,
+		Checks:     t.ChecksFence,
+		Intent:     intent,
+		HolderGone: g.Watcher.Gone(intent.Holder, intent.Incarnation),
+	}
+	g.act(ctx, id, e, s, rows[0].Version())
+}
+
+func (g *Giver) act(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, s Sight, rowVersion int64) {
+	if g.Clock.Now().Before(g.unsure[id]) {
+		return
+	}
+	switch Decide(s) {
+	case StepSend:
+		g.send(ctx, id, e, barleystep.Order{Weights: s.Wanted, Fence: s.Self.Token})
+	case StepIntend:
+		intent := Intent{Holder: s.Self.Holder, Incarnation: s.Self.Incarnation, Token: s.Self.Token, Weights: s.Wanted, Open: true}
+		if g.writeIntent(ctx, id, rowVersion, intent) {
+			g.send(ctx, id, e, barleystep.Order{Weights: s.Wanted, Fence: s.Self.Token})
+		}
+	case StepSendIntended:
+		g.send(ctx, id, e, barleystep.Order{Weights: s.Intent.Weights, Fence: s.Self.Token})
+	case StepClose:
+		closed := s.Intent
+		closed.Open = false
+		g.writeIntent(ctx, id, rowVersion, closed)
+	}
+}
+
+// writeIntent writes the intent if nobody else has, and if the lease is still
+// this box's in the table.
+func (g *Giver) writeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) bool {
+	rows, err := g.Table.Read(ctx, g.leaseKey())
+	if err != nil {
+		return false
+	}
+	if held, err := decode[Lease](rows[0]); err != nil || held.Token != g.lease.Token || held.Holder != g.lease.Holder {
+		return false
+	}
+	err = g.Table.Commit(ctx, barleystep.Txn{
+		Conditions: []barleystep.Condition{
+			barleystep.IfVersion(intentKey(id), rowVersion),
+			barleystep.IfVersion(g.leaseKey(), rows[0].Version()),
+		},
+		Writes: []barleystep.Write{barleystep.Put(intentKey(id), encode(i))},
+	})
+	return err == nil
+}
+
+// send sends an order, spread over time.
+func (g *Giver) send(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, o barleystep.Order) {
+	now := g.Clock.Now()
+	if now.Sub(g.ordered) < g.Pause && !g.ordered.IsZero() {
+		return
+	}
+	g.ordered = now
+	err := e.Order(ctx, o)
+	if barleystep.FaultOf(err) == barleystep.FaultUnknownEffect {
+		g.lost(id, now)
+	}
+	g.Log.Info().Str("target", string(id)).Str("weights", o.Weights).Int64("fence", o.Fence).Err(err).
+		Msg(logPrefix + "Order sent.")
+}
+
+func (g *Giver) lost(id barleystep.TargetID, now time.Time) {
+	g.Meter.Retried("order_answer_lost")
+	if g.unsure == nil {
+		g.unsure = make(map[barleystep.TargetID]time.Time)
+	}
+	g.unsure[id] = now.Add(orderLife)
+}
+
+const logPrefix = "keeper: "
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,233 @@
+package keeper_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/claim"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/keeper"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/object"
+	"github.com/barleystep/barleystep/internal/standin"
+	"github.com/barleystep/barleystep/internal/table"
+)
+
+var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+func TestJudge(t *testing.T) {
+	dead := member.Rumour{Box: "b", Incarnation: 5, Status: member.StatusDead}
+	alive := member.Rumour{Box: "b", Incarnation: 5, Status: member.StatusAlive}
+	seen := map[barleystep.BoxID]time.Time{"b": start}
+	cases := map[string]struct {
+		attempt  barleystep.AttemptID
+		deadline time.Time
+		picture  keeper.Picture
+		want     keeper.Reason
+	}{
+		"of a live box": {barleystep.NewAttemptID("b", 5, 1), time.Time{}, keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonNone},
+		"of an earlier start": {
+			barleystep.NewAttemptID("b", 4, 1), time.Time{}, keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonReplaced,
+		},
+		"of a later start than is known": {
+			barleystep.NewAttemptID("b", 6, 1), time.Time{}, keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(1)}, keeper.ReasonNone,
+		},
+		"of a silent box that is listed": {
+			barleystep.NewAttemptID("b", 5, 1), time.Time{},
+			keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(1), Listed: map[barleystep.BoxID]bool{"b": true}},
+			keeper.ReasonNone,
+		},
+		"of a silent box, list not read since": {
+			barleystep.NewAttemptID("b", 5, 1), time.Time{},
+			keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(-1)}, keeper.ReasonNone,
+		},
+		"of a silent box that is not listed": {
+			barleystep.NewAttemptID("b", 5, 1), time.Time{},
+			keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(1)}, keeper.ReasonGone,
+		},
+		"of a box of elsewhere": {barleystep.NewAttemptID("c", 5, 1), time.Time{}, keeper.Picture{}, keeper.ReasonNone},
+		"long after its deadline": {
+			barleystep.NewAttemptID("b", 5, 1), start.Add(-time.Minute), keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonDeadline,
+		},
+		"soon after its deadline": {
+			barleystep.NewAttemptID("b", 5, 1), start.Add(-time.Second), keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonNone,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := barleystep.Work{Attempt: tc.attempt.String(), Deadline: tc.deadline}
+			quicktest.Check(t, keeper.Judge(w, tc.picture, start), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+func TestDecide(t *testing.T) {
+	self := keeper.Lease{Holder: "me", Incarnation: 1, Token: 7, Until: start.Add(time.Second)}
+	mine := keeper.Intent{Holder: "me", Incarnation: 1, Weights: "v2", Open: true}
+	other := keeper.Intent{Holder: "you", Incarnation: 9, Weights: "v1", Open: true}
+	sight := func(change func(*keeper.Sight)) keeper.Sight {
+		s := keeper.Sight{Now: start, Self: self, Wanted: "v2", Loaded: "v1", Idle: true}
+		change(&s)
+		return s
+	}
+	cases := map[string]struct {
+		change func(*keeper.Sight)
+		want   keeper.Step
+	}{
+		"announces first":                      {func(*keeper.Sight) {}, keeper.StepIntend},
+		"sends what it announced":              {func(s *keeper.Sight) { s.Intent = mine }, keeper.StepSendIntended},
+		"closes when it is done":               {func(s *keeper.Sight) { s.Intent, s.Loaded = mine, "v2" }, keeper.StepClose},
+		"waits for a paused giver":             {func(s *keeper.Sight) { s.Intent = other }, keeper.StepWait},
+		"waits although all is well":           {func(s *keeper.Sight) { s.Intent, s.Loaded = other, "v2" }, keeper.StepWait},
+		"goes on when that one is gone":        {func(s *keeper.Sight) { s.Intent, s.HolderGone = other, true }, keeper.StepIntend},
+		"waits for running work":               {func(s *keeper.Sight) { s.Idle = false }, keeper.StepWait},
+		"nothing to do":                        {func(s *keeper.Sight) { s.Loaded = "v2" }, keeper.StepNothing},
+		"lease has lapsed":                     {func(s *keeper.Sight) { s.Now = self.Until }, keeper.StepNothing},
+		"lease has lapsed, intent open":        {func(s *keeper.Sight) { s.Now, s.Intent = self.Until, mine }, keeper.StepNothing},
+		"target checks the token":              {func(s *keeper.Sight) { s.Checks = true }, keeper.StepSend},
+		"target checks the token, others open": {func(s *keeper.Sight) { s.Checks, s.Intent = true, other }, keeper.StepSend},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			quicktest.Check(t, keeper.Decide(sight(tc.change)), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// bench is a hall with one engine and the keepers of two boxes.
+type bench struct {
+	clock   *clock.Manual
+	engine  *standin.Engine
+	table   *table.Faulty
+	pool    *engine.Pool
+	config  config.Fixed
+	members []member.Rumour
+	boxes   *standin.Platform
+}
+
+func newBench(t *testing.T, target config.Target) *bench {
+	c := quicktest.New(t)
+	b := &bench{clock: clock.NewManual(start), table: &table.Faulty{Table: &table.Memory{}}, boxes: &standin.Platform{}}
+	b.engine = &standin.Engine{Clock: b.clock, ChecksFence: target.ChecksFence}
+	server := httptest.NewServer(b.engine)
+	t.Cleanup(server.Close)
+	target.ID, target.Hall, target.Model, target.URL = "e", "h", "m", server.URL
+	d, err := config.File{
+		Classes: []config.Class{{Name: "normal"}},
+		Models:  []config.Model{{Name: "m", EngineTokens: 1, MaxPrompt: 1}},
+		Targets: []config.Target{target},
+	}.Document()
+	c.Assert(err, quicktest.IsNil)
+	v, err := config.NewView(1, d)
+	c.Assert(err, quicktest.IsNil)
+	b.config = config.NewFixed(v)
+	b.pool = &engine.Pool{Configuration: b.config}
+	b.members = []member.Rumour{
+		{Box: "b1", Incarnation: 1, Status: member.StatusAlive},
+		{Box: "b2", Incarnation: 1, Status: member.StatusAlive},
+	}
+	b.boxes.SetBoxes(barleystep.NewBox("b1", "h", "", false), barleystep.NewBox("b2", "h", "", false))
+	return b
+}
+
+func (b *bench) watcher() *keeper.Watcher {
+	w := &keeper.Watcher{Clock: b.clock, Hall: "h", Boxes: b.boxes, Members: func(context.Context) ([]member.Rumour, error) { return b.members, nil }}
+	w.Look(context.Background())
+	return w
+}
+
+func (b *bench) giver(box barleystep.BoxID) *keeper.Giver {
+	return &keeper.Giver{
+		Clock:         b.clock,
+		Hall:          "h",
+		Source:        identity.NewSource(box, 1),
+		Table:         b.table,
+		Configuration: b.config,
+		Targets:       b.pool,
+		Watcher:       b.watcher(),
+		Meter:         metric.Discard(),
+		Log:           &log.Logger{Level: log.PanicLevel},
+		Pause:         time.Nanosecond,
+	}
+}
+
+// TestPausedGiverWakesUpLate lets a giver announce an order and pause; its
+// successor gives none until it is known to be gone.
+func TestPausedGiverWakesUpLate(t *testing.T) {
+	ctx := context.Background()
+	c := quicktest.New(t)
+	b := newBench(t, config.Target{Drain: true, Weights: "v2"})
+	first, second := b.giver("b1"), b.giver("b2")
+	// The announcement takes effect, its answer is lost, and the giver pauses.
+	b.table.SetPlan(func(call table.Call) table.Failure {
+		if call.Write() && len(call.Keys()) > 0 && call.Keys()[0] == "order/intent/e" {
+			return table.FailureAfter
+		}
+		return table.FailureNone
+	})
+	first.Round(ctx)
+	c.Assert(b.engine.Orders(), quicktest.Equals, 0)
+	b.table.SetPlan(nil)
+	b.clock.Advance(time.Minute)
+	second.Round(ctx)
+	second.Round(ctx)
+	c.Check(b.engine.Orders(), quicktest.Equals, 0, quicktest.Commentf("the paused giver may still send"))
+	b.members[0] = member.Rumour{Box: "b1", Incarnation: 2, Status: member.StatusAlive}
+	second.Watcher.Look(ctx)
+	second.Round(ctx)
+	c.Check(b.engine.Weights(), quicktest.Equals, "v2")
+	first.Round(ctx)
+	c.Check(b.engine.Orders(), quicktest.Equals, 1)
+}
+
+// TestFencedTargetRefusesTheOldGiver checks targets that check the token.
+func TestFencedTargetRefusesTheOldGiver(t *testing.T) {
+	ctx := context.Background()
+	c := quicktest.New(t)
+	b := newBench(t, config.Target{Drain: true, Weights: "v2", ChecksFence: true})
+	b.giver("b1").Round(ctx)
+	c.Assert(b.engine.Weights(), quicktest.Equals, "v2")
+	e, _ := b.pool.Engine("e", true)
+	c.Assert(e.Order(ctx, barleystep.Order{Weights: "v3", Fence: 5}), quicktest.IsNil)
+	c.Check(e.Order(ctx, barleystep.Order{Weights: "v2", Fence: 4}), quicktest.ErrorIs, barleystep.ErrConflict)
+	c.Check(b.engine.Weights(), quicktest.Equals, "v3")
+}
+
+func TestNoOrderWhileWorkRuns(t *testing.T) {
+	b := newBench(t, config.Target{Weights: "v2"})
+	b.giver("b1").Round(context.Background())
+	quicktest.Check(t, b.engine.Orders(), quicktest.Equals, 0, quicktest.Commentf("the target is not drained"))
+}
+
+func TestSweeperKeepsWhatIsYoung(t *testing.T) {
+	ctx := context.Background()
+	c := quicktest.New(t)
+	b := newBench(t, config.Target{})
+	objects := &object.Memory{}
+	c.Assert(objects.Put(ctx, "o", nil), quicktest.IsNil)
+	for i, age := range []time.Duration{time.Hour, 23 * time.Hour, 25 * time.Hour} {
+		row := fmt.Sprintf(`{"state":"done","deadline":%q,"object":"o"}`, start.Add(-age).Format(time.RFC3339))
+		t := barleystep.Txn{Writes: []barleystep.Write{barleystep.Put(fmt.Sprint(claim.Prefix, i), []byte(row))}}
+		c.Assert(b.table.Commit(ctx, t), quicktest.IsNil)
+	}
+	for _, box := range []barleystep.BoxID{"b1", "b2"} {
+		s := &keeper.Sweeper{Clock: b.clock, Box: box, Table: b.table, Objects: objects, Watcher: b.watcher(), Meter: metric.Discard()}
+		s.Round(ctx)
+	}
+	rows, err := b.table.Scan(ctx, claim.Prefix, "", 10)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(rows, quicktest.HasLen, 2)
+	_, err = objects.Get(ctx, "o")
+	c.Check(err, quicktest.ErrorIs, barleystep.ErrNotFound)
+}
--- /dev/null
+++ b/internal/keeper/watcher.go
@@ -0,0 +1,121 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/member"
+)
+
+// Configuration gives the version in force.
+type Configuration interface {
+	// View returns the version in force, nil before there is one.
+	View() (v *config.View, confirmed bool)
+}
+
+// Targets finds the adapters of targets.
+type Targets interface {
+	// Engine returns the adapter of a configured target.
+	Engine(id barleystep.TargetID, fresh bool) (e barleystep.Engine, ok bool)
+}
+
+// Watcher keeps the picture of the hall's boxes. Its exported fields are set
+// before Serve; it is safe for concurrent use.
+type Watcher struct {
+	Clock barleystep.Clock
+	Hall  barleystep.HallID
+	Boxes barleystep.BoxList
+	// Members asks the own box how it sees its hall.
+	Members func(ctx context.Context) ([]member.Rumour, error)
+	// Every is the time between looks; the default is 1 second.
+	Every time.Duration
+
+	mu      sync.Mutex
+	picture Picture
+}
+
+const watchEvery = time.Second
+
+// Serve watches until ctx ends.
+func (w *Watcher) Serve(ctx context.Context) error {
+	if w.Every == 0 {
+		w.Every = watchEvery
+	}
+	for {
+		w.Look(ctx)
+		if !clock.Sleep(ctx, w.Clock, w.Every) {
+			return ctx.Err()
+		}
+	}
+}
+
+// Look takes the picture anew. Serve calls it; tests may.
+func (w *Watcher) Look(ctx context.Context) {
+	now := w.Clock.Now()
+	members, err := w.Members(ctx)
+	if err == nil {
+		w.mu.Lock()
+		w.note(now, members)
+		w.mu.Unlock()
+	}
+	boxes, err := w.Boxes.Boxes(ctx)
+	if err != nil {
+		return
+	}
+	listed := make(map[barleystep.BoxID]bool, len(boxes))
+	for _, b := range boxes {
+		listed[b.ID()] = true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.picture.Listed = listed
+	w.picture.ListedAt = now
+}
+
+func (w *Watcher) note(now time.Time, members []member.Rumour) {
+	dead := make(map[barleystep.BoxID]time.Time)
+	for _, m := range members {
+		if m.Status != member.StatusDead {
+			continue
+		}
+		dead[m.Box] = now
+		if since, ok := w.picture.DeadSince[m.Box]; ok {
+			dead[m.Box] = since
+		}
+	}
+	w.picture.Members = members
+	w.picture.DeadSince = dead
+}
+
+// Picture returns the picture as it is known. It must not be changed.
+func (w *Watcher) Picture() Picture {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.picture
+}
+
+// Gone reports whether an incarnation of a box is known to have ended.
+func (w *Watcher) Gone(id barleystep.BoxID, inc barleystep.Incarnation) bool {
+	p := w.Picture()
+	for _, m := range p.Members {
+		if m.Box == id {
+			return judgeBox(m, barleystep.NewAttemptID(id, inc, 0), p) != ReasonNone
+		}
+	}
+	return false
+}
+
+// alive returns the names of the boxes that share the duties.
+func (p Picture) alive() []string {
+	var names []string
+	for _, m := range p.Members {
+		if m.Status == member.StatusAlive {
+			names = append(names, string(m.Box))
+		}
+	}
+	return names
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -66,23 +66,27 @@
 	Fault func(attempt string) Fault
 	// Forget drops an attempt when its stream breaks, so that it can't be resumed.
 	Forget bool
+	// ChecksFence makes the engine refuse orders with an old fencing token.
+	ChecksFence bool
 
 	mu       sync.Mutex
 	attempts map[string]*held
 	runs     map[string]int
 	leaving  bool
 	fence    int64
+	orders   int
 	weights  string
 }
 
 type held struct {
-	tokens int
-	events []string
-	first  time.Time     // first is when the first token is due.
-	ready  chan struct{} // ready is closed when the answer is complete.
-	gone   chan struct{} // gone is closed when the attempt is cancelled.
-	closed bool
-	ended  time.Time
+	tokens   int
+	deadline time.Time // deadline is what the attempt came with.
+	events   []string
+	first    time.Time     // first is when the first token is due.
+	ready    chan struct{} // ready is closed when the answer is complete.
+	gone     chan struct{} // gone is closed when the attempt is cancelled.
+	closed   bool
+	ended    time.Time
 }
 
 const defaultEngineTokens = 400_000
@@ -161,6 +165,7 @@
 		FreeTokens:  e.capacity() - e.used(),
 		TotalTokens: e.capacity(),
 		Leaving:     e.leaving,
+		Weights:     e.weights,
 	}
 }
 
@@ -170,7 +175,7 @@
 	work := []barleystep.Work{}
 	for id, h := range e.attempts {
 		if h.ended.IsZero() {
-			work = append(work, barleystep.Work{Attempt: id, Tokens: h.tokens})
+			work = append(work, barleystep.Work{Attempt: id, Tokens: h.tokens, Deadline: h.deadline})
 		}
 	}
 	return work
@@ -243,6 +248,7 @@
 	e.runs[id]++
 	h = &held{tokens: need, ready: make(chan struct{}), gone: make(chan struct{})}
 	h.events = answerEvents(id, prompt, output, r.URL.Path)
+	h.deadline, _ = time.Parse(engine.DeadlineLayout, r.Header.Get(engine.HeaderDeadline))
 	h.first = e.Clock.Now().Add(e.readingTime(prompt))
 	e.attempts[id] = h
 	go e.generate(h)
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -27,7 +27,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if fence < e.fence {
+	e.orders++
+	if e.ChecksFence && fence < e.fence {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -36,6 +37,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// Orders returns how many orders came.
+func (e *Engine) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
 // Weights returns the version of the weights that was last ordered.
 func (e *Engine) Weights() string {
 	e.mu.Lock()
--- a/target.go
+++ b/target.go
@@ -65,12 +65,24 @@
 	FreeTokens  int  `json:"free_tokens"`
 	TotalTokens int  `json:"total_tokens"`
 	Leaving     bool `json:"leaving"`
+	// Weights is the version of the model that is loaded.
+	Weights string `json:"weights,omitempty"`
 }
 
 // Work is one attempt that an engine holds memory for.
 type Work struct {
 	Attempt string `json:"attempt"`
 	Tokens  int    `json:"tokens"`
+	// Deadline is that of the attempt, zero if the engine does not know it.
+	Deadline time.Time `json:"deadline,omitzero"`
+}
+
+// Order is an order to a target to load a version of its model.
+type Order struct {
+	Weights string
+	// Fence is the giver's fencing token. A target that checks it refuses an
+	// order with a lower token than one that it has taken.
+	Fence int64
 }
 
 // Engine is one model engine. Implementations are safe for concurrent use.
@@ -85,6 +97,9 @@
 	Load(ctx context.Context) (Load, error)
 	// List returns the attempts for which the engine holds memory.
 	List(ctx context.Context) ([]Work, error)
+	// Order gives an order. It returns ErrConflict if the target refuses the
+	// fencing token, and ErrUnknownEffect if the answer was lost.
+	Order(ctx context.Context, o Order) error
 }
 
 // Service is one plain service beside the engines.
