--- a/cmd/barleystep-entry/main.go
+++ b/cmd/barleystep-entry/main.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"os"
-	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
@@ -13,7 +12,6 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/command"
 	"github.com/barleystep/barleystep/internal/metric"
-	"github.com/barleystep/barleystep/internal/platform"
 	"github.com/barleystep/barleystep/internal/settings"
 )
 
@@ -44,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	p := &platform.Client{URL: s.Platform.URL, Clock: clock.System{}, Timeout: time.Duration(s.Platform.Timeout)}
+	p := command.Platform(s, clock.System{})
 	e := &box.Entry{
 		Settings: s,
 		Clock:    clock.System{},
--- /dev/null
+++ b/internal/box/keeper.go
@@ -0,0 +1,68 @@
+package box
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/keeper"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/peer"
+	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// Keeper is the process that looks after the targets. It learns the
+// configuration and the hall's boxes from the entry process of its own box. Its
+// exported fields are set before Run.
+type Keeper struct {
+	Settings settings.Settings
+	Clock    barleystep.Clock
+	Table    barleystep.Table
+	Objects  barleystep.ObjectStore
+	Boxes    barleystep.BoxList
+	Meter    *metric.Meter
+	Log      *log.Logger
+}
+
+// Run looks after the targets until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	id, hall := barleystep.BoxID(k.Settings.Box.ID), barleystep.HallID(k.Settings.Box.Hall)
+	source := identity.NewSource(id, identity.NewIncarnation(k.Clock))
+	entry := k.Settings.Listen.Peers
+	client := &peer.Client{
+		Auth:  peer.Auth{Secret: k.Settings.Peers.Secret, Box: id, Clock: k.Clock},
+		Clock: k.Clock,
+		Addr:  func(barleystep.BoxID) (string, bool) { return entry, true },
+		Base:  ctx,
+	}
+	follower := &version.Follower{Clock: k.Clock, Meter: k.Meter}
+	watcher := &keeper.Watcher{
+		Clock:   k.Clock,
+		Hall:    hall,
+		Boxes:   k.Boxes,
+		Members: func(ctx context.Context) ([]member.Rumour, error) { return client.Members(ctx, entry) },
+	}
+	targets := &engine.Pool{Configuration: follower}
+	top := NewSupervisor("keeper", k.Log, 0)
+	for _, s := range []suture.Service{
+		&version.Follow{Clock: k.Clock, Follower: follower, Upstream: func() (version.Upstream, bool) { return client.Upstream(id) }, Meter: k.Meter},
+		watcher,
+		&keeper.Cleaner{
+			Clock: k.Clock, Box: id, Hall: hall, Configuration: follower, Targets: targets, Watcher: watcher, Meter: k.Meter, Log: k.Log,
+		},
+		&keeper.Giver{
+			Clock: k.Clock, Hall: hall, Source: source, Table: k.Table, Configuration: follower, Targets: targets, Watcher: watcher,
+			Meter: k.Meter, Log: k.Log,
+		},
+		&keeper.Sweeper{Clock: k.Clock, Box: id, Table: k.Table, Objects: k.Objects, Watcher: watcher, Meter: k.Meter},
+	} {
+		top.Add(s)
+	}
+	return top.Serve(ctx)
+}
--- a/internal/box/status.go
+++ b/internal/box/status.go
@@ -9,7 +9,7 @@
 func (e *Entry) status() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.Exporter)
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /livez", livez)
 	mux.HandleFunc("GET /readyz", e.readyz)
 	return mux
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -9,10 +9,13 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/platform"
 	"github.com/barleystep/barleystep/internal/settings"
 )
 
@@ -132,3 +135,8 @@
 	}
 	return &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: os.Stderr}}
 }
+
+// Platform returns the adapter to the platform's services.
+func Platform(s settings.Settings, clk barleystep.Clock) *platform.Client {
+	return &platform.Client{URL: s.Platform.URL, Clock: clk, Timeout: time.Duration(s.Platform.Timeout)}
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -12,12 +12,12 @@
 
 // File is the configuration as operators write it, in TOML.
 type File struct {
-	Accounts []Account `toml:"account"`
-	Classes  []Class   `toml:"class"`
-	Policies []Policy  `toml:"policy"`
-	Models   []Model   `toml:"model"`
-	Targets  []Target  `toml:"target"`
-	Services []Service `toml:"service"`
+	Accounts []Account `toml:"account,omitempty"`
+	Classes  []Class   `toml:"class,omitempty"`
+	Policies []Policy  `toml:"policy,omitempty"`
+	Models   []Model   `toml:"model,omitempty"`
+	Targets  []Target  `toml:"target,omitempty"`
+	Services []Service `toml:"service,omitempty"`
 }
 
 // Account is a client account that shares the fleet.
@@ -25,17 +25,17 @@
 	Name string `toml:"name" json:"name"`
 	// Weight is the account's part of a contended fleet against the others;
 	// the default is 1.
-	Weight float64 `toml:"weight" json:"weight,omitempty"`
+	Weight float64 `toml:"weight,omitempty" json:"weight,omitempty"`
 	// Rate bounds prompt and output tokens per second over all halls; zero is
 	// no bound.
-	Rate float64 `toml:"rate" json:"rate,omitempty"`
+	Rate float64 `toml:"rate,omitempty" json:"rate,omitempty"`
 	// Labels are free words that policies may read.
-	Labels []string `toml:"labels" json:"labels,omitempty"`
+	Labels []string `toml:"labels,omitempty" json:"labels,omitempty"`
 	// Classes names the classes that the account may use; empty means all.
-	Classes []string `toml:"classes" json:"classes,omitempty"`
+	Classes []string `toml:"classes,omitempty" json:"classes,omitempty"`
 	// Team names the operators who may change the account.
-	Team string `toml:"team" json:"team,omitempty"`
-	Keys []Key  `toml:"key" json:"keys,omitempty"`
+	Team string `toml:"team,omitempty" json:"team,omitempty"`
+	Keys []Key  `toml:"key,omitempty" json:"keys,omitempty"`
 }
 
 // Key is one access key of an account. Only its hash is kept.
@@ -43,7 +43,7 @@
 	ID string `toml:"id" json:"id"`
 	// SHA256 is the lower-case hexadecimal SHA-256 hash of the key.
 	SHA256  string `toml:"sha256" json:"sha256"`
-	Revoked bool   `toml:"revoked" json:"revoked,omitempty"`
+	Revoked bool   `toml:"revoked,omitempty" json:"revoked,omitempty"`
 }
 
 // Class is a priority class.
@@ -52,7 +52,7 @@
 	// Rank orders classes, lower first.
 	Rank int `toml:"rank" json:"rank"`
 	// Limit is the default time limit of a request; the default is 10 minutes.
-	Limit Duration `toml:"limit" json:"limit,omitempty"`
+	Limit Duration `toml:"limit,omitempty" json:"limit,omitempty"`
 }
 
 // Policy is a program that decides shares and order.
@@ -61,7 +61,7 @@
 	Program string `toml:"program" json:"program"`
 	// Weighing moves the balance between short and long prompts: 0 serves short
 	// prompts first, 1 treats all alike; the default is 0.
-	Weighing float64 `toml:"weighing" json:"weighing,omitempty"`
+	Weighing float64 `toml:"weighing,omitempty" json:"weighing,omitempty"`
 }
 
 // Model is a model that engines serve.
@@ -72,10 +72,10 @@
 	// MaxPrompt is the longest prompt in tokens that is served at all.
 	MaxPrompt int `toml:"max_prompt" json:"max_prompt"`
 	// MaxOutput is the most tokens generated; the default is 4096.
-	MaxOutput int `toml:"max_output" json:"max_output,omitempty"`
+	MaxOutput int `toml:"max_output,omitempty" json:"max_output,omitempty"`
 	// PrefillRate is an engine's reading speed in tokens per second, used until
 	// speeds have been observed; the default is 8000.
-	PrefillRate float64 `toml:"prefill_rate" json:"prefill_rate,omitempty"`
+	PrefillRate float64 `toml:"prefill_rate,omitempty" json:"prefill_rate,omitempty"`
 }
 
 // Target is one engine or one server of a plain service.
@@ -84,14 +84,14 @@
 	Hall string `toml:"hall" json:"hall"`
 	URL  string `toml:"url" json:"url"`
 	// Model or Service says what the target serves; exactly one is set.
-	Model   string `toml:"model" json:"model,omitempty"`
-	Service string `toml:"service" json:"service,omitempty"`
+	Model   string `toml:"model,omitempty" json:"model,omitempty"`
+	Service string `toml:"service,omitempty" json:"service,omitempty"`
 	// Drain keeps new work away.
-	Drain bool `toml:"drain" json:"drain,omitempty"`
+	Drain bool `toml:"drain,omitempty" json:"drain,omitempty"`
 	// ChecksFence says that the target itself refuses orders with an old token.
-	ChecksFence bool `toml:"checks_fence" json:"checks_fence,omitempty"`
+	ChecksFence bool `toml:"checks_fence,omitempty" json:"checks_fence,omitempty"`
 	// Weights is the version of the model that the target should have loaded.
-	Weights string `toml:"weights" json:"weights,omitempty"`
+	Weights string `toml:"weights,omitempty" json:"weights,omitempty"`
 }
 
 // Service is a plain service beside the engines.
--- a/internal/config/share.go
+++ b/internal/config/share.go
@@ -39,6 +39,15 @@
 	return policy.Compile(names[0], v.policies[names[0]].Program)
 }
 
+// PolicyName returns the name of the active policy, "default" if there is none.
+func (v *View) PolicyName() string {
+	names := sortedNames(v.policies)
+	if len(names) == 0 {
+		return "default"
+	}
+	return names[0]
+}
+
 // Weighing returns the active policy's balance between short and long prompts,
 // from 0 (short first) to 1 (all alike).
 func (v *View) Weighing() float64 {
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -159,6 +159,9 @@
 // Accounts returns the names of all accounts, sorted.
 func (v *View) Accounts() []string { return sortedNames(v.accounts) }
 
+// Classes returns the names of all classes, sorted.
+func (v *View) Classes() []string { return sortedNames(v.classes) }
+
 // Service reports whether the service exists.
 func (v *View) Service(name string) (s Service, ok bool) {
 	s, ok = v.services[name]
--- a/internal/local/configuration.go
+++ b/internal/local/configuration.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/settings"
 )
 
 // The names in the configuration of the local hall.
@@ -15,6 +16,22 @@
 	KeyChaiyaphruek = "dev-chaiyaphruek"
 )
 
+// Tokens of the operators of the local hall.
+const (
+	TokenAdmin  = "dev-admin"
+	TokenTeam   = "dev-team"
+	TokenViewer = "dev-viewer"
+)
+
+// Operators returns one operator of each role.
+func Operators() []settings.Operator {
+	return []settings.Operator{
+		{Name: "root", Role: "admin", SHA256: config.HashKey(TokenAdmin)},
+		{Name: "cluj", Role: "team", Team: "cluj", SHA256: config.HashKey(TokenTeam)},
+		{Name: "guest", Role: "viewer", SHA256: config.HashKey(TokenViewer)},
+	}
+}
+
 // The model of the local hall: prompts of a million tokens need three engines.
 const (
 	engineTokens = 400_000
--- a/internal/local/hall.go
+++ b/internal/local/hall.go
@@ -28,7 +28,8 @@
 // Name is the name of the hall.
 const Name = "local"
 
-// The ports of the first box; the others follow.
+// The ports of the first box's listener for callers and of the administration;
+// the other boxes' follow on both.
 const (
 	CallersPort = 8080
 	AdminPort   = 8090
@@ -51,6 +52,7 @@
 	Fault func(attempt string) standin.Fault
 
 	platform standin.Platform
+	admin    *box.Admin
 	engines  []*standin.Engine
 	service  standin.Service
 	entries  []*box.Entry
@@ -94,6 +96,9 @@
 	}()
 	back, stopBack := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBack()
+	if err := h.startAdmin(back); err != nil {
+		return err
+	}
 	if err := h.submit(ctx, h.startTargets(back)); err != nil {
 		return err
 	}
@@ -105,6 +110,7 @@
 		e.Follower().Await(1)
 		<-e.Ready()
 	}
+	h.admin.Follower().Await(1)
 	close(h.ready)
 	for range h.entries {
 		if e := <-done; e != nil && !errors.Is(e, context.Canceled) {
@@ -114,6 +120,35 @@
 	return err
 }
 
+// startAdmin starts the administration API, which outlives the boxes.
+func (h *Hall) startAdmin(ctx context.Context) error {
+	exporter, err := metric.NewExporter()
+	if err != nil {
+		return err
+	}
+	s := settings.Settings{
+		Box:    settings.Box{ID: "admin", Hall: Name},
+		Listen: settings.Listen{Admin: h.port(AdminPort)},
+		Admin:  settings.Admin{Operators: Operators()},
+	}
+	h.admin = &box.Admin{Settings: s, Clock: h.Clock, Table: h.Table, Objects: h.Objects, Boxes: &h.platform, Exporter: exporter, Log: h.Log}
+	h.admin.Build()
+	go func() { _ = h.admin.Run(ctx) }() // It ends with ctx.
+	return nil
+}
+
+// port returns a loopback address with the port, or with any where ports are
+// not fixed.
+func (h *Hall) port(number int) string {
+	if !h.FixedPorts {
+		number = 0
+	}
+	return fmt.Sprintf("127.0.0.1:%d", number)
+}
+
+// AdminURL returns the address of the administration API.
+func (h *Hall) AdminURL() string { return h.admin.URL() }
+
 // startTargets starts the stand-ins and returns the configuration that names
 // them.
 func (h *Hall) startTargets(ctx context.Context) config.File {
@@ -197,13 +232,9 @@
 	}
 	s := settings.Settings{
 		Box:    settings.Box{ID: fmt.Sprintf("box%d", i+1), Hall: Name},
-		Listen: settings.Listen{Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peers: peers},
+		Listen: settings.Listen{Callers: h.port(CallersPort + i), Admin: h.port(AdminPort + 1 + i), Peers: peers},
 		Limits: settings.Limits{Notice: settings.Duration(100 * time.Millisecond)},
 	}
-	if h.FixedPorts {
-		s.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", CallersPort+i)
-		s.Listen.Admin = fmt.Sprintf("127.0.0.1:%d", AdminPort+i)
-	}
 	return &box.Entry{
 		Settings: s,
 		Clock:    h.Clock,
--- a/internal/version/reader.go
+++ b/internal/version/reader.go
@@ -66,7 +66,12 @@
 	if r.Readers == 0 {
 		r.Readers = defaultReaders
 	}
-	go r.follow(ctx)
+	attempt := 0
+	f := &Follow{Clock: r.Clock, Follower: r.Follower, Meter: r.Meter, Every: r.Every, Upstream: func() (Upstream, bool) {
+		attempt++
+		return r.upstream(attempt)
+	}}
+	go func() { _ = f.Serve(ctx) }() // It ends with ctx.
 	for {
 		if r.mustRead() {
 			r.read(ctx)
@@ -158,18 +163,6 @@
 	return r.Follower.Load(inc)
 }
 
-// follow listens to one of the hall's readers, or to any peer while this box
-// has no version.
-func (r *Reader) follow(ctx context.Context) {
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		if u, ok := r.upstream(attempt); ok {
-			_ = u.Follow(ctx, r.Follower.Version(), r.take) // The stream is opened anew.
-			r.Meter.Configuration("stream_ended")
-		}
-		clock.Sleep(ctx, r.Clock, r.Every)
-	}
-}
-
 func (r *Reader) upstream(attempt int) (u Upstream, ok bool) {
 	candidates := without(r.readers(), string(r.Box))
 	if r.Follower.Version() == 0 {
@@ -185,23 +178,3 @@
 	}
 	return r.Peer(barleystep.BoxID(candidates[attempt%len(candidates)]))
 }
-
-// take brings a peer's update into force.
-func (r *Reader) take(u Update) error {
-	now := r.Clock.Now()
-	var err error
-	if u.Snapshot {
-		for _, inc := range u.Increments {
-			err = r.Follower.Load(inc)
-		}
-	} else {
-		err = r.Follower.Apply(u.Increments)
-	}
-	if err != nil {
-		return err
-	}
-	if u.Age >= 0 {
-		r.Follower.Confirm(u.Version, now.Add(-u.Age))
-	}
-	return nil
-}
--- a/internal/version/store.go
+++ b/internal/version/store.go
@@ -234,3 +234,46 @@
 	}
 	return DecodeIncrement(data)
 }
+
+// At returns the document of a version, from the nearest snapshot before it and
+// the increments after that.
+func (s *Store) At(ctx context.Context, version int64) (d config.Document, err error) {
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "version %d", version)
+		}
+	}()
+	have := version / snapshotEvery * snapshotEvery
+	if have > 0 {
+		if d, err = s.snapshotAt(ctx, have); err != nil {
+			have = 0
+			d = config.Document{}
+		}
+	}
+	for have < version {
+		list, err := s.Increments(ctx, have+1, version)
+		if err != nil {
+			return config.Document{}, err
+		}
+		if len(list) == 0 {
+			return config.Document{}, ErrNoVersion
+		}
+		for _, inc := range list {
+			d = d.Apply(inc.Change)
+		}
+		have = list[len(list)-1].Version
+	}
+	return d, nil
+}
+
+// ErrNoVersion means that there is no version with the number.
+var ErrNoVersion = eris.New("version: there is no such version")
+
+func (s *Store) snapshotAt(ctx context.Context, version int64) (config.Document, error) {
+	data, err := s.Objects.Get(ctx, snapshotObject(version))
+	if err != nil {
+		return config.Document{}, err
+	}
+	inc, err := DecodeIncrement(data)
+	return config.Document{}.Apply(inc.Change), err
+}
