--- a/internal/capacity/lane.go
+++ b/internal/capacity/lane.go
@@ -85,21 +85,14 @@
 	if d.overLimit(w) {
 		return nil
 	}
-	allowed := d.roomForShort
-	if l == laneLong {
-		if d.longReads() >= d.longEngines() {
-			return nil
-		}
-		allowed = d.roomForLong
+	if l == laneLong && d.longReads() >= d.longEngines() {
+		return nil
 	}
 	warm, part := d.prefixes.Find(w.ask.Demand.Prefix)
 	var best *target
 	var bestTime time.Duration
 	for _, t := range d.sorted {
-		if !t.usable(now) || slices.Contains(w.ask.Demand.Avoid, t.spec.ID) || !allowed(now, t, w) {
-			continue
-		}
-		if t.gang != nil && !d.mayBackfill(now, t, w, l) {
+		if !d.eligible(now, t, w, l) {
 			continue
 		}
 		cached := 0
@@ -114,6 +107,20 @@
 	return best
 }
 
+// eligible reports whether the target may take the request now.
+func (d *Dispenser) eligible(now time.Time, t *target, w *waiter, l lane) bool {
+	switch {
+	case !t.usable(now) || slices.Contains(w.ask.Demand.Avoid, t.spec.ID):
+		return false
+	case t.gang != nil && !d.mayBackfill(now, t, w, l):
+		return false
+	case l == laneLong:
+		return d.roomForLong(now, t, w)
+	default:
+		return d.roomForShort(now, t, w)
+	}
+}
+
 // overLimit reports whether the account holds all that its policy allows. An
 // account that holds nothing is never over its limit.
 func (d *Dispenser) overLimit(w *waiter) bool {
--- a/internal/keeper/giver.go
+++ b/internal/keeper/giver.go
@@ -35,6 +35,8 @@
 	ordered time.Time // ordered is when the last order was sent.
 	// unsure says until when an order whose answer was lost may yet arrive.
 	unsure map[barleystep.TargetID]time.Time
+	// announced names the targets for which this box may have an open intent.
+	announced map[barleystep.TargetID]bool
 }
 
 const (
@@ -69,11 +71,14 @@
 // Round looks at each target once. Serve calls it; tests may.
 func (g *Giver) Round(ctx context.Context) {
 	v, _ := g.Configuration.View()
-	if v == nil || !g.wanted(v) || !g.hold(ctx) {
+	if v == nil || !g.wanted(v) {
 		return
 	}
+	held := g.hold(ctx)
 	for _, t := range g.targets(v) {
-		g.look(ctx, t)
+		if held || g.announced[barleystep.TargetID(t.ID)] {
+			g.look(ctx, t)
+		}
 	}
 }
 
@@ -145,9 +150,11 @@
 		g.Log.Error().Err(err).Msg(logPrefix + "An intent can't be read.")
 		return
 	}
+	self := g.lease
+	self.Holder, self.Incarnation = g.Source.Box(), g.Source.Incarnation()
 	s := Sight{
 		Now:        g.Clock.Now(),
-		Self:       g.lease,
+		Self:       self,
 		Wanted:     t.Weights,
 		Loaded:     load.Weights,
 		Idle:       t.Drain && load.Running == 0 && load.Waiting == 0,
@@ -173,15 +180,33 @@
 	case StepSendIntended:
 		g.send(ctx, id, e, barleystep.Order{Weights: s.Intent.Weights, Fence: s.Self.Token})
 	case StepClose:
-		closed := s.Intent
-		closed.Open = false
-		g.writeIntent(ctx, id, rowVersion, closed)
+		g.closeIntent(ctx, id, rowVersion, s.Intent)
+	}
+}
+
+func (g *Giver) announce(id barleystep.TargetID, open bool) {
+	if g.announced == nil {
+		g.announced = make(map[barleystep.TargetID]bool)
+	}
+	g.announced[id] = open
+}
+
+// closeIntent needs no lease: only the holder closes its own intent.
+func (g *Giver) closeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) {
+	i.Open = false
+	err := g.Table.Commit(ctx, barleystep.Txn{
+		Conditions: []barleystep.Condition{barleystep.IfVersion(intentKey(id), rowVersion)},
+		Writes:     []barleystep.Write{barleystep.Put(intentKey(id), encode(i))},
+	})
+	if err == nil {
+		g.announce(id, false)
 	}
 }
 
 // writeIntent writes the intent if nobody else has, and if the lease is still
 // this box's in the table.
 func (g *Giver) writeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) bool {
+	g.announce(id, true)
 	rows, err := g.Table.Read(ctx, g.leaseKey())
 	if err != nil {
 		return false
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -44,7 +44,8 @@
 	StepIntend
 	// StepSendIntended sends the order that the own open intent announces.
 	StepSendIntended
-	// StepClose closes the own intent: the target has what was ordered.
+	// StepClose closes the own intent: the target has what was ordered, or the
+	// lease is lost and nothing more will be sent.
 	StepClose
 )
 
@@ -71,7 +72,7 @@
 func Decide(s Sight) Step {
 	switch {
 	case !s.Now.Before(s.Self.Until):
-		return StepNothing
+		return decideWithoutLease(s)
 	case s.Checks:
 		return decideFenced(s)
 	case s.Intent.Open && s.mine():
@@ -87,6 +88,15 @@
 	}
 }
 
+// decideWithoutLease gives up what was announced: this box will not send it, and
+// the next giver waits for that word.
+func decideWithoutLease(s Sight) Step {
+	if s.Intent.Open && s.mine() {
+		return StepClose
+	}
+	return StepNothing
+}
+
 func decideFenced(s Sight) Step {
 	switch {
 	case s.Loaded == s.Wanted:
