Ask for load at once when a pool is taken over

Cause: a new dispenser hands out nothing before the first load report, and the poller came by only once a second, so that the first requests after a take-over waited up to a second; two tests with a limit of 700 ms failed.

--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -44,8 +44,10 @@
 	Meter         *metric.Meter
 	Settings      Settings
 
-	mu    sync.Mutex
-	pools map[string]*dispensed
+	once   sync.Once
+	opened chan string
+	mu     sync.Mutex
+	pools  map[string]*dispensed
 }
 
 // dispensed is one pool at a desk.
@@ -202,9 +204,23 @@
 		used:      now,
 	}
 	l.pools[name] = p
+	select {
+	case l.Opened() <- name:
+	default: // The poller comes by soon.
+	}
 	return p
 }
 
+// openedQueue is how many new pools wait for their first load reports.
+const openedQueue = 64
+
+// Opened tells of pools that were newly taken over: until their targets' load is
+// known, nothing is handed out.
+func (l *LocalDesk) Opened() chan string {
+	l.once.Do(func() { l.opened = make(chan string, openedQueue) })
+	return l.opened
+}
+
 // Serve decides at intervals until ctx ends.
 func (l *LocalDesk) Serve(ctx context.Context) error {
 	for clock.Sleep(ctx, l.Clock, tickEvery) {
--- a/internal/capacity/poller.go
+++ b/internal/capacity/poller.go
@@ -33,13 +33,22 @@
 	if p.Every == 0 {
 		p.Every = time.Second
 	}
-	for clock.Sleep(ctx, p.Clock, p.Every) {
-		p.round(ctx)
+	for {
+		t := p.Clock.NewTimer(p.Every)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case name := <-p.Desk.Opened():
+			t.Stop()
+			p.round(ctx, []string{name})
+		case <-t.C():
+			p.round(ctx, p.Desk.Pools())
+		}
 	}
-	return ctx.Err()
 }
 
-func (p *Poller) round(ctx context.Context) {
+func (p *Poller) round(ctx context.Context, pools []string) {
 	v, _ := p.Configuration.View()
 	if v == nil {
 		return
@@ -47,7 +56,7 @@
 	ctx, cancel := clock.WithDeadline(ctx, p.Clock, p.Clock.Now().Add(p.Every))
 	defer cancel()
 	var wait sync.WaitGroup
-	for _, name := range p.Desk.Pools() {
+	for _, name := range pools {
 		for _, s := range Specs(v, string(p.Desk.Hall), name) {
 			wait.Go(func() { p.poll(ctx, name, s.ID) })
 		}
