--- a/internal/local/hall.go
+++ b/internal/local/hall.go
@@ -96,10 +96,10 @@
 	}()
 	back, stopBack := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBack()
-	if err := h.startAdmin(back); err != nil {
+	if err := h.submit(ctx, h.startTargets(back)); err != nil {
 		return err
 	}
-	if err := h.submit(ctx, h.startTargets(back)); err != nil {
+	if err := h.startAdmin(back); err != nil {
 		return err
 	}
 	done, err := h.startBoxes(ctx)
