Carry reports and notices over one stream for each pair of boxes

Cause: with a call for each report, a box that uses 20 models would have spent some 26 KB a second by the sizes of the messages, five times its limit. Names are sent once in a stream now, reports come every second, or less often from a box that uses many models. A load report that came before the first question was lost; mended.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -39,12 +39,8 @@
 	PeerBeatsProcedure = "/peer.v1.Peer/Beats"
 	// PeerAskProcedure is the fully-qualified name of the Peer's Ask RPC.
 	PeerAskProcedure = "/peer.v1.Peer/Ask"
-	// PeerFirstProcedure is the fully-qualified name of the Peer's First RPC.
-	PeerFirstProcedure = "/peer.v1.Peer/First"
-	// PeerReleaseProcedure is the fully-qualified name of the Peer's Release RPC.
-	PeerReleaseProcedure = "/peer.v1.Peer/Release"
-	// PeerReportProcedure is the fully-qualified name of the Peer's Report RPC.
-	PeerReportProcedure = "/peer.v1.Peer/Report"
+	// PeerTalkProcedure is the fully-qualified name of the Peer's Talk RPC.
+	PeerTalkProcedure = "/peer.v1.Peer/Talk"
 	// PeerFollowProcedure is the fully-qualified name of the Peer's Follow RPC.
 	PeerFollowProcedure = "/peer.v1.Peer/Follow"
 	// PeerMembersProcedure is the fully-qualified name of the Peer's Members RPC.
@@ -57,12 +53,9 @@
 	Beats(context.Context) *connect.ClientStreamForClient[v1.Beat, v1.BeatsResponse]
 	// Ask waits for a grant of capacity.
 	Ask(context.Context, *connect.Request[v1.AskRequest]) (*connect.Response[v1.AskResponse], error)
-	// First tells that a granted attempt got its first token.
-	First(context.Context, *connect.Request[v1.FirstRequest]) (*connect.Response[v1.FirstResponse], error)
-	// Release gives a grant back.
-	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
-	// Report tells what a box runs and brings its credits.
-	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
+	// Talk carries a box's reports and notices to a dispenser over one long-lived
+	// stream, and its credits back.
+	Talk(context.Context) *connect.BidiStreamForClient[v1.TalkRequest, v1.TalkResponse]
 	// Follow streams the configuration, and that it is still the newest.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
 	// Members tells what the box thinks of the boxes of its hall.
@@ -92,22 +85,10 @@
 			connect.WithSchema(peerMethods.ByName("Ask")),
 			connect.WithClientOptions(opts...),
 		),
-		first: connect.NewClient[v1.FirstRequest, v1.FirstResponse](
+		talk: connect.NewClient[v1.TalkRequest, v1.TalkResponse](
 			httpClient,
-			baseURL+PeerFirstProcedure,
-			connect.WithSchema(peerMethods.ByName("First")),
-			connect.WithClientOptions(opts...),
-		),
-		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
-			httpClient,
-			baseURL+PeerReleaseProcedure,
-			connect.WithSchema(peerMethods.ByName("Release")),
-			connect.WithClientOptions(opts...),
-		),
-		report: connect.NewClient[v1.ReportRequest, v1.ReportResponse](
-			httpClient,
-			baseURL+PeerReportProcedure,
-			connect.WithSchema(peerMethods.ByName("Report")),
+			baseURL+PeerTalkProcedure,
+			connect.WithSchema(peerMethods.ByName("Talk")),
 			connect.WithClientOptions(opts...),
 		),
 		follow: connect.NewClient[v1.FollowRequest, v1.FollowResponse](
@@ -129,9 +110,7 @@
 type peerClient struct {
 	beats   *connect.Client[v1.Beat, v1.BeatsResponse]
 	ask     *connect.Client[v1.AskRequest, v1.AskResponse]
-	first   *connect.Client[v1.FirstRequest, v1.FirstResponse]
-	release *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
-	report  *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	talk    *connect.Client[v1.TalkRequest, v1.TalkResponse]
 	follow  *connect.Client[v1.FollowRequest, v1.FollowResponse]
 	members *connect.Client[v1.MembersRequest, v1.MembersResponse]
 }
@@ -146,19 +125,9 @@
 	return c.ask.CallUnary(ctx, req)
 }
 
-// First calls peer.v1.Peer.First.
-func (c *peerClient) First(ctx context.Context, req *connect.Request[v1.FirstRequest]) (*connect.Response[v1.FirstResponse], error) {
-	return c.first.CallUnary(ctx, req)
-}
-
-// Release calls peer.v1.Peer.Release.
-func (c *peerClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
-	return c.release.CallUnary(ctx, req)
-}
-
-// Report calls peer.v1.Peer.Report.
-func (c *peerClient) Report(ctx context.Context, req *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
-	return c.report.CallUnary(ctx, req)
+// Talk calls peer.v1.Peer.Talk.
+func (c *peerClient) Talk(ctx context.Context) *connect.BidiStreamForClient[v1.TalkRequest, v1.TalkResponse] {
+	return c.talk.CallBidiStream(ctx)
 }
 
 // Follow calls peer.v1.Peer.Follow.
@@ -177,12 +146,9 @@
 	Beats(context.Context, *connect.ClientStream[v1.Beat]) (*connect.Response[v1.BeatsResponse], error)
 	// Ask waits for a grant of capacity.
 	Ask(context.Context, *connect.Request[v1.AskRequest]) (*connect.Response[v1.AskResponse], error)
-	// First tells that a granted attempt got its first token.
-	First(context.Context, *connect.Request[v1.FirstRequest]) (*connect.Response[v1.FirstResponse], error)
-	// Release gives a grant back.
-	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
-	// Report tells what a box runs and brings its credits.
-	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
+	// Talk carries a box's reports and notices to a dispenser over one long-lived
+	// stream, and its credits back.
+	Talk(context.Context, *connect.BidiStream[v1.TalkRequest, v1.TalkResponse]) error
 	// Follow streams the configuration, and that it is still the newest.
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
 	// Members tells what the box thinks of the boxes of its hall.
@@ -208,22 +174,10 @@
 		connect.WithSchema(peerMethods.ByName("Ask")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerFirstHandler := connect.NewUnaryHandler(
-		PeerFirstProcedure,
-		svc.First,
-		connect.WithSchema(peerMethods.ByName("First")),
-		connect.WithHandlerOptions(opts...),
-	)
-	peerReleaseHandler := connect.NewUnaryHandler(
-		PeerReleaseProcedure,
-		svc.Release,
-		connect.WithSchema(peerMethods.ByName("Release")),
-		connect.WithHandlerOptions(opts...),
-	)
-	peerReportHandler := connect.NewUnaryHandler(
-		PeerReportProcedure,
-		svc.Report,
-		connect.WithSchema(peerMethods.ByName("Report")),
+	peerTalkHandler := connect.NewBidiStreamHandler(
+		PeerTalkProcedure,
+		svc.Talk,
+		connect.WithSchema(peerMethods.ByName("Talk")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerFollowHandler := connect.NewServerStreamHandler(
@@ -244,12 +198,8 @@
 			peerBeatsHandler.ServeHTTP(w, r)
 		case PeerAskProcedure:
 			peerAskHandler.ServeHTTP(w, r)
-		case PeerFirstProcedure:
-			peerFirstHandler.ServeHTTP(w, r)
-		case PeerReleaseProcedure:
-			peerReleaseHandler.ServeHTTP(w, r)
-		case PeerReportProcedure:
-			peerReportHandler.ServeHTTP(w, r)
+		case PeerTalkProcedure:
+			peerTalkHandler.ServeHTTP(w, r)
 		case PeerFollowProcedure:
 			peerFollowHandler.ServeHTTP(w, r)
 		case PeerMembersProcedure:
@@ -271,16 +221,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Ask is not implemented"))
 }
 
-func (UnimplementedPeerHandler) First(context.Context, *connect.Request[v1.FirstRequest]) (*connect.Response[v1.FirstResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.First is not implemented"))
-}
-
-func (UnimplementedPeerHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Release is not implemented"))
-}
-
-func (UnimplementedPeerHandler) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Report is not implemented"))
+func (UnimplementedPeerHandler) Talk(context.Context, *connect.BidiStream[v1.TalkRequest, v1.TalkResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Talk is not implemented"))
 }
 
 func (UnimplementedPeerHandler) Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error {
--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -189,19 +189,22 @@
 
 // Serve reports to the dispensers at intervals until ctx ends.
 func (a *Allocator) Serve(ctx context.Context) error {
-	for clock.Sleep(ctx, a.Clock, a.Settings.withDefaults().Interval) {
+	every := a.Settings.withDefaults().Interval
+	for clock.Sleep(ctx, a.Clock, every) {
+		pools := a.used()
+		every = a.Settings.withDefaults().every(len(pools))
 		var wait sync.WaitGroup
-		for _, p := range a.used() {
-			wait.Go(func() { a.report(ctx, p) })
+		for _, p := range pools {
+			wait.Go(func() { a.report(ctx, p, every) })
 		}
 		wait.Wait()
 	}
 	return ctx.Err()
 }
 
-func (a *Allocator) report(ctx context.Context, p *pool) {
+func (a *Allocator) report(ctx context.Context, p *pool, every time.Duration) {
 	now := a.Clock.Now()
-	ctx, cancel := clock.WithDeadline(ctx, a.Clock, now.Add(a.Settings.withDefaults().Interval))
+	ctx, cancel := clock.WithDeadline(ctx, a.Clock, now.Add(every))
 	defer cancel()
 	p.mu.Lock()
 	r := p.holder.Report(now)
@@ -214,7 +217,7 @@
 		return
 	}
 	// The dispenser's clock may differ from this box's.
-	c.Until = now.Add(a.Settings.withDefaults().life())
+	c.Until = now.Add(creditLife * every)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holder.SetCredits(c)
--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -140,6 +140,7 @@
 	p := l.pool(pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	l.refresh(p)
 	p.dispenser.Load(id, load)
 	p.tick(l.Clock.Now())
 }
--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -25,7 +25,7 @@
 	AsidePart float64
 	// Weighing moves the balance from short prompts (0) to long ones (1).
 	Weighing float64
-	// Interval is the time between a box's reports; the default is 500 ms.
+	// Interval is the time between a box's reports; the default is 1 second.
 	Interval time.Duration
 	// QueueLimit bounds the waiting requests; the default is 20,000.
 	QueueLimit int
@@ -54,7 +54,7 @@
 		s.AsidePart = 0.4
 	}
 	if s.Interval == 0 {
-		s.Interval = 500 * time.Millisecond
+		s.Interval = time.Second
 	}
 	if s.QueueLimit == 0 {
 		s.QueueLimit = 20_000
@@ -69,3 +69,12 @@
 const creditLife = 4
 
 func (s Settings) life() time.Duration { return creditLife * s.Interval }
+
+// poolsPerInterval is how many pools a box reports in one interval. With more,
+// it reports less often, so that the bytes per second stay bounded.
+const poolsPerInterval = 10
+
+// every returns the time between reports of a box that uses as many pools.
+func (s Settings) every(pools int) time.Duration {
+	return s.Interval * time.Duration(max(1, (pools+poolsPerInterval-1)/poolsPerInterval))
+}
--- a/internal/peer/bench_internal_test.go
+++ b/internal/peer/bench_internal_test.go
@@ -8,18 +8,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/barleystep/barleystep"
+	peerv1 "github.com/barleystep/barleystep/api/peer/v1"
 	"github.com/barleystep/barleystep/internal/capacity"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/member"
 	"github.com/barleystep/barleystep/internal/version"
 )
 
-// The sizes of messages, with what HTTP/2 and connect add to each.
-const (
-	framing = 9 + 5 // framing is an HTTP/2 frame header and a connect envelope.
-	// unary is the headers of a call and its answer on a warm connection, about.
-	unary = 250
-)
+// framing is what HTTP/2 and connect add to a message of a stream.
+const framing = 9 + 5
 
 var now = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 
@@ -77,9 +74,10 @@
 				c.Credits = append(c.Credits, capacity.Credit{Target: id, Reading: 4_096, Memory: 90_000, Others: 4_000, Running: 20, Rate: 8_000, Slow: 1})
 			}
 			up, down := 0, 0
+			var out, back names
 			for b.Loop() {
-				up = proto.Size(toReport("document-reader-large", r, now)) + unary
-				down = proto.Size(toCredits(c, now)) + framing
+				up = proto.Size(&peerv1.TalkRequest{Pool: out.number("document-reader-large"), Kind: &peerv1.TalkRequest_Report{Report: toReport(&out, r, now)}}) + framing
+				down = proto.Size(toCredits(&back, c, now)) + framing
 			}
 			b.ReportMetric(float64(up), "report-B")
 			b.ReportMetric(float64(down), "credits-B")
@@ -87,21 +85,6 @@
 	}
 }
 
-// BenchmarkCapacityAskSize gives the bytes of a question for a grant, with the
-// messages that follow it.
-func BenchmarkCapacityAskSize(b *testing.B) {
-	a := capacity.Ask{Box: "cluj-hala1-e001", Weight: 1, Rank: 1, Limit: 1, Demand: barleystep.Demand{
-		Attempt: barleystep.NewAttemptID("cluj-hala1-e001", 1<<60, 1<<20),
-		Account: "conversia-archive", Class: "normal", Model: "document-reader-large", Prompt: 200_000, Output: 4_096,
-		Since: now, Deadline: now.Add(time.Hour), Prefix: make([]uint64, 8),
-	}}
-	bytes := 0
-	for b.Loop() {
-		bytes = proto.Size(toAsk(a.Demand.Model, a, now)) + 3*unary
-	}
-	b.ReportMetric(float64(bytes), "B/grant")
-}
-
 // BenchmarkCapacityUpdateSize gives the bytes of a change of one target and of
 // a message that only confirms.
 func BenchmarkCapacityUpdateSize(b *testing.B) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -35,6 +35,7 @@
 	scheme  string
 	mu      sync.Mutex
 	streams map[string]*beatStream
+	talks   map[string]*talk
 }
 
 var _ member.Sender = (*Client)(nil)
@@ -60,6 +61,7 @@
 			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		}}
 		c.streams = make(map[string]*beatStream)
+		c.talks = make(map[string]*talk)
 	})
 }
 
@@ -74,7 +76,7 @@
 	if !ok {
 		return nil, false
 	}
-	return &remoteDesk{client: c.at(addr), clock: c.Clock}, true
+	return &remoteDesk{client: c, addr: addr}, true
 }
 
 // Upstream returns the way to another box's versions.
@@ -97,13 +99,13 @@
 
 // remoteDesk is the desk of another box.
 type remoteDesk struct {
-	client peerv1connect.PeerClient
-	clock  barleystep.Clock
+	client *Client
+	addr   string
 }
 
 // Ask waits for a grant.
 func (d *remoteDesk) Ask(ctx context.Context, pool string, a capacity.Ask) (g capacity.Grant, err error) {
-	resp, err := d.client.Ask(ctx, connect.NewRequest(toAsk(pool, a, d.clock.Now())))
+	resp, err := d.client.at(d.addr).Ask(ctx, connect.NewRequest(toAsk(pool, a, d.client.Clock.Now())))
 	if err != nil {
 		return capacity.Grant{}, eris.Wrap(err, "peer: ask")
 	}
@@ -118,34 +120,6 @@
 	}, nil
 }
 
-// First notes a first token.
-func (d *remoteDesk) First(ctx context.Context, pool string, id barleystep.AttemptID) error {
-	_, err := d.client.First(ctx, connect.NewRequest(&peerv1.FirstRequest{Pool: pool, Attempt: toAttempt(id)}))
-	return err
-}
-
-// Release gives a grant back.
-func (d *remoteDesk) Release(ctx context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
-	_, err := d.client.Release(ctx, connect.NewRequest(&peerv1.ReleaseRequest{
-		Pool:    pool,
-		Attempt: toAttempt(id),
-		Outcome: u.Outcome.String(),
-		FirstMs: u.First.Milliseconds(),
-		Full:    u.Full,
-	}))
-	return err
-}
-
-// Report sends a report.
-func (d *remoteDesk) Report(ctx context.Context, pool string, r capacity.Report) (capacity.Credits, error) {
-	now := d.clock.Now()
-	resp, err := d.client.Report(ctx, connect.NewRequest(toReport(pool, r, now)))
-	if err != nil {
-		return capacity.Credits{}, eris.Wrap(err, "peer: report")
-	}
-	return fromCredits(resp.Msg, now), nil
-}
-
 type upstream struct{ client peerv1connect.PeerClient }
 
 // Follow passes on what the peer sends until the stream ends.
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -88,14 +88,51 @@
 		WithRetryAfter(millis(r.GetRetryAfterMs()))
 }
 
-func toReport(pool string, r capacity.Report, now time.Time) *peerv1.ReportRequest {
-	return &peerv1.ReportRequest{
-		Pool:   pool,
-		Box:    string(r.Box),
+// names numbers the names that one direction of a stream has sent.
+type names struct {
+	numbers map[string]uint32
+	fresh   []string // fresh is what the next message has to bring.
+}
+
+// number returns the number of the name.
+func (n *names) number(name string) uint32 {
+	if i, ok := n.numbers[name]; ok {
+		return i
+	}
+	if n.numbers == nil {
+		n.numbers = make(map[string]uint32)
+	}
+	i := uint32(len(n.numbers))
+	n.numbers[name] = i
+	n.fresh = append(n.fresh, name)
+	return i
+}
+
+// take returns the names that were not sent yet.
+func (n *names) take() []string {
+	fresh := n.fresh
+	n.fresh = nil
+	return fresh
+}
+
+// known is the names that one direction of a stream has brought.
+type known []string
+
+// name returns the name with the number, "" if there is none.
+func (k known) name(i uint32) string {
+	if int(i) >= len(k) {
+		return ""
+	}
+	return k[i]
+}
+
+func toReport(n *names, r capacity.Report, now time.Time) *peerv1.Report {
+	return &peerv1.Report{
+		Box:    n.number(string(r.Box)),
 		Wanted: uint32(r.Wanted),
 		Uses: convert(r.Uses, func(u capacity.Use) *peerv1.Use {
 			return &peerv1.Use{
-				Target:   string(u.Target),
+				Target:   n.number(string(u.Target)),
 				Reading:  uint32(u.Reading),
 				Memory:   uint32(u.Memory),
 				Running:  uint32(u.Running),
@@ -108,8 +145,8 @@
 		Held: convert(r.Held, func(h capacity.Held) *peerv1.Held {
 			return &peerv1.Held{
 				Attempt: toAttempt(h.Attempt),
-				Account: h.Account,
-				Targets: toTargets(h.Targets),
+				Account: n.number(h.Account),
+				Targets: convert(h.Targets, func(id barleystep.TargetID) uint32 { return n.number(string(id)) }),
 				Prompt:  uint32(h.Prompt),
 				Output:  uint32(h.Output),
 				AgeMs:   now.Sub(h.Since).Milliseconds(),
@@ -119,13 +156,14 @@
 	}
 }
 
-func fromReport(r *peerv1.ReportRequest, now time.Time) capacity.Report {
+func fromReport(k known, r *peerv1.Report, now time.Time) capacity.Report {
+	target := func(i uint32) barleystep.TargetID { return barleystep.TargetID(k.name(i)) }
 	return capacity.Report{
-		Box:    barleystep.BoxID(r.GetBox()),
+		Box:    barleystep.BoxID(k.name(r.GetBox())),
 		Wanted: int(r.GetWanted()),
 		Uses: convert(r.GetUses(), func(u *peerv1.Use) capacity.Use {
 			return capacity.Use{
-				Target:   barleystep.TargetID(u.GetTarget()),
+				Target:   target(u.GetTarget()),
 				Reading:  int(u.GetReading()),
 				Memory:   int(u.GetMemory()),
 				Running:  int(u.GetRunning()),
@@ -138,8 +176,8 @@
 		Held: convert(r.GetHeld(), func(h *peerv1.Held) capacity.Held {
 			return capacity.Held{
 				Attempt: fromAttempt(h.GetAttempt()),
-				Account: h.GetAccount(),
-				Targets: fromTargets(h.GetTargets()),
+				Account: k.name(h.GetAccount()),
+				Targets: convert(h.GetTargets(), target),
 				Prompt:  int(h.GetPrompt()),
 				Output:  int(h.GetOutput()),
 				Since:   now.Add(-millis(h.GetAgeMs())),
@@ -149,12 +187,12 @@
 	}
 }
 
-func toCredits(c capacity.Credits, now time.Time) *peerv1.ReportResponse {
-	return &peerv1.ReportResponse{
+func toCredits(n *names, c capacity.Credits, now time.Time) *peerv1.TalkResponse {
+	resp := &peerv1.TalkResponse{
 		LifeMs: c.Until.Sub(now).Milliseconds(),
 		Credits: convert(c.Credits, func(c capacity.Credit) *peerv1.Credit {
 			return &peerv1.Credit{
-				Target:  string(c.Target),
+				Target:  n.number(string(c.Target)),
 				Reading: uint32(c.Reading),
 				Memory:  uint32(c.Memory),
 				Others:  uint32(c.Others),
@@ -165,14 +203,16 @@
 			}
 		}),
 	}
+	resp.Names = n.take()
+	return resp
 }
 
-func fromCredits(r *peerv1.ReportResponse, now time.Time) capacity.Credits {
+func fromCredits(k known, r *peerv1.TalkResponse, now time.Time) capacity.Credits {
 	return capacity.Credits{
 		Until: now.Add(millis(r.GetLifeMs())),
 		Credits: convert(r.GetCredits(), func(c *peerv1.Credit) capacity.Credit {
 			return capacity.Credit{
-				Target:  barleystep.TargetID(c.GetTarget()),
+				Target:  barleystep.TargetID(k.name(c.GetTarget())),
 				Reading: int(c.GetReading()),
 				Memory:  int(c.GetMemory()),
 				Others:  int(c.GetOthers()),
@@ -185,6 +225,20 @@
 	}
 }
 
+func toRelease(id barleystep.AttemptID, u barleystep.Usage) *peerv1.Release {
+	return &peerv1.Release{
+		Attempt: toAttempt(id),
+		Outcome: u.Outcome.String(),
+		FirstMs: u.First.Milliseconds(),
+		Full:    u.Full,
+	}
+}
+
+func fromRelease(r *peerv1.Release) barleystep.Usage {
+	outcome, _ := barleystep.ParseOutcome(r.GetOutcome())
+	return barleystep.Usage{Outcome: outcome, First: millis(r.GetFirstMs()), Full: r.GetFull()}
+}
+
 func toBeat(b member.Beat) *peerv1.Beat {
 	return &peerv1.Beat{
 		Box:         string(b.From.Box),
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,230 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/peer"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+const pool = "m"
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept wraps a connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what was read.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what was written.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// ears takes in heartbeats.
+type ears struct{ heard chan member.Beat }
+
+// Receive passes the heartbeat on.
+func (e ears) Receive(b member.Beat) { e.heard <- b }
+
+// Members returns one box.
+func (e ears) Members() []member.Rumour { return []member.Rumour{{Box: "b1", Incarnation: 1}} }
+
+// end is a box's peer server with a client that reaches it.
+type end struct {
+	desk     *capacity.LocalDesk
+	follower *version.Follower
+	client   *peer.Client
+	ears     ears
+	wire     *countingListener
+}
+
+func newEnd(t testing.TB, serverSecret, clientSecret string) *end {
+	c := quicktest.New(t)
+	d, err := config.File{
+		Classes: []config.Class{{Name: "normal"}},
+		Models:  []config.Model{{Name: pool, EngineTokens: 100_000, MaxPrompt: 100_000}},
+		Targets: []config.Target{{ID: "e1", Hall: "h", URL: "http://127.0.0.1:1", Model: pool}},
+	}.Document()
+	c.Assert(err, quicktest.IsNil)
+	follower := &version.Follower{Clock: clock.System{}, Meter: metric.Discard()}
+	c.Assert(follower.Load(version.Increment{Version: 1, Change: d.Entries(), Digest: d.Digest()}), quicktest.IsNil)
+	desk := &capacity.LocalDesk{Clock: clock.System{}, Hall: "h", Configuration: follower, Meter: metric.Discard()}
+	e := &end{desk: desk, follower: follower, ears: ears{make(chan member.Beat, 100)}}
+	server := &peer.Server{
+		Auth:  peer.Auth{Secret: serverSecret, Box: "b1", Clock: clock.System{}},
+		Clock: clock.System{}, Desk: desk, Receiver: e.ears, Follower: follower,
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	e.wire = &countingListener{Listener: l}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	h := &http.Server{Handler: server.Handler(), Protocols: protocols}
+	go func() { _ = h.Serve(e.wire) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		h.Close()
+	})
+	e.client = &peer.Client{
+		Auth:  peer.Auth{Secret: clientSecret, Box: "b2", Clock: clock.System{}},
+		Clock: clock.System{},
+		Addr:  func(barleystep.BoxID) (string, bool) { return l.Addr().String(), true },
+		Base:  ctx,
+	}
+	desk.Load(pool, "e1", barleystep.Load{At: clock.System{}.Now(), TotalTokens: 100_000, FreeTokens: 100_000})
+	return e
+}
+
+func ask(n uint64) capacity.Ask {
+	now := clock.System{}.Now()
+	return capacity.Ask{Box: "b2", Weight: 1, Limit: 1, Demand: barleystep.Demand{
+		Attempt: barleystep.NewAttemptID("b2", 7, n), Account: "conversia", Class: "normal", Model: pool,
+		Prompt: 20_000, Output: 1_000, Since: now, Deadline: now.Add(time.Hour), Prefix: make([]uint64, 5),
+	}}
+}
+
+// TestDesk holds both implementations of Desk to the same contract.
+func TestDesk(t *testing.T) {
+	e := newEnd(t, "secret", "secret")
+	remote, _ := e.client.Desk("b1")
+	for name, desk := range map[string]capacity.Desk{"local": e.desk, "remote": remote} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			first := ask(1)
+			g, err := desk.Ask(t.Context(), pool, first)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(g.Targets, quicktest.DeepEquals, []barleystep.TargetID{"e1"})
+			// A second long prompt waits until the first has been read.
+			got := make(chan error, 1)
+			go func() {
+				_, err := desk.Ask(t.Context(), pool, ask(2))
+				got <- err
+			}()
+			c.Assert(desk.First(t.Context(), pool, first.Demand.Attempt), quicktest.IsNil)
+			c.Assert(<-got, quicktest.IsNil)
+			// A caller that goes away leaves its question behind nowhere.
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			_, err = desk.Ask(ctx, pool, ask(3))
+			c.Check(err, quicktest.IsNotNil)
+			for n := uint64(1); n <= 3; n++ {
+				c.Assert(desk.Release(t.Context(), pool, ask(n).Demand.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: 1}), quicktest.IsNil)
+			}
+			credits, err := desk.Report(t.Context(), pool, capacity.Report{Box: "b2", Wanted: 1_000})
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(credits.Credits, quicktest.HasLen, 1)
+			c.Check(credits.Credits[0].Target, quicktest.Equals, barleystep.TargetID("e1"))
+			late := ask(4)
+			late.Demand.Deadline = late.Demand.Since
+			_, err = desk.Ask(t.Context(), pool, late)
+			c.Check(barleystep.AsRefusal(err).Reason(), quicktest.Equals, barleystep.ReasonCannotMeet)
+		})
+	}
+}
+
+func TestStrangerIsRefused(t *testing.T) {
+	cases := map[string]struct {
+		server, client string
+		ok             bool
+	}{
+		"same secret":  {"s", "s", true},
+		"other secret": {"s", "x", false},
+		"no secret":    {"s", "", false},
+		"none needed":  {"", "", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEnd(t, tc.server, tc.client)
+			_, err := e.client.Members(t.Context(), e.wire.Addr().String())
+			quicktest.Check(t, err == nil, quicktest.Equals, tc.ok)
+			desk, _ := e.client.Desk("b1")
+			_, err = desk.Report(t.Context(), pool, capacity.Report{Box: "b2"})
+			quicktest.Check(t, err == nil, quicktest.Equals, tc.ok)
+		})
+	}
+}
+
+func TestBeatsAndVersions(t *testing.T) {
+	c := quicktest.New(t)
+	e := newEnd(t, "s", "s")
+	addr := e.wire.Addr().String()
+	for n := range uint64(2) {
+		e.client.Beat("b1", addr, member.Beat{From: member.Rumour{Box: "b2", Incarnation: 7, Number: n}, Hall: "h"})
+		c.Check((<-e.ears.heard).From.Number, quicktest.Equals, n)
+	}
+	u, _ := e.client.Upstream("b1")
+	other := &version.Follower{Clock: clock.System{}, Meter: metric.Discard()}
+	f := &version.Follow{Clock: clock.System{}, Follower: other, Meter: metric.Discard(), Upstream: func() (version.Upstream, bool) { return u, true }}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- f.Serve(ctx) }()
+	other.Await(1)
+	cancel()
+	<-done
+	c.Check(other.Version(), quicktest.Equals, int64(1))
+}
+
+// BenchmarkCapacityWire counts the bytes of a grant with its notices, and of a
+// report, on a real connection, both ways.
+func BenchmarkCapacityWire(b *testing.B) {
+	e := newEnd(b, "secret", "secret")
+	desk, _ := e.client.Desk("b1")
+	ctx := context.Background()
+	grant := func(n uint64) {
+		a := ask(n)
+		_, err := desk.Ask(ctx, pool, a)
+		quicktest.Assert(b, err, quicktest.IsNil)
+		_ = desk.First(ctx, pool, a.Demand.Attempt)
+		_ = desk.Release(ctx, pool, a.Demand.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: 1})
+	}
+	report := func(uint64) {
+		_, err := desk.Report(ctx, pool, capacity.Report{Box: "b2", Uses: []capacity.Use{{Target: "e1", Running: 1, Reading: 5_000}}})
+		quicktest.Assert(b, err, quicktest.IsNil)
+	}
+	for name, f := range map[string]func(uint64){"grant": grant, "report": report} {
+		b.Run(name, func(b *testing.B) {
+			f(0)
+			before := e.wire.bytes.Load()
+			n := uint64(0)
+			for b.Loop() {
+				n++
+				f(n)
+			}
+			b.ReportMetric(float64(e.wire.bytes.Load()-before)/float64(n), "B/"+name)
+		})
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -74,29 +75,55 @@
 	return connect.NewResponse(&peerv1.AskResponse{Targets: toTargets(g.Targets), Priority: int32(g.Priority)}), nil
 }
 
-// First notes a first token.
-func (h handler) First(ctx context.Context, req *connect.Request[peerv1.FirstRequest]) (*connect.Response[peerv1.FirstResponse], error) {
-	err := h.Desk.First(ctx, req.Msg.GetPool(), fromAttempt(req.Msg.GetAttempt()))
-	return connect.NewResponse(&peerv1.FirstResponse{}), err
+// Talk takes in reports and notices until the stream ends, and answers reports
+// with credits.
+func (h handler) Talk(ctx context.Context, stream *connect.BidiStream[peerv1.TalkRequest, peerv1.TalkResponse]) error {
+	var in known
+	var out names
+	for {
+		m, err := stream.Receive()
+		if err != nil {
+			return ended(err)
+		}
+		in = append(in, m.GetNames()...)
+		resp, err := h.talk(ctx, in, &out, m)
+		if err != nil {
+			return err
+		}
+		if resp == nil {
+			continue
+		}
+		if err := stream.Send(resp); err != nil {
+			return err
+		}
+	}
 }
 
-// Release takes a grant back.
-func (h handler) Release(ctx context.Context, req *connect.Request[peerv1.ReleaseRequest]) (*connect.Response[peerv1.ReleaseResponse], error) {
-	m := req.Msg
-	outcome, _ := barleystep.ParseOutcome(m.GetOutcome())
-	u := barleystep.Usage{Outcome: outcome, First: millis(m.GetFirstMs()), Full: m.GetFull()}
-	err := h.Desk.Release(ctx, m.GetPool(), fromAttempt(m.GetAttempt()), u)
-	return connect.NewResponse(&peerv1.ReleaseResponse{}), err
+// ended turns the regular end of a stream into no error.
+func ended(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
 }
 
-// Report takes in a report.
-func (h handler) Report(ctx context.Context, req *connect.Request[peerv1.ReportRequest]) (*connect.Response[peerv1.ReportResponse], error) {
-	now := h.Clock.Now()
-	c, err := h.Desk.Report(ctx, req.Msg.GetPool(), fromReport(req.Msg, now))
-	if err != nil {
-		return nil, err
+func (h handler) talk(ctx context.Context, in known, out *names, m *peerv1.TalkRequest) (*peerv1.TalkResponse, error) {
+	pool := in.name(m.GetPool())
+	switch kind := m.GetKind().(type) {
+	case *peerv1.TalkRequest_First:
+		return nil, h.Desk.First(ctx, pool, fromAttempt(kind.First.GetAttempt()))
+	case *peerv1.TalkRequest_Release:
+		return nil, h.Desk.Release(ctx, pool, fromAttempt(kind.Release.GetAttempt()), fromRelease(kind.Release))
+	case *peerv1.TalkRequest_Report:
+		now := h.Clock.Now()
+		c, err := h.Desk.Report(ctx, pool, fromReport(in, kind.Report, now))
+		if err != nil {
+			return nil, err
+		}
+		return toCredits(out, c, now), nil
+	default:
+		return nil, nil // A kind that this version does not know.
 	}
-	return connect.NewResponse(toCredits(c, now)), nil
 }
 
 // Follow streams versions until the peer goes away.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,7 +78,7 @@
 
 // Capacity tunes the dispensers.
 type Capacity struct {
-	// Interval is the time between a box's reports; the default is 500 ms.
+	// Interval is the time between a box's reports; the default is 1 second.
 	Interval Duration `toml:"interval"`
 	// LongPart is the part of the engines that may read long prompts at once.
 	LongPart float64 `toml:"long_part"`
--- a/internal/trial/ours.go
+++ b/internal/trial/ours.go
@@ -39,7 +39,7 @@
 	o.found()
 	interval := s.Interval
 	if interval == 0 {
-		interval = 500 * time.Millisecond
+		interval = time.Second
 	}
 	f.sim.every(interval, o.reportAll)
 	f.sim.every(100*time.Millisecond, o.tick)
