Hold accounts to their rates, divided among halls by need

Rates stood in the configuration and nothing held accounts to them. Each hall writes its accounts' needs in one row every five seconds; every box reads all rows and takes its part. In an outage the last division stands.

--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -17,6 +17,7 @@
 	"github.com/barleystep/barleystep/internal/engine"
 	"github.com/barleystep/barleystep/internal/gate"
 	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/limit"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/version"
@@ -102,7 +103,9 @@
 	claims := e.newClaims()
 	canceller := gate.NewCanceller()
 	canceller.Clock, canceller.Targets, canceller.Meter, canceller.Log = e.Clock, targets, e.meter, e.Log
+	limiter := e.newLimiter()
 	e.server = e.newServer(allocator, targets, canceller, claims)
+	e.server.Limiter = limiter
 	e.callers = e.newListener("callers", e.Settings.Listen.Callers, e.server.Handler())
 	e.admin = e.newListener("admin", e.Settings.Listen.Admin, e.status())
 	poller := &capacity.Poller{
@@ -113,7 +116,7 @@
 		Meter:         e.meter,
 	}
 	e.top = NewSupervisor("entry", e.Log, e.grace())
-	for _, s := range []suture.Service{canceller, claims, e.desk, allocator, poller, e.callers} {
+	for _, s := range []suture.Service{canceller, claims, limiter, e.desk, allocator, poller, e.callers} {
 		e.top.Add(s)
 	}
 	for _, s := range e.node.services() {
@@ -159,6 +162,17 @@
 	}
 }
 
+func (e *Entry) newLimiter() *limit.Limiter {
+	return &limit.Limiter{
+		Clock:      e.Clock,
+		Box:        e.node.source.Box(),
+		Hall:       barleystep.HallID(e.Settings.Box.Hall),
+		Table:      e.Table,
+		Membership: e.node.tracker,
+		Meter:      e.meter,
+	}
+}
+
 func (e *Entry) newClaims() *claim.Book {
 	b := claim.NewBook()
 	b.Table = e.Table
--- /dev/null
+++ b/internal/gate/admit.go
@@ -0,0 +1,27 @@
+package gate
+
+import (
+	"context"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/limit"
+)
+
+// admit holds accounts to the rates that the policy gives them.
+type admit struct {
+	limiter *limit.Limiter
+}
+
+// Run refuses a request of an account that has used up its rate, at once and
+// with the time after which it may come back.
+func (a *admit) Run(ctx context.Context, x *Exchange, next Next) error {
+	if a.limiter == nil || x.isService() {
+		return next(ctx, x)
+	}
+	rate := x.view.Share(x.account.Name, x.class.Name).Rate
+	wait, ok := a.limiter.Take(x.account.Name, rate, x.prompt.tokens+x.prompt.output)
+	if !ok {
+		return refuse(barleystep.ReasonOverShare, "The account has used up its rate.").WithRetryAfter(wait)
+	}
+	return next(ctx, x)
+}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -13,6 +13,7 @@
 	"github.com/barleystep/barleystep/internal/claim"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/identity"
+	"github.com/barleystep/barleystep/internal/limit"
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
@@ -34,9 +35,11 @@
 	Targets       Targets
 	Canceller     *Canceller
 	Claims        *claim.Book
-	Meter         *metric.Meter
-	Log           *log.Logger
-	Limits        Limits
+	// Limiter holds accounts to their rates; nil holds them to none.
+	Limiter *limit.Limiter
+	Meter   *metric.Meter
+	Log     *log.Logger
+	Limits  Limits
 	// Stall is how long a target may send nothing in the midst of an answer; the
 	// default is 20 seconds.
 	Stall time.Duration
@@ -59,6 +62,7 @@
 		&settle{clock: s.Clock, meter: s.Meter, log: s.Log},
 		authenticate{},
 		&classify{clock: s.Clock, estimator: &s.estimator, limits: s.Limits.withDefaults()},
+		&admit{limiter: s.Limiter},
 		&claimOnce{clock: s.Clock, book: s.Claims},
 		&attempt{
 			clock:     s.Clock,
--- /dev/null
+++ b/internal/limit/limiter.go
@@ -0,0 +1,187 @@
+package limit
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// Limiter holds the accounts of one box to their rates. Its exported fields are
+// set before use; it is safe for concurrent use.
+//
+// While the table service is down the last division stands. When needs move
+// from hall to hall, two halls may have divided by different rows for one
+// interval: an account may then get up to twice its rate for that time.
+type Limiter struct {
+	Clock      barleystep.Clock
+	Box        barleystep.BoxID
+	Hall       barleystep.HallID
+	Table      barleystep.Table
+	Membership barleystep.Membership
+	Meter      *metric.Meter
+	// Every is the time between divisions; the default is 5 seconds.
+	Every time.Duration
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	needs   map[barleystep.HallID]needs
+}
+
+// needs is a hall's row: the tokens per second that its accounts ask for.
+type needs struct {
+	At       time.Time          `json:"at"`
+	Accounts map[string]float64 `json:"accounts"`
+}
+
+const (
+	defaultEvery = 5 * time.Second
+	prefix       = "limit/"
+	maxHalls     = 64
+	// staleNeeds is how old a hall's row may be: a hall that has not written for
+	// so long gets only the least part.
+	staleNeeds = 5 * time.Minute
+	// leastPart is divided evenly among all halls, so that a hall whose need is
+	// new can begin.
+	leastPart = 0.2
+	// smallNeed is what a hall's row leaves out, in tokens per second.
+	smallNeed = 1.0
+)
+
+// Take admits a request that costs the account so many tokens at the rate, or
+// returns how long to wait. A rate of zero is no bound.
+func (l *Limiter) Take(account string, rate float64, tokens int) (wait time.Duration, ok bool) {
+	if rate == 0 {
+		return 0, true
+	}
+	boxes := max(1, len(l.Membership.Alive()))
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := rate * l.part(now, account) / float64(boxes)
+	return l.bucket(account).take(now, own, float64(tokens))
+}
+
+func (l *Limiter) bucket(account string) *bucket {
+	b, ok := l.buckets[account]
+	if !ok {
+		b = &bucket{}
+		if l.buckets == nil {
+			l.buckets = make(map[string]*bucket)
+		}
+		l.buckets[account] = b
+	}
+	return b
+}
+
+// part returns this hall's part of the account's rate.
+func (l *Limiter) part(now time.Time, account string) float64 {
+	sum, own := 0.0, 0.0
+	halls := 0
+	for hall, n := range l.needs {
+		halls++
+		if now.Sub(n.At) > staleNeeds {
+			continue
+		}
+		sum += n.Accounts[account]
+		if hall == l.Hall {
+			own = n.Accounts[account]
+		}
+	}
+	return Part(own, sum, halls)
+}
+
+// Part divides a rate: the least part evenly among the halls, the rest by need.
+func Part(own, sum float64, halls int) float64 {
+	switch {
+	case halls <= 1:
+		return 1
+	case sum == 0:
+		return 1 / float64(halls)
+	default:
+		return leastPart/float64(halls) + (1-leastPart)*own/sum
+	}
+}
+
+// Serve divides the rates anew at intervals until ctx ends.
+func (l *Limiter) Serve(ctx context.Context) error {
+	if l.Every == 0 {
+		l.Every = defaultEvery
+	}
+	for clock.Sleep(ctx, l.Clock, l.Every) {
+		l.Round(ctx)
+	}
+	return ctx.Err()
+}
+
+// Round writes the hall's needs, if that is this box's duty, and reads those of
+// all halls. Serve calls it; tests may.
+func (l *Limiter) Round(ctx context.Context) {
+	own := l.collect()
+	if l.writes() && len(own.Accounts) > 0 {
+		l.write(ctx, own)
+	}
+	rows, err := l.Table.Scan(ctx, prefix, "", maxHalls)
+	if err != nil {
+		l.Meter.StoreFault("limit_read", barleystep.FaultOf(err).String())
+		return
+	}
+	found := make(map[barleystep.HallID]needs, len(rows))
+	for _, r := range rows {
+		var n needs
+		if json.Unmarshal(r.Value(), &n) == nil {
+			found[barleystep.HallID(strings.TrimPrefix(r.Key(), prefix))] = n
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.needs = found
+}
+
+// writes reports whether this box writes its hall's row.
+func (l *Limiter) writes() bool {
+	var names []string
+	for _, id := range l.Membership.Alive() {
+		names = append(names, string(id))
+	}
+	return place.Highest("limit", names) == string(l.Box)
+}
+
+// collect takes what this box was asked for since the last round, times the
+// boxes of the hall: the balancer spreads callers evenly.
+func (l *Limiter) collect() needs {
+	every := l.Every
+	if every == 0 {
+		every = defaultEvery
+	}
+	factor := float64(max(1, len(l.Membership.Alive()))) / every.Seconds()
+	n := needs{At: l.Clock.Now(), Accounts: make(map[string]float64)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for account, b := range l.buckets {
+		if need := b.need * factor; need >= smallNeed {
+			n.Accounts[account] = need
+		}
+		b.need = 0
+	}
+	return n
+}
+
+// write replaces the hall's row. A lost answer does no harm: the next round
+// writes again.
+func (l *Limiter) write(ctx context.Context, n needs) {
+	data, err := json.Marshal(n)
+	if err != nil {
+		return
+	}
+	err = l.Table.Commit(ctx, barleystep.Txn{Writes: []barleystep.Write{barleystep.Put(prefix+string(l.Hall), data)}})
+	if err != nil {
+		l.Meter.StoreFault("limit_write", barleystep.FaultOf(err).String())
+	}
+}
--- /dev/null
+++ b/internal/limit/limiter_test.go
@@ -0,0 +1,84 @@
+package limit_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/limit"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/table"
+)
+
+func limiter(clk barleystep.Clock, tb barleystep.Table, hall barleystep.HallID) *limit.Limiter {
+	return &limit.Limiter{Clock: clk, Box: "b", Hall: hall, Table: tb, Membership: member.NewFixed("b"), Meter: metric.Discard()}
+}
+
+// spend asks for requests of 100 tokens, ten a second, and returns the tokens
+// that were admitted.
+func spend(clk *clock.Manual, rate float64, seconds int, limiters ...*limit.Limiter) (tokens int) {
+	for range seconds * 10 {
+		clk.Advance(100 * time.Millisecond)
+		for _, l := range limiters {
+			if _, ok := l.Take("a", rate, 100); ok {
+				tokens += 100
+			}
+		}
+	}
+	return tokens
+}
+
+func TestRateIsHeld(t *testing.T) {
+	c := quicktest.New(t)
+	clk := clock.NewManual(time.Unix(1e9, 0))
+	l := limiter(clk, &table.Memory{}, "h1")
+	got := spend(clk, 200, 100, l)
+	c.Check(got >= 200*100 && got <= 200*103, quicktest.IsTrue, quicktest.Commentf("%d tokens", got))
+	c.Check(spend(clk, 0, 1, l), quicktest.Equals, 1_000, quicktest.Commentf("no rate is no bound"))
+}
+
+func TestDebtTellsWhenToComeBack(t *testing.T) {
+	c := quicktest.New(t)
+	clk := clock.NewManual(time.Unix(1e9, 0))
+	l := limiter(clk, &table.Memory{}, "h1")
+	_, ok := l.Take("a", 1_000, 500_000)
+	c.Assert(ok, quicktest.IsTrue, quicktest.Commentf("a prompt may be longer than the burst"))
+	wait, ok := l.Take("a", 1_000, 1)
+	c.Assert(ok, quicktest.IsFalse)
+	clk.Advance(wait)
+	_, ok = l.Take("a", 1_000, 1)
+	c.Check(ok, quicktest.IsTrue)
+}
+
+// TestHallsDivideTheRate lets need move from one hall to another, also through
+// an outage, in which the last division stands.
+func TestHallsDivideTheRate(t *testing.T) {
+	c := quicktest.New(t)
+	ctx := context.Background()
+	clk := clock.NewManual(time.Unix(1e9, 0))
+	faulty := &table.Faulty{Table: &table.Memory{}}
+	one, two := limiter(clk, faulty, "h1"), limiter(clk, faulty, "h2")
+	rounds := func(n int, limiters ...*limit.Limiter) (tokens int) {
+		for range n {
+			tokens += spend(clk, 200, 5, limiters...)
+			one.Round(ctx)
+			two.Round(ctx)
+		}
+		return tokens
+	}
+	rounds(4, one, two)
+	both := rounds(10, one, two)
+	c.Check(both <= 200*50*21/20, quicktest.IsTrue, quicktest.Commentf("%d tokens in both halls", both))
+	c.Check(both >= 200*50*9/10, quicktest.IsTrue, quicktest.Commentf("%d tokens in both halls", both))
+	rounds(70, one) // Hall 2's need becomes old.
+	alone := rounds(10, one)
+	c.Check(alone >= 200*50*8/10, quicktest.IsTrue, quicktest.Commentf("%d tokens in one hall", alone))
+	faulty.SetPlan(func(table.Call) table.Failure { return table.FailureBefore })
+	outage := rounds(10, one)
+	c.Check(outage, quicktest.Equals, alone)
+}
