Group claims at one box of each hall

Cause: 390 boxes that each write their claims by themselves would need some 1,100 writes a second at the table service, which takes some hundred. One box of a hall commits up to a hundred transactions at a time, at most twenty times a second; in the test 200 inserts take under 100 commits. One contract test holds the memory table, the platform's adapter and the group to the same table of faults.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -43,6 +43,8 @@
 	PeerTalkProcedure = "/peer.v1.Peer/Talk"
 	// PeerFollowProcedure is the fully-qualified name of the Peer's Follow RPC.
 	PeerFollowProcedure = "/peer.v1.Peer/Follow"
+	// PeerCommitProcedure is the fully-qualified name of the Peer's Commit RPC.
+	PeerCommitProcedure = "/peer.v1.Peer/Commit"
 	// PeerMembersProcedure is the fully-qualified name of the Peer's Members RPC.
 	PeerMembersProcedure = "/peer.v1.Peer/Members"
 )
@@ -58,6 +60,8 @@
 	Talk(context.Context) *connect.BidiStreamForClient[v1.TalkRequest, v1.TalkResponse]
 	// Follow streams the configuration, and that it is still the newest.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
+	// Commit hands a transaction to the box that groups those of its hall.
+	Commit(context.Context, *connect.Request[v1.CommitRequest]) (*connect.Response[v1.CommitResponse], error)
 	// Members tells what the box thinks of the boxes of its hall.
 	Members(context.Context, *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error)
 }
@@ -97,6 +101,12 @@
 			connect.WithSchema(peerMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		commit: connect.NewClient[v1.CommitRequest, v1.CommitResponse](
+			httpClient,
+			baseURL+PeerCommitProcedure,
+			connect.WithSchema(peerMethods.ByName("Commit")),
+			connect.WithClientOptions(opts...),
+		),
 		members: connect.NewClient[v1.MembersRequest, v1.MembersResponse](
 			httpClient,
 			baseURL+PeerMembersProcedure,
@@ -112,6 +122,7 @@
 	ask     *connect.Client[v1.AskRequest, v1.AskResponse]
 	talk    *connect.Client[v1.TalkRequest, v1.TalkResponse]
 	follow  *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	commit  *connect.Client[v1.CommitRequest, v1.CommitResponse]
 	members *connect.Client[v1.MembersRequest, v1.MembersResponse]
 }
 
@@ -135,6 +146,11 @@
 	return c.follow.CallServerStream(ctx, req)
 }
 
+// Commit calls peer.v1.Peer.Commit.
+func (c *peerClient) Commit(ctx context.Context, req *connect.Request[v1.CommitRequest]) (*connect.Response[v1.CommitResponse], error) {
+	return c.commit.CallUnary(ctx, req)
+}
+
 // Members calls peer.v1.Peer.Members.
 func (c *peerClient) Members(ctx context.Context, req *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error) {
 	return c.members.CallUnary(ctx, req)
@@ -151,6 +167,8 @@
 	Talk(context.Context, *connect.BidiStream[v1.TalkRequest, v1.TalkResponse]) error
 	// Follow streams the configuration, and that it is still the newest.
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
+	// Commit hands a transaction to the box that groups those of its hall.
+	Commit(context.Context, *connect.Request[v1.CommitRequest]) (*connect.Response[v1.CommitResponse], error)
 	// Members tells what the box thinks of the boxes of its hall.
 	Members(context.Context, *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error)
 }
@@ -186,6 +204,12 @@
 		connect.WithSchema(peerMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerCommitHandler := connect.NewUnaryHandler(
+		PeerCommitProcedure,
+		svc.Commit,
+		connect.WithSchema(peerMethods.ByName("Commit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerMembersHandler := connect.NewUnaryHandler(
 		PeerMembersProcedure,
 		svc.Members,
@@ -202,6 +226,8 @@
 			peerTalkHandler.ServeHTTP(w, r)
 		case PeerFollowProcedure:
 			peerFollowHandler.ServeHTTP(w, r)
+		case PeerCommitProcedure:
+			peerCommitHandler.ServeHTTP(w, r)
 		case PeerMembersProcedure:
 			peerMembersHandler.ServeHTTP(w, r)
 		default:
@@ -229,6 +255,10 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Follow is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Commit(context.Context, *connect.Request[v1.CommitRequest]) (*connect.Response[v1.CommitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Commit is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Members(context.Context, *connect.Request[v1.MembersRequest]) (*connect.Response[v1.MembersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.Peer.Members is not implemented"))
 }
--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -175,7 +175,7 @@
 
 func (e *Entry) newClaims() *claim.Book {
 	b := claim.NewBook()
-	b.Table = e.Table
+	b.Table = e.node.relay
 	b.Objects = e.Objects
 	b.Clock = e.Clock
 	b.Source = e.node.source
--- a/internal/box/node.go
+++ b/internal/box/node.go
@@ -13,6 +13,7 @@
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/peer"
 	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/table"
 	"github.com/barleystep/barleystep/internal/version"
 	"github.com/barleystep/barleystep/internal/web"
 )
@@ -34,6 +35,8 @@
 	follower *version.Follower
 	reader   *version.Reader
 	client   *peer.Client
+	group    *table.Group
+	relay    *table.Relay
 	listener *web.Server
 }
 
@@ -67,7 +70,16 @@
 		Meter:      n.meter,
 		Log:        n.log,
 	}
-	server := &peer.Server{Auth: auth, Clock: n.clock, Desk: desk, Receiver: n.tracker, Follower: n.follower}
+	n.group = table.NewGroup(n.table, n.clock)
+	n.relay = &table.Relay{Local: n.group, Box: n.source.Box(), Membership: n.tracker, Remote: n.client.Commit}
+	server := &peer.Server{
+		Auth:     auth,
+		Clock:    n.clock,
+		Desk:     desk,
+		Receiver: n.tracker,
+		Follower: n.follower,
+		Table:    n.group,
+	}
 	n.listener = &web.Server{
 		Name:        "peers",
 		Addr:        n.settings.Listen.Peers,
@@ -80,7 +92,7 @@
 
 // services returns what has to run. A box without a peer listener serves alone.
 func (n *node) services() []suture.Service {
-	list := []suture.Service{n.reader, n.tracker}
+	list := []suture.Service{n.reader, n.tracker, n.group}
 	if n.settings.Listen.Peers != "" {
 		list = append(list, n.listener)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"github.com/barleystep/barleystep/internal/member"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/peer"
+	"github.com/barleystep/barleystep/internal/table"
 	"github.com/barleystep/barleystep/internal/version"
 )
 
@@ -68,6 +69,7 @@
 	follower *version.Follower
 	client   *peer.Client
 	ears     ears
+	table    *table.Faulty
 	wire     *countingListener
 }
 
@@ -82,10 +84,10 @@
 	follower := &version.Follower{Clock: clock.System{}, Meter: metric.Discard()}
 	c.Assert(follower.Load(version.Increment{Version: 1, Change: d.Entries(), Digest: d.Digest()}), quicktest.IsNil)
 	desk := &capacity.LocalDesk{Clock: clock.System{}, Hall: "h", Configuration: follower, Meter: metric.Discard()}
-	e := &end{desk: desk, follower: follower, ears: ears{make(chan member.Beat, 100)}}
+	e := &end{desk: desk, follower: follower, ears: ears{make(chan member.Beat, 100)}, table: &table.Faulty{Table: &table.Memory{}}}
 	server := &peer.Server{
 		Auth:  peer.Auth{Secret: serverSecret, Box: "b1", Clock: clock.System{}},
-		Clock: clock.System{}, Desk: desk, Receiver: e.ears, Follower: follower,
+		Clock: clock.System{}, Desk: desk, Receiver: e.ears, Follower: follower, Table: e.table,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
@@ -198,6 +200,41 @@
 	c.Check(other.Version(), quicktest.Equals, int64(1))
 }
 
+// TestCommitTellsTheEffect checks that what a box learns of a transaction that it
+// handed over is true.
+func TestCommitTellsTheEffect(t *testing.T) {
+	cases := map[string]struct {
+		failure table.Failure
+		want    barleystep.Fault
+	}{
+		"applied":      {table.FailureNone, barleystep.FaultNone},
+		"not applied":  {table.FailureBefore, barleystep.FaultUnavailable},
+		"answer lost":  {table.FailureAfter, barleystep.FaultUnknownEffect},
+		"yet to apply": {table.FailureLost, barleystep.FaultUnknownEffect},
+	}
+	txn := barleystep.Txn{
+		Conditions: []barleystep.Condition{barleystep.IfAbsent("k")},
+		Writes:     []barleystep.Write{barleystep.Put("k", []byte("v")), barleystep.Delete("j")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEnd(t, "s", "s")
+			e.table.SetPlan(func(table.Call) table.Failure { return tc.failure })
+			quicktest.Check(t, barleystep.FaultOf(e.client.Commit(t.Context(), "b1", txn)), quicktest.Equals, tc.want)
+		})
+	}
+	t.Run("conflict", func(t *testing.T) {
+		e := newEnd(t, "s", "s")
+		quicktest.Assert(t, e.client.Commit(t.Context(), "b1", txn), quicktest.IsNil)
+		quicktest.Check(t, e.client.Commit(t.Context(), "b1", txn), quicktest.ErrorIs, barleystep.ErrConflict)
+	})
+	t.Run("no box there", func(t *testing.T) {
+		e := newEnd(t, "s", "s")
+		e.client.Addr = func(barleystep.BoxID) (string, bool) { return "127.0.0.1:1", true }
+		quicktest.Check(t, e.client.Commit(t.Context(), "b1", txn), quicktest.ErrorIs, barleystep.ErrUnavailable)
+	})
+}
+
 // BenchmarkCapacityWire counts the bytes of a grant with its notices, and of a
 // report, on a real connection, both ways.
 func BenchmarkCapacityWire(b *testing.B) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -33,6 +33,8 @@
 	Desk     capacity.Desk
 	Receiver Receiver
 	Follower *version.Follower
+	// Table commits the transactions that other boxes hand over.
+	Table barleystep.Table
 }
 
 // confirmEvery is the time between messages of a stream of versions that only
--- /dev/null
+++ b/internal/table/group.go
@@ -0,0 +1,225 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// Group puts many small transactions into few large ones: the table service
+// takes some hundred writes a second, whatever their size. Transactions that
+// share no key are committed together; one whose condition does not hold is
+// taken out and told so, and the others go on. Its exported fields are set
+// before Serve; it is safe for concurrent use.
+type Group struct {
+	Table barleystep.Table
+	Clock barleystep.Clock
+	// Every is the least time between two commits; the default is 50 ms. The
+	// first after a pause goes at once.
+	Every time.Duration
+	// Most bounds the transactions in one commit; the default is 100.
+	Most int
+
+	queue chan *grouped
+}
+
+type grouped struct {
+	txn  barleystep.Txn
+	done chan error
+}
+
+const (
+	defaultGroupEvery = 50 * time.Millisecond
+	defaultGroupMost  = 100
+	groupQueue        = 4096
+	// groupRounds is how often conflicting transactions are taken out of a commit
+	// before the others go one by one.
+	groupRounds = 3
+)
+
+var _ barleystep.Table = (*Group)(nil)
+
+// NewGroup returns a group before the table.
+func NewGroup(t barleystep.Table, clk barleystep.Clock) *Group {
+	return &Group{Table: t, Clock: clk, queue: make(chan *grouped, groupQueue)}
+}
+
+// Read reads from the table behind.
+func (g *Group) Read(ctx context.Context, keys ...string) ([]barleystep.Row, error) {
+	return g.Table.Read(ctx, keys...)
+}
+
+// Scan scans the table behind.
+func (g *Group) Scan(ctx context.Context, prefix, after string, limit int) ([]barleystep.Row, error) {
+	return g.Table.Scan(ctx, prefix, after, limit)
+}
+
+// Commit commits t together with others. A caller that does not wait for the
+// answer cannot know the effect.
+func (g *Group) Commit(ctx context.Context, t barleystep.Txn) error {
+	w := &grouped{txn: t, done: make(chan error, 1)}
+	select {
+	case g.queue <- w:
+	default:
+		return eris.Wrap(barleystep.ErrUnavailable, "table: too many transactions wait")
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return eris.Wrap(barleystep.ErrUnknownEffect, "table: the caller did not wait")
+	}
+}
+
+// Serve commits until ctx ends.
+func (g *Group) Serve(ctx context.Context) error {
+	if g.Every == 0 {
+		g.Every = defaultGroupEvery
+	}
+	if g.Most == 0 {
+		g.Most = defaultGroupMost
+	}
+	var left *grouped // left shares a key with the last commit.
+	for {
+		batch, next := g.collect(ctx, left)
+		if batch == nil {
+			return ctx.Err()
+		}
+		left = next
+		g.commit(ctx, batch)
+		if !clock.Sleep(ctx, g.Clock, g.Every) {
+			return ctx.Err()
+		}
+	}
+}
+
+// collect waits for one transaction and takes along those that wait already, up
+// to the first that shares a key.
+func (g *Group) collect(ctx context.Context, first *grouped) (batch []*grouped, left *grouped) {
+	if first == nil {
+		select {
+		case first = <-g.queue:
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+	keys := make(map[string]bool)
+	claimKeys(keys, first.txn)
+	batch = []*grouped{first}
+	for len(batch) < g.Most {
+		select {
+		case w := <-g.queue:
+			if !claimKeys(keys, w.txn) {
+				return batch, w
+			}
+			batch = append(batch, w)
+		default:
+			return batch, nil
+		}
+	}
+	return batch, nil
+}
+
+// claimKeys adds the keys of t, unless one is there.
+func claimKeys(keys map[string]bool, t barleystep.Txn) bool {
+	own := keysOf(t)
+	for k := range own {
+		if keys[k] {
+			return false
+		}
+	}
+	for k := range own {
+		keys[k] = true
+	}
+	return true
+}
+
+func keysOf(t barleystep.Txn) map[string]bool {
+	keys := make(map[string]bool)
+	for _, c := range t.Conditions {
+		keys[c.Key()] = true
+	}
+	for _, w := range t.Writes {
+		keys[w.Key()] = true
+	}
+	return keys
+}
+
+// commit commits the batch and answers each of its transactions.
+func (g *Group) commit(ctx context.Context, batch []*grouped) {
+	for range groupRounds {
+		if len(batch) == 0 {
+			return
+		}
+		err := g.Table.Commit(ctx, merge(batch))
+		if barleystep.FaultOf(err) != barleystep.FaultConflict {
+			answerAll(batch, err)
+			return
+		}
+		if len(batch) == 1 {
+			answerAll(batch, err)
+			return
+		}
+		batch = g.takeOut(ctx, batch)
+	}
+	for _, w := range batch {
+		w.done <- g.Table.Commit(ctx, w.txn)
+	}
+}
+
+func merge(batch []*grouped) (t barleystep.Txn) {
+	for _, w := range batch {
+		t.Conditions = append(t.Conditions, w.txn.Conditions...)
+		t.Writes = append(t.Writes, w.txn.Writes...)
+	}
+	return t
+}
+
+func answerAll(batch []*grouped, err error) {
+	for _, w := range batch {
+		w.done <- err
+	}
+}
+
+// takeOut answers the transactions whose conditions do not hold and returns the
+// others. A read that fails, or that shows no reason, takes nothing out.
+func (g *Group) takeOut(ctx context.Context, batch []*grouped) []*grouped {
+	var keys []string
+	for _, w := range batch {
+		for _, c := range w.txn.Conditions {
+			keys = append(keys, c.Key())
+		}
+	}
+	rows, err := g.Table.Read(ctx, keys...)
+	if err != nil {
+		return batch
+	}
+	versions := make(map[string]int64, len(rows))
+	for _, r := range rows {
+		versions[r.Key()] = r.Version()
+	}
+	var kept []*grouped
+	for _, w := range batch {
+		if outdated(w.txn, versions) {
+			w.done <- barleystep.ErrConflict
+			continue
+		}
+		kept = append(kept, w)
+	}
+	return kept
+}
+
+// outdated reports whether a row is newer than a condition wants. A row that is
+// older may be a stale read, which proves nothing.
+func outdated(t barleystep.Txn, versions map[string]int64) bool {
+	for _, c := range t.Conditions {
+		if versions[c.Key()] > c.Version() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/table/relay.go
@@ -0,0 +1,58 @@
+package table
+
+import (
+	"context"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/place"
+)
+
+// Relay hands transactions to the one box of the hall that groups them, so that
+// the table service sees a bounded number of commits from each hall, however
+// many boxes it has. Reads go straight to the table. Its exported fields are set
+// before use.
+type Relay struct {
+	// Local groups the transactions on this box.
+	Local      barleystep.Table
+	Box        barleystep.BoxID
+	Membership barleystep.Membership
+	// Remote hands a transaction to another box.
+	Remote func(ctx context.Context, id barleystep.BoxID, t barleystep.Txn) error
+}
+
+var _ barleystep.Table = (*Relay)(nil)
+
+// Read reads from the table.
+func (r *Relay) Read(ctx context.Context, keys ...string) ([]barleystep.Row, error) {
+	return r.Local.Read(ctx, keys...)
+}
+
+// Scan scans the table.
+func (r *Relay) Scan(ctx context.Context, prefix, after string, limit int) ([]barleystep.Row, error) {
+	return r.Local.Scan(ctx, prefix, after, limit)
+}
+
+// Commit commits t at the hall's writer. A writer that certainly did nothing is
+// passed over for this box's own group.
+func (r *Relay) Commit(ctx context.Context, t barleystep.Txn) error {
+	id := r.writer()
+	if id == r.Box {
+		return r.Local.Commit(ctx, t)
+	}
+	err := r.Remote(ctx, id, t)
+	if barleystep.FaultOf(err) == barleystep.FaultUnavailable {
+		return r.Local.Commit(ctx, t)
+	}
+	return err
+}
+
+func (r *Relay) writer() barleystep.BoxID {
+	var names []string
+	for _, id := range r.Membership.Alive() {
+		names = append(names, string(id))
+	}
+	if best := place.Highest("claims", names); best != "" {
+		return barleystep.BoxID(best)
+	}
+	return r.Box
+}
--- /dev/null
+++ b/internal/table/table_test.go
@@ -0,0 +1,157 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/object"
+	"github.com/barleystep/barleystep/internal/platform"
+	"github.com/barleystep/barleystep/internal/standin"
+	"github.com/barleystep/barleystep/internal/table"
+)
+
+// tables returns all implementations, each before a table that can fail.
+func tables(t *testing.T) map[string]func() (barleystep.Table, *table.Faulty) {
+	return map[string]func() (barleystep.Table, *table.Faulty){
+		"memory": func() (barleystep.Table, *table.Faulty) {
+			f := &table.Faulty{Table: &table.Memory{}}
+			return f, f
+		},
+		"platform": func() (barleystep.Table, *table.Faulty) {
+			f := &table.Faulty{Table: &table.Memory{}}
+			p := &standin.Platform{Table: f, Objects: &object.Memory{}}
+			s := httptest.NewServer(p.Handler())
+			t.Cleanup(s.Close)
+			return &platform.Client{URL: s.URL, Clock: clock.System{}, Timeout: 300 * time.Millisecond}, f
+		},
+		"group": func() (barleystep.Table, *table.Faulty) {
+			f := &table.Faulty{Table: &table.Memory{}}
+			g := table.NewGroup(f, clock.System{})
+			g.Every = time.Millisecond
+			serve(t, g)
+			return g, f
+		},
+	}
+}
+
+func serve(t *testing.T, g *table.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- g.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func insert(key, value string) barleystep.Txn {
+	return barleystep.Txn{
+		Conditions: []barleystep.Condition{barleystep.IfAbsent(key)},
+		Writes:     []barleystep.Write{barleystep.Put(key, []byte(value))},
+	}
+}
+
+// TestContract holds every table to what the interface promises, fault by
+// fault: what the error says of the effect is true.
+func TestContract(t *testing.T) {
+	cases := map[string]struct {
+		failure table.Failure
+		fault   barleystep.Fault
+		there   bool // there is whether the write took effect.
+	}{
+		"no fault":                {table.FailureNone, barleystep.FaultNone, true},
+		"error before the effect": {table.FailureBefore, barleystep.FaultUnavailable, false},
+		"error after the effect":  {table.FailureAfter, barleystep.FaultUnknownEffect, true},
+		"effect yet to come":      {table.FailureLost, barleystep.FaultUnknownEffect, false},
+		"hangs":                   {table.FailureHang, barleystep.FaultUnknownEffect, false},
+	}
+	for impl, make := range tables(t) {
+		for name, tc := range cases {
+			t.Run(impl+"/"+name, func(t *testing.T) {
+				c := quicktest.New(t)
+				tb, faulty := make()
+				faulty.SetPlan(func(call table.Call) table.Failure {
+					if call.Write() {
+						return tc.failure
+					}
+					return table.FailureNone
+				})
+				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				defer cancel()
+				c.Check(barleystep.FaultOf(tb.Commit(ctx, insert("k", "v"))), quicktest.Equals, tc.fault)
+				faulty.SetPlan(nil)
+				rows, err := tb.Read(context.Background(), "k", "other")
+				c.Assert(err, quicktest.IsNil)
+				c.Check(rows[0].Exists(), quicktest.Equals, tc.there)
+				c.Check(rows[1].Exists(), quicktest.IsFalse)
+			})
+		}
+		t.Run(impl+"/conditions", func(t *testing.T) {
+			c := quicktest.New(t)
+			ctx := context.Background()
+			tb, _ := make()
+			c.Assert(tb.Commit(ctx, insert("k", "1")), quicktest.IsNil)
+			c.Check(tb.Commit(ctx, insert("k", "2")), quicktest.ErrorIs, barleystep.ErrConflict)
+			rows, err := tb.Read(ctx, "k")
+			c.Assert(err, quicktest.IsNil)
+			change := barleystep.Txn{
+				Conditions: []barleystep.Condition{barleystep.IfVersion("k", rows[0].Version())},
+				Writes:     []barleystep.Write{barleystep.Put("k", []byte("3"))},
+			}
+			c.Assert(tb.Commit(ctx, change), quicktest.IsNil)
+			c.Check(tb.Commit(ctx, change), quicktest.ErrorIs, barleystep.ErrConflict)
+			rows, err = tb.Scan(ctx, "k", "", 10)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(string(rows[0].Value()), quicktest.Equals, "3")
+			c.Assert(tb.Commit(ctx, barleystep.Txn{Writes: []barleystep.Write{barleystep.Delete("k")}}), quicktest.IsNil)
+			c.Check(tb.Commit(ctx, insert("k", "4")), quicktest.IsNil)
+		})
+		t.Run(impl+"/reads fail", func(t *testing.T) {
+			c := quicktest.New(t)
+			tb, faulty := make()
+			faulty.SetPlan(func(table.Call) table.Failure { return table.FailureBefore })
+			_, err := tb.Read(context.Background(), "k")
+			c.Check(err, quicktest.ErrorIs, barleystep.ErrUnavailable)
+			_, err = tb.Scan(context.Background(), "k", "", 1)
+			c.Check(err, quicktest.ErrorIs, barleystep.ErrUnavailable)
+		})
+	}
+}
+
+// TestGroup puts inserts of many goroutines into few commits; those that
+// conflict are told so, and only those.
+func TestGroup(t *testing.T) {
+	c := quicktest.New(t)
+	ctx := context.Background()
+	m := &table.Memory{}
+	c.Assert(m.Commit(ctx, insert("k7", "old")), quicktest.IsNil)
+	g := table.NewGroup(m, clock.System{})
+	g.Every = 5 * time.Millisecond
+	const n = 200
+	errs := make([]error, n)
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Go(func() { errs[i] = g.Commit(ctx, insert(fmt.Sprint("k", i%100), fmt.Sprint(i))) })
+	}
+	serve(t, g)
+	wait.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+			continue
+		}
+		c.Check(err, quicktest.ErrorIs, barleystep.ErrConflict)
+	}
+	c.Check(won, quicktest.Equals, 99)
+	_, commits := m.Operations()
+	c.Check(commits < n/2, quicktest.IsTrue, quicktest.Commentf("%d commits", commits))
+}
