--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,162 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/engine"
+)
+
+func attempt(n uint64) barleystep.Attempt {
+	return barleystep.Attempt{ID: barleystep.NewAttemptID("b", 1, n), Path: "/v1/completions", Body: []byte("{}")}
+}
+
+// echo answers well.
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
+	_, _ = io.WriteString(w, "{}")
+}
+
+// read reads an answer to its end.
+func read(s barleystep.Stream) error {
+	defer s.Close()
+	for {
+		if _, err := s.Next(); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+// TestNothingIsSentTwice lets a target run an attempt on a connection that was
+// used before and close it unanswered. The transport must not send it again by
+// itself, whatever headers it carries.
+func TestNothingIsSentTwice(t *testing.T) {
+	for name, method := range map[string]string{"post": http.MethodPost, "get": http.MethodGet, "delete": http.MethodDelete} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var runs atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) == 1 {
+					echo(w, r)
+					return
+				}
+				panic(http.ErrAbortHandler)
+			}))
+			t.Cleanup(server.Close)
+			client := &engine.Client{URL: server.URL, HTTP: engine.NewHTTP(4)}
+			first := attempt(1)
+			s, err := client.Start(t.Context(), first)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(read(s), quicktest.IsNil)
+			second := attempt(2)
+			second.Method = method
+			if method == http.MethodGet {
+				second.Body = nil
+			}
+			_, err = client.Start(t.Context(), second)
+			c.Check(err, quicktest.ErrorIs, barleystep.ErrUnknownEffect)
+			c.Check(runs.Load(), quicktest.Equals, int64(2))
+		})
+	}
+}
+
+func TestStartSaysWhetherItMayHaveRun(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	nobody := "http://" + closed.Addr().String()
+	closed.Close()
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    error
+	}{
+		"answers": {echo, nil},
+		"says it did not start": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(engine.HeaderStarted, "false")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, barleystep.ErrNotStarted},
+		"does not say so": {func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, barleystep.ErrForeign},
+		"answers for another": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(engine.HeaderAttempt, "b.1.9")
+		}, barleystep.ErrForeign},
+		"redirects": {func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		}, barleystep.ErrForeign},
+		"breaks off":      {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, barleystep.ErrUnknownEffect},
+		"nobody is there": {nil, barleystep.ErrNotStarted},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			url := nobody
+			if tc.handler != nil {
+				server := httptest.NewServer(tc.handler)
+				t.Cleanup(server.Close)
+				url = server.URL
+			}
+			client := &engine.Client{URL: url, HTTP: engine.NewHTTP(4)}
+			s, err := client.Start(context.Background(), attempt(1))
+			if tc.want == nil {
+				quicktest.Assert(t, err, quicktest.IsNil)
+				quicktest.Check(t, read(s), quicktest.IsNil)
+				return
+			}
+			quicktest.Check(t, err, quicktest.ErrorIs, tc.want)
+		})
+	}
+}
+
+// TestTornBodies lists the ways in which an answer can be cut without a sign.
+func TestTornBodies(t *testing.T) {
+	id := attempt(1).ID.String()
+	cases := map[string]string{
+		"shorter than announced":      "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Length: 100\r\n\r\n{}",
+		"no end mark":                 "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\n\r\n{}",
+		"stream ends early":           "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Type: text/event-stream\r\n\r\nid: " + id + "/1\ndata: {}\n\n",
+		"stream leaves an event out":  "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Type: text/event-stream\r\n\r\nid: " + id + "/2\ndata: [DONE]\n\n",
+		"stream without numbers":      "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Type: text/event-stream\r\n\r\ndata: [DONE]\n\n",
+		"event with an odd number":    "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Type: text/event-stream\r\n\r\nid: " + id + "/x\ndata: {}\n\n",
+		"event of a similar attempt":  "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Type: text/event-stream\r\n\r\nid: " + id + "1/1\ndata: [DONE]\n\n",
+		"chunk that is cut in pieces": "HTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n{",
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, quicktest.IsNil)
+			t.Cleanup(func() { l.Close() })
+			go answerRaw(l, raw)
+			client := &engine.Client{URL: "http://" + l.Addr().String(), HTTP: engine.NewHTTP(4)}
+			s, err := client.Start(t.Context(), attempt(1))
+			c.Assert(err, quicktest.IsNil)
+			err = read(s)
+			torn := errors.Is(err, barleystep.ErrTorn) || errors.Is(err, barleystep.ErrForeign)
+			c.Check(torn, quicktest.IsTrue, quicktest.Commentf("%v", err))
+		})
+	}
+}
+
+// answerRaw answers one request with raw bytes and closes the connection.
+func answerRaw(l net.Listener, raw string) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err := conn.Read(make([]byte, 4096)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, raw)
+}
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -73,11 +73,11 @@
 		"effect yet to come":      {table.FailureLost, barleystep.FaultUnknownEffect, false},
 		"hangs":                   {table.FailureHang, barleystep.FaultUnknownEffect, false},
 	}
-	for impl, make := range tables(t) {
+	for impl, build := range tables(t) {
 		for name, tc := range cases {
 			t.Run(impl+"/"+name, func(t *testing.T) {
 				c := quicktest.New(t)
-				tb, faulty := make()
+				tb, faulty := build()
 				faulty.SetPlan(func(call table.Call) table.Failure {
 					if call.Write() {
 						return tc.failure
@@ -97,7 +97,7 @@
 		t.Run(impl+"/conditions", func(t *testing.T) {
 			c := quicktest.New(t)
 			ctx := context.Background()
-			tb, _ := make()
+			tb, _ := build()
 			c.Assert(tb.Commit(ctx, insert("k", "1")), quicktest.IsNil)
 			c.Check(tb.Commit(ctx, insert("k", "2")), quicktest.ErrorIs, barleystep.ErrConflict)
 			rows, err := tb.Read(ctx, "k")
@@ -116,7 +116,7 @@
 		})
 		t.Run(impl+"/reads fail", func(t *testing.T) {
 			c := quicktest.New(t)
-			tb, faulty := make()
+			tb, faulty := build()
 			faulty.SetPlan(func(table.Call) table.Failure { return table.FailureBefore })
 			_, err := tb.Read(context.Background(), "k")
 			c.Check(err, quicktest.ErrorIs, barleystep.ErrUnavailable)
