--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test lint model generate placement
+.PHONY: run test lint model generate placement capacity
 
 # run starts a small hall on loopback.
 run:
@@ -29,3 +29,7 @@
 placement:
 	$(GO) run ./cmd/barleystep-trial > docs/placement-tables.md.new
 	mv docs/placement-tables.md.new docs/placement-tables.md
+
+# capacity measures the slopes of docs/CAPACITY.md.
+capacity:
+	$(GO) test -run '^$$' -bench Capacity -benchtime 0.5s ./internal/... | grep '^Bench' > docs/capacity-measured.txt
--- a/internal/keeper/cleaner.go
+++ b/internal/keeper/cleaner.go
@@ -100,7 +100,7 @@
 	// Keep is how long a claim is kept after its request's deadline; the default
 	// is 24 hours. No write may take effect later than that.
 	Keep time.Duration
-	// Every is the time between rounds; the default is 1 minute.
+	// Every is the time between rounds; the default is 10 seconds.
 	Every time.Duration
 
 	after string // after is the key at which the next round goes on.
@@ -108,8 +108,8 @@
 
 const (
 	defaultKeep       = 24 * time.Hour
-	defaultSweepEvery = time.Minute
-	sweepBatch        = 200
+	defaultSweepEvery = 10 * time.Second
+	sweepBatch        = 1_000
 )
 
 // Serve sweeps until ctx ends.
--- a/internal/keeper/giver.go
+++ b/internal/keeper/giver.go
@@ -52,7 +52,14 @@
 
 func (g *Giver) leaseKey() string { return "order/lease/" + string(g.Hall) }
 
-func intentKey(id barleystep.TargetID) string { return "order/intent/" + string(id) }
+// intentPrefix begins the keys of the hall's intents, so that one scan reads
+// them all.
+func (g *Giver) intentPrefix() string { return "order/intent/" + string(g.Hall) + "/" }
+
+func (g *Giver) intentKey(id barleystep.TargetID) string { return g.intentPrefix() + string(id) }
+
+// maxIntents bounds the targets of a hall that have ever had an intent.
+const maxIntents = 10_000
 
 // Serve gives orders until ctx ends.
 func (g *Giver) Serve(ctx context.Context) error {
@@ -75,13 +82,31 @@
 		return
 	}
 	held := g.hold(ctx)
+	intents, err := g.intents(ctx)
+	if err != nil {
+		return
+	}
 	for _, t := range g.targets(v) {
 		if held || g.announced[barleystep.TargetID(t.ID)] {
-			g.look(ctx, t)
+			g.look(ctx, t, intents[g.intentKey(barleystep.TargetID(t.ID))])
 		}
 	}
 }
 
+// intents reads the hall's intent rows by their keys.
+func (g *Giver) intents(ctx context.Context) (map[string]barleystep.Row, error) {
+	rows, err := g.Table.Scan(ctx, g.intentPrefix(), "", maxIntents)
+	if err != nil {
+		g.Meter.StoreFault("intent_scan", barleystep.FaultOf(err).String())
+		return nil, err
+	}
+	byKey := make(map[string]barleystep.Row, len(rows))
+	for _, r := range rows {
+		byKey[r.Key()] = r
+	}
+	return byKey, nil
+}
+
 func (g *Giver) targets(v *config.View) []config.Target {
 	return v.Targets(func(t config.Target) bool { return t.Hall == string(g.Hall) && t.Weights != "" })
 }
@@ -131,7 +156,7 @@
 }
 
 // look takes one step about one target.
-func (g *Giver) look(ctx context.Context, t config.Target) {
+func (g *Giver) look(ctx context.Context, t config.Target, row barleystep.Row) {
 	id := barleystep.TargetID(t.ID)
 	e, ok := g.Targets.Engine(id, true)
 	if !ok {
@@ -141,11 +166,7 @@
 	if err != nil {
 		return
 	}
-	rows, err := g.Table.Read(ctx, intentKey(id))
-	if err != nil {
-		return
-	}
-	intent, err := decode[Intent](rows[0])
+	intent, err := decode[Intent](row)
 	if err != nil {
 		g.Log.Error().Err(err).Msg(logPrefix + "An intent can't be read.")
 		return
@@ -162,7 +183,7 @@
 		Intent:     intent,
 		HolderGone: g.Watcher.Gone(intent.Holder, intent.Incarnation),
 	}
-	g.act(ctx, id, e, s, rows[0].Version())
+	g.act(ctx, id, e, s, row.Version())
 }
 
 func (g *Giver) act(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, s Sight, rowVersion int64) {
@@ -195,8 +216,8 @@
 func (g *Giver) closeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) {
 	i.Open = false
 	err := g.Table.Commit(ctx, barleystep.Txn{
-		Conditions: []barleystep.Condition{barleystep.IfVersion(intentKey(id), rowVersion)},
-		Writes:     []barleystep.Write{barleystep.Put(intentKey(id), encode(i))},
+		Conditions: []barleystep.Condition{barleystep.IfVersion(g.intentKey(id), rowVersion)},
+		Writes:     []barleystep.Write{barleystep.Put(g.intentKey(id), encode(i))},
 	})
 	if err == nil {
 		g.announce(id, false)
@@ -216,10 +237,10 @@
 	}
 	err = g.Table.Commit(ctx, barleystep.Txn{
 		Conditions: []barleystep.Condition{
-			barleystep.IfVersion(intentKey(id), rowVersion),
+			barleystep.IfVersion(g.intentKey(id), rowVersion),
 			barleystep.IfVersion(g.leaseKey(), rows[0].Version()),
 		},
-		Writes: []barleystep.Write{barleystep.Put(intentKey(id), encode(i))},
+		Writes: []barleystep.Write{barleystep.Put(g.intentKey(id), encode(i))},
 	})
 	return err == nil
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -172,7 +172,7 @@
 	first, second := b.giver("b1"), b.giver("b2")
 	// The announcement takes effect, its answer is lost, and the giver pauses.
 	b.table.SetPlan(func(call table.Call) table.Failure {
-		if call.Write() && len(call.Keys()) > 0 && call.Keys()[0] == "order/intent/e" {
+		if call.Write() && len(call.Keys()) > 0 && call.Keys()[0] == "order/intent/h/e" {
 			return table.FailureAfter
 		}
 		return table.FailureNone
@@ -200,7 +200,7 @@
 	b := newBench(t, config.Target{Drain: true, Weights: "v2"})
 	first, second := b.giver("b1"), b.giver("b2")
 	b.table.SetPlan(func(call table.Call) table.Failure {
-		if call.Write() && call.Keys()[0] == "order/intent/e" {
+		if call.Write() && call.Keys()[0] == "order/intent/h/e" {
 			return table.FailureAfter
 		}
 		return table.FailureNone
--- a/internal/place/prefix.go
+++ b/internal/place/prefix.go
@@ -9,14 +9,14 @@
 // Prefixes records which prompt prefixes were sent to which targets lately. It
 // forgets what was used longest ago. It is not safe for concurrent use.
 type Prefixes struct {
-	// Limit bounds the number of prefixes; the default is 65,536.
+	// Limit bounds the number of prefixes; the default is 16,384.
 	Limit int
 
 	order  list.List
 	places map[uint64]*list.Element
 }
 
-const defaultPrefixes = 65_536
+const defaultPrefixes = 16_384
 
 type prefixPlace struct {
 	hash   uint64
