--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -106,7 +106,11 @@
 	limiter := e.newLimiter()
 	e.server = e.newServer(allocator, targets, canceller, claims)
 	e.server.Limiter = limiter
-	e.callers = e.newListener("callers", e.Settings.Listen.Callers, e.server.Handler())
+	e.server.Hall = barleystep.HallID(e.Settings.Box.Hall)
+	e.server.Forwarder = e.node.forwarder()
+	handler := e.server.Handler()
+	e.node.serve(handler)
+	e.callers = e.newListener("callers", e.Settings.Listen.Callers, handler)
 	e.admin = e.newListener("admin", e.Settings.Listen.Admin, e.status())
 	poller := &capacity.Poller{
 		Clock:         e.Clock,
--- /dev/null
+++ b/internal/box/forward_test.go
@@ -0,0 +1,151 @@
+package box_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/box"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/object"
+	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/standin"
+	"github.com/barleystep/barleystep/internal/table"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+// halls is two halls with a box each; only the second has an engine.
+type halls struct {
+	engine  *standin.Engine
+	table   barleystep.Table
+	objects barleystep.ObjectStore
+	boxes   standin.Platform
+	entries []*box.Entry
+}
+
+func newHalls(t *testing.T) *halls {
+	c := quicktest.New(t)
+	h := &halls{engine: &standin.Engine{Clock: clock.System{}}, table: &table.Memory{}, objects: &object.Memory{}}
+	server := httptest.NewServer(h.engine)
+	t.Cleanup(server.Close)
+	d, err := config.File{
+		Accounts: []config.Account{{Name: "a", Keys: []config.Key{{ID: "1", SHA256: config.HashKey("k")}}}},
+		Classes:  []config.Class{{Name: "normal"}},
+		Models:   []config.Model{{Name: "m", EngineTokens: 1_000, MaxPrompt: 1_000, MaxOutput: 8}},
+		Targets:  []config.Target{{ID: "e", Hall: "two", Model: "m", URL: server.URL}},
+	}.Document()
+	c.Assert(err, quicktest.IsNil)
+	store := &version.Store{Table: h.table, Objects: h.objects, Clock: clock.System{}, Meter: metric.Discard()}
+	_, err = store.Submit(context.Background(), config.Document{}, version.Submission{ID: "first", Document: d})
+	c.Assert(err, quicktest.IsNil)
+	var list []barleystep.Box
+	for _, name := range []string{"one", "two"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, quicktest.IsNil)
+		addr := l.Addr().String()
+		c.Assert(l.Close(), quicktest.IsNil)
+		list = append(list, barleystep.NewBox(barleystep.BoxID("box-"+name), barleystep.HallID(name), addr, false))
+	}
+	h.boxes.SetBoxes(list...)
+	for _, b := range list {
+		h.start(t, b)
+	}
+	return h
+}
+
+func (h *halls) start(t *testing.T, b barleystep.Box) {
+	exporter, err := metric.NewExporter()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	e := &box.Entry{
+		Settings: settings.Settings{
+			Box:    settings.Box{ID: string(b.ID()), Hall: string(b.Hall())},
+			Listen: settings.Listen{Callers: "127.0.0.1:0", Peers: b.Addr()},
+			Peers:  settings.Peers{Secret: "secret"},
+			Limits: settings.Limits{Notice: 1},
+		},
+		Clock: clock.System{}, Table: h.table, Objects: h.objects, Boxes: &h.boxes,
+		Exporter: exporter, Log: &log.Logger{Level: log.PanicLevel},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.Build(context.WithoutCancel(ctx))
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	e.Follower().Await(1)
+	<-e.Ready()
+	h.entries = append(h.entries, e)
+}
+
+func (h *halls) ask(t *testing.T, url string, header ...string) (*http.Response, string) {
+	body := `{"model":"m","stream":true,"max_tokens":2,"messages":[{"role":"user","content":"hello"}]}`
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	req.Header.Set("Authorization", "Bearer k")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return resp, string(text)
+}
+
+// TestForward sends requests to a hall without targets: they go one hop.
+func TestForward(t *testing.T) {
+	c := quicktest.New(t)
+	h := newHalls(t)
+	first := "http://" + h.entries[0].CallersAddr()
+	resp, text := h.ask(t, first)
+	c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+	c.Check(resp.Trailer.Get("Barleystep-Outcome"), quicktest.Equals, "done")
+	c.Check(text, quicktest.Contains, "box-two")
+	c.Check(strings.Count(text, "[DONE]"), quicktest.Equals, 1)
+
+	// The claim is given back here and taken over there.
+	strict := []string{"Barleystep-Repeatable", "no", "Idempotency-Key", "once"}
+	_, text = h.ask(t, first, strict...)
+	_, again := h.ask(t, first, strict...)
+	c.Check(again, quicktest.Equals, text)
+	c.Check(h.engine.Runs(), quicktest.HasLen, 2)
+
+	// What was forwarded once goes no further.
+	resp, _ = h.ask(t, first, "Barleystep-Forwarded", "elsewhere")
+	c.Check(resp.Header.Get("Barleystep-Outcome"), quicktest.Equals, "not-run")
+	c.Check(resp.Header.Get("Barleystep-Reason"), quicktest.Equals, "no_target")
+
+	// A stranger does not get in by the peer listener.
+	boxes, err := h.boxes.Boxes(t.Context())
+	c.Assert(err, quicktest.IsNil)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+boxes[1].Addr()+"/v1/chat/completions", strings.NewReader("{}"))
+	c.Assert(err, quicktest.IsNil)
+	resp, err = http.DefaultClient.Do(req)
+	c.Assert(err, quicktest.IsNil)
+	resp.Body.Close()
+	c.Check(resp.StatusCode, quicktest.Equals, http.StatusUnauthorized)
+}
+
+// TestNotRunComesBack checks that a request that the other hall did not run is
+// truthfully not run.
+func TestNotRunComesBack(t *testing.T) {
+	c := quicktest.New(t)
+	h := newHalls(t)
+	h.engine.SetLeaving(true)
+	resp, _ := h.ask(t, "http://"+h.entries[0].CallersAddr(), "Barleystep-Time-Limit", "900ms")
+	c.Check(resp.Header.Get("Barleystep-Outcome"), quicktest.Equals, "not-run")
+	c.Check(h.engine.Runs(), quicktest.HasLen, 0)
+}
--- a/internal/box/node.go
+++ b/internal/box/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/phuslu/log"
 	"github.com/thejerf/suture/v4"
@@ -37,6 +38,7 @@
 	client   *peer.Client
 	group    *table.Group
 	relay    *table.Relay
+	server   *peer.Server
 	listener *web.Server
 }
 
@@ -72,7 +74,7 @@
 	}
 	n.group = table.NewGroup(n.table, n.clock)
 	n.relay = &table.Relay{Local: n.group, Box: n.source.Box(), Membership: n.tracker, Remote: n.client.Commit}
-	server := &peer.Server{
+	n.server = &peer.Server{
 		Auth:     auth,
 		Clock:    n.clock,
 		Desk:     desk,
@@ -83,13 +85,22 @@
 	n.listener = &web.Server{
 		Name:        "peers",
 		Addr:        n.settings.Listen.Peers,
-		Handler:     server.Handler(),
 		Clock:       n.clock,
 		Log:         n.log,
 		Unencrypted: true,
 	}
 }
 
+// forwarder returns the way to other halls.
+func (n *node) forwarder() *peer.Forwarder { return &peer.Forwarder{Client: n.client, Boxes: n.boxes} }
+
+// serve makes the peer listener answer, with the handler for callers' requests
+// that boxes of other halls forward.
+func (n *node) serve(callers http.Handler) {
+	n.server.Callers = callers
+	n.listener.Handler = n.server.Handler()
+}
+
 // services returns what has to run. A box without a peer listener serves alone.
 func (n *node) services() []suture.Service {
 	list := []suture.Service{n.reader, n.tracker, n.group}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -28,6 +28,7 @@
 	key         string // key is the caller's idempotency key.
 	answer      *answer
 	targetState barleystep.Outcome // targetState is what the attempts have come to.
+	outcome     barleystep.Outcome // outcome is what another box has said of the request.
 }
 
 // ID returns the id of the request.
--- /dev/null
+++ b/internal/gate/forward.go
@@ -0,0 +1,155 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// HeaderForwarded marks a request that came from a box of another hall. It goes
+// no further.
+const HeaderForwarded = "Barleystep-Forwarded"
+
+// Forwarder sends requests to boxes of other halls. Implementations are safe for
+// concurrent use.
+type Forwarder interface {
+	// Forward sends the request to a box of one of the halls. It returns
+	// barleystep.ErrNotStarted if the request cannot have reached any.
+	Forward(ctx context.Context, halls []string, r *http.Request, body []byte) (*http.Response, error)
+}
+
+// forward passes a request on to another hall, one hop at most, when this hall
+// has no room for it. It stands around the claim, which is given back before.
+type forward struct {
+	forwarder Forwarder
+	hall      string
+	clock     barleystep.Clock
+	meter     *metric.Meter
+}
+
+// forwardable are the reasons for which another hall may do better.
+var forwardable = map[barleystep.Reason]bool{
+	barleystep.ReasonNoTarget:  true,
+	barleystep.ReasonQueueFull: true,
+}
+
+// Run runs the rest here, and elsewhere if it was not run here for want of room.
+func (f *forward) Run(ctx context.Context, x *Exchange, next Next) error {
+	err := next(ctx, x)
+	if err == nil || f.forwarder == nil || !f.may(x, err) {
+		return err
+	}
+	halls := f.halls(x)
+	if len(halls) == 0 {
+		return err
+	}
+	f.meter.Retried("other_hall")
+	resp, sent := f.forwarder.Forward(ctx, halls, f.request(x), x.prompt.body)
+	if eris.Is(sent, barleystep.ErrNotStarted) {
+		return err
+	}
+	if sent != nil {
+		return f.lost(ctx, x)
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(HeaderOutcome) == barleystep.OutcomeNotRun.String() {
+		return err
+	}
+	return f.pass(ctx, x, resp)
+}
+
+func (f *forward) may(x *Exchange, err error) bool {
+	r := barleystep.AsRefusal(err)
+	mine := x.r.Header.Get(HeaderForwarded) == ""
+	return mine && forwardable[r.Reason()] && r.Outcome() == barleystep.OutcomeNotRun && !x.answer.begun
+}
+
+// halls returns the other halls that have targets for the request.
+func (f *forward) halls(x *Exchange) []string {
+	seen := make(map[string]bool)
+	var halls []string
+	targets := x.view.Targets(func(t config.Target) bool {
+		serves := t.Model == x.prompt.model && t.Service == x.service
+		return serves && t.Hall != f.hall && !t.Drain
+	})
+	for _, t := range targets {
+		if !seen[t.Hall] {
+			seen[t.Hall] = true
+			halls = append(halls, t.Hall)
+		}
+	}
+	return halls
+}
+
+// request returns the request as the other box gets it, with the time that is
+// left.
+func (f *forward) request(x *Exchange) *http.Request {
+	r := x.r.Clone(x.r.Context())
+	r.Header.Set(HeaderForwarded, f.hall)
+	left := x.deadline.Sub(f.clock.Now())
+	left -= min(left/4, longestMargin)
+	r.Header.Set(HeaderTimeLimit, left.Truncate(time.Millisecond).String())
+	return r
+}
+
+// longestMargin bounds how much earlier the other box gives up, so that its word
+// on the outcome arrives in time.
+const longestMargin = 500 * time.Millisecond
+
+// lost is a request that may have been run by the other box.
+func (f *forward) lost(ctx context.Context, x *Exchange) error {
+	outcome := barleystep.OutcomeFailed
+	if !x.repeatable {
+		outcome = barleystep.OutcomeUnknown
+	}
+	if ctx.Err() != nil {
+		return interrupted(ctx, outcome)
+	}
+	return barleystep.NewRefusal(barleystep.ReasonTargetFailed, outcome, "The other hall did not answer.")
+}
+
+// pass relays the other box's answer as it is. The caller sees its outcome.
+func (f *forward) pass(ctx context.Context, x *Exchange, resp *http.Response) error {
+	x.answer.begun = true
+	x.answer.stream = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	h := x.w.Header()
+	for _, name := range []string{"Content-Type", "Retry-After", HeaderOutcome, HeaderReason, HeaderConfig, HeaderRequest} {
+		if v := resp.Header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	if x.answer.stream {
+		h.Set("Trailer", HeaderOutcome)
+	}
+	x.w.WriteHeader(resp.StatusCode)
+	if _, err := io.Copy(flushing{x.answer}, resp.Body); err != nil {
+		return f.lost(ctx, x)
+	}
+	x.outcome = barleystep.OutcomeDone
+	for _, text := range []string{resp.Header.Get(HeaderOutcome), resp.Trailer.Get(HeaderOutcome)} {
+		if o, ok := barleystep.ParseOutcome(text); ok {
+			x.outcome = o
+		}
+	}
+	return nil
+}
+
+// flushing writes to the caller without holding anything back.
+type flushing struct{ answer *answer }
+
+// Write writes and flushes.
+func (w flushing) Write(p []byte) (int, error) {
+	n, err := w.answer.w.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, w.answer.control.Flush()
+}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -35,6 +35,10 @@
 	Targets       Targets
 	Canceller     *Canceller
 	Claims        *claim.Book
+	// Hall is the box's hall, and Forwarder the way to others; nil forwards
+	// nothing.
+	Hall      barleystep.HallID
+	Forwarder Forwarder
 	// Limiter holds accounts to their rates; nil holds them to none.
 	Limiter *limit.Limiter
 	Meter   *metric.Meter
@@ -63,6 +67,7 @@
 		authenticate{},
 		&classify{clock: s.Clock, estimator: &s.estimator, limits: s.Limits.withDefaults()},
 		&admit{limiter: s.Limiter},
+		&forward{forwarder: s.Forwarder, hall: string(s.Hall), clock: s.Clock, meter: s.Meter},
 		&claimOnce{clock: s.Clock, book: s.Claims},
 		&attempt{
 			clock:     s.Clock,
--- a/internal/gate/settle.go
+++ b/internal/gate/settle.go
@@ -20,8 +20,12 @@
 func (s *settle) Run(ctx context.Context, x *Exchange, next Next) error {
 	err := next(ctx, x)
 	if err == nil {
-		x.answer.outcome(barleystep.OutcomeDone)
-		s.meter.Ended(barleystep.OutcomeDone.String())
+		outcome := barleystep.OutcomeDone
+		if x.outcome != barleystep.OutcomePending {
+			outcome = x.outcome
+		}
+		x.answer.outcome(outcome)
+		s.meter.Ended(outcome.String())
 		return nil
 	}
 	r := barleystep.AsRefusal(err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,6 +35,8 @@
 	Follower *version.Follower
 	// Table commits the transactions that other boxes hand over.
 	Table barleystep.Table
+	// Callers serves the requests that boxes of other halls forward; may be nil.
+	Callers http.Handler
 }
 
 // confirmEvery is the time between messages of a stream of versions that only
@@ -45,6 +47,9 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerHandler(handler{s}, connect.WithInterceptors(s.Auth)))
+	if s.Callers != nil {
+		mux.Handle("/v1/", s.Auth.Guard(s.Callers))
+	}
 	return mux
 }
 
