--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 type Allocator struct {
 	Clock         barleystep.Clock
 	Box           barleystep.BoxID
-	Configuration Configuration
+	Configuration config.Source
 	Membership    barleystep.Membership
 	// Local is this box's own desk, the last resort when no other answers.
 	Local Desk
@@ -263,16 +264,13 @@
 // order that is alive and has not just failed.
 func (a *Allocator) dispenser(pool string) barleystep.BoxID {
 	now := a.Clock.Now()
-	var names []string
 	a.mu.Lock()
-	for _, id := range a.Membership.Alive() {
-		if !now.Before(a.avoided[id]) {
-			names = append(names, string(id))
-		}
-	}
+	alive := slices.DeleteFunc(slices.Clone(a.Membership.Alive()), func(id barleystep.BoxID) bool {
+		return now.Before(a.avoided[id])
+	})
 	a.mu.Unlock()
-	if best := place.Highest(pool, names); best != "" {
-		return barleystep.BoxID(best)
+	if id := place.Owner(pool, alive); id != "" {
+		return id
 	}
 	return a.Box
 }
--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -29,18 +29,12 @@
 	Report(ctx context.Context, pool string, r Report) (Credits, error)
 }
 
-// Configuration gives the version in force.
-type Configuration interface {
-	// View returns the version in force, nil before there is one.
-	View() (v *config.View, confirmed bool)
-}
-
 // LocalDesk runs the dispensers of the pools that this box hands out. Its
 // exported fields are set before use.
 type LocalDesk struct {
 	Clock         barleystep.Clock
 	Hall          barleystep.HallID
-	Configuration Configuration
+	Configuration config.Source
 	Meter         *metric.Meter
 	Settings      Settings
 
--- a/internal/capacity/poller.go
+++ b/internal/capacity/poller.go
@@ -7,6 +7,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
@@ -21,7 +22,7 @@
 type Poller struct {
 	Clock         barleystep.Clock
 	Desk          *LocalDesk
-	Configuration Configuration
+	Configuration config.Source
 	Targets       Loads
 	Meter         *metric.Meter
 	// Every is the time between reports of one target; the default is 1 second.
--- a/internal/clock/deadline.go
+++ b/internal/clock/deadline.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// Repeat calls f with pauses of d until ctx ends, and returns the context's
+// error. The first call comes after the first pause.
+func Repeat(ctx context.Context, clk barleystep.Clock, d time.Duration, f func(context.Context)) error {
+	for Sleep(ctx, clk, d) {
+		f(ctx)
+	}
+	return ctx.Err()
+}
+
 // Wall converts a time of clk into one of the operating system's clock, which
 // sockets need for their deadlines.
 func Wall(clk barleystep.Clock, t time.Time) time.Time {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -8,16 +8,10 @@
 	"github.com/barleystep/barleystep/internal/config"
 )
 
-// Configuration gives the version in force.
-type Configuration interface {
-	// View returns the version in force, nil before there is one.
-	View() (v *config.View, confirmed bool)
-}
-
 // Pool finds the adapters of the configured targets. Its exported field is set
 // before use; it is safe for concurrent use.
 type Pool struct {
-	Configuration Configuration
+	Configuration config.Source
 
 	once  sync.Once
 	http  *http.Client
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -17,20 +17,12 @@
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
-// Configuration gives the version in force. Implementations are safe for
-// concurrent use.
-type Configuration interface {
-	// View returns the version in force, nil before there is one, and whether
-	// it was lately confirmed to be the newest.
-	View() (v *config.View, confirmed bool)
-}
-
 // Server serves callers. Its exported fields are set before Handler; the ones
 // with a default may be left out.
 type Server struct {
 	Clock         barleystep.Clock
 	Source        *identity.Source
-	Configuration Configuration
+	Configuration config.Source
 	Allocator     barleystep.Allocator
 	Targets       Targets
 	Canceller     *Canceller
--- a/internal/keeper/cleaner.go
+++ b/internal/keeper/cleaner.go
@@ -11,7 +11,6 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/metric"
-	"github.com/barleystep/barleystep/internal/place"
 )
 
 // Cleaner frees engines of what nobody waits for. Its exported fields are set
@@ -20,7 +19,7 @@
 	Clock         barleystep.Clock
 	Box           barleystep.BoxID
 	Hall          barleystep.HallID
-	Configuration Configuration
+	Configuration config.Source
 	Targets       Targets
 	Watcher       *Watcher
 	Meter         *metric.Meter
@@ -36,10 +35,7 @@
 	if c.Every == 0 {
 		c.Every = defaultCleanEvery
 	}
-	for clock.Sleep(ctx, c.Clock, c.Every) {
-		c.Round(ctx)
-	}
-	return ctx.Err()
+	return clock.Repeat(ctx, c.Clock, c.Every, c.Round)
 }
 
 // Round looks once at each engine that is this box's to clean. Serve calls it;
@@ -52,7 +48,7 @@
 	p := c.Watcher.Picture()
 	engines := v.Targets(func(t config.Target) bool { return t.Hall == string(c.Hall) && t.Model != "" })
 	for _, t := range engines {
-		if place.Highest("clean/"+t.ID, p.alive()) == string(c.Box) {
+		if p.owner("clean/"+t.ID) == c.Box {
 			c.clean(ctx, barleystep.TargetID(t.ID), p)
 		}
 	}
@@ -117,16 +113,13 @@
 	if s.Every == 0 {
 		s.Every = defaultSweepEvery
 	}
-	for clock.Sleep(ctx, s.Clock, s.Every) {
-		s.Round(ctx)
-	}
-	return ctx.Err()
+	return clock.Repeat(ctx, s.Clock, s.Every, s.Round)
 }
 
 // Round looks at one batch of rows if this box is the sweeper. Serve calls it;
 // tests may.
 func (s *Sweeper) Round(ctx context.Context) {
-	if place.Highest("sweep", s.Watcher.Picture().alive()) != string(s.Box) {
+	if s.Watcher.Picture().owner("sweep") != s.Box {
 		return
 	}
 	rows, err := s.Table.Scan(ctx, claim.Prefix, s.after, sweepBatch)
--- a/internal/keeper/giver.go
+++ b/internal/keeper/giver.go
@@ -20,7 +20,7 @@
 	Hall          barleystep.HallID
 	Source        *identity.Source
 	Table         barleystep.Table
-	Configuration Configuration
+	Configuration config.Source
 	Targets       Targets
 	Watcher       *Watcher
 	Meter         *metric.Meter
@@ -69,10 +69,7 @@
 	if g.Pause == 0 {
 		g.Pause = defaultOrderPause
 	}
-	for clock.Sleep(ctx, g.Clock, g.Every) {
-		g.Round(ctx)
-	}
-	return ctx.Err()
+	return clock.Repeat(ctx, g.Clock, g.Every, g.Round)
 }
 
 // Round looks at each target once. Serve calls it; tests may.
--- a/internal/keeper/watcher.go
+++ b/internal/keeper/watcher.go
@@ -7,16 +7,10 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
-	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/place"
 )
 
-// Configuration gives the version in force.
-type Configuration interface {
-	// View returns the version in force, nil before there is one.
-	View() (v *config.View, confirmed bool)
-}
-
 // Targets finds the adapters of targets.
 type Targets interface {
 	// Engine returns the adapter of a configured target.
@@ -109,13 +103,13 @@
 	return false
 }
 
-// alive returns the names of the boxes that share the duties.
-func (p Picture) alive() []string {
-	var names []string
+// owner returns the box whose duty the key is.
+func (p Picture) owner(key string) barleystep.BoxID {
+	var alive []barleystep.BoxID
 	for _, m := range p.Members {
 		if m.Status == member.StatusAlive {
-			names = append(names, string(m.Box))
+			alive = append(alive, m.Box)
 		}
 	}
-	return names
+	return place.Owner(key, alive)
 }
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -114,10 +114,7 @@
 	if l.Every == 0 {
 		l.Every = defaultEvery
 	}
-	for clock.Sleep(ctx, l.Clock, l.Every) {
-		l.Round(ctx)
-	}
-	return ctx.Err()
+	return clock.Repeat(ctx, l.Clock, l.Every, l.Round)
 }
 
 // Round writes the hall's needs, if that is this box's duty, and reads those of
@@ -146,11 +143,7 @@
 
 // writes reports whether this box writes its hall's row.
 func (l *Limiter) writes() bool {
-	var names []string
-	for _, id := range l.Membership.Alive() {
-		names = append(names, string(id))
-	}
-	return place.Highest("limit", names) == string(l.Box)
+	return place.Owner("limit", l.Membership.Alive()) == l.Box
 }
 
 // collect takes what this box was asked for since the last round, times the
--- /dev/null
+++ b/internal/member/rumour.go
@@ -0,0 +1,89 @@
+package member
+
+import (
+	"sort"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Status is what is thought of a box.
+type Status uint8
+
+// The states of a box. A later one outweighs an earlier one that is said of the
+// same incarnation and number.
+const (
+	// StatusUnheard is a listed box from which nothing was heard yet.
+	StatusUnheard Status = iota
+	// StatusAlive is a box that sends heartbeats.
+	StatusAlive
+	// StatusLeaving is a box that has announced its stop.
+	StatusLeaving
+	// StatusSuspect is a box whose heartbeats one of its watchers misses.
+	StatusSuspect
+	// StatusDead is a suspect that nobody has heard in time.
+	StatusDead
+)
+
+// String returns the name of the status.
+func (s Status) String() string {
+	return [...]string{"unheard", "alive", "leaving", "suspect", "dead"}[s]
+}
+
+// Rumour is what a heartbeat says of some box.
+type Rumour struct {
+	Box         barleystep.BoxID
+	Addr        string
+	Incarnation barleystep.Incarnation
+	// Number grows whenever the box contradicts a rumour about itself.
+	Number uint64
+	Status Status
+}
+
+// Beat is one heartbeat.
+type Beat struct {
+	From    Rumour // From is the sender's word on itself.
+	Hall    barleystep.HallID
+	Rumours []Rumour
+}
+
+// Message is a heartbeat and where it goes.
+type Message struct {
+	To   barleystep.BoxID
+	Addr string
+	Beat Beat
+}
+
+// rumours returns the news that was passed on least often so far. Each change
+// is told a number of times that grows with the logarithm of the hall.
+func (s *State) rumours() []Rumour {
+	limit := 4 * bitLength(len(s.peers)+1)
+	var fresh []*peer
+	for _, p := range s.peers {
+		if p.Status != StatusUnheard && p.told < limit {
+			fresh = append(fresh, p)
+		}
+	}
+	sort.Slice(fresh, func(i, j int) bool {
+		if fresh[i].told != fresh[j].told {
+			return fresh[i].told < fresh[j].told
+		}
+		return fresh[i].Box < fresh[j].Box
+	})
+	if len(fresh) > rumoursPerBeat {
+		fresh = fresh[:rumoursPerBeat]
+	}
+	list := make([]Rumour, len(fresh))
+	for i, p := range fresh {
+		p.told++
+		list[i] = p.Rumour
+	}
+	return list
+}
+
+func bitLength(n int) int {
+	bits := 0
+	for ; n > 0; n /= 2 {
+		bits++
+	}
+	return bits
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -67,6 +67,17 @@
 	return d.Sum64()
 }
 
+// Owner returns the box whose duty the key is: the one with the highest rank
+// among those alive, "" if there are none. Boxes with the same picture agree
+// without a message.
+func Owner(key string, alive []barleystep.BoxID) barleystep.BoxID {
+	names := make([]string, len(alive))
+	for i, id := range alive {
+		names[i] = string(id)
+	}
+	return barleystep.BoxID(Highest(key, names))
+}
+
 // Highest returns the node with the highest rank for the key, "" if there are
 // no nodes.
 func Highest(key string, nodes []string) string {
--- a/internal/table/relay.go
+++ b/internal/table/relay.go
@@ -47,12 +47,8 @@
 }
 
 func (r *Relay) writer() barleystep.BoxID {
-	var names []string
-	for _, id := range r.Membership.Alive() {
-		names = append(names, string(id))
-	}
-	if best := place.Highest("claims", names); best != "" {
-		return barleystep.BoxID(best)
+	if id := place.Owner("claims", r.Membership.Alive()); id != "" {
+		return id
 	}
 	return r.Box
 }
--- a/internal/version/reader.go
+++ b/internal/version/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -83,35 +84,25 @@
 }
 
 // readers returns the boxes of the hall that read the table.
-func (r *Reader) readers() []string {
-	left := make([]string, 0)
-	for _, id := range r.Membership.Alive() {
-		left = append(left, string(id))
-	}
-	var chosen []string
+func (r *Reader) readers() []barleystep.BoxID {
+	left := r.Membership.Alive()
+	var chosen []barleystep.BoxID
 	for len(chosen) < r.Readers && len(left) > 0 {
-		best := place.Highest("configuration", left)
+		best := place.Owner("configuration", left)
 		chosen = append(chosen, best)
 		left = without(left, best)
 	}
 	return chosen
 }
 
-func without(list []string, name string) []string {
-	var kept []string
-	for _, n := range list {
-		if n != name {
-			kept = append(kept, n)
-		}
-	}
-	return kept
+func without(list []barleystep.BoxID, id barleystep.BoxID) []barleystep.BoxID {
+	return slices.DeleteFunc(slices.Clone(list), func(other barleystep.BoxID) bool { return other == id })
 }
 
+// mustRead reports whether this box reads the table itself.
 func (r *Reader) mustRead() bool {
-	for _, name := range r.readers() {
-		if name == string(r.Box) {
-			return true
-		}
+	if slices.Contains(r.readers(), r.Box) {
+		return true
 	}
 	return r.Clock.Now().Sub(r.Follower.ConfirmedAt()) > staleAfter
 }
@@ -164,17 +155,12 @@
 }
 
 func (r *Reader) upstream(attempt int) (u Upstream, ok bool) {
-	candidates := without(r.readers(), string(r.Box))
+	candidates := without(r.readers(), r.Box)
 	if r.Follower.Version() == 0 {
-		candidates = candidates[:0]
-		for _, id := range r.Membership.Alive() {
-			if id != r.Box {
-				candidates = append(candidates, string(id))
-			}
-		}
+		candidates = without(r.Membership.Alive(), r.Box)
 	}
 	if len(candidates) == 0 {
 		return nil, false
 	}
-	return r.Peer(barleystep.BoxID(candidates[attempt%len(candidates)]))
+	return r.Peer(candidates[attempt%len(candidates)])
 }
