--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,49 @@
+package settings_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/settings"
+)
+
+const good = `
+[box]
+id = "b1"
+hall = "h"
+[listen]
+callers = "127.0.0.1:8080"
+peers = "10.0.0.1:7070"
+[peers]
+secret = "s"
+`
+
+func TestParse(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		err  string
+	}{
+		"good":                      {good, ""},
+		"unknown key":               {good + "[colour]\nred = 1\n", `line 10: colour: there is no such key`},
+		"wrong type":                {"[box]\nid = 3\n", `(?s)line 2, column 6: box.id: .*`},
+		"no box":                    {"", `(?s)box.id = "": must be a name\nbox.hall = "": must be a name`},
+		"listen by name":            {good + "[limits]\nstall = \"-1s\"\n", `limits.stall = -1s: must be a duration above 0, such as 2s`},
+		"address by name":           {"[box]\nid = \"b\"\nhall = \"h\"\n[listen]\nadmin = \"localhost:1\"\n", `listen.admin = localhost:1: must be an IP number and port.*`},
+		"peers open to all":         {"[box]\nid = \"b\"\nhall = \"h\"\n[listen]\npeers = \"10.0.0.1:7070\"\n", `peers.secret = "": must be set when listen.peers is not on loopback`},
+		"peers on loopback":         {"[box]\nid = \"b\"\nhall = \"h\"\n[listen]\npeers = \"127.0.0.1:7070\"\n", ""},
+		"limits that contradict":    {good + "[limits]\nmin_time = \"2s\"\nmax_time = \"1s\"\n", `limits.min_time = 2s: must be at most limits.max_time`},
+		"part above one":            {good + "[capacity]\nlong_part = 2.0\n", `capacity.long_part = 2: must be from 0 to 1`},
+		"operator without a digest": {good + "[[admin.operator]]\nname = \"o\"\nrole = \"king\"\n", `(?s)admin.operator.sha256 = : must be 64.*admin.operator.role = king: must be viewer, team or admin`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := settings.Parse([]byte(tc.text))
+			if tc.err == "" {
+				quicktest.Assert(t, err, quicktest.IsNil)
+				return
+			}
+			quicktest.Assert(t, err, quicktest.ErrorMatches, tc.err)
+		})
+	}
+}
