--- a/cmd/barleystep-entry/main.go
+++ b/cmd/barleystep-entry/main.go
@@ -52,6 +52,8 @@
 		Exporter: exporter,
 		Log:      l,
 	}
-	e.Build(context.WithoutCancel(ctx))
+	if err := e.Build(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
 	return e.Run(ctx)
 }
--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -19,6 +19,7 @@
 	"github.com/barleystep/barleystep/internal/identity"
 	"github.com/barleystep/barleystep/internal/limit"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/peer"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/version"
 	"github.com/barleystep/barleystep/internal/web"
@@ -74,8 +75,13 @@
 }
 
 // Build makes the parts of the process. It is called once; ctx bounds their
-// life.
-func (e *Entry) Build(ctx context.Context) {
+// life. It fails if the certificates can't be read.
+func (e *Entry) Build(ctx context.Context) error {
+	peers := e.Settings.Peers
+	encryption, err := peer.LoadTLS(peers.Certificate, peers.Key, peers.Authority)
+	if err != nil {
+		return err
+	}
 	e.meter = e.Exporter.Meter()
 	id := barleystep.BoxID(e.Settings.Box.ID)
 	e.node = node{
@@ -87,12 +93,14 @@
 		meter:    e.meter,
 		log:      e.Log,
 		source:   identity.NewSource(id, identity.NewIncarnation(e.Clock)),
+		tls:      encryption,
 		advert:   e.Settings.Listen.Peers,
 	}
 	e.desk = e.newDesk()
 	e.node.build(ctx, e.desk)
 	e.desk.Configuration = e.node.follower
 	e.wire()
+	return nil
 }
 
 // wire connects the stages of the request path and adds all services to the
--- a/internal/box/keeper.go
+++ b/internal/box/keeper.go
@@ -35,11 +35,16 @@
 	id, hall := barleystep.BoxID(k.Settings.Box.ID), barleystep.HallID(k.Settings.Box.Hall)
 	source := identity.NewSource(id, identity.NewIncarnation(k.Clock))
 	entry := k.Settings.Listen.Peers
+	encryption, err := peer.LoadTLS(k.Settings.Peers.Certificate, k.Settings.Peers.Key, k.Settings.Peers.Authority)
+	if err != nil {
+		return err
+	}
 	client := &peer.Client{
 		Auth:  peer.Auth{Secret: k.Settings.Peers.Secret, Box: id, Clock: k.Clock},
 		Clock: k.Clock,
 		Addr:  func(barleystep.BoxID) (string, bool) { return entry, true },
 		Base:  ctx,
+		TLS:   encryption,
 	}
 	follower := &version.Follower{Clock: k.Clock, Meter: k.Meter}
 	watcher := &keeper.Watcher{
--- a/internal/box/node.go
+++ b/internal/box/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 
 	"github.com/phuslu/log"
@@ -30,7 +31,8 @@
 	meter    *metric.Meter
 	log      *log.Logger
 	source   *identity.Source
-	advert   string // advert is the address at which the other boxes find the peer listener.
+	tls      *tls.Config // tls encrypts what boxes say; nil leaves it in the clear.
+	advert   string      // advert is the address at which the other boxes find the peer listener.
 
 	tracker  *member.Tracker
 	follower *version.Follower
@@ -60,7 +62,7 @@
 			Incarnation: n.source.Incarnation(),
 		},
 	}
-	n.client = &peer.Client{Auth: auth, Clock: n.clock, Addr: n.tracker.Addr, Base: ctx}
+	n.client = &peer.Client{Auth: auth, Clock: n.clock, Addr: n.tracker.Addr, Base: ctx, TLS: n.tls}
 	n.tracker.Sender = n.client
 	n.reader = &version.Reader{
 		Clock:      n.clock,
@@ -88,6 +90,7 @@
 		Clock:       n.clock,
 		Log:         n.log,
 		Unencrypted: true,
+		TLS:         n.tls,
 	}
 }
 
--- a/internal/local/hall.go
+++ b/internal/local/hall.go
@@ -215,7 +215,9 @@
 	for _, e := range h.entries {
 		ctx, cancel := context.WithCancel(ctx)
 		h.stops = append(h.stops, cancel)
-		e.Build(context.WithoutCancel(ctx))
+		if err := e.Build(context.WithoutCancel(ctx)); err != nil {
+			return nil, err
+		}
 		go func() { ended <- e.Run(ctx) }()
 	}
 	return ended, nil
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -57,7 +57,7 @@
 		}
 		c.http = &http.Client{Transport: &http.Transport{
 			Protocols:       p,
-			TLSClientConfig: c.TLS,
+			TLSClientConfig: c.TLS.Clone(), // The transport changes its own copy.
 			HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		}}
 		c.streams = make(map[string]*beatStream)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -93,15 +93,19 @@
 // peers refuses a listener that anybody could reach and nobody would have to
 // prove themselves to.
 func (c *checker) peers(s Settings) {
+	p := s.Peers
+	if (p.Certificate == "") != (p.Key == "") || (p.Certificate == "") != (p.Authority == "") {
+		c.add("peers.certificate", p.Certificate, "set together with peers.key and peers.authority")
+	}
 	host, _, err := net.SplitHostPort(s.Listen.Peers)
 	if err != nil {
 		return
 	}
 	ip, err := netip.ParseAddr(host)
-	if err != nil || ip.IsLoopback() || s.Peers.Secret != "" {
+	if err != nil || ip.IsLoopback() || p.Secret != "" || p.Certificate != "" {
 		return
 	}
-	c.add("peers.secret", `""`, "set when listen.peers is not on loopback")
+	c.add("peers.secret", `""`, "set, or peers.certificate, when listen.peers is not on loopback")
 }
 
 func (c *checker) operators(list []Operator) {
--- a/internal/web/server.go
+++ b/internal/web/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -29,6 +30,8 @@
 	Grace time.Duration
 	// Unencrypted allows HTTP/2 without TLS, for peers.
 	Unencrypted bool
+	// TLS encrypts the connections; nil leaves them in the clear.
+	TLS *tls.Config
 
 	once  sync.Once
 	ready chan struct{}
@@ -53,7 +56,7 @@
 	h := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, Protocols: s.protocols()}
 	s.listening(l.Addr().String())
 	failed := make(chan error, 1)
-	go func() { failed <- h.Serve(l) }()
+	go func() { failed <- s.accept(h, l) }()
 	select {
 	case err = <-failed:
 		return err
@@ -62,10 +65,19 @@
 	}
 }
 
+func (s *Server) accept(h *http.Server, l net.Listener) error {
+	if s.TLS == nil {
+		return h.Serve(l)
+	}
+	h.TLSConfig = s.TLS.Clone()
+	return h.ServeTLS(l, "", "")
+}
+
 func (s *Server) protocols() *http.Protocols {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(s.Unencrypted)
+	p.SetUnencryptedHTTP2(s.Unencrypted && s.TLS == nil)
+	p.SetHTTP2(s.TLS != nil)
 	return p
 }
 
