Do not pass over a dispenser because a caller went away

Cause: any error of a question made the box avoid the dispenser for a second, also when it was the caller who had left; each such caller would have moved the box's questions to a second dispenser. The new test fails before and passes after.

--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -96,11 +96,13 @@
 // askOne asks one desk. When the pool's dispenser moves meanwhile, the question
 // is withdrawn.
 func (a *Allocator) askOne(ctx context.Context, id barleystep.BoxID, pool string, desk Desk, q Ask) (Grant, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
-	moved := a.whenMoved(ctx, id, pool, cancel)
-	g, err := desk.Ask(ctx, pool, q)
-	if err != nil && !refused(err) && !moved() && id != a.Box {
+	moved := a.whenMoved(asking, id, pool, cancel)
+	g, err := desk.Ask(asking, pool, q)
+	// A caller that went away says nothing of the desk.
+	failed := err != nil && !refused(err) && ctx.Err() == nil && !moved()
+	if failed && id != a.Box {
 		a.avoid(id)
 	}
 	return g, err
--- /dev/null
+++ b/internal/capacity/allocator_test.go
@@ -0,0 +1,121 @@
+package capacity_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// fakeDesk answers questions by a function.
+type fakeDesk struct {
+	asked chan barleystep.AttemptID
+	ask   func(ctx context.Context) error
+}
+
+// Ask grants e0 unless the function fails.
+func (d *fakeDesk) Ask(ctx context.Context, _ string, a capacity.Ask) (capacity.Grant, error) {
+	d.asked <- a.Demand.Attempt
+	if err := d.ask(ctx); err != nil {
+		return capacity.Grant{}, err
+	}
+	return capacity.Grant{Attempt: a.Demand.Attempt, Targets: []barleystep.TargetID{"e0"}}, nil
+}
+
+// First does nothing.
+func (d *fakeDesk) First(context.Context, string, barleystep.AttemptID) error { return nil }
+
+// Release does nothing.
+func (d *fakeDesk) Release(context.Context, string, barleystep.AttemptID, barleystep.Usage) error {
+	return nil
+}
+
+// Report gives no credits.
+func (d *fakeDesk) Report(context.Context, string, capacity.Report) (capacity.Credits, error) {
+	return capacity.Credits{}, nil
+}
+
+func grantAll(context.Context) error { return nil }
+
+// TestAllocatorAsks lets the box that dispenses answer in every way.
+func TestAllocatorAsks(t *testing.T) {
+	lost := eris.New("connection lost")
+	cases := map[string]struct {
+		remote func(ctx context.Context) error
+		leaves bool // leaves makes the first caller go away.
+		asked  int  // asked is how often the remote desk was asked by two callers.
+		local  int
+	}{
+		"it grants":                       {grantAll, false, 2, 0},
+		"it is lost":                      {func(context.Context) error { return lost }, false, 1, 2},
+		"a caller that leaves is no sign": {func(ctx context.Context) error { return hangOnce(ctx) }, true, 2, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			once := true
+			remote := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: func(ctx context.Context) error {
+				if tc.leaves && !once {
+					return nil
+				}
+				once = false
+				return tc.remote(ctx)
+			}}
+			local := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: grantAll}
+			a := &capacity.Allocator{
+				Clock: clock.NewManual(start), Box: "zz", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"),
+				Local: local, Remote: func(barleystep.BoxID) (capacity.Desk, bool) { return remote, true },
+				Meter: metric.Discard(), Log: &log.Logger{Level: log.PanicLevel},
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			if tc.leaves {
+				cancel()
+			}
+			_, err := a.Acquire(ctx, demand(1, 20_000))
+			c.Check(err == nil, quicktest.Equals, !tc.leaves)
+			_, err = a.Acquire(context.Background(), demand(2, 20_000))
+			c.Check(err, quicktest.IsNil)
+			c.Check(len(remote.asked), quicktest.Equals, tc.asked)
+			c.Check(len(local.asked), quicktest.Equals, tc.local)
+			cancel()
+		})
+	}
+}
+
+// hangOnce waits until the caller goes away.
+func hangOnce(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestAllocatorGivesUpWithItsCaller checks that a question ends with its
+// request, whatever the desk does.
+func TestAllocatorGivesUpWithItsCaller(t *testing.T) {
+	clk := clock.NewManual(start)
+	desk := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: hangOnce}
+	a := &capacity.Allocator{
+		Clock: clk, Box: "b1", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"), Local: desk,
+		Meter: metric.Discard(), Log: &log.Logger{Level: log.PanicLevel},
+	}
+	ctx, cancel := clock.WithDeadline(context.Background(), clk, start.Add(time.Second))
+	defer cancel()
+	done := make(chan error)
+	go func() {
+		_, err := a.Acquire(ctx, demand(1, 20_000))
+		done <- err
+	}()
+	<-desk.asked
+	clk.Advance(time.Second)
+	quicktest.Check(t, <-done, quicktest.IsNotNil)
+	quicktest.Check(t, context.Cause(ctx), quicktest.ErrorIs, context.DeadlineExceeded)
+}
--- a/internal/capacity/lane.go
+++ b/internal/capacity/lane.go
@@ -45,9 +45,8 @@
 	return laneGiant, nil
 }
 
-// hopeless refuses a request that would miss its deadline even if only the
-// requests of its own lane that are older in its own flow ran before it, on
-// the whole pool.
+// hopeless refuses a request that would miss its deadline even if nothing ran
+// before it and the fastest engine, or all of them together, read its prompt.
 func (d *Dispenser) hopeless(now time.Time, w *waiter, l lane) *barleystep.Refusal {
 	fastest := 0.0
 	for _, t := range d.sorted {
