Hold a caller who leaves against no target

Cause: an attempt whose caller left before the first token counted as a failure of its target, and two of them kept work away from it for seconds.

--- a/alloc.go
+++ b/alloc.go
@@ -76,7 +76,8 @@
 
 // Usage is what an attempt taught about its target.
 type Usage struct {
-	// Outcome is how the attempt ended.
+	// Outcome is how the attempt ended; OutcomePending means that it was given up
+	// for a reason that says nothing of the target, such as a caller who left.
 	Outcome Outcome
 	// First is the time from sending to the first event, zero if there was none.
 	First time.Duration
@@ -88,6 +89,12 @@
 	Full bool
 }
 
+// TargetFailed reports whether the attempt speaks against its target: it got no
+// token although nobody gave it up and there was room.
+func (u Usage) TargetFailed() bool {
+	return u.Outcome == OutcomeFailed && u.First == 0 && !u.Full
+}
+
 // Allocator decides where and when a request runs. Implementations are safe
 // for concurrent use.
 type Allocator interface {
--- a/internal/capacity/dispenser.go
+++ b/internal/capacity/dispenser.go
@@ -180,7 +180,7 @@
 	}
 	d.learnPace(now, h, u)
 	d.drop(now, h)
-	if u.Outcome != barleystep.OutcomeDone && u.First == 0 && !u.Full {
+	if u.TargetFailed() {
 		for _, t := range d.members(h) {
 			t.health.failed(now)
 		}
--- a/internal/capacity/holder.go
+++ b/internal/capacity/holder.go
@@ -212,7 +212,7 @@
 	if r.reading {
 		u.reading -= r.prompt
 	}
-	if usage.Outcome != barleystep.OutcomeDone && usage.First == 0 && !usage.Full {
+	if usage.TargetFailed() {
 		u.failures++
 	}
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -100,6 +100,9 @@
 		id:        d.Attempt,
 	}
 	err = r.run(ctx)
+	if ctx.Err() == nil {
+		r.usage.Outcome = barleystep.OutcomeFailed
+	}
 	usage = r.usage
 	if err == nil {
 		usage.Outcome = barleystep.OutcomeDone
@@ -107,7 +110,9 @@
 		a.estimator.Learn(x.prompt.model, x.prompt.textBytes, usage.Prompt)
 		return nil
 	}
-	return a.judge(x, r, err)
+	err = a.judge(x, r, err)
+	usage.Full = r.usage.Full
+	return err
 }
 
 // judge decides what a failed attempt means for the request.
--- /dev/null
+++ b/internal/gate/attempt_test.go
@@ -0,0 +1,67 @@
+package gate_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/engine"
+)
+
+// TestUsage checks what an attempt is said to teach about its target: a caller
+// who leaves is not the target's fault.
+func TestUsage(t *testing.T) {
+	started := make(chan struct{}, 9)
+	cases := map[string]struct {
+		target http.HandlerFunc
+		leaves bool
+		failed bool
+		full   bool
+	}{
+		"answers well": {func(w http.ResponseWriter, r *http.Request) { chunks(3).ServeHTTP(w, r) }, false, false, false},
+		"breaks off":   {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false, true, false},
+		"has no room": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(engine.HeaderStarted, "false")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, false, false, true},
+		"the caller leaves": {func(_ http.ResponseWriter, r *http.Request) {
+			// A server only notices that its caller left once the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			started <- struct{}{}
+			<-r.Context().Done()
+		}, true, false, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			target := httptest.NewServer(tc.target)
+			t.Cleanup(target.Close)
+			a := &fixedAllocator{released: make(chan barleystep.Usage, 9)}
+			url := serve(t, target.URL, a)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"word"}]}`
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+			c.Assert(err, quicktest.IsNil)
+			req.Header.Set("Authorization", "Bearer k")
+			go func() {
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					resp.Body.Close()
+				}
+			}()
+			if tc.leaves {
+				<-started
+				cancel()
+			}
+			u := <-a.released
+			c.Check(u.TargetFailed(), quicktest.Equals, tc.failed)
+			c.Check(u.Full, quicktest.Equals, tc.full)
+		})
+	}
+}
--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -22,12 +22,16 @@
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
-// fixedAllocator always allots the same target.
-type fixedAllocator struct{}
+// fixedAllocator always allots the same target, and passes on what was learnt.
+type fixedAllocator struct{ released chan barleystep.Usage }
 
 // Acquire returns the target at once.
-func (fixedAllocator) Acquire(context.Context, barleystep.Demand) (barleystep.Allotment, error) {
-	return barleystep.NewAllotment([]barleystep.TargetID{"e"}, 0, barleystep.AllotmentHooks{}), nil
+func (a *fixedAllocator) Acquire(context.Context, barleystep.Demand) (barleystep.Allotment, error) {
+	hooks := barleystep.AllotmentHooks{}
+	if a.released != nil {
+		hooks.Release = func(u barleystep.Usage) { a.released <- u }
+	}
+	return barleystep.NewAllotment([]barleystep.TargetID{"e"}, 0, hooks), nil
 }
 
 // chunks answers every attempt with a stream of n events, written at once.
@@ -45,7 +49,7 @@
 }
 
 // serve starts the path before a target and returns its address.
-func serve(b *testing.B, target string) string {
+func serve(b testing.TB, target string, allocator barleystep.Allocator) string {
 	d, err := config.File{
 		Accounts: []config.Account{{Name: "a", Keys: []config.Key{{ID: "1", SHA256: config.HashKey("k")}}}},
 		Classes:  []config.Class{{Name: "normal"}},
@@ -60,7 +64,7 @@
 		Clock:         clock.System{},
 		Source:        identity.NewSource("b", 1),
 		Configuration: configuration,
-		Allocator:     fixedAllocator{},
+		Allocator:     allocator,
 		Targets:       &engine.Pool{Configuration: configuration},
 		Canceller:     gate.NewCanceller(),
 		Claims:        claim.NewBook(),
@@ -92,7 +96,7 @@
 		target := httptest.NewServer(chunks(s.chunks))
 		b.Cleanup(target.Close)
 		body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("word", s.prompt) + `"}]}`
-		through := serve(b, target.URL)
+		through := serve(b, target.URL, &fixedAllocator{})
 		for name, url := range map[string]string{"direct": target.URL, "path": through} {
 			b.Run(fmt.Sprintf("%s/prompt=%d/chunks=%d", name, s.prompt, s.chunks), func(b *testing.B) {
 				b.ReportAllocs()
