--- a/internal/capacity/dispenser.go
+++ b/internal/capacity/dispenser.go
@@ -94,6 +94,10 @@
 // Ask queues a request. The answer comes from Tick. It returns a refusal at
 // once if the request can never be served in time.
 func (d *Dispenser) Ask(now time.Time, a Ask) *barleystep.Refusal {
+	if d.allAvoided(a.Demand.Avoid) {
+		// It has been everywhere: it begins anew instead of waiting for nobody.
+		a.Demand.Avoid = nil
+	}
 	w := &waiter{ask: a, tokens: a.Demand.Tokens()}
 	lane, refusal := d.lane(w)
 	if refusal != nil {
@@ -114,6 +118,11 @@
 	return nil
 }
 
+// allAvoided reports whether the list holds all targets.
+func (d *Dispenser) allAvoided(avoid []barleystep.TargetID) bool {
+	return !slices.ContainsFunc(d.sorted, func(t *target) bool { return !slices.Contains(avoid, t.spec.ID) })
+}
+
 func notRun(reason barleystep.Reason, message string, after time.Duration) *barleystep.Refusal {
 	return barleystep.NewRefusal(reason, barleystep.OutcomeNotRun, message).WithRetryAfter(after)
 }
--- a/internal/capacity/dispenser_test.go
+++ b/internal/capacity/dispenser_test.go
@@ -320,6 +320,24 @@
 	}
 }
 
+// TestRequestThatHasBeenEverywhereBeginsAnew checks that a request which all
+// targets have refused does not wait until its deadline for another one.
+func TestRequestThatHasBeenEverywhereBeginsAnew(t *testing.T) {
+	for name, avoid := range map[string][]barleystep.TargetID{"one left": {engine(0)}, "none left": {engine(1), engine(0)}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			p := newPool(2)
+			p.empty(2)
+			a := p.ask("a", 1_000)
+			a.Demand.Avoid = avoid
+			c.Assert(p.Ask(p.now, a) == nil, quicktest.IsTrue)
+			g := p.tick()[a.Demand.Attempt]
+			c.Assert(g.Targets, quicktest.HasLen, 1)
+			c.Check(len(avoid) == 2 || g.Targets[0] == engine(1), quicktest.IsTrue)
+		})
+	}
+}
+
 // TestUnusableTargets lists why a target gets no new work.
 func TestUnusableTargets(t *testing.T) {
 	cases := map[string]func(p *pool){
