--- /dev/null
+++ b/cmd/barleystep-entry/main_test.go
@@ -0,0 +1,207 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/object"
+	"github.com/barleystep/barleystep/internal/standin"
+	"github.com/barleystep/barleystep/internal/table"
+	"github.com/barleystep/barleystep/internal/version"
+)
+
+const settingsFile = `
+[box]
+id = "%s"
+hall = "h"
+[listen]
+callers = "%s"
+peers = "%s"
+[platform]
+url = "%s"
+[limits]
+notice = "10ms"
+[log]
+level = "error"
+`
+
+// rig is boxes that run as processes before stand-ins in the test.
+type rig struct {
+	engine  *standin.Engine
+	callers []string
+	boxes   []*exec.Cmd
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newRig(t *testing.T, boxes int) *rig {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "barleystep-entry")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, ".").CombinedOutput()
+	c.Assert(err, quicktest.IsNil, quicktest.Commentf("%s", out))
+	r := &rig{engine: &standin.Engine{Clock: clock.System{}, Step: 20 * time.Millisecond}}
+	engines := httptest.NewServer(r.engine)
+	t.Cleanup(engines.Close)
+	p := &standin.Platform{Table: &table.Memory{}, Objects: &object.Memory{}}
+	platforms := httptest.NewServer(p.Handler())
+	t.Cleanup(platforms.Close)
+	submit(t, p, engines.URL)
+	var list []barleystep.Box
+	for i := range boxes {
+		id, callers, peers := fmt.Sprint("b", i), freeAddr(t), freeAddr(t)
+		list = append(list, barleystep.NewBox(barleystep.BoxID(id), "h", peers, false))
+		file := filepath.Join(dir, id+".toml")
+		text := fmt.Sprintf(settingsFile, id, callers, peers, platforms.URL)
+		c.Assert(os.WriteFile(file, []byte(text), 0o600), quicktest.IsNil)
+		cmd := exec.CommandContext(context.Background(), binary, "--config", file)
+		cmd.Stderr = os.Stderr
+		r.callers = append(r.callers, "http://"+callers)
+		r.boxes = append(r.boxes, cmd)
+	}
+	p.SetBoxes(list...)
+	for i, cmd := range r.boxes {
+		c.Assert(cmd.Start(), quicktest.IsNil)
+		t.Cleanup(func() {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		})
+		eventually(t, func() bool { return r.ask(t, i, 1, nil).outcome == "done" })
+	}
+	return r
+}
+
+func submit(t *testing.T, p *standin.Platform, engineURL string) {
+	c := quicktest.New(t)
+	d, err := config.File{
+		Accounts: []config.Account{{Name: "a", Keys: []config.Key{{ID: "1", SHA256: config.HashKey("k")}}}},
+		Classes:  []config.Class{{Name: "normal"}},
+		Models:   []config.Model{{Name: "m", EngineTokens: 100_000, MaxPrompt: 1_000}},
+		Targets:  []config.Target{{ID: "e", Hall: "h", Model: "m", URL: engineURL}},
+	}.Document()
+	c.Assert(err, quicktest.IsNil)
+	store := &version.Store{Table: p.Table, Objects: p.Objects, Clock: clock.System{}, Meter: metric.Discard()}
+	_, err = store.Submit(t.Context(), config.Document{}, version.Submission{ID: "first", Document: d})
+	c.Assert(err, quicktest.IsNil)
+}
+
+// reply is what a caller got.
+type reply struct {
+	outcome string
+	reason  string
+	text    string
+	err     error
+}
+
+func (r *rig) ask(t *testing.T, box, tokens int, header http.Header) reply {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, tokens)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.callers[box]+"/v1/chat/completions", strings.NewReader(body))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer k")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{
+		resp.Header.Get("Barleystep-Outcome") + resp.Trailer.Get("Barleystep-Outcome"),
+		resp.Header.Get("Barleystep-Reason"), string(text), err,
+	}
+}
+
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	clk := clock.System{}
+	for until := clk.Now().Add(20 * time.Second); clk.Now().Before(until); {
+		if cond() {
+			return
+		}
+		clock.Sleep(t.Context(), clk, 10*time.Millisecond)
+	}
+	t.Fatal("the condition did not come about")
+}
+
+// running waits until the engine has started another attempt.
+func (r *rig) running(t *testing.T, before int) {
+	eventually(t, func() bool { return len(r.engine.Runs()) > before })
+}
+
+// TestKilledBox kills a box in the midst of a request that must not be repeated.
+// Its caller does not take the torn answer for a whole one, and the retry at
+// another box runs nothing.
+func TestKilledBox(t *testing.T) {
+	c := quicktest.New(t)
+	r := newRig(t, 2)
+	before := len(r.engine.Runs())
+	strict := http.Header{"Barleystep-Repeatable": {"no"}, "Idempotency-Key": {"invoice"}, "Barleystep-Time-Limit": {"2s"}}
+	first := make(chan reply)
+	go func() { first <- r.ask(t, 0, 80, strict) }()
+	r.running(t, before)
+	c.Assert(r.boxes[0].Process.Kill(), quicktest.IsNil)
+	torn := <-first
+	c.Check(torn.err, quicktest.IsNotNil)
+	c.Check(strings.Contains(torn.text, "[DONE]"), quicktest.IsFalse)
+	retry := r.ask(t, 1, 80, strict)
+	c.Check(retry.reason, quicktest.Equals, string(barleystep.ReasonRunning), quicktest.Commentf("%+v", retry))
+	c.Check(r.ask(t, 1, 2, nil).outcome, quicktest.Equals, "done", quicktest.Commentf("others are served"))
+	eventually(t, func() bool { return r.ask(t, 1, 80, strict).outcome == "unknown" })
+	c.Check(len(r.engine.Runs())-before, quicktest.Equals, 2)
+}
+
+// TestFrozenBox stops a box's process in the midst of a stream and lets it go on.
+func TestFrozenBox(t *testing.T) {
+	c := quicktest.New(t)
+	r := newRig(t, 1)
+	before := len(r.engine.Runs())
+	whole := make(chan reply)
+	go func() { whole <- r.ask(t, 0, 40, nil) }()
+	r.running(t, before)
+	c.Assert(r.boxes[0].Process.Signal(syscall.SIGSTOP), quicktest.IsNil)
+	eventually(t, func() bool { return r.engine.UsedTokens() == 0 })
+	c.Assert(r.boxes[0].Process.Signal(syscall.SIGCONT), quicktest.IsNil)
+	got := <-whole
+	c.Check(got.err, quicktest.IsNil)
+	c.Check(got.outcome, quicktest.Equals, "done")
+	c.Check(strings.Count(got.text, "data: "), quicktest.Equals, 42)
+}
+
+// TestStoppedBox asks a box's process to stop in the midst of a stream: it ends
+// after the stream, and cuts nothing short.
+func TestStoppedBox(t *testing.T) {
+	c := quicktest.New(t)
+	r := newRig(t, 1)
+	before := len(r.engine.Runs())
+	whole := make(chan reply)
+	go func() { whole <- r.ask(t, 0, 40, nil) }()
+	r.running(t, before)
+	c.Assert(r.boxes[0].Process.Signal(syscall.SIGTERM), quicktest.IsNil)
+	got := <-whole
+	c.Check(got.outcome, quicktest.Equals, "done")
+	c.Check(r.boxes[0].Wait(), quicktest.IsNil)
+}
--- a/cmd/barleystep-standin/main.go
+++ b/cmd/barleystep-standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -26,13 +27,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := newCommand().ExecuteContext(ctx); err != nil && ctx.Err() == nil {
+		fmt.Fprintln(os.Stderr, "barleystep-standin:", err)
 		os.Exit(command.ExitFailure)
 	}
 }
 
 func newCommand() *cobra.Command {
 	var addr string
-	root := &cobra.Command{Use: "barleystep-standin", Short: "Run a stand-in for an outside system", SilenceUsage: true}
+	root := &cobra.Command{Use: "barleystep-standin", Short: "Run a stand-in for an outside system", SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().StringVar(&addr, "listen", "127.0.0.1:0", "IP number and port")
 	root.AddCommand(engineCommand(&addr), serviceCommand(&addr), platformCommand(&addr), command.VersionCommand())
 	return root
