--- a/cmd/barleystep-dev/main.go
+++ b/cmd/barleystep-dev/main.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"github.com/barleystep/barleystep/internal/clock"
@@ -38,7 +38,7 @@
 			h.Init()
 			go greet(cmd, h)
 			err := h.Run(cmd.Context())
-			if errors.Is(err, context.Canceled) {
+			if eris.Is(err, context.Canceled) {
 				return nil
 			}
 			return err
--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
@@ -138,7 +138,7 @@
 
 func refused(err error) bool {
 	var r *barleystep.Refusal
-	return errors.As(err, &r)
+	return eris.As(err, &r)
 }
 
 func (p *pool) hold(now time.Time, d barleystep.Demand, targets []barleystep.TargetID) {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"github.com/barleystep/barleystep"
@@ -48,7 +48,7 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &refused):
+	case eris.As(err, &refused):
 		return ExitSettings
 	default:
 		return ExitFailure
@@ -73,7 +73,7 @@
 				return err
 			}
 			err = p.Run(cmd.Context(), s, Logger(s.Log))
-			if errors.Is(err, context.Canceled) {
+			if eris.Is(err, context.Canceled) {
 				return nil
 			}
 			return err
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,7 +44,7 @@
 		}
 		last = err
 		var retry *retryError
-		if !errors.As(err, &retry) {
+		if !eris.As(err, &retry) {
 			return a.ended(ctx, x, err)
 		}
 		a.meter.Retried(string(retry.reason))
@@ -154,14 +153,14 @@
 		outcome = barleystep.OutcomeNotRun
 	}
 	var refusal *barleystep.Refusal
-	if errors.As(err, &refusal) {
+	if eris.As(err, &refusal) {
 		return refusal.WithOutcome(outcome)
 	}
 	if ctx.Err() != nil {
 		return interrupted(ctx, outcome)
 	}
 	var retry *retryError
-	if errors.As(err, &retry) {
+	if eris.As(err, &retry) {
 		err = retry.cause
 	}
 	if eris.Is(err, barleystep.ErrNotStarted) {
@@ -173,7 +172,7 @@
 
 // interrupted returns the refusal for a request whose context has ended.
 func interrupted(ctx context.Context, outcome barleystep.Outcome) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	if eris.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
 	}
 	return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
--- a/internal/gate/classify.go
+++ b/internal/gate/classify.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/config"
@@ -113,7 +114,7 @@
 	body, err := c.readBody(x)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case eris.As(err, &tooLarge):
 		return refuse(barleystep.ReasonBodyTooLarge, fmt.Sprintf("The body is over %d bytes.", c.limits.Body))
 	case err != nil:
 		return refuse(barleystep.ReasonCallerGone, "The body could not be read.")
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -80,7 +79,7 @@
 
 // because names a stall as the cause of an error that it led to.
 func (r *relay) because(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+	if err != nil && eris.Is(context.Cause(ctx), errStalled) {
 		return errStalled
 	}
 	return err
@@ -97,7 +96,7 @@
 func (r *relay) copy(s barleystep.Stream) error {
 	for {
 		e, err := s.Next()
-		if errors.Is(err, io.EOF) {
+		if eris.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/internal/local/hall.go
+++ b/internal/local/hall.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -113,7 +112,7 @@
 	h.admin.Follower().Await(1)
 	close(h.ready)
 	for range h.entries {
-		if e := <-done; e != nil && !errors.Is(e, context.Canceled) {
+		if e := <-done; e != nil && !eris.Is(e, context.Canceled) {
 			err = e
 		}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -74,7 +73,7 @@
 	g, err := h.Desk.Ask(ctx, req.Msg.GetPool(), fromAsk(req.Msg, now))
 	var refusal *barleystep.Refusal
 	switch {
-	case errors.As(err, &refusal):
+	case eris.As(err, &refusal):
 		return connect.NewResponse(&peerv1.AskResponse{Refusal: toRefusal(refusal)}), nil
 	case err != nil:
 		return nil, err
@@ -108,7 +107,7 @@
 
 // ended turns the regular end of a stream into no error.
 func ended(err error) error {
-	if errors.Is(err, io.EOF) {
+	if eris.Is(err, io.EOF) {
 		return nil
 	}
 	return err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -64,7 +63,7 @@
 // effect classifies the error of a write by what it says about its effect.
 func effect(err error, reached bool) error {
 	var answered *connect.Error
-	isAnswer := errors.As(err, &answered) && connect.IsWireError(err)
+	isAnswer := eris.As(err, &answered) && connect.IsWireError(err)
 	switch {
 	case isAnswer && answered.Code() == connect.CodeFailedPrecondition:
 		return eris.Wrap(barleystep.ErrConflict, answered.Message())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -159,7 +158,7 @@
 // place words an error of the decoder with its line and key.
 func place(err error) string {
 	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
+	if eris.As(err, &strict) {
 		lines := make([]string, len(strict.Errors))
 		for i, e := range strict.Errors {
 			row, _ := e.Position()
@@ -168,7 +167,7 @@
 		return strings.Join(lines, "\n")
 	}
 	var bad *toml.DecodeError
-	if errors.As(err, &bad) {
+	if eris.As(err, &bad) {
 		row, column := bad.Position()
 		return fmt.Sprintf("line %d, column %d: %s: %s", row, column, strings.Join(bad.Key(), "."), bad.Error())
 	}
--- a/refusal.go
+++ b/refusal.go
@@ -1,8 +1,9 @@
 package barleystep
 
 import (
-	"errors"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Reason names why a request was refused or did not finish. Each reason has a
@@ -84,7 +85,7 @@
 // and OutcomeFailed.
 func AsRefusal(err error) *Refusal {
 	var r *Refusal
-	if errors.As(err, &r) {
+	if eris.As(err, &r) {
 		return r
 	}
 	return NewRefusal(ReasonInternal, OutcomeFailed, "barleystep: "+err.Error())
