End the request of a caller who does not read at its time limit

Cause: writes to the caller had the longest time limit there is, an hour, as their deadline, and were never held to the request's own. The new test hangs before and passes after. The stand-in platform said of every failed read of an object that the object is missing; the contract test found it.

--- a/internal/gate/attempt_test.go
+++ b/internal/gate/attempt_test.go
@@ -12,8 +12,30 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/gate"
 )
 
+// TestSlowReader lets a caller not read a long answer: the request ends by its
+// time limit all the same, and its target is free.
+func TestSlowReader(t *testing.T) {
+	c := quicktest.New(t)
+	target := httptest.NewServer(chunks(1_000_000))
+	t.Cleanup(target.Close)
+	a := &fixedAllocator{released: make(chan barleystep.Usage, 9)}
+	url := serve(t, target.URL, a)
+	body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"word"}]}`
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	c.Assert(err, quicktest.IsNil)
+	req.Header.Set("Authorization", "Bearer k")
+	req.Header.Set(gate.HeaderTimeLimit, "300ms")
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	<-a.released // Nothing of the answer was read so far.
+	text, _ := io.ReadAll(resp.Body)
+	c.Check(strings.Contains(string(text), "[DONE]"), quicktest.IsFalse)
+}
+
 // TestUsage checks what an attempt is said to teach about its target: a caller
 // who leaves is not the target's fault.
 func TestUsage(t *testing.T) {
--- a/internal/gate/classify.go
+++ b/internal/gate/classify.go
@@ -32,6 +32,10 @@
 	MaxTime time.Duration
 }
 
+// lastWord is how long after the deadline the caller may take to read why the
+// request has ended.
+const lastWord = time.Second
+
 // The defaults of Limits.
 const (
 	DefaultBodyLimit = 16 << 20
@@ -97,6 +101,7 @@
 		limit = d
 	}
 	x.deadline = x.started.Add(limit)
+	x.answer.limit(c.clock, x.deadline.Add(lastWord))
 	return nil
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
 	platformv1 "github.com/barleystep/barleystep/api/platform/v1"
@@ -112,8 +113,11 @@
 // GetObject reads an object.
 func (p platformHandler) GetObject(ctx context.Context, r *connect.Request[platformv1.GetObjectRequest]) (*connect.Response[platformv1.GetObjectResponse], error) {
 	data, err := p.platform.Objects.Get(ctx, r.Msg.GetName())
-	if err != nil {
+	switch {
+	case eris.Is(err, barleystep.ErrNotFound):
 		return nil, connect.NewError(connect.CodeNotFound, err)
+	case err != nil:
+		return nil, wireError(err)
 	}
 	return connect.NewResponse(&platformv1.GetObjectResponse{Data: data}), nil
 }
