Keep one hung commit from holding up the group behind it

Cause: a group's commit had no bound of its own, so that a table that hangs would have held up every claim of a hall until the process ended.

--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -162,6 +162,7 @@
 			body.Data = append(body.Data, modelItem{ID: name, Object: "model", OwnedBy: "barleystep"})
 		}
 		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set(HeaderOutcome, barleystep.OutcomeDone.String())
 		_ = json.NewEncoder(w).Encode(body) // The caller may have gone away.
 	}
 	p := Pipeline{s.pipeline[0], authenticate{}, final(list)}
--- a/internal/local/hall_test.go
+++ b/internal/local/hall_test.go
@@ -265,6 +265,17 @@
 		c.Check(send(t, h.URL(0)+chat, header(), question).outcome, quicktest.Equals, "done")
 		c.Check(h.Engine(0).Runs(), quicktest.HasLen, 1)
 	})
+	t.Run("with the store hung nothing hangs", func(t *testing.T) {
+		c := quicktest.New(t)
+		hung := &table.Faulty{Table: &table.Memory{}}
+		h := &local.Hall{Boxes: 1, Engines: 1, Table: hung}
+		start(t, h)
+		hung.SetPlan(func(table.Call) table.Failure { return table.FailureHang })
+		r := send(t, h.URL(0)+chat, strict, question)
+		c.Check(r.outcome, quicktest.Equals, "not-run")
+		c.Check(send(t, h.URL(0)+chat, header(), question).outcome, quicktest.Equals, "done")
+		c.Check(h.Engine(0).Runs(), quicktest.HasLen, 1)
+	})
 	t.Run("a lost answer of the table does not lose the claim", func(t *testing.T) {
 		c := quicktest.New(t)
 		lossy := &table.Faulty{Table: &table.Memory{}}
--- a/internal/table/group.go
+++ b/internal/table/group.go
@@ -23,6 +23,9 @@
 	Every time.Duration
 	// Most bounds the transactions in one commit; the default is 100.
 	Most int
+	// Timeout bounds one commit, so that one that hangs does not hold up the next;
+	// the default is 5 seconds.
+	Timeout time.Duration
 
 	queue chan *grouped
 }
@@ -36,6 +39,7 @@
 	defaultGroupEvery = 50 * time.Millisecond
 	defaultGroupMost  = 100
 	groupQueue        = 4096
+	groupTimeout      = 5 * time.Second
 	// groupRounds is how often conflicting transactions are taken out of a commit
 	// before the others go one by one.
 	groupRounds = 3
@@ -83,6 +87,9 @@
 	if g.Most == 0 {
 		g.Most = defaultGroupMost
 	}
+	if g.Timeout == 0 {
+		g.Timeout = groupTimeout
+	}
 	var left *grouped // left shares a key with the last commit.
 	for {
 		batch, next := g.collect(ctx, left)
@@ -151,6 +158,8 @@
 
 // commit commits the batch and answers each of its transactions.
 func (g *Group) commit(ctx context.Context, batch []*grouped) {
+	ctx, cancel := clock.WithDeadline(ctx, g.Clock, g.Clock.Now().Add(g.Timeout))
+	defer cancel()
 	for range groupRounds {
 		if len(batch) == 0 {
 			return
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -126,6 +126,20 @@
 	}
 }
 
+// TestGroupOutlivesAHang lets one commit hang; the next goes through.
+func TestGroupOutlivesAHang(t *testing.T) {
+	c := quicktest.New(t)
+	faulty := &table.Faulty{Table: &table.Memory{}}
+	faulty.SetPlan(func(table.Call) table.Failure { return table.FailureHang })
+	g := table.NewGroup(faulty, clock.System{})
+	g.Timeout = 20 * time.Millisecond
+	serve(t, g)
+	err := g.Commit(context.Background(), insert("k", "v"))
+	c.Check(barleystep.FaultOf(err), quicktest.Equals, barleystep.FaultUnknownEffect)
+	faulty.SetPlan(nil)
+	c.Check(g.Commit(context.Background(), insert("k", "v")), quicktest.IsNil)
+}
+
 // TestGroup puts inserts of many goroutines into few commits; those that
 // conflict are told so, and only those.
 func TestGroup(t *testing.T) {
