--- a/alloc.go
+++ b/alloc.go
@@ -81,10 +81,9 @@
 	Outcome Outcome
 	// First is the time from sending to the first event, zero if there was none.
 	First time.Duration
-	// Prompt and Cached are token counts that the engine reported, zero if it
-	// reported none.
+	// Prompt is the token count that the engine reported, zero if it reported
+	// none.
 	Prompt int
-	Cached int
 	// Full is set when the target refused for lack of room.
 	Full bool
 }
--- a/internal/box/admin.go
+++ b/internal/box/admin.go
@@ -97,11 +97,5 @@
 // Run serves until ctx ends. Build must have been called.
 func (a *Admin) Run(ctx context.Context) error { return a.top.Serve(ctx) }
 
-// URL returns the address of the API once it listens.
-func (a *Admin) URL() string {
-	<-a.listener.Ready()
-	return "http://" + a.listener.ListenAddr()
-}
-
 // Follower returns the configuration that the process knows.
 func (a *Admin) Follower() *version.Follower { return a.follower }
--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -169,7 +169,6 @@
 		Local:         e.desk,
 		Remote:        e.node.client.Desk,
 		Meter:         e.meter,
-		Log:           e.Log,
 		Settings:      e.capacity(),
 	}
 }
@@ -224,9 +223,6 @@
 // closed.
 func (e *Entry) CallersAddr() string { return e.callers.ListenAddr() }
 
-// Supervisor returns the tree of the process's services, once it is built.
-func (e *Entry) Supervisor() *suture.Supervisor { return e.top }
-
 // Follower returns the configuration in force.
 func (e *Entry) Follower() *version.Follower { return e.node.follower }
 
--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
@@ -29,7 +28,6 @@
 	// Remote returns the desk of another box.
 	Remote   func(barleystep.BoxID) (d Desk, ok bool)
 	Meter    *metric.Meter
-	Log      *log.Logger
 	Settings Settings
 
 	mu      sync.Mutex
--- a/internal/capacity/allocator_test.go
+++ b/internal/capacity/allocator_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/frankban/quicktest"
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
@@ -75,7 +74,7 @@
 			a := &capacity.Allocator{
 				Clock: clock.NewManual(start), Box: "zz", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"),
 				Local: local, Remote: func(barleystep.BoxID) (capacity.Desk, bool) { return remote, true },
-				Meter: metric.Discard(), Log: &log.Logger{Level: log.PanicLevel},
+				Meter: metric.Discard(),
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			if tc.leaves {
@@ -105,7 +104,7 @@
 	desk := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: hangOnce}
 	a := &capacity.Allocator{
 		Clock: clk, Box: "b1", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"), Local: desk,
-		Meter: metric.Discard(), Log: &log.Logger{Level: log.PanicLevel},
+		Meter: metric.Discard(),
 	}
 	ctx, cancel := clock.WithDeadline(context.Background(), clk, start.Add(time.Second))
 	defer cancel()
--- a/internal/capacity/desk.go
+++ b/internal/capacity/desk.go
@@ -74,7 +74,8 @@
 	select {
 	case g = <-answer:
 	case <-ctx.Done():
-		return Grant{}, l.leave(p, id, answer, ctx)
+		l.leave(p, id, answer)
+		return Grant{}, eris.Wrap(context.Cause(ctx), "capacity: ask")
 	}
 	if g.Refusal != nil {
 		return Grant{}, g.Refusal
@@ -98,51 +99,45 @@
 
 // leave withdraws a request whose caller has gone. A grant that crossed with
 // it is given back.
-func (l *LocalDesk) leave(p *dispensed, id barleystep.AttemptID, answer chan Grant, ctx context.Context) error {
-	now := l.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dispenser.Withdraw(id)
-	delete(p.waiting, id)
-	select {
-	case <-answer:
-		p.dispenser.Release(now, id, barleystep.Usage{Outcome: barleystep.OutcomeNotRun, Full: true})
-		p.tick(now)
-	default:
-	}
-	return eris.Wrap(context.Cause(ctx), "capacity: ask")
+func (l *LocalDesk) leave(p *dispensed, id barleystep.AttemptID, answer chan Grant) {
+	l.decide(p, func(d *Dispenser, now time.Time) {
+		d.Withdraw(id)
+		delete(p.waiting, id)
+		select {
+		case <-answer:
+			d.Release(now, id, barleystep.Usage{Outcome: barleystep.OutcomeNotRun, Full: true})
+		default:
+		}
+	})
 }
 
 // First notes a first token.
 func (l *LocalDesk) First(_ context.Context, pool string, id barleystep.AttemptID) error {
-	return l.change(pool, func(d *Dispenser, now time.Time) { d.First(now, id, 0) })
+	l.change(pool, func(d *Dispenser, now time.Time) { d.First(now, id, 0) })
+	return nil
 }
 
 // Release takes a grant back.
 func (l *LocalDesk) Release(_ context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
-	return l.change(pool, func(d *Dispenser, now time.Time) { d.Release(now, id, u) })
+	l.change(pool, func(d *Dispenser, now time.Time) { d.Release(now, id, u) })
+	return nil
 }
 
 // Report takes in a report.
 func (l *LocalDesk) Report(_ context.Context, pool string, r Report) (c Credits, err error) {
-	err = l.change(pool, func(d *Dispenser, now time.Time) { c = d.Report(now, r) })
-	return c, err
+	l.change(pool, func(d *Dispenser, now time.Time) { c = d.Report(now, r) })
+	return c, nil
 }
 
 // Load takes in a load report of a target of the pool.
 func (l *LocalDesk) Load(pool string, id barleystep.TargetID, load barleystep.Load) {
-	p := l.pool(pool)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.refresh(p)
-	p.dispenser.Load(id, load)
-	p.tick(l.Clock.Now())
+	l.decide(l.pool(pool), func(d *Dispenser, _ time.Time) { d.Load(id, load) })
 }
 
 // Gone forgets a box in all pools.
 func (l *LocalDesk) Gone(id barleystep.BoxID) {
 	for _, name := range l.Pools() {
-		_ = l.change(name, func(d *Dispenser, now time.Time) { d.Gone(now, id) })
+		l.change(name, func(d *Dispenser, now time.Time) { d.Gone(now, id) })
 	}
 }
 
@@ -168,17 +163,24 @@
 	return len(p.waiting) == 0 && now.Sub(p.used) > idleLife
 }
 
-// change lets f change the pool's dispenser and hands out what follows.
-func (l *LocalDesk) change(pool string, f func(*Dispenser, time.Time)) error {
+// change is decide for what a box has said: it keeps the pool at the desk.
+func (l *LocalDesk) change(pool string, f func(*Dispenser, time.Time)) {
 	p := l.pool(pool)
+	l.decide(p, func(d *Dispenser, now time.Time) {
+		p.used = now
+		f(d, now)
+	})
+}
+
+// decide lets f change the pool's dispenser, with the configuration in force,
+// and hands out what follows.
+func (l *LocalDesk) decide(p *dispensed, f func(*Dispenser, time.Time)) {
 	now := l.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.refresh(p)
-	p.used = now
 	f(p.dispenser, now)
 	p.tick(now)
-	return nil
 }
 
 func (l *LocalDesk) pool(name string) *dispensed {
@@ -220,12 +222,7 @@
 func (l *LocalDesk) Serve(ctx context.Context) error {
 	for clock.Sleep(ctx, l.Clock, tickEvery) {
 		for _, name := range l.Pools() {
-			p := l.pool(name)
-			now := l.Clock.Now()
-			p.mu.Lock()
-			l.refresh(p)
-			p.tick(now)
-			p.mu.Unlock()
+			l.decide(l.pool(name), func(*Dispenser, time.Time) {})
 		}
 	}
 	return ctx.Err()
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -55,6 +55,11 @@
 	Deadline time.Time
 }
 
+// row returns the row of a claim of the request.
+func (r Request) row(s State, nonce string) Row {
+	return Row{State: s, Nonce: nonce, Digest: r.Digest, Deadline: r.Deadline}
+}
+
 // Claim is the right to send one request once.
 type Claim struct {
 	book    *Book
@@ -120,9 +125,9 @@
 		}
 		return Input{Event: EventRow, Row: row, Now: b.Clock.Now()}
 	case ActionExclude:
-		return b.write(ctx, key, m.Base, Row{State: StateNotRun, Nonce: m.Nonce, Digest: r.Digest, Deadline: r.Deadline})
+		return b.write(ctx, key, m.Base, r.row(StateNotRun, m.Nonce))
 	default:
-		return b.write(ctx, key, m.Base, Row{State: StateHeld, Nonce: m.Nonce, Digest: r.Digest, Deadline: r.Deadline})
+		return b.write(ctx, key, m.Base, r.row(StateHeld, m.Nonce))
 	}
 }
 
--- a/internal/claim/finish.go
+++ b/internal/claim/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -61,16 +62,11 @@
 
 // Serve settles the claims that their requests left open, until ctx ends.
 func (b *Book) Serve(ctx context.Context) error {
-	done := make(chan struct{})
+	var wait sync.WaitGroup
 	for range workers {
-		go func() {
-			b.work(ctx)
-			done <- struct{}{}
-		}()
-	}
-	for range workers {
-		<-done
+		wait.Go(func() { b.work(ctx) })
 	}
+	wait.Wait()
 	return ctx.Err()
 }
 
@@ -102,7 +98,7 @@
 	if t.state == "" {
 		return b.withdraw(ctx, t)
 	}
-	final := Row{State: t.state, Nonce: t.machine.Nonce, Digest: t.request.Digest, Deadline: t.request.Deadline}
+	final := t.request.row(t.state, t.machine.Nonce)
 	if t.state == StateDone {
 		final.Object = objectName(t.request.Account, t.machine.Nonce)
 		if err := b.Objects.Put(ctx, final.Object, t.answer); err != nil {
@@ -117,7 +113,7 @@
 // effect, which the exclusion prevents or the replacement undoes.
 func (b *Book) withdraw(ctx context.Context, t task) error {
 	key := rowKey(t.request.Account, t.request.Key)
-	free := Row{State: StateNotRun, Nonce: t.machine.Nonce, Digest: t.request.Digest, Deadline: t.request.Deadline}
+	free := t.request.row(StateNotRun, t.machine.Nonce)
 	switch b.write(ctx, key, t.machine.Base, free).Event {
 	case EventWritten:
 		return nil
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -33,6 +34,11 @@
 	Body   []byte `json:"body"`
 }
 
+// isStream reports whether an answer of the content type comes as events.
+func isStream(contentType string) bool {
+	return strings.HasPrefix(contentType, "text/event-stream")
+}
+
 func newAnswer(w http.ResponseWriter) *answer {
 	return &answer{w: w, control: http.NewResponseController(w)}
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -90,28 +90,23 @@
 	if err != nil {
 		return err
 	}
-	usage := barleystep.Usage{Outcome: barleystep.OutcomeFailed}
-	defer func() { allotment.Release(usage) }()
 	r := &relay{
 		stage:     a.dispatch,
 		exchange:  x,
 		allotment: allotment,
 		id:        d.Attempt,
 	}
-	err = r.run(ctx)
-	if ctx.Err() == nil {
-		r.usage.Outcome = barleystep.OutcomeFailed
-	}
-	usage = r.usage
-	if err == nil {
-		usage.Outcome = barleystep.OutcomeDone
+	defer func() { allotment.Release(r.usage) }()
+	if err = r.run(ctx); err == nil {
+		r.usage.Outcome = barleystep.OutcomeDone
 		x.targetState = barleystep.OutcomeDone
-		a.estimator.Learn(x.prompt.model, x.prompt.textBytes, usage.Prompt)
+		a.estimator.Learn(x.prompt.model, x.prompt.textBytes, r.usage.Prompt)
 		return nil
 	}
-	err = a.judge(x, r, err)
-	usage.Full = r.usage.Full
-	return err
+	if ctx.Err() == nil {
+		r.usage.Outcome = barleystep.OutcomeFailed
+	}
+	return a.judge(x, r, err)
 }
 
 // judge decides what a failed attempt means for the request.
--- a/internal/gate/cancel.go
+++ b/internal/gate/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -50,16 +51,11 @@
 
 // Serve delivers cancellations until ctx ends.
 func (c *Canceller) Serve(ctx context.Context) error {
-	done := make(chan struct{})
+	var wait sync.WaitGroup
 	for range cancelWorkers {
-		go func() {
-			c.work(ctx)
-			done <- struct{}{}
-		}()
-	}
-	for range cancelWorkers {
-		<-done
+		wait.Go(func() { c.work(ctx) })
 	}
+	wait.Wait()
 	return ctx.Err()
 }
 
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -119,7 +118,7 @@
 // pass relays the other box's answer as it is. The caller sees its outcome.
 func (f *forward) pass(ctx context.Context, x *Exchange, resp *http.Response) error {
 	x.answer.begun = true
-	x.answer.stream = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	x.answer.stream = isStream(resp.Header.Get("Content-Type"))
 	h := x.w.Header()
 	for _, name := range []string{"Content-Type", "Retry-After", HeaderOutcome, HeaderReason, HeaderConfig, HeaderRequest} {
 		if v := resp.Header.Get(name); v != "" {
--- a/internal/gate/prompt.go
+++ b/internal/gate/prompt.go
@@ -14,7 +14,6 @@
 type prompt struct {
 	body      []byte
 	model     string
-	stream    bool
 	textBytes int
 	tokens    int // tokens is the estimated length.
 	output    int // output is the most tokens that may be generated.
@@ -35,7 +34,7 @@
 
 // fields are the few fields of a body that are needed.
 type fields struct {
-	model, stream, messages, prompt, maxCompletion, maxTokens gjson.Result
+	model, messages, prompt, maxCompletion, maxTokens gjson.Result
 }
 
 // readFields goes over the body once; long prompts make each pass cost
@@ -46,8 +45,6 @@
 		switch key.Str {
 		case "model":
 			f.model = value
-		case "stream":
-			f.stream = value
 		case "messages":
 			f.messages = value
 		case "prompt":
@@ -82,7 +79,6 @@
 	return prompt{
 		body:      body,
 		model:     f.model.String(),
-		stream:    f.stream.Bool(),
 		textBytes: len(text.Raw),
 		output:    int(output.Int()),
 		prefix:    prefixHashes(text.Raw),
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -1,10 +1,10 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -118,8 +118,7 @@
 	if r.exchange.answer.begun {
 		return
 	}
-	stream := strings.HasPrefix(s.ContentType(), "text/event-stream")
-	r.exchange.answer.begin(s.Status(), s.ContentType(), stream)
+	r.exchange.answer.begin(s.Status(), s.ContentType(), isStream(s.ContentType()))
 }
 
 // note learns from an event: progress, and the usage that closes an answer.
@@ -131,19 +130,10 @@
 		band := barleystep.BandOf(r.exchange.prompt.tokens)
 		r.stage.meter.FirstToken(band.String(), r.stage.clock.Now().Sub(r.exchange.started))
 	}
-	u := usageOf(e.Data())
-	if u.Exists() {
-		r.usage.Prompt = int(u.Get("prompt_tokens").Int())
-		r.usage.Cached = int(u.Get("prompt_tokens_details.cached_tokens").Int())
+	if bytes.Contains(e.Data(), usageMark) {
+		r.usage.Prompt = int(gjson.GetBytes(e.Data(), "usage.prompt_tokens").Int())
 	}
 }
 
 // usageMark is looked for before an event is decoded: few events hold usage.
-const usageMark = `"usage":{`
-
-func usageOf(data []byte) gjson.Result {
-	if !strings.Contains(string(data), usageMark) {
-		return gjson.Result{}
-	}
-	return gjson.GetBytes(data, "usage")
-}
+var usageMark = []byte(`"usage":{`)
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -60,7 +60,7 @@
 		&classify{clock: s.Clock, estimator: &s.estimator, limits: s.Limits.withDefaults()},
 		&admit{limiter: s.Limiter},
 		&forward{forwarder: s.Forwarder, hall: string(s.Hall), clock: s.Clock, meter: s.Meter},
-		&claimOnce{clock: s.Clock, book: s.Claims},
+		&claimOnce{book: s.Claims},
 		&attempt{
 			clock:     s.Clock,
 			source:    s.Source,
--- a/internal/local/hall.go
+++ b/internal/local/hall.go
@@ -145,9 +145,6 @@
 	return fmt.Sprintf("127.0.0.1:%d", number)
 }
 
-// AdminURL returns the address of the administration API.
-func (h *Hall) AdminURL() string { return h.admin.URL() }
-
 // startTargets starts the stand-ins and returns the configuration that names
 // them.
 func (h *Hall) startTargets(ctx context.Context) config.File {
