Tell boxes each other's work and their proof of the configuration

A box that the store turns away could not prove that keys are current. SIGHUP ended the process, since nothing handled it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -62,7 +62,8 @@
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
-	remotes map[barleystep.BoxID]remote
+	// others is the work and demand of all other boxes, as last heard.
+	others Snapshot
 }
 
 // state is what a box knows of a target by itself.
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -74,11 +74,8 @@
 	if d, ok := b.demands[service]; ok {
 		total = d.rate(now)
 	}
-	for _, r := range b.remotes {
-		if now.Sub(r.at) <= remoteLife {
-			total.Light += r.snapshot.Demands[service].Light
-			total.Heavy += r.snapshot.Demands[service].Heavy
-		}
-	}
+	others := b.others.Demands[KeyOf(service)]
+	total.Light += others.Light
+	total.Heavy += others.Heavy
 	return total
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/barleystep/barleystep"
 )
 
@@ -32,46 +34,68 @@
 	w.Memory -= o.Memory
 }
 
-// Snapshot is what one box tells the others of its work.
+// Key names a target or a service between boxes, in less room than its id.
+type Key uint32
+
+// KeyOf returns the key of a target's id or of a service's name.
+func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
+
+// Snapshot is the work and the demand of one box, or of many.
 type Snapshot struct {
-	Work    map[barleystep.TargetID]Work
-	Demands map[string]Demand
+	Work    map[Key]Work
+	Demands map[Key]Demand
 }
 
-// remote is the last snapshot of another box.
-type remote struct {
-	snapshot Snapshot
-	at       time.Time
+// NewSnapshot returns an empty snapshot.
+func NewSnapshot() Snapshot {
+	return Snapshot{Work: make(map[Key]Work), Demands: make(map[Key]Demand)}
+}
+
+// Add adds another snapshot.
+func (s Snapshot) Add(o Snapshot) {
+	for k, w := range o.Work {
+		sum := s.Work[k]
+		sum.add(w)
+		s.Work[k] = sum
+	}
+	for k, d := range o.Demands {
+		s.Demands[k] = Demand{Light: s.Demands[k].Light + d.Light, Heavy: s.Demands[k].Heavy + d.Heavy}
+	}
 }
 
-// remoteLife is how long a snapshot counts: some lost messages should not make
-// a box's work vanish, and a box that is gone should soon stop to count.
-const remoteLife = 1200 * time.Millisecond
+// Remove takes away a snapshot that was added.
+func (s Snapshot) Remove(o Snapshot) {
+	for k, w := range o.Work {
+		rest := s.Work[k]
+		rest.remove(w)
+		s.Work[k] = rest
+	}
+	for k, d := range o.Demands {
+		s.Demands[k] = Demand{Light: s.Demands[k].Light - d.Light, Heavy: s.Demands[k].Heavy - d.Heavy}
+	}
+}
 
-// Learn takes in the snapshot of another box.
-func (b *Balancer) Learn(box barleystep.BoxID, s Snapshot) {
+// SetOthers takes in the work and demand of all other boxes.
+func (b *Balancer) SetOthers(s Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.remotes == nil {
-		b.remotes = make(map[barleystep.BoxID]remote)
-	}
-	b.remotes[box] = remote{snapshot: s, at: b.Clock.Now()}
+	b.others = s
 }
 
 // Snapshot returns this box's work and demand.
 func (b *Balancer) Snapshot() Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Snapshot{Work: make(map[barleystep.TargetID]Work), Demands: make(map[string]Demand)}
+	s := NewSnapshot()
 	for id, state := range b.states {
 		if state.own != (Work{}) {
-			s.Work[id] = state.own
+			s.Work[KeyOf(string(id))] = state.own
 		}
 	}
 	now := b.Clock.Now()
 	for service, d := range b.demands {
 		if rate := d.rate(now); rate != (Demand{}) {
-			s.Demands[service] = rate
+			s.Demands[KeyOf(service)] = rate
 		}
 	}
 	return s
@@ -83,13 +107,6 @@
 	if s := b.states[id]; s != nil {
 		w = s.own
 	}
-	now := b.Clock.Now()
-	for box, r := range b.remotes {
-		if now.Sub(r.at) > remoteLife {
-			delete(b.remotes, box)
-			continue
-		}
-		w.add(r.snapshot.Work[id])
-	}
+	w.add(b.others.Work[KeyOf(string(id))])
 	return w
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -14,15 +14,14 @@
 // concurrent use.
 type Budget struct {
 	Clock barleystep.Clock
-	// Ratio is the retries allowed for each request of a service in Window, over
-	// all boxes; Extra are allowed besides.
-	Ratio  float64
-	Extra  float64
+	// Window is the time in which requests and retries are counted.
 	Window time.Duration
 	// Boxes returns how many boxes share the budget.
 	Boxes func() int
 
 	mu       sync.Mutex
+	ratio    float64
+	extra    float64
 	services map[string]*account
 }
 
@@ -90,6 +89,14 @@
 	return a
 }
 
+// Set sets the retries allowed for each request of a service in Window, over all
+// boxes, and those allowed besides.
+func (b *Budget) Set(ratio, extra float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.extra = ratio, extra
+}
+
 // Request counts a request for the service.
 func (b *Budget) Request(service string) {
 	b.mu.Lock()
@@ -104,7 +111,7 @@
 	defer b.mu.Unlock()
 	a := b.account(service)
 	slot := b.slot()
-	allowed := ratioPart*b.Ratio*a.requests.sum(slot) + extraPart*b.Extra/float64(boxes)
+	allowed := ratioPart*b.ratio*a.requests.sum(slot) + extraPart*b.extra/float64(boxes)
 	if a.retries.sum(slot)+1 > allowed {
 		return false
 	}
--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -38,10 +38,15 @@
 func (c *Configuration) Raw() (value []byte, version int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.raw, c.Version()
+}
+
+// Version returns the number of the configuration in force, 0 if there is none.
+func (c *Configuration) Version() int64 {
 	if v := c.view.Load(); v != nil {
-		version = v.Version()
+		return v.Version()
 	}
-	return c.raw, version
+	return 0
 }
 
 // Age returns how long ago the box could last have missed a change: every
--- a/internal/front/authenticate.go
+++ b/internal/front/authenticate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -11,7 +12,7 @@
 type authenticate struct {
 	// freshness is how old the proof may be that the known keys are current; a
 	// key that was taken away longer ago must not be served by any box.
-	freshness time.Duration
+	freshness *atomic.Int64
 }
 
 // Run refuses requests without a valid key, and those whose key cannot be
@@ -25,7 +26,8 @@
 	if account == nil {
 		return barleystep.NewRefusal(barleystep.ReasonBadKey, barleystep.OutcomeNotRun, "The key is not valid.")
 	}
-	if s.freshness > 0 && (x.age < 0 || x.age > s.freshness) {
+	bound := time.Duration(s.freshness.Load())
+	if bound > 0 && (x.age < 0 || x.age > bound) {
 		return notRun(barleystep.ReasonStaleKeys, "The box cannot tell whether the key is still valid.", restartPause)
 	}
 	x.account = account.Name
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -33,10 +33,8 @@
 	Budget        *budget.Budget
 	Meter         *metric.Meter
 	Log           *log.Logger
-	// Freshness bounds the age of the proof that keys are current; zero asks for
-	// none.
-	Freshness time.Duration
 
+	freshness atomic.Int64
 	pipeline Pipeline
 	running  atomic.Int64
 	// leaving answers with the end of the connection; closed refuses.
@@ -50,7 +48,7 @@
 func (s *Server) Handler() http.Handler {
 	s.pipeline = Pipeline{
 		&route{configuration: s.Configuration},
-		&authenticate{freshness: s.Freshness},
+		&authenticate{freshness: &s.freshness},
 		&read{},
 		&deliver{
 			clock:    s.Clock,
@@ -65,6 +63,10 @@
 	return s
 }
 
+// SetFreshness bounds the age of the proof that keys are current; zero asks for
+// none.
+func (s *Server) SetFreshness(d time.Duration) { s.freshness.Store(int64(d)) }
+
 // Leave begins a planned stop: answers end their connections, so that callers
 // go to other boxes.
 func (s *Server) Leave() { s.leaving.Store(true) }
--- /dev/null
+++ b/internal/gossip/node.go
@@ -0,0 +1,210 @@
+// Package gossip spreads between boxes what none of them could know alone: the
+// work that all of them have given to targets, and proof that the configuration
+// is current for boxes that the store turns away.
+//
+// Each box reports to the collector of its hall, which is the first of the
+// hall's boxes that is alive. The collector sends the sum back to its hall and
+// to the collectors of the other halls, so that what a box sends and receives
+// does not grow with the number of boxes in other halls.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/barleystep/barleystep"
+	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// Configuration is the configuration that a box goes by.
+type Configuration interface {
+	// Version returns the number in force, 0 if there is none.
+	Version() int64
+	// Age returns the age of the proof that it is the newest, negative if there
+	// is none.
+	Age() time.Duration
+	// Vouch takes another box's proof.
+	Vouch(at time.Time, version int64)
+	// Apply puts an encoded configuration in force if it is newer.
+	Apply(value []byte, source string)
+}
+
+// Balancer knows the work of the own box and learns that of all others.
+type Balancer interface {
+	Snapshot() balance.Snapshot
+	SetOthers(s balance.Snapshot)
+}
+
+// Node is one box's part in the gossip. Its exported fields are set before
+// Serve.
+type Node struct {
+	Clock barleystep.Clock
+	Box   barleystep.BoxID
+	Hall  barleystep.HallID
+	// Addr is the IP and port at which the other boxes reach this one, over UDP
+	// and TCP.
+	Addr string
+	// Seeds are addresses of some boxes to begin with; they may be stale.
+	Seeds         []string
+	Catalogue     barleystep.Catalogue
+	Configuration Configuration
+	Balancer      Balancer
+	// Fetch gets the configuration from the box at the address.
+	Fetch func(ctx context.Context, addr string) (value []byte, err error)
+	Log   *log.Logger
+
+	mu          sync.Mutex
+	origin      time.Time
+	incarnation uint64
+	socket      *net.UDPConn
+	members     map[barleystep.BoxID]*member
+	sequence    uint64
+	// sent holds the own snapshots that were sent lately, by sequence, to be
+	// taken out of the sums that come back.
+	sent     map[uint64]balance.Snapshot
+	leaving  bool
+	fetching bool
+	ticks    int
+}
+
+const (
+	// tick is the time between a box's datagrams: short against the time that a
+	// request stays at a target, so that boxes rarely choose by old sums.
+	tick = 100 * time.Millisecond
+	// aliveFor is how long after its last datagram a box counts as alive, which
+	// allows for some lost ones.
+	aliveFor = 500 * time.Millisecond
+	// snapshotLife is how long a box's or hall's last work counts.
+	snapshotLife = 1200 * time.Millisecond
+	// sentKept is how many of the own snapshots are kept: those that may be in a
+	// sum that is still on its way.
+	sentKept = 32
+	// datagramBytes bounds a datagram.
+	datagramBytes = 64 << 10
+	// probeTicks is how many ticks pass between datagrams to boxes that are
+	// silent, so that a healed partition is noticed.
+	probeTicks = 10
+	// forgetAfter is how long a box may be silent before it is forgotten; its
+	// record in the store is then removed too.
+	forgetAfter = 5 * time.Minute
+	// countedFor is how long a silent box still counts among the boxes: it may
+	// be cut off from this one and not from targets.
+	countedFor = 30 * time.Second
+)
+
+const logPrefix = "gossip: "
+
+// member is what a box knows of another one.
+type member struct {
+	box         barleystep.BoxID
+	hall        barleystep.HallID
+	addr        netip.AddrPort
+	incarnation uint64
+	// heard is when the last word of it came, added when it became known.
+	heard   time.Time
+	added   time.Time
+	alive   bool
+	leaving bool
+	// peerSent and gotAt are its clock and ours at its last datagram.
+	peerSent int64
+	gotAt    time.Time
+	sequence uint64
+	own      balance.Snapshot
+	ownAt    time.Time
+	merged   balance.Snapshot
+	mergedAt time.Time
+}
+
+// Serve takes part until ctx ends.
+func (n *Node) Serve(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil && ctx.Err() == nil {
+			err = eris.Wrap(err, "gossip: serve")
+		}
+	}()
+	addr, err := net.ResolveUDPAddr("udp4", n.Addr)
+	if err != nil {
+		return err
+	}
+	socket, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return err
+	}
+	n.begin(socket)
+	defer socket.Close()
+	stop := context.AfterFunc(ctx, func() { socket.Close() })
+	defer stop()
+	go n.announce(ctx)
+	go func() { _ = clock.Repeat(ctx, n.Clock, tick, n.step) }()
+	return n.read(ctx, socket)
+}
+
+func (n *Node) begin(socket *net.UDPConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.socket = socket
+	n.origin = n.Clock.Now()
+	n.incarnation = rand.Uint64() | 1
+	n.sent = make(map[uint64]balance.Snapshot)
+	if n.members == nil {
+		n.members = make(map[barleystep.BoxID]*member)
+	}
+}
+
+// Leave tells the others that this box stops.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+}
+
+// Boxes returns how many boxes there are, this one included: those that were
+// heard of lately, since a silent one may merely be cut off from here.
+func (n *Node) Boxes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	count := 1
+	for _, m := range n.members {
+		if now.Sub(m.last()) < countedFor {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *member) last() time.Time {
+	if m.heard.IsZero() {
+		return m.added
+	}
+	return m.heard
+}
+
+func (n *Node) read(ctx context.Context, socket *net.UDPConn) error {
+	buffer := make([]byte, datagramBytes)
+	for {
+		size, from, err := socket.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+		var d gossipv1.Datagram
+		if err := proto.Unmarshal(buffer[:size], &d); err != nil {
+			n.Log.Warn().Str("from", from.String()).Err(err).Msg(logPrefix + "A datagram cannot be read.")
+			continue
+		}
+		n.receive(ctx, &d, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
--- /dev/null
+++ b/internal/gossip/receive.go
@@ -0,0 +1,172 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// receive takes in a datagram.
+func (n *Node) receive(ctx context.Context, d *gossipv1.Datagram, from netip.AddrPort) {
+	now := n.Clock.Now()
+	n.mu.Lock()
+	m := n.hear(barleystep.BoxID(d.GetBox()), barleystep.HallID(d.GetHall()), from, d.GetIncarnation(), now)
+	if m == nil || d.GetSequence() <= m.sequence {
+		n.mu.Unlock()
+		return // It is our own, or came late or twice.
+	}
+	m.sequence = d.GetSequence()
+	m.peerSent, m.gotAt = d.GetSentNs(), now
+	m.leaving = d.GetLeaving()
+	n.takeWork(m, d, now)
+	at, proved := n.proof(d)
+	n.mu.Unlock()
+	if proved {
+		n.Configuration.Vouch(at, d.GetVersion())
+	}
+	if d.GetVersion() > n.Configuration.Version() {
+		n.fetch(ctx, m.box, from)
+	}
+}
+
+// hear notes that a box lives and returns what is known of it, nil for this box.
+func (n *Node) hear(box barleystep.BoxID, hall barleystep.HallID, addr netip.AddrPort, incarnation uint64, now time.Time) *member {
+	if box == n.Box {
+		return nil
+	}
+	m, ok := n.members[box]
+	if !ok {
+		m = &member{box: box, hall: hall, added: now}
+		n.members[box] = m
+	}
+	if m.incarnation != incarnation {
+		// A new life counts its datagrams anew, on a clock of its own.
+		m.incarnation, m.sequence, m.peerSent = incarnation, 0, 0
+	}
+	m.hall, m.addr = hall, addr
+	n.revive(m, now)
+	return m
+}
+
+// revive notes that a box lives.
+func (n *Node) revive(m *member, now time.Time) {
+	m.heard = now
+	if m.alive {
+		return
+	}
+	m.alive = true
+	n.Log.Info().Str("box", string(m.box)).Str("hall", string(m.hall)).Str("addr", m.addr.String()).
+		Msg(logPrefix + "A box is alive.")
+}
+
+// takeWork keeps the work that the datagram tells of.
+func (n *Node) takeWork(m *member, d *gossipv1.Datagram, now time.Time) {
+	s := snapshotOf(d)
+	if !d.GetMerged() {
+		m.own, m.ownAt = s, now
+		return
+	}
+	if m.hall == n.Hall {
+		n.takeOut(s, d)
+	}
+	m.merged, m.mergedAt = s, now
+	for _, o := range d.GetMembers() {
+		addr, err := netip.ParseAddrPort(o.GetAddr())
+		if err != nil || barleystep.BoxID(o.GetBox()) == n.Box {
+			continue
+		}
+		n.hearOf(barleystep.BoxID(o.GetBox()), m.hall, addr, now)
+	}
+	n.Balancer.SetOthers(n.others(now))
+}
+
+// hearOf notes that a collector vouches for a box.
+func (n *Node) hearOf(box barleystep.BoxID, hall barleystep.HallID, addr netip.AddrPort, now time.Time) {
+	m, ok := n.members[box]
+	if !ok {
+		m = &member{box: box, hall: hall, added: now}
+		n.members[box] = m
+	}
+	m.addr = addr
+	n.revive(m, now)
+}
+
+// takeOut removes this box's own work, as it was merged, from its hall's.
+func (n *Node) takeOut(s balance.Snapshot, d *gossipv1.Datagram) {
+	for _, o := range d.GetMembers() {
+		if barleystep.BoxID(o.GetBox()) != n.Box || o.GetIncarnation() != n.incarnation {
+			continue
+		}
+		if own, ok := n.sent[o.GetSequence()]; ok {
+			s.Remove(own)
+		}
+	}
+}
+
+// proof returns the time before which the sender vouches that it has missed no
+// configuration, on this box's clock. The sender's statement was made after this
+// box's datagram that it echoes, by at least the time that it held it.
+func (n *Node) proof(d *gossipv1.Datagram) (at time.Time, ok bool) {
+	if d.GetEchoNs() == 0 || d.GetEchoIncarnation() != n.incarnation || d.GetProofAgeNs() < 0 {
+		return time.Time{}, false
+	}
+	since := d.GetEchoNs() + d.GetHeldNs() - d.GetProofAgeNs()
+	return n.origin.Add(time.Duration(since)), true
+}
+
+// others returns the work and demand of all other boxes.
+func (n *Node) others(now time.Time) balance.Snapshot {
+	total := balance.NewSnapshot()
+	seen := make(map[barleystep.HallID]*member)
+	for _, m := range n.members {
+		if now.Sub(m.mergedAt) > snapshotLife {
+			continue
+		}
+		if best := seen[m.hall]; best == nil || m.mergedAt.After(best.mergedAt) {
+			seen[m.hall] = m
+		}
+	}
+	if n.collector(now) == nil {
+		delete(seen, n.Hall)
+		n.addReports(total, now)
+	}
+	for _, m := range seen {
+		total.Add(m.merged)
+	}
+	return total
+}
+
+// addReports adds the last reports of the hall's other boxes.
+func (n *Node) addReports(total balance.Snapshot, now time.Time) {
+	for _, m := range n.members {
+		if m.hall == n.Hall && now.Sub(m.ownAt) <= snapshotLife {
+			total.Add(m.own)
+		}
+	}
+}
+
+// fetch gets a newer configuration from the box that has it, one at a time.
+func (n *Node) fetch(ctx context.Context, box barleystep.BoxID, addr netip.AddrPort) {
+	n.mu.Lock()
+	busy := n.fetching
+	n.fetching = true
+	n.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		value, err := n.Fetch(ctx, addr.String())
+		if err != nil {
+			n.Log.Warn().Str("box", string(box)).Err(err).Msg(logPrefix + "A newer configuration could not be had.")
+		} else {
+			n.Configuration.Apply(value, string(box))
+		}
+		n.mu.Lock()
+		n.fetching = false
+		n.mu.Unlock()
+	}()
+}
--- /dev/null
+++ b/internal/gossip/send.go
@@ -0,0 +1,232 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/barleystep/barleystep"
+	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// step is done once a tick.
+func (n *Node) step(context.Context) {
+	own := n.Balancer.Snapshot()
+	now := n.Clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ticks++
+	n.age(now)
+	n.sequence++
+	n.remember(own)
+	collector := n.collector(now)
+	if collector != nil {
+		n.send(n.report(own), now, collector)
+	} else {
+		n.distribute(own, now)
+	}
+	if n.ticks%probeTicks == 1 {
+		n.probe(own, now)
+	}
+	n.Balancer.SetOthers(n.others(now))
+}
+
+func (n *Node) remember(own balance.Snapshot) {
+	n.sent[n.sequence] = own
+	delete(n.sent, n.sequence-sentKept)
+}
+
+// age notes which boxes have fallen silent.
+func (n *Node) age(now time.Time) {
+	for box, m := range n.members {
+		silent := now.Sub(m.last())
+		if m.alive && silent > aliveFor {
+			m.alive = false
+			n.Log.Warn().Str("box", string(box)).Dur("silent", silent).Msg(logPrefix + "A box is silent.")
+		}
+		if silent > forgetAfter {
+			delete(n.members, box)
+			go n.withdraw(box)
+		}
+	}
+}
+
+// collector returns the collector of the hall, nil if it is this box.
+func (n *Node) collector(now time.Time) *member {
+	var first *member
+	rank := xxhash.Sum64String(string(n.Box))
+	for _, m := range n.members {
+		if m.hall != n.Hall || m.leaving || now.Sub(m.last()) > aliveFor {
+			continue
+		}
+		if r := xxhash.Sum64String(string(m.box)); r < rank {
+			first, rank = m, r
+		}
+	}
+	return first
+}
+
+// collectorOf returns the collector of another hall, nil if none is known to be
+// alive.
+func (n *Node) collectorOf(hall barleystep.HallID, now time.Time) *member {
+	var first *member
+	var rank uint64
+	for _, m := range n.members {
+		if m.hall != hall || m.leaving || now.Sub(m.last()) > aliveFor {
+			continue
+		}
+		if r := xxhash.Sum64String(string(m.box)); first == nil || r < rank {
+			first, rank = m, r
+		}
+	}
+	return first
+}
+
+func (n *Node) report(own balance.Snapshot) *gossipv1.Datagram {
+	d := n.datagram()
+	fill(d, own)
+	return d
+}
+
+// distribute sends the sum of the hall to its boxes and to the other halls.
+func (n *Node) distribute(own balance.Snapshot, now time.Time) {
+	total := balance.NewSnapshot()
+	total.Add(own)
+	n.addReports(total, now)
+	d := n.datagram()
+	d.Merged = true
+	fill(d, total)
+	d.Members = append(d.Members, &gossipv1.Member{Box: string(n.Box), Addr: n.Addr, Sequence: n.sequence, Incarnation: n.incarnation})
+	halls := make(map[barleystep.HallID]bool)
+	var local []*member
+	for _, m := range n.members {
+		if m.hall != n.Hall {
+			halls[m.hall] = true
+			continue
+		}
+		local = append(local, m)
+		if now.Sub(m.last()) <= aliveFor {
+			d.Members = append(d.Members, &gossipv1.Member{Box: string(m.box), Addr: m.addr.String(), Sequence: m.sequence, Incarnation: m.incarnation})
+		}
+	}
+	for _, m := range local {
+		if m.alive {
+			n.send(d, now, m)
+		}
+	}
+	for hall := range halls {
+		if m := n.collectorOf(hall, now); m != nil {
+			n.send(d, now, m)
+		}
+	}
+}
+
+// probe tells silent boxes, and the seeds, of this one.
+func (n *Node) probe(own balance.Snapshot, now time.Time) {
+	d := n.report(own)
+	known := make(map[netip.AddrPort]bool)
+	for _, m := range n.members {
+		known[m.addr] = true
+		if !m.alive {
+			n.send(d, now, m)
+		}
+	}
+	for _, seed := range n.Seeds {
+		addr, err := netip.ParseAddrPort(seed)
+		if err != nil || known[addr] || seed == n.Addr {
+			continue
+		}
+		n.write(d, addr)
+	}
+}
+
+// datagram returns one without work, echo or members.
+func (n *Node) datagram() *gossipv1.Datagram {
+	return &gossipv1.Datagram{
+		Box:         string(n.Box),
+		Hall:        string(n.Hall),
+		Incarnation: n.incarnation,
+		Sequence:    n.sequence,
+		Version:     n.Configuration.Version(),
+		Leaving:     n.leaving,
+	}
+}
+
+// send fills in what differs between receivers and sends the datagram. All ages
+// are taken at one moment: a process that is held up afterwards states nothing
+// that was not true then.
+func (n *Node) send(d *gossipv1.Datagram, now time.Time, m *member) {
+	d.SentNs = int64(now.Sub(n.origin))
+	d.ProofAgeNs = -1
+	if age := n.Configuration.Age(); age >= 0 {
+		// The age was read after now was, so it is no younger than at now.
+		d.ProofAgeNs = int64(age)
+	}
+	d.EchoNs, d.HeldNs, d.EchoIncarnation = 0, 0, 0
+	if m.peerSent != 0 {
+		d.EchoNs, d.HeldNs, d.EchoIncarnation = m.peerSent, int64(now.Sub(m.gotAt)), m.incarnation
+	}
+	n.write(d, m.addr)
+}
+
+func (n *Node) write(d *gossipv1.Datagram, addr netip.AddrPort) {
+	data, err := proto.Marshal(d)
+	if err != nil {
+		n.Log.Error().Err(err).Msg(logPrefix + "A datagram cannot be encoded.")
+		return
+	}
+	if _, err := n.socket.WriteToUDPAddrPort(data, addr); err != nil {
+		n.Log.Debug().Str("to", addr.String()).Err(err).Msg(logPrefix + "A datagram could not be sent.")
+	}
+}
+
+const (
+	perMilli = 1000
+)
+
+// fill writes a snapshot into a datagram.
+func fill(d *gossipv1.Datagram, s balance.Snapshot) {
+	for key, w := range s.Work {
+		if w == (balance.Work{}) {
+			continue
+		}
+		d.Work = append(d.Work, &gossipv1.TargetWork{
+			Target:    uint32(key),
+			Light:     int32(w.Light),
+			Heavy:     int32(w.Heavy),
+			BacklogUs: w.Backlog.Microseconds(),
+			Memory:    int64(w.Memory),
+		})
+	}
+	for key, demand := range s.Demands {
+		d.Demands = append(d.Demands, &gossipv1.ServiceDemand{
+			Service:    uint32(key),
+			LightMilli: int32(demand.Light * perMilli),
+			HeavyMilli: int32(demand.Heavy * perMilli),
+		})
+	}
+}
+
+// snapshotOf reads a snapshot out of a datagram.
+func snapshotOf(d *gossipv1.Datagram) balance.Snapshot {
+	s := balance.NewSnapshot()
+	for _, w := range d.GetWork() {
+		s.Work[balance.Key(w.GetTarget())] = balance.Work{
+			Light:   int(w.GetLight()),
+			Heavy:   int(w.GetHeavy()),
+			Backlog: time.Duration(w.GetBacklogUs()) * time.Microsecond,
+			Memory:  int(w.GetMemory()),
+		}
+	}
+	for _, demand := range d.GetDemands() {
+		s.Demands[balance.Key(demand.GetService())] = balance.Demand{
+			Light: float64(demand.GetLightMilli()) / perMilli,
+			Heavy: float64(demand.GetHeavyMilli()) / perMilli,
+		}
+	}
+	return s
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -19,6 +19,7 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/follow"
 	"github.com/barleystep/barleystep/internal/front"
+	"github.com/barleystep/barleystep/internal/gossip"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/supervisor"
@@ -43,10 +44,15 @@
 	targets       *follow.Targets
 	balancer      *balance.Balancer
 	pool          *conn.Pool
+	budget        *budget.Budget
+	gossip        *gossip.Node
 	front         *front.Server
 	callers       *listener
 	top           *suture.Supervisor
 	leaving       chan struct{}
+	// freshness and grace are settings that may change.
+	freshness atomic.Int64
+	grace     atomic.Int64
 }
 
 const logPrefix = "router: "
@@ -61,6 +67,8 @@
 	// dialTimeout bounds the making of a connection to a target, which takes a
 	// few milliseconds where the target lives.
 	dialTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds the fetching of a configuration from another box.
+	fetchTimeout = time.Second
 	// tendEvery is how often old connections and old beliefs are dropped.
 	tendEvery = 250 * time.Millisecond
 	// freshMargin is how much before keys can no longer be proved current the
@@ -98,23 +106,29 @@
 		Targets: r.targets.List,
 		Log:     r.Log,
 	}
+	r.gossip = &gossip.Node{
+		Clock:         r.Clock,
+		Box:           barleystep.BoxID(s.Box.ID),
+		Hall:          barleystep.HallID(s.Box.Hall),
+		Addr:          s.Listen.Peers,
+		Seeds:         s.Peers.Seeds,
+		Catalogue:     r.Catalogue,
+		Configuration: r.configuration,
+		Balancer:      r.balancer,
+		Fetch:         (&gossip.Client{HTTP: &http.Client{Timeout: fetchTimeout}}).Fetch,
+		Log:           r.Log,
+	}
 	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
+	r.budget = &budget.Budget{Clock: r.Clock, Window: s.Retries.Window.Or(defaultWindow), Boxes: r.gossip.Boxes}
 	r.front = &front.Server{
 		Clock:         r.Clock,
 		Protocol:      r.Protocol,
 		Configuration: r.configuration,
 		Balancer:      r.balancer,
 		Pool:          r.pool,
-		Budget: &budget.Budget{
-			Clock:  r.Clock,
-			Ratio:  s.Retries.Ratio,
-			Extra:  s.Retries.Extra,
-			Window: s.Retries.Window.Or(defaultWindow),
-			Boxes:  r.boxes,
-		},
-		Meter:     meter,
-		Log:       r.Log,
-		Freshness: time.Duration(s.Keys.Freshness),
+		Budget:        r.budget,
+		Meter:         meter,
+		Log:           r.Log,
 	}
 	r.callers = &listener{
 		addr:    s.Listen.Callers,
@@ -123,9 +137,18 @@
 		log:     r.Log,
 		idle:    r.idle,
 	}
+	r.apply(s)
 	r.supervise()
 }
 
+// apply puts the settings in force that may change while the program runs.
+func (r *Router) apply(s settings.Settings) {
+	r.freshness.Store(int64(s.Keys.Freshness))
+	r.front.SetFreshness(time.Duration(s.Keys.Freshness))
+	r.budget.Set(s.Retries.Ratio, s.Retries.Extra)
+	r.grace.Store(int64(s.Limits.Grace.Or(defaultGrace)))
+}
+
 // defaultWindow is the window of the retry budget if the settings give none.
 const defaultWindow = 10 * time.Second
 
@@ -145,16 +168,16 @@
 	if s.Listen.Admin != "" {
 		r.top.Add(r.web("metrics", s.Listen.Admin, r.Exporter))
 	}
+	r.top.Add(r.web("peers", s.Listen.Peers, (&gossip.Server{Raw: r.configuration.Raw}).Handler()))
+	r.top.Add(r.gossip)
 	r.top.Add(tender{r})
+	r.top.Add(&settings.Watcher{Clock: r.Clock, Current: s, Apply: r.apply, Log: r.Log})
 }
 
 func (r *Router) web(name, addr string, h http.Handler) *web.Server {
 	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: r.Clock, Log: r.Log}
 }
 
-// boxes returns how many boxes there are, as far as is known.
-func (r *Router) boxes() int { return 9 }
-
 func (r *Router) idle() time.Duration {
 	if v := r.configuration.View(); v != nil {
 		return v.Limits().Idle
@@ -173,7 +196,7 @@
 	if r.configuration.View() == nil || !r.targets.Known() {
 		return false
 	}
-	freshness := time.Duration(r.Settings.Keys.Freshness)
+	freshness := time.Duration(r.freshness.Load())
 	if freshness == 0 {
 		return true
 	}
@@ -201,7 +224,8 @@
 	r.Log.Info().Int64("running", r.front.Running()).Msg(logPrefix + "Stopping. New callers are sent elsewhere.")
 	close(r.leaving)
 	r.front.Leave()
-	grace := r.Settings.Limits.Grace.Or(defaultGrace)
+	r.gossip.Leave()
+	grace := time.Duration(r.grace.Load())
 	started := r.Clock.Now()
 	clock.Sleep(ctx, r.Clock, noticeTime)
 	if r.front.Running() > 0 {
@@ -229,12 +253,3 @@
 		t.router.balancer.Forget()
 	})
 }
-
-// host returns the IP of an address.
-func host(addr string) string {
-	h, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return addr
-	}
-	return h
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,8 @@
 	Keys     Keys     `toml:"keys"`
 	Retries  Retries  `toml:"retries"`
 	Log      Log      `toml:"log"`
+
+	file string // file is where the settings were read.
 }
 
 // Box says which box this is.
@@ -163,7 +165,9 @@
 	if err != nil {
 		return Settings{}, err
 	}
-	return Parse(text)
+	s, err = Parse(text)
+	s.file = name
+	return s, err
 }
 
 // Parse reads and checks the text of a file. The error lists all that is wrong,
