--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -35,8 +35,8 @@
 	Log           *log.Logger
 
 	freshness atomic.Int64
-	pipeline Pipeline
-	running  atomic.Int64
+	pipeline  Pipeline
+	running   atomic.Int64
 	// leaving answers with the end of the connection; closed refuses.
 	leaving atomic.Bool
 	closed  atomic.Bool
