--- /dev/null
+++ b/internal/balance/heavy.go
@@ -0,0 +1,157 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+const (
+	// maxHelpers is the most engines that may help one prompt.
+	maxHelpers = 16
+	// leastPart is the smallest part that a prompt is divided into: smaller ones
+	// cost more passes than they save.
+	leastPart = 15 * time.Millisecond
+	// promptPause is how long a long prompt's own stream may pause: its callers
+	// grant it a few times what short streams may.
+	promptPause = 350 * time.Millisecond
+	// heavyHarm is what holding up the stream of a long prompt counts for,
+	// where holding up a short one counts 1.
+	heavyHarm = 3.0
+	// weightPower is how the worth of a prompt in time grows with its length,
+	// against the usual prompt.
+	weightPower = 0.75
+	// usualWeight is the worth of the usual prompt, where holding up a short
+	// stream counts 1.
+	usualWeight = 2.0
+	// easyPart is the part of the objective within which the first event is
+	// surely in time: the estimates are rough.
+	easyPart = 0.5
+	// waitCost is what a second of waiting counts for by itself, so that of two
+	// ways without harm the faster is taken.
+	waitCost = 0.2
+)
+
+// placeHeavy sends a long prompt to an engine that writes such prompts and
+// chooses how many others help to read it, and which: those where it holds up
+// the fewest streams.
+func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
+	read := j.Cost.Read(j.Prompt)
+	b.note(j, read, true)
+	r := b.divide(j, engines)
+	writers := r.writers
+	if len(writers) == 0 {
+		writers = engines
+	}
+	first := b.roomiest(j, writers)
+	others := b.helpers(j, first, r, read)
+	most := min(len(others), maxHelpers, int(read/leastPart))
+	best, least := 0, math.Inf(1)
+	harm := 0.0
+	for k := 0; k <= most; k++ {
+		share := read / time.Duration(k+1)
+		harm = b.harm(j, first, share)
+		wait := b.work(first.ID).Backlog
+		for _, t := range others[:k] {
+			harm += b.harm(j, t, share)
+			wait = max(wait, b.work(t.ID).Backlog)
+		}
+		cost := harm + lateCost(j, wait+share+passTime(j))
+		if cost < least {
+			best, least = k, cost
+		}
+	}
+	return b.group(j, first, others[:best], read)
+}
+
+func (b *Balancer) group(j Job, first fleet.Target, helpers []fleet.Target, read time.Duration) *Placement {
+	share := read / time.Duration(len(helpers)+1)
+	p := &Placement{Target: first, heavy: true}
+	p.parts = append(p.parts, part{first.ID, Work{Heavy: 1, Backlog: share, Memory: j.Prompt + j.Output}})
+	for _, t := range helpers {
+		p.Helpers = append(p.Helpers, t.Addr)
+		p.parts = append(p.parts, part{t.ID, Work{Backlog: share}})
+	}
+	return p
+}
+
+// helpers returns the engines that may help, best first: those where a part of
+// usual size does the least harm, and of these the idlest.
+func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) []fleet.Target {
+	usual := read / (maxHelpers / 2)
+	type candidate struct {
+		target  fleet.Target
+		harm    float64
+		backlog time.Duration
+	}
+	var list []candidate
+	for _, t := range slices.Concat(r.readers, r.writers, r.light) {
+		if t.ID != first.ID {
+			list = append(list, candidate{t, b.harm(j, t, usual), b.work(t.ID).Backlog})
+		}
+	}
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	slices.SortStableFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.harm, y.harm), cmp.Compare(x.backlog, y.backlog))
+	})
+	targets := make([]fleet.Target, len(list))
+	for i, c := range list {
+		targets[i] = c.target
+	}
+	return targets
+}
+
+// harm is how many streams of the engine would be held up for longer than they
+// may pause if it reads a part, weighted by what they are worth.
+func (b *Balancer) harm(j Job, t fleet.Target, share time.Duration) float64 {
+	w := b.work(t.ID)
+	pass := w.Backlog + share + passTime(j)
+	harm := 0.0
+	if pass > j.Tightest {
+		harm += float64(w.Light)
+	}
+	if pass > promptPause {
+		harm += heavyHarm * float64(w.Heavy)
+	}
+	return harm
+}
+
+// lateCost is what it counts for that the first event comes after so long.
+func lateCost(j Job, first time.Duration) float64 {
+	weight := usualWeight * math.Pow(float64(j.Prompt)/max(float64(j.Cost.UsualPrompt), 1), weightPower)
+	easy := easyPart * float64(j.Objective)
+	late := (float64(first) - easy) / max(float64(j.Objective)-easy, 1)
+	return weight*min(max(late, 0), 1) + waitCost*first.Seconds()
+}
+
+// roomiest returns the engine of the pool with memory for the prompt that has
+// the least to do, or, if it fits none, the one with the most memory free.
+func (b *Balancer) roomiest(j Job, pool []fleet.Target) fleet.Target {
+	need := j.Prompt + j.Output
+	best, least := -1, math.Inf(1)
+	for i, t := range pool {
+		w := b.work(t.ID)
+		score := w.Backlog.Seconds() + float64(w.Heavy)*writerCost.Seconds() + float64(w.Light)*lightHarm.Seconds() + rand.Float64()/perMilli
+		if lack := need - (j.Cost.Memory - w.Memory); lack > 0 {
+			score += noRoom + float64(lack)
+		}
+		if score < least {
+			best, least = i, score
+		}
+	}
+	return pool[best]
+}
+
+const (
+	// writerCost and lightHarm are what a long and a short stream in progress
+	// count for, in reading time, when an engine for a long prompt is chosen.
+	writerCost = 100 * time.Millisecond
+	lightHarm  = 40 * time.Millisecond
+	// noRoom is the score from which on an engine lacks memory.
+	noRoom   = 1e6
+	perMilli = 1000
+)
--- /dev/null
+++ b/internal/balance/split.go
@@ -0,0 +1,106 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+const (
+	// heavyPart is the part of the tightest pause that reading one prompt may
+	// take before the prompt counts as long: the rest is for the pass itself and
+	// for other prompts in it.
+	heavyPart = 0.7
+	// heavyUse and lightUse are how busy with reading the engines for long and
+	// for short prompts are planned to be. Short prompts need more room, since
+	// theirs is the tighter objective.
+	heavyUse = 0.6
+	lightUse = 0.3
+	// streamUse is the part of an engine's slots that short streams are planned
+	// to take.
+	streamUse = 0.8
+	// leastHeavy and leastLight are the fewest engines planned for each.
+	leastHeavy = 1
+	leastLight = 2
+	// writersEach is how many long prompts an engine is planned to write at
+	// once: two fit its memory.
+	writersEach = 2
+)
+
+// regions divides the engines of a service. All boxes that know the same
+// demand divide them alike.
+type regions struct {
+	// light engines take short prompts.
+	light []fleet.Target
+	// writers take long prompts, and readers help to read them.
+	writers []fleet.Target
+	readers []fleet.Target
+}
+
+// heavy returns all engines for long prompts.
+func (r regions) heavy() []fleet.Target { return slices.Concat(r.writers, r.readers) }
+
+// heavy reports whether reading the prompt would hold up other streams for
+// longer than they may pause.
+func heavy(j Job) bool {
+	if j.Tightest <= 0 {
+		return false
+	}
+	return float64(j.Cost.Read(j.Prompt)) > heavyPart*float64(j.Tightest)
+}
+
+// divide orders the engines in the same way on every box and divides them by
+// what callers ask for. Readers come first and light engines last, so that a
+// shift of demand moves engines between neighbouring regions.
+func (b *Balancer) divide(j Job, engines []fleet.Target) regions {
+	slices.SortFunc(engines, func(x, y fleet.Target) int {
+		return cmp.Compare(xxhash.Sum64String(string(x.ID)), xxhash.Sum64String(string(y.ID)))
+	})
+	n := len(engines)
+	heavies := b.heavyEngines(j, engines)
+	writers := b.writerEngines(engines, heavies)
+	return regions{
+		readers: engines[:heavies-writers],
+		writers: engines[heavies-writers : heavies],
+		light:   engines[heavies:n],
+	}
+}
+
+// heavyEngines returns how many engines are for long prompts.
+func (b *Balancer) heavyEngines(j Job, engines []fleet.Target) int {
+	n := len(engines)
+	if n <= leastHeavy+leastLight {
+		return n / 2
+	}
+	d := b.demand(j.Service)
+	streams := 0
+	for _, t := range engines {
+		streams += b.work(t.ID).Light
+	}
+	slots := max(float64(j.Cost.Slots), 1)
+	light := max(d.Light/lightUse, float64(streams)/(streamUse*slots), leastLight)
+	heavy := max(d.Heavy/heavyUse, leastHeavy)
+	// Both get their part of what is left, or of what is lacking.
+	planned := math.Round(float64(n) * heavy / (heavy + light))
+	return min(max(int(planned), leastHeavy), n-leastLight)
+}
+
+// writerEngines returns how many of the engines for long prompts are to write
+// their answers. The fewer, the fewer streams are held up by the reading of the
+// next long prompt.
+func (b *Balancer) writerEngines(engines []fleet.Target, heavies int) int {
+	writing := 0
+	for _, t := range engines {
+		writing += b.work(t.ID).Heavy
+	}
+	const leastWriters = 2
+	return min(heavies, max(writing/writersEach+1, leastWriters))
+}
+
+// passTime is the time of a pass at an engine with a few writers.
+func passTime(j Job) time.Duration { return j.Cost.Pass() }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -35,6 +35,8 @@
 	first   time.Duration // first is when the first event, or the answer, went out.
 	last    string        // last is the id of the last event that went out.
 	events  int
+	written time.Time     // written is when the last events went out.
+	pause   time.Duration // pause is the longest one between events so far.
 }
 
 // Next runs the stages that follow.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -81,6 +82,7 @@
 		x.last = id
 	}
 	x.events += bytes.Count(fresh, eventBorder)
+	x.notePause(t.stage.clock.Now())
 	if _, err := x.w.Write(fresh); err != nil {
 		return nil, eris.Wrap(errCaller, err.Error())
 	}
@@ -105,3 +107,11 @@
 	t.stage.meter.FirstToken(x.route.Kind.String(), x.first)
 	x.w.WriteHeader(x.status)
 }
+
+// notePause notes that events go out now.
+func (x *Exchange) notePause(now time.Time) {
+	if !x.written.IsZero() {
+		x.pause = max(x.pause, now.Sub(x.written))
+	}
+	x.written = now
+}
