Let short prompts overflow, and do not keep failing targets from all work

Requests that merely waited were taken away after 1.7 s and read again elsewhere.

Ruled out: the engines' capacity; a steady burst of the same size is served in time.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -37,6 +37,8 @@
 
 // Report is what a try taught about its target.
 type Report struct {
+	// Unreachable is set when no connection to the target could be had.
+	Unreachable bool
 	// Failed is set when no whole answer came although nobody gave it up.
 	Failed bool
 	// Error is set when the target answered with a failure of its own.
@@ -69,7 +71,7 @@
 // state is what a box knows of a target by itself.
 type state struct {
 	own Work
-	// failures counts failed tries in a row.
+	// failures counts tries in a row that could not reach the target.
 	failures int
 	// shunned is until when the target gets no work while others can take it.
 	shunned time.Time
@@ -78,7 +80,7 @@
 }
 
 const (
-	// firstShun is how long a target is left alone after a failed try; it
+	// firstShun is how long a target is left alone that could not be reached; it
 	// doubles with each further failure up to longestShun.
 	firstShun   = 500 * time.Millisecond
 	longestShun = 4 * time.Second
@@ -90,8 +92,11 @@
 	// errorWeight is the weight of a new answer in a target's part of failures.
 	errorWeight = 0.15
 	// errorPenalty is how many requests in progress a target that always fails
-	// counts for, when plain services are compared.
+	// counts for, when plain services are compared, and errorWait how long a wait
+	// when engines are. Both leave such a target some requests, so that its
+	// recovery is noticed, and do not crowd the others when many targets fail.
 	errorPenalty = 8
+	errorWait    = 600 * time.Millisecond
 )
 
 // Placement is the choice for one try. Done must be called once.
@@ -103,9 +108,13 @@
 	balancer *Balancer
 	parts    []part
 	first    bool
-	heavy    bool
+	wait     time.Duration
 }
 
+// Wait returns how long the request is expected to wait at the target before it
+// is read.
+func (p *Placement) Wait() time.Duration { return p.wait }
+
 // part is what a try costs one engine.
 type part struct {
 	target barleystep.TargetID
@@ -234,7 +243,7 @@
 	switch {
 	case r.Moved:
 		s.shunned = now.Add(movedShun)
-	case r.Failed:
+	case r.Unreachable:
 		s.shunned = now.Add(min(firstShun<<min(s.failures, 8), longestShun))
 		s.failures++
 	case r.Full:
@@ -243,7 +252,7 @@
 		s.failures = 0
 	}
 	bad := 0.0
-	if r.Failed || r.Error {
+	if r.Unreachable || r.Failed || r.Error {
 		bad = 1
 	}
 	s.errors += errorWeight * (bad - s.errors)
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -22,6 +22,9 @@
 	// heavyHarm is what holding up the stream of a long prompt counts for,
 	// where holding up a short one counts 1.
 	heavyHarm = 3.0
+	// lightRisk is what reading at an engine for short prompts counts for even
+	// while it has none: one may be on its way.
+	lightRisk = 0.5
 	// weightPower is how the worth of a prompt in time grows with its length,
 	// against the usual prompt.
 	weightPower = 0.75
@@ -48,7 +51,7 @@
 		writers = engines
 	}
 	first := b.roomiest(j, writers)
-	others := b.helpers(j, first, r, read)
+	others, risks := b.helpers(j, first, r, read)
 	most := min(len(others), maxHelpers, int(read/leastPart))
 	best, least := 0, math.Inf(1)
 	harm := 0.0
@@ -56,8 +59,8 @@
 		share := read / time.Duration(k+1)
 		harm = b.harm(j, first, share)
 		wait := b.work(first.ID).Backlog
-		for _, t := range others[:k] {
-			harm += b.harm(j, t, share)
+		for i, t := range others[:k] {
+			harm += b.harm(j, t, share) + risks[i]
 			wait = max(wait, b.work(t.ID).Backlog)
 		}
 		cost := harm + lateCost(j, wait+share+passTime(j))
@@ -70,7 +73,7 @@
 
 func (b *Balancer) group(j Job, first fleet.Target, helpers []fleet.Target, read time.Duration) *Placement {
 	share := read / time.Duration(len(helpers)+1)
-	p := &Placement{Target: first, heavy: true}
+	p := &Placement{Target: first, wait: b.work(first.ID).Backlog + read}
 	p.parts = append(p.parts, part{first.ID, Work{Heavy: 1, Backlog: share, Memory: j.Prompt + j.Output}})
 	for _, t := range helpers {
 		p.Helpers = append(p.Helpers, t.Addr)
@@ -80,29 +83,34 @@
 }
 
 // helpers returns the engines that may help, best first: those where a part of
-// usual size does the least harm, and of these the idlest.
-func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) []fleet.Target {
+// usual size does the least harm, and of these the idlest; and what each one
+// risks besides.
+func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) (targets []fleet.Target, risks []float64) {
 	usual := read / (maxHelpers / 2)
 	type candidate struct {
 		target  fleet.Target
 		harm    float64
 		backlog time.Duration
+		risk    float64
 	}
 	var list []candidate
-	for _, t := range slices.Concat(r.readers, r.writers, r.light) {
+	for _, t := range r.heavy() {
 		if t.ID != first.ID {
-			list = append(list, candidate{t, b.harm(j, t, usual), b.work(t.ID).Backlog})
+			list = append(list, candidate{t, b.harm(j, t, usual), b.work(t.ID).Backlog, 0})
 		}
 	}
+	for _, t := range r.light {
+		list = append(list, candidate{t, b.harm(j, t, usual) + lightRisk, b.work(t.ID).Backlog, lightRisk})
+	}
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	slices.SortStableFunc(list, func(x, y candidate) int {
 		return cmp.Or(cmp.Compare(x.harm, y.harm), cmp.Compare(x.backlog, y.backlog))
 	})
-	targets := make([]fleet.Target, len(list))
-	for i, c := range list {
-		targets[i] = c.target
+	for _, c := range list {
+		targets = append(targets, c.target)
+		risks = append(risks, c.risk)
 	}
-	return targets
+	return targets, risks
 }
 
 // harm is how many streams of the engine would be held up for longer than they
@@ -135,7 +143,7 @@
 	best, least := -1, math.Inf(1)
 	for i, t := range pool {
 		w := b.work(t.ID)
-		score := w.Backlog.Seconds() + float64(w.Heavy)*writerCost.Seconds() + float64(w.Light)*lightHarm.Seconds() + rand.Float64()/perMilli
+		score := w.Backlog.Seconds() + b.errorWait(t).Seconds() + float64(w.Heavy)*writerCost.Seconds() + float64(w.Light)*lightHarm.Seconds() + rand.Float64()/perMilli
 		if lack := need - (j.Cost.Memory - w.Memory); lack > 0 {
 			score += noRoom + float64(lack)
 		}
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -15,32 +15,63 @@
 	// slotWait is what a place in the queue counts for, in reading time, when a
 	// target's slots are full: about the time until a short stream ends.
 	slotWait = 400 * time.Millisecond
+	// outsideCost is what it counts for that an engine is meant for long prompts:
+	// one may be read there soon.
+	outsideCost = 80 * time.Millisecond
+	// fullPart is the part of the slots, in hundredths, from which on each
+	// further stream counts for tightCost: counts of other boxes are a little
+	// old, so the last slots may be taken already.
+	fullPart  = 65
+	tightCost = 25 * time.Millisecond
+	perCent   = 100
 	// streamCost is what a stream in progress counts for: it makes each pass a
 	// little longer.
 	streamCost = time.Millisecond
 )
 
 // placeLight takes the best of some engines for short prompts, drawn at random.
+// Where these are filling up, or others are idle, it takes one of the others: the
+// demand by which the engines are divided is that of the last seconds.
 func (b *Balancer) placeLight(j Job, engines []fleet.Target) *Placement {
 	read := j.Cost.Read(j.Prompt)
 	b.note(j, read, false)
-	pool := b.divide(j, engines).light
-	best := pool[rand.IntN(len(pool))]
-	for range lightDraws - 1 {
-		if t := pool[rand.IntN(len(pool))]; b.lightScore(t) < b.lightScore(best) {
+	r := b.divide(j, engines)
+	best, score := b.bestLight(r.light)
+	if others := r.heavy(); len(others) > 0 {
+		if t, s := b.bestLight(others); s+outsideCost < score {
 			best = t
 		}
 	}
 	work := Work{Light: 1, Backlog: read, Memory: j.Prompt + j.Output}
-	return &Placement{Target: best, parts: []part{{best.ID, work}}}
+	return &Placement{Target: best, wait: score, parts: []part{{best.ID, work}}}
+}
+
+// bestLight returns the best of some engines drawn at random, and its score.
+func (b *Balancer) bestLight(pool []fleet.Target) (best fleet.Target, least time.Duration) {
+	for i := range lightDraws {
+		t := pool[rand.IntN(len(pool))]
+		if s := b.lightScore(t); i == 0 || s < least {
+			best, least = t, s
+		}
+	}
+	return best, least
 }
 
 // lightScore is about how long a short prompt waits at the engine.
 func (b *Balancer) lightScore(t fleet.Target) time.Duration {
 	w := b.work(t.ID)
-	score := w.Backlog + time.Duration(w.Light)*streamCost
-	if over := w.Light + w.Heavy - t.Slots + 1; over > 0 {
+	score := w.Backlog + time.Duration(w.Light)*streamCost + b.errorWait(t)
+	running := w.Light + w.Heavy
+	if over := running - t.Slots + 1; over > 0 {
 		score += time.Duration(over) * slotWait
 	}
+	if tight := running - t.Slots*fullPart/perCent; tight > 0 {
+		score += time.Duration(tight) * tightCost
+	}
 	return score
 }
+
+// errorWait is what an engine's recent failures count for.
+func (b *Balancer) errorWait(t fleet.Target) time.Duration {
+	return time.Duration(b.state(t.ID).errors * float64(errorWait))
+}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -229,11 +229,12 @@
 // report tells the balancer what was learnt of the target.
 func (t *try) report(ctx context.Context, res result) balance.Report {
 	return balance.Report{
-		Failed: ctx.Err() == nil && (res == resultNotSent || res == resultBroken),
-		Error:  res == resultFailed,
-		Full:   res == resultNotRun,
-		Moved:  t.status == http.StatusMisdirectedRequest,
-		Load:   t.load,
-		First:  t.first,
+		Unreachable: ctx.Err() == nil && res == resultNotSent,
+		Failed:      ctx.Err() == nil && res == resultBroken,
+		Error:       res == resultFailed,
+		Full:        res == resultNotRun,
+		Moved:       t.status == http.StatusMisdirectedRequest,
+		Load:        t.load,
+		First:       t.first,
 	}
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -31,6 +31,10 @@
 	// four times its objective, or eight times its pause.
 	firstFactor = 3
 	pauseFactor = 6
+	// waitFactor is how many times the expected wait at the target is allowed
+	// besides: taking a request away that merely waits has its prompt read twice
+	// and makes the wait of all others longer.
+	waitFactor = 2
 )
 
 // newWatch starts the watch over a try. Requests that may not go to another
@@ -42,7 +46,7 @@
 		return w
 	}
 	w.pause = max(pauseFactor*x.route.MaxPause, leastSilence)
-	first := max(firstFactor*x.route.Objective, leastSilence)
+	first := max(firstFactor*x.route.Objective, leastSilence) + waitFactor*t.placement.Wait()
 	w.until = w.clock.Now().Add(first)
 	go w.run(first)
 	return w
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -80,7 +80,7 @@
 const (
 	// tick is the time between a box's datagrams: short against the time that a
 	// request stays at a target, so that boxes rarely choose by old sums.
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// aliveFor is how long after its last datagram a box counts as alive, which
 	// allows for some lost ones.
 	aliveFor = 500 * time.Millisecond
@@ -88,12 +88,12 @@
 	snapshotLife = 1200 * time.Millisecond
 	// sentKept is how many of the own snapshots are kept: those that may be in a
 	// sum that is still on its way.
-	sentKept = 32
+	sentKept = 64
 	// datagramBytes bounds a datagram.
 	datagramBytes = 64 << 10
 	// probeTicks is how many ticks pass between datagrams to boxes that are
 	// silent, so that a healed partition is noticed.
-	probeTicks = 10
+	probeTicks = 20
 	// forgetAfter is how long a box may be silent before it is forgotten; its
 	// record in the store is then removed too.
 	forgetAfter = 5 * time.Minute
