Hold short prompts at the box while all slots are taken

Cause: engines queue in the order of arrival, so that after a burst every short prompt waits about as long, and nearly all are late. Now a box sends none to a full engine and serves first those that can still be in time.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 // ErrNoTarget is returned when no target of the service may take a request.
 var ErrNoTarget = eris.New("balance: no target")
 
+// ErrFull is returned when a request has waited for a place so long that its
+// caller would not wait for the answer.
+var ErrFull = eris.New("balance: all targets are full")
+
 // Job is what the choice needs to know of a request.
 type Job struct {
 	Service   string
@@ -64,6 +69,7 @@
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
+	waiting []*waiter
 	// others is the work and demand of all other boxes, as last heard.
 	others Snapshot
 }
@@ -121,10 +127,23 @@
 	work   Work
 }
 
-// Place chooses a target, or returns ErrNoTarget.
-func (b *Balancer) Place(j Job) (p *Placement, err error) {
+// Place chooses a target. Where all engines for short prompts are full it waits
+// for a place. It returns ErrNoTarget, ErrFull when the wait would be in vain, or
+// the context's error.
+func (b *Balancer) Place(ctx context.Context, j Job) (p *Placement, err error) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	p, err = b.try(j)
+	if p != nil || err != nil {
+		b.mu.Unlock()
+		return p, err
+	}
+	w := b.enqueue(j)
+	b.mu.Unlock()
+	return b.await(ctx, w)
+}
+
+// try chooses a target; it returns nothing if the job has to wait.
+func (b *Balancer) try(j Job) (p *Placement, err error) {
 	candidates := b.candidates(j)
 	if len(candidates) == 0 {
 		return nil, ErrNoTarget
@@ -137,6 +156,9 @@
 	default:
 		p = b.placeLight(j, candidates)
 	}
+	if p == nil {
+		return nil, nil
+	}
 	p.balancer = b
 	for _, part := range p.parts {
 		b.state(part.target).own.add(part.work)
@@ -235,6 +257,7 @@
 		b.state(part.target).own.remove(part.work)
 	}
 	b.learn(p.Target.ID, r)
+	b.serveWaiting(1)
 }
 
 func (b *Balancer) learn(id barleystep.TargetID, r Report) {
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -24,6 +24,9 @@
 	fullPart  = 65
 	tightCost = 25 * time.Millisecond
 	perCent   = 100
+	// overcommit is how many requests more than its slots an engine is given:
+	// one that ends just now leaves no slot idle.
+	overcommit = 0
 	// streamCost is what a stream in progress counts for: it makes each pass a
 	// little longer.
 	streamCost = time.Millisecond
@@ -31,10 +34,10 @@
 
 // placeLight takes the best of some engines for short prompts, drawn at random.
 // Where these are filling up, or others are idle, it takes one of the others: the
-// demand by which the engines are divided is that of the last seconds.
+// demand by which the engines are divided is that of the last seconds. It returns
+// nothing if all that it looked at are full.
 func (b *Balancer) placeLight(j Job, engines []fleet.Target) *Placement {
 	read := j.Cost.Read(j.Prompt)
-	b.note(j, read, false)
 	r := b.divide(j, engines)
 	best, score := b.bestLight(r.light)
 	if others := r.heavy(); len(others) > 0 {
@@ -42,6 +45,10 @@
 			best = t
 		}
 	}
+	if w := b.work(best.ID); best.Slots > 0 && w.Light+w.Heavy >= best.Slots+overcommit {
+		return nil
+	}
+	b.note(j, read, false)
 	work := Work{Light: 1, Backlog: read, Memory: j.Prompt + j.Output}
 	return &Placement{Target: best, wait: score, parts: []part{{best.ID, work}}}
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -80,6 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others = s
+	b.serveWaiting((len(b.waiting) + shareDivisor - 1) / shareDivisor)
 }
 
 // Snapshot returns this box's work and demand.
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -63,7 +63,7 @@
 	d.budget.Request(x.service)
 	job := d.job(x)
 	for dials := 0; ; {
-		placement, err := d.balancer.Place(job)
+		placement, err := d.balancer.Place(ctx, job)
 		if err != nil {
 			return d.ended(ctx, x, nil, err)
 		}
@@ -135,6 +135,8 @@
 	case t != nil && t.failure != nil && !x.begun:
 		t.passFailure()
 		return nil
+	case eris.Is(err, balance.ErrFull) && !x.ran:
+		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.route.Objective)
 	case !x.ran:
 		return notRun(barleystep.ReasonNoTarget, "No target took the request.", fullPause)
 	default:
