--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -119,10 +119,17 @@
 	peerSent int64
 	gotAt    time.Time
 	sequence uint64
-	own      balance.Snapshot
-	ownAt    time.Time
-	merged   balance.Snapshot
-	mergedAt time.Time
+	// own is the box's own work, from its datagram ownSequence.
+	own         balance.Snapshot
+	ownAt       time.Time
+	ownSequence uint64
+	// hallWork is the work of its hall, and allWork that of all halls but for
+	// this box's own, if it is a collector; boxes is how many boxes it counts.
+	hallWork balance.Snapshot
+	hallAt   time.Time
+	allWork  balance.Snapshot
+	allAt    time.Time
+	boxes    int
 }
 
 // Serve takes part until ctx ends.
@@ -173,14 +180,21 @@
 func (n *Node) Boxes() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.Clock.Now()
-	count := 1
+	return n.count(n.Clock.Now())
+}
+
+func (n *Node) count(now time.Time) int {
+	count, told := 1, 0
 	for _, m := range n.members {
-		if now.Sub(m.last()) < countedFor {
-			count++
+		if now.Sub(m.last()) >= countedFor {
+			continue
+		}
+		count++
+		if now.Sub(m.allAt) < countedFor {
+			told = max(told, m.boxes)
 		}
 	}
-	return count
+	return max(count, told)
 }
 
 func (m *member) last() time.Time {
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -66,20 +66,22 @@
 // takeWork keeps the work that the datagram tells of.
 func (n *Node) takeWork(m *member, d *gossipv1.Datagram, now time.Time) {
 	s := snapshotOf(d)
-	if !d.GetMerged() {
-		m.own, m.ownAt = s, now
-		return
-	}
-	if m.hall == n.Hall {
+	switch d.GetScope() {
+	case gossipv1.Scope_SCOPE_HALL:
+		m.hallWork, m.hallAt = s, now
+	case gossipv1.Scope_SCOPE_ALL:
 		n.takeOut(s, d)
-	}
-	m.merged, m.mergedAt = s, now
-	for _, o := range d.GetMembers() {
-		addr, err := netip.ParseAddrPort(o.GetAddr())
-		if err != nil || barleystep.BoxID(o.GetBox()) == n.Box {
-			continue
+		m.allWork, m.allAt = s, now
+		m.boxes = int(d.GetBoxes())
+		for _, o := range d.GetMembers() {
+			addr, err := netip.ParseAddrPort(o.GetAddr())
+			if err == nil && barleystep.BoxID(o.GetBox()) != n.Box {
+				n.hearOf(barleystep.BoxID(o.GetBox()), m.hall, addr, now)
+			}
 		}
-		n.hearOf(barleystep.BoxID(o.GetBox()), m.hall, addr, now)
+	default:
+		m.own, m.ownAt, m.ownSequence = s, now, d.GetSequence()
+		return
 	}
 	n.Balancer.SetOthers(n.others(now))
 }
@@ -118,26 +120,36 @@
 	return n.origin.Add(time.Duration(since)), true
 }
 
-// others returns the work and demand of all other boxes.
+// others returns the work and demand of all other boxes: as the collector tells
+// it or, at the collector, from the reports of its hall and the other halls'
+// sums.
 func (n *Node) others(now time.Time) balance.Snapshot {
 	total := balance.NewSnapshot()
-	seen := make(map[barleystep.HallID]*member)
+	if c := n.collector(now); c != nil {
+		if now.Sub(c.allAt) <= snapshotLife {
+			total.Add(c.allWork)
+		}
+		return total
+	}
+	n.addReports(total, now)
+	n.addHalls(total, now)
+	return total
+}
+
+// addHalls adds the last sums of the other halls.
+func (n *Node) addHalls(total balance.Snapshot, now time.Time) {
+	latest := make(map[barleystep.HallID]*member)
 	for _, m := range n.members {
-		if now.Sub(m.mergedAt) > snapshotLife {
+		if m.hall == n.Hall || now.Sub(m.hallAt) > snapshotLife {
 			continue
 		}
-		if best := seen[m.hall]; best == nil || m.mergedAt.After(best.mergedAt) {
-			seen[m.hall] = m
+		if best := latest[m.hall]; best == nil || m.hallAt.After(best.hallAt) {
+			latest[m.hall] = m
 		}
 	}
-	if n.collector(now) == nil {
-		delete(seen, n.Hall)
-		n.addReports(total, now)
-	}
-	for _, m := range seen {
-		total.Add(m.merged)
+	for _, m := range latest {
+		total.Add(m.hallWork)
 	}
-	return total
 }
 
 // addReports adds the last reports of the hall's other boxes.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,46 +93,70 @@
 	return d
 }
 
-// distribute sends the sum of the hall to its boxes and to the other halls.
+// distribute sends the sum of the hall to the other halls, and that of all halls
+// to its own boxes.
 func (n *Node) distribute(own balance.Snapshot, now time.Time) {
-	total := balance.NewSnapshot()
-	total.Add(own)
-	n.addReports(total, now)
+	sum := balance.NewSnapshot()
+	sum.Add(own)
+	n.addReports(sum, now)
 	d := n.datagram()
-	d.Merged = true
-	fill(d, total)
-	d.Members = append(d.Members, &gossipv1.Member{Box: string(n.Box), Addr: n.Addr, Sequence: n.sequence, Incarnation: n.incarnation})
-	halls := make(map[barleystep.HallID]bool)
-	var local []*member
-	for _, m := range n.members {
-		if m.hall != n.Hall {
-			halls[m.hall] = true
-			continue
-		}
-		local = append(local, m)
-		if now.Sub(m.last()) <= aliveFor {
-			d.Members = append(d.Members, &gossipv1.Member{Box: string(m.box), Addr: m.addr.String(), Sequence: m.sequence, Incarnation: m.incarnation})
+	d.Scope = gossipv1.Scope_SCOPE_HALL
+	fill(d, sum)
+	for _, hall := range n.halls() {
+		if m := n.collectorOf(hall, now); m != nil {
+			n.send(d, now, m)
 		}
 	}
-	for _, m := range local {
-		if m.alive {
+	n.addHalls(sum, now)
+	d = n.datagram()
+	d.Scope = gossipv1.Scope_SCOPE_ALL
+	d.Boxes = int32(n.count(now))
+	fill(d, sum)
+	d.Members = n.hallMembers(now)
+	for _, m := range n.members {
+		if m.hall == n.Hall && m.alive {
 			n.send(d, now, m)
 		}
 	}
-	for hall := range halls {
-		if m := n.collectorOf(hall, now); m != nil {
-			n.send(d, now, m)
+}
+
+// halls returns the other halls.
+func (n *Node) halls() []barleystep.HallID {
+	var halls []barleystep.HallID
+	for _, m := range n.members {
+		if m.hall != n.Hall && !slices.Contains(halls, m.hall) {
+			halls = append(halls, m.hall)
+		}
+	}
+	return halls
+}
+
+// hallMembers lists the boxes of the hall that are alive, with the datagrams
+// that were merged.
+func (n *Node) hallMembers(now time.Time) []*gossipv1.Member {
+	list := []*gossipv1.Member{{Box: string(n.Box), Addr: n.Addr, Sequence: n.sequence, Incarnation: n.incarnation}}
+	for _, m := range n.members {
+		if m.hall == n.Hall && now.Sub(m.last()) <= aliveFor {
+			list = append(list, &gossipv1.Member{
+				Box:         string(m.box),
+				Addr:        m.addr.String(),
+				Sequence:    m.ownSequence,
+				Incarnation: m.incarnation,
+			})
 		}
 	}
+	return list
 }
 
-// probe tells silent boxes, and the seeds, of this one.
+// probe tells silent boxes, and the seeds, of this one. Boxes of other halls are
+// only told by the collector.
 func (n *Node) probe(own balance.Snapshot, now time.Time) {
 	d := n.report(own)
+	collects := n.collector(now) == nil
 	known := make(map[netip.AddrPort]bool)
 	for _, m := range n.members {
 		known[m.addr] = true
-		if !m.alive {
+		if !m.alive && (collects || m.hall == n.Hall) {
 			n.send(d, now, m)
 		}
 	}
