--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -114,12 +114,12 @@
 	balancer *Balancer
 	parts    []part
 	first    bool
-	wait     time.Duration
+	expected time.Duration
 }
 
-// Wait returns how long the request is expected to wait at the target before it
-// is read.
-func (p *Placement) Wait() time.Duration { return p.wait }
+// Expected returns after how long the first event is expected, zero if nothing
+// is known of it.
+func (p *Placement) Expected() time.Duration { return p.expected }
 
 // part is what a try costs one engine.
 type part struct {
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -54,6 +54,7 @@
 	others, risks := b.helpers(j, first, r, read)
 	most := min(len(others), maxHelpers, int(read/leastPart))
 	best, least := 0, math.Inf(1)
+	var expected time.Duration
 	harm := 0.0
 	for k := 0; k <= most; k++ {
 		share := read / time.Duration(k+1)
@@ -63,17 +64,18 @@
 			harm += b.harm(j, t, share) + risks[i]
 			wait = max(wait, b.work(t.ID).Backlog)
 		}
-		cost := harm + lateCost(j, wait+share+passTime(j))
-		if cost < least {
-			best, least = k, cost
+		at := wait + share + passTime(j)
+		if cost := harm + lateCost(j, at); cost < least {
+			best, least, expected = k, cost, at
 		}
 	}
-	return b.group(j, first, others[:best], read)
+	return b.group(j, first, others[:best], expected)
 }
 
-func (b *Balancer) group(j Job, first fleet.Target, helpers []fleet.Target, read time.Duration) *Placement {
+func (b *Balancer) group(j Job, first fleet.Target, helpers []fleet.Target, expected time.Duration) *Placement {
+	read := j.Cost.Read(j.Prompt)
 	share := read / time.Duration(len(helpers)+1)
-	p := &Placement{Target: first, wait: b.work(first.ID).Backlog + read}
+	p := &Placement{Target: first, expected: expected}
 	p.parts = append(p.parts, part{first.ID, Work{Heavy: 1, Backlog: share, Memory: j.Prompt + j.Output}})
 	for _, t := range helpers {
 		p.Helpers = append(p.Helpers, t.Addr)
@@ -84,7 +86,8 @@
 
 // helpers returns the engines that may help, best first: those where a part of
 // usual size does the least harm, and of these the idlest; and what each one
-// risks besides.
+// risks besides. Engines that write long prompts never help: an engine reads the
+// parts of others before its own prompts, which would wait for ever under load.
 func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) (targets []fleet.Target, risks []float64) {
 	usual := read / (maxHelpers / 2)
 	type candidate struct {
@@ -94,7 +97,7 @@
 		risk    float64
 	}
 	var list []candidate
-	for _, t := range r.heavy() {
+	for _, t := range r.readers {
 		if t.ID != first.ID {
 			list = append(list, candidate{t, b.harm(j, t, usual), b.work(t.ID).Backlog, 0})
 		}
--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -28,8 +28,11 @@
 	leastHeavy = 1
 	leastLight = 2
 	// writersEach is how many long prompts an engine is planned to write at
-	// once: two fit its memory.
-	writersEach = 2
+	// once: two of usual size fit its memory, and shorter ones besides.
+	writersEach = 3
+	// writersPart is the part of the engines for long prompts, as a divisor, that
+	// write at most; the others are left to read.
+	writersPart = 2
 )
 
 // regions divides the engines of a service. All boxes that know the same
@@ -99,7 +102,8 @@
 		writing += b.work(t.ID).Heavy
 	}
 	const leastWriters = 2
-	return min(heavies, max(writing/writersEach+1, leastWriters))
+	most := (heavies + writersPart - 1) / writersPart
+	return min(heavies, most, max(writing/writersEach+1, leastWriters))
 }
 
 // passTime is the time of a pass at an engine with a few writers.
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -63,7 +63,9 @@
 	d.budget.Request(x.service)
 	job := d.job(x)
 	for dials := 0; ; {
+		asked := d.clock.Now()
 		placement, err := d.balancer.Place(ctx, job)
+		x.queued += d.clock.Now().Sub(asked)
 		if err != nil {
 			return d.ended(ctx, x, nil, err)
 		}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -32,11 +32,15 @@
 	status  int
 	target  barleystep.TargetID
 	helpers int
-	first   time.Duration // first is when the first event, or the answer, went out.
-	last    string        // last is the id of the last event that went out.
-	events  int
-	written time.Time     // written is when the last events went out.
-	pause   time.Duration // pause is the longest one between events so far.
+	// queued is the time that the request waited for places at targets, and
+	// expected when the balancer expected the first event after the last send.
+	queued   time.Duration
+	expected time.Duration
+	first    time.Duration // first is when the first event, or the answer, went out.
+	last     string        // last is the id of the last event that went out.
+	events   int
+	written  time.Time     // written is when the last events went out.
+	pause    time.Duration // pause is the longest one between events so far.
 }
 
 // Next runs the stages that follow.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -163,7 +163,7 @@
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("account", x.account)
 	}
-	e.Dur("first", x.first).Dur("pause", x.pause).Dur("took", s.Clock.Now().Sub(x.started)).Msg(logPrefix + "A request ended.")
+	e.Dur("queued", x.queued).Dur("expected", x.expected).Dur("first", x.first).Dur("pause", x.pause).Dur("took", s.Clock.Now().Sub(x.started)).Msg(logPrefix + "A request ended.")
 }
 
 // bound returns a context that ends when the request's time is over.
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -69,6 +69,7 @@
 	x.sends++
 	x.target = t.placement.Target.ID
 	x.helpers = len(t.placement.Helpers)
+	x.expected = t.placement.Expected()
 	resp, err := c.Send(ctx, t.request(left), x.body, t.mine)
 	if err != nil {
 		c.Release(nil)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -46,7 +46,7 @@
 		return w
 	}
 	w.pause = max(pauseFactor*x.route.MaxPause, leastSilence)
-	first := max(firstFactor*x.route.Objective, leastSilence) + waitFactor*t.placement.Wait()
+	first := max(firstFactor*x.route.Objective, leastSilence) + waitFactor*t.placement.Expected()
 	w.until = w.clock.Now().Add(first)
 	go w.run(first)
 	return w
