Test the new parts; keep long prompts' readers from unread prompts

What the trials showed: an engine reads the part that came last first, so that parts which queue starve the earlier ones; boxes that wait for the same engines all take them at once.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,244 @@
+package balance_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+var cost = &fleet.CostModel{
+	Slots: 4, Memory: 450_000, Stride: 46, Step: 925 * time.Microsecond, PerWriter: 5 * time.Microsecond,
+	ReadRate: 256_000, PerPairs: 92 * time.Microsecond, Chunk: 2048, UsualPrompt: 13_000,
+}
+
+const (
+	shortPrompt = 5_000
+	longPrompt  = 210_000
+)
+
+// fixture is a balancer over some engines.
+type fixture struct {
+	*balance.Balancer
+	clock   *clock.Manual
+	targets []fleet.Target
+}
+
+func newFixture(engines int) *fixture {
+	f := &fixture{clock: clock.NewManual(time.Unix(1000, 0))}
+	for i := range engines {
+		id := fmt.Sprintf("i-%02d", i)
+		f.targets = append(f.targets, fleet.Target{ID: barleystep.TargetID(id), Service: "s", Addr: id + ":1", Hall: "h", Slots: 4})
+	}
+	f.Balancer = &balance.Balancer{
+		Clock:   f.clock,
+		Hall:    "h",
+		Targets: func() []fleet.Target { return f.targets },
+		Log:     &log.Logger{Level: log.PanicLevel},
+	}
+	return f
+}
+
+func job(prompt int) balance.Job {
+	return balance.Job{
+		Service: "s", Prompt: prompt, Output: 100, Objective: 300 * time.Millisecond,
+		Cost: cost, Tightest: 200 * time.Millisecond,
+	}
+}
+
+func plain() balance.Job { return balance.Job{Service: "s", Objective: 300 * time.Millisecond} }
+
+func (f *fixture) place(t *testing.T, j balance.Job) *balance.Placement {
+	p, err := f.Place(context.Background(), j)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return p
+}
+
+// TestCandidates checks which targets get no work.
+func TestCandidates(t *testing.T) {
+	cases := map[string]struct {
+		change func(f *fixture, t *testing.T)
+		avoid  []barleystep.TargetID
+		want   barleystep.TargetID
+	}{
+		"draining":        {func(f *fixture, _ *testing.T) { f.targets[0].Draining = true }, nil, "i-01"},
+		"another service": {func(f *fixture, _ *testing.T) { f.targets[0].Service = "x" }, nil, "i-01"},
+		"failed this one": {func(*fixture, *testing.T) {}, []barleystep.TargetID{"i-00"}, "i-01"},
+		"none but draining": {func(f *fixture, _ *testing.T) {
+			f.targets[0].Draining, f.targets[1].Draining = true, true
+		}, nil, ""},
+		"unreachable": {func(f *fixture, t *testing.T) {
+			j := plain()
+			j.Avoid = []barleystep.TargetID{"i-01"}
+			f.place(t, j).Done(balance.Report{Unreachable: true})
+		}, nil, "i-01"},
+		"unreachable, but the only one": {func(f *fixture, t *testing.T) {
+			j := plain()
+			j.Avoid = []barleystep.TargetID{"i-01"}
+			f.place(t, j).Done(balance.Report{Unreachable: true})
+		}, []barleystep.TargetID{"i-01"}, "i-00"},
+		"address taken over": {func(f *fixture, t *testing.T) {
+			j := plain()
+			j.Avoid = []barleystep.TargetID{"i-01"}
+			f.place(t, j).Done(balance.Report{Full: true, Moved: true})
+			f.clock.Advance(5 * time.Second)
+		}, nil, "i-01"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(2)
+			tc.change(f, t)
+			j := plain()
+			j.Avoid = tc.avoid
+			for range 20 {
+				p, err := f.Place(context.Background(), j)
+				if tc.want == "" {
+					c.Assert(eris.Is(err, balance.ErrNoTarget), quicktest.IsTrue)
+					return
+				}
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(p.Target.ID, quicktest.Equals, tc.want)
+				p.Done(balance.Report{})
+			}
+		})
+	}
+}
+
+// TestPlainSpreads checks that plain services get their requests evenly, and
+// that a target that fails gets few.
+func TestPlainSpreads(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(3)
+	counts := make(map[barleystep.TargetID]int)
+	for range 9 {
+		counts[f.place(t, plain()).Target.ID]++
+	}
+	for _, n := range counts {
+		c.Check(n, quicktest.Equals, 3)
+	}
+	f = newFixture(2)
+	failed := 0
+	for range 100 {
+		p := f.place(t, plain())
+		bad := p.Target.ID == "i-00"
+		if bad {
+			failed++
+		}
+		p.Done(balance.Report{Failed: bad})
+	}
+	c.Check(failed < 30, quicktest.IsTrue, quicktest.Commentf("%d requests went to the failing target", failed))
+}
+
+// TestLongAway checks that long prompts are read where no short streams are, by
+// several engines, and that those that write long ones never help.
+func TestLongAway(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(18)
+	short := make(map[barleystep.TargetID]bool)
+	for range 12 {
+		short[f.place(t, job(shortPrompt)).Target.ID] = true
+	}
+	writers := make(map[string]bool)
+	for range 3 {
+		p := f.place(t, job(longPrompt))
+		c.Check(short[p.Target.ID], quicktest.IsFalse)
+		c.Check(len(p.Helpers) > 0, quicktest.IsTrue)
+		for _, h := range p.Helpers {
+			c.Check(writers[h], quicktest.IsFalse, quicktest.Commentf("%s writes a long prompt", h))
+		}
+		writers[p.Target.Addr] = true
+	}
+}
+
+// TestFewEngines checks that there is a choice however few engines there are.
+func TestFewEngines(t *testing.T) {
+	for engines := 1; engines <= 6; engines++ {
+		for _, prompt := range []int{0, shortPrompt, longPrompt, 1_000_000} {
+			f := newFixture(engines)
+			p := f.place(t, job(prompt))
+			p.First()
+			p.Done(balance.Report{})
+		}
+	}
+}
+
+// TestOthers checks that the work of other boxes counts.
+func TestOthers(t *testing.T) {
+	f := newFixture(2)
+	s := balance.NewSnapshot()
+	s.Work[balance.KeyOf("i-00")] = balance.Work{Light: 5}
+	f.SetOthers(s)
+	for range 3 {
+		quicktest.Check(t, f.place(t, plain()).Target.ID, quicktest.Equals, barleystep.TargetID("i-01"))
+	}
+}
+
+// TestWaits checks that a short prompt waits while all slots are taken, gets the
+// next one that is free, and is refused when its caller would not wait longer.
+func TestWaits(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(1)
+	var placed []*balance.Placement
+	for range 4 {
+		placed = append(placed, f.place(t, job(shortPrompt)))
+	}
+	got := make(chan error, 2)
+	wait := func() {
+		_, err := f.Place(context.Background(), job(shortPrompt))
+		got <- err
+	}
+	go wait()
+	for f.clock.Timers() == 0 { //nolint:revive // The job has to be in the queue.
+	}
+	placed[0].Done(balance.Report{})
+	c.Check(<-got, quicktest.IsNil)
+	go wait()
+	for f.clock.Timers() == 0 { //nolint:revive // The job has to be in the queue.
+	}
+	f.clock.Advance(2 * time.Second)
+	c.Check(eris.Is(<-got, balance.ErrFull), quicktest.IsTrue)
+}
+
+// TestBooks checks that nothing is left in the books once all tries have ended,
+// whatever they were and in whatever order they ended.
+func TestBooks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFixture(rapid.IntRange(1, 12).Draw(rt, "engines"))
+		var open []*balance.Placement
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			switch {
+			case len(open) < 4*len(f.targets)/2 && rapid.Bool().Draw(rt, "place"):
+				prompt := rapid.SampledFrom([]int{0, shortPrompt, 45_000, longPrompt, 500_000}).Draw(rt, "prompt")
+				ctx, cancel := context.WithCancel(context.Background())
+				cancel() // Whatever would have to wait is given up.
+				if p, err := f.Place(ctx, job(prompt)); err == nil {
+					open = append(open, p)
+				}
+			case len(open) > 0:
+				i := rapid.IntRange(0, len(open)-1).Draw(rt, "which")
+				if rapid.Bool().Draw(rt, "first") {
+					open[i].First()
+				}
+				open[i].Done(balance.Report{Failed: rapid.Bool().Draw(rt, "failed")})
+				open = append(open[:i], open[i+1:]...)
+			}
+		}
+		for _, p := range open {
+			p.Done(balance.Report{})
+		}
+		if s := f.Snapshot(); len(s.Work) > 0 {
+			rt.Fatalf("left: %v", s.Work)
+		}
+	})
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	Tightest time.Duration
 	// Avoid lists targets that have already failed the request.
 	Avoid []barleystep.TargetID
+
+	// spare is how many slots the job must leave free.
+	spare int
 }
 
 // Report is what a try taught about its target.
@@ -69,14 +73,19 @@
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
-	waiting []*waiter
+	// lightQueue and heavyQueue hold the jobs that wait for a place.
+	lightQueue []*waiter
+	heavyQueue []*waiter
+	// seen keeps the sums of work during one choice.
+	seen map[barleystep.TargetID]Work
 	// others is the work and demand of all other boxes, as last heard.
 	others Snapshot
 }
 
 // state is what a box knows of a target by itself.
 type state struct {
-	own Work
+	// parts are the own tries at the target that have not ended.
+	parts []*part
 	// failures counts tries in a row that could not reach the target.
 	failures int
 	// shunned is until when the target gets no work while others can take it.
@@ -112,7 +121,7 @@
 	Helpers []string
 
 	balancer *Balancer
-	parts    []part
+	parts    []*part
 	first    bool
 	expected time.Duration
 }
@@ -121,7 +130,7 @@
 // is known of it.
 func (p *Placement) Expected() time.Duration { return p.expected }
 
-// part is what a try costs one engine.
+// part is what a try costs one target.
 type part struct {
 	target barleystep.TargetID
 	work   Work
@@ -144,6 +153,7 @@
 
 // try chooses a target; it returns nothing if the job has to wait.
 func (b *Balancer) try(j Job) (p *Placement, err error) {
+	clear(b.seen)
 	candidates := b.candidates(j)
 	if len(candidates) == 0 {
 		return nil, ErrNoTarget
@@ -161,7 +171,8 @@
 	}
 	p.balancer = b
 	for _, part := range p.parts {
-		b.state(part.target).own.add(part.work)
+		s := b.state(part.target)
+		s.parts = append(s.parts, part)
 	}
 	return p, nil
 }
@@ -224,7 +235,7 @@
 		}
 	}
 	t := candidates[best]
-	return &Placement{Target: t, parts: []part{{t.ID, Work{Light: 1}}}}
+	return &Placement{Target: t, parts: []*part{{target: t.ID, work: Work{Light: 1}}}}
 }
 
 // First tells that the first event came: the prompt has been read.
@@ -240,10 +251,8 @@
 		return
 	}
 	p.first = true
-	for i := range p.parts {
-		s := p.balancer.state(p.parts[i].target)
-		s.own.Backlog -= p.parts[i].work.Backlog
-		p.parts[i].work.Backlog = 0
+	for _, part := range p.parts {
+		part.work.Backlog, part.work.Unread = 0, 0
 	}
 }
 
@@ -252,12 +261,12 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.read()
-	for _, part := range p.parts {
-		b.state(part.target).own.remove(part.work)
+	for _, own := range p.parts {
+		s := b.state(own.target)
+		s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
 	}
 	b.learn(p.Target.ID, r)
-	b.serveWaiting(1)
+	b.serveWaiting(false)
 }
 
 func (b *Balancer) learn(id barleystep.TargetID, r Report) {
@@ -291,7 +300,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.states {
-		if !present[id] && s.own == (Work{}) {
+		if !present[id] && len(s.parts) == 0 {
 			delete(b.states, id)
 		}
 	}
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -76,18 +76,17 @@
 	read := j.Cost.Read(j.Prompt)
 	share := read / time.Duration(len(helpers)+1)
 	p := &Placement{Target: first, expected: expected}
-	p.parts = append(p.parts, part{first.ID, Work{Heavy: 1, Backlog: share, Memory: j.Prompt + j.Output}})
+	p.parts = append(p.parts, &part{target: first.ID, work: Work{Heavy: 1, Unread: 1, Backlog: share, Memory: j.Prompt + j.Output}})
 	for _, t := range helpers {
 		p.Helpers = append(p.Helpers, t.Addr)
-		p.parts = append(p.parts, part{t.ID, Work{Backlog: share}})
+		p.parts = append(p.parts, &part{target: t.ID, work: Work{Backlog: share}})
 	}
 	return p
 }
 
 // helpers returns the engines that may help, best first: those where a part of
 // usual size does the least harm, and of these the idlest; and what each one
-// risks besides. Engines that write long prompts never help: an engine reads the
-// parts of others before its own prompts, which would wait for ever under load.
+// risks besides. Engines that write long prompts never help.
 func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) (targets []fleet.Target, risks []float64) {
 	usual := read / (maxHelpers / 2)
 	type candidate struct {
@@ -98,11 +97,14 @@
 	}
 	var list []candidate
 	for _, t := range r.readers {
-		if t.ID != first.ID {
+		if t.ID != first.ID && b.helps(t) {
 			list = append(list, candidate{t, b.harm(j, t, usual), b.work(t.ID).Backlog, 0})
 		}
 	}
 	for _, t := range r.light {
+		if t.ID == first.ID || !b.helps(t) {
+			continue
+		}
 		list = append(list, candidate{t, b.harm(j, t, usual) + lightRisk, b.work(t.ID).Backlog, lightRisk})
 	}
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
@@ -116,6 +118,11 @@
 	return targets, risks
 }
 
+// helps reports whether an engine may be given a part of a prompt: not while it
+// has a long prompt of its own to read. It reads the part that came last first,
+// so that its own prompt would wait for as long as new parts come.
+func (b *Balancer) helps(t fleet.Target) bool { return b.work(t.ID).Unread == 0 }
+
 // harm is how many streams of the engine would be held up for longer than they
 // may pause if it reads a part, weighted by what they are worth.
 func (b *Balancer) harm(j Job, t fleet.Target, share time.Duration) float64 {
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -24,9 +24,9 @@
 	fullPart  = 65
 	tightCost = 25 * time.Millisecond
 	perCent   = 100
-	// overcommit is how many requests more than its slots an engine is given:
-	// one that ends just now leaves no slot idle.
-	overcommit = 0
+	// lateSpare is how many slots of an engine are kept for prompts that can
+	// still be in time: one that is late anyway would hold a slot for seconds.
+	lateSpare = 3
 	// streamCost is what a stream in progress counts for: it makes each pass a
 	// little longer.
 	streamCost = time.Millisecond
@@ -42,15 +42,15 @@
 	best, score := b.bestLight(r.light)
 	if others := r.heavy(); len(others) > 0 {
 		if t, s := b.bestLight(others); s+outsideCost < score {
-			best = t
+			best, score = t, s
 		}
 	}
-	if w := b.work(best.ID); best.Slots > 0 && w.Light+w.Heavy >= best.Slots+overcommit {
+	if w := b.work(best.ID); best.Slots > 0 && w.Light+w.Heavy >= best.Slots-j.spare {
 		return nil
 	}
 	b.note(j, read, false)
 	work := Work{Light: 1, Backlog: read, Memory: j.Prompt + j.Output}
-	return &Placement{Target: best, expected: score + read + passTime(j), parts: []part{{best.ID, work}}}
+	return &Placement{Target: best, expected: score + read + passTime(j), parts: []*part{{target: best.ID, work: work}}}
 }
 
 // bestLight returns the best of some engines drawn at random, and its score.
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/barleystep/barleystep/internal/clock"
@@ -21,9 +23,10 @@
 	// event of a short prompt.
 	answerTime = 110 * time.Millisecond
 	// patience is how many times its objective a job waits before it is given
-	// up. Callers of streams give up after four times the objective, and after
-	// two seconds at the earliest.
-	patience = 5
+	// up, and leastPatience how long at least. Callers of streams give up after
+	// four times the objective, and after two seconds at the earliest.
+	patience      = 3
+	leastPatience = 1500 * time.Millisecond
 	// shareDivisor is the part of the places seen free that a box takes at once:
 	// all boxes see the same places.
 	shareDivisor = 4
@@ -31,13 +34,23 @@
 
 func (b *Balancer) enqueue(j Job) *waiter {
 	w := &waiter{job: j, since: b.Clock.Now(), ready: make(chan *Placement, 1)}
-	b.waiting = append(b.waiting, w)
+	q := b.queue(j)
+	*q = append(*q, w)
 	return w
 }
 
+// queue returns the queue for jobs like this one. Those of one queue need the
+// same kind of place: if the first finds none, neither do the others.
+func (b *Balancer) queue(j Job) *[]*waiter {
+	if heavy(j) {
+		return &b.heavyQueue
+	}
+	return &b.lightQueue
+}
+
 // await waits for the placement.
 func (b *Balancer) await(ctx context.Context, w *waiter) (p *Placement, err error) {
-	ctx, cancel := clock.WithDeadline(ctx, b.Clock, w.since.Add(patience*w.job.Objective))
+	ctx, cancel := clock.WithDeadline(ctx, b.Clock, w.since.Add(max(patience*w.job.Objective, leastPatience)))
 	defer cancel()
 	select {
 	case p = <-w.ready:
@@ -55,34 +68,45 @@
 	}
 }
 
-// serveWaiting places up to most of the jobs that wait.
-func (b *Balancer) serveWaiting(most int) {
+// serveWaiting places the jobs that wait, as far as there are places. After news
+// of other boxes, all boxes have seen the same places become free: each takes only
+// a part of its short prompts, and places a long one, which takes many engines at
+// once, only now and then.
+func (b *Balancer) serveWaiting(news bool) {
+	lights, heavies := len(b.lightQueue), len(b.heavyQueue)
+	if news {
+		lights = (lights + shareDivisor - 1) / shareDivisor
+		heavies = min(heavies, 1)
+		if rand.IntN(shareDivisor) > 0 {
+			heavies = 0
+		}
+	}
+	b.serveQueue(&b.lightQueue, lights)
+	b.serveQueue(&b.heavyQueue, heavies)
+}
+
+func (b *Balancer) serveQueue(q *[]*waiter, most int) {
 	for ; most > 0; most-- {
-		w := b.nextWaiter()
+		w := b.nextWaiter(q)
 		if w == nil {
 			return
 		}
 		p, err := b.try(w.job)
 		if err != nil || p == nil {
-			b.waiting = append(b.waiting, w)
+			*q = append(*q, w)
 			return
 		}
 		w.ready <- p
 	}
 }
 
-// nextWaiter takes the next job off the queue: of those that can still be in
-// time the one that came last, since the ones before it are the likelier to be
-// late; else the one that has waited longest.
-func (b *Balancer) nextWaiter() *waiter {
+// nextWaiter takes the next job off the queue. Of short prompts that can still be
+// in time it is the one that came last, since the ones before it are the likelier
+// to be late; else it is the one that has waited longest.
+func (b *Balancer) nextWaiter(q *[]*waiter) *waiter {
 	now := b.Clock.Now()
-	kept := b.waiting[:0]
-	for _, w := range b.waiting {
-		if !w.gone {
-			kept = append(kept, w)
-		}
-	}
-	b.waiting = kept
+	kept := slices.DeleteFunc(*q, func(w *waiter) bool { return w.gone })
+	*q = kept
 	if len(kept) == 0 {
 		return nil
 	}
@@ -92,7 +116,7 @@
 			oldest = i
 		}
 		inTime := now.Sub(w.since) < w.job.Objective-answerTime
-		if inTime && (next < 0 || w.since.After(kept[next].since)) {
+		if inTime && !heavy(w.job) && (next < 0 || w.since.After(kept[next].since)) {
 			next = i
 		}
 	}
@@ -100,6 +124,10 @@
 		next = oldest
 	}
 	w := kept[next]
-	b.waiting = append(kept[:next], kept[next+1:]...)
+	w.job.spare = 0
+	if now.Sub(w.since) >= w.job.Objective-answerTime {
+		w.job.spare = lateSpare
+	}
+	*q = slices.Delete(kept, next, next+1)
 	return w
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -14,6 +14,8 @@
 	// to plain services, and those with long prompts.
 	Light int
 	Heavy int
+	// Unread counts the requests of Heavy whose prompt was not read yet.
+	Unread int
 	// Backlog is the time that it takes to read what has not been read.
 	Backlog time.Duration
 	// Memory is the KV memory, in tokens, that the requests take.
@@ -23,6 +25,7 @@
 func (w *Work) add(o Work) {
 	w.Light += o.Light
 	w.Heavy += o.Heavy
+	w.Unread += o.Unread
 	w.Backlog += o.Backlog
 	w.Memory += o.Memory
 }
@@ -30,6 +33,7 @@
 func (w *Work) remove(o Work) {
 	w.Light -= o.Light
 	w.Heavy -= o.Heavy
+	w.Unread -= o.Unread
 	w.Backlog -= o.Backlog
 	w.Memory -= o.Memory
 }
@@ -80,7 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others = s
-	b.serveWaiting((len(b.waiting) + shareDivisor - 1) / shareDivisor)
+	b.serveWaiting(true)
 }
 
 // Snapshot returns this box's work and demand.
@@ -88,12 +92,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := NewSnapshot()
+	now := b.Clock.Now()
 	for id, state := range b.states {
-		if state.own != (Work{}) {
-			s.Work[KeyOf(string(id))] = state.own
+		if len(state.parts) > 0 {
+			s.Work[KeyOf(string(id))] = state.own()
 		}
 	}
-	now := b.Clock.Now()
 	for service, d := range b.demands {
 		if rate := d.rate(now); rate != (Demand{}) {
 			s.Demands[KeyOf(service)] = rate
@@ -102,12 +106,28 @@
 	return s
 }
 
+// own returns the work that this box has given to the target.
+func (s *state) own() Work {
+	var w Work
+	for _, p := range s.parts {
+		w.add(p.work)
+	}
+	return w
+}
+
 // work returns the target's work for all boxes, as far as it is known.
 func (b *Balancer) work(id barleystep.TargetID) Work {
+	if w, ok := b.seen[id]; ok {
+		return w
+	}
 	var w Work
 	if s := b.states[id]; s != nil {
-		w = s.own
+		w = s.own()
 	}
 	w.add(b.others.Work[KeyOf(string(id))])
+	if b.seen == nil {
+		b.seen = make(map[barleystep.TargetID]Work)
+	}
+	b.seen[id] = w
 	return w
 }
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,92 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/barleystep/barleystep/internal/budget"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+const window = 10 * time.Second
+
+func newBudget(boxes int) (*budget.Budget, *clock.Manual) {
+	manual := clock.NewManual(time.Unix(1000, 0))
+	b := &budget.Budget{Clock: manual, Window: window, Boxes: func() int { return boxes }}
+	b.Set(0.2, 100)
+	return b, manual
+}
+
+func TestRetry(t *testing.T) {
+	cases := map[string]struct {
+		boxes    int
+		requests int
+		wait     time.Duration
+		want     int
+	}{
+		"the box's part of the extra":       {10, 0, 0, 4},
+		"alone":                             {1, 0, 0, 40},
+		"with requests":                     {10, 100, 0, 20},
+		"requests of long ago do not count": {10, 100, 2 * window, 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b, manual := newBudget(tc.boxes)
+			for range tc.requests {
+				b.Request("s")
+			}
+			manual.Advance(tc.wait)
+			got := 0
+			for b.Retry("s") {
+				got++
+			}
+			quicktest.Check(t, got, quicktest.Equals, tc.want)
+			quicktest.Check(t, b.Retry("other") == (tc.boxes < 40), quicktest.IsTrue)
+		})
+	}
+}
+
+// TestBound checks, for any order of requests and retries over time, that no
+// window of any place holds more retries than all boxes together may make.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, manual := newBudget(1)
+		type event struct {
+			at    time.Duration
+			retry bool
+		}
+		var events []event
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			step := time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			manual.Advance(step)
+			now += step
+			if rapid.Bool().Draw(t, "retry") {
+				if b.Retry("s") {
+					events = append(events, event{now, true})
+				}
+			} else {
+				b.Request("s")
+				events = append(events, event{now, false})
+			}
+		}
+		for _, start := range events {
+			retries, requests := 0, 0
+			for _, e := range events {
+				inside := e.at >= start.at && e.at < start.at+window
+				if inside && e.retry {
+					retries++
+				}
+				if e.at >= start.at-window && e.at < start.at+window && !e.retry {
+					requests++
+				}
+			}
+			if float64(retries) > 0.2*float64(requests)+100 {
+				t.Fatalf("%d retries for %d requests", retries, requests)
+			}
+		}
+	})
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -216,3 +216,6 @@
 	c.broken = true
 	c.Release(nil)
 }
+
+// Reused reports whether the connection has served a request before.
+func (c *Conn) Reused() bool { return !c.idle.IsZero() }
--- /dev/null
+++ b/internal/conn/conn_test.go
@@ -0,0 +1,233 @@
+package conn_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/conn"
+)
+
+// target is a server that answers each request of a connection with the next
+// text; the text "close" ends the connection and "reset" resets it.
+type target struct {
+	listener net.Listener
+	// requests gets the first line of each request.
+	requests chan string
+}
+
+func newTarget(t *testing.T, answers ...string) *target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	s := &target{listener: l, requests: make(chan string, 16)}
+	t.Cleanup(func() { l.Close() })
+	next := make(chan string, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	close(next)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, next)
+		}
+	}()
+	return s
+}
+
+func (s *target) serve(c net.Conn, answers <-chan string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.requests <- req.Method + " " + req.RequestURI
+		switch a := <-answers; a {
+		case "close":
+			return
+		case "reset":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		default:
+			_, _ = io.WriteString(c, a)
+		}
+	}
+}
+
+func (s *target) addr() string { return s.listener.Addr().String() }
+
+func newPool() *conn.Pool { return &conn.Pool{Clock: clock.System{}, DialTimeout: 10 * time.Second} }
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+// exchange sends one request and returns the body of the answer.
+func exchange(t *testing.T, p *conn.Pool, addr, method, id string, body []byte) (string, error) {
+	c, err := p.Get(context.Background(), addr)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	req := &http.Request{Method: method, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}, ContentLength: int64(len(body))}
+	if len(body) > 0 {
+		req.Body = io.NopCloser(strings.NewReader(string(body)))
+	}
+	resp, err := c.Send(context.Background(), req, body, func(h http.Header) bool { return h.Get("Id") == id })
+	if err != nil {
+		c.Release(nil)
+		return "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	c.Release(resp)
+	return string(data), err
+}
+
+func TestReuse(t *testing.T) {
+	c := quicktest.New(t)
+	s := newTarget(t, answer("1", "a"), answer("2", "b"))
+	p := newPool()
+	for _, id := range []string{"1", "2"} {
+		_, err := exchange(t, p, s.addr(), http.MethodGet, id, nil)
+		c.Assert(err, quicktest.IsNil)
+	}
+	c.Check(p.Open(s.addr()), quicktest.Equals, 1)
+}
+
+// TestNeverRepeated checks that a request is written once, whatever becomes of
+// it on a kept connection: general clients repeat those without a body.
+func TestNeverRepeated(t *testing.T) {
+	for name, end := range map[string]string{"closed": "close", "reset": "reset"} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newTarget(t, answer("1", "a"), end, answer("2", "b"))
+			p := newPool()
+			_, err := exchange(t, p, s.addr(), http.MethodGet, "1", nil)
+			c.Assert(err, quicktest.IsNil)
+			_, err = exchange(t, p, s.addr(), http.MethodGet, "2", nil)
+			c.Check(err, quicktest.IsNotNil)
+			c.Check(eris.Is(err, barleystep.ErrNotStarted), quicktest.IsFalse)
+			c.Check(s.requests, quicktest.HasLen, 2)
+			c.Check(p.Open(s.addr()), quicktest.Equals, 0)
+		})
+	}
+}
+
+// TestSurplus checks that answers to other requests are skipped, and that bytes
+// behind an answer spoil the connection.
+func TestSurplus(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		body string
+		open int
+	}{
+		"late answer first":   {answer("0", "old") + answer("1", "new"), "new", 1},
+		"interim answer":      {"HTTP/1.1 100 Continue\r\n\r\n" + answer("1", "new"), "new", 1},
+		"second answer after": {answer("1", "new") + answer("1", "new"), "new", 0},
+		"garbage after":       {answer("1", "new") + "zzz", "new", 0},
+		"closes":              {strings.Replace(answer("1", "new"), "Id", "Connection: close\r\nId", 1), "new", 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newTarget(t, tc.text)
+			p := newPool()
+			body, err := exchange(t, p, s.addr(), http.MethodPost, "1", []byte("b"))
+			c.Assert(err, quicktest.IsNil)
+			c.Check(body, quicktest.Equals, tc.body)
+			c.Check(p.Open(s.addr()), quicktest.Equals, tc.open)
+		})
+	}
+}
+
+// TestBroken checks that an answer that is not whole is an error.
+func TestBroken(t *testing.T) {
+	cases := map[string]string{
+		"short body":   "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nabc",
+		"cut chunk":    "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc",
+		"no answer":    "zzz\r\n\r\n",
+		"wrong answer": answer("7", "abc"),
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newTarget(t, text+strings.Repeat(" ", 0))
+			go func() { <-s.requests; s.listener.Close() }()
+			p := newPool()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			k, err := p.Get(ctx, s.addr())
+			c.Assert(err, quicktest.IsNil)
+			req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Connection": {"close"}}, Close: true}
+			resp, err := k.Send(ctx, req, nil, func(h http.Header) bool {
+				go cancel() // What is missing never comes.
+				return h.Get("Id") == "1"
+			})
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+			}
+			k.Release(resp)
+			c.Check(err, quicktest.IsNotNil)
+			c.Check(p.Open(s.addr()), quicktest.Equals, 0)
+		})
+	}
+}
+
+// TestUnreachable checks that a request which cannot have reached the target is
+// said not to have started.
+func TestUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	addr := l.Addr().String()
+	l.Close()
+	_, err = newPool().Get(context.Background(), addr)
+	quicktest.Assert(t, eris.Is(err, barleystep.ErrNotStarted), quicktest.IsTrue)
+}
+
+// TestRest checks that a connection is not used when its target may have closed
+// it by now.
+func TestRest(t *testing.T) {
+	cases := map[string]struct {
+		header string
+		rest   time.Duration
+		reused bool
+	}{
+		"fresh":               {"", time.Second, true},
+		"too long":            {"", 5 * time.Second, false},
+		"target says 2 s":     {"Keep-Alive: timeout=2, max=9\r\n", 1500 * time.Millisecond, false},
+		"within what it says": {"Keep-Alive: timeout=2\r\n", time.Second, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			text := strings.Replace(answer("1", "a"), "Id", tc.header+"Id", 1)
+			s := newTarget(t, text, answer("1", "a"))
+			manual := clock.NewManual(time.Unix(1000, 0))
+			p := &conn.Pool{Clock: manual, DialTimeout: 10 * time.Second}
+			_, err := exchange(t, p, s.addr(), http.MethodGet, "1", nil)
+			c.Assert(err, quicktest.IsNil)
+			manual.Advance(tc.rest)
+			p.Sweep()
+			first, err := p.Get(context.Background(), s.addr())
+			c.Assert(err, quicktest.IsNil)
+			c.Check(first.Reused(), quicktest.Equals, tc.reused)
+			first.Discard()
+		})
+	}
+}
--- /dev/null
+++ b/internal/follow/configuration_test.go
@@ -0,0 +1,95 @@
+package follow_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/follow"
+)
+
+var quiet = &log.Logger{Level: log.PanicLevel}
+
+// decode reads a version as a bare number.
+func decode(value []byte) (c fleet.Configuration, err error) {
+	if err = json.Unmarshal(value, &c.Version); err != nil {
+		return c, eris.Wrap(err, "decode")
+	}
+	return c, nil
+}
+
+func newConfiguration() (*follow.Configuration, *clock.Manual) {
+	manual := clock.NewManual(time.Unix(1000, 0))
+	return &follow.Configuration{Clock: manual, Decode: decode, Log: quiet}, manual
+}
+
+func record(value string) barleystep.Record { return barleystep.NewRecord("config", []byte(value)) }
+
+// TestNeverBack checks that no source brings back an older version, and that one
+// that cannot be read leaves the last good one in force.
+func TestNeverBack(t *testing.T) {
+	cases := map[string]struct {
+		values []string
+		want   int64
+	}{
+		"rises":       {[]string{"1", "5"}, 5},
+		"older later": {[]string{"5", "3"}, 5},
+		"unreadable":  {[]string{"5", "zzz"}, 5},
+		"none":        {nil, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			conf, _ := newConfiguration()
+			for _, v := range tc.values {
+				conf.Change(record(v))
+			}
+			c.Check(conf.Version(), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// TestAge checks from when on keys are proved to be current.
+func TestAge(t *testing.T) {
+	c := quicktest.New(t)
+	conf, manual := newConfiguration()
+	conf.Proved(manual.Now(), 1)
+	c.Check(conf.Age() < 0, quicktest.IsTrue, quicktest.Commentf("nothing is known yet"))
+
+	conf.Change(record("1"))
+	asked := manual.Now()
+	manual.Advance(time.Second)
+	conf.Proved(asked, 1)
+	c.Check(conf.Age(), quicktest.Equals, time.Second, quicktest.Commentf("the proof counts from the question"))
+
+	manual.Advance(time.Second)
+	conf.Vouch(manual.Now().Add(-3*time.Second), 1)
+	c.Check(conf.Age(), quicktest.Equals, 2*time.Second, quicktest.Commentf("an older proof changes nothing"))
+	conf.Vouch(manual.Now(), 2)
+	c.Check(conf.Age(), quicktest.Equals, 2*time.Second, quicktest.Commentf("a proof of a newer version is none for this one"))
+	conf.Vouch(manual.Now(), 1)
+	c.Check(conf.Age(), quicktest.Equals, time.Duration(0))
+}
+
+// TestUnreadableProvesNothing checks that keys are not taken for current while
+// the newest version cannot be read.
+func TestUnreadableProvesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	conf, manual := newConfiguration()
+	conf.Change(record("1"))
+	conf.Proved(manual.Now(), 1)
+	conf.Change(record("zzz"))
+	manual.Advance(time.Second)
+	conf.Proved(manual.Now(), 2)
+	c.Check(conf.Age(), quicktest.Equals, time.Second)
+	conf.Change(record("3"))
+	conf.Proved(manual.Now(), 3)
+	c.Check(conf.Age(), quicktest.Equals, time.Duration(0))
+}
--- /dev/null
+++ b/internal/follow/follower_test.go
@@ -0,0 +1,92 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/follow"
+)
+
+// catalogue answers calls from a list and ends the test's context after it.
+type catalogue struct {
+	replies []reply
+	asked   []barleystep.Revision
+	end     context.CancelFunc
+}
+
+type reply struct {
+	batch barleystep.Batch
+	err   error
+}
+
+func (s *catalogue) next() (barleystep.Batch, error) {
+	if len(s.replies) == 0 {
+		s.end()
+		return barleystep.Batch{}, context.Canceled
+	}
+	r := s.replies[0]
+	s.replies = s.replies[1:]
+	return r.batch, r.err
+}
+
+func (s *catalogue) Fetch(context.Context, barleystep.Topic) (barleystep.Batch, error) {
+	s.asked = append(s.asked, 0)
+	return s.next()
+}
+
+func (s *catalogue) Follow(_ context.Context, _ barleystep.Topic, since barleystep.Revision, _ time.Duration) (barleystep.Batch, error) {
+	s.asked = append(s.asked, since)
+	return s.next()
+}
+
+func (*catalogue) Publish(context.Context, string, []byte) error { return nil }
+
+func (*catalogue) Withdraw(context.Context, string) error { return nil }
+
+// instant is a clock whose timers fire at once.
+type instant struct{ clock.Manual }
+
+func (i *instant) NewTimer(d time.Duration) barleystep.Timer {
+	i.Advance(d)
+	return i.Manual.NewTimer(0)
+}
+
+func TestFollower(t *testing.T) {
+	batch := func(rev barleystep.Revision, values ...string) reply {
+		var records []barleystep.Record
+		for _, v := range values {
+			records = append(records, record(v))
+		}
+		return reply{batch: barleystep.NewBatch(records, rev)}
+	}
+	failed := reply{err: barleystep.ErrUnavailable}
+	forgot := reply{err: barleystep.ErrHistoryLost}
+	cases := map[string]struct {
+		replies []reply
+		asked   []barleystep.Revision
+		version int64
+	}{
+		"follows changes":        {[]reply{batch(3, "1"), batch(5, "2"), batch(5)}, []barleystep.Revision{0, 3, 5, 5}, 2},
+		"reads anew after 410":   {[]reply{batch(3, "1"), forgot, batch(9, "4")}, []barleystep.Revision{0, 3, 0, 9}, 4},
+		"goes on after a fault":  {[]reply{failed, batch(3, "1"), failed, failed, batch(4, "2")}, []barleystep.Revision{0, 0, 3, 3, 3, 4}, 2},
+		"a stale page goes over": {[]reply{batch(5, "2"), batch(4, "1")}, []barleystep.Revision{0, 5, 5}, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			source := &catalogue{replies: tc.replies, end: cancel}
+			conf := &follow.Configuration{Clock: &clock.Manual{}, Decode: decode, Log: quiet}
+			f := &follow.Follower{Clock: &instant{}, Catalogue: source, Handler: conf, Log: quiet, Wait: time.Second}
+			c.Check(f.Serve(ctx), quicktest.Equals, context.Canceled)
+			c.Check(source.asked, quicktest.DeepEquals, tc.asked)
+			c.Check(conf.Version(), quicktest.Equals, tc.version)
+		})
+	}
+}
--- /dev/null
+++ b/internal/follow/targets_test.go
@@ -0,0 +1,60 @@
+package follow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/follow"
+)
+
+// announce reads a target whose record says "draining" or anything else.
+func announce(r barleystep.Record) (fleet.Target, error) {
+	return fleet.Target{ID: barleystep.TargetID(r.Key()), Draining: string(r.Value()) == "draining"}, nil
+}
+
+// TestGone checks when a target whose record vanishes gets no more work.
+func TestGone(t *testing.T) {
+	ready := barleystep.NewRecord("i", []byte("ready"))
+	gone := barleystep.NewRemoval("i")
+	at := func(d time.Duration) func(*follow.Targets, *clock.Manual) {
+		return func(s *follow.Targets, m *clock.Manual) { m.Advance(d); s.Expire() }
+	}
+	change := func(r barleystep.Record) func(*follow.Targets, *clock.Manual) {
+		return func(s *follow.Targets, _ *clock.Manual) { s.Change(r) }
+	}
+	lost := func(s *follow.Targets, m *clock.Manual) { s.Lost(m.Now()) }
+	back := func(s *follow.Targets, m *clock.Manual) { s.Proved(m.Now(), 1) }
+	reset := func(r ...barleystep.Record) func(*follow.Targets, *clock.Manual) {
+		return func(s *follow.Targets, _ *clock.Manual) { s.Reset(r) }
+	}
+	type steps []func(*follow.Targets, *clock.Manual)
+	cases := map[string]struct {
+		steps steps
+		want  int
+	}{
+		"gone while the store is well":    {steps{change(ready), change(gone)}, 0},
+		"missing after a restart of sort": {steps{change(ready), reset()}, 0},
+		"lapsed while the store was away": {steps{change(ready), lost, back, change(gone), at(time.Second)}, 1},
+		"lapsed, found by a full read":    {steps{change(ready), lost, reset(), at(time.Second)}, 1},
+		"lapsed and still missing":        {steps{change(ready), lost, back, change(gone), at(2 * time.Second)}, 0},
+		"lapsed and back":                 {steps{change(ready), lost, back, change(gone), change(ready), at(3 * time.Second)}, 1},
+		"gone long after the return":      {steps{change(ready), lost, back, at(5 * time.Second), change(gone)}, 0},
+		"it was leaving anyway":           {steps{change(barleystep.NewRecord("i", []byte("draining"))), lost, back, change(gone)}, 0},
+		"kept while the store is away":    {steps{change(ready), lost, at(time.Hour)}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			manual := clock.NewManual(time.Unix(1000, 0))
+			s := &follow.Targets{Clock: manual, Decode: announce, Log: quiet}
+			for _, step := range tc.steps {
+				step(s, manual)
+			}
+			quicktest.Assert(t, s.List(), quicktest.HasLen, tc.want)
+		})
+	}
+}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -225,6 +225,7 @@
 			Heavy:     int32(w.Heavy),
 			BacklogUs: w.Backlog.Microseconds(),
 			Memory:    int64(w.Memory),
+			Unread:    int32(w.Unread),
 		})
 	}
 	for key, demand := range s.Demands {
@@ -245,6 +246,7 @@
 			Heavy:   int(w.GetHeavy()),
 			Backlog: time.Duration(w.GetBacklogUs()) * time.Microsecond,
 			Memory:  int(w.GetMemory()),
+			Unread:  int(w.GetUnread()),
 		}
 	}
 	for _, demand := range d.GetDemands() {
