--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -123,13 +123,15 @@
 	own         balance.Snapshot
 	ownAt       time.Time
 	ownSequence uint64
-	// hallWork is the work of its hall, and allWork that of all halls but for
-	// this box's own, if it is a collector; boxes is how many boxes it counts.
-	hallWork balance.Snapshot
-	hallAt   time.Time
-	allWork  balance.Snapshot
-	allAt    time.Time
-	boxes    int
+	// hallWork is the work of its hall, which has hallBoxes boxes, and allWork
+	// that of all halls but for this box's own, if it is a collector; boxes is how
+	// many boxes it counts in all.
+	hallWork  balance.Snapshot
+	hallAt    time.Time
+	hallBoxes int
+	allWork   balance.Snapshot
+	allAt     time.Time
+	boxes     int
 }
 
 // Serve takes part until ctx ends.
@@ -183,18 +185,30 @@
 	return n.count(n.Clock.Now())
 }
 
+// count returns the most boxes that the box itself, its collector or the
+// collectors of all halls together know of.
 func (n *Node) count(now time.Time) int {
-	count, told := 1, 0
+	known, told, local := 1, 0, 1
+	halls := make(map[barleystep.HallID]int)
 	for _, m := range n.members {
 		if now.Sub(m.last()) >= countedFor {
 			continue
 		}
-		count++
+		known++
+		if m.hall == n.Hall {
+			local++
+		}
 		if now.Sub(m.allAt) < countedFor {
 			told = max(told, m.boxes)
 		}
+		if now.Sub(m.hallAt) < countedFor {
+			halls[m.hall] = max(halls[m.hall], m.hallBoxes)
+		}
+	}
+	for _, boxes := range halls {
+		local += boxes
 	}
-	return max(count, told)
+	return max(known, told, local)
 }
 
 func (m *member) last() time.Time {
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -68,7 +68,7 @@
 	s := snapshotOf(d)
 	switch d.GetScope() {
 	case gossipv1.Scope_SCOPE_HALL:
-		m.hallWork, m.hallAt = s, now
+		m.hallWork, m.hallAt, m.hallBoxes = s, now, int(d.GetBoxes())
 	case gossipv1.Scope_SCOPE_ALL:
 		n.takeOut(s, d)
 		m.allWork, m.allAt = s, now
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -101,6 +101,8 @@
 	n.addReports(sum, now)
 	d := n.datagram()
 	d.Scope = gossipv1.Scope_SCOPE_HALL
+	members := n.hallMembers(now)
+	d.Boxes = int32(len(members))
 	fill(d, sum)
 	for _, hall := range n.halls() {
 		if m := n.collectorOf(hall, now); m != nil {
@@ -112,7 +114,7 @@
 	d.Scope = gossipv1.Scope_SCOPE_ALL
 	d.Boxes = int32(n.count(now))
 	fill(d, sum)
-	d.Members = n.hallMembers(now)
+	d.Members = members
 	for _, m := range n.members {
 		if m.hall == n.Hall && m.alive {
 			n.send(d, now, m)
