Keep one client for the platform's store

The contract tests of tables, objects and box lists hold the new client before a stand-in store that has the published faults; the same cases and expectations, and a hanging call more.

--- a/box.go
+++ b/box.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+
+	"github.com/rotisserie/eris"
 )
 
 // BoxID names a box in the platform's list, for example "cluj-hala1-e3".
@@ -48,3 +51,26 @@
 	// Boxes returns all boxes that the platform knows, or ErrUnavailable.
 	Boxes(ctx context.Context) ([]Box, error)
 }
+
+// boxRecord is the form in which a box lies in the platform's store.
+type boxRecord struct {
+	Hall    string `json:"hall"`
+	Addr    string `json:"addr"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// EncodeBox returns the value of the box's record under TopicBoxes; its key is
+// the name of the box.
+func EncodeBox(b Box) (value []byte, err error) {
+	value, err = json.Marshal(boxRecord{Hall: string(b.hall), Addr: b.addr, Leaving: b.leaving})
+	return value, eris.Wrap(err, "barleystep: encode box")
+}
+
+// DecodeBox reads a record of TopicBoxes.
+func DecodeBox(r Record) (b Box, err error) {
+	var w boxRecord
+	if err = json.Unmarshal(r.Value(), &w); err != nil {
+		return Box{}, eris.Wrapf(err, "barleystep: decode box %q", r.Key())
+	}
+	return NewBox(BoxID(r.Key()), HallID(w.Hall), w.Addr, w.Leaving), nil
+}
--- a/cmd/barleystep-entry/main_test.go
+++ b/cmd/barleystep-entry/main_test.go
@@ -19,12 +19,13 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/command"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/metric"
-	"github.com/barleystep/barleystep/internal/object"
+	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/standin"
-	"github.com/barleystep/barleystep/internal/table"
 	"github.com/barleystep/barleystep/internal/version"
+	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
 const settingsFile = `
@@ -65,10 +66,10 @@
 	r := &rig{engine: &standin.Engine{Clock: clock.System{}, Step: 20 * time.Millisecond}}
 	engines := httptest.NewServer(r.engine)
 	t.Cleanup(engines.Close)
-	p := &standin.Platform{Table: &table.Memory{}, Objects: &object.Memory{}}
-	platforms := httptest.NewServer(p.Handler())
+	p := &platformtest.Store{Clock: clock.System{}}
+	platforms := httptest.NewServer(p)
 	t.Cleanup(platforms.Close)
-	submit(t, p, engines.URL)
+	submit(t, platforms.URL, engines.URL)
 	var list []barleystep.Box
 	for i := range boxes {
 		id, callers, peers := fmt.Sprint("b", i), freeAddr(t), freeAddr(t)
@@ -81,7 +82,7 @@
 		r.callers = append(r.callers, "http://"+callers)
 		r.boxes = append(r.boxes, cmd)
 	}
-	p.SetBoxes(list...)
+	c.Assert(p.SetBoxes(list...), quicktest.IsNil)
 	for i, cmd := range r.boxes {
 		c.Assert(cmd.Start(), quicktest.IsNil)
 		t.Cleanup(func() {
@@ -93,7 +94,7 @@
 	return r
 }
 
-func submit(t *testing.T, p *standin.Platform, engineURL string) {
+func submit(t *testing.T, storeURL, engineURL string) {
 	c := quicktest.New(t)
 	d, err := config.File{
 		Accounts: []config.Account{{Name: "a", Keys: []config.Key{{ID: "1", SHA256: config.HashKey("k")}}}},
@@ -102,7 +103,8 @@
 		Targets:  []config.Target{{ID: "e", Hall: "h", Model: "m", URL: engineURL}},
 	}.Document()
 	c.Assert(err, quicktest.IsNil)
-	store := &version.Store{Table: p.Table, Objects: p.Objects, Clock: clock.System{}, Meter: metric.Discard()}
+	client := command.Platform(settings.Settings{Platform: settings.Platform{URL: storeURL}}, clock.System{})
+	store := &version.Store{Table: client, Objects: client, Clock: clock.System{}, Meter: metric.Discard()}
 	_, err = store.Submit(t.Context(), config.Document{}, version.Submission{ID: "first", Document: d})
 	c.Assert(err, quicktest.IsNil)
 }
--- a/cmd/barleystep-router/main.go
+++ b/cmd/barleystep-router/main.go
@@ -4,10 +4,7 @@
 
 import (
 	"context"
-	"net/http"
-	"net/url"
 	"os"
-	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
@@ -44,28 +41,15 @@
 	return nil
 }
 
-// storeTimeout bounds a call to the store if the settings do not. A slow store
-// takes some hundred milliseconds for an answer.
-const storeTimeout = time.Second
-
 func run(ctx context.Context, s settings.Settings, l *log.Logger) error {
 	exporter, err := metric.NewExporter()
 	if err != nil {
 		return err
 	}
-	u, err := url.Parse(s.Platform.URL)
-	if err != nil {
-		return eris.Wrap(err, "router: platform.url")
-	}
 	r := &router.Router{
-		Settings: s,
-		Clock:    clock.System{},
-		Catalogue: &platform.Store{
-			Addr:    u.Host,
-			Clock:   clock.System{},
-			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-			Timeout: s.Platform.Timeout.Or(storeTimeout),
-		},
+		Settings:            s,
+		Clock:               clock.System{},
+		Catalogue:           command.Platform(s, clock.System{}),
 		Protocol:            platform.Protocol{},
 		DecodeConfiguration: platform.DecodeConfiguration,
 		DecodeTarget:        platform.DecodeTarget,
--- a/cmd/barleystep-standin/main.go
+++ b/cmd/barleystep-standin/main.go
@@ -16,11 +16,10 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/command"
-	"github.com/barleystep/barleystep/internal/object"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/standin"
-	"github.com/barleystep/barleystep/internal/table"
 	"github.com/barleystep/barleystep/internal/web"
+	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
 func main() {
@@ -73,12 +72,14 @@
 	var boxes []string
 	cmd := &cobra.Command{
 		Use:   "platform",
-		Short: "The table service, object store and box list, in memory",
+		Short: "The store of the platform, in memory",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			p := &standin.Platform{Table: &table.Memory{}, Objects: &object.Memory{}}
-			p.SetBoxes(parseBoxes(boxes)...)
-			return serve(cmd, *addr, p.Handler())
+			store := &platformtest.Store{Clock: clock.System{}}
+			if err := store.SetBoxes(parseBoxes(boxes)...); err != nil {
+				return err
+			}
+			return serve(cmd, *addr, store)
 		},
 	}
 	cmd.Flags().StringSliceVar(&boxes, "box", nil, "a box as ID=HALL=ADDR; may be given again")
--- a/internal/admin/service_test.go
+++ b/internal/admin/service_test.go
@@ -67,7 +67,7 @@
 	follower := &version.Follower{Clock: clock.System{}, Meter: metric.Discard()}
 	c.Assert(follower.Load(version.Increment{Version: 1, Change: d.Entries(), Digest: d.Digest()}), quicktest.IsNil)
 	service := &admin.Service{
-		Clock: clock.System{}, Store: store, Follower: follower, Boxes: &standin.Platform{},
+		Clock: clock.System{}, Store: store, Follower: follower, Boxes: &standin.BoxList{},
 		Targets: &engine.Pool{Configuration: follower}, Log: &log.Logger{Level: log.PanicLevel},
 		Operators: []settings.Operator{
 			{Name: "root", Role: "admin", SHA256: config.HashKey("admin")},
--- a/internal/box/forward_test.go
+++ b/internal/box/forward_test.go
@@ -29,7 +29,7 @@
 	engine  *standin.Engine
 	table   barleystep.Table
 	objects barleystep.ObjectStore
-	boxes   standin.Platform
+	boxes   standin.BoxList
 	entries []*box.Entry
 	peers   settings.Peers
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -15,8 +17,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/barleystep/barleystep"
-	"github.com/barleystep/barleystep/internal/platform"
 	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/platform"
 )
 
 // Exit codes of all programs.
@@ -158,7 +160,20 @@
 	}
 }
 
-// Platform returns the adapter to the platform's services.
-func Platform(s settings.Settings, clk barleystep.Clock) *platform.Client {
-	return &platform.Client{URL: s.Platform.URL, Clock: clk, Timeout: time.Duration(s.Platform.Timeout)}
+// storeTimeout bounds a call to the platform's store if the settings do not. A
+// slow store takes some hundred milliseconds for an answer.
+const storeTimeout = time.Second
+
+// Platform returns the client of the platform's store. The settings were checked.
+func Platform(s settings.Settings, clk barleystep.Clock) *platform.Store {
+	return &platform.Store{
+		Addr:    strings.TrimPrefix(s.Platform.URL, "http://"),
+		Clock:   clk,
+		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeConnections}},
+		Timeout: s.Platform.Timeout.Or(storeTimeout),
+	}
 }
+
+// storeConnections is how many connections to the store are kept: one for each
+// topic that is followed, and some for single calls.
+const storeConnections = 4
--- a/internal/gossip/registry.go
+++ b/internal/gossip/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"time"
 
@@ -12,12 +11,6 @@
 	"github.com/barleystep/barleystep/internal/clock"
 )
 
-// entry is the record by which a box is found by boxes that start later.
-type entry struct {
-	Hall string `json:"hall"`
-	Addr string `json:"addr"`
-}
-
 const (
 	// announcePause is the wait between tries to write the own record while the
 	// store is away.
@@ -29,7 +22,7 @@
 // announce writes this box's record and reads those of the others, until both
 // have succeeded.
 func (n *Node) announce(ctx context.Context) {
-	value, err := json.Marshal(entry{Hall: string(n.Hall), Addr: n.Addr})
+	value, err := barleystep.EncodeBox(barleystep.NewBox(n.Box, n.Hall, n.Addr, false))
 	if err != nil {
 		n.Log.Error().Err(err).Msg(logPrefix + "The own record cannot be encoded.")
 		return
@@ -63,16 +56,17 @@
 }
 
 func (n *Node) learn(r barleystep.Record) {
-	var e entry
-	err := json.Unmarshal(r.Value(), &e)
-	if err == nil {
-		var addr netip.AddrPort
-		if addr, err = netip.ParseAddrPort(e.Addr); err == nil {
-			n.add(barleystep.BoxID(r.Key()), barleystep.HallID(e.Hall), addr)
-			return
-		}
+	b, err := barleystep.DecodeBox(r)
+	if err != nil {
+		n.Log.Warn().Str("box", r.Key()).Err(err).Msg(logPrefix + "A box's record cannot be read.")
+		return
+	}
+	addr, err := netip.ParseAddrPort(b.Addr())
+	if err != nil {
+		n.Log.Warn().Str("box", r.Key()).Err(err).Msg(logPrefix + "A box's address cannot be read.")
+		return
 	}
-	n.Log.Warn().Str("box", r.Key()).Err(err).Msg(logPrefix + "A box's record cannot be read.")
+	n.add(b.ID(), b.Hall(), addr)
 }
 
 func (n *Node) add(box barleystep.BoxID, hall barleystep.HallID, addr netip.AddrPort) {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -114,12 +114,12 @@
 	pool    *engine.Pool
 	config  config.Fixed
 	members []member.Rumour
-	boxes   *standin.Platform
+	boxes   *standin.BoxList
 }
 
 func newBench(t *testing.T, target config.Target) *bench {
 	c := quicktest.New(t)
-	b := &bench{clock: clock.NewManual(start), table: &table.Faulty{Table: &table.Memory{}}, boxes: &standin.Platform{}}
+	b := &bench{clock: clock.NewManual(start), table: &table.Faulty{Table: &table.Memory{}}, boxes: &standin.BoxList{}}
 	b.engine = &standin.Engine{Clock: b.clock, ChecksFence: target.ChecksFence}
 	server := httptest.NewServer(b.engine)
 	t.Cleanup(server.Close)
--- a/internal/local/hall.go
+++ b/internal/local/hall.go
@@ -51,13 +51,13 @@
 	// Fault is asked for each attempt that an engine starts; nil means no fault.
 	Fault func(attempt string) standin.Fault
 
-	platform standin.Platform
-	admin    *box.Admin
-	engines  []*standin.Engine
-	service  standin.Service
-	entries  []*box.Entry
-	stops    []context.CancelFunc
-	ready    chan struct{}
+	boxlist standin.BoxList
+	admin   *box.Admin
+	engines []*standin.Engine
+	service standin.Service
+	entries []*box.Entry
+	stops   []context.CancelFunc
+	ready   chan struct{}
 }
 
 const (
@@ -131,7 +131,7 @@
 		Listen: settings.Listen{Admin: h.port(AdminPort)},
 		Admin:  settings.Admin{Operators: Operators()},
 	}
-	h.admin = &box.Admin{Settings: s, Clock: h.Clock, Table: h.Table, Objects: h.Objects, Boxes: &h.platform, Exporter: exporter, Log: h.Log}
+	h.admin = &box.Admin{Settings: s, Clock: h.Clock, Table: h.Table, Objects: h.Objects, Boxes: &h.boxlist, Exporter: exporter, Log: h.Log}
 	h.admin.Build()
 	go func() { _ = h.admin.Run(ctx) }() // It ends with ctx.
 	return nil
@@ -208,7 +208,7 @@
 		s := e.Settings
 		list = append(list, barleystep.NewBox(barleystep.BoxID(s.Box.ID), Name, s.Listen.Peers, false))
 	}
-	h.platform.SetBoxes(list...)
+	h.boxlist.SetBoxes(list...)
 	for _, e := range h.entries {
 		ctx, cancel := context.WithCancel(ctx)
 		h.stops = append(h.stops, cancel)
@@ -239,7 +239,7 @@
 		Clock:    h.Clock,
 		Table:    h.Table,
 		Objects:  h.Objects,
-		Boxes:    &h.platform,
+		Boxes:    &h.boxlist,
 		Exporter: exporter,
 		Log:      h.Log,
 	}, nil
--- a/internal/object/object_test.go
+++ b/internal/object/object_test.go
@@ -2,28 +2,41 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/object"
-	"github.com/barleystep/barleystep/internal/platform"
-	"github.com/barleystep/barleystep/internal/standin"
-	"github.com/barleystep/barleystep/internal/table"
+	"github.com/barleystep/barleystep/platform"
+	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
-// stores returns all implementations, each before one that can fail.
-func stores(t *testing.T) map[string]func(*object.Memory) barleystep.ObjectStore {
-	return map[string]func(*object.Memory) barleystep.ObjectStore{
-		"memory": func(m *object.Memory) barleystep.ObjectStore { return m },
-		"platform": func(m *object.Memory) barleystep.ObjectStore {
-			p := &standin.Platform{Table: &table.Memory{}, Objects: m}
-			s := httptest.NewServer(p.Handler())
+// stores returns all implementations, whole or failing all calls.
+func stores(t *testing.T) map[string]func(down bool) barleystep.ObjectStore {
+	return map[string]func(bool) barleystep.ObjectStore{
+		"memory": func(down bool) barleystep.ObjectStore {
+			m := &object.Memory{}
+			if down {
+				m.Fail = func(string, string) error { return barleystep.ErrUnavailable }
+			}
+			return m
+		},
+		"platform": func(down bool) barleystep.ObjectStore {
+			p := &platformtest.Store{Clock: clock.System{}}
+			if down {
+				p.SetFault(platformtest.FaultBusy)
+			}
+			s := httptest.NewServer(p)
 			t.Cleanup(s.Close)
-			return &platform.Client{URL: s.URL, Clock: clock.System{}}
+			return &platform.Store{
+				Addr: s.Listener.Addr().String(), Clock: clock.System{},
+				HTTP: &http.Client{Transport: &http.Transport{}}, Timeout: 10 * time.Second,
+			}
 		},
 	}
 }
@@ -34,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			ctx := context.Background()
-			s := build(&object.Memory{})
+			s := build(false)
 			_, err := s.Get(ctx, "a")
 			c.Assert(err, quicktest.ErrorIs, barleystep.ErrNotFound)
 			c.Assert(s.Put(ctx, "a", []byte("1")), quicktest.IsNil)
@@ -49,7 +62,7 @@
 		t.Run(name+"/faults", func(t *testing.T) {
 			c := quicktest.New(t)
 			ctx := context.Background()
-			s := build(&object.Memory{Fail: func(string, string) error { return barleystep.ErrUnavailable }})
+			s := build(true)
 			c.Check(barleystep.FaultOf(s.Put(ctx, "a", nil)), quicktest.Equals, barleystep.FaultUnavailable)
 			_, err := s.Get(ctx, "a")
 			c.Check(err, quicktest.ErrorIs, barleystep.ErrUnavailable, quicktest.Commentf("a store that is down does not say that the object is missing"))
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -69,8 +69,8 @@
 		return
 	}
 	u, err := url.Parse(value)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		c.add(key, value, "http://host:port or https://host:port")
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.Path != "" {
+		c.add(key, value, "http://host:port")
 	}
 }
 
--- /dev/null
+++ b/internal/standin/boxes.go
@@ -0,0 +1,29 @@
+package standin
+
+import (
+	"context"
+	"sync"
+
+	"github.com/barleystep/barleystep"
+)
+
+// BoxList stands in for the platform's list of boxes. Its zero value is an empty
+// list.
+type BoxList struct {
+	mu    sync.Mutex
+	boxes []barleystep.Box
+}
+
+// SetBoxes replaces the list of boxes.
+func (l *BoxList) SetBoxes(boxes ...barleystep.Box) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.boxes = boxes
+}
+
+// Boxes returns the list of boxes.
+func (l *BoxList) Boxes(context.Context) ([]barleystep.Box, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]barleystep.Box(nil), l.boxes...), nil
+}
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -12,32 +13,62 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
-	"github.com/barleystep/barleystep/internal/object"
-	"github.com/barleystep/barleystep/internal/platform"
-	"github.com/barleystep/barleystep/internal/standin"
 	"github.com/barleystep/barleystep/internal/table"
+	"github.com/barleystep/barleystep/platform"
+	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
+// planner makes the calls of a table fail.
+type planner func(plan func(write bool) table.Failure)
+
+func planOf(f *table.Faulty) planner {
+	return func(plan func(write bool) table.Failure) {
+		if plan == nil {
+			f.SetPlan(nil)
+			return
+		}
+		f.SetPlan(func(call table.Call) table.Failure { return plan(call.Write()) })
+	}
+}
+
+// storeFaults are the failures as the platform's store shows them.
+var storeFaults = map[table.Failure]platformtest.Fault{
+	table.FailureNone:   platformtest.FaultNone,
+	table.FailureBefore: platformtest.FaultBusy,
+	table.FailureAfter:  platformtest.FaultLost,
+	table.FailureLost:   platformtest.FaultReset,
+	table.FailureHang:   platformtest.FaultHang,
+}
+
 // tables returns all implementations, each before a table that can fail.
-func tables(t *testing.T) map[string]func() (barleystep.Table, *table.Faulty) {
-	return map[string]func() (barleystep.Table, *table.Faulty){
-		"memory": func() (barleystep.Table, *table.Faulty) {
+func tables(t *testing.T) map[string]func() (barleystep.Table, planner) {
+	return map[string]func() (barleystep.Table, planner){
+		"memory": func() (barleystep.Table, planner) {
 			f := &table.Faulty{Table: &table.Memory{}}
-			return f, f
+			return f, planOf(f)
 		},
-		"platform": func() (barleystep.Table, *table.Faulty) {
-			f := &table.Faulty{Table: &table.Memory{}}
-			p := &standin.Platform{Table: f, Objects: &object.Memory{}}
-			s := httptest.NewServer(p.Handler())
+		"platform": func() (barleystep.Table, planner) {
+			p := &platformtest.Store{Clock: clock.System{}}
+			s := httptest.NewServer(p)
 			t.Cleanup(s.Close)
-			return &platform.Client{URL: s.URL, Clock: clock.System{}, Timeout: 300 * time.Millisecond}, f
+			client := &platform.Store{
+				Addr: s.Listener.Addr().String(), Clock: clock.System{},
+				HTTP: &http.Client{Transport: &http.Transport{}}, Timeout: 300 * time.Millisecond,
+			}
+			return client, func(plan func(write bool) table.Failure) {
+				if plan == nil {
+					p.SetPlan(nil)
+					return
+				}
+				p.SetPlan(func(kind string) platformtest.Fault { return storeFaults[plan(kind == "rows-tx")] })
+			}
 		},
-		"group": func() (barleystep.Table, *table.Faulty) {
+		"group": func() (barleystep.Table, planner) {
 			f := &table.Faulty{Table: &table.Memory{}}
 			g := table.NewGroup(f, clock.System{})
 			g.Every = time.Millisecond
 			serve(t, g)
-			return g, f
+			return g, planOf(f)
 		},
 	}
 }
@@ -77,9 +108,9 @@
 		for name, tc := range cases {
 			t.Run(impl+"/"+name, func(t *testing.T) {
 				c := quicktest.New(t)
-				tb, faulty := build()
-				faulty.SetPlan(func(call table.Call) table.Failure {
-					if call.Write() {
+				tb, fail := build()
+				fail(func(write bool) table.Failure {
+					if write {
 						return tc.failure
 					}
 					return table.FailureNone
@@ -87,7 +118,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 				defer cancel()
 				c.Check(barleystep.FaultOf(tb.Commit(ctx, insert("k", "v"))), quicktest.Equals, tc.fault)
-				faulty.SetPlan(nil)
+				fail(nil)
 				rows, err := tb.Read(context.Background(), "k", "other")
 				c.Assert(err, quicktest.IsNil)
 				c.Check(rows[0].Exists(), quicktest.Equals, tc.there)
@@ -116,8 +147,8 @@
 		})
 		t.Run(impl+"/reads fail", func(t *testing.T) {
 			c := quicktest.New(t)
-			tb, faulty := build()
-			faulty.SetPlan(func(table.Call) table.Failure { return table.FailureBefore })
+			tb, fail := build()
+			fail(func(bool) table.Failure { return table.FailureBefore })
 			_, err := tb.Read(context.Background(), "k")
 			c.Check(err, quicktest.ErrorIs, barleystep.ErrUnavailable)
 			_, err = tb.Scan(context.Background(), "k", "", 1)
