--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -170,6 +170,7 @@
 		Addr:    strings.TrimPrefix(s.Platform.URL, "http://"),
 		Clock:   clk,
 		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeConnections}},
+		Box:     s.Box.ID,
 		Timeout: s.Platform.Timeout.Or(storeTimeout),
 	}
 }
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,184 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/router"
+	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/platform"
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// rig is some routers before one target and a stand-in store.
+type rig struct {
+	store   *platformtest.Store
+	target  *platformtest.Server
+	callers []string
+	ready   []string
+	stops   []context.CancelFunc
+	done    []chan error
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newRig(t *testing.T, boxes int) *rig {
+	r := &rig{store: &platformtest.Store{Clock: clock.System{}}, target: &platformtest.Server{ID: "i-1"}}
+	storeServer := httptest.NewServer(r.store)
+	t.Cleanup(storeServer.Close)
+	targetServer := httptest.NewServer(r.target)
+	t.Cleanup(targetServer.Close)
+	r.store.PutServer("i-1", "app", targetServer.Listener.Addr().String())
+	r.configure(1, "k1")
+	for i := range boxes {
+		r.start(t, i, storeServer.URL)
+	}
+	return r
+}
+
+// configure puts a configuration with one keyed route in the store.
+func (r *rig) configure(version int, keys ...string) {
+	r.store.PutConfiguration(platformtest.Configuration{Version: version, Host: "h", Prefix: "/a/", Service: "app", Keys: keys})
+}
+
+func (r *rig) start(t *testing.T, i int, storeURL string) {
+	exporter, err := metric.NewExporter()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	s := settings.Settings{
+		Box:      settings.Box{ID: fmt.Sprint("b", i), Hall: "h"},
+		Listen:   settings.Listen{Callers: freeAddr(t), Ready: freeAddr(t), Peers: freeAddr(t)},
+		Platform: settings.Platform{URL: storeURL},
+		Keys:     settings.Keys{Freshness: settings.Duration(time.Minute)},
+		Limits:   settings.Limits{Grace: settings.Duration(5 * time.Second)},
+	}
+	node := &router.Router{
+		Settings:            s,
+		Clock:               clock.System{},
+		Catalogue:           command.Platform(s, clock.System{}),
+		Protocol:            platform.Protocol{},
+		DecodeConfiguration: platform.DecodeConfiguration,
+		DecodeTarget:        platform.DecodeTarget,
+		ReadyHandler:        platform.ReadyHandler,
+		Exporter:            exporter,
+		Log:                 &log.Logger{Level: log.PanicLevel},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- node.Run(ctx) }()
+	t.Cleanup(cancel)
+	r.callers = append(r.callers, "http://"+s.Listen.Callers)
+	r.ready = append(r.ready, "http://"+s.Listen.Ready)
+	r.stops = append(r.stops, cancel)
+	r.done = append(r.done, done)
+	eventually(t, func() bool { return r.isReady(i) })
+}
+
+func (r *rig) isReady(i int) bool {
+	resp, err := http.Get(r.ready[i] + platformtest.ReadyPath)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ask sends a request and returns the status and body of the answer, 0 if there
+// was none.
+func (r *rig) ask(t *testing.T, i int, path, key string) (int, string) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.callers[i]+path, strings.NewReader("body"))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	req.Host = "h"
+	platformtest.SetCaller(req.Header, "r1", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return resp.StatusCode, string(data)
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(t *testing.T, cond func() bool) {
+	t.Helper()
+	clk := clock.System{}
+	for until := clk.Now().Add(time.Minute); clk.Now().Before(until); {
+		if cond() {
+			return
+		}
+		clock.Sleep(t.Context(), clk, 5*time.Millisecond)
+	}
+	t.Fatal("the condition did not come about")
+}
+
+// TestServe takes a request through the whole path.
+func TestServe(t *testing.T) {
+	c := quicktest.New(t)
+	r := newRig(t, 1)
+	status, body := r.ask(t, 0, "/a/x", "k1")
+	c.Check(status, quicktest.Equals, http.StatusOK)
+	c.Check(body, quicktest.Equals, "body")
+	c.Check(r.target.Tenants(), quicktest.DeepEquals, []string{"tenant"})
+	status, _ = r.ask(t, 0, "/b/x", "k1")
+	c.Check(status, quicktest.Equals, http.StatusNotFound)
+	status, _ = r.ask(t, 0, "/a/x", "other")
+	c.Check(status, quicktest.Equals, http.StatusUnauthorized)
+}
+
+// TestRevokedWhileTurnedAway takes a key away while the store turns one box away:
+// that box hears of it from the other.
+func TestRevokedWhileTurnedAway(t *testing.T) {
+	r := newRig(t, 2)
+	for i := range r.callers {
+		status, _ := r.ask(t, i, "/a/x", "k1")
+		quicktest.Assert(t, status, quicktest.Equals, http.StatusOK)
+	}
+	r.store.TurnAway("b1")
+	r.configure(2, "k2")
+	eventually(t, func() bool {
+		status, _ := r.ask(t, 1, "/a/x", "k1")
+		return status == http.StatusUnauthorized
+	})
+	status, _ := r.ask(t, 1, "/a/x", "k2")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusOK)
+}
+
+// TestDrained stops sending to a target when it says that it leaves.
+func TestDrained(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.DrainServer("i-1")
+	eventually(t, func() bool {
+		status, _ := r.ask(t, 0, "/a/x", "k1")
+		return status == http.StatusServiceUnavailable
+	})
+}
+
+// TestPlannedStop checks that a stopping box says so, goes on serving for a
+// while, and ends by itself.
+func TestPlannedStop(t *testing.T) {
+	r := newRig(t, 1)
+	r.stops[0]()
+	eventually(t, func() bool { return !r.isReady(0) })
+	status, _ := r.ask(t, 0, "/a/x", "k1")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusOK)
+	quicktest.Check(t, <-r.done[0], quicktest.IsNil)
+}
