--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -64,6 +65,13 @@
 	return p
 }
 
+// queued waits until a job is in the queue.
+func (f *fixture) queued() {
+	for f.clock.Timers() == 0 {
+		runtime.Gosched()
+	}
+}
+
 // TestCandidates checks which targets get no work.
 func TestCandidates(t *testing.T) {
 	cases := map[string]struct {
@@ -199,8 +207,7 @@
 		got <- err
 	}
 	go wait()
-	for f.clock.Timers() == 0 { //nolint:revive // The job has to be in the queue.
-	}
+	f.queued()
 	placed[0].Done(balance.Report{})
 	c.Check(<-got, quicktest.IsNil)
 
@@ -209,8 +216,7 @@
 		f.place(t, job(shortPrompt))
 	}
 	go wait()
-	for f.clock.Timers() == 0 { //nolint:revive // The job has to be in the queue.
-	}
+	f.queued()
 	f.clock.Advance(2 * time.Second)
 	c.Check(eris.Is(<-got, balance.ErrFull), quicktest.IsTrue)
 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -49,41 +49,50 @@
 	}
 }
 
+// event is a request or a retry of TestBound.
+type event struct {
+	at    time.Duration
+	retry bool
+}
+
+// count returns the events of a kind in a span of time.
+func count(events []event, retry bool, from, to time.Duration) (n int) {
+	for _, e := range events {
+		if e.retry == retry && e.at >= from && e.at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// draw makes requests and retries at random times and returns those that were
+// made.
+func draw(t *rapid.T) (events []event) {
+	b, manual := newBudget(1)
+	now := time.Duration(0)
+	for range rapid.IntRange(1, 300).Draw(t, "events") {
+		step := time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+		manual.Advance(step)
+		now += step
+		retry := rapid.Bool().Draw(t, "retry")
+		if !retry {
+			b.Request("s")
+		}
+		if !retry || b.Retry("s") {
+			events = append(events, event{now, retry})
+		}
+	}
+	return events
+}
+
 // TestBound checks, for any order of requests and retries over time, that no
 // window of any place holds more retries than all boxes together may make.
 func TestBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b, manual := newBudget(1)
-		type event struct {
-			at    time.Duration
-			retry bool
-		}
-		var events []event
-		now := time.Duration(0)
-		for range rapid.IntRange(1, 300).Draw(t, "events") {
-			step := time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
-			manual.Advance(step)
-			now += step
-			if rapid.Bool().Draw(t, "retry") {
-				if b.Retry("s") {
-					events = append(events, event{now, true})
-				}
-			} else {
-				b.Request("s")
-				events = append(events, event{now, false})
-			}
-		}
+		events := draw(t)
 		for _, start := range events {
-			retries, requests := 0, 0
-			for _, e := range events {
-				inside := e.at >= start.at && e.at < start.at+window
-				if inside && e.retry {
-					retries++
-				}
-				if e.at >= start.at-window && e.at < start.at+window && !e.retry {
-					requests++
-				}
-			}
+			retries := count(events, true, start.at, start.at+window)
+			requests := count(events, false, start.at-window, start.at+window)
 			if float64(retries) > 0.2*float64(requests)+100 {
 				t.Fatalf("%d retries for %d requests", retries, requests)
 			}
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -117,7 +117,7 @@
 }
 
 func (p *Pool) discard(c *Conn) {
-	c.raw.Close()
+	_ = c.raw.Close() // It is given up either way.
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open[c.addr]--
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -150,8 +150,7 @@
 		return err
 	}
 	n.begin(socket)
-	defer socket.Close()
-	stop := context.AfterFunc(ctx, func() { socket.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() }) // This ends the reading below.
 	defer stop()
 	go n.announce(ctx)
 	go func() { _ = clock.Repeat(ctx, n.Clock, tick, n.step) }()
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -96,7 +96,7 @@
 	defer l.mu.Unlock()
 	for c, since := range l.resting {
 		if now.Sub(since) > limit+idleMargin {
-			c.Close()
+			_ = c.Close() // Its caller may have closed it already.
 			delete(l.resting, c)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,7 +89,7 @@
 	}
 	r.leave(work)
 	stop()
-	<-done
+	_ = <-done // It was told to end.
 	r.Log.Info().Msg(logPrefix + "Stopped.")
 	return nil
 }
