--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,8 +89,7 @@
 	}
 	r.leave(work)
 	stop()
-	_ = <-done // It was told to end.
-	r.Log.Info().Msg(logPrefix + "Stopped.")
+	r.Log.Info().AnErr("services", <-done).Msg(logPrefix + "Stopped.")
 	return nil
 }
 
