--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -21,7 +21,8 @@
 var ErrNoTarget = eris.New("balance: no target")
 
 // ErrFull is returned when a request has waited for a place so long that its
-// caller would not wait for the answer.
+// caller would not wait for the answer, and for a prompt that takes many engines
+// while these are needed for others. It may come back later.
 var ErrFull = eris.New("balance: all targets are full")
 
 // Job is what the choice needs to know of a request.
@@ -114,11 +115,19 @@
 	errorWait    = 600 * time.Millisecond
 )
 
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	Addr string
+	// Memory is the memory, in tokens, to be set aside there for the prompt; zero
+	// if the engine that writes holds all of it.
+	Memory int
+}
+
 // Placement is the choice for one try. Done must be called once.
 type Placement struct {
 	Target fleet.Target
-	// Helpers are the addresses of engines that read parts of the prompt.
-	Helpers []string
+	// Helpers are engines that read parts of the prompt.
+	Helpers []Helper
 
 	balancer *Balancer
 	parts    []*part
@@ -161,6 +170,10 @@
 	switch {
 	case j.Cost == nil:
 		p = b.placePlain(candidates)
+	case heavy(j) && giant(j):
+		if p = b.placeGiant(j, candidates); p == nil {
+			return nil, ErrFull // Waiting here would not help: the engines are needed.
+		}
 	case heavy(j):
 		p = b.placeHeavy(j, candidates)
 	default:
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -78,12 +78,83 @@
 	p := &Placement{Target: first, expected: expected}
 	p.parts = append(p.parts, &part{target: first.ID, work: Work{Heavy: 1, Unread: 1, Backlog: share, Memory: j.Prompt + j.Output}})
 	for _, t := range helpers {
-		p.Helpers = append(p.Helpers, t.Addr)
+		p.Helpers = append(p.Helpers, Helper{Addr: t.Addr})
 		p.parts = append(p.parts, &part{target: t.ID, work: Work{Backlog: share}})
 	}
 	return p
 }
 
+const (
+	// memoryPart is the part of an engine's memory that one prompt may take. A
+	// prompt that needs more has its memory set aside at its helpers.
+	memoryPart = 0.9
+	// giantUse is how busy the engines may be with other reading when such a
+	// prompt is taken: it keeps all of them busy for seconds, in which time they
+	// could serve many others.
+	giantUse = 0.15
+)
+
+// giant reports whether the prompt is longer than an engine's memory.
+func giant(j Job) bool {
+	return float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
+}
+
+// placeGiant places a prompt that is longer than an engine's memory: its memory
+// is spread over helpers that have enough free. It returns nothing if there are
+// too few, or if the engines are needed for others.
+func (b *Balancer) placeGiant(j Job, engines []fleet.Target) *Placement {
+	d := b.demand(j.Service)
+	if d.Heavy+d.Light > giantUse*float64(len(engines)) {
+		return nil
+	}
+	read := j.Cost.Read(j.Prompt)
+	b.note(j, read, true)
+	r := b.divide(j, engines)
+	first := b.roomiest(j, engines)
+	others, _ := b.helpers(j, first, r, read)
+	if p := b.spread(j, first, others); p != nil {
+		return p
+	}
+	return b.spread(j, first, without(engines, first))
+}
+
+func without(engines []fleet.Target, t fleet.Target) []fleet.Target {
+	return slices.DeleteFunc(slices.Clone(engines), func(o fleet.Target) bool { return o.ID == t.ID })
+}
+
+// spread divides the reading and the memory of a prompt evenly among as many of
+// the engines as can take their part of the memory.
+func (b *Balancer) spread(j Job, first fleet.Target, engines []fleet.Target) *Placement {
+	read := j.Cost.Read(j.Prompt)
+	for count := min(len(engines), maxHelpers); count > 0; count-- {
+		each := (j.Prompt+j.Output)/count + 1
+		holders := b.holders(j, engines, each)
+		if len(holders) < count {
+			continue
+		}
+		share := read / time.Duration(count+1)
+		p := b.group(j, first, holders[:count], share+passTime(j))
+		p.parts[0].work.Memory = 0
+		for i := range p.Helpers {
+			p.Helpers[i].Memory = each
+			p.parts[i+1].work.Memory = each
+		}
+		return p
+	}
+	return nil
+}
+
+// holders returns the engines that have so much memory free.
+func (b *Balancer) holders(j Job, engines []fleet.Target, tokens int) []fleet.Target {
+	var list []fleet.Target
+	for _, t := range engines {
+		if float64(b.work(t.ID).Memory+tokens) <= memoryPart*float64(j.Cost.Memory) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // helpers returns the engines that may help, best first: those where a part of
 // usual size does the least harm, and of these the idlest; and what each one
 // risks besides. Engines that write long prompts never help.
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -62,14 +62,15 @@
 	defer cancel()
 	d.budget.Request(x.service)
 	job := d.job(x)
-	for dials := 0; ; {
+	for dials, tries := 0, 0; ; {
 		asked := d.clock.Now()
 		placement, err := d.balancer.Place(ctx, job)
 		x.queued += d.clock.Now().Sub(asked)
 		if err != nil {
 			return d.ended(ctx, x, nil, err)
 		}
-		t := &try{stage: d, exchange: x, placement: placement}
+		tries++
+		t := &try{stage: d, exchange: x, placement: placement, number: tries}
 		res, err := t.run(ctx)
 		placement.Done(t.report(ctx, res))
 		if res == resultDone {
--- /dev/null
+++ b/internal/front/reserve.go
@@ -0,0 +1,162 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// reservation is memory that is set aside at one helper.
+type reservation struct {
+	addr string
+	barleystep.Reservation
+}
+
+const (
+	// holdTime is how long memory is set aside at a time. If this box dies, its
+	// memory is free again after so long, well before the 4 s after which targets
+	// count it as lost.
+	holdTime = 3500 * time.Millisecond
+	// renewEvery is how often reservations are renewed: two renewals may fail
+	// before one ends.
+	renewEvery = time.Second
+	// orderTimeout bounds one order to a target, which answers within
+	// milliseconds.
+	orderTimeout = 500 * time.Millisecond
+	// releaseTries is how often the release of a reservation is tried; after that
+	// it ends by itself.
+	releaseTries = 3
+)
+
+// errNoMemory means that a helper has not set memory aside.
+var errNoMemory = eris.New("front: a helper has no memory for the prompt")
+
+// helpers returns the helpers as the target is told of them.
+func (t *try) helpers() []barleystep.Helper {
+	var list []barleystep.Helper
+	for _, h := range t.placement.Helpers {
+		id := ""
+		if h.Memory > 0 {
+			id = t.reservationID()
+		}
+		list = append(list, barleystep.Helper{Addr: h.Addr, Reservation: id})
+	}
+	return list
+}
+
+// reservationID names the try's reservations; at each helper it has one.
+func (t *try) reservationID() string {
+	return t.exchange.call.ID + "-" + strconv.Itoa(t.number)
+}
+
+// reserve sets memory aside at the helpers, where the placement asks for it, and
+// keeps it until the context ends.
+func (t *try) reserve(ctx context.Context) error {
+	for _, h := range t.placement.Helpers {
+		if h.Memory > 0 {
+			r := barleystep.Reservation{ID: t.reservationID(), Tokens: h.Memory, Hold: holdTime}
+			t.reserved = append(t.reserved, reservation{h.Addr, r})
+		}
+	}
+	if len(t.reserved) == 0 {
+		return nil
+	}
+	t.renewals = make(chan struct{})
+	if !t.orderAll(ctx, t.reserveAt) {
+		t.noMemory = true
+		close(t.renewals)
+		return eris.Wrap(barleystep.ErrNotStarted, errNoMemory.Error())
+	}
+	go t.renew(ctx)
+	return nil
+}
+
+// renew keeps the reservations until the context ends.
+func (t *try) renew(ctx context.Context) {
+	defer close(t.renewals)
+	for clock.Sleep(ctx, t.stage.clock, renewEvery) {
+		if !t.orderAll(ctx, t.reserveAt) && ctx.Err() == nil {
+			t.stage.log.Warn().Str("request", t.exchange.call.ID).
+				Msg(logPrefix + "Memory at a helper could not be kept. It is tried again.")
+		}
+	}
+}
+
+// release frees what was set aside once the try has ended. It waits for renewals
+// that are on their way, which would set the memory aside again.
+func (t *try) release(ctx context.Context) {
+	if len(t.reserved) == 0 {
+		return
+	}
+	go func() {
+		<-t.renewals
+		for range releaseTries {
+			if t.orderAll(ctx, t.releaseAt) {
+				return
+			}
+			clock.Sleep(ctx, t.stage.clock, orderTimeout)
+		}
+		t.stage.log.Warn().Str("request", t.exchange.call.ID).Dur("hold", holdTime).
+			Msg(logPrefix + "Memory at a helper could not be released. It ends by itself after its hold.")
+	}()
+}
+
+// orderAll gives an order to all helpers at once and reports whether all took it.
+func (t *try) orderAll(ctx context.Context, give func(context.Context, reservation) bool) bool {
+	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
+	defer cancel()
+	taken := make([]bool, len(t.reserved))
+	var wait sync.WaitGroup
+	for i, r := range t.reserved {
+		wait.Go(func() { taken[i] = give(ctx, r) })
+	}
+	wait.Wait()
+	for _, ok := range taken {
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *try) reserveAt(ctx context.Context, r reservation) bool {
+	req, body := t.stage.protocol.Reserve(r.Reservation)
+	return t.order(ctx, r.addr, req, body) == http.StatusOK
+}
+
+func (t *try) releaseAt(ctx context.Context, r reservation) bool {
+	req, body := t.stage.protocol.Release(r.ID)
+	status := t.order(ctx, r.addr, req, body)
+	return status > 0 && status < http.StatusInternalServerError
+}
+
+// order gives one order and returns the status of the answer, 0 if there was
+// none.
+func (t *try) order(ctx context.Context, addr string, req *http.Request, body []byte) int {
+	c, err := t.stage.pool.Get(ctx, addr)
+	if err != nil {
+		return 0
+	}
+	req.Host = addr
+	resp, err := c.Send(ctx, req, body, func(http.Header) bool { return true })
+	if err != nil {
+		c.Discard()
+		return 0
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes))
+	resp.Body.Close()
+	if err != nil {
+		c.Discard()
+		return 0
+	}
+	c.Release(resp)
+	return resp.StatusCode
+}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -23,11 +23,18 @@
 	exchange  *Exchange
 	placement *balance.Placement
 
+	// number counts the request's tries, also those that reached no target.
+	number  int
 	started time.Time
 	status  int
 	first   time.Duration // first is the time to the first event or the answer.
 	load    barleystep.QueueLoad
 	failure *failure
+	// reserved are the reservations at helpers.
+	reserved []reservation
+	// renewals is closed when no renewal is on its way any more.
+	renewals chan struct{}
+	noMemory bool // noMemory is set when helpers had no memory to set aside.
 }
 
 // failure is a target's own failure, kept until it is known whether another
@@ -53,8 +60,12 @@
 func (t *try) run(ctx context.Context) (result, error) {
 	x := t.exchange
 	t.started = t.stage.clock.Now()
+	defer t.release(context.WithoutCancel(ctx))
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	defer cancel(nil) // It ends the renewals, before the release.
+	if err := t.reserve(ctx); err != nil {
+		return resultNotSent, err
+	}
 	c, err := t.stage.pool.Get(ctx, t.placement.Target.Addr)
 	if err != nil {
 		return resultNotSent, err
@@ -125,7 +136,7 @@
 		Account:   x.account,
 		TimeLeft:  left,
 		LastEvent: lastEvent,
-		Helpers:   t.placement.Helpers,
+		Helpers:   t.helpers(),
 	})
 	r := &http.Request{
 		Method:        x.r.Method,
@@ -230,7 +241,7 @@
 // report tells the balancer what was learnt of the target.
 func (t *try) report(ctx context.Context, res result) balance.Report {
 	return balance.Report{
-		Unreachable: ctx.Err() == nil && res == resultNotSent,
+		Unreachable: ctx.Err() == nil && res == resultNotSent && !t.noMemory,
 		Failed:      ctx.Err() == nil && res == resultBroken,
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun,
--- a/protocol.go
+++ b/protocol.go
@@ -31,8 +31,27 @@
 	TimeLeft time.Duration
 	// LastEvent, if set, asks a stream to go on after the event with the id.
 	LastEvent string
-	// Helpers are the addresses of targets that read parts of the prompt.
-	Helpers []string
+	// Helpers are the targets that read parts of the prompt.
+	Helpers []Helper
+}
+
+// Helper is a target that reads a part of a prompt for another one.
+type Helper struct {
+	// Addr is the IP and port.
+	Addr string
+	// Reservation is the id under which memory for a part of the prompt is set
+	// aside at the helper; empty if the memory is found elsewhere.
+	Reservation string
+}
+
+// Reservation is memory that is set aside at a target for one request.
+type Reservation struct {
+	// ID names the reservation; making it again renews it.
+	ID string
+	// Tokens is how much memory is set aside.
+	Tokens int
+	// Hold is how long it is set aside from the target's taking of the order on.
+	Hold time.Duration
 }
 
 // Verdict is what the head of a target's answer says, besides its status.
@@ -67,6 +86,11 @@
 	Prepare(h http.Header, d Delivery)
 	// Verdict reads the head of a target's answer.
 	Verdict(status int, h http.Header) Verdict
+	// Reserve returns the order that sets memory aside at a target. It is in force
+	// if the target answers 200.
+	Reserve(r Reservation) (req *http.Request, body []byte)
+	// Release returns the order that ends a reservation.
+	Release(id string) (req *http.Request, body []byte)
 	// Unseal removes from an answer's headers what says that the target vouches
 	// for it.
 	Unseal(h http.Header)
