--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -169,6 +169,14 @@
 	}
 }
 
+// TestAlone checks that a prompt gets no helpers when these have been refused.
+func TestAlone(t *testing.T) {
+	f := newFixture(18)
+	j := job(longPrompt)
+	j.Alone = true
+	quicktest.Assert(t, f.place(t, j).Helpers, quicktest.HasLen, 0)
+}
+
 // TestFewEngines checks that there is a choice however few engines there are.
 func TestFewEngines(t *testing.T) {
 	for engines := 1; engines <= 6; engines++ {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -40,6 +40,9 @@
 	Tightest time.Duration
 	// Avoid lists targets that have already failed the request.
 	Avoid []barleystep.TargetID
+	// Alone asks for no helpers: a target refuses a request at once if one of its
+	// helpers is out of its reach, and does not say which.
+	Alone bool
 
 	// spare is how many slots the job must leave free.
 	spare int
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -53,6 +53,9 @@
 	first := b.roomiest(j, writers)
 	others, risks := b.helpers(j, first, r, read)
 	most := min(len(others), maxHelpers, int(read/leastPart))
+	if j.Alone {
+		most = 0
+	}
 	best, least := 0, math.Inf(1)
 	var expected time.Duration
 	harm := 0.0
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -78,6 +78,7 @@
 		}
 		d.note(x, t, res, err)
 		job.Avoid = append(job.Avoid, placement.Target.ID)
+		job.Alone = job.Alone || (res == resultNotRun && len(placement.Helpers) > 0)
 		if res == resultNotSent {
 			dials++
 		}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -23,14 +23,15 @@
 }
 
 const (
-	// leastSilence is the shortest time after which a silent target is given
-	// up: engines that wait for a lost helper stall for 1.5 s and then say so.
-	leastSilence = 1700 * time.Millisecond
+	// leastSilence is the shortest time after which a silent target is given up.
+	// Callers give a stream up after two seconds without an event, so that half of
+	// that is left for another target.
+	leastSilence = time.Second
 	// firstFactor and pauseFactor are how many times the objective and the
-	// longest pause a target may stay silent. Callers give a stream up after
-	// four times its objective, or eight times its pause.
+	// longest pause a target may stay silent. Callers wait for four times the
+	// objective, or eight times the pause, if that is longer.
 	firstFactor = 3
-	pauseFactor = 6
+	pauseFactor = 5
 	// waitFactor is how many times the expected wait at the target is allowed
 	// besides: taking a request away that merely waits has its prompt read twice
 	// and makes the wait of all others longer.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -158,7 +158,7 @@
 	known := make(map[netip.AddrPort]bool)
 	for _, m := range n.members {
 		known[m.addr] = true
-		if !m.alive && (collects || m.hall == n.Hall) {
+		if n.probes(m, collects, now) {
 			n.send(d, now, m)
 		}
 	}
@@ -171,6 +171,15 @@
 	}
 }
 
+// probes reports whether a silent box is told of this one: those of the own hall
+// and, by the collector, those of halls without any word.
+func (n *Node) probes(m *member, collects bool, now time.Time) bool {
+	if m.alive {
+		return false
+	}
+	return m.hall == n.Hall || (collects && n.collectorOf(m.hall, now) == nil)
+}
+
 // datagram returns one without work, echo or members.
 func (n *Node) datagram() *gossipv1.Datagram {
 	return &gossipv1.Datagram{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,7 +49,8 @@
 type Platform struct {
 	// URL is the root of the platform's store.
 	URL string `toml:"url"`
-	// Timeout bounds one call; the default is 2 seconds.
+	// Timeout bounds one call, besides the time that the store is asked to wait;
+	// the default is 1 second.
 	Timeout Duration `toml:"timeout"`
 }
 
