--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -94,6 +94,7 @@
 	f.StringVar(&a.token, "token", "", "operator's token ($"+envToken+")")
 	f.StringVarP(&a.output, "output", "o", outputTable, "output: table or json")
 	root.AddCommand(
+		explainCommand(),
 		a.configCommand(),
 		a.targetCommand(),
 		a.keyCommand(),
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,144 @@
+// Package explain reads the log lines of routers and tells the story of one
+// request: what each box decided about it, and what became of its targets.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Line is one line of a log.
+type Line struct {
+	at      time.Time
+	source  string
+	message string
+	fields  map[string]any
+}
+
+// At returns when the line was written, by its box's time of day.
+func (l Line) At() time.Time { return l.at }
+
+// Source returns what stood before the line, such as the name of the box where
+// logs were gathered.
+func (l Line) Source() string { return l.source }
+
+// Message returns the line's message.
+func (l Line) Message() string { return l.message }
+
+// String returns the line for a person: time, source, message and the fields that
+// hold something, by name.
+func (l Line) String() string {
+	var names []string
+	for name, v := range l.fields {
+		if v != "" && v != 0.0 {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.at.UTC().Format("15:04:05.000"), l.source, l.message)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	return b.String()
+}
+
+const (
+	// longestLine bounds a log line in bytes.
+	longestLine = 1 << 20
+
+	fieldTime    = "time"
+	fieldMessage = "message"
+	fieldLevel   = "level"
+	fieldRequest = "request"
+	fieldTarget  = "target"
+
+	// beliefPrefix opens the lines that tell what a box believes of targets.
+	beliefPrefix = "follow: "
+)
+
+// Story reads log lines and returns those about the request, and those that tell
+// what its boxes believed of its targets, in order of time. Lines that are no JSON
+// are passed over. The error is that of the reader.
+func Story(r io.Reader, request string) (story []Line, err error) {
+	lines, err := read(r)
+	if err != nil {
+		return nil, err
+	}
+	targets := make(map[any]bool)
+	boxes := make(map[string]bool)
+	for _, l := range lines {
+		if l.fields[fieldRequest] == request {
+			targets[l.fields[fieldTarget]] = true
+			boxes[box(l.source)] = true
+		}
+	}
+	delete(targets, "")
+	delete(targets, nil)
+	for _, l := range lines {
+		belief := strings.HasPrefix(l.message, beliefPrefix) && targets[l.fields[fieldTarget]] && boxes[box(l.source)]
+		if l.fields[fieldRequest] == request || belief {
+			story = append(story, l)
+		}
+	}
+	slices.SortStableFunc(story, func(a, b Line) int { return a.at.Compare(b.at) })
+	return story, nil
+}
+
+// box returns the last word of what stood before a line: its box, where gathered
+// logs name it.
+func box(source string) string {
+	words := strings.Fields(source)
+	if len(words) == 0 {
+		return ""
+	}
+	return words[len(words)-1]
+}
+
+func read(r io.Reader) (lines []Line, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Text()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, eris.Wrap(scanner.Err(), "explain: read")
+}
+
+// parse reads one line, which may have something before its JSON.
+func parse(text string) (l Line, ok bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	fields := make(map[string]any)
+	if json.Unmarshal([]byte(text[start:]), &fields) != nil {
+		return Line{}, false
+	}
+	at, ok := fields[fieldTime].(float64)
+	if !ok {
+		return Line{}, false
+	}
+	message, ok := fields[fieldMessage].(string)
+	if !ok {
+		return Line{}, false
+	}
+	for _, name := range []string{fieldTime, fieldMessage, fieldLevel} {
+		delete(fields, name)
+	}
+	return Line{
+		at:      time.UnixMilli(int64(at)),
+		source:  strings.TrimSpace(text[:start]),
+		message: message,
+		fields:  fields,
+	}, true
+}
--- /dev/null
+++ b/internal/gossip/bench_internal_test.go
@@ -0,0 +1,46 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// BenchmarkCapacityDatagram measures the size of a datagram with the work of some
+// targets and the boxes of a hall, and the time to write and read it.
+func BenchmarkCapacityDatagram(b *testing.B) {
+	for _, tc := range []struct{ targets, members int }{{1, 0}, {18, 0}, {18, 4}, {60, 4}, {60, 27}, {100, 35}} {
+		b.Run(fmt.Sprintf("targets=%d/members=%d", tc.targets, tc.members), func(b *testing.B) {
+			s := balance.NewSnapshot()
+			for i := range tc.targets {
+				key := balance.KeyOf(fmt.Sprint("i-", i))
+				s.Work[key] = balance.Work{Light: 12, Heavy: 2, Unread: 1, Backlog: 350 * time.Millisecond, Memory: 300_000}
+			}
+			s.Demands[1] = balance.Demand{Light: 2.5, Heavy: 9.5}
+			size := 0
+			for b.Loop() {
+				d := &gossipv1.Datagram{Box: "edge-cluj-hala1-1", Hall: "cluj-hala1", Incarnation: 1 << 60, Sequence: 5000, SentNs: 1 << 40, EchoNs: 1 << 40, HeldNs: 1 << 25, EchoIncarnation: 1 << 60, Version: 300, ProofAgeNs: 1 << 30}
+				fill(d, s)
+				for i := range tc.members {
+					d.Members = append(d.Members, &gossipv1.Member{Box: fmt.Sprint("edge-cluj-hala1-", i), Addr: "10.1.0.40:8229", Sequence: 5000, Incarnation: 1 << 60})
+				}
+				data, err := proto.Marshal(d)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var back gossipv1.Datagram
+				if err := proto.Unmarshal(data, &back); err != nil {
+					b.Fatal(err)
+				}
+				snapshotOf(&back)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B")
+		})
+	}
+}
