--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -20,6 +20,7 @@
 	Boxes func() int
 
 	mu       sync.Mutex
+	origin   time.Time
 	ratio    float64
 	extra    float64
 	services map[string]*account
@@ -73,8 +74,14 @@
 	return total
 }
 
+// slot numbers spans of time since the first call. It is a difference of times,
+// so that a step of the time of day does not empty the window.
 func (b *Budget) slot() int64 {
-	return b.Clock.Now().UnixNano() / int64(b.Window/buckets)
+	now := b.Clock.Now()
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	return int64(now.Sub(b.origin) / (b.Window / buckets))
 }
 
 func (b *Budget) account(service string) *account {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -54,6 +54,8 @@
 	errCutEvent = eris.New("front: the stream ended inside an event")
 	errStalled  = eris.New("front: the target sent nothing for too long")
 	errCaller   = eris.New("front: the caller does not read")
+
+	errLongAnswer = eris.New("front: the answer is too long")
 )
 
 // run sends the request and relays its answer.
@@ -188,7 +190,10 @@
 	case success && x.route.Kind == fleet.KindStream:
 		return t.relay(resp, w)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes+1))
+	if err == nil && len(body) > answerBytes {
+		err = errLongAnswer
+	}
 	if err != nil {
 		return resultBroken, err
 	}
