Have one box place the long prompts of all

Cause: a long prompt takes up to 17 engines; boxes that placed theirs within the 50 to 150 ms that the gossip takes chose the same ones (three within 16 ms in a steady burst), and an engine reads the part that came last first. Boxes now ask the first alive collector, and place prompts themselves if it does not answer.

Found by a test that failed once: a box said that it was ready before callers could connect; its listener opens a moment after the one for that question. It now waits for both.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -73,6 +73,8 @@
 	// Targets lists the targets that may get work.
 	Targets func() []fleet.Target
 	Log     *log.Logger
+	// Lead is asked for the engines of long prompts; nil places them here.
+	Lead Lead
 
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
@@ -80,6 +82,8 @@
 	// lightQueue and heavyQueue hold the jobs that wait for a place.
 	lightQueue []*waiter
 	heavyQueue []*waiter
+	// grants are the placements that were made for other boxes.
+	grants []grant
 	// seen keeps the sums of work during one choice.
 	seen map[barleystep.TargetID]Work
 	// others is the work and demand of all other boxes, as last heard.
@@ -120,6 +124,7 @@
 
 // Helper is an engine that reads a part of a prompt.
 type Helper struct {
+	ID   barleystep.TargetID
 	Addr string
 	// Memory is the memory, in tokens, to be set aside there for the prompt; zero
 	// if the engine that writes holds all of it.
@@ -152,6 +157,9 @@
 // for a place. It returns ErrNoTarget, ErrFull when the wait would be in vain, or
 // the context's error.
 func (b *Balancer) Place(ctx context.Context, j Job) (p *Placement, err error) {
+	if p, err = b.askLead(ctx, j); p != nil || err != nil {
+		return p, err
+	}
 	b.mu.Lock()
 	p, err = b.try(j)
 	if p != nil || err != nil {
@@ -185,12 +193,25 @@
 	if p == nil {
 		return nil, nil
 	}
+	b.book(p)
+	return p, nil
+}
+
+// book enters a placement in the books of its targets.
+func (b *Balancer) book(p *Placement) {
 	p.balancer = b
 	for _, part := range p.parts {
 		s := b.state(part.target)
 		s.parts = append(s.parts, part)
 	}
-	return p, nil
+}
+
+// strike takes a placement out of the books of its targets.
+func (b *Balancer) strike(p *Placement) {
+	for _, own := range p.parts {
+		s := b.state(own.target)
+		s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
+	}
 }
 
 // candidates returns the service's targets that may take the job: those that
@@ -277,10 +298,7 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, own := range p.parts {
-		s := b.state(own.target)
-		s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
-	}
+	b.strike(p)
 	b.learn(p.Target.ID, r)
 	b.serveWaiting(false)
 }
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -72,17 +72,24 @@
 			best, least, expected = k, cost, at
 		}
 	}
-	return b.group(j, first, others[:best], expected)
+	return b.group(j, first, others[:best], 0, expected)
 }
 
-func (b *Balancer) group(j Job, first fleet.Target, helpers []fleet.Target, expected time.Duration) *Placement {
+// group returns the placement of a prompt at an engine with helpers that each read
+// an equal part. Each helper sets so much memory aside; without any, the first
+// engine holds all of it.
+func (b *Balancer) group(j Job, first fleet.Target, helpers []fleet.Target, memory int, expected time.Duration) *Placement {
 	read := j.Cost.Read(j.Prompt)
 	share := read / time.Duration(len(helpers)+1)
 	p := &Placement{Target: first, expected: expected}
-	p.parts = append(p.parts, &part{target: first.ID, work: Work{Heavy: 1, Unread: 1, Backlog: share, Memory: j.Prompt + j.Output}})
+	own := Work{Heavy: 1, Unread: 1, Backlog: share}
+	if memory == 0 {
+		own.Memory = j.Prompt + j.Output
+	}
+	p.parts = append(p.parts, &part{target: first.ID, work: own})
 	for _, t := range helpers {
-		p.Helpers = append(p.Helpers, Helper{Addr: t.Addr})
-		p.parts = append(p.parts, &part{target: t.ID, work: Work{Backlog: share}})
+		p.Helpers = append(p.Helpers, Helper{ID: t.ID, Addr: t.Addr, Memory: memory})
+		p.parts = append(p.parts, &part{target: t.ID, work: Work{Backlog: share, Memory: memory}})
 	}
 	return p
 }
@@ -136,13 +143,7 @@
 			continue
 		}
 		share := read / time.Duration(count+1)
-		p := b.group(j, first, holders[:count], share+passTime(j))
-		p.parts[0].work.Memory = 0
-		for i := range p.Helpers {
-			p.Helpers[i].Memory = each
-			p.parts[i+1].work.Memory = each
-		}
-		return p
+		return b.group(j, first, holders[:count], each, share+passTime(j))
 	}
 	return nil
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -84,6 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others = s
+	b.endGrants()
 	b.serveWaiting(true)
 }
 
--- a/internal/gossip/configuration.go
+++ b/internal/gossip/configuration.go
@@ -27,10 +27,8 @@
 }
 
 // Handler returns the handler for other boxes.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(gossipv1connect.NewConfigurationServiceHandler(s))
-	return mux
+func (s *Server) Handler() (path string, h http.Handler) {
+	return gossipv1connect.NewConfigurationServiceHandler(s)
 }
 
 // Client gets configurations from other boxes.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -132,6 +132,8 @@
 	allWork   balance.Snapshot
 	allAt     time.Time
 	boxes     int
+	// leadAddr is the box that it holds for the lead.
+	leadAddr string
 }
 
 // Serve takes part until ctx ends.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -73,6 +73,7 @@
 		n.takeOut(s, d)
 		m.allWork, m.allAt = s, now
 		m.boxes = int(d.GetBoxes())
+		m.leadAddr = d.GetLeadAddr()
 		for _, o := range d.GetMembers() {
 			addr, err := netip.ParseAddrPort(o.GetAddr())
 			if err == nil && barleystep.BoxID(o.GetBox()) != n.Box {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -87,6 +87,34 @@
 	return first
 }
 
+// Lead returns the address of the one box that decides for all; ok is false if
+// that is this box. Boxes that are cut off from each other have leads of their
+// own.
+func (n *Node) Lead() (addr string, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Clock.Now()
+	addr = n.leadAddr(now)
+	if c := n.collector(now); c != nil {
+		addr = c.leadAddr
+	}
+	return addr, addr != "" && addr != n.Addr
+}
+
+// leadAddr returns the lead as the collector of a hall sees it: the first of the
+// halls' collectors.
+func (n *Node) leadAddr(now time.Time) string {
+	first, rank := n.Addr, xxhash.Sum64String(string(n.Box))
+	for _, hall := range n.halls() {
+		if m := n.collectorOf(hall, now); m != nil {
+			if r := xxhash.Sum64String(string(m.box)); r < rank {
+				first, rank = m.addr.String(), r
+			}
+		}
+	}
+	return first
+}
+
 func (n *Node) report(own balance.Snapshot) *gossipv1.Datagram {
 	d := n.datagram()
 	fill(d, own)
@@ -113,6 +141,7 @@
 	d = n.datagram()
 	d.Scope = gossipv1.Scope_SCOPE_ALL
 	d.Boxes = int32(n.count(now))
+	d.LeadAddr = n.leadAddr(now)
 	fill(d, sum)
 	d.Members = members
 	for _, m := range n.members {
--- /dev/null
+++ b/internal/lead/lead.go
@@ -0,0 +1,135 @@
+// Package lead lets boxes have their long prompts placed by one of them.
+package lead
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	placementv1 "github.com/barleystep/barleystep/api/placement/v1"
+	"github.com/barleystep/barleystep/api/placement/v1/placementv1connect"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+const logPrefix = "lead: "
+
+// Server places prompts for other boxes.
+type Server struct {
+	Balancer *balance.Balancer
+	// View returns the configuration in force, nil if there is none.
+	View func() *fleet.View
+}
+
+// Handler returns the handler for other boxes.
+func (s *Server) Handler() (path string, h http.Handler) {
+	return placementv1connect.NewPlacementServiceHandler(s)
+}
+
+// Place chooses the engines of a long prompt.
+func (s *Server) Place(_ context.Context, r *connect.Request[placementv1.PlaceRequest]) (*connect.Response[placementv1.PlaceResponse], error) {
+	view := s.View()
+	if view == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, eris.New("no configuration is known"))
+	}
+	plan, err := s.Balancer.Grant(jobOf(view, r.Msg))
+	switch {
+	case eris.Is(err, balance.ErrFull):
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	out := &placementv1.PlaceResponse{Target: string(plan.Target), ExpectedUs: plan.Expected.Microseconds()}
+	for _, h := range plan.Helpers {
+		out.Helpers = append(out.Helpers, &placementv1.Helper{Target: string(h.Target), Memory: int64(h.Memory)})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func jobOf(view *fleet.View, m *placementv1.PlaceRequest) balance.Job {
+	j := balance.Job{
+		Service:   m.GetService(),
+		Prompt:    int(m.GetPrompt()),
+		Output:    int(m.GetOutput()),
+		Objective: time.Duration(m.GetObjectiveMs()) * time.Millisecond,
+		Tightest:  view.TightestPause(m.GetService()),
+		Alone:     m.GetAlone(),
+	}
+	if s := view.Service(j.Service); s != nil {
+		j.Cost = s.Cost
+	}
+	for _, id := range m.GetAvoid() {
+		j.Avoid = append(j.Avoid, barleystep.TargetID(id))
+	}
+	return j
+}
+
+// Client asks the lead. Its exported fields are set before use; it is safe for
+// concurrent use.
+type Client struct {
+	Clock barleystep.Clock
+	HTTP  *http.Client
+	// Addr returns the lead's address; ok is false if this box is the lead
+	// itself or knows none.
+	Addr func() (addr string, ok bool)
+	Log  *log.Logger
+}
+
+// askTimeout bounds one question. The lead answers within a few milliseconds; if
+// it does not, the prompt is placed here.
+const askTimeout = 60 * time.Millisecond
+
+// errLocal is returned where there is nobody to ask.
+var errLocal = eris.New("lead: this box decides itself")
+
+// Place asks the lead for the engines of a long prompt.
+func (c *Client) Place(ctx context.Context, j balance.Job) (plan balance.Plan, err error) {
+	addr, ok := c.Addr()
+	if !ok {
+		return balance.Plan{}, errLocal
+	}
+	ctx, cancel := clock.WithDeadline(ctx, c.Clock, c.Clock.Now().Add(askTimeout))
+	defer cancel()
+	client := placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
+	resp, err := client.Place(ctx, connect.NewRequest(requestOf(j)))
+	switch {
+	case err == nil:
+		return planOf(resp.Msg), nil
+	case connect.CodeOf(err) == connect.CodeResourceExhausted:
+		return balance.Plan{}, balance.ErrFull
+	default:
+		c.Log.Warn().Str("lead", addr).Err(err).Msg(logPrefix + "The lead does not answer. The prompt is placed here.")
+		return balance.Plan{}, eris.Wrap(err, "lead: place")
+	}
+}
+
+func requestOf(j balance.Job) *placementv1.PlaceRequest {
+	m := &placementv1.PlaceRequest{
+		Service:     j.Service,
+		Prompt:      int64(j.Prompt),
+		Output:      int64(j.Output),
+		ObjectiveMs: j.Objective.Milliseconds(),
+		Alone:       j.Alone,
+	}
+	for _, id := range j.Avoid {
+		m.Avoid = append(m.Avoid, string(id))
+	}
+	return m
+}
+
+func planOf(m *placementv1.PlaceResponse) balance.Plan {
+	plan := balance.Plan{
+		Target:   barleystep.TargetID(m.GetTarget()),
+		Expected: time.Duration(m.GetExpectedUs()) * time.Microsecond,
+	}
+	for _, h := range m.GetHelpers() {
+		plan.Helpers = append(plan.Helpers, balance.PlannedHelper{Target: barleystep.TargetID(h.GetTarget()), Memory: int(h.GetMemory())})
+	}
+	return plan
+}
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -24,6 +25,8 @@
 	// idle returns how long a connection may rest.
 	idle func() time.Duration
 
+	// open is set once callers can connect.
+	open    atomic.Bool
 	server  *http.Server
 	mu      sync.Mutex
 	resting map[net.Conn]time.Time
@@ -51,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	l.open.Store(true)
 	l.log.Info().Str("addr", l.addr).Msg(logPrefix + "Callers are served.")
 	done := make(chan error, 1)
 	go func() { done <- l.server.Serve(socket) }()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/barleystep/barleystep/internal/follow"
 	"github.com/barleystep/barleystep/internal/front"
 	"github.com/barleystep/barleystep/internal/gossip"
+	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/supervisor"
@@ -67,6 +68,9 @@
 	// dialTimeout bounds the making of a connection to a target, which takes a
 	// few milliseconds where the target lives.
 	dialTimeout = 500 * time.Millisecond
+	// leadConnections is how many connections to the lead are kept: long prompts
+	// come a few a second.
+	leadConnections = 2
 	// fetchTimeout bounds the fetching of a configuration from another box.
 	fetchTimeout = time.Second
 	// tendEvery is how often old connections and old beliefs are dropped.
@@ -117,6 +121,12 @@
 		Fetch:         (&gossip.Client{HTTP: &http.Client{Timeout: fetchTimeout}}).Fetch,
 		Log:           r.Log,
 	}
+	r.balancer.Lead = &lead.Client{
+		Clock: r.Clock,
+		HTTP:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: leadConnections}},
+		Addr:  r.gossip.Lead,
+		Log:   r.Log,
+	}
 	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
 	r.budget = &budget.Budget{Clock: r.Clock, Window: s.Retries.Window.Or(defaultWindow), Boxes: r.gossip.Boxes}
 	r.front = &front.Server{
@@ -167,12 +177,20 @@
 	if s.Listen.Admin != "" {
 		r.top.Add(r.web("metrics", s.Listen.Admin, r.Exporter))
 	}
-	r.top.Add(r.web("peers", s.Listen.Peers, (&gossip.Server{Raw: r.configuration.Raw}).Handler()))
+	r.top.Add(r.web("peers", s.Listen.Peers, r.peers()))
 	r.top.Add(r.gossip)
 	r.top.Add(tender{r})
 	r.top.Add(&settings.Watcher{Clock: r.Clock, Current: s, Apply: r.apply, Log: r.Log})
 }
 
+// peers returns the handler for other boxes.
+func (r *Router) peers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle((&gossip.Server{Raw: r.configuration.Raw}).Handler())
+	mux.Handle((&lead.Server{Balancer: r.balancer, View: r.configuration.View}).Handler())
+	return mux
+}
+
 func (r *Router) web(name, addr string, h http.Handler) *web.Server {
 	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: r.Clock, Log: r.Log}
 }
@@ -184,15 +202,15 @@
 	return 0
 }
 
-// Ready reports whether the box takes callers: it knows the configuration and
-// the targets, can prove that keys are current, and is not stopping.
+// Ready reports whether the box takes callers: they can connect, it knows the
+// configuration and the targets, can prove that keys are current, and is not stopping.
 func (r *Router) Ready() bool {
 	select {
 	case <-r.leaving:
 		return false
 	default:
 	}
-	if r.configuration.View() == nil || !r.targets.Known() {
+	if !r.callers.open.Load() || r.configuration.View() == nil || !r.targets.Known() {
 		return false
 	}
 	freshness := time.Duration(r.freshness.Load())
