Leave a silent target only when another can take the stream

The box cut connections to targets that were silent for a second before it knew whether there was a retry left and a free slot elsewhere.

--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -64,6 +64,19 @@
 	return best, least
 }
 
+// HasRoom reports whether some target with a free slot may take the job.
+func (b *Balancer) HasRoom(j Job) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.seen)
+	for _, t := range b.candidates(j) {
+		if w := b.work(t.ID); t.Slots == 0 || w.Light+w.Heavy < t.Slots {
+			return true
+		}
+	}
+	return false
+}
+
 // lightScore is about how long a short prompt waits at the engine.
 func (b *Balancer) lightScore(t fleet.Target) time.Duration {
 	w := b.work(t.ID)
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -82,7 +82,7 @@
 		if res == resultNotSent {
 			dials++
 		}
-		if !d.again(ctx, x, res, dials) {
+		if !d.again(ctx, t, res, dials) {
 			return d.ended(ctx, x, t, err)
 		}
 		d.meter.Retried(res.String())
@@ -105,7 +105,8 @@
 }
 
 // again decides whether the request is tried once more.
-func (d *deliver) again(ctx context.Context, x *Exchange, res result, dials int) bool {
+func (d *deliver) again(ctx context.Context, t *try, res result, dials int) bool {
+	x := t.exchange
 	if ctx.Err() != nil {
 		return false
 	}
@@ -121,7 +122,7 @@
 	if x.begun && (x.last == "" || !x.route.Resumable) {
 		return false
 	}
-	return d.budget.Retry(x.service)
+	return t.paid || d.budget.Retry(x.service)
 }
 
 // ended turns the last try into the end of the request. A failure of the
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -246,6 +246,10 @@
 }
 
 func newFixture(t *testing.T, s state, steps ...step) *fixture {
+	return newFixtureAt(t, clock.System{}, s, steps...)
+}
+
+func newFixtureAt(t *testing.T, clk barleystep.Clock, s state, steps ...step) *fixture {
 	f := &fixture{target: &server{steps: steps}}
 	addr := f.target.start(t)
 	targets := []fleet.Target{
@@ -255,15 +259,15 @@
 	for _, id := range []barleystep.TargetID{"x", "y", "z", "w"} {
 		targets = append(targets, fleet.Target{ID: id, Service: "engines", Addr: addr, Slots: 4})
 	}
-	spent := &budget.Budget{Clock: clock.System{}, Window: 10 * time.Second, Boxes: func() int { return 1 }}
+	spent := &budget.Budget{Clock: clk, Window: 10 * time.Second, Boxes: func() int { return 1 }}
 	spent.Set(1, 10)
 	quiet := &log.Logger{Level: log.PanicLevel}
 	f.front = &front.Server{
-		Clock:         clock.System{},
+		Clock:         clk,
 		Protocol:      protocol{},
 		Configuration: s,
-		Balancer:      &balance.Balancer{Clock: clock.System{}, Targets: func() []fleet.Target { return targets }, Log: quiet},
-		Pool:          &conn.Pool{Clock: clock.System{}, DialTimeout: 10 * time.Second},
+		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }, Log: quiet},
+		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
 		Budget:        spent,
 		Meter:         metric.Discard(),
 		Log:           quiet,
@@ -437,6 +441,55 @@
 	c.Check(left > 0 && left <= 3*time.Second, quicktest.IsTrue)
 }
 
+// TestSilence checks that a stream is taken from a silent target only if another
+// can take it, and goes on there.
+func TestSilence(t *testing.T) {
+	for name, budgeted := range map[string]bool{"another can": true, "no retry is left": false} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			stopped := make(chan struct{})
+			stall := func(k net.Conn, r *http.Request) bool {
+				raw("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: xyz\n\n\r\n")(k, r)
+				<-stopped
+				raw("12\r\nid: 2\ndata: late\n\n\r\n0\r\n\r\n")(k, r)
+				return false
+			}
+			manual := clock.NewManual(time.Unix(1000, 0))
+			view := newView()
+			view.Route("h", "/stream/").Timeout = 24 * time.Hour
+			f := newFixtureAt(t, manual, state{view: view}, stall, events(2, 3, false))
+			if !budgeted {
+				f.front.Budget.Set(0, 0)
+			}
+			answer := make(chan reply, 1)
+			go func() { answer <- f.ask(t, http.MethodPost, "/stream/", "") }()
+			for f.target.count() == 0 {
+				runtime.Gosched()
+			}
+			for i := 0; f.target.count() < 2 && (budgeted || i < 1000); i++ {
+				manual.Advance(100 * time.Millisecond)
+				runtime.Gosched()
+			}
+			close(stopped)
+			got := <-answer
+			c.Check(got.broken, quicktest.IsFalse)
+			if budgeted {
+				c.Check(f.target.count(), quicktest.Equals, 2)
+				c.Check(strings.HasSuffix(got.body, stream(2, 3)), quicktest.IsTrue)
+			} else {
+				c.Check(f.target.count(), quicktest.Equals, 1)
+				c.Check(strings.HasSuffix(got.body, "data: late\n\n"), quicktest.IsTrue)
+			}
+		})
+	}
+}
+
+func (s *server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
 // TestTimeLimit checks that a request ends at its route's time limit although
 // its target says nothing, and that no promise is made.
 func TestTimeLimit(t *testing.T) {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -34,6 +34,7 @@
 	reserved []reservation
 	// renewals is closed when no renewal is on its way any more.
 	renewals chan struct{}
+	paid     bool // paid is set when the next try has been paid for.
 	noMemory bool // noMemory is set when helpers had no memory to set aside.
 }
 
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -14,7 +14,10 @@
 type watch struct {
 	clock  barleystep.Clock
 	cancel context.CancelCauseFunc
-	pause  time.Duration
+	// move reports whether another target can take the request, and holds what
+	// that takes.
+	move  func() bool
+	pause time.Duration
 
 	mu    sync.Mutex
 	until time.Time
@@ -24,9 +27,12 @@
 
 const (
 	// leastSilence is the shortest time after which a silent target is given up.
-	// Callers give a stream up after two seconds without an event, so that half of
-	// that is left for another target.
-	leastSilence = time.Second
+	// Callers give a stream up after two seconds without an event; an engine with
+	// room needs a fifth of a second to take one up.
+	leastSilence = 1500 * time.Millisecond
+	// moveRetry is when it is tried again to move a request that no other target
+	// can take: a silent target is better than none.
+	moveRetry = 200 * time.Millisecond
 	// firstFactor and pauseFactor are how many times the objective and the
 	// longest pause a target may stay silent. Callers wait for four times the
 	// objective, or eight times the pause, if that is longer.
@@ -42,7 +48,7 @@
 // target are left alone: there is nothing to be won by ending them.
 func (t *try) newWatch(cancel context.CancelCauseFunc) *watch {
 	x := t.exchange
-	w := &watch{clock: t.stage.clock, cancel: cancel, done: make(chan struct{})}
+	w := &watch{clock: t.stage.clock, cancel: cancel, move: t.mayMove, done: make(chan struct{})}
 	if x.route.Kind != fleet.KindStream || !x.route.Resumable || x.sends+1 >= x.route.MaxSends {
 		return w
 	}
@@ -65,10 +71,14 @@
 		w.mu.Lock()
 		wait = w.until.Sub(w.clock.Now())
 		w.mu.Unlock()
-		if wait <= 0 {
+		if wait > 0 {
+			continue
+		}
+		if w.move() {
 			w.cancel(errStalled)
 			return
 		}
+		wait = moveRetry
 	}
 }
 
@@ -83,3 +93,12 @@
 }
 
 func (w *watch) stop() { w.once.Do(func() { close(w.done) }) }
+
+// mayMove reports whether another target can take the request from a silent one.
+// It pays for that from the retry budget.
+func (t *try) mayMove() bool {
+	job := t.stage.job(t.exchange)
+	job.Avoid = append(job.Avoid, t.placement.Target.ID)
+	t.paid = t.stage.balancer.HasRoom(job) && t.stage.budget.Retry(t.exchange.service)
+	return t.paid
+}
