--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -234,6 +234,51 @@
 	c.Check(eris.Is(<-got, balance.ErrFull), quicktest.IsTrue)
 }
 
+// TestOrder checks which of the waiting prompts gets the next free slot.
+func TestOrder(t *testing.T) {
+	type wait struct {
+		name string
+		rank int
+		// after is how long after the one before it came.
+		after time.Duration
+	}
+	cases := map[string]struct {
+		waits []wait
+		want  string
+	}{
+		"the newest that can be in time": {[]wait{{"old", 1, 0}, {"new", 1, 50 * time.Millisecond}}, "new"},
+		"the better rank":                {[]wait{{"first", 0, 0}, {"new", 1, 50 * time.Millisecond}}, "first"},
+		"not one that is late":           {[]wait{{"late", 1, 0}, {"new", 1, 250 * time.Millisecond}}, "new"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(1)
+			var placed []*balance.Placement
+			for range 4 {
+				placed = append(placed, f.place(t, job(shortPrompt)))
+			}
+			served := make(chan string, len(tc.waits))
+			for i, w := range tc.waits {
+				f.clock.Advance(w.after)
+				go func() {
+					j := job(shortPrompt)
+					j.Rank = w.rank
+					if _, err := f.Place(context.Background(), j); err == nil {
+						served <- w.name
+					}
+				}()
+				for f.clock.Timers() != i+1 {
+					runtime.Gosched()
+				}
+			}
+			placed[0].Done(balance.Report{})
+			quicktest.Check(t, <-served, quicktest.Equals, tc.want)
+			quicktest.Check(t, served, quicktest.HasLen, 0)
+			f.clock.Advance(time.Minute) // The others give up.
+		})
+	}
+}
+
 // TestBooks checks that nothing is left in the books once all tries have ended,
 // whatever they were and in whatever order they ended.
 func TestBooks(t *testing.T) {
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -100,9 +100,10 @@
 	}
 }
 
-// nextWaiter takes the next job off the queue. Of short prompts that can still be
-// in time it is the one that came last, since the ones before it are the likelier
-// to be late; else it is the one that has waited longest.
+// nextWaiter takes the next job off the queue: one of the best rank, and of these,
+// of short prompts that can still be in time, the one that came last, since the
+// ones before it are the likelier to be late; else the one that has waited
+// longest.
 func (b *Balancer) nextWaiter(q *[]*waiter) *waiter {
 	now := b.Clock.Now()
 	kept := slices.DeleteFunc(*q, func(w *waiter) bool { return w.gone })
@@ -110,24 +111,38 @@
 	if len(kept) == 0 {
 		return nil
 	}
-	next, oldest := -1, 0
+	next := 0
 	for i, w := range kept {
-		if w.since.Before(kept[oldest].since) {
-			oldest = i
-		}
-		inTime := now.Sub(w.since) < w.job.Objective-answerTime
-		if inTime && !heavy(w.job) && (next < 0 || w.since.After(kept[next].since)) {
+		if w.before(kept[next], now) {
 			next = i
 		}
 	}
-	if next < 0 {
-		next = oldest
-	}
 	w := kept[next]
 	w.job.spare = 0
-	if now.Sub(w.since) >= w.job.Objective-answerTime {
+	if !w.inTime(now) {
 		w.job.spare = lateSpare
 	}
 	*q = slices.Delete(kept, next, next+1)
 	return w
 }
+
+// inTime reports whether a job that is placed now can still be in time.
+func (w *waiter) inTime(now time.Time) bool {
+	return now.Sub(w.since) < w.job.Objective-answerTime
+}
+
+// before reports whether the job goes before another one.
+func (w *waiter) before(o *waiter, now time.Time) bool {
+	if w.job.Rank != o.job.Rank {
+		return w.job.Rank < o.job.Rank
+	}
+	fresh, otherFresh := w.inTime(now) && !heavy(w.job), o.inTime(now) && !heavy(o.job)
+	switch {
+	case fresh != otherFresh:
+		return fresh
+	case fresh:
+		return w.since.After(o.since)
+	default:
+		return w.since.Before(o.since)
+	}
+}
--- /dev/null
+++ b/internal/front/fixture_test.go
@@ -0,0 +1,311 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/budget"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/front"
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// protocol is a plain form of barleystep.Protocol for these tests.
+type protocol struct{}
+
+func (protocol) Call(h http.Header) barleystep.Call {
+	limit, err := time.ParseDuration(h.Get("Limit"))
+	if err != nil {
+		limit = 0
+	}
+	prompt, err := strconv.Atoi(h.Get("Prompt"))
+	if err != nil {
+		prompt = 0
+	}
+	return barleystep.Call{ID: h.Get("Id"), Key: h.Get("Key"), TimeLimit: limit, Prompt: prompt}
+}
+
+func (protocol) Prepare(h http.Header, d barleystep.Delivery) {
+	h.Del("Key")
+	h.Set("Instance", string(d.Instance))
+	h.Set("Account", d.Account)
+	h.Set("Left", d.TimeLeft.String())
+	if d.LastEvent != "" {
+		h.Set("Last", d.LastEvent)
+	}
+	for _, helper := range d.Helpers {
+		h.Add("Helper", helper.Reservation)
+	}
+}
+
+func (protocol) Verdict(_ int, h http.Header) barleystep.Verdict {
+	return barleystep.Verdict{
+		ID:      h.Get("Id"),
+		Sealed:  h.Get("Seal") != "",
+		NotRun:  h.Get("Not-Run") != "",
+		Encoded: h.Get("Content-Encoding") != "",
+	}
+}
+
+func (protocol) Reserve(r barleystep.Reservation) (*http.Request, []byte) {
+	return order("/reserve/" + r.ID + "/" + fmt.Sprint(r.Tokens))
+}
+
+func (protocol) Release(id string) (*http.Request, []byte) { return order("/release/" + id) }
+
+func order(path string) (*http.Request, []byte) {
+	return &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: path}, Header: http.Header{}}, nil
+}
+
+func (protocol) Unseal(h http.Header) { h.Del("Seal") }
+
+func (protocol) Answer(h http.Header, id string, retryAfter time.Duration) {
+	h.Set("Id", id)
+	h.Set("Again", retryAfter.String())
+}
+
+// server is a target that answers each request with the next step.
+type server struct {
+	mu       sync.Mutex
+	steps    []step
+	orders   []step // orders answer orders instead, the last one all further ones.
+	requests []*http.Request
+	bodies   []string
+}
+
+// step writes an answer to a connection; the connection is closed after it
+// unless it returns true.
+type step func(c net.Conn, r *http.Request) bool
+
+func (s *server) next(r *http.Request, body string) step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, r)
+	s.bodies = append(s.bodies, body)
+	if isOrder(r) && len(s.orders) > 0 {
+		next := s.orders[0]
+		if len(s.orders) > 1 {
+			s.orders = s.orders[1:]
+		}
+		return next
+	}
+	if len(s.steps) == 0 {
+		return raw("")
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	return next
+}
+
+func isOrder(r *http.Request) bool {
+	return strings.HasPrefix(r.RequestURI, "/reserve/") || strings.HasPrefix(r.RequestURI, "/release/")
+}
+
+func (s *server) start(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *server) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		if !s.next(r, string(body))(c, r) {
+			return
+		}
+	}
+}
+
+// raw writes a text as it is; ID stands for the request's id.
+func raw(text string) step {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		return false
+	}
+}
+
+func whole(status int, headers, body string) step {
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\nId: ID\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+	return func(c net.Conn, r *http.Request) bool {
+		raw(text)(c, r)
+		return true
+	}
+}
+
+// events writes a stream of numbered events; cut leaves out its end.
+func events(from, to int, cut bool) step {
+	text := "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for i := from; i <= to; i++ {
+		e := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+	}
+	if cut {
+		return raw(text + "8\r\nid: 9")
+	}
+	return raw(text + "0\r\n\r\n")
+}
+
+func silent(_ net.Conn, r *http.Request) bool {
+	<-r.Context().Done()
+	return false
+}
+
+// state is a configuration whose age of proof is set by a test.
+type state struct {
+	view *fleet.View
+	age  time.Duration
+}
+
+func (s state) View() *fleet.View  { return s.view }
+func (s state) Age() time.Duration { return s.age }
+
+const (
+	freshness = 5 * time.Second
+	objective = 300 * time.Millisecond
+)
+
+func newView() *fleet.View {
+	share := []fleet.Share{{Service: "s", Weight: 1}}
+	base := fleet.Route{Host: "h", Timeout: 20 * time.Second, Objective: objective, MaxPause: objective, MaxSends: 2, Split: share}
+	route := func(prefix string, kind fleet.Kind, resumable, public bool) fleet.Route {
+		r := base
+		r.Name, r.Prefix, r.Kind, r.Resumable, r.Public = prefix, prefix, kind, resumable, public
+		return r
+	}
+	giant := []fleet.Share{{Service: "engines", Weight: 1}}
+	short := route("/short/", fleet.KindOnce, false, true)
+	short.Timeout = 50 * time.Millisecond
+	c := fleet.Configuration{
+		Version: 1,
+		Routes: []fleet.Route{
+			route("/once/", fleet.KindOnce, false, true),
+			route("/again/", fleet.KindRepeatable, false, true),
+			route("/stream/", fleet.KindStream, true, true),
+			route("/plainstream/", fleet.KindStream, false, true),
+			route("/giant/", fleet.KindStream, true, true),
+			route("/keyed/", fleet.KindOnce, false, false),
+			short,
+		},
+		Services: []fleet.Service{{Name: "s"}, {Name: "engines", Cost: engineCost}},
+		Accounts: []fleet.Account{{Name: "acme", Keys: []string{"k"}}},
+		Limits:   fleet.Limits{BodyBytes: 100},
+	}
+	for i := range c.Routes {
+		if c.Routes[i].Name == "/giant/" {
+			c.Routes[i].Split = giant
+		}
+	}
+	return fleet.NewView(c)
+}
+
+// engineCost is that of engines with memory for 1,000 tokens, which read a token
+// in a millisecond.
+var engineCost = &fleet.CostModel{Slots: 4, Memory: 1000, Stride: 1, Step: time.Millisecond, ReadRate: 1000, UsualPrompt: 100}
+
+// fixture is a front before some targets.
+type fixture struct {
+	url    string
+	front  *front.Server
+	target *server
+}
+
+func newFixture(t *testing.T, s state, steps ...step) *fixture {
+	return newFixtureAt(t, clock.System{}, s, steps...)
+}
+
+func newFixtureAt(t *testing.T, clk barleystep.Clock, s state, steps ...step) *fixture {
+	f := &fixture{target: &server{steps: steps}}
+	addr := f.target.start(t)
+	targets := []fleet.Target{
+		{ID: "a", Service: "s", Addr: addr, Slots: 4},
+		{ID: "b", Service: "s", Addr: addr, Slots: 4},
+	}
+	for _, id := range []barleystep.TargetID{"x", "y", "z", "w"} {
+		targets = append(targets, fleet.Target{ID: id, Service: "engines", Addr: addr, Slots: 4})
+	}
+	spent := &budget.Budget{Clock: clk, Window: 10 * time.Second, Boxes: func() int { return 1 }}
+	spent.Set(1, 10)
+	quiet := &log.Logger{Level: log.PanicLevel}
+	f.front = &front.Server{
+		Clock:         clk,
+		Protocol:      protocol{},
+		Configuration: s,
+		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }, Log: quiet},
+		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
+		Budget:        spent,
+		Meter:         metric.Discard(),
+		Log:           quiet,
+	}
+	f.front.SetFreshness(freshness)
+	server := httptest.NewServer(f.front.Handler())
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken is set when the answer did not come whole.
+	broken bool
+}
+
+func (f *fixture) ask(t *testing.T, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequestWithContext(context.Background(), method, f.url+path, strings.NewReader(body))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(data), err != nil}
+}
+
+func (s *server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
--- /dev/null
+++ b/internal/front/reserve_test.go
@@ -0,0 +1,95 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestReserve checks that the memory of a prompt that is longer than an engine's
+// is set aside at helpers before the request is sent, and released after it,
+// whatever became of it.
+func TestReserve(t *testing.T) {
+	ok, full := whole(200, "", ""), whole(409, "", "")
+	cases := map[string]struct {
+		steps []step
+		// order is how engines answer orders, each time in turn; the last one
+		// answers all further ones.
+		order []step
+		// sends is how many times the request itself is sent, after reserved
+		// reservations.
+		reserved int
+		sends    int
+		status   int
+	}{
+		"served":        {[]step{events(1, 2, false)}, []step{ok}, 2, 1, 200},
+		"breaks off":    {[]step{raw("")}, []step{ok}, 2, 1, 502},
+		"release fails": {[]step{events(1, 2, false)}, []step{failingOnce("/release/", ok)}, 2, 1, 200},
+		"no memory":     {nil, []step{full}, 0, 0, 503},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			view := newView()
+			view.Route("h", "/giant/").MaxSends = 1
+			f := newFixture(t, state{view: view}, tc.steps...)
+			f.target.orders = tc.order
+			got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+			c.Check(got.status, quicktest.Equals, tc.status)
+			orders := f.target.released()
+			before, _, sent := strings.Cut(orders, "S")
+			c.Check(sent, quicktest.Equals, tc.sends > 0)
+			c.Check(strings.Count(orders, "S"), quicktest.Equals, tc.sends)
+			if sent {
+				c.Check(len(before) >= tc.reserved, quicktest.IsTrue)
+				c.Check(strings.Trim(before, "R"), quicktest.Equals, "")
+			}
+		})
+	}
+}
+
+// failingOnce closes the connection of the first request below the path.
+func failingOnce(path string, otherwise step) step {
+	var failed atomic.Bool
+	return func(c net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.RequestURI, path) && failed.CompareAndSwap(false, true) {
+			return false
+		}
+		return otherwise(c, r)
+	}
+}
+
+// released returns the kinds of the requests that the engines got, R for a
+// reservation, F for its release and S for the request itself, once as many
+// releases as reservations have come.
+func (s *server) released() string {
+	for {
+		kinds := s.kinds()
+		if n := strings.Count(kinds, "R"); n > 0 && strings.Count(kinds, "F") >= n {
+			return kinds
+		}
+		runtime.Gosched()
+	}
+}
+
+func (s *server) kinds() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kinds []byte
+	for _, r := range s.requests {
+		switch {
+		case strings.HasPrefix(r.RequestURI, "/reserve/"):
+			kinds = append(kinds, 'R')
+		case strings.HasPrefix(r.RequestURI, "/release/"):
+			kinds = append(kinds, 'F')
+		default:
+			kinds = append(kinds, 'S')
+		}
+	}
+	return string(kinds)
+}
--- /dev/null
+++ b/internal/front/silence_test.go
@@ -0,0 +1,57 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// TestSilence checks that a stream is taken from a silent target only if another
+// can take it, and goes on there.
+func TestSilence(t *testing.T) {
+	for name, budgeted := range map[string]bool{"another can": true, "no retry is left": false} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			stopped := make(chan struct{})
+			stall := func(k net.Conn, r *http.Request) bool {
+				raw("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: xyz\n\n\r\n")(k, r)
+				<-stopped
+				raw("12\r\nid: 2\ndata: late\n\n\r\n0\r\n\r\n")(k, r)
+				return false
+			}
+			manual := clock.NewManual(time.Unix(1000, 0))
+			view := newView()
+			view.Route("h", "/stream/").Timeout = 24 * time.Hour
+			f := newFixtureAt(t, manual, state{view: view}, stall, events(2, 3, false))
+			if !budgeted {
+				f.front.Budget.Set(0, 0)
+			}
+			answer := make(chan reply, 1)
+			go func() { answer <- f.ask(t, http.MethodPost, "/stream/", "") }()
+			for f.target.count() == 0 {
+				runtime.Gosched()
+			}
+			for i := 0; f.target.count() < 2 && (budgeted || i < 1000); i++ {
+				manual.Advance(100 * time.Millisecond)
+				runtime.Gosched()
+			}
+			close(stopped)
+			got := <-answer
+			c.Check(got.broken, quicktest.IsFalse)
+			if budgeted {
+				c.Check(f.target.count(), quicktest.Equals, 2)
+				c.Check(strings.HasSuffix(got.body, stream(2, 3)), quicktest.IsTrue)
+			} else {
+				c.Check(f.target.count(), quicktest.Equals, 1)
+				c.Check(strings.HasSuffix(got.body, "data: late\n\n"), quicktest.IsTrue)
+			}
+		})
+	}
+}
