--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -122,7 +122,7 @@
 	if x.begun && (x.last == "" || !x.route.Resumable) {
 		return false
 	}
-	return t.paid || d.budget.Retry(x.service)
+	return t.paid.Load() || d.budget.Retry(x.service)
 }
 
 // ended turns the last try into the end of the request. A failure of the
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,8 +35,8 @@
 	reserved []reservation
 	// renewals is closed when no renewal is on its way any more.
 	renewals chan struct{}
-	paid     bool // paid is set when the next try has been paid for.
-	noMemory bool // noMemory is set when helpers had no memory to set aside.
+	paid     atomic.Bool // paid is set, by the watch, when the next try has been paid for.
+	noMemory bool        // noMemory is set when helpers had no memory to set aside.
 }
 
 // failure is a target's own failure, kept until it is known whether another
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -99,6 +99,9 @@
 func (t *try) mayMove() bool {
 	job := t.stage.job(t.exchange)
 	job.Avoid = append(job.Avoid, t.placement.Target.ID)
-	t.paid = t.stage.balancer.HasRoom(job) && t.stage.budget.Retry(t.exchange.service)
-	return t.paid
+	if !t.stage.balancer.HasRoom(job) || !t.stage.budget.Retry(t.exchange.service) {
+		return false
+	}
+	t.paid.Store(true)
+	return true
 }
