--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/frankban/quicktest"
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
 
@@ -45,7 +44,6 @@
 		Clock:   f.clock,
 		Hall:    "h",
 		Targets: func() []fleet.Target { return f.targets },
-		Log:     &log.Logger{Level: log.PanicLevel},
 	}
 	return f
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
@@ -60,9 +59,6 @@
 	Full bool
 	// Moved is set when another target has the address.
 	Moved bool
-	Load  barleystep.QueueLoad
-	// First is the time to the first event or to the answer.
-	First time.Duration
 }
 
 // Balancer chooses targets. Its exported fields are set before use; it is safe
@@ -72,7 +68,6 @@
 	Hall  barleystep.HallID
 	// Targets lists the targets that may get work.
 	Targets func() []fleet.Target
-	Log     *log.Logger
 	// Lead is asked for the engines of long prompts; nil places them here.
 	Lead Lead
 
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -67,7 +67,7 @@
 			harm += b.harm(j, t, share) + risks[i]
 			wait = max(wait, b.work(t.ID).Backlog)
 		}
-		at := wait + share + passTime(j)
+		at := wait + share + j.Cost.Pass()
 		if cost := harm + lateCost(j, at); cost < least {
 			best, least, expected = k, cost, at
 		}
@@ -143,7 +143,7 @@
 			continue
 		}
 		share := read / time.Duration(count+1)
-		return b.group(j, first, holders[:count], each, share+passTime(j))
+		return b.group(j, first, holders[:count], each, share+j.Cost.Pass())
 	}
 	return nil
 }
@@ -202,7 +202,7 @@
 // may pause if it reads a part, weighted by what they are worth.
 func (b *Balancer) harm(j Job, t fleet.Target, share time.Duration) float64 {
 	w := b.work(t.ID)
-	pass := w.Backlog + share + passTime(j)
+	pass := w.Backlog + share + j.Cost.Pass()
 	harm := 0.0
 	if pass > j.Tightest {
 		harm += float64(w.Light)
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -50,7 +50,7 @@
 	}
 	b.note(j, read, false)
 	work := Work{Light: 1, Backlog: read, Memory: j.Prompt + j.Output}
-	return &Placement{Target: best, expected: score + read + passTime(j), parts: []*part{{target: best.ID, work: work}}}
+	return &Placement{Target: best, expected: score + read + j.Cost.Pass(), parts: []*part{{target: best.ID, work: work}}}
 }
 
 // bestLight returns the best of some engines drawn at random, and its score.
--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -105,6 +104,3 @@
 	most := (heavies + writersPart - 1) / writersPart
 	return min(heavies, most, max(writing/writersEach+1, leastWriters))
 }
-
-// passTime is the time of a pass at an engine with a few writers.
-func passTime(j Job) time.Duration { return j.Cost.Pass() }
--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -33,7 +33,6 @@
 
 const (
 	million   = 1e6
-	perKilo   = 1000
 	pairsHalf = 2 // A token is paired with each one before it: half of the square.
 )
 
@@ -48,13 +47,6 @@
 	return time.Duration(linear + pairs)
 }
 
-// Write returns how long one engine writes the tokens after a prompt, with a
-// number of other requests that write as well.
-func (m CostModel) Write(prompt, output, others int) time.Duration {
-	step := m.Step + time.Duration(others+1)*m.PerWriter + time.Duration(prompt/perKilo)*m.PerContext
-	return time.Duration(output) * step
-}
-
 // Pass returns how long a pass with one writer takes.
 func (m CostModel) Pass() time.Duration {
 	return time.Duration(m.Stride) * (m.Step + m.PerWriter)
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -264,7 +264,7 @@
 		Clock:         clk,
 		Protocol:      protocol{},
 		Configuration: s,
-		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }, Log: quiet},
+		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }},
 		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
 		Budget:        spent,
 		Meter:         metric.Discard(),
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -95,11 +95,7 @@
 		s.end(x, notRun(barleystep.ReasonStopping, "The box is stopping.", restartPause))
 		return
 	}
-	s.end(x, s.run(r.Context(), x))
-}
-
-func (s *Server) run(ctx context.Context, x *Exchange) error {
-	return s.pipeline.Run(ctx, x)
+	s.end(x, s.pipeline.Run(r.Context(), x))
 }
 
 // end answers a request that was refused, and writes its line.
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -29,7 +29,6 @@
 	started time.Time
 	status  int
 	first   time.Duration // first is the time to the first event or the answer.
-	load    barleystep.QueueLoad
 	failure *failure
 	// reserved are the reservations at helpers.
 	reserved []reservation
@@ -134,12 +133,11 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "") // An empty one is not sent.
 	}
-	lastEvent := x.last
 	t.stage.protocol.Prepare(h, barleystep.Delivery{
 		Instance:  t.placement.Target.ID,
 		Account:   x.account,
 		TimeLeft:  left,
-		LastEvent: lastEvent,
+		LastEvent: x.last,
 		Helpers:   t.helpers(),
 	})
 	r := &http.Request{
@@ -177,7 +175,6 @@
 	x := t.exchange
 	t.status = resp.StatusCode
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
-	t.load = verdict.Load
 	if verdict.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes))
 		return resultNotRun, err
@@ -253,7 +250,5 @@
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun,
 		Moved:       t.status == http.StatusMisdirectedRequest,
-		Load:        t.load,
-		First:       t.first,
 	}
 }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -56,37 +56,33 @@
 	}
 }
 
-// collector returns the collector of the hall, nil if it is this box.
+// collector returns the collector of the own hall, nil if it is this box.
 func (n *Node) collector(now time.Time) *member {
-	var first *member
-	rank := xxhash.Sum64String(string(n.Box))
-	for _, m := range n.members {
-		if m.hall != n.Hall || m.leaving || now.Sub(m.last()) > aliveFor {
-			continue
-		}
-		if r := xxhash.Sum64String(string(m.box)); r < rank {
-			first, rank = m, r
-		}
+	first := n.collectorOf(n.Hall, now)
+	if first == nil || rankOf(n.Box) < rankOf(first.box) {
+		return nil
 	}
 	return first
 }
 
-// collectorOf returns the collector of another hall, nil if none is known to be
-// alive.
+// collectorOf returns the first of a hall's other boxes that are alive, nil if
+// none is known to be.
 func (n *Node) collectorOf(hall barleystep.HallID, now time.Time) *member {
 	var first *member
-	var rank uint64
 	for _, m := range n.members {
 		if m.hall != hall || m.leaving || now.Sub(m.last()) > aliveFor {
 			continue
 		}
-		if r := xxhash.Sum64String(string(m.box)); first == nil || r < rank {
-			first, rank = m, r
+		if first == nil || rankOf(m.box) < rankOf(first.box) {
+			first = m
 		}
 	}
 	return first
 }
 
+// rankOf orders boxes in the same way on all of them.
+func rankOf(box barleystep.BoxID) uint64 { return xxhash.Sum64String(string(box)) }
+
 // Lead returns the address of the one box that decides for all; ok is false if
 // that is this box. Boxes that are cut off from each other have leads of their
 // own.
@@ -104,10 +100,10 @@
 // leadAddr returns the lead as the collector of a hall sees it: the first of the
 // halls' collectors.
 func (n *Node) leadAddr(now time.Time) string {
-	first, rank := n.Addr, xxhash.Sum64String(string(n.Box))
+	first, rank := n.Addr, rankOf(n.Box)
 	for _, hall := range n.halls() {
 		if m := n.collectorOf(hall, now); m != nil {
-			if r := xxhash.Sum64String(string(m.box)); r < rank {
+			if r := rankOf(m.box); r < rank {
 				first, rank = m.addr.String(), r
 			}
 		}
@@ -249,9 +245,8 @@
 	}
 }
 
-const (
-	perMilli = 1000
-)
+// perMilli is how a demand in engines is sent as a whole number.
+const perMilli = 1000
 
 // fill writes a snapshot into a datagram.
 func fill(d *gossipv1.Datagram, s balance.Snapshot) {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -42,7 +42,7 @@
 	for _, id := range engines {
 		targets = append(targets, fleet.Target{ID: id, Service: "s", Addr: string(id) + ":1", Slots: 16})
 	}
-	return &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }, Log: quiet}
+	return &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }}
 }
 
 func job(prompt int) balance.Job {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -107,7 +107,6 @@
 		Clock:   r.Clock,
 		Hall:    barleystep.HallID(s.Box.Hall),
 		Targets: r.targets.List,
-		Log:     r.Log,
 	}
 	r.gossip = &gossip.Node{
 		Clock:         r.Clock,
