Let few boxes read the store and pass changes on

Now the collector of each hall reads, and its gossip tells the others how far it has read and how old its proof is. They get changes of targets from it, and read changes of the configuration, which are large, from the store themselves. A box whose proof is older than 1.4 s reads the store as before.

Collectors name to each box only itself, the next three collectors and others in turn, and send their sums less often where the hall is large.

--- a/api/gossip/v1/gossipv1connect/gossip.connect.go
+++ b/api/gossip/v1/gossipv1connect/gossip.connect.go
@@ -21,8 +21,8 @@
 const _ = connect.IsAtLeastVersion1_13_0
 
 const (
-	// ConfigurationServiceName is the fully-qualified name of the ConfigurationService service.
-	ConfigurationServiceName = "gossip.v1.ConfigurationService"
+	// ChangeServiceName is the fully-qualified name of the ChangeService service.
+	ChangeServiceName = "gossip.v1.ChangeService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -33,79 +33,79 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// ConfigurationServiceGetConfigurationProcedure is the fully-qualified name of the
-	// ConfigurationService's GetConfiguration RPC.
-	ConfigurationServiceGetConfigurationProcedure = "/gossip.v1.ConfigurationService/GetConfiguration"
+	// ChangeServiceGetChangesProcedure is the fully-qualified name of the ChangeService's GetChanges
+	// RPC.
+	ChangeServiceGetChangesProcedure = "/gossip.v1.ChangeService/GetChanges"
 )
 
-// ConfigurationServiceClient is a client for the gossip.v1.ConfigurationService service.
-type ConfigurationServiceClient interface {
-	// GetConfiguration returns the configuration in force at the box.
-	GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error)
+// ChangeServiceClient is a client for the gossip.v1.ChangeService service.
+type ChangeServiceClient interface {
+	// GetChanges returns what the box has read of a topic after a revision.
+	GetChanges(context.Context, *connect.Request[v1.GetChangesRequest]) (*connect.Response[v1.GetChangesResponse], error)
 }
 
-// NewConfigurationServiceClient constructs a client for the gossip.v1.ConfigurationService service.
-// By default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped
-// responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
-// connect.WithGRPC() or connect.WithGRPCWeb() options.
+// NewChangeServiceClient constructs a client for the gossip.v1.ChangeService service. By default,
+// it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and
+// sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC()
+// or connect.WithGRPCWeb() options.
 //
 // The URL supplied here should be the base URL for the Connect or gRPC server (for example,
 // http://api.acme.com or https://acme.com/grpc).
-func NewConfigurationServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ConfigurationServiceClient {
+func NewChangeServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ChangeServiceClient {
 	baseURL = strings.TrimRight(baseURL, "/")
-	configurationServiceMethods := v1.File_gossip_v1_gossip_proto.Services().ByName("ConfigurationService").Methods()
-	return &configurationServiceClient{
-		getConfiguration: connect.NewClient[v1.GetConfigurationRequest, v1.GetConfigurationResponse](
+	changeServiceMethods := v1.File_gossip_v1_gossip_proto.Services().ByName("ChangeService").Methods()
+	return &changeServiceClient{
+		getChanges: connect.NewClient[v1.GetChangesRequest, v1.GetChangesResponse](
 			httpClient,
-			baseURL+ConfigurationServiceGetConfigurationProcedure,
-			connect.WithSchema(configurationServiceMethods.ByName("GetConfiguration")),
+			baseURL+ChangeServiceGetChangesProcedure,
+			connect.WithSchema(changeServiceMethods.ByName("GetChanges")),
 			connect.WithClientOptions(opts...),
 		),
 	}
 }
 
-// configurationServiceClient implements ConfigurationServiceClient.
-type configurationServiceClient struct {
-	getConfiguration *connect.Client[v1.GetConfigurationRequest, v1.GetConfigurationResponse]
+// changeServiceClient implements ChangeServiceClient.
+type changeServiceClient struct {
+	getChanges *connect.Client[v1.GetChangesRequest, v1.GetChangesResponse]
 }
 
-// GetConfiguration calls gossip.v1.ConfigurationService.GetConfiguration.
-func (c *configurationServiceClient) GetConfiguration(ctx context.Context, req *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error) {
-	return c.getConfiguration.CallUnary(ctx, req)
+// GetChanges calls gossip.v1.ChangeService.GetChanges.
+func (c *changeServiceClient) GetChanges(ctx context.Context, req *connect.Request[v1.GetChangesRequest]) (*connect.Response[v1.GetChangesResponse], error) {
+	return c.getChanges.CallUnary(ctx, req)
 }
 
-// ConfigurationServiceHandler is an implementation of the gossip.v1.ConfigurationService service.
-type ConfigurationServiceHandler interface {
-	// GetConfiguration returns the configuration in force at the box.
-	GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error)
+// ChangeServiceHandler is an implementation of the gossip.v1.ChangeService service.
+type ChangeServiceHandler interface {
+	// GetChanges returns what the box has read of a topic after a revision.
+	GetChanges(context.Context, *connect.Request[v1.GetChangesRequest]) (*connect.Response[v1.GetChangesResponse], error)
 }
 
-// NewConfigurationServiceHandler builds an HTTP handler from the service implementation. It returns
-// the path on which to mount the handler and the handler itself.
+// NewChangeServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
 //
 // By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
 // and JSON codecs. They also support gzip compression.
-func NewConfigurationServiceHandler(svc ConfigurationServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
-	configurationServiceMethods := v1.File_gossip_v1_gossip_proto.Services().ByName("ConfigurationService").Methods()
-	configurationServiceGetConfigurationHandler := connect.NewUnaryHandler(
-		ConfigurationServiceGetConfigurationProcedure,
-		svc.GetConfiguration,
-		connect.WithSchema(configurationServiceMethods.ByName("GetConfiguration")),
+func NewChangeServiceHandler(svc ChangeServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	changeServiceMethods := v1.File_gossip_v1_gossip_proto.Services().ByName("ChangeService").Methods()
+	changeServiceGetChangesHandler := connect.NewUnaryHandler(
+		ChangeServiceGetChangesProcedure,
+		svc.GetChanges,
+		connect.WithSchema(changeServiceMethods.ByName("GetChanges")),
 		connect.WithHandlerOptions(opts...),
 	)
-	return "/gossip.v1.ConfigurationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return "/gossip.v1.ChangeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case ConfigurationServiceGetConfigurationProcedure:
-			configurationServiceGetConfigurationHandler.ServeHTTP(w, r)
+		case ChangeServiceGetChangesProcedure:
+			changeServiceGetChangesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
 	})
 }
 
-// UnimplementedConfigurationServiceHandler returns CodeUnimplemented from all methods.
-type UnimplementedConfigurationServiceHandler struct{}
+// UnimplementedChangeServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedChangeServiceHandler struct{}
 
-func (UnimplementedConfigurationServiceHandler) GetConfiguration(context.Context, *connect.Request[v1.GetConfigurationRequest]) (*connect.Response[v1.GetConfigurationResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gossip.v1.ConfigurationService.GetConfiguration is not implemented"))
+func (UnimplementedChangeServiceHandler) GetChanges(context.Context, *connect.Request[v1.GetChangesRequest]) (*connect.Response[v1.GetChangesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gossip.v1.ChangeService.GetChanges is not implemented"))
 }
--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -23,7 +23,6 @@
 	proof atomic.Int64 // proof is when the last proof was asked for, in nanoseconds after origin.
 
 	mu     sync.Mutex
-	raw    []byte
 	origin time.Time
 	// refused is set while the newest version cannot be used, so that nothing
 	// proves that keys are current.
@@ -33,14 +32,6 @@
 // View returns the configuration in force, nil as long as there is none.
 func (c *Configuration) View() *fleet.View { return c.view.Load() }
 
-// Raw returns the encoded configuration in force and its version, for boxes
-// that cannot reach the store.
-func (c *Configuration) Raw() (value []byte, version int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.raw, c.Version()
-}
-
 // Version returns the number of the configuration in force, 0 if there is none.
 func (c *Configuration) Version() int64 {
 	if v := c.view.Load(); v != nil {
@@ -62,17 +53,6 @@
 	return c.Clock.Now().Sub(origin) - time.Duration(c.proof.Load())
 }
 
-// Vouch notes that all changes acknowledged before at are in force, as told by
-// a box whose configuration has the given version. It is ignored if this box
-// has an older version.
-func (c *Configuration) Vouch(at time.Time, version int64) {
-	v := c.view.Load()
-	if v == nil || v.Version() < version {
-		return
-	}
-	c.prove(at)
-}
-
 func (c *Configuration) prove(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,15 +67,15 @@
 	}
 }
 
-// Apply puts an encoded configuration in force unless it is older than the one
+// apply puts an encoded configuration in force unless it is older than the one
 // in force. One that cannot be read leaves the last good one in force.
-func (c *Configuration) Apply(value []byte, source string) {
+func (c *Configuration) apply(value []byte) {
 	decoded, err := c.Decode(value)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused = err != nil
 	if err != nil {
-		c.Log.Error().Str("source", source).Err(err).
+		c.Log.Error().Err(err).
 			Msg(logPrefix + "A configuration was refused. The last good one stays in force.")
 		return
 	}
@@ -103,9 +83,8 @@
 	if old != nil && old.Version() >= decoded.Version {
 		return
 	}
-	c.raw = value
 	c.view.Store(fleet.NewView(decoded))
-	c.Log.Info().Str("source", source).Int64("version", decoded.Version).Int("routes", len(decoded.Routes)).
+	c.Log.Info().Int64("version", decoded.Version).Int("routes", len(decoded.Routes)).
 		Int("accounts", len(decoded.Accounts)).Msg(logPrefix + "A configuration is in force.")
 }
 
@@ -116,13 +95,14 @@
 	}
 }
 
-// Change is part of Handler. The operator never removes the configuration.
+// Change is part of Handler. The operator never removes the configuration, and
+// one that cannot be read proves nothing about keys.
 func (c *Configuration) Change(r barleystep.Record) {
 	if r.Removed() {
 		c.Log.Error().Msg(logPrefix + "The configuration was removed from the store. The last one stays in force.")
 		return
 	}
-	c.Apply(r.Value(), "store")
+	c.apply(r.Value())
 }
 
 // Proved is part of Handler.
--- /dev/null
+++ b/internal/follow/feed.go
@@ -0,0 +1,81 @@
+package follow
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Update is what a box that reads the store passes on to another one.
+type Update struct {
+	// Records are the changes, or the whole topic if Whole is set.
+	Records  []barleystep.Record
+	Whole    bool
+	Revision barleystep.Revision
+}
+
+// feed is a copy of a topic that remembers when each record changed. Its zero
+// value holds nothing.
+type feed struct {
+	entries map[string]entry
+	removed map[string]barleystep.Revision
+	// floor is the revision from which on all changes are known.
+	floor barleystep.Revision
+	// changed is the revision of the last change.
+	changed barleystep.Revision
+}
+
+type entry struct {
+	record   barleystep.Record
+	revision barleystep.Revision
+}
+
+// removalsKept bounds the removals that are remembered: some minutes of targets
+// that come and go.
+const removalsKept = 1024
+
+func (f *feed) reset(records []barleystep.Record, revision barleystep.Revision) {
+	f.entries = make(map[string]entry, len(records))
+	for _, r := range records {
+		f.entries[r.Key()] = entry{r, revision}
+	}
+	f.removed = make(map[string]barleystep.Revision)
+	f.floor, f.changed = revision, revision
+}
+
+func (f *feed) apply(records []barleystep.Record, revision barleystep.Revision) {
+	for _, r := range records {
+		if r.Removed() {
+			delete(f.entries, r.Key())
+			f.removed[r.Key()] = revision
+		} else {
+			delete(f.removed, r.Key())
+			f.entries[r.Key()] = entry{r, revision}
+		}
+		f.changed = revision
+	}
+	if len(f.removed) > removalsKept {
+		clear(f.removed)
+		f.floor = revision
+	}
+}
+
+// since returns what changed after the revision.
+func (f *feed) since(revision, now barleystep.Revision) Update {
+	u := Update{Whole: revision < f.floor, Revision: now}
+	for _, key := range slices.Sorted(maps.Keys(f.entries)) {
+		if e := f.entries[key]; u.Whole || e.revision > revision {
+			u.Records = append(u.Records, e.record)
+		}
+	}
+	if u.Whole {
+		return u
+	}
+	for _, key := range slices.Sorted(maps.Keys(f.removed)) {
+		if f.removed[key] > revision {
+			u.Records = append(u.Records, barleystep.NewRemoval(key))
+		}
+	}
+	return u
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -1,10 +1,15 @@
 // Package follow keeps what a box believes of the configuration and of the
 // targets up to date with the platform's store, and knows how old its last
 // proof of that is.
+//
+// Few boxes read the store for all: each call has its price. The others hear
+// through the gossip that those have missed nothing, and get changes from them;
+// a box that hears nothing for a while reads the store itself.
 package follow
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -20,14 +25,20 @@
 	Reset(records []barleystep.Record)
 	// Change applies one change.
 	Change(record barleystep.Record)
-	// Proved is told, after each answer, that what is known includes all that
-	// was acknowledged before asked.
+	// Proved is told that what is known includes all that was acknowledged before
+	// asked.
 	Proved(asked time.Time, revision barleystep.Revision)
 	// Lost is told that the store cannot be read, with the time of the first
 	// failure in a row.
 	Lost(since time.Time)
 }
 
+// Peers gets updates from other boxes.
+type Peers interface {
+	// Changes returns what changed at the box with the address after the revision.
+	Changes(ctx context.Context, addr string, topic barleystep.Topic, since barleystep.Revision) (Update, error)
+}
+
 // Follower reads one topic for ever. Its exported fields are set before Serve.
 type Follower struct {
 	Clock     barleystep.Clock
@@ -37,9 +48,24 @@
 	Log       *log.Logger
 	// Wait is how long one call may wait for a change.
 	Wait time.Duration
+	// Reads reports whether this box reads the store for others; without it the
+	// box always does.
+	Reads func() bool
+	// Peers are other boxes that may have heard of a change; nil if there are none.
+	Peers Peers
+	// Large topics are read from the store even where another box could pass the
+	// change on: many boxes that ask one would fill its link.
+	Large bool
 
+	mu       sync.Mutex
 	known    bool
 	revision barleystep.Revision
+	feed     feed
+	// proved is the time before which no change was missed.
+	proved  time.Time
+	pulling bool
+	relayed bool
+
 	failing  time.Time
 	failures int
 }
@@ -50,6 +76,20 @@
 	// answer after an outage should not come later than this.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// otherPause is longestPause at boxes that do not read for others: the others
+	// tell them of the store's return.
+	otherPause = 1200 * time.Millisecond
+	// relayLimit is how old the proof from other boxes may be before a box reads
+	// the store itself. A change must be in force within two seconds; what the boxes
+	// that read tell is up to a second old, and some ticks of the gossip.
+	relayLimit = 1400 * time.Millisecond
+	// relayLook is how often a box that relies on others looks at that age.
+	relayLook = 100 * time.Millisecond
+	// pullPause is the least time between two updates from other boxes, so that
+	// changes in quick succession come together.
+	pullPause = 150 * time.Millisecond
+	// pullTimeout bounds the call to another box.
+	pullTimeout = time.Second
 )
 
 const logPrefix = "follow: "
@@ -57,8 +97,12 @@
 // Serve reads until ctx ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if f.relies() {
+			clock.Sleep(ctx, f.Clock, relayLook)
+			continue
+		}
 		asked := f.Clock.Now()
-		err := f.step(ctx, asked)
+		err := f.step(ctx, asked, f.Wait)
 		if err == nil {
 			f.recovered()
 			continue
@@ -67,48 +111,188 @@
 			break
 		}
 		if eris.Is(err, barleystep.ErrHistoryLost) {
-			f.known = false
-			f.Log.Warn().Str("topic", f.Topic.String()).Uint64("revision", uint64(f.revision)).
-				Msg(logPrefix + "The store has dropped its history. The topic is read anew.")
+			f.forget()
 			continue
 		}
 		f.failed(asked, err)
-		clock.Sleep(ctx, f.Clock, min(firstPause<<min(f.failures, 10), longestPause))
+		clock.Sleep(ctx, f.Clock, min(firstPause<<min(f.failures, 10), f.longest()))
 	}
 	return ctx.Err()
 }
 
-// step makes one call and applies its answer.
-func (f *Follower) step(ctx context.Context, asked time.Time) error {
-	if !f.known {
-		b, err := f.Catalogue.Fetch(ctx, f.Topic)
-		if err != nil {
-			return err
-		}
-		f.Handler.Reset(b.Records())
-		f.known = true
-		f.revision = b.Revision()
-		f.Handler.Proved(asked, f.revision)
-		return nil
+// relies reports whether this box leaves the reading to others, and logs when
+// that changes.
+func (f *Follower) relies() bool {
+	reads := f.Reads == nil || f.Reads()
+	age := f.Age()
+	_, known := f.position()
+	relies := !reads && known && age >= 0 && age < relayLimit
+	if relies != f.relayed {
+		f.relayed = relies
+		f.Log.Info().Str("topic", f.Topic.String()).Bool("reads_for_others", reads).Bool("relies_on_others", relies).
+			Dur("age", age).Msg(logPrefix + "The source of changes is another one now.")
+	}
+	return relies
+}
+
+func (f *Follower) longest() time.Duration {
+	if f.Reads == nil || f.Reads() {
+		return longestPause
+	}
+	return otherPause
+}
+
+// Age returns how long ago a change could last have been missed, negative
+// without any proof.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age()
+}
+
+func (f *Follower) age() time.Duration {
+	if f.proved.IsZero() {
+		return -1
+	}
+	return f.Clock.Now().Sub(f.proved)
+}
+
+// State returns the revision of the last change, zero if nothing is known, and
+// the age of the proof.
+func (f *Follower) State() (changed barleystep.Revision, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.feed.changed, f.age()
+}
+
+// Since returns what changed after the revision; ok is false if nothing is
+// known.
+func (f *Follower) Since(revision barleystep.Revision) (u Update, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.feed.since(revision, f.revision), f.known
+}
+
+// Vouch notes that a box whose last change has the given revision had missed
+// none before at. It is ignored unless this box has that change.
+func (f *Follower) Vouch(at time.Time, changed barleystep.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.known && changed != 0 && changed <= f.revision {
+		f.prove(at)
+	}
+}
+
+// Offer tells of a box whose last change has the given revision. If that is news
+// here, it is read, from the store or from that box.
+func (f *Follower) Offer(ctx context.Context, addr string, changed barleystep.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pulling || f.Peers == nil || changed == 0 || (f.known && changed <= f.revision) {
+		return
+	}
+	f.pulling = true
+	go func() {
+		f.pull(ctx, addr)
+		clock.Sleep(ctx, f.Clock, pullPause)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.pulling = false
+	}()
+}
+
+func (f *Follower) pull(ctx context.Context, addr string) {
+	if f.Large && f.step(ctx, f.Clock.Now(), 0) == nil {
+		return // A failed call is no finding here: Serve logs what the store does.
+	}
+	ctx, cancel := clock.WithDeadline(ctx, f.Clock, f.Clock.Now().Add(pullTimeout))
+	defer cancel()
+	since, known := f.position()
+	if !known {
+		since = 0
+	}
+	u, err := f.Peers.Changes(ctx, addr, f.Topic, since)
+	if err != nil {
+		f.Log.Warn().Str("topic", f.Topic.String()).Str("addr", addr).Uint64("since", uint64(since)).Err(err).
+			Msg(logPrefix + "A change could not be had from another box.")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(u)
+}
+
+func (f *Follower) position() (revision barleystep.Revision, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, f.known
+}
+
+// step makes one call to the store and applies its answer.
+func (f *Follower) step(ctx context.Context, asked time.Time, wait time.Duration) (err error) {
+	since, known := f.position()
+	var b barleystep.Batch
+	if known {
+		b, err = f.Catalogue.Follow(ctx, f.Topic, since, wait)
+	} else {
+		b, err = f.Catalogue.Fetch(ctx, f.Topic)
 	}
-	b, err := f.Catalogue.Follow(ctx, f.Topic, f.revision, f.Wait)
 	if err != nil {
 		return err
 	}
-	for _, r := range b.Records() {
-		f.Handler.Change(r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.take(Update{Records: b.Records(), Whole: !known, Revision: b.Revision()}) {
+		f.prove(asked)
 	}
-	f.revision = max(f.revision, b.Revision())
-	f.Handler.Proved(asked, f.revision)
 	return nil
 }
 
+// take applies an update, unless it is older than what is known.
+func (f *Follower) take(u Update) bool {
+	if f.known && u.Revision < f.revision {
+		return false
+	}
+	if !f.known && !u.Whole {
+		return false // The topic is to be read anew, which has not happened yet.
+	}
+	if u.Whole {
+		f.Handler.Reset(u.Records)
+		f.feed.reset(u.Records, u.Revision)
+	} else {
+		for _, r := range u.Records {
+			f.Handler.Change(r)
+		}
+		f.feed.apply(u.Records, u.Revision)
+	}
+	f.known, f.revision = true, u.Revision
+	return true
+}
+
+func (f *Follower) prove(at time.Time) {
+	if at.After(f.proved) {
+		f.proved = at
+	}
+	f.Handler.Proved(at, f.revision)
+}
+
+// forget has the topic read anew.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = false
+	f.Log.Warn().Str("topic", f.Topic.String()).Uint64("revision", uint64(f.revision)).
+		Msg(logPrefix + "The store has dropped its history. The topic is read anew.")
+}
+
 func (f *Follower) failed(asked time.Time, err error) {
 	f.failures++
 	if f.failing.IsZero() {
 		f.failing = asked
 		f.Log.Warn().Str("topic", f.Topic.String()).Err(err).Msg(logPrefix + "The store does not answer.")
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.Handler.Lost(f.failing)
 }
 
--- /dev/null
+++ b/internal/follow/relay_test.go
@@ -0,0 +1,193 @@
+package follow_test
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/follow"
+)
+
+// timed notes when the store was asked.
+type timed struct {
+	catalogue
+	clock *instant
+	at    []time.Duration
+}
+
+func (s *timed) note() { s.at = append(s.at, s.clock.Now().Sub(time.Time{})) }
+
+func (s *timed) Fetch(ctx context.Context, topic barleystep.Topic) (barleystep.Batch, error) {
+	s.note()
+	return s.catalogue.Fetch(ctx, topic)
+}
+
+func (s *timed) Follow(ctx context.Context, topic barleystep.Topic, since barleystep.Revision, wait time.Duration) (barleystep.Batch, error) {
+	s.note()
+	return s.catalogue.Follow(ctx, topic, since, wait)
+}
+
+func batchOf(revision barleystep.Revision, records ...barleystep.Record) barleystep.Batch {
+	return barleystep.NewBatch(records, revision)
+}
+
+// TestRelies checks when a box that does not read for others asks the store: not
+// before the last proof is too old.
+func TestRelies(t *testing.T) {
+	cases := map[string]struct {
+		reads bool
+		least time.Duration
+		most  time.Duration
+	}{
+		"reads for others": {true, 0, 0},
+		"relies on others": {false, 1300 * time.Millisecond, 1600 * time.Millisecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			clk := &instant{}
+			clk.Advance(time.Hour)
+			source := &timed{clock: clk}
+			source.end = cancel
+			source.replies = []reply{{batch: batchOf(3, record("1"))}, {batch: batchOf(3)}}
+			f := &follow.Follower{
+				Clock: clk, Catalogue: source, Log: quiet, Wait: time.Second,
+				Handler: &follow.Configuration{Clock: clk, Decode: decode, Log: quiet},
+				Reads:   func() bool { return tc.reads },
+			}
+			c.Check(f.Serve(ctx), quicktest.Equals, context.Canceled)
+			passed := source.at[1] - source.at[0]
+			c.Check(passed >= tc.least && passed <= tc.most, quicktest.IsTrue, quicktest.Commentf("asked again after %s", passed))
+		})
+	}
+}
+
+// read returns a follower that has read one batch, with its configuration.
+func read(t *testing.T, manual *clock.Manual, peers follow.Peers, records ...barleystep.Record) (*follow.Follower, *follow.Configuration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conf := &follow.Configuration{Clock: manual, Decode: decode, Log: quiet}
+	source := &catalogue{replies: []reply{{batch: batchOf(3, records...)}}, end: cancel}
+	f := &follow.Follower{Clock: manual, Catalogue: source, Handler: conf, Log: quiet, Peers: peers}
+	quicktest.Assert(t, f.Serve(ctx), quicktest.Equals, context.Canceled)
+	return f, conf
+}
+
+// TestVouch checks which proofs of other boxes count.
+func TestVouch(t *testing.T) {
+	cases := map[string]struct {
+		age     time.Duration
+		changed barleystep.Revision
+		want    time.Duration
+	}{
+		"younger":               {0, 3, 0},
+		"of an older change":    {0, 2, 0},
+		"older than the own":    {3 * time.Second, 3, 2 * time.Second},
+		"of a change not read":  {0, 4, 2 * time.Second},
+		"of a box that is new":  {0, 0, 2 * time.Second},
+		"younger but not fresh": {time.Second, 3, time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			manual := clock.NewManual(time.Unix(1000, 0))
+			f, conf := read(t, manual, nil, record("1"))
+			manual.Advance(2 * time.Second)
+			f.Vouch(manual.Now().Add(-tc.age), tc.changed)
+			quicktest.Check(t, conf.Age(), quicktest.Equals, tc.want)
+			quicktest.Check(t, f.Age(), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// peers answers with one update and tells that it was asked.
+type peers struct {
+	update follow.Update
+	asked  chan barleystep.Revision
+}
+
+func (p *peers) Changes(_ context.Context, _ string, _ barleystep.Topic, since barleystep.Revision) (follow.Update, error) {
+	p.asked <- since
+	return p.update, nil
+}
+
+// TestOffer checks that a change at another box is read there, and that what is
+// older than the own is not taken.
+func TestOffer(t *testing.T) {
+	newer := []barleystep.Record{record("9")}
+	cases := map[string]struct {
+		update follow.Update
+		want   int64
+	}{
+		"a change":              {follow.Update{Records: newer, Revision: 5}, 9},
+		"the whole topic":       {follow.Update{Records: newer, Revision: 5, Whole: true}, 9},
+		"older than it claimed": {follow.Update{Records: newer, Revision: 2}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			p := &peers{update: tc.update, asked: make(chan barleystep.Revision, 1)}
+			manual := clock.NewManual(time.Unix(1000, 0))
+			f, conf := read(t, manual, p, record("1"))
+			f.Offer(context.Background(), "box", 3) // It is no news.
+			f.Offer(context.Background(), "box", 5)
+			c.Assert(<-p.asked, quicktest.Equals, barleystep.Revision(3))
+			for manual.Timers() < 1 { // The pause after the update.
+				runtime.Gosched()
+			}
+			c.Check(conf.Version(), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// TestSince checks what a box passes on.
+func TestSince(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	put := func(key, value string) barleystep.Record { return barleystep.NewRecord(key, []byte(value)) }
+	source := &catalogue{end: cancel, replies: []reply{
+		{batch: batchOf(3, put("a", "1"), put("b", "1"))},
+		{batch: batchOf(5, barleystep.NewRemoval("a"))},
+		{batch: batchOf(7, put("c", "1"))},
+	}}
+	f := &follow.Follower{
+		Clock: &instant{}, Catalogue: source, Log: quiet,
+		Handler: &follow.Targets{Clock: &instant{}, Decode: announce, Log: quiet},
+	}
+	quicktest.Assert(t, f.Serve(ctx), quicktest.Equals, context.Canceled)
+	cases := map[string]struct {
+		since barleystep.Revision
+		whole bool
+		keys  []string
+	}{
+		"nothing new":        {7, false, nil},
+		"the last change":    {5, false, []string{"c"}},
+		"both changes":       {3, false, []string{"c", "-a"}},
+		"before all history": {2, true, []string{"b", "c"}},
+		"a box that is new":  {0, true, []string{"b", "c"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			u, ok := f.Since(tc.since)
+			c.Assert(ok, quicktest.IsTrue)
+			c.Check(u.Revision, quicktest.Equals, barleystep.Revision(7))
+			c.Check(u.Whole, quicktest.Equals, tc.whole)
+			var keys []string
+			for _, r := range u.Records {
+				if r.Removed() {
+					keys = append(keys, "-"+r.Key())
+				} else {
+					keys = append(keys, r.Key())
+				}
+			}
+			c.Check(keys, quicktest.DeepEquals, tc.keys)
+		})
+	}
+}
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -23,8 +23,9 @@
 	// lapsed holds targets whose record went while the store was away, and
 	// until when they are still used.
 	lapsed map[string]time.Time
-	// lostAt is when the store was last found away, and backAt when it came back.
-	lost   bool
+	// lostAt is when the store was found away, zero if it is there, and backAt when
+	// it came back.
+	lostAt time.Time
 	backAt time.Time
 	known  bool
 	list   atomic.Pointer[[]fleet.Target]
@@ -113,7 +114,7 @@
 		return
 	}
 	now := t.Clock.Now()
-	recent := t.lost || (!t.backAt.IsZero() && now.Sub(t.backAt) < returnWindow)
+	recent := !t.lostAt.IsZero() || (!t.backAt.IsZero() && now.Sub(t.backAt) < returnWindow)
 	if !recent || t.targets[key].Draining {
 		delete(t.targets, key)
 		t.Log.Info().Str("target", key).Msg(logPrefix + "A target is gone.")
@@ -154,19 +155,20 @@
 	t.list.Store(&list)
 }
 
-// Proved is part of Handler.
-func (t *Targets) Proved(time.Time, barleystep.Revision) {
+// Proved is part of Handler. A proof from before the loss, which another box may
+// have told, does not mean that the store is back.
+func (t *Targets) Proved(asked time.Time, _ barleystep.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.lost {
-		t.lost = false
+	if !t.lostAt.IsZero() && !asked.Before(t.lostAt) {
+		t.lostAt = time.Time{}
 		t.backAt = t.Clock.Now()
 	}
 }
 
 // Lost is part of Handler.
-func (t *Targets) Lost(time.Time) {
+func (t *Targets) Lost(since time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lost = true
+	t.lostAt = since
 }
--- /dev/null
+++ b/internal/gossip/changes.go
@@ -0,0 +1,74 @@
+package gossip
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/barleystep/barleystep"
+	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
+	"github.com/barleystep/barleystep/api/gossip/v1/gossipv1connect"
+	"github.com/barleystep/barleystep/internal/follow"
+)
+
+// Server passes on to other boxes what this one has read of the store.
+type Server struct {
+	// Followers are the followers of the topics.
+	Followers map[barleystep.Topic]*follow.Follower
+}
+
+// topics are the topics on the wire.
+var topics = map[barleystep.Topic]gossipv1.Topic{
+	barleystep.TopicConfiguration: gossipv1.Topic_TOPIC_CONFIGURATION,
+	barleystep.TopicTargets:       gossipv1.Topic_TOPIC_TARGETS,
+}
+
+// GetChanges returns what changed after a revision, or the code Unavailable if
+// nothing is known of the topic.
+func (s *Server) GetChanges(_ context.Context, r *connect.Request[gossipv1.GetChangesRequest]) (*connect.Response[gossipv1.GetChangesResponse], error) {
+	for topic, name := range topics {
+		f := s.Followers[topic]
+		if name != r.Msg.GetTopic() || f == nil {
+			continue
+		}
+		u, ok := f.Since(barleystep.Revision(r.Msg.GetSince()))
+		if !ok {
+			break
+		}
+		out := &gossipv1.GetChangesResponse{Whole: u.Whole, Revision: uint64(u.Revision)}
+		for _, record := range u.Records {
+			out.Records = append(out.Records, &gossipv1.Record{Key: record.Key(), Value: record.Value(), Removed: record.Removed()})
+		}
+		return connect.NewResponse(out), nil
+	}
+	return nil, connect.NewError(connect.CodeUnavailable, nil)
+}
+
+// Handler returns the handler for other boxes.
+func (s *Server) Handler() (path string, h http.Handler) {
+	return gossipv1connect.NewChangeServiceHandler(s)
+}
+
+// Client is follow.Peers over connect.
+type Client struct {
+	HTTP *http.Client
+}
+
+// Changes returns what changed at the box with the address after the revision.
+func (c *Client) Changes(ctx context.Context, addr string, topic barleystep.Topic, since barleystep.Revision) (u follow.Update, err error) {
+	client := gossipv1connect.NewChangeServiceClient(c.HTTP, "http://"+addr)
+	resp, err := client.GetChanges(ctx, connect.NewRequest(&gossipv1.GetChangesRequest{Topic: topics[topic], Since: uint64(since)}))
+	if err != nil {
+		return follow.Update{}, err
+	}
+	u = follow.Update{Whole: resp.Msg.GetWhole(), Revision: barleystep.Revision(resp.Msg.GetRevision())}
+	for _, r := range resp.Msg.GetRecords() {
+		if r.GetRemoved() {
+			u.Records = append(u.Records, barleystep.NewRemoval(r.GetKey()))
+		} else {
+			u.Records = append(u.Records, barleystep.NewRecord(r.GetKey(), r.GetValue()))
+		}
+	}
+	return u, nil
+}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -26,17 +26,15 @@
 	"github.com/barleystep/barleystep/internal/clock"
 )
 
-// Configuration is the configuration that a box goes by.
-type Configuration interface {
-	// Version returns the number in force, 0 if there is none.
-	Version() int64
-	// Age returns the age of the proof that it is the newest, negative if there
-	// is none.
-	Age() time.Duration
+// Topic is what a box has read of one topic of the store.
+type Topic interface {
+	// State returns the revision of the last change that was read, zero if there
+	// is none, and the age of the proof that none was missed, negative without one.
+	State() (changed barleystep.Revision, age time.Duration)
 	// Vouch takes another box's proof.
-	Vouch(at time.Time, version int64)
-	// Apply puts an encoded configuration in force if it is newer.
-	Apply(value []byte, source string)
+	Vouch(at time.Time, changed barleystep.Revision)
+	// Offer tells where a change can be had.
+	Offer(ctx context.Context, addr string, changed barleystep.Revision)
 }
 
 // Balancer knows the work of the own box and learns that of all others.
@@ -55,13 +53,13 @@
 	// and TCP.
 	Addr string
 	// Seeds are addresses of some boxes to begin with; they may be stale.
-	Seeds         []string
-	Catalogue     barleystep.Catalogue
-	Configuration Configuration
-	Balancer      Balancer
-	// Fetch gets the configuration from the box at the address.
-	Fetch func(ctx context.Context, addr string) (value []byte, err error)
-	Log   *log.Logger
+	Seeds     []string
+	Catalogue barleystep.Catalogue
+	// Topics are the topics of which boxes tell each other, in an order that all
+	// share.
+	Topics   []Topic
+	Balancer Balancer
+	Log      *log.Logger
 
 	mu          sync.Mutex
 	origin      time.Time
@@ -71,10 +69,11 @@
 	sequence    uint64
 	// sent holds the own snapshots that were sent lately, by sequence, to be
 	// taken out of the sums that come back.
-	sent     map[uint64]balance.Snapshot
-	leaving  bool
-	fetching bool
-	ticks    int
+	sent    map[uint64]balance.Snapshot
+	leaving bool
+	ticks   int
+	// turn counts the sums that were sent to the own hall.
+	turn int
 }
 
 const (
@@ -94,6 +93,15 @@
 	// probeTicks is how many ticks pass between datagrams to boxes that are
 	// silent, so that a healed partition is noticed.
 	probeTicks = 20
+	// fanOut is how many boxes of its hall a collector serves in one tick: with more
+	// boxes it sends its sums less often, at longest every longestTurn ticks, so
+	// that neither its link nor its processor is filled.
+	fanOut      = 16
+	longestTurn = 5
+	// heirs is how many boxes a collector names that would be the next ones, and
+	// namedInTurn how many others each time, so that all are named within seconds.
+	heirs       = 3
+	namedInTurn = 3
 	// forgetAfter is how long a box may be silent before it is forgotten; its
 	// record in the store is then removed too.
 	forgetAfter = 5 * time.Minute
@@ -110,10 +118,12 @@
 	hall        barleystep.HallID
 	addr        netip.AddrPort
 	incarnation uint64
-	// heard is when the last word of it came, added when it became known.
+	// heard is when the last word of it came, named when a collector last said that
+	// it lives, and added when it became known.
 	heard   time.Time
+	named   time.Time
 	added   time.Time
-	alive   bool
+	alive   bool // alive is set while it is heard of directly.
 	leaving bool
 	// peerSent and gotAt are its clock and ours at its last datagram.
 	peerSent int64
@@ -212,11 +222,16 @@
 	return max(known, told, local)
 }
 
+// last returns when the box was last known to live.
 func (m *member) last() time.Time {
-	if m.heard.IsZero() {
+	last := m.heard
+	if m.named.After(last) {
+		last = m.named
+	}
+	if last.IsZero() {
 		return m.added
 	}
-	return m.heard
+	return last
 }
 
 func (n *Node) read(ctx context.Context, socket *net.UDPConn) error {
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -23,13 +23,17 @@
 	m.peerSent, m.gotAt = d.GetSentNs(), now
 	m.leaving = d.GetLeaving()
 	n.takeWork(m, d, now)
-	at, proved := n.proof(d)
+	proofs := n.proofs(d)
 	n.mu.Unlock()
-	if proved {
-		n.Configuration.Vouch(at, d.GetVersion())
-	}
-	if d.GetVersion() > n.Configuration.Version() {
-		n.fetch(ctx, m.box, from)
+	for i, state := range d.GetTopics() {
+		if i >= len(n.Topics) {
+			break // The sender is of a later version.
+		}
+		changed := barleystep.Revision(state.GetChanged())
+		n.Topics[i].Offer(ctx, from.String(), changed)
+		if !proofs[i].IsZero() {
+			n.Topics[i].Vouch(proofs[i], changed)
+		}
 	}
 }
 
@@ -52,7 +56,7 @@
 	return m
 }
 
-// revive notes that a box lives.
+// revive notes that a box was heard of directly.
 func (n *Node) revive(m *member, now time.Time) {
 	m.heard = now
 	if m.alive {
@@ -94,8 +98,7 @@
 		m = &member{box: box, hall: hall, added: now}
 		n.members[box] = m
 	}
-	m.addr = addr
-	n.revive(m, now)
+	m.addr, m.named = addr, now
 }
 
 // takeOut removes this box's own work, as it was merged, from its hall's.
@@ -107,18 +110,25 @@
 		if own, ok := n.sent[o.GetSequence()]; ok {
 			s.Remove(own)
 		}
+		return
 	}
 }
 
-// proof returns the time before which the sender vouches that it has missed no
-// configuration, on this box's clock. The sender's statement was made after this
-// box's datagram that it echoes, by at least the time that it held it.
-func (n *Node) proof(d *gossipv1.Datagram) (at time.Time, ok bool) {
-	if d.GetEchoNs() == 0 || d.GetEchoIncarnation() != n.incarnation || d.GetProofAgeNs() < 0 {
-		return time.Time{}, false
+// proofs returns, for each topic, the time before which the sender has missed no
+// change, on this box's clock, zero if it does not say. The sender's statement
+// was made after this box's datagram that it echoes, by at least the time that it
+// held it.
+func (n *Node) proofs(d *gossipv1.Datagram) []time.Time {
+	list := make([]time.Time, len(d.GetTopics()))
+	if d.GetEchoNs() == 0 || d.GetEchoIncarnation() != n.incarnation {
+		return list
+	}
+	for i, state := range d.GetTopics() {
+		if age := state.GetProofAgeNs(); age >= 0 {
+			list[i] = n.origin.Add(time.Duration(d.GetEchoNs() + d.GetHeldNs() - age))
+		}
 	}
-	since := d.GetEchoNs() + d.GetHeldNs() - d.GetProofAgeNs()
-	return n.origin.Add(time.Duration(since)), true
+	return list
 }
 
 // others returns the work and demand of all other boxes: as the collector tells
@@ -161,25 +171,3 @@
 		}
 	}
 }
-
-// fetch gets a newer configuration from the box that has it, one at a time.
-func (n *Node) fetch(ctx context.Context, box barleystep.BoxID, addr netip.AddrPort) {
-	n.mu.Lock()
-	busy := n.fetching
-	n.fetching = true
-	n.mu.Unlock()
-	if busy {
-		return
-	}
-	go func() {
-		value, err := n.Fetch(ctx, addr.String())
-		if err != nil {
-			n.Log.Warn().Str("box", string(box)).Err(err).Msg(logPrefix + "A newer configuration could not be had.")
-		} else {
-			n.Configuration.Apply(value, string(box))
-		}
-		n.mu.Lock()
-		n.fetching = false
-		n.mu.Unlock()
-	}()
-}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -45,7 +46,7 @@
 func (n *Node) age(now time.Time) {
 	for box, m := range n.members {
 		silent := now.Sub(m.last())
-		if m.alive && silent > aliveFor {
+		if m.alive && now.Sub(m.heard) > aliveFor {
 			m.alive = false
 			n.Log.Warn().Str("box", string(box)).Dur("silent", silent).Msg(logPrefix + "A box is silent.")
 		}
@@ -56,6 +57,13 @@
 	}
 }
 
+// Collects reports whether this box is the collector of its hall.
+func (n *Node) Collects() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.collector(n.Clock.Now()) == nil
+}
+
 // collector returns the collector of the own hall, nil if it is this box.
 func (n *Node) collector(now time.Time) *member {
 	first := n.collectorOf(n.Hall, now)
@@ -133,20 +141,42 @@
 			n.send(d, now, m)
 		}
 	}
+	if n.ticks%n.turnTicks(len(members)) != 0 {
+		return
+	}
+	n.turn++
 	n.addHalls(sum, now)
 	d = n.datagram()
 	d.Scope = gossipv1.Scope_SCOPE_ALL
 	d.Boxes = int32(n.count(now))
 	d.LeadAddr = n.leadAddr(now)
 	fill(d, sum)
-	d.Members = members
 	for _, m := range n.members {
 		if m.hall == n.Hall && m.alive {
+			d.Members = n.named(members, m.box)
 			n.send(d, now, m)
 		}
 	}
 }
 
+// turnTicks returns every how many ticks the hall's sums are sent.
+func (n *Node) turnTicks(boxes int) int { return min(1+boxes/fanOut, longestTurn) }
+
+// named returns the boxes of which a receiver is told: itself, whose work it takes
+// out of the sum, the next collectors, and some others in turn.
+func (n *Node) named(members []*gossipv1.Member, receiver barleystep.BoxID) []*gossipv1.Member {
+	list := slices.Clone(members[:min(heirs, len(members))])
+	rest := members[len(list):]
+	for i, m := range rest {
+		next := n.turn * namedInTurn % len(rest)
+		inTurn := (i-next+len(rest))%len(rest) < namedInTurn
+		if inTurn || m.GetBox() == string(receiver) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // halls returns the other halls.
 func (n *Node) halls() []barleystep.HallID {
 	var halls []barleystep.HallID
@@ -159,7 +189,7 @@
 }
 
 // hallMembers lists the boxes of the hall that are alive, with the datagrams
-// that were merged.
+// that were merged, in the order in which they would become collectors.
 func (n *Node) hallMembers(now time.Time) []*gossipv1.Member {
 	list := []*gossipv1.Member{{Box: string(n.Box), Addr: n.Addr, Sequence: n.sequence, Incarnation: n.incarnation}}
 	for _, m := range n.members {
@@ -172,18 +202,23 @@
 			})
 		}
 	}
+	slices.SortFunc(list, func(x, y *gossipv1.Member) int {
+		return cmp.Compare(rankOf(barleystep.BoxID(x.GetBox())), rankOf(barleystep.BoxID(y.GetBox())))
+	})
 	return list
 }
 
-// probe tells silent boxes, and the seeds, of this one. Boxes of other halls are
-// only told by the collector.
+// probe tells silent boxes, and the seeds, of this one. A box that has a collector
+// leaves silent boxes to it.
 func (n *Node) probe(own balance.Snapshot, now time.Time) {
 	d := n.report(own)
-	collects := n.collector(now) == nil
+	if n.collector(now) != nil {
+		return
+	}
 	known := make(map[netip.AddrPort]bool)
 	for _, m := range n.members {
 		known[m.addr] = true
-		if n.probes(m, collects, now) {
+		if n.probes(m, now) {
 			n.send(d, now, m)
 		}
 	}
@@ -196,13 +231,13 @@
 	}
 }
 
-// probes reports whether a silent box is told of this one: those of the own hall
-// and, by the collector, those of halls without any word.
-func (n *Node) probes(m *member, collects bool, now time.Time) bool {
+// probes reports whether a collector tells a silent box of itself: those of its
+// hall, and those of halls without any word.
+func (n *Node) probes(m *member, now time.Time) bool {
 	if m.alive {
 		return false
 	}
-	return m.hall == n.Hall || (collects && n.collectorOf(m.hall, now) == nil)
+	return m.hall == n.Hall || n.collectorOf(m.hall, now) == nil
 }
 
 // datagram returns one without work, echo or members.
@@ -212,7 +247,6 @@
 		Hall:        string(n.Hall),
 		Incarnation: n.incarnation,
 		Sequence:    n.sequence,
-		Version:     n.Configuration.Version(),
 		Leaving:     n.leaving,
 	}
 }
@@ -222,10 +256,11 @@
 // that was not true then.
 func (n *Node) send(d *gossipv1.Datagram, now time.Time, m *member) {
 	d.SentNs = int64(now.Sub(n.origin))
-	d.ProofAgeNs = -1
-	if age := n.Configuration.Age(); age >= 0 {
-		// The age was read after now was, so it is no younger than at now.
-		d.ProofAgeNs = int64(age)
+	d.Topics = d.Topics[:0]
+	for _, t := range n.Topics {
+		// The age is read after now was, so it is no younger than at now.
+		changed, age := t.State()
+		d.Topics = append(d.Topics, &gossipv1.TopicState{Changed: uint64(changed), ProofAgeNs: int64(age)})
 	}
 	d.EchoNs, d.HeldNs, d.EchoIncarnation = 0, 0, 0
 	if m.peerSent != 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,6 +43,7 @@
 
 	configuration *follow.Configuration
 	targets       *follow.Targets
+	followers     map[barleystep.Topic]*follow.Follower
 	balancer      *balance.Balancer
 	pool          *conn.Pool
 	budget        *budget.Budget
@@ -59,20 +60,20 @@
 const logPrefix = "router: "
 
 const (
-	// configurationWait is how long one call waits for a new configuration. Each
-	// answer renews the proof that keys are current, and a change that the store
-	// fails to announce is seen by the next call.
-	configurationWait = 1200 * time.Millisecond
-	// targetsWait is the same for targets, of which there is no proof to renew.
-	targetsWait = 2 * time.Second
+	// followWait is how long one call waits for a change. Each answer proves that
+	// none was missed until it was asked for, so that the proof, on which other boxes
+	// rely too, is at most twice as old, which leaves them some time below the limit
+	// from which on they read the store themselves.
+	followWait = 500 * time.Millisecond
 	// dialTimeout bounds the making of a connection to a target, which takes a
 	// few milliseconds where the target lives.
 	dialTimeout = 500 * time.Millisecond
 	// leadConnections is how many connections to the lead are kept: long prompts
 	// come a few a second.
 	leadConnections = 2
-	// fetchTimeout bounds the fetching of a configuration from another box.
-	fetchTimeout = time.Second
+	// peerConnections is how many connections to the box that passes changes on
+	// are kept: each topic has one update on its way.
+	peerConnections = 2
 	// tendEvery is how often old connections and old beliefs are dropped.
 	tendEvery = 250 * time.Millisecond
 	// freshMargin is how much before keys can no longer be proved current the
@@ -109,17 +110,16 @@
 		Targets: r.targets.List,
 	}
 	r.gossip = &gossip.Node{
-		Clock:         r.Clock,
-		Box:           barleystep.BoxID(s.Box.ID),
-		Hall:          barleystep.HallID(s.Box.Hall),
-		Addr:          s.Listen.Peers,
-		Seeds:         s.Peers.Seeds,
-		Catalogue:     r.Catalogue,
-		Configuration: r.configuration,
-		Balancer:      r.balancer,
-		Fetch:         (&gossip.Client{HTTP: &http.Client{Timeout: fetchTimeout}}).Fetch,
-		Log:           r.Log,
+		Clock:     r.Clock,
+		Box:       barleystep.BoxID(s.Box.ID),
+		Hall:      barleystep.HallID(s.Box.Hall),
+		Addr:      s.Listen.Peers,
+		Seeds:     s.Peers.Seeds,
+		Catalogue: r.Catalogue,
+		Balancer:  r.balancer,
+		Log:       r.Log,
 	}
+	r.follow()
 	r.balancer.Lead = &lead.Client{
 		Clock: r.Clock,
 		HTTP:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: leadConnections}},
@@ -149,6 +149,32 @@
 	r.supervise()
 }
 
+// follow makes the followers of the store's topics, which share what they read
+// with other boxes.
+func (r *Router) follow() {
+	peers := &gossip.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnections}}}
+	handlers := map[barleystep.Topic]follow.Handler{
+		barleystep.TopicConfiguration: r.configuration,
+		barleystep.TopicTargets:       r.targets,
+	}
+	r.followers = make(map[barleystep.Topic]*follow.Follower)
+	for _, topic := range []barleystep.Topic{barleystep.TopicConfiguration, barleystep.TopicTargets} {
+		f := &follow.Follower{
+			Clock:     r.Clock,
+			Catalogue: r.Catalogue,
+			Topic:     topic,
+			Handler:   handlers[topic],
+			Log:       r.Log,
+			Wait:      followWait,
+			Reads:     r.gossip.Collects,
+			Peers:     peers,
+			Large:     topic == barleystep.TopicConfiguration,
+		}
+		r.followers[topic] = f
+		r.gossip.Topics = append(r.gossip.Topics, f)
+	}
+}
+
 // apply puts the settings in force that may change while the program runs.
 func (r *Router) apply(s settings.Settings) {
 	r.freshness.Store(int64(s.Keys.Freshness))
@@ -163,14 +189,9 @@
 func (r *Router) supervise() {
 	s := r.Settings
 	r.top = supervisor.New("router", r.Log, time.Second)
-	r.top.Add(&follow.Follower{
-		Clock: r.Clock, Catalogue: r.Catalogue, Topic: barleystep.TopicConfiguration,
-		Handler: r.configuration, Log: r.Log, Wait: configurationWait,
-	})
-	r.top.Add(&follow.Follower{
-		Clock: r.Clock, Catalogue: r.Catalogue, Topic: barleystep.TopicTargets,
-		Handler: r.targets, Log: r.Log, Wait: targetsWait,
-	})
+	for _, f := range r.followers {
+		r.top.Add(f)
+	}
 	r.top.Add(r.callers)
 	r.top.Add(r.web("ready", s.Listen.Ready, r.ReadyHandler(r.Ready)))
 	if s.Listen.Admin != "" {
@@ -185,7 +206,7 @@
 // peers returns the handler for other boxes.
 func (r *Router) peers() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle((&gossip.Server{Raw: r.configuration.Raw}).Handler())
+	mux.Handle((&gossip.Server{Followers: r.followers}).Handler())
 	mux.Handle((&lead.Server{Balancer: r.balancer, View: r.configuration.View}).Handler())
 	return mux
 }
