Tell other boxes of targets that cannot be reached, and leave them sooner

Streams to it were left after 1.5 s of silence or more, when their callers are about to give up at 2 s.

Now the gossip counts, for each target, the boxes that could not reach it a moment ago. A box takes such a target for down unless it has sent something here within 0.4 s, since the others may merely be cut off; it leaves it alone while others can take the work, and moves its streams after 0.5 s of silence. A connection must be up within 0.25 s. The balancer logs when a target begins and ceases to seem down.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
@@ -70,6 +71,7 @@
 	Targets func() []fleet.Target
 	// Lead is asked for the engines of long prompts; nil places them here.
 	Lead Lead
+	Log  *log.Logger
 
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
@@ -91,6 +93,10 @@
 	parts []*part
 	// failures counts tries in a row that could not reach the target.
 	failures int
+	// heard is when the target last sent something here.
+	heard time.Time
+	// suspect is set while the target is left alone since it seems to be down.
+	suspect bool
 	// shunned is until when the target gets no work while others can take it.
 	shunned time.Time
 	// errors is the recent part of answers that were failures, 0 to 1.
@@ -219,7 +225,7 @@
 		if t.Service != j.Service || t.Draining || avoided(j, t.ID) {
 			continue
 		}
-		if s := b.states[t.ID]; s != nil && now.Before(s.shunned) {
+		if b.leaves(t.ID, now) {
 			shunned = append(shunned, t)
 			continue
 		}
@@ -275,9 +281,18 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.state(p.Target.ID).heard = b.Clock.Now()
 	p.read()
 }
 
+// Heard tells that the target sent something.
+func (p *Placement) Heard() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(p.Target.ID).heard = b.Clock.Now()
+}
+
 func (p *Placement) read() {
 	if p.first {
 		return
@@ -311,6 +326,9 @@
 		s.shunned = now.Add(fullShun)
 	default:
 		s.failures = 0
+		if !r.Failed {
+			s.heard = now
+		}
 	}
 	bad := 0.0
 	if r.Unreachable || r.Failed || r.Error {
--- /dev/null
+++ b/internal/balance/health_test.go
@@ -0,0 +1,72 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// TestDown checks when a target is taken to be down: by what this box found, or by
+// what others found while nothing came from the target here.
+func TestDown(t *testing.T) {
+	told := balance.NewSnapshot()
+	told.Work[balance.KeyOf("i-00")] = balance.Work{Down: 1}
+	unreachable := func(f *fixture, t *testing.T) {
+		j := plain()
+		j.Avoid = append(j.Avoid, "i-01")
+		f.place(t, j).Done(balance.Report{Unreachable: true})
+	}
+	heard := func(f *fixture, t *testing.T) {
+		j := plain()
+		j.Avoid = append(j.Avoid, "i-01")
+		f.place(t, j).Heard()
+	}
+	tell := func(f *fixture, _ *testing.T) { f.SetOthers(told) }
+	wait := func(d time.Duration) func(*fixture, *testing.T) {
+		return func(f *fixture, _ *testing.T) { f.clock.Advance(d) }
+	}
+	type steps []func(*fixture, *testing.T)
+	cases := map[string]struct {
+		steps steps
+		want  bool
+	}{
+		"nothing is known":          {nil, false},
+		"not reached from here":     {steps{unreachable}, true},
+		"not reached long ago":      {steps{unreachable, wait(time.Second)}, false},
+		"not reached by others":     {steps{tell}, true},
+		"but it just sent an event": {steps{heard, tell}, false},
+		"but it sent one long ago":  {steps{heard, wait(time.Second), tell}, true},
+		"others reach it again":     {steps{tell, func(f *fixture, _ *testing.T) { f.SetOthers(balance.NewSnapshot()) }}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(2)
+			for _, step := range tc.steps {
+				step(f, t)
+			}
+			quicktest.Check(t, f.Down("i-00"), quicktest.Equals, tc.want)
+			for range 20 {
+				p, err := f.Place(context.Background(), plain())
+				quicktest.Assert(t, err, quicktest.IsNil)
+				if tc.want {
+					quicktest.Check(t, string(p.Target.ID), quicktest.Equals, "i-01")
+				}
+				p.Done(balance.Report{})
+			}
+		})
+	}
+}
+
+// TestTellsDown checks that other boxes are told of a target that was not reached,
+// for as long as it is left alone.
+func TestTellsDown(t *testing.T) {
+	f := newFixture(1)
+	f.place(t, plain()).Done(balance.Report{Unreachable: true})
+	quicktest.Check(t, f.Snapshot().Work[balance.KeyOf("i-00")].Down, quicktest.Equals, 1)
+	f.clock.Advance(time.Second)
+	quicktest.Check(t, f.Snapshot().Work, quicktest.HasLen, 0)
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -20,6 +20,8 @@
 	Backlog time.Duration
 	// Memory is the KV memory, in tokens, that the requests take.
 	Memory int
+	// Down counts boxes that could not reach the target a moment ago.
+	Down int
 }
 
 func (w *Work) add(o Work) {
@@ -28,6 +30,7 @@
 	w.Unread += o.Unread
 	w.Backlog += o.Backlog
 	w.Memory += o.Memory
+	w.Down += o.Down
 }
 
 func (w *Work) remove(o Work) {
@@ -36,6 +39,7 @@
 	w.Unread -= o.Unread
 	w.Backlog -= o.Backlog
 	w.Memory -= o.Memory
+	w.Down -= o.Down
 }
 
 // Key names a target or a service between boxes, in less room than its id.
@@ -95,8 +99,8 @@
 	s := NewSnapshot()
 	now := b.Clock.Now()
 	for id, state := range b.states {
-		if len(state.parts) > 0 {
-			s.Work[KeyOf(string(id))] = state.own()
+		if len(state.parts) > 0 || state.down(now) {
+			s.Work[KeyOf(string(id))] = state.own(now)
 		}
 	}
 	for service, d := range b.demands {
@@ -108,8 +112,11 @@
 }
 
 // own returns the work that this box has given to the target.
-func (s *state) own() Work {
+func (s *state) own(now time.Time) Work {
 	var w Work
+	if s.down(now) {
+		w.Down = 1
+	}
 	for _, p := range s.parts {
 		w.add(p.work)
 	}
@@ -123,7 +130,7 @@
 	}
 	var w Work
 	if s := b.states[id]; s != nil {
-		w = s.own()
+		w = s.own(b.Clock.Now())
 	}
 	w.add(b.others.Work[KeyOf(string(id))])
 	if b.seen == nil {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -63,6 +63,7 @@
 		return data, nil
 	}
 	w.progress()
+	t.placement.Heard()
 	x := t.exchange
 	fresh := data[:end]
 	for x.last != "" && len(fresh) > 0 {
--- a/internal/front/silence_test.go
+++ b/internal/front/silence_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/clock"
 )
 
@@ -55,3 +56,39 @@
 		})
 	}
 }
+
+// TestSilentAndDown checks that a stream is taken early from a silent target that
+// other boxes cannot reach.
+func TestSilentAndDown(t *testing.T) {
+	const never = 24 * time.Hour
+	c := quicktest.New(t)
+	stopped := make(chan struct{})
+	defer close(stopped)
+	begun := make(chan struct{})
+	stall := func(k net.Conn, r *http.Request) bool {
+		raw("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: xyz\n\n\r\n")(k, r)
+		close(begun)
+		<-stopped
+		return false
+	}
+	manual := clock.NewManual(time.Unix(1000, 0))
+	view := newView()
+	route := view.Route("h", "/stream/")
+	route.Timeout, route.Objective, route.MaxPause = never, never, never
+	f := newFixtureAt(t, manual, state{view: view}, stall, events(2, 3, false))
+	answer := make(chan reply, 1)
+	go func() { answer <- f.ask(t, http.MethodPost, "/stream/", "") }()
+	<-begun
+	told := balance.NewSnapshot()
+	for _, id := range []string{"a", "b"} {
+		told.Work[balance.KeyOf(id)] = balance.Work{Down: 1}
+	}
+	f.front.Balancer.SetOthers(told)
+	for f.target.count() < 2 { // A target that is up would be given a day.
+		manual.Advance(100 * time.Millisecond)
+		runtime.Gosched()
+	}
+	got := <-answer
+	c.Check(got.broken, quicktest.IsFalse)
+	c.Check(strings.HasSuffix(got.body, stream(2, 3)), quicktest.IsTrue)
+}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -16,11 +16,14 @@
 	cancel context.CancelCauseFunc
 	// move reports whether another target can take the request, and holds what
 	// that takes.
-	move  func() bool
+	move func() bool
+	// down reports whether the target seems to be down.
+	down  func() bool
 	pause time.Duration
 
 	mu    sync.Mutex
-	until time.Time
+	heard time.Time // heard is when the target last sent something.
+	until time.Time // until is when it is given up.
 	done  chan struct{}
 	once  sync.Once
 }
@@ -30,6 +33,8 @@
 	// Callers give a stream up after two seconds without an event; an engine with
 	// room needs a fifth of a second to take one up.
 	leastSilence = 1500 * time.Millisecond
+	// downSilence is the same where the target seems to be down.
+	downSilence = 500 * time.Millisecond
 	// moveRetry is when it is tried again to move a request that no other target
 	// can take: a silent target is better than none.
 	moveRetry = 200 * time.Millisecond
@@ -48,19 +53,20 @@
 // target are left alone: there is nothing to be won by ending them.
 func (t *try) newWatch(cancel context.CancelCauseFunc) *watch {
 	x := t.exchange
-	w := &watch{clock: t.stage.clock, cancel: cancel, move: t.mayMove, done: make(chan struct{})}
+	w := &watch{clock: t.stage.clock, cancel: cancel, move: t.mayMove, down: t.targetDown, done: make(chan struct{})}
 	if x.route.Kind != fleet.KindStream || !x.route.Resumable || x.sends+1 >= x.route.MaxSends {
 		return w
 	}
 	w.pause = max(pauseFactor*x.route.MaxPause, leastSilence)
 	first := max(firstFactor*x.route.Objective, leastSilence) + waitFactor*t.placement.Expected()
-	w.until = w.clock.Now().Add(first)
-	go w.run(first)
+	w.heard = w.clock.Now()
+	w.until = w.heard.Add(first)
+	go w.run()
 	return w
 }
 
-func (w *watch) run(wait time.Duration) {
-	for {
+func (w *watch) run() {
+	for wait := downSilence; ; {
 		timer := w.clock.NewTimer(wait)
 		select {
 		case <-w.done:
@@ -68,9 +74,7 @@
 			return
 		case <-timer.C():
 		}
-		w.mu.Lock()
-		wait = w.until.Sub(w.clock.Now())
-		w.mu.Unlock()
+		wait = w.left()
 		if wait > 0 {
 			continue
 		}
@@ -82,6 +86,25 @@
 	}
 }
 
+// left returns after how long the target is to be looked at again, nothing or less
+// if it is to be left now.
+func (w *watch) left() time.Duration {
+	w.mu.Lock()
+	heard, until := w.heard, w.until
+	w.mu.Unlock()
+	now := w.clock.Now()
+	if early := heard.Add(downSilence).Sub(now); early > 0 {
+		return early
+	}
+	if w.down() {
+		return 0
+	}
+	return min(until.Sub(now), moveRetry)
+}
+
+// targetDown reports whether the try's target seems to be down.
+func (t *try) targetDown() bool { return t.stage.balancer.Down(t.placement.Target.ID) }
+
 // progress notes that the target sent something.
 func (w *watch) progress() {
 	if w.pause == 0 {
@@ -89,7 +112,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.until = w.clock.Now().Add(w.pause)
+	w.heard = w.clock.Now()
+	w.until = w.heard.Add(w.pause)
 }
 
 func (w *watch) stop() { w.once.Do(func() { close(w.done) }) }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -296,6 +296,7 @@
 			BacklogUs: w.Backlog.Microseconds(),
 			Memory:    int64(w.Memory),
 			Unread:    int32(w.Unread),
+			Down:      int32(w.Down),
 		})
 	}
 	for key, demand := range s.Demands {
@@ -317,6 +318,7 @@
 			Backlog: time.Duration(w.GetBacklogUs()) * time.Microsecond,
 			Memory:  int(w.GetMemory()),
 			Unread:  int(w.GetUnread()),
+			Down:    int(w.GetDown()),
 		}
 	}
 	for _, demand := range d.GetDemands() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,8 +66,9 @@
 	// from which on they read the store themselves.
 	followWait = 500 * time.Millisecond
 	// dialTimeout bounds the making of a connection to a target, which takes a
-	// few milliseconds where the target lives.
-	dialTimeout = 500 * time.Millisecond
+	// few milliseconds where the target lives. A lost packet is sent again only
+	// after a second: another target is tried before that.
+	dialTimeout = 250 * time.Millisecond
 	// leadConnections is how many connections to the lead are kept: long prompts
 	// come a few a second.
 	leadConnections = 2
@@ -108,6 +109,7 @@
 		Clock:   r.Clock,
 		Hall:    barleystep.HallID(s.Box.Hall),
 		Targets: r.targets.List,
+		Log:     r.Log,
 	}
 	r.gossip = &gossip.Node{
 		Clock:     r.Clock,
