Tell targets which requests to take on first

Cause: the platform lets the system order what waits at a target, which it did not use: where all slots are taken, a short prompt waited behind long ones.

Now a short prompt goes before one whose reading holds up others, and that before one that is longer than a target's memory.

--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -84,6 +84,7 @@
 		memory = h.Memory
 	}
 	p := b.group(j, first, helpers, memory, plan.Expected)
+	p.urgency = urgencyOf(j)
 	b.book(p)
 	return p
 }
