Serve prompts over an engine's memory where engines are idle

Now such a prompt goes to engines that have nothing to do, if there are enough to read it within five seconds, and otherwise where there is little demand as before.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -309,3 +309,47 @@
 		}
 	})
 }
+
+// TestGiantOnIdle checks that a prompt that is longer than an engine's memory goes
+// to engines that have nothing to do, and is sent away while these are few.
+func TestGiantOnIdle(t *testing.T) {
+	const giantPrompt = 500_000
+	cases := map[string]struct {
+		engines int
+		busy    int
+		placed  bool
+	}{
+		"all are idle":     {18, 0, true},
+		"most are idle":    {18, 6, true},
+		"a few are idle":   {18, 14, true},
+		"too few are idle": {18, 17, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(tc.engines)
+			busy := balance.NewSnapshot()
+			// The demand says that other reading needs most engines.
+			busy.Demands[balance.KeyOf("s")] = balance.Demand{Heavy: float64(tc.engines)}
+			isBusy := make(map[barleystep.TargetID]bool)
+			for _, target := range f.targets[:tc.busy] {
+				busy.Work[balance.KeyOf(string(target.ID))] = balance.Work{Light: 1}
+				isBusy[target.ID] = true
+			}
+			f.SetOthers(busy)
+			p, err := f.Place(context.Background(), job(giantPrompt))
+			if !tc.placed {
+				c.Assert(eris.Is(err, balance.ErrFull), quicktest.IsTrue)
+				return
+			}
+			c.Assert(err, quicktest.IsNil)
+			c.Check(isBusy[p.Target.ID], quicktest.IsFalse)
+			tokens := 0
+			for _, h := range p.Helpers {
+				c.Check(isBusy[h.ID], quicktest.IsFalse, quicktest.Commentf("%s is busy", h.ID))
+				tokens += h.Memory
+			}
+			c.Check(tokens >= giantPrompt, quicktest.IsTrue)
+		})
+	}
+}
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -102,6 +102,11 @@
 	// prompt is taken: it keeps all of them busy for seconds, in which time they
 	// could serve many others.
 	giantUse = 0.15
+	// giantTime is within what time such a prompt should be read where its engines are
+	// few: its caller gives up after 12 s.
+	giantTime = 5 * time.Second
+	// idlePart is the part of the idle engines, as a divisor, that it gets at least.
+	idlePart = 2
 )
 
 // giant reports whether the prompt is longer than an engine's memory.
@@ -113,11 +118,14 @@
 // is spread over helpers that have enough free. It returns nothing if there are
 // too few, or if the engines are needed for others.
 func (b *Balancer) placeGiant(j Job, engines []fleet.Target) *Placement {
+	read := j.Cost.Read(j.Prompt)
+	if p := b.spreadIdle(j, engines); p != nil {
+		return p
+	}
 	d := b.demand(j.Service)
 	if d.Heavy+d.Light > giantUse*float64(len(engines)) {
 		return nil
 	}
-	read := j.Cost.Read(j.Prompt)
 	b.note(j, read, true)
 	r := b.divide(j, engines)
 	first := b.roomiest(j, engines)
@@ -128,6 +136,24 @@
 	return b.spread(j, first, without(engines, first))
 }
 
+// spreadIdle places such a prompt on engines that have nothing to do, if there are
+// enough: on as few as read it soon enough, or on a part of them if that is more.
+func (b *Balancer) spreadIdle(j Job, engines []fleet.Target) *Placement {
+	var idle []fleet.Target
+	for _, t := range engines {
+		if w := b.work(t.ID); w.Light+w.Heavy == 0 && w.Backlog == 0 {
+			idle = append(idle, t)
+		}
+	}
+	read := j.Cost.Read(j.Prompt)
+	count := max(int(read/giantTime), len(idle)/idlePart)
+	if count < 1 || count >= len(idle) {
+		return nil
+	}
+	rand.Shuffle(len(idle), func(i, k int) { idle[i], idle[k] = idle[k], idle[i] })
+	return b.spread(j, idle[0], idle[1:count+1])
+}
+
 func without(engines []fleet.Target, t fleet.Target) []fleet.Target {
 	return slices.DeleteFunc(slices.Clone(engines), func(o fleet.Target) bool { return o.ID == t.ID })
 }
