--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -353,3 +353,37 @@
 		})
 	}
 }
+
+// TestIdleHelps checks that engines with little to do help before those that have
+// much to read, also where the former are for short prompts.
+func TestIdleHelps(t *testing.T) {
+	const engines, idle, prompt = 18, 3, 45_000
+	for from := range engines {
+		c := quicktest.New(t)
+		f := newFixture(engines)
+		demand := balance.Demand{Heavy: engines / 4, Light: 2}
+		known := balance.NewSnapshot()
+		known.Demands[balance.KeyOf("s")] = demand
+		f.SetOthers(known)
+		alone := job(prompt)
+		alone.Alone = true
+		first := f.place(t, alone)
+		first.Done(balance.Report{})
+
+		busy := make(map[barleystep.TargetID]bool)
+		for i := range engines - idle {
+			id := f.targets[(from+i)%engines].ID
+			if id != first.Target.ID {
+				busy[id] = true
+				known.Work[balance.KeyOf(string(id))] = balance.Work{Backlog: 3 * time.Second}
+			}
+		}
+		f.SetOthers(known)
+		p := f.place(t, job(prompt))
+		c.Check(busy[p.Target.ID], quicktest.IsFalse)
+		c.Check(len(p.Helpers) > 0, quicktest.IsTrue)
+		for _, h := range p.Helpers {
+			c.Check(busy[h.ID], quicktest.IsFalse, quicktest.Commentf("%s has much to read", h.ID))
+		}
+	}
+}
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -186,32 +186,27 @@
 }
 
 // helpers returns the engines that may help, best first: those where a part of
-// usual size does the least harm, and of these the idlest; and what each one
-// risks besides. Engines that write long prompts never help.
+// usual size costs the least; and what each one risks besides. Engines that write
+// long prompts never help.
 func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) (targets []fleet.Target, risks []float64) {
 	usual := read / (maxHelpers / 2)
 	type candidate struct {
-		target  fleet.Target
-		harm    float64
-		backlog time.Duration
-		risk    float64
+		target fleet.Target
+		cost   float64
+		risk   float64
 	}
 	var list []candidate
-	for _, t := range r.readers {
-		if t.ID != first.ID && b.helps(t) {
-			list = append(list, candidate{t, b.harm(j, t, usual), b.work(t.ID).Backlog, 0})
+	add := func(pool []fleet.Target, risk float64) {
+		for _, t := range pool {
+			if t.ID != first.ID && b.helps(t) {
+				list = append(list, candidate{t, b.partCost(j, t, usual) + risk, risk})
+			}
 		}
 	}
-	for _, t := range r.light {
-		if t.ID == first.ID || !b.helps(t) {
-			continue
-		}
-		list = append(list, candidate{t, b.harm(j, t, usual) + lightRisk, b.work(t.ID).Backlog, lightRisk})
-	}
+	add(r.readers, 0)
+	add(r.light, lightRisk)
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
-	slices.SortStableFunc(list, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.harm, y.harm), cmp.Compare(x.backlog, y.backlog))
-	})
+	slices.SortStableFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	for _, c := range list {
 		targets = append(targets, c.target)
 		risks = append(risks, c.risk)
@@ -219,6 +214,12 @@
 	return targets, risks
 }
 
+// partCost is what it counts for that the engine reads a part: the streams that it
+// holds up, and the lateness of the prompt.
+func (b *Balancer) partCost(j Job, t fleet.Target, share time.Duration) float64 {
+	return b.harm(j, t, share) + lateCost(j, b.work(t.ID).Backlog+share+j.Cost.Pass())
+}
+
 // helps reports whether an engine may be given a part of a prompt: not while it
 // has a long prompt of its own to read. It reads the part that came last first,
 // so that its own prompt would wait for as long as new parts come.
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -67,6 +67,7 @@
 		seen[r.Key()] = true
 		t.put(r)
 	}
+	t.Log.Info().Int("targets", len(records)).Msg(logPrefix + "All targets were read.")
 	for key := range t.targets {
 		if !seen[key] {
 			t.gone(key)
@@ -101,6 +102,9 @@
 	old, had := t.targets[r.Key()]
 	t.targets[r.Key()] = target
 	delete(t.lapsed, r.Key())
+	if !t.known {
+		return // The first reading has one line for all.
+	}
 	if !had || old.Draining != target.Draining || old.Addr != target.Addr {
 		t.Log.Info().Str("target", r.Key()).Str("service", target.Service).Str("addr", target.Addr).
 			Bool("draining", target.Draining).Msg(logPrefix + "A target is announced.")
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -78,6 +78,7 @@
 		c.Release(nil)
 		return resultNotSent, context.Cause(ctx)
 	}
+	t.noteHelpers()
 	watch := t.newWatch(cancel)
 	defer watch.stop()
 	x.sends++
@@ -99,6 +100,21 @@
 	return res, stallOf(ctx, err)
 }
 
+// noteHelpers writes a line about a prompt that several targets read: it tells why
+// other streams of theirs paused.
+func (t *try) noteHelpers() {
+	if len(t.placement.Helpers) == 0 {
+		return
+	}
+	ids := make([]string, len(t.placement.Helpers))
+	for i, h := range t.placement.Helpers {
+		ids[i] = string(h.ID)
+	}
+	t.stage.log.Info().Str("request", t.exchange.call.ID).Str("target", string(t.placement.Target.ID)).
+		Strs("helpers", ids).Int("prompt", t.exchange.call.Prompt).Dur("expected", t.placement.Expected()).
+		Msg(logPrefix + "Several targets read the prompt.")
+}
+
 func stallOf(ctx context.Context, err error) error {
 	if err != nil && eris.Is(context.Cause(ctx), errStalled) {
 		return errStalled
