Export what a box believes and how old it is; count dropped log lines

Alarms could not tell a box that hears nothing from one that has nothing to hear. The metrics now carry the age of keys, configuration and targets, the targets that are known, leaving and down, the boxes that share the retry budget, and the log lines that were dropped because nobody read them.

--- a/cmd/barleystep-router/main.go
+++ b/cmd/barleystep-router/main.go
@@ -55,6 +55,7 @@
 		DecodeTarget:        platform.DecodeTarget,
 		ReadyHandler:        platform.ReadyHandler,
 		Exporter:            exporter,
+		DroppedLines:        func() int64 { return command.Dropped(l) },
 		Log:                 l,
 	}
 	return r.Run(ctx)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -141,12 +142,35 @@
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: log.TimeFormatUnixMs,
-		Writer: &log.AsyncWriter{
+		Writer: &lineWriter{AsyncWriter: &log.AsyncWriter{
 			ChannelSize:   logBuffer,
 			DiscardOnFull: true,
 			Writer:        &log.IOWriter{Writer: os.Stdout},
-		},
+		}},
+	}
+}
+
+// lineWriter writes lines and counts those that were dropped.
+type lineWriter struct {
+	*log.AsyncWriter
+	dropped atomic.Int64
+}
+
+// WriteEntry queues a line. A dropped one has no error that anybody could log.
+func (w *lineWriter) WriteEntry(e *log.Entry) (int, error) {
+	n, err := w.AsyncWriter.WriteEntry(e)
+	if err != nil {
+		w.dropped.Add(1)
+	}
+	return n, err
+}
+
+// Dropped returns how many lines the logger has dropped.
+func Dropped(l *log.Logger) int64 {
+	if w, ok := l.Writer.(*lineWriter); ok {
+		return w.dropped.Load()
 	}
+	return 0
 }
 
 // logBuffer is how many lines may wait for the reader of standard output: some
@@ -155,7 +179,7 @@
 
 // closeLog writes the lines that still wait.
 func closeLog(l *log.Logger) {
-	if w, ok := l.Writer.(*log.AsyncWriter); ok {
+	if w, ok := l.Writer.(*lineWriter); ok {
 		_ = w.Close() // The process ends; there is nobody left to tell.
 	}
 }
--- /dev/null
+++ b/internal/router/observe.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep/internal/metric"
+)
+
+// observe exports what the box believes, and how old that is.
+func (r *Router) observe() {
+	r.Exporter.Observe("barleystep_belief_age_seconds", "How long ago a change of the topic could last have been missed; below zero without any proof.", "topic", r.beliefAges)
+	r.Exporter.Observe("barleystep_targets_believed", "Targets by what the box believes of them.", "state", r.targetStates)
+	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
+		return []metric.Sample{{Label: "counted", Value: float64(r.gossip.Boxes())}}
+	})
+	if r.DroppedLines != nil {
+		r.Exporter.Observe("barleystep_log_lines_dropped", "Log lines that nobody read in time.", "stream", func() []metric.Sample {
+			return []metric.Sample{{Label: "stdout", Value: float64(r.DroppedLines())}}
+		})
+	}
+}
+
+func (r *Router) beliefAges() []metric.Sample {
+	list := []metric.Sample{{Label: "keys", Value: r.configuration.Age().Seconds()}}
+	for topic, f := range r.followers {
+		age := f.Age()
+		if age < 0 {
+			age = -time.Second
+		}
+		list = append(list, metric.Sample{Label: topic.String(), Value: age.Seconds()})
+	}
+	return list
+}
+
+func (r *Router) targetStates() []metric.Sample {
+	known, draining, down := 0, 0, 0
+	for _, t := range r.targets.List() {
+		known++
+		if t.Draining {
+			draining++
+		}
+		if r.balancer.Down(t.ID) {
+			down++
+		}
+	}
+	return []metric.Sample{
+		{Label: "known", Value: float64(known)},
+		{Label: "draining", Value: float64(draining)},
+		{Label: "down", Value: float64(down)},
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,8 @@
 	// ReadyHandler makes the answer to the platform's readiness question.
 	ReadyHandler func(ready func() bool) http.Handler
 	Exporter     *metric.Exporter
+	// DroppedLines returns how many log lines were dropped; it may be nil.
+	DroppedLines func() int64
 	Log          *log.Logger
 
 	configuration *follow.Configuration
@@ -148,6 +150,7 @@
 		idle:    r.idle,
 	}
 	r.apply(s)
+	r.observe()
 	r.supervise()
 }
 
