--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -1,12 +1,12 @@
 package front
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/pipeline"
 )
 
 // Exchange is one request on its way through the stages.
@@ -43,25 +43,15 @@
 	pause    time.Duration // pause is the longest one between events so far.
 }
 
-// Next runs the stages that follow.
-type Next func(ctx context.Context, x *Exchange) error
-
-// Stage is one filter of the pipeline. It returns a *barleystep.Refusal to end
-// the request.
-type Stage interface {
-	Run(ctx context.Context, x *Exchange, next Next) error
-}
-
-// Pipeline runs its stages in order, each around those that follow.
-type Pipeline []Stage
-
-// Run passes the exchange through all stages.
-func (p Pipeline) Run(ctx context.Context, x *Exchange) error {
-	if len(p) == 0 {
-		return nil
-	}
-	return p[0].Run(ctx, x, p[1:].Run)
-}
+// The parts of the pipeline through which exchanges pass.
+type (
+	// Next runs the stages that follow.
+	Next = pipeline.Next[*Exchange]
+	// Stage is one filter of the pipeline.
+	Stage = pipeline.Stage[*Exchange]
+	// Pipeline runs its stages in order.
+	Pipeline = pipeline.Pipeline[*Exchange]
+)
 
 // notRun returns a refusal that promises that the request has not run.
 func notRun(reason barleystep.Reason, message string, after time.Duration) *barleystep.Refusal {
