Read changes in quick succession together, and ask less often in an outage

Now a reader waits 0.1 s after a change, and boxes that do not read for others ask every 2.4 s while the store is away; the readers' proof tells them of its return.

Ruled out: getting configurations from other boxes, 961 calls: they fill a small box's link.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -78,7 +78,11 @@
 	longestPause = 400 * time.Millisecond
 	// otherPause is longestPause at boxes that do not read for others: the others
 	// tell them of the store's return.
-	otherPause = 1200 * time.Millisecond
+	otherPause = 2400 * time.Millisecond
+	// changePause is the wait after an answer with changes: more of them often come
+	// soon after, and are then read by one call. It is little against the two seconds
+	// in which a change must be in force.
+	changePause = 100 * time.Millisecond
 	// relayLimit is how old the proof from other boxes may be before a box reads
 	// the store itself. A change must be in force within two seconds; what the boxes
 	// that read tell is up to a second old, and some ticks of the gossip.
@@ -102,9 +106,12 @@
 			continue
 		}
 		asked := f.Clock.Now()
-		err := f.step(ctx, asked, f.Wait)
+		changed, err := f.step(ctx, asked, f.Wait)
 		if err == nil {
 			f.recovered()
+			if changed {
+				clock.Sleep(ctx, f.Clock, changePause)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -202,8 +209,10 @@
 }
 
 func (f *Follower) pull(ctx context.Context, addr string) {
-	if f.Large && f.step(ctx, f.Clock.Now(), 0) == nil {
-		return // A failed call is no finding here: Serve logs what the store does.
+	if f.Large {
+		if _, err := f.step(ctx, f.Clock.Now(), 0); err == nil {
+			return // A failed call is no finding here: Serve logs what the store does.
+		}
 	}
 	ctx, cancel := clock.WithDeadline(ctx, f.Clock, f.Clock.Now().Add(pullTimeout))
 	defer cancel()
@@ -228,8 +237,9 @@
 	return f.revision, f.known
 }
 
-// step makes one call to the store and applies its answer.
-func (f *Follower) step(ctx context.Context, asked time.Time, wait time.Duration) (err error) {
+// step makes one call to the store and applies its answer; changed reports whether
+// it held changes.
+func (f *Follower) step(ctx context.Context, asked time.Time, wait time.Duration) (changed bool, err error) {
 	since, known := f.position()
 	var b barleystep.Batch
 	if known {
@@ -238,14 +248,14 @@
 		b, err = f.Catalogue.Fetch(ctx, f.Topic)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.take(Update{Records: b.Records(), Whole: !known, Revision: b.Revision()}) {
 		f.prove(asked)
 	}
-	return nil
+	return known && len(b.Records()) > 0, nil
 }
 
 // take applies an update, unless it is older than what is known.
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -191,3 +191,25 @@
 		})
 	}
 }
+
+// TestTogether checks that a box waits a moment after a change, so that those that
+// come soon after it take one call.
+func TestTogether(t *testing.T) {
+	c := quicktest.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clk := &instant{}
+	source := &timed{clock: clk}
+	source.end = cancel
+	source.replies = []reply{{batch: batchOf(3, record("1"))}, {batch: batchOf(4, record("2"))}, {batch: batchOf(4)}, {batch: batchOf(4)}}
+	f := &follow.Follower{
+		Clock: clk, Catalogue: source, Log: quiet,
+		Handler: &follow.Configuration{Clock: clk, Decode: decode, Log: quiet},
+	}
+	c.Check(f.Serve(ctx), quicktest.Equals, context.Canceled)
+	var waits []time.Duration
+	for i := range source.at[1:] {
+		waits = append(waits, source.at[i+1]-source.at[i])
+	}
+	c.Check(waits, quicktest.DeepEquals, []time.Duration{0, 100 * time.Millisecond, 0, 0})
+}
