--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -63,8 +63,8 @@
 	feed     feed
 	// proved is the time before which no change was missed.
 	proved  time.Time
-	pulling bool
-	relayed bool
+	pulling bool // pulling is set while a change is read from another box.
+	relying bool // relying is set while others read the store for this box.
 
 	failing  time.Time
 	failures int
@@ -98,6 +98,9 @@
 
 const logPrefix = "follow: "
 
+// String names the follower in the supervisor's lines.
+func (f *Follower) String() string { return "follower of " + f.Topic.String() }
+
 // Serve reads until ctx ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -134,8 +137,8 @@
 	age := f.Age()
 	_, known := f.position()
 	relies := !reads && known && age >= 0 && age < relayLimit
-	if relies != f.relayed {
-		f.relayed = relies
+	if relies != f.relying {
+		f.relying = relies
 		f.Log.Info().Str("topic", f.Topic.String()).Bool("reads_for_others", reads).Bool("relies_on_others", relies).
 			Dur("age", age).Msg(logPrefix + "The source of changes is another one now.")
 	}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -1,6 +1,8 @@
 // Package gossip spreads between boxes what none of them could know alone: the
-// work that all of them have given to targets, and proof that the configuration
-// is current for boxes that the store turns away.
+// work that all of them have given to targets, which targets cannot be reached,
+// and how far boxes have read the store, with the age of their proof that they
+// have missed nothing. Boxes that do not read the store, or that it turns away, go
+// by that proof.
 //
 // Each box reports to the collector of its hall, which is the first of the
 // hall's boxes that is alive. The collector sends the sum back to its hall and
@@ -93,6 +95,9 @@
 	// probeTicks is how many ticks pass between datagrams to boxes that are
 	// silent, so that a healed partition is noticed.
 	probeTicks = 20
+	// seedTicks is the same for seeds, once some box is alive: a seed that is none
+	// of the boxes known here is rarely of use then.
+	seedTicks = 400
 	// fanOut is how many boxes of its hall a collector serves in one tick: with more
 	// boxes it sends its sums less often, at longest every longestTurn ticks, so
 	// that neither its link nor its processor is filled.
@@ -146,6 +151,9 @@
 	leadAddr string
 }
 
+// String names the node in the supervisor's lines.
+func (n *Node) String() string { return "gossip of " + string(n.Box) }
+
 // Serve takes part until ctx ends.
 func (n *Node) Serve(ctx context.Context) (err error) {
 	defer func() {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -216,12 +216,17 @@
 		return
 	}
 	known := make(map[netip.AddrPort]bool)
+	alone := true
 	for _, m := range n.members {
 		known[m.addr] = true
+		alone = alone && !m.alive
 		if n.probes(m, now) {
 			n.send(d, now, m)
 		}
 	}
+	if !alone && n.ticks%seedTicks != 1 {
+		return
+	}
 	for _, seed := range n.Seeds {
 		addr, err := netip.ParseAddrPort(seed)
 		if err != nil || known[addr] || seed == n.Addr {
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// String names the listener in the supervisor's lines.
+func (l *listener) String() string { return "callers at " + l.addr }
+
 // close refuses new connections and closes the resting ones.
 func (l *listener) close(ctx context.Context) {
 	if l.server != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -287,6 +287,9 @@
 // tender drops old connections and old beliefs.
 type tender struct{ router *Router }
 
+// String names the service in the supervisor's lines.
+func (tender) String() string { return "tender" }
+
 // Serve works until ctx ends.
 func (t tender) Serve(ctx context.Context) error {
 	return clock.Repeat(ctx, t.router.Clock, tendEvery, func(context.Context) {
