--- a/docs/spec/orders.pml
+++ b/docs/spec/orders.pml
@@ -1,11 +1,11 @@
 /*
  * Orders to a target that does not check fencing tokens.
  *
- * Givers hold a lease that may lapse at any moment, also while its holder is
+ * Issuers hold a lease that may lapse at any moment, also while its holder is
  * paused and does not know. Checked: no order takes effect after one with a
  * higher token.
  *
- * The Go code is internal/keeper/order.go and giver.go. -DBROKEN sends an order
+ * The Go code is internal/keeper/order.go and issuer.go. -DBROKEN sends an order
  * under the lease alone, without an intent: the checker must reject that.
  */
 #define N 2
@@ -16,7 +16,7 @@
 byte leaseToken = 0;
 bool intentOpen = false;
 byte intentHolder = NOBODY;
-bool gone[N];		/* the giver is known to have ended */
+bool gone[N];		/* the issuer is known to have ended */
 byte lastToken = 0;	/* the highest token of an order that took effect */
 
 inline send(token) {
@@ -26,7 +26,7 @@
 	}
 }
 
-proctype Giver(byte me) {
+proctype Issuer(byte me) {
 	byte token;
 	byte rounds = 0;
 end:	do
@@ -46,7 +46,7 @@
 #ifdef BROKEN
 		send(token);
 #else
-		/* Announce, if no other giver may yet send and the lease is ours. */
+		/* Announce, if no other issuer may yet send and the lease is ours. */
 		atomic {
 			if
 			:: leaseHolder == me && leaseToken == token && (!intentOpen || intentHolder == me || gone[intentHolder]) ->
@@ -54,7 +54,7 @@
 			:: else -> goto again
 			fi
 		};
-		/* Here the giver may be paused for any time, or crash. */
+		/* Here the issuer may be paused for any time, or crash. */
 		if
 		:: gone[me] = true; goto over
 		:: skip
@@ -77,5 +77,5 @@
 }
 
 init {
-	atomic { run Giver(0); run Giver(1) }
+	atomic { run Issuer(0); run Issuer(1) }
 }
--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -37,13 +37,13 @@
 	Exporter *metric.Exporter
 	Log      *log.Logger
 
-	node    node
-	meter   *metric.Meter
-	desk    *capacity.LocalDesk
-	server  *gate.Server
-	callers *web.Server
-	admin   *web.Server
-	top     *suture.Supervisor
+	node     node
+	meter    *metric.Meter
+	endpoint *capacity.LocalEndpoint
+	server   *gate.Server
+	callers  *web.Server
+	admin    *web.Server
+	top      *suture.Supervisor
 }
 
 const logPrefix = "box: "
@@ -99,9 +99,9 @@
 		tls:      encryption,
 		advert:   e.Settings.Listen.Peers,
 	}
-	e.desk = e.newDesk()
-	e.node.build(ctx, e.desk)
-	e.desk.Configuration = e.node.follower
+	e.endpoint = e.newEndpoint()
+	e.node.build(ctx, e.endpoint)
+	e.endpoint.Configuration = e.node.follower
 	e.wire()
 	return nil
 }
@@ -125,13 +125,13 @@
 	e.admin = e.newListener("admin", e.Settings.Listen.Admin, e.status())
 	poller := &capacity.Poller{
 		Clock:         e.Clock,
-		Desk:          e.desk,
+		Endpoint:      e.endpoint,
 		Configuration: e.node.follower,
 		Targets:       targets,
 		Meter:         e.meter,
 	}
 	e.top = supervisor.New("entry", e.Log, e.grace())
-	for _, s := range []suture.Service{canceller, claims, limiter, e.desk, allocator, poller, e.callers} {
+	for _, s := range []suture.Service{canceller, claims, limiter, e.endpoint, allocator, poller, e.callers} {
 		e.top.Add(s)
 	}
 	for _, s := range e.node.services() {
@@ -144,8 +144,8 @@
 
 func (e *Entry) grace() time.Duration { return e.Settings.Limits.Grace.Or(defaultGrace) }
 
-func (e *Entry) newDesk() *capacity.LocalDesk {
-	return &capacity.LocalDesk{
+func (e *Entry) newEndpoint() *capacity.LocalEndpoint {
+	return &capacity.LocalEndpoint{
 		Clock:    e.Clock,
 		Hall:     barleystep.HallID(e.Settings.Box.Hall),
 		Meter:    e.meter,
@@ -169,8 +169,8 @@
 		Box:           e.node.source.Box(),
 		Configuration: e.node.follower,
 		Membership:    e.node.tracker,
-		Local:         e.desk,
-		Remote:        e.node.client.Desk,
+		Local:         e.endpoint,
+		Remote:        e.node.client.Endpoint,
 		Meter:         e.meter,
 		Settings:      e.capacity(),
 	}
--- a/internal/box/keeper.go
+++ b/internal/box/keeper.go
@@ -52,7 +52,7 @@
 		Clock:   k.Clock,
 		Hall:    hall,
 		Boxes:   k.Boxes,
-		Members: func(ctx context.Context) ([]member.Rumour, error) { return client.Members(ctx, entry) },
+		Members: func(ctx context.Context) ([]member.Update, error) { return client.Members(ctx, entry) },
 	}
 	targets := &engine.Pool{Configuration: follower}
 	top := supervisor.New("keeper", k.Log, 0)
@@ -62,7 +62,7 @@
 		&keeper.Cleaner{
 			Clock: k.Clock, Box: id, Hall: hall, Configuration: follower, Targets: targets, Watcher: watcher, Meter: k.Meter, Log: k.Log,
 		},
-		&keeper.Giver{
+		&keeper.Issuer{
 			Clock: k.Clock, Hall: hall, Source: source, Table: k.Table, Configuration: follower, Targets: targets, Watcher: watcher,
 			Meter: k.Meter, Log: k.Log,
 		},
--- a/internal/box/node.go
+++ b/internal/box/node.go
@@ -44,9 +44,9 @@
 	listener *web.Server
 }
 
-// build makes the parts. The desk answers the other boxes' questions about
+// build makes the parts. The endpoint answers the other boxes' questions about
 // capacity.
-func (n *node) build(ctx context.Context, desk *capacity.LocalDesk) {
+func (n *node) build(ctx context.Context, endpoint *capacity.LocalEndpoint) {
 	n.follower = &version.Follower{Clock: n.clock, Meter: n.meter}
 	auth := peer.Auth{Secret: n.settings.Peers.Secret, Box: n.source.Box(), Clock: n.clock}
 	n.tracker = &member.Tracker{
@@ -55,8 +55,8 @@
 		Boxes:  n.boxes,
 		Meter:  n.meter,
 		Log:    n.log,
-		OnGone: desk.Gone,
-		Self: member.Rumour{
+		OnGone: endpoint.Gone,
+		Self: member.Update{
 			Box:         n.source.Box(),
 			Addr:        n.advert,
 			Incarnation: n.source.Incarnation(),
@@ -79,7 +79,7 @@
 	n.server = &peer.Server{
 		Auth:     auth,
 		Clock:    n.clock,
-		Desk:     desk,
+		Endpoint: endpoint,
 		Receiver: n.tracker,
 		Follower: n.follower,
 		Table:    n.group,
--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -23,10 +23,10 @@
 	Box           barleystep.BoxID
 	Configuration config.Source
 	Membership    barleystep.Membership
-	// Local is this box's own desk, the last resort when no other answers.
-	Local Desk
-	// Remote returns the desk of another box.
-	Remote   func(barleystep.BoxID) (d Desk, ok bool)
+	// Local is this box's own endpoint, the last resort when no other answers.
+	Local Endpoint
+	// Remote returns the endpoint of another box.
+	Remote   func(barleystep.BoxID) (d Endpoint, ok bool)
 	Meter    *metric.Meter
 	Settings Settings
 
@@ -44,7 +44,7 @@
 }
 
 const (
-	// avoidFor is how long a desk that failed is passed over.
+	// avoidFor is how long an endpoint that failed is passed over.
 	avoidFor = time.Second
 	// quietLife is how long a pool is reported after its last use.
 	quietLife = 30 * time.Second
@@ -72,17 +72,17 @@
 	return p.holder.Try(now, d)
 }
 
-// ask asks one desk after the other until one answers or ctx ends.
+// ask asks one endpoint after the other until one answers or ctx ends.
 func (a *Allocator) ask(ctx context.Context, p *pool, d barleystep.Demand) (barleystep.Allotment, error) {
 	s := a.share(d)
 	question := Ask{Demand: d, Box: a.Box, Weight: s.Weight, Rank: s.Rank, Limit: s.Limit}
 	for {
 		id := a.dispenser(p.name)
-		desk := a.desk(id)
-		g, err := a.askOne(ctx, id, p.name, desk, question)
+		endpoint := a.endpoint(id)
+		g, err := a.askOne(ctx, id, p.name, endpoint, question)
 		if err == nil {
 			p.hold(a.Clock.Now(), d, g.Targets)
-			return a.allotment(p, d, g.Targets, g.Priority, desk), nil
+			return a.allotment(p, d, g.Targets, g.Priority, endpoint), nil
 		}
 		if refused(err) || ctx.Err() != nil {
 			return barleystep.Allotment{}, err
@@ -91,14 +91,14 @@
 	}
 }
 
-// askOne asks one desk. When the pool's dispenser moves meanwhile, the question
+// askOne asks one endpoint. When the pool's dispenser moves meanwhile, the question
 // is withdrawn.
-func (a *Allocator) askOne(ctx context.Context, id barleystep.BoxID, pool string, desk Desk, q Ask) (Grant, error) {
+func (a *Allocator) askOne(ctx context.Context, id barleystep.BoxID, pool string, endpoint Endpoint, q Ask) (Grant, error) {
 	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
 	moved := a.whenMoved(asking, id, pool, cancel)
-	g, err := desk.Ask(asking, pool, q)
-	// A caller that went away says nothing of the desk.
+	g, err := endpoint.Ask(asking, pool, q)
+	// A caller that went away says nothing of the endpoint.
 	failed := err != nil && !refused(err) && ctx.Err() == nil && !moved()
 	if failed && id != a.Box {
 		a.avoid(id)
@@ -146,20 +146,20 @@
 }
 
 // allotment wires what becomes of an attempt back to the holder, and to the
-// desk that granted it.
-func (a *Allocator) allotment(p *pool, d barleystep.Demand, targets []barleystep.TargetID, priority int, desk Desk) barleystep.Allotment {
+// endpoint that granted it.
+func (a *Allocator) allotment(p *pool, d barleystep.Demand, targets []barleystep.TargetID, priority int, endpoint Endpoint) barleystep.Allotment {
 	id := d.Attempt
 	return barleystep.NewAllotment(targets, priority, barleystep.AllotmentHooks{
 		First: func() {
 			p.first(a.Clock.Now(), id)
-			if desk != nil {
-				a.notify(func(ctx context.Context) error { return desk.First(ctx, p.name, id) })
+			if endpoint != nil {
+				a.notify(func(ctx context.Context) error { return endpoint.First(ctx, p.name, id) })
 			}
 		},
 		Release: func(u barleystep.Usage) {
 			p.end(id, u)
-			if desk != nil {
-				a.notify(func(ctx context.Context) error { return desk.Release(ctx, p.name, id, u) })
+			if endpoint != nil {
+				a.notify(func(ctx context.Context) error { return endpoint.Release(ctx, p.name, id, u) })
 			}
 		},
 	})
@@ -211,7 +211,7 @@
 	r := p.holder.Report(now)
 	p.mu.Unlock()
 	id := a.dispenser(p.name)
-	c, err := a.desk(id).Report(ctx, p.name, r)
+	c, err := a.endpoint(id).Report(ctx, p.name, r)
 	if err != nil {
 		a.avoid(id)
 		a.Meter.Retried("report_lost")
@@ -275,7 +275,7 @@
 	return a.Box
 }
 
-func (a *Allocator) desk(id barleystep.BoxID) Desk {
+func (a *Allocator) endpoint(id barleystep.BoxID) Endpoint {
 	if id == a.Box {
 		return a.Local
 	}
--- a/internal/capacity/allocator_test.go
+++ b/internal/capacity/allocator_test.go
@@ -16,14 +16,14 @@
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
-// fakeDesk answers questions by a function.
-type fakeDesk struct {
+// fakeEndpoint answers questions by a function.
+type fakeEndpoint struct {
 	asked chan barleystep.AttemptID
 	ask   func(ctx context.Context) error
 }
 
 // Ask grants e0 unless the function fails.
-func (d *fakeDesk) Ask(ctx context.Context, _ string, a capacity.Ask) (capacity.Grant, error) {
+func (d *fakeEndpoint) Ask(ctx context.Context, _ string, a capacity.Ask) (capacity.Grant, error) {
 	d.asked <- a.Demand.Attempt
 	if err := d.ask(ctx); err != nil {
 		return capacity.Grant{}, err
@@ -32,15 +32,15 @@
 }
 
 // First does nothing.
-func (d *fakeDesk) First(context.Context, string, barleystep.AttemptID) error { return nil }
+func (d *fakeEndpoint) First(context.Context, string, barleystep.AttemptID) error { return nil }
 
 // Release does nothing.
-func (d *fakeDesk) Release(context.Context, string, barleystep.AttemptID, barleystep.Usage) error {
+func (d *fakeEndpoint) Release(context.Context, string, barleystep.AttemptID, barleystep.Usage) error {
 	return nil
 }
 
 // Report gives no credits.
-func (d *fakeDesk) Report(context.Context, string, capacity.Report) (capacity.Credits, error) {
+func (d *fakeEndpoint) Report(context.Context, string, capacity.Report) (capacity.Credits, error) {
 	return capacity.Credits{}, nil
 }
 
@@ -52,7 +52,7 @@
 	cases := map[string]struct {
 		remote func(ctx context.Context) error
 		leaves bool // leaves makes the first caller go away.
-		asked  int  // asked is how often the remote desk was asked by two callers.
+		asked  int  // asked is how often the remote endpoint was asked by two callers.
 		local  int
 	}{
 		"it grants":                       {grantAll, false, 2, 0},
@@ -63,17 +63,17 @@
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			once := true
-			remote := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: func(ctx context.Context) error {
+			remote := &fakeEndpoint{asked: make(chan barleystep.AttemptID, 9), ask: func(ctx context.Context) error {
 				if tc.leaves && !once {
 					return nil
 				}
 				once = false
 				return tc.remote(ctx)
 			}}
-			local := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: grantAll}
+			local := &fakeEndpoint{asked: make(chan barleystep.AttemptID, 9), ask: grantAll}
 			a := &capacity.Allocator{
 				Clock: clock.NewManual(start), Box: "zz", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"),
-				Local: local, Remote: func(barleystep.BoxID) (capacity.Desk, bool) { return remote, true },
+				Local: local, Remote: func(barleystep.BoxID) (capacity.Endpoint, bool) { return remote, true },
 				Meter: metric.Discard(),
 			}
 			ctx, cancel := context.WithCancel(context.Background())
@@ -98,12 +98,12 @@
 }
 
 // TestAllocatorGivesUpWithItsCaller checks that a question ends with its
-// request, whatever the desk does.
+// request, whatever the endpoint does.
 func TestAllocatorGivesUpWithItsCaller(t *testing.T) {
 	clk := clock.NewManual(start)
-	desk := &fakeDesk{asked: make(chan barleystep.AttemptID, 9), ask: hangOnce}
+	endpoint := &fakeEndpoint{asked: make(chan barleystep.AttemptID, 9), ask: hangOnce}
 	a := &capacity.Allocator{
-		Clock: clk, Box: "b1", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"), Local: desk,
+		Clock: clk, Box: "b1", Configuration: config.NewFixed(nil), Membership: member.NewFixed("b1"), Local: endpoint,
 		Meter: metric.Discard(),
 	}
 	ctx, cancel := clock.WithDeadline(context.Background(), clk, start.Add(time.Second))
@@ -113,7 +113,7 @@
 		_, err := a.Acquire(ctx, demand(1, 20_000))
 		done <- err
 	}()
-	<-desk.asked
+	<-endpoint.asked
 	clk.Advance(time.Second)
 	quicktest.Check(t, <-done, quicktest.IsNotNil)
 	quicktest.Check(t, context.Cause(ctx), quicktest.ErrorIs, context.DeadlineExceeded)
--- a/internal/capacity/desk.go
+++ b/internal/capacity/endpoint.go
@@ -14,10 +14,10 @@
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
-// Desk is where the boxes of a hall reach a pool's dispenser: LocalDesk on the
+// Endpoint is where the boxes of a hall reach a pool's dispenser: LocalEndpoint on the
 // box that dispenses, a peer's adapter on the others. Implementations are safe
 // for concurrent use.
-type Desk interface {
+type Endpoint interface {
 	// Ask waits for a grant. It returns a *barleystep.Refusal, or another error
 	// if the dispenser could not be asked; the request is then withdrawn.
 	Ask(ctx context.Context, pool string, a Ask) (Grant, error)
@@ -29,9 +29,9 @@
 	Report(ctx context.Context, pool string, r Report) (Credits, error)
 }
 
-// LocalDesk runs the dispensers of the pools that this box hands out. Its
+// LocalEndpoint runs the dispensers of the pools that this box hands out. Its
 // exported fields are set before use.
-type LocalDesk struct {
+type LocalEndpoint struct {
 	Clock         barleystep.Clock
 	Hall          barleystep.HallID
 	Configuration config.Source
@@ -44,7 +44,7 @@
 	pools  map[string]*dispensed
 }
 
-// dispensed is one pool at a desk.
+// dispensed is one pool at an endpoint.
 type dispensed struct {
 	name      string
 	mu        sync.Mutex
@@ -54,17 +54,17 @@
 	used      time.Time
 }
 
-var _ Desk = (*LocalDesk)(nil)
+var _ Endpoint = (*LocalEndpoint)(nil)
 
 const (
 	// tickEvery is the time between decisions when nothing else causes one.
 	tickEvery = 100 * time.Millisecond
-	// idleLife is how long a pool stays at a desk that nobody uses.
+	// idleLife is how long a pool stays at an endpoint that nobody uses.
 	idleLife = time.Minute
 )
 
 // Ask waits for a grant of the pool's dispenser.
-func (l *LocalDesk) Ask(ctx context.Context, pool string, a Ask) (g Grant, err error) {
+func (l *LocalEndpoint) Ask(ctx context.Context, pool string, a Ask) (g Grant, err error) {
 	p := l.pool(pool)
 	answer := make(chan Grant, 1)
 	id := a.Demand.Attempt
@@ -83,7 +83,7 @@
 	return g, nil
 }
 
-func (l *LocalDesk) enter(p *dispensed, a Ask, answer chan Grant) error {
+func (l *LocalEndpoint) enter(p *dispensed, a Ask, answer chan Grant) error {
 	now := l.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,7 +99,7 @@
 
 // leave withdraws a request whose caller has gone. A grant that crossed with
 // it is given back.
-func (l *LocalDesk) leave(p *dispensed, id barleystep.AttemptID, answer chan Grant) {
+func (l *LocalEndpoint) leave(p *dispensed, id barleystep.AttemptID, answer chan Grant) {
 	l.decide(p, func(d *Dispenser, now time.Time) {
 		d.Withdraw(id)
 		delete(p.waiting, id)
@@ -112,37 +112,37 @@
 }
 
 // First notes a first token.
-func (l *LocalDesk) First(_ context.Context, pool string, id barleystep.AttemptID) error {
+func (l *LocalEndpoint) First(_ context.Context, pool string, id barleystep.AttemptID) error {
 	l.change(pool, func(d *Dispenser, now time.Time) { d.First(now, id, 0) })
 	return nil
 }
 
 // Release takes a grant back.
-func (l *LocalDesk) Release(_ context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
+func (l *LocalEndpoint) Release(_ context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
 	l.change(pool, func(d *Dispenser, now time.Time) { d.Release(now, id, u) })
 	return nil
 }
 
 // Report takes in a report.
-func (l *LocalDesk) Report(_ context.Context, pool string, r Report) (c Credits, err error) {
+func (l *LocalEndpoint) Report(_ context.Context, pool string, r Report) (c Credits, err error) {
 	l.change(pool, func(d *Dispenser, now time.Time) { c = d.Report(now, r) })
 	return c, nil
 }
 
 // Load takes in a load report of a target of the pool.
-func (l *LocalDesk) Load(pool string, id barleystep.TargetID, load barleystep.Load) {
+func (l *LocalEndpoint) Load(pool string, id barleystep.TargetID, load barleystep.Load) {
 	l.decide(l.pool(pool), func(d *Dispenser, _ time.Time) { d.Load(id, load) })
 }
 
 // Gone forgets a box in all pools.
-func (l *LocalDesk) Gone(id barleystep.BoxID) {
+func (l *LocalEndpoint) Gone(id barleystep.BoxID) {
 	for _, name := range l.Pools() {
 		l.change(name, func(d *Dispenser, now time.Time) { d.Gone(now, id) })
 	}
 }
 
-// Pools returns the names of the pools that are in use at this desk.
-func (l *LocalDesk) Pools() []string {
+// Pools returns the names of the pools that are in use at this endpoint.
+func (l *LocalEndpoint) Pools() []string {
 	now := l.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -163,8 +163,8 @@
 	return len(p.waiting) == 0 && now.Sub(p.used) > idleLife
 }
 
-// change is decide for what a box has said: it keeps the pool at the desk.
-func (l *LocalDesk) change(pool string, f func(*Dispenser, time.Time)) {
+// change is decide for what a box has said: it keeps the pool at the endpoint.
+func (l *LocalEndpoint) change(pool string, f func(*Dispenser, time.Time)) {
 	p := l.pool(pool)
 	l.decide(p, func(d *Dispenser, now time.Time) {
 		p.used = now
@@ -174,7 +174,7 @@
 
 // decide lets f change the pool's dispenser, with the configuration in force,
 // and hands out what follows.
-func (l *LocalDesk) decide(p *dispensed, f func(*Dispenser, time.Time)) {
+func (l *LocalEndpoint) decide(p *dispensed, f func(*Dispenser, time.Time)) {
 	now := l.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -183,7 +183,7 @@
 	p.tick(now)
 }
 
-func (l *LocalDesk) pool(name string) *dispensed {
+func (l *LocalEndpoint) pool(name string) *dispensed {
 	now := l.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -213,13 +213,13 @@
 
 // Opened tells of pools that were newly taken over: until their targets' load is
 // known, nothing is handed out.
-func (l *LocalDesk) Opened() chan string {
+func (l *LocalEndpoint) Opened() chan string {
 	l.once.Do(func() { l.opened = make(chan string, openedQueue) })
 	return l.opened
 }
 
 // Serve decides at intervals until ctx ends.
-func (l *LocalDesk) Serve(ctx context.Context) error {
+func (l *LocalEndpoint) Serve(ctx context.Context) error {
 	for clock.Sleep(ctx, l.Clock, tickEvery) {
 		for _, name := range l.Pools() {
 			l.decide(l.pool(name), func(*Dispenser, time.Time) {})
@@ -243,7 +243,7 @@
 
 // refresh gives the dispenser the targets of the configuration in force. The
 // caller holds the lock.
-func (l *LocalDesk) refresh(p *dispensed) {
+func (l *LocalEndpoint) refresh(p *dispensed) {
 	v, _ := l.Configuration.View()
 	if v == nil || v.Version() == p.version {
 		return
--- a/internal/capacity/poller.go
+++ b/internal/capacity/poller.go
@@ -17,11 +17,11 @@
 	Engine(id barleystep.TargetID, fresh bool) (e barleystep.Engine, ok bool)
 }
 
-// Poller collects the load reports of the targets whose pools a desk
+// Poller collects the load reports of the targets whose pools an endpoint
 // dispenses. Its exported fields are set before Serve.
 type Poller struct {
 	Clock         barleystep.Clock
-	Desk          *LocalDesk
+	Endpoint      *LocalEndpoint
 	Configuration config.Source
 	Targets       Loads
 	Meter         *metric.Meter
@@ -40,11 +40,11 @@
 		case <-ctx.Done():
 			t.Stop()
 			return ctx.Err()
-		case name := <-p.Desk.Opened():
+		case name := <-p.Endpoint.Opened():
 			t.Stop()
 			p.round(ctx, []string{name})
 		case <-t.C():
-			p.round(ctx, p.Desk.Pools())
+			p.round(ctx, p.Endpoint.Pools())
 		}
 	}
 }
@@ -58,7 +58,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, name := range pools {
-		for _, s := range Specs(v, string(p.Desk.Hall), name) {
+		for _, s := range Specs(v, string(p.Endpoint.Hall), name) {
 			wait.Go(func() { p.poll(ctx, name, s.ID) })
 		}
 	}
@@ -77,5 +77,5 @@
 	}
 	// Targets' clocks differ from ours; a report counts from its arrival.
 	l.At = p.Clock.Now()
-	p.Desk.Load(pool, id, l)
+	p.Endpoint.Load(pool, id, l)
 }
--- a/internal/keeper/clean.go
+++ b/internal/keeper/clean.go
@@ -33,7 +33,7 @@
 // Picture is what a keeper knows of the boxes of its hall.
 type Picture struct {
 	// Members are the boxes as the own box sees them.
-	Members []member.Rumour
+	Members []member.Update
 	// Listed are the boxes that the platform lists, and ListedAt is when it was
 	// asked; zero if it could not be.
 	Listed   map[barleystep.BoxID]bool
@@ -61,7 +61,7 @@
 	return ReasonNone
 }
 
-func judgeBox(m member.Rumour, id barleystep.AttemptID, p Picture) Reason {
+func judgeBox(m member.Update, id barleystep.AttemptID, p Picture) Reason {
 	if m.Incarnation > id.Incarnation() {
 		return ReasonReplaced
 	}
--- a/internal/keeper/clean_test.go
+++ b/internal/keeper/clean_test.go
@@ -88,7 +88,7 @@
 func (b *bench) clean(w *keeper.Watcher, cleaners []*keeper.Cleaner, incarnations []barleystep.Incarnation) {
 	members := b.members[:2:2]
 	for i, inc := range incarnations {
-		members = append(members, member.Rumour{Box: barleystep.BoxID(fmt.Sprint("x", i)), Incarnation: 10 + inc, Status: member.StatusLeaving})
+		members = append(members, member.Update{Box: barleystep.BoxID(fmt.Sprint("x", i)), Incarnation: 10 + inc, Status: member.StatusLeaving})
 	}
 	b.members = members
 	w.Look(context.Background())
--- a/internal/keeper/giver.go
+++ b/internal/keeper/issuer.go
@@ -13,9 +13,9 @@
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
-// Giver gives the hall's orders while its box holds the lease. Its exported
+// Issuer gives the hall's orders while its box holds the lease. Its exported
 // fields are set before Serve.
-type Giver struct {
+type Issuer struct {
 	Clock         barleystep.Clock
 	Hall          barleystep.HallID
 	Source        *identity.Source
@@ -40,7 +40,7 @@
 }
 
 const (
-	defaultGiverEvery = 2 * time.Second
+	defaultIssueEvery = 2 * time.Second
 	defaultOrderPause = 10 * time.Second
 	// leaseLife is how long a lease lasts; it is renewed in every round.
 	leaseLife = 15 * time.Second
@@ -50,21 +50,21 @@
 	orderLife = time.Minute
 )
 
-func (g *Giver) leaseKey() string { return "order/lease/" + string(g.Hall) }
+func (g *Issuer) leaseKey() string { return "order/lease/" + string(g.Hall) }
 
 // intentPrefix begins the keys of the hall's intents, so that one scan reads
 // them all.
-func (g *Giver) intentPrefix() string { return "order/intent/" + string(g.Hall) + "/" }
+func (g *Issuer) intentPrefix() string { return "order/intent/" + string(g.Hall) + "/" }
 
-func (g *Giver) intentKey(id barleystep.TargetID) string { return g.intentPrefix() + string(id) }
+func (g *Issuer) intentKey(id barleystep.TargetID) string { return g.intentPrefix() + string(id) }
 
 // maxIntents bounds the targets of a hall that have ever had an intent.
 const maxIntents = 10_000
 
 // Serve gives orders until ctx ends.
-func (g *Giver) Serve(ctx context.Context) error {
+func (g *Issuer) Serve(ctx context.Context) error {
 	if g.Every == 0 {
-		g.Every = defaultGiverEvery
+		g.Every = defaultIssueEvery
 	}
 	if g.Pause == 0 {
 		g.Pause = defaultOrderPause
@@ -73,7 +73,7 @@
 }
 
 // Round looks at each target once. Serve calls it; tests may.
-func (g *Giver) Round(ctx context.Context) {
+func (g *Issuer) Round(ctx context.Context) {
 	v, _ := g.Configuration.View()
 	if v == nil || !g.wanted(v) {
 		return
@@ -91,7 +91,7 @@
 }
 
 // intents reads the hall's intent rows by their keys.
-func (g *Giver) intents(ctx context.Context) (map[string]barleystep.Row, error) {
+func (g *Issuer) intents(ctx context.Context) (map[string]barleystep.Row, error) {
 	rows, err := g.Table.Scan(ctx, g.intentPrefix(), "", maxIntents)
 	if err != nil {
 		g.Meter.StoreFault("intent_scan", barleystep.FaultOf(err).String())
@@ -104,17 +104,17 @@
 	return byKey, nil
 }
 
-func (g *Giver) targets(v *config.View) []config.Target {
+func (g *Issuer) targets(v *config.View) []config.Target {
 	return v.Targets(func(t config.Target) bool { return t.Hall == string(g.Hall) && t.Weights != "" })
 }
 
 // wanted reports whether any target has a desired state; without one the lease
 // is not worth its writes.
-func (g *Giver) wanted(v *config.View) bool { return len(g.targets(v)) > 0 }
+func (g *Issuer) wanted(v *config.View) bool { return len(g.targets(v)) > 0 }
 
 // hold takes or renews the lease. A write whose answer was lost is looked at
 // again in the next round; until then there is no lease.
-func (g *Giver) hold(ctx context.Context) bool {
+func (g *Issuer) hold(ctx context.Context) bool {
 	now := g.Clock.Now()
 	rows, err := g.Table.Read(ctx, g.leaseKey())
 	if err != nil {
@@ -134,7 +134,7 @@
 	return g.take(ctx, rows[0].Version(), found, mine, now)
 }
 
-func (g *Giver) take(ctx context.Context, rowVersion int64, found Lease, mine bool, now time.Time) bool {
+func (g *Issuer) take(ctx context.Context, rowVersion int64, found Lease, mine bool, now time.Time) bool {
 	next := Lease{Holder: g.Source.Box(), Incarnation: g.Source.Incarnation(), Token: found.Token, Until: now.Add(leaseLife)}
 	if !mine {
 		next.Token++
@@ -153,7 +153,7 @@
 }
 
 // look takes one step about one target.
-func (g *Giver) look(ctx context.Context, t config.Target, row barleystep.Row) {
+func (g *Issuer) look(ctx context.Context, t config.Target, row barleystep.Row) {
 	id := barleystep.TargetID(t.ID)
 	e, ok := g.Targets.Engine(id, true)
 	if !ok {
@@ -183,7 +183,7 @@
 	g.act(ctx, id, e, s, row.Version())
 }
 
-func (g *Giver) act(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, s Sight, rowVersion int64) {
+func (g *Issuer) act(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, s Sight, rowVersion int64) {
 	if g.Clock.Now().Before(g.unsure[id]) {
 		return
 	}
@@ -202,7 +202,7 @@
 	}
 }
 
-func (g *Giver) announce(id barleystep.TargetID, open bool) {
+func (g *Issuer) announce(id barleystep.TargetID, open bool) {
 	if g.announced == nil {
 		g.announced = make(map[barleystep.TargetID]bool)
 	}
@@ -210,7 +210,7 @@
 }
 
 // closeIntent needs no lease: only the holder closes its own intent.
-func (g *Giver) closeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) {
+func (g *Issuer) closeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) {
 	i.Open = false
 	err := g.Table.Commit(ctx, barleystep.Txn{
 		Conditions: []barleystep.Condition{barleystep.IfVersion(g.intentKey(id), rowVersion)},
@@ -223,7 +223,7 @@
 
 // writeIntent writes the intent if nobody else has, and if the lease is still
 // this box's in the table.
-func (g *Giver) writeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) bool {
+func (g *Issuer) writeIntent(ctx context.Context, id barleystep.TargetID, rowVersion int64, i Intent) bool {
 	g.announce(id, true)
 	rows, err := g.Table.Read(ctx, g.leaseKey())
 	if err != nil {
@@ -243,7 +243,7 @@
 }
 
 // send sends an order, spread over time.
-func (g *Giver) send(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, o barleystep.Order) {
+func (g *Issuer) send(ctx context.Context, id barleystep.TargetID, e barleystep.Engine, o barleystep.Order) {
 	now := g.Clock.Now()
 	if now.Sub(g.ordered) < g.Pause && !g.ordered.IsZero() {
 		return
@@ -257,7 +257,7 @@
 		Msg(logPrefix + "Order sent.")
 }
 
-func (g *Giver) lost(id barleystep.TargetID, now time.Time) {
+func (g *Issuer) lost(id barleystep.TargetID, now time.Time) {
 	g.Meter.Retried("order_answer_lost")
 	if g.unsure == nil {
 		g.unsure = make(map[barleystep.TargetID]time.Time)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -27,8 +27,8 @@
 var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 
 func TestJudge(t *testing.T) {
-	dead := member.Rumour{Box: "b", Incarnation: 5, Status: member.StatusDead}
-	alive := member.Rumour{Box: "b", Incarnation: 5, Status: member.StatusAlive}
+	dead := member.Update{Box: "b", Incarnation: 5, Status: member.StatusDead}
+	alive := member.Update{Box: "b", Incarnation: 5, Status: member.StatusAlive}
 	seen := map[barleystep.BoxID]time.Time{"b": start}
 	cases := map[string]struct {
 		attempt  barleystep.AttemptID
@@ -36,32 +36,32 @@
 		picture  keeper.Picture
 		want     keeper.Reason
 	}{
-		"of a live box": {barleystep.NewAttemptID("b", 5, 1), time.Time{}, keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonNone},
+		"of a live box": {barleystep.NewAttemptID("b", 5, 1), time.Time{}, keeper.Picture{Members: []member.Update{alive}}, keeper.ReasonNone},
 		"of an earlier start": {
-			barleystep.NewAttemptID("b", 4, 1), time.Time{}, keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonReplaced,
+			barleystep.NewAttemptID("b", 4, 1), time.Time{}, keeper.Picture{Members: []member.Update{alive}}, keeper.ReasonReplaced,
 		},
 		"of a later start than is known": {
-			barleystep.NewAttemptID("b", 6, 1), time.Time{}, keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(1)}, keeper.ReasonNone,
+			barleystep.NewAttemptID("b", 6, 1), time.Time{}, keeper.Picture{Members: []member.Update{dead}, DeadSince: seen, ListedAt: start.Add(1)}, keeper.ReasonNone,
 		},
 		"of a silent box that is listed": {
 			barleystep.NewAttemptID("b", 5, 1), time.Time{},
-			keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(1), Listed: map[barleystep.BoxID]bool{"b": true}},
+			keeper.Picture{Members: []member.Update{dead}, DeadSince: seen, ListedAt: start.Add(1), Listed: map[barleystep.BoxID]bool{"b": true}},
 			keeper.ReasonNone,
 		},
 		"of a silent box, list not read since": {
 			barleystep.NewAttemptID("b", 5, 1), time.Time{},
-			keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(-1)}, keeper.ReasonNone,
+			keeper.Picture{Members: []member.Update{dead}, DeadSince: seen, ListedAt: start.Add(-1)}, keeper.ReasonNone,
 		},
 		"of a silent box that is not listed": {
 			barleystep.NewAttemptID("b", 5, 1), time.Time{},
-			keeper.Picture{Members: []member.Rumour{dead}, DeadSince: seen, ListedAt: start.Add(1)}, keeper.ReasonGone,
+			keeper.Picture{Members: []member.Update{dead}, DeadSince: seen, ListedAt: start.Add(1)}, keeper.ReasonGone,
 		},
 		"of a box of elsewhere": {barleystep.NewAttemptID("c", 5, 1), time.Time{}, keeper.Picture{}, keeper.ReasonNone},
 		"long after its deadline": {
-			barleystep.NewAttemptID("b", 5, 1), start.Add(-time.Minute), keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonDeadline,
+			barleystep.NewAttemptID("b", 5, 1), start.Add(-time.Minute), keeper.Picture{Members: []member.Update{alive}}, keeper.ReasonDeadline,
 		},
 		"soon after its deadline": {
-			barleystep.NewAttemptID("b", 5, 1), start.Add(-time.Second), keeper.Picture{Members: []member.Rumour{alive}}, keeper.ReasonNone,
+			barleystep.NewAttemptID("b", 5, 1), start.Add(-time.Second), keeper.Picture{Members: []member.Update{alive}}, keeper.ReasonNone,
 		},
 	}
 	for name, tc := range cases {
@@ -88,7 +88,7 @@
 		"announces first":                      {func(*keeper.Sight) {}, keeper.StepIntend},
 		"sends what it announced":              {func(s *keeper.Sight) { s.Intent = mine }, keeper.StepSendIntended},
 		"closes when it is done":               {func(s *keeper.Sight) { s.Intent, s.Loaded = mine, "v2" }, keeper.StepClose},
-		"waits for a paused giver":             {func(s *keeper.Sight) { s.Intent = other }, keeper.StepWait},
+		"waits for a paused issuer":            {func(s *keeper.Sight) { s.Intent = other }, keeper.StepWait},
 		"waits although all is well":           {func(s *keeper.Sight) { s.Intent, s.Loaded = other, "v2" }, keeper.StepWait},
 		"goes on when that one is gone":        {func(s *keeper.Sight) { s.Intent, s.HolderGone = other, true }, keeper.StepIntend},
 		"waits for running work":               {func(s *keeper.Sight) { s.Idle = false }, keeper.StepWait},
@@ -113,7 +113,7 @@
 	table   *table.Faulty
 	pool    *engine.Pool
 	config  config.Fixed
-	members []member.Rumour
+	members []member.Update
 	boxes   *standin.BoxList
 }
 
@@ -134,7 +134,7 @@
 	c.Assert(err, quicktest.IsNil)
 	b.config = config.NewFixed(v)
 	b.pool = &engine.Pool{Configuration: b.config}
-	b.members = []member.Rumour{
+	b.members = []member.Update{
 		{Box: "b1", Incarnation: 1, Status: member.StatusAlive},
 		{Box: "b2", Incarnation: 1, Status: member.StatusAlive},
 	}
@@ -143,13 +143,13 @@
 }
 
 func (b *bench) watcher() *keeper.Watcher {
-	w := &keeper.Watcher{Clock: b.clock, Hall: "h", Boxes: b.boxes, Members: func(context.Context) ([]member.Rumour, error) { return b.members, nil }}
+	w := &keeper.Watcher{Clock: b.clock, Hall: "h", Boxes: b.boxes, Members: func(context.Context) ([]member.Update, error) { return b.members, nil }}
 	w.Look(context.Background())
 	return w
 }
 
-func (b *bench) giver(box barleystep.BoxID) *keeper.Giver {
-	return &keeper.Giver{
+func (b *bench) issuer(box barleystep.BoxID) *keeper.Issuer {
+	return &keeper.Issuer{
 		Clock:         b.clock,
 		Hall:          "h",
 		Source:        identity.NewSource(box, 1),
@@ -163,14 +163,14 @@
 	}
 }
 
-// TestPausedGiverWakesUpLate lets a giver announce an order and pause; its
+// TestPausedIssuerWakesUpLate lets an issuer announce an order and pause; its
 // successor gives none until it is known to be gone.
-func TestPausedGiverWakesUpLate(t *testing.T) {
+func TestPausedIssuerWakesUpLate(t *testing.T) {
 	ctx := context.Background()
 	c := quicktest.New(t)
 	b := newBench(t, config.Target{Drain: true, Weights: "v2"})
-	first, second := b.giver("b1"), b.giver("b2")
-	// The announcement takes effect, its answer is lost, and the giver pauses.
+	first, second := b.issuer("b1"), b.issuer("b2")
+	// The announcement takes effect, its answer is lost, and the issuer pauses.
 	b.table.SetPlan(func(call table.Call) table.Failure {
 		if call.Write() && len(call.Keys()) > 0 && call.Keys()[0] == "order/intent/h/e" {
 			return table.FailureAfter
@@ -183,8 +183,8 @@
 	b.clock.Advance(time.Minute)
 	second.Round(ctx)
 	second.Round(ctx)
-	c.Check(b.engine.Orders(), quicktest.Equals, 0, quicktest.Commentf("the paused giver may still send"))
-	b.members[0] = member.Rumour{Box: "b1", Incarnation: 2, Status: member.StatusAlive}
+	c.Check(b.engine.Orders(), quicktest.Equals, 0, quicktest.Commentf("the paused issuer may still send"))
+	b.members[0] = member.Update{Box: "b1", Incarnation: 2, Status: member.StatusAlive}
 	second.Watcher.Look(ctx)
 	second.Round(ctx)
 	c.Check(b.engine.Weights(), quicktest.Equals, "v2")
@@ -192,13 +192,13 @@
 	c.Check(b.engine.Orders(), quicktest.Equals, 1)
 }
 
-// TestGiverThatLostItsLeaseGivesUpItsIntent checks that a giver that wakes up
+// TestIssuerThatLostItsLeaseGivesUpItsIntent checks that an issuer that wakes up
 // without its lease sends nothing, and frees the way for its successor.
-func TestGiverThatLostItsLeaseGivesUpItsIntent(t *testing.T) {
+func TestIssuerThatLostItsLeaseGivesUpItsIntent(t *testing.T) {
 	ctx := context.Background()
 	c := quicktest.New(t)
 	b := newBench(t, config.Target{Drain: true, Weights: "v2"})
-	first, second := b.giver("b1"), b.giver("b2")
+	first, second := b.issuer("b1"), b.issuer("b2")
 	b.table.SetPlan(func(call table.Call) table.Failure {
 		if call.Write() && call.Keys()[0] == "order/intent/h/e" {
 			return table.FailureAfter
@@ -216,12 +216,12 @@
 	c.Check(b.engine.Orders(), quicktest.Equals, 1)
 }
 
-// TestFencedTargetRefusesTheOldGiver checks targets that check the token.
-func TestFencedTargetRefusesTheOldGiver(t *testing.T) {
+// TestFencedTargetRefusesTheOldIssuer checks targets that check the token.
+func TestFencedTargetRefusesTheOldIssuer(t *testing.T) {
 	ctx := context.Background()
 	c := quicktest.New(t)
 	b := newBench(t, config.Target{Drain: true, Weights: "v2", ChecksFence: true})
-	b.giver("b1").Round(ctx)
+	b.issuer("b1").Round(ctx)
 	c.Assert(b.engine.Weights(), quicktest.Equals, "v2")
 	e, _ := b.pool.Engine("e", true)
 	c.Assert(e.Order(ctx, barleystep.Order{Weights: "v3", Fence: 5}), quicktest.IsNil)
@@ -231,7 +231,7 @@
 
 func TestNoOrderWhileWorkRuns(t *testing.T) {
 	b := newBench(t, config.Target{Weights: "v2"})
-	b.giver("b1").Round(context.Background())
+	b.issuer("b1").Round(context.Background())
 	quicktest.Check(t, b.engine.Orders(), quicktest.Equals, 0, quicktest.Commentf("the target is not drained"))
 }
 
--- a/internal/keeper/order.go
+++ b/internal/keeper/order.go
@@ -29,10 +29,10 @@
 	Open        bool                   `json:"open"`
 }
 
-// Step is what a giver does next about one target.
+// Step is what an issuer does next about one target.
 type Step uint8
 
-// The steps of a giver.
+// The steps of an issuer.
 const (
 	// StepNothing leaves the target as it is.
 	StepNothing Step = iota
@@ -49,10 +49,10 @@
 	StepClose
 )
 
-// Sight is what a giver sees of one target.
+// Sight is what an issuer sees of one target.
 type Sight struct {
 	Now time.Time
-	// Self is the giver with the lease that it holds.
+	// Self is the issuer with the lease that it holds.
 	Self Lease
 	// Wanted and Loaded are the versions of the model.
 	Wanted string
@@ -89,7 +89,7 @@
 }
 
 // decideWithoutLease gives up what was announced: this box will not send it, and
-// the next giver waits for that word.
+// the next issuer waits for that word.
 func decideWithoutLease(s Sight) Step {
 	if s.Intent.Open && s.mine() {
 		return StepClose
--- a/internal/keeper/watcher.go
+++ b/internal/keeper/watcher.go
@@ -24,7 +24,7 @@
 	Hall  barleystep.HallID
 	Boxes barleystep.BoxList
 	// Members asks the own box how it sees its hall.
-	Members func(ctx context.Context) ([]member.Rumour, error)
+	Members func(ctx context.Context) ([]member.Update, error)
 	// Every is the time between looks; the default is 1 second.
 	Every time.Duration
 
@@ -70,7 +70,7 @@
 	w.picture.ListedAt = now
 }
 
-func (w *Watcher) note(now time.Time, members []member.Rumour) {
+func (w *Watcher) note(now time.Time, members []member.Update) {
 	dead := make(map[barleystep.BoxID]time.Time)
 	for _, m := range members {
 		if m.Status != member.StatusDead {
--- a/internal/member/judge.go
+++ b/internal/member/judge.go
@@ -45,13 +45,13 @@
 	if now.Sub(last) < s.settings.SuspectAfter {
 		return
 	}
-	r := p.Rumour
+	r := p.Update
 	r.Status = StatusSuspect
 	s.change(now, p, r)
 }
 
 func (s *State) bury(now time.Time, p *peer) {
-	r := p.Rumour
+	r := p.Update
 	r.Status = StatusDead
 	s.change(now, p, r)
 }
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -32,8 +32,8 @@
 	// random rings together are a graph in which news reaches 400 boxes in about
 	// five beats.
 	rings = 4
-	// rumoursPerBeat bounds what one heartbeat carries.
-	rumoursPerBeat = 8
+	// updatesPerBeat bounds what one heartbeat carries.
+	updatesPerBeat = 8
 )
 
 func (s Settings) withDefaults() Settings {
@@ -56,7 +56,7 @@
 // goroutines, and not safe for concurrent use.
 type State struct {
 	settings Settings
-	self     Rumour
+	self     Update
 	hall     barleystep.HallID
 	peers    map[barleystep.BoxID]*peer
 	ticked   time.Time
@@ -68,7 +68,7 @@
 }
 
 type peer struct {
-	Rumour
+	Update
 	heard time.Time // heard is when the box itself was last heard.
 	since time.Time // since is when the status last changed.
 	told  int       // told is how often the status was passed on.
@@ -81,7 +81,7 @@
 }
 
 // NewState returns the state of a box that knows only itself.
-func NewState(s Settings, self Rumour, hall barleystep.HallID) *State {
+func NewState(s Settings, self Update, hall barleystep.HallID) *State {
 	self.Status = StatusAlive
 	return &State{
 		settings: s.withDefaults(),
@@ -107,7 +107,7 @@
 			p.Addr = b.Addr()
 			continue
 		}
-		s.peers[b.ID()] = &peer{Rumour: Rumour{Box: b.ID(), Addr: b.Addr()}, since: now}
+		s.peers[b.ID()] = &peer{Update: Update{Box: b.ID(), Addr: b.Addr()}, since: now}
 		s.reorder()
 	}
 	for id, p := range s.peers {
@@ -135,14 +135,14 @@
 	if p.Status == StatusDead {
 		s.answers[p.Box] = true
 	}
-	for _, r := range b.Rumours {
+	for _, r := range b.Updates {
 		s.learn(now, r)
 	}
 }
 
-// revive believes a suspect that is heard directly more than the rumour. A dead
+// revive believes a suspect that is heard directly more than the update. A dead
 // box has to raise its number first, so that all hear of it.
-func (s *State) revive(now time.Time, p *peer, word Rumour) {
+func (s *State) revive(now time.Time, p *peer, word Update) {
 	if p.Status == StatusSuspect && p.Number == word.Number {
 		p.Status = word.Status
 		p.since = now
@@ -151,24 +151,24 @@
 }
 
 // learn takes in what is said of a box, if it outweighs what is known.
-func (s *State) learn(now time.Time, r Rumour) {
+func (s *State) learn(now time.Time, r Update) {
 	if r.Box == s.self.Box {
 		s.contradict(r)
 		return
 	}
 	p, ok := s.peers[r.Box]
 	if !ok {
-		p = &peer{Rumour: Rumour{Box: r.Box, Addr: r.Addr}, since: now}
+		p = &peer{Update: Update{Box: r.Box, Addr: r.Addr}, since: now}
 		s.peers[r.Box] = p
 		s.reorder()
 	}
-	if !outweighs(r, p.Rumour) {
+	if !outweighs(r, p.Update) {
 		return
 	}
 	s.change(now, p, r)
 }
 
-func (s *State) change(now time.Time, p *peer, r Rumour) {
+func (s *State) change(now time.Time, p *peer, r Update) {
 	replaced := p.Incarnation != 0 && p.Incarnation != r.Incarnation && p.Status != StatusDead
 	if p.Status != r.Status || p.Incarnation != r.Incarnation {
 		p.since = now
@@ -185,15 +185,15 @@
 		s.reorder()
 	}
 	addr := p.Addr
-	p.Rumour = r
+	p.Update = r
 	if r.Addr == "" {
 		p.Addr = addr
 	}
 	p.told = 0
 }
 
-// contradict answers a rumour that this incarnation is suspect or dead.
-func (s *State) contradict(r Rumour) {
+// contradict answers an update that this incarnation is suspect or dead.
+func (s *State) contradict(r Update) {
 	if r.Incarnation == s.self.Incarnation && r.Status >= StatusSuspect && r.Number >= s.self.Number {
 		s.self.Number = r.Number + 1
 	}
@@ -201,7 +201,7 @@
 
 // outweighs reports whether r is newer than, or a graver word on the same state
 // than, the known one. Incarnations grow from start to start.
-func outweighs(r, known Rumour) bool {
+func outweighs(r, known Update) bool {
 	switch {
 	case known.Status == StatusUnheard:
 		return r.Status != StatusUnheard
@@ -221,22 +221,22 @@
 	}
 	s.ticked = now
 	s.judge(now)
-	rumours := s.rumours()
+	updates := s.updates()
 	var list []Message
 	for _, id := range s.successors() {
-		list = append(list, s.message(s.peers[id], rumours))
+		list = append(list, s.message(s.peers[id], updates))
 	}
 	for id := range s.answers {
 		if p, ok := s.peers[id]; ok {
-			list = append(list, s.message(p, []Rumour{p.Rumour}))
+			list = append(list, s.message(p, []Update{p.Update}))
 		}
 	}
 	clear(s.answers)
 	return append(list, s.probe()...)
 }
 
-func (s *State) message(p *peer, rumours []Rumour) Message {
-	return Message{To: p.Box, Addr: p.Addr, Beat: Beat{From: s.self, Hall: s.hall, Rumours: rumours}}
+func (s *State) message(p *peer, updates []Update) Message {
+	return Message{To: p.Box, Addr: p.Addr, Beat: Beat{From: s.self, Hall: s.hall, Updates: updates}}
 }
 
 // probeEvery is how many heartbeats pass between two probes.
@@ -260,7 +260,7 @@
 	}
 	slices.Sort(dead)
 	p := s.peers[dead[s.ticks/probeEvery%len(dead)]]
-	return []Message{s.message(p, []Rumour{p.Rumour})}
+	return []Message{s.message(p, []Update{p.Update})}
 }
 
 // paused starts all silences anew: it was this box that did not listen.
@@ -291,29 +291,29 @@
 }
 
 // Peer returns what is known of a box.
-func (s *State) Peer(id barleystep.BoxID) (r Rumour, ok bool) {
+func (s *State) Peer(id barleystep.BoxID) (r Update, ok bool) {
 	p, ok := s.peers[id]
 	if !ok {
-		return Rumour{}, false
+		return Update{}, false
 	}
-	return p.Rumour, true
+	return p.Update, true
 }
 
 // Members returns what is known of all boxes that were heard of, this one among
 // them, sorted by name.
-func (s *State) Members() []Rumour {
-	list := []Rumour{s.self}
+func (s *State) Members() []Update {
+	list := []Update{s.self}
 	for _, p := range s.peers {
 		if p.Status != StatusUnheard {
-			list = append(list, p.Rumour)
+			list = append(list, p.Update)
 		}
 	}
-	slices.SortFunc(list, func(a, b Rumour) int { return strings.Compare(string(a.Box), string(b.Box)) })
+	slices.SortFunc(list, func(a, b Update) int { return strings.Compare(string(a.Box), string(b.Box)) })
 	return list
 }
 
 // Self returns this box's word on itself.
-func (s *State) Self() Rumour { return s.self }
+func (s *State) Self() Update { return s.self }
 
 // Events returns what has changed since the last call.
 func (s *State) Events() []Event {
--- a/internal/member/state_test.go
+++ b/internal/member/state_test.go
@@ -42,7 +42,7 @@
 
 // boot starts a box, anew if it ran before.
 func (h *hall) boot(b barleystep.BoxID, inc barleystep.Incarnation) {
-	s := member.NewState(member.Settings{}, member.Rumour{Box: b, Addr: "addr", Incarnation: inc}, "h")
+	s := member.NewState(member.Settings{}, member.Update{Box: b, Addr: "addr", Incarnation: inc}, "h")
 	s.List(h.now, h.list)
 	h.states[b] = s
 }
--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -26,7 +26,7 @@
 // concurrent use.
 type Tracker struct {
 	Clock    barleystep.Clock
-	Self     Rumour
+	Self     Update
 	Hall     barleystep.HallID
 	Boxes    barleystep.BoxList
 	Sender   Sender
@@ -160,7 +160,7 @@
 }
 
 // Members returns what is known of the boxes of the hall, this one among them.
-func (t *Tracker) Members() []Rumour {
+func (t *Tracker) Members() []Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.locked().Members()
--- a/internal/member/rumour.go
+++ b/internal/member/update.go
@@ -29,21 +29,21 @@
 	return [...]string{"unheard", "alive", "leaving", "suspect", "dead"}[s]
 }
 
-// Rumour is what a heartbeat says of some box.
-type Rumour struct {
+// Update is what a heartbeat says of some box.
+type Update struct {
 	Box         barleystep.BoxID
 	Addr        string
 	Incarnation barleystep.Incarnation
-	// Number grows whenever the box contradicts a rumour about itself.
+	// Number grows whenever the box contradicts an update about itself.
 	Number uint64
 	Status Status
 }
 
 // Beat is one heartbeat.
 type Beat struct {
-	From    Rumour // From is the sender's word on itself.
+	From    Update // From is the sender's word on itself.
 	Hall    barleystep.HallID
-	Rumours []Rumour
+	Updates []Update
 }
 
 // Message is a heartbeat and where it goes.
@@ -53,9 +53,9 @@
 	Beat Beat
 }
 
-// rumours returns the news that was passed on least often so far. Each change
+// updates returns the news that was passed on least often so far. Each change
 // is told a number of times that grows with the logarithm of the hall.
-func (s *State) rumours() []Rumour {
+func (s *State) updates() []Update {
 	limit := 4 * bitLength(len(s.peers)+1)
 	var fresh []*peer
 	for _, p := range s.peers {
@@ -69,13 +69,13 @@
 		}
 		return fresh[i].Box < fresh[j].Box
 	})
-	if len(fresh) > rumoursPerBeat {
-		fresh = fresh[:rumoursPerBeat]
+	if len(fresh) > updatesPerBeat {
+		fresh = fresh[:updatesPerBeat]
 	}
-	list := make([]Rumour, len(fresh))
+	list := make([]Update, len(fresh))
 	for i, p := range fresh {
 		p.told++
-		list[i] = p.Rumour
+		list[i] = p.Update
 	}
 	return list
 }
--- a/internal/peer/bench_internal_test.go
+++ b/internal/peer/bench_internal_test.go
@@ -31,7 +31,7 @@
 				list = append(list, barleystep.NewBox(barleystep.BoxID(fmt.Sprintf("cluj-hala1-e%03d", i)), "cluj-hala1", "10.20.30.40:7070", false))
 			}
 			for i, box := range list {
-				self := member.Rumour{Box: box.ID(), Addr: box.Addr(), Incarnation: barleystep.Incarnation(1<<60 + i)}
+				self := member.Update{Box: box.ID(), Addr: box.Addr(), Incarnation: barleystep.Incarnation(1<<60 + i)}
 				states[box.ID()] = member.NewState(member.Settings{}, self, "cluj-hala1")
 				states[box.ID()].List(now, list)
 			}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -70,13 +70,13 @@
 	return peerv1connect.NewPeerClient(c.http, c.scheme+addr, connect.WithInterceptors(c.Auth))
 }
 
-// Desk returns the desk of another box.
-func (c *Client) Desk(id barleystep.BoxID) (capacity.Desk, bool) {
+// Endpoint returns the endpoint of another box.
+func (c *Client) Endpoint(id barleystep.BoxID) (capacity.Endpoint, bool) {
 	addr, ok := c.Addr(id)
 	if !ok {
 		return nil, false
 	}
-	return &remoteDesk{client: c, addr: addr}, true
+	return &remoteEndpoint{client: c, addr: addr}, true
 }
 
 // Upstream returns the way to another box's versions.
@@ -89,22 +89,22 @@
 }
 
 // Members asks the box at the address what it knows of its hall.
-func (c *Client) Members(ctx context.Context, addr string) ([]member.Rumour, error) {
+func (c *Client) Members(ctx context.Context, addr string) ([]member.Update, error) {
 	resp, err := c.at(addr).Members(ctx, connect.NewRequest(&peerv1.MembersRequest{}))
 	if err != nil {
 		return nil, eris.Wrap(err, "peer: members")
 	}
-	return convert(resp.Msg.GetMembers(), fromRumour), nil
+	return convert(resp.Msg.GetMembers(), fromMemberUpdate), nil
 }
 
-// remoteDesk is the desk of another box.
-type remoteDesk struct {
+// remoteEndpoint is the endpoint of another box.
+type remoteEndpoint struct {
 	client *Client
 	addr   string
 }
 
 // Ask waits for a grant.
-func (d *remoteDesk) Ask(ctx context.Context, pool string, a capacity.Ask) (g capacity.Grant, err error) {
+func (d *remoteEndpoint) Ask(ctx context.Context, pool string, a capacity.Ask) (g capacity.Grant, err error) {
 	resp, err := d.client.at(d.addr).Ask(ctx, connect.NewRequest(toAsk(pool, a, d.client.Clock.Now())))
 	if err != nil {
 		return capacity.Grant{}, eris.Wrap(err, "peer: ask")
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -247,7 +247,7 @@
 		Incarnation: uint64(b.From.Incarnation),
 		Number:      b.From.Number,
 		Leaving:     b.From.Status == member.StatusLeaving,
-		Rumours:     convert(b.Rumours, toRumour),
+		Updates:     convert(b.Updates, toMemberUpdate),
 	}
 }
 
@@ -258,19 +258,19 @@
 	}
 	return member.Beat{
 		Hall: barleystep.HallID(b.GetHall()),
-		From: member.Rumour{
+		From: member.Update{
 			Box:         barleystep.BoxID(b.GetBox()),
 			Addr:        b.GetAddr(),
 			Incarnation: barleystep.Incarnation(b.GetIncarnation()),
 			Number:      b.GetNumber(),
 			Status:      status,
 		},
-		Rumours: convert(b.GetRumours(), fromRumour),
+		Updates: convert(b.GetUpdates(), fromMemberUpdate),
 	}
 }
 
-func toRumour(r member.Rumour) *peerv1.Rumour {
-	return &peerv1.Rumour{
+func toMemberUpdate(r member.Update) *peerv1.MemberUpdate {
+	return &peerv1.MemberUpdate{
 		Box:         string(r.Box),
 		Addr:        r.Addr,
 		Incarnation: uint64(r.Incarnation),
@@ -279,8 +279,8 @@
 	}
 }
 
-func fromRumour(r *peerv1.Rumour) member.Rumour {
-	return member.Rumour{
+func fromMemberUpdate(r *peerv1.MemberUpdate) member.Update {
+	return member.Update{
 		Box:         barleystep.BoxID(r.GetBox()),
 		Addr:        r.GetAddr(),
 		Incarnation: barleystep.Incarnation(r.GetIncarnation()),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -61,11 +61,11 @@
 func (e ears) Receive(b member.Beat) { e.heard <- b }
 
 // Members returns one box.
-func (e ears) Members() []member.Rumour { return []member.Rumour{{Box: "b1", Incarnation: 1}} }
+func (e ears) Members() []member.Update { return []member.Update{{Box: "b1", Incarnation: 1}} }
 
 // end is a box's peer server with a client that reaches it.
 type end struct {
-	desk     *capacity.LocalDesk
+	endpoint *capacity.LocalEndpoint
 	follower *version.Follower
 	client   *peer.Client
 	ears     ears
@@ -83,11 +83,11 @@
 	c.Assert(err, quicktest.IsNil)
 	follower := &version.Follower{Clock: clock.System{}, Meter: metric.Discard()}
 	c.Assert(follower.Load(version.Increment{Version: 1, Change: d.Entries(), Digest: d.Digest()}), quicktest.IsNil)
-	desk := &capacity.LocalDesk{Clock: clock.System{}, Hall: "h", Configuration: follower, Meter: metric.Discard()}
-	e := &end{desk: desk, follower: follower, ears: ears{make(chan member.Beat, 100)}, table: &table.Faulty{Table: &table.Memory{}}}
+	endpoint := &capacity.LocalEndpoint{Clock: clock.System{}, Hall: "h", Configuration: follower, Meter: metric.Discard()}
+	e := &end{endpoint: endpoint, follower: follower, ears: ears{make(chan member.Beat, 100)}, table: &table.Faulty{Table: &table.Memory{}}}
 	server := &peer.Server{
 		Auth:  peer.Auth{Secret: serverSecret, Box: "b1", Clock: clock.System{}},
-		Clock: clock.System{}, Desk: desk, Receiver: e.ears, Follower: follower, Table: e.table,
+		Clock: clock.System{}, Endpoint: endpoint, Receiver: e.ears, Follower: follower, Table: e.table,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
@@ -107,7 +107,7 @@
 		Addr:  func(barleystep.BoxID) (string, bool) { return l.Addr().String(), true },
 		Base:  ctx,
 	}
-	desk.Load(pool, "e1", barleystep.Load{At: clock.System{}.Now(), TotalTokens: 100_000, FreeTokens: 100_000})
+	endpoint.Load(pool, "e1", barleystep.Load{At: clock.System{}.Now(), TotalTokens: 100_000, FreeTokens: 100_000})
 	return e
 }
 
@@ -119,40 +119,40 @@
 	}}
 }
 
-// TestDesk holds both implementations of Desk to the same contract.
-func TestDesk(t *testing.T) {
+// TestEndpoint holds both implementations of Endpoint to the same contract.
+func TestEndpoint(t *testing.T) {
 	e := newEnd(t, "secret", "secret")
-	remote, _ := e.client.Desk("b1")
-	for name, desk := range map[string]capacity.Desk{"local": e.desk, "remote": remote} {
+	remote, _ := e.client.Endpoint("b1")
+	for name, endpoint := range map[string]capacity.Endpoint{"local": e.endpoint, "remote": remote} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			first := ask(1)
-			g, err := desk.Ask(t.Context(), pool, first)
+			g, err := endpoint.Ask(t.Context(), pool, first)
 			c.Assert(err, quicktest.IsNil)
 			c.Check(g.Targets, quicktest.DeepEquals, []barleystep.TargetID{"e1"})
 			// A second long prompt waits until the first has been read.
 			got := make(chan error, 1)
 			go func() {
-				_, err := desk.Ask(t.Context(), pool, ask(2))
+				_, err := endpoint.Ask(t.Context(), pool, ask(2))
 				got <- err
 			}()
-			c.Assert(desk.First(t.Context(), pool, first.Demand.Attempt), quicktest.IsNil)
+			c.Assert(endpoint.First(t.Context(), pool, first.Demand.Attempt), quicktest.IsNil)
 			c.Assert(<-got, quicktest.IsNil)
 			// A caller that goes away leaves its question behind nowhere.
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
-			_, err = desk.Ask(ctx, pool, ask(3))
+			_, err = endpoint.Ask(ctx, pool, ask(3))
 			c.Check(err, quicktest.IsNotNil)
 			for n := uint64(1); n <= 3; n++ {
-				c.Assert(desk.Release(t.Context(), pool, ask(n).Demand.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: 1}), quicktest.IsNil)
+				c.Assert(endpoint.Release(t.Context(), pool, ask(n).Demand.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: 1}), quicktest.IsNil)
 			}
-			credits, err := desk.Report(t.Context(), pool, capacity.Report{Box: "b2", Wanted: 1_000})
+			credits, err := endpoint.Report(t.Context(), pool, capacity.Report{Box: "b2", Wanted: 1_000})
 			c.Assert(err, quicktest.IsNil)
 			c.Assert(credits.Credits, quicktest.HasLen, 1)
 			c.Check(credits.Credits[0].Target, quicktest.Equals, barleystep.TargetID("e1"))
 			late := ask(4)
 			late.Demand.Deadline = late.Demand.Since
-			_, err = desk.Ask(t.Context(), pool, late)
+			_, err = endpoint.Ask(t.Context(), pool, late)
 			c.Check(barleystep.AsRefusal(err).Reason(), quicktest.Equals, barleystep.ReasonCannotMeet)
 		})
 	}
@@ -173,8 +173,8 @@
 			e := newEnd(t, tc.server, tc.client)
 			_, err := e.client.Members(t.Context(), e.wire.Addr().String())
 			quicktest.Check(t, err == nil, quicktest.Equals, tc.ok)
-			desk, _ := e.client.Desk("b1")
-			_, err = desk.Report(t.Context(), pool, capacity.Report{Box: "b2"})
+			endpoint, _ := e.client.Endpoint("b1")
+			_, err = endpoint.Report(t.Context(), pool, capacity.Report{Box: "b2"})
 			quicktest.Check(t, err == nil, quicktest.Equals, tc.ok)
 		})
 	}
@@ -185,7 +185,7 @@
 	e := newEnd(t, "s", "s")
 	addr := e.wire.Addr().String()
 	for n := range uint64(2) {
-		e.client.Beat("b1", addr, member.Beat{From: member.Rumour{Box: "b2", Incarnation: 7, Number: n}, Hall: "h"})
+		e.client.Beat("b1", addr, member.Beat{From: member.Update{Box: "b2", Incarnation: 7, Number: n}, Hall: "h"})
 		c.Check((<-e.ears.heard).From.Number, quicktest.Equals, n)
 	}
 	u, _ := e.client.Upstream("b1")
@@ -239,17 +239,17 @@
 // report, on a real connection, both ways.
 func BenchmarkCapacityWire(b *testing.B) {
 	e := newEnd(b, "secret", "secret")
-	desk, _ := e.client.Desk("b1")
+	endpoint, _ := e.client.Endpoint("b1")
 	ctx := context.Background()
 	grant := func(n uint64) {
 		a := ask(n)
-		_, err := desk.Ask(ctx, pool, a)
+		_, err := endpoint.Ask(ctx, pool, a)
 		quicktest.Assert(b, err, quicktest.IsNil)
-		_ = desk.First(ctx, pool, a.Demand.Attempt)
-		_ = desk.Release(ctx, pool, a.Demand.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: 1})
+		_ = endpoint.First(ctx, pool, a.Demand.Attempt)
+		_ = endpoint.Release(ctx, pool, a.Demand.Attempt, barleystep.Usage{Outcome: barleystep.OutcomeDone, First: 1})
 	}
 	report := func(uint64) {
-		_, err := desk.Report(ctx, pool, capacity.Report{Box: "b2", Uses: []capacity.Use{{Target: "e1", Running: 1, Reading: 5_000}}})
+		_, err := endpoint.Report(ctx, pool, capacity.Report{Box: "b2", Uses: []capacity.Use{{Target: "e1", Running: 1, Reading: 5_000}}})
 		quicktest.Assert(b, err, quicktest.IsNil)
 	}
 	for name, f := range map[string]func(uint64){"grant": grant, "report": report} {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -22,14 +22,14 @@
 	// Receive takes in one heartbeat.
 	Receive(b member.Beat)
 	// Members returns what is known of the boxes of the hall.
-	Members() []member.Rumour
+	Members() []member.Update
 }
 
 // Server answers the other boxes. Its exported fields are set before Handler.
 type Server struct {
 	Auth     Auth
 	Clock    barleystep.Clock
-	Desk     capacity.Desk
+	Endpoint capacity.Endpoint
 	Receiver Receiver
 	Follower *version.Follower
 	// Table commits the transactions that other boxes hand over.
@@ -64,13 +64,13 @@
 
 // Members tells what is known of the boxes of the hall.
 func (h handler) Members(context.Context, *connect.Request[peerv1.MembersRequest]) (*connect.Response[peerv1.MembersResponse], error) {
-	return connect.NewResponse(&peerv1.MembersResponse{Members: convert(h.Receiver.Members(), toRumour)}), nil
+	return connect.NewResponse(&peerv1.MembersResponse{Members: convert(h.Receiver.Members(), toMemberUpdate)}), nil
 }
 
 // Ask waits for a grant. A refusal is an answer, not an error.
 func (h handler) Ask(ctx context.Context, req *connect.Request[peerv1.AskRequest]) (*connect.Response[peerv1.AskResponse], error) {
 	now := h.Clock.Now()
-	g, err := h.Desk.Ask(ctx, req.Msg.GetPool(), fromAsk(req.Msg, now))
+	g, err := h.Endpoint.Ask(ctx, req.Msg.GetPool(), fromAsk(req.Msg, now))
 	var refusal *barleystep.Refusal
 	switch {
 	case eris.As(err, &refusal):
@@ -117,12 +117,12 @@
 	pool := in.name(m.GetPool())
 	switch kind := m.GetKind().(type) {
 	case *peerv1.TalkRequest_First:
-		return nil, h.Desk.First(ctx, pool, fromAttempt(kind.First.GetAttempt()))
+		return nil, h.Endpoint.First(ctx, pool, fromAttempt(kind.First.GetAttempt()))
 	case *peerv1.TalkRequest_Release:
-		return nil, h.Desk.Release(ctx, pool, fromAttempt(kind.Release.GetAttempt()), fromRelease(kind.Release))
+		return nil, h.Endpoint.Release(ctx, pool, fromAttempt(kind.Release.GetAttempt()), fromRelease(kind.Release))
 	case *peerv1.TalkRequest_Report:
 		now := h.Clock.Now()
-		c, err := h.Desk.Report(ctx, pool, fromReport(in, kind.Report, now))
+		c, err := h.Endpoint.Report(ctx, pool, fromReport(in, kind.Report, now))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/peer/talk.go
+++ b/internal/peer/talk.go
@@ -128,21 +128,21 @@
 }
 
 // First notes a first token.
-func (d *remoteDesk) First(_ context.Context, pool string, id barleystep.AttemptID) error {
+func (d *remoteEndpoint) First(_ context.Context, pool string, id barleystep.AttemptID) error {
 	return d.client.talkTo(d.addr).send(pool, func(_ *names, m *peerv1.TalkRequest) {
 		m.Kind = &peerv1.TalkRequest_First{First: &peerv1.First{Attempt: toAttempt(id)}}
 	}, nil)
 }
 
 // Release gives a grant back.
-func (d *remoteDesk) Release(_ context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
+func (d *remoteEndpoint) Release(_ context.Context, pool string, id barleystep.AttemptID, u barleystep.Usage) error {
 	return d.client.talkTo(d.addr).send(pool, func(_ *names, m *peerv1.TalkRequest) {
 		m.Kind = &peerv1.TalkRequest_Release{Release: toRelease(id, u)}
 	}, nil)
 }
 
 // Report sends a report and waits for the credits.
-func (d *remoteDesk) Report(ctx context.Context, pool string, r capacity.Report) (capacity.Credits, error) {
+func (d *remoteEndpoint) Report(ctx context.Context, pool string, r capacity.Report) (capacity.Credits, error) {
 	now := d.client.Clock.Now()
 	got := make(chan answer, 1)
 	err := d.client.talkTo(d.addr).send(pool, func(n *names, m *peerv1.TalkRequest) {
--- a/target.go
+++ b/target.go
@@ -80,7 +80,7 @@
 // Order is an order to a target to load a version of its model.
 type Order struct {
 	Weights string
-	// Fence is the giver's fencing token. A target that checks it refuses an
+	// Fence is the issuer's fencing token. A target that checks it refuses an
 	// order with a lower token than one that it has taken.
 	Fence int64
 }
