Give no two boxes of a test the same address

Cause, most likely: a free port is found by binding and closing it, and the box binds it a little later, so that two boxes can get the same one; the second one's Serve then ended with an error that nobody saw, and the others waited for it. Ruled out: collectors that change places (one in all of 80 looks over 20 s).

Now no address is given twice, and a box that ends early fails the test at once.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -99,12 +99,21 @@
 	known *known
 }
 
-// freeAddr returns an address on loopback that is free for UDP.
+// given holds the addresses that freeAddr has returned.
+var given sync.Map
+
+// freeAddr returns an address on loopback that is free for UDP. It never returns
+// one twice: the box that got it may not have bound it yet.
 func freeAddr(t *testing.T) string {
-	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	quicktest.Assert(t, err, quicktest.IsNil)
-	defer l.Close()
-	return l.LocalAddr().String()
+	for {
+		l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		addr := l.LocalAddr().String()
+		l.Close()
+		if _, twice := given.LoadOrStore(addr, true); !twice {
+			return addr
+		}
+	}
 }
 
 func start(t *testing.T, r *registry, name, hall string, target int, conf *known) *box {
@@ -124,7 +133,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- b.node.Serve(ctx) }()
+	go func() {
+		err := b.node.Serve(ctx)
+		if ctx.Err() == nil {
+			panic(err) // The others would wait for this box for ever.
+		}
+		done <- err
+	}()
 	t.Cleanup(func() {
 		cancel()
 		<-done
