--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -138,8 +138,15 @@
 			f.Offer(context.Background(), "box", 3) // It is no news.
 			f.Offer(context.Background(), "box", 5)
 			c.Assert(<-p.asked, quicktest.Equals, barleystep.Revision(3))
-			for manual.Timers() < 1 { // The pause after the update.
+			for again := false; !again; { // It asks again once the update was taken.
+				manual.Advance(time.Second)
+				f.Offer(context.Background(), "box", 9)
 				runtime.Gosched()
+				select {
+				case <-p.asked:
+					again = true
+				default:
+				}
 			}
 			c.Check(conf.Version(), quicktest.Equals, tc.want)
 		})
