Wait for the listener for other boxes in the test of forwarding

Cause: the test waited until the boxes were ready for callers; the listener for other boxes of the second one may not be up by then, its port refuses, and the first box says truly that nothing ran. Now it waits for both listeners.

--- a/internal/box/forward_test.go
+++ b/internal/box/forward_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -87,9 +88,23 @@
 	})
 	e.Follower().Await(1)
 	<-e.Ready()
+	awaitListener(b.Addr())
 	h.entries = append(h.entries, e)
 }
 
+// awaitListener waits until the address takes connections: a box is ready for
+// callers before it is for other boxes.
+func awaitListener(addr string) {
+	for {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
 func (h *halls) ask(t *testing.T, url string, header ...string) (*http.Response, string) {
 	body := `{"model":"m","stream":true,"max_tokens":2,"messages":[{"role":"user","content":"hello"}]}`
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
