--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test lint model generate placement capacity
+.PHONY: run test lint model generate placement balance capacity
 
 # run starts a small hall on loopback.
 run:
@@ -33,3 +33,8 @@
 # capacity measures the slopes of docs/CAPACITY.md.
 capacity:
 	$(GO) test -run '^$$' -bench Capacity -benchtime 0.5s ./internal/... | grep '^Bench' > docs/capacity-measured.txt
+
+# balance measures how targets are chosen and writes the tables of docs/balance-tables.md.
+balance:
+	$(GO) run ./cmd/barleystep-lab > docs/balance-tables.md.new
+	mv docs/balance-tables.md.new docs/balance-tables.md
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -31,6 +31,8 @@
 	Prompt    int
 	Output    int
 	Objective time.Duration
+	// Pause is the longest pause between events that the stream may have.
+	Pause time.Duration
 	// Rank is the priority, 0 first.
 	Rank int
 	// Cost is how the service's engines spend their time; nil for plain
@@ -71,14 +73,17 @@
 	Targets func() []fleet.Target
 	// Lead is asked for the engines of long prompts; nil places them here.
 	Lead Lead
+	// Rand is drawn from where a choice is left to chance; nil draws from the
+	// runtime's. It is used under the balancer's lock only.
+	Rand *rand.Rand
 	Log  *log.Logger
 
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
 	// lightQueue and heavyQueue hold the jobs that wait for a place.
-	lightQueue []*waiter
-	heavyQueue []*waiter
+	lightQueue []*Wait
+	heavyQueue []*Wait
 	// grants are the placements that were made for other boxes.
 	grants []grant
 	// seen keeps the sums of work during one choice.
@@ -175,18 +180,26 @@
 // for a place. It returns ErrNoTarget, ErrFull when the wait would be in vain, or
 // the context's error.
 func (b *Balancer) Place(ctx context.Context, j Job) (p *Placement, err error) {
-	if p, err = b.askLead(ctx, j); p != nil || err != nil {
+	p, w, err := b.Ask(ctx, j)
+	if p != nil || err != nil {
 		return p, err
 	}
+	return b.await(ctx, w)
+}
+
+// Ask is Place for callers that do not want to be held up: where the job has to
+// wait for a place it returns the wait.
+func (b *Balancer) Ask(ctx context.Context, j Job) (p *Placement, w *Wait, err error) {
+	if p, err = b.askLead(ctx, j); p != nil || err != nil {
+		return p, nil, err
+	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	p, err = b.try(j)
 	if p != nil || err != nil {
-		b.mu.Unlock()
-		return p, err
+		return p, nil, err
 	}
-	w := b.enqueue(j)
-	b.mu.Unlock()
-	return b.await(ctx, w)
+	return nil, b.enqueue(j), nil
 }
 
 // try chooses a target; it returns nothing if the job has to wait.
@@ -282,7 +295,7 @@
 	best, least := 0, 0.0
 	for i, t := range candidates {
 		w := b.work(t.ID)
-		score := float64(w.Light) + errorPenalty*b.state(t.ID).errors + rand.Float64()
+		score := float64(w.Light) + errorPenalty*b.state(t.ID).errors + b.chance()
 		if t.Hall != b.Hall {
 			score++
 		}
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -150,7 +149,7 @@
 	if count < 1 || count >= len(idle) {
 		return nil
 	}
-	rand.Shuffle(len(idle), func(i, k int) { idle[i], idle[k] = idle[k], idle[i] })
+	b.shuffle(len(idle), func(i, k int) { idle[i], idle[k] = idle[k], idle[i] })
 	return b.spread(j, idle[0], idle[1:count+1])
 }
 
@@ -205,7 +204,7 @@
 	}
 	add(r.readers, 0)
 	add(r.light, lightRisk)
-	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	b.shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	slices.SortStableFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	for _, c := range list {
 		targets = append(targets, c.target)
@@ -255,7 +254,7 @@
 	best, least := -1, math.Inf(1)
 	for i, t := range pool {
 		w := b.work(t.ID)
-		score := w.Backlog.Seconds() + b.errorWait(t).Seconds() + float64(w.Heavy)*writerCost.Seconds() + float64(w.Light)*lightHarm.Seconds() + rand.Float64()/perMilli
+		score := w.Backlog.Seconds() + b.errorWait(t).Seconds() + float64(w.Heavy)*writerCost.Seconds() + float64(w.Light)*lightHarm.Seconds() + b.chance()/perMilli
 		if lack := need - (j.Cost.Memory - w.Memory); lack > 0 {
 			score += noRoom + float64(lack)
 		}
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/barleystep/barleystep/internal/fleet"
@@ -56,7 +55,7 @@
 // bestLight returns the best of some engines drawn at random, and its score.
 func (b *Balancer) bestLight(pool []fleet.Target) (best fleet.Target, least time.Duration) {
 	for i := range lightDraws {
-		t := pool[rand.IntN(len(pool))]
+		t := pool[b.draw(len(pool))]
 		if s := b.lightScore(t); i == 0 || s < least {
 			best, least = t, s
 		}
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/barleystep/barleystep/internal/clock"
 )
 
-// waiter is a job that waits for a place.
-type waiter struct {
+// Wait is a job that waits for a place.
+type Wait struct {
 	job   Job
 	since time.Time
 	// ready gets the placement; it holds one, so that nobody waits to send.
@@ -32,8 +31,8 @@
 	shareDivisor = 4
 )
 
-func (b *Balancer) enqueue(j Job) *waiter {
-	w := &waiter{job: j, since: b.Clock.Now(), ready: make(chan *Placement, 1)}
+func (b *Balancer) enqueue(j Job) *Wait {
+	w := &Wait{job: j, since: b.Clock.Now(), ready: make(chan *Placement, 1)}
 	q := b.queue(j)
 	*q = append(*q, w)
 	return w
@@ -41,7 +40,7 @@
 
 // queue returns the queue for jobs like this one. Those of one queue need the
 // same kind of place: if the first finds none, neither do the others.
-func (b *Balancer) queue(j Job) *[]*waiter {
+func (b *Balancer) queue(j Job) *[]*Wait {
 	if heavy(j) {
 		return &b.heavyQueue
 	}
@@ -49,14 +48,27 @@
 }
 
 // await waits for the placement.
-func (b *Balancer) await(ctx context.Context, w *waiter) (p *Placement, err error) {
-	ctx, cancel := clock.WithDeadline(ctx, b.Clock, w.since.Add(max(patience*w.job.Objective, leastPatience)))
+func (b *Balancer) await(ctx context.Context, w *Wait) (p *Placement, err error) {
+	ctx, cancel := clock.WithDeadline(ctx, b.Clock, w.Until())
 	defer cancel()
 	select {
 	case p = <-w.ready:
 		return p, nil
 	case <-ctx.Done():
+		return b.Abandon(w)
 	}
+}
+
+// Ready returns the channel on which the placement comes.
+func (w *Wait) Ready() <-chan *Placement { return w.ready }
+
+// Until returns when the wait is to be abandoned.
+func (w *Wait) Until() time.Time {
+	return w.since.Add(max(patience*w.job.Objective, leastPatience))
+}
+
+// Abandon ends a wait. It returns ErrFull, or the placement if it has just come.
+func (b *Balancer) Abandon(w *Wait) (p *Placement, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w.gone = true
@@ -77,7 +89,7 @@
 	if news {
 		lights = (lights + shareDivisor - 1) / shareDivisor
 		heavies = min(heavies, 1)
-		if rand.IntN(shareDivisor) > 0 {
+		if b.draw(shareDivisor) > 0 {
 			heavies = 0
 		}
 	}
@@ -85,7 +97,7 @@
 	b.serveQueue(&b.heavyQueue, heavies)
 }
 
-func (b *Balancer) serveQueue(q *[]*waiter, most int) {
+func (b *Balancer) serveQueue(q *[]*Wait, most int) {
 	for ; most > 0; most-- {
 		w := b.nextWaiter(q)
 		if w == nil {
@@ -104,9 +116,9 @@
 // of short prompts that can still be in time, the one that came last, since the
 // ones before it are the likelier to be late; else the one that has waited
 // longest.
-func (b *Balancer) nextWaiter(q *[]*waiter) *waiter {
+func (b *Balancer) nextWaiter(q *[]*Wait) *Wait {
 	now := b.Clock.Now()
-	kept := slices.DeleteFunc(*q, func(w *waiter) bool { return w.gone })
+	kept := slices.DeleteFunc(*q, func(w *Wait) bool { return w.gone })
 	*q = kept
 	if len(kept) == 0 {
 		return nil
@@ -127,12 +139,12 @@
 }
 
 // inTime reports whether a job that is placed now can still be in time.
-func (w *waiter) inTime(now time.Time) bool {
+func (w *Wait) inTime(now time.Time) bool {
 	return now.Sub(w.since) < w.job.Objective-answerTime
 }
 
 // before reports whether the job goes before another one.
-func (w *waiter) before(o *waiter, now time.Time) bool {
+func (w *Wait) before(o *Wait, now time.Time) bool {
 	if w.job.Rank != o.job.Rank {
 		return w.job.Rank < o.job.Rank
 	}
--- /dev/null
+++ b/internal/lab/call.go
@@ -0,0 +1,324 @@
+package lab
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/timeline"
+)
+
+// clockOf is simulated time as the balancer takes it. Nothing in it waits on a
+// timer: the day polls its waits.
+type clockOf struct{ *timeline.Timeline }
+
+// NewTimer returns a timer that never fires.
+func (clockOf) NewTimer(time.Duration) barleystep.Timer { return idleTimer{} }
+
+type idleTimer struct{}
+
+// C returns a channel on which nothing comes.
+func (idleTimer) C() <-chan time.Time { return nil }
+
+// Stop reports that the timer had not fired.
+func (idleTimer) Stop() bool { return true }
+
+// arrive is a caller's try.
+func (d *day) arrive(r *request) {
+	if r.ended {
+		return
+	}
+	r.tries++
+	r.sends = 0
+	r.last = d.time.Elapsed()
+	b := d.boxes[r.box]
+	if !b.up {
+		d.again(r, down, causeCut)
+		return
+	}
+	d.watch(r, r.tries)
+	d.place(b, r, nil)
+}
+
+// watch ends the try for a caller who has waited for too long.
+func (d *day) watch(r *request, try int) {
+	kind := d.load.Kinds[r.kind]
+	patience := max(2*time.Second, 4*kind.Objective)
+	if r.got > 0 {
+		patience = max(patience, 8*kind.Pause)
+	}
+	now := d.time.Elapsed()
+	due := min(r.last+patience, r.at+kind.Deadline)
+	if now < due {
+		d.time.After(due-now, func() {
+			if !r.ended && r.tries == try {
+				d.watch(r, try)
+			}
+		})
+		return
+	}
+	r.abandonTry()
+	r.end(causeGone)
+}
+
+func (r *request) abandonTry() {
+	if r.abandon != nil {
+		r.abandon()
+	}
+}
+
+func (r *request) end(c cause) {
+	r.ended = true
+	if c != causeNone {
+		r.cause = c
+	}
+}
+
+// again lets the caller come back, if it does.
+func (d *day) again(r *request, wait time.Duration, c cause) {
+	kind := d.load.Kinds[r.kind]
+	left := r.at + kind.Deadline - d.time.Elapsed()
+	if r.tries >= callerTries || left <= 0 {
+		r.end(c)
+		return
+	}
+	r.abandon = nil
+	r.box = d.rng.IntN(len(d.boxes))
+	r.got, r.first, r.pause, r.cause = 0, 0, 0, causeNone
+	try := r.tries
+	d.time.After(min(wait, left/3), func() {
+		if r.tries == try {
+			d.arrive(r)
+		}
+	})
+}
+
+func (d *day) job(r *request) balance.Job {
+	kind := d.load.Kinds[r.kind]
+	return balance.Job{
+		Service:   service,
+		Prompt:    r.prompt,
+		Output:    r.events * d.load.Cost.Stride,
+		Objective: kind.Objective,
+		Pause:     kind.Pause,
+		Cost:      &d.load.Cost,
+		Tightest:  r.tightest,
+	}
+}
+
+// place asks the policy for an engine.
+func (d *day) place(b *box, r *request, avoid []barleystep.TargetID) {
+	if d.policy.pick != nil {
+		e := d.policy.pick(d, r, avoid)
+		d.send(b, r, avoid, &choice{first: e})
+		return
+	}
+	j := d.job(r)
+	j.Avoid = avoid
+	p, w, err := b.balancer.Ask(context.Background(), j)
+	switch {
+	case err != nil:
+		d.refuse(r, err)
+	case p != nil:
+		d.send(b, r, avoid, d.choiceOf(p))
+	default:
+		d.wait(b, r, avoid, w)
+	}
+}
+
+func (d *day) refuse(r *request, err error) {
+	r.refused = true
+	wait := noTargetPause
+	if eris.Is(err, balance.ErrFull) {
+		wait = d.load.Kinds[r.kind].Objective
+	}
+	d.again(r, wait, causeRefused)
+}
+
+// noTargetPause is when a caller may come back whose request no engine took.
+const noTargetPause = 200 * time.Millisecond
+
+// wait keeps a request until the balancer has a place for it.
+func (d *day) wait(b *box, r *request, avoid []barleystep.TargetID, w *balance.Wait) {
+	b.waits[r] = w
+	b.order = append(b.order, r)
+	r.abandon = func() {
+		delete(b.waits, r)
+		if p, err := b.balancer.Abandon(w); err == nil {
+			p.Done(balance.Report{})
+		}
+	}
+	r.waitAvoid = avoid
+	d.time.After(w.Until().Sub(d.time.Now()), func() {
+		if b.waits[r] != w {
+			return
+		}
+		delete(b.waits, r)
+		r.abandon = nil
+		p, err := b.balancer.Abandon(w)
+		if err != nil {
+			d.refuse(r, err)
+			return
+		}
+		d.send(b, r, avoid, d.choiceOf(p))
+	})
+}
+
+// poll sends the requests whose wait is over.
+func (d *day) poll(b *box) {
+	var left []*request
+	order := b.order
+	b.order = nil
+	for _, r := range order {
+		w, ok := b.waits[r]
+		if !ok {
+			continue
+		}
+		select {
+		case p := <-w.Ready():
+			delete(b.waits, r)
+			r.abandon = nil
+			d.send(b, r, r.waitAvoid, d.choiceOf(p))
+		default:
+			left = append(left, r)
+		}
+	}
+	b.order = append(left, b.order...)
+}
+
+// choice is where a request is sent.
+type choice struct {
+	first     *engine
+	helpers   []*engine
+	memory    int // memory is what its first engine holds of it.
+	placement *balance.Placement
+	delay     time.Duration
+}
+
+func (d *day) choiceOf(p *balance.Placement) *choice {
+	c := &choice{first: d.byID[p.Target.ID], placement: p, memory: -1}
+	for _, h := range p.Helpers {
+		c.helpers = append(c.helpers, d.byID[h.ID])
+		if h.Memory > 0 {
+			c.memory = 0
+		}
+	}
+	return c
+}
+
+// send starts the request at its engines.
+func (d *day) send(b *box, r *request, avoid []barleystep.TargetID, c *choice) {
+	r.sends++
+	kind := d.load.Kinds[r.kind]
+	a := &run{request: r, first: c.first, helpers: c.helpers, tokens: r.prompt + r.events*d.load.Cost.Stride, events: r.events - r.got}
+	if c.memory == 0 {
+		a.tokens = 0
+	}
+	r.run = a
+	over := func(report balance.Report) {
+		if c.placement != nil {
+			c.placement.Done(report)
+			d.poll(b)
+		}
+	}
+	r.abandon = func() {
+		a.stop()
+		over(balance.Report{})
+	}
+	a.event = func(p pass) {
+		d.event(r, kind, p)
+		if c.placement != nil {
+			c.placement.First()
+		}
+		if r.got >= r.events {
+			r.end(causeNone)
+			r.abandon = nil
+			a.stop()
+			over(balance.Report{})
+		}
+	}
+	a.failed = func() {
+		if r.run != a || r.ended {
+			return
+		}
+		r.abandon = nil
+		over(balance.Report{Unreachable: true})
+		if r.sends >= mostSends {
+			d.again(r, 0, causeGone)
+			return
+		}
+		r.moved = r.got > 0
+		d.place(b, r, append(avoid, c.first.id()))
+	}
+	d.time.After(network+c.delay, func() {
+		if r.run == a && !r.ended && !a.over {
+			c.first.start(a)
+		}
+	})
+}
+
+// event notes an event that the caller got.
+func (d *day) event(r *request, kind Kind, p pass) {
+	now := d.time.Elapsed()
+	if r.got == 0 {
+		r.first = now - r.at
+		if r.first > kind.Objective {
+			r.cause = causeFirst
+		}
+	} else if pause := now - r.last; pause > r.pause {
+		r.pause = pause
+		if pause > kind.Pause && r.cause == causeNone {
+			r.cause = causeOf(r, p)
+		}
+	}
+	r.got++
+	r.last = now
+}
+
+func causeOf(r *request, p pass) cause {
+	switch {
+	case r.moved:
+		return causeMoved
+	case p.parts >= p.long && p.parts >= p.short:
+		return causePart
+	case p.long >= p.short:
+		return causeLong
+	default:
+		return causeShort
+	}
+}
+
+// Policy is a way to choose engines.
+type Policy struct {
+	Name string
+	// pick chooses at once, knowing all engines as they are; nil is the balancer.
+	pick func(d *day, r *request, avoid []barleystep.TargetID) *engine
+}
+
+// The policies that are measured.
+var (
+	Balanced    = Policy{Name: "balancer"}
+	Random      = Policy{Name: "random", pick: pickRandom}
+	LeastLoaded = Policy{Name: "least loaded", pick: pickLeastLoaded}
+)
+
+func pickRandom(d *day, _ *request, _ []barleystep.TargetID) *engine {
+	return d.engines[d.rng.IntN(len(d.engines))]
+}
+
+// pickLeastLoaded takes the engine with the fewest requests.
+func pickLeastLoaded(d *day, _ *request, _ []barleystep.TargetID) *engine {
+	order := rand.New(rand.NewPCG(d.rng.Uint64(), 0)).Perm(len(d.engines))
+	best := d.engines[order[0]]
+	for _, i := range order[1:] {
+		e := d.engines[i]
+		if !e.dead && (best.dead || e.running()+len(e.waiting) < best.running()+len(best.waiting)) {
+			best = e
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/lab/day.go
@@ -0,0 +1,197 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/timeline"
+)
+
+// cause says why a stream was late.
+type cause uint8
+
+// The causes of late streams.
+const (
+	causeNone cause = iota
+	// causeFirst is a first event that came late.
+	causeFirst
+	// causePart is a pause while the engine read a part of a long prompt, causeLong
+	// one while it read a long prompt of its own, causeShort while it read short ones.
+	causePart
+	causeLong
+	causeShort
+	// causeMoved is a pause while the stream was taken up by another engine.
+	causeMoved
+	// causeRefused, causeGone and causeCut are streams without a whole answer:
+	// refused, given up by their callers, or cut by a restart.
+	causeRefused
+	causeGone
+	causeCut
+	causes
+)
+
+// String returns the cause in words.
+func (c cause) String() string {
+	return [...]string{"in time", "first event late", "paused by a part", "paused by a long prompt", "paused by short prompts", "paused by a move", "refused", "given up", "cut"}[c]
+}
+
+const (
+	// service is the name of the engines' service.
+	service = "engines"
+	// told is the time between what a box tells of its work, and delay how old it is
+	// when the others have it.
+	told  = 50 * time.Millisecond
+	delay = 50 * time.Millisecond
+	// network is the way of a request to an engine.
+	network = 2 * time.Millisecond
+	// after is how long a day goes on after the last prompt.
+	after = 16 * time.Second
+	// down is how long the boxes are away when they are started anew.
+	down = time.Second
+	// callerTries is how often callers ask.
+	callerTries = 2
+	// mostSends bounds the engines to which one try is sent.
+	mostSends = 2
+)
+
+// day is one run of a load.
+type day struct {
+	load    Load
+	time    *timeline.Timeline
+	rng     *rand.Rand
+	engines []*engine
+	byID    map[barleystep.TargetID]*engine
+	boxes   []*box
+	list    []*request
+	policy  Policy
+	lives   int // lives counts the starts of the boxes.
+}
+
+// box is one box with its balancer and what it has told of its work.
+type box struct {
+	balancer *balance.Balancer
+	snapshot balance.Snapshot
+	waits    map[*request]*balance.Wait
+	order    []*request // order is that of the waits, for the same day each time.
+	up       bool
+}
+
+// Run plays one day of the load and returns what was served.
+func Run(l Load, p Policy, seed uint64) Result {
+	d := newDay(l, p, seed)
+	for _, r := range d.list {
+		d.time.After(r.at, func() { d.arrive(r) })
+	}
+	d.faults()
+	d.time.Run(l.Span + after)
+	return d.measure()
+}
+
+func newDay(l Load, p Policy, seed uint64) *day {
+	d := &day{load: l, time: &timeline.Timeline{}, byID: make(map[barleystep.TargetID]*engine), policy: p}
+	d.list = l.requests(rand.New(rand.NewPCG(seed, 1)))
+	d.rng = rand.New(rand.NewPCG(seed, 2))
+	for i := range l.Engines {
+		id := barleystep.TargetID(fmt.Sprintf("e%03d", i))
+		e := &engine{
+			target:   fleet.Target{ID: id, Service: service, Addr: string(id), Hall: "hall", Slots: l.Cost.Slots},
+			cost:     &d.load.Cost,
+			time:     d.time,
+			slowness: 1,
+		}
+		d.engines = append(d.engines, e)
+		d.byID[id] = e
+	}
+	d.begin(seed)
+	d.time.Every(told, d.gossip)
+	return d
+}
+
+// begin starts all boxes, which know nothing. The first one is the lead.
+func (d *day) begin(seed uint64) {
+	d.lives++
+	d.boxes = nil
+	for i := range d.load.Boxes {
+		b := &box{waits: make(map[*request]*balance.Wait), snapshot: balance.NewSnapshot(), up: true}
+		b.balancer = &balance.Balancer{
+			Clock:   clockOf{d.time},
+			Hall:    "hall",
+			Targets: d.targets,
+			Rand:    rand.New(rand.NewPCG(seed, uint64(100*d.lives+i))),
+		}
+		if i > 0 {
+			b.balancer.Lead = lead{d.boxes[0].balancer}
+		}
+		d.boxes = append(d.boxes, b)
+	}
+}
+
+// lead is the lead as the other boxes ask it.
+type lead struct{ balancer *balance.Balancer }
+
+// Place returns the lead's plan.
+func (l lead) Place(_ context.Context, j balance.Job) (balance.Plan, error) {
+	return l.balancer.Grant(j)
+}
+
+func (d *day) targets() []fleet.Target {
+	list := make([]fleet.Target, 0, len(d.engines))
+	for _, e := range d.engines {
+		list = append(list, e.target)
+	}
+	return list
+}
+
+// faults plans the deaths of engines, the slow ones and the restart.
+func (d *day) faults() {
+	for i := range d.load.Deaths {
+		at := d.load.Span * time.Duration(i+1) / time.Duration(d.load.Deaths+1)
+		d.time.After(at, d.engines[i].die)
+	}
+	for i := range d.load.Slow {
+		d.engines[len(d.engines)-1-i].slowness = 2
+	}
+	if d.load.Restart > 0 {
+		d.time.After(d.load.Restart, d.restart)
+	}
+}
+
+// restart kills all boxes; callers come back once they are there again.
+func (d *day) restart() {
+	for _, r := range d.list {
+		if r.at > d.time.Elapsed() || r.ended || r.tries == 0 {
+			continue
+		}
+		if r.abandon != nil {
+			r.abandon()
+		}
+		d.again(r, down, causeCut)
+	}
+	for _, b := range d.boxes {
+		b.up = false
+	}
+	d.time.After(down, func() { d.begin(d.rng.Uint64()) })
+}
+
+// gossip lets the boxes tell their work. What the others hear is older by the delay.
+func (d *day) gossip() {
+	sum := balance.NewSnapshot()
+	for _, b := range d.boxes {
+		sum.Add(b.snapshot)
+	}
+	for _, b := range d.boxes {
+		others := balance.NewSnapshot()
+		others.Add(sum)
+		others.Remove(b.snapshot)
+		b.snapshot = b.balancer.Snapshot()
+		d.time.After(delay, func() {
+			b.balancer.SetOthers(others)
+			d.poll(b)
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/engine.go
@@ -0,0 +1,288 @@
+package lab
+
+import (
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/timeline"
+)
+
+// engine is one model engine by the published cost model: it works in passes over
+// all that it has. A pass in which somebody writes has Stride token steps, each of
+// which may read a chunk of prompts; one without writers has a single step.
+type engine struct {
+	target fleet.Target
+	cost   *fleet.CostModel
+	time   *timeline.Timeline
+	// slowness multiplies the time of each pass.
+	slowness float64
+	dead     bool
+
+	// parts are read before prompts, the one that came last first.
+	parts   []*reading
+	prompts []*reading
+	writers []*run
+	waiting []*run
+	memory  int
+	busy    bool
+	// worked is the time spent in passes.
+	worked time.Duration
+}
+
+// reading is what an engine has to read of a prompt: all of it, or a part.
+type reading struct {
+	run  *run
+	left int
+	// whole is set for a prompt that is read by one engine.
+	whole bool
+	// perToken is the time for a token of a part: every part bears its share of
+	// the pairs of the whole prompt.
+	perToken time.Duration
+}
+
+// run is one attempt of a request at an engine and its helpers.
+type run struct {
+	request *request
+	first   *engine
+	helpers []*engine
+	// unread counts the parts that are still being read.
+	unread  int
+	tokens  int // tokens is the memory that the run takes at its first engine.
+	written int // written counts the events that were written.
+	events  int // events is how many it has to write.
+	running bool
+	over    bool
+	// event and failed tell the box what becomes of the run.
+	event  func(p pass)
+	failed func()
+}
+
+// pass says what an engine did in one pass, to tell why streams paused.
+type pass struct {
+	took time.Duration
+	// parts, long and short are the time that reading parts, long prompts and short
+	// ones took of it.
+	parts time.Duration
+	long  time.Duration
+	short time.Duration
+}
+
+// start takes a run on, or lets it wait for a slot or for memory.
+func (e *engine) start(r *run) {
+	if e.dead {
+		e.time.After(deadStall, r.failed)
+		return
+	}
+	e.waiting = append(e.waiting, r)
+	e.wake()
+}
+
+// deadStall is after how long a box learns that an engine is dead: its connection
+// is not taken.
+const deadStall = 250 * time.Millisecond
+
+// help takes on a part of a prompt.
+func (e *engine) help(r *run, tokens int, perToken time.Duration) {
+	e.parts = append(e.parts, &reading{run: r, left: tokens, perToken: perToken})
+	e.wake()
+}
+
+// wake begins a pass if there is something to do.
+func (e *engine) wake() {
+	if e.busy || e.dead {
+		return
+	}
+	e.admit()
+	if len(e.writers)+len(e.parts)+len(e.prompts) == 0 {
+		return
+	}
+	e.busy = true
+	p, end := e.plan()
+	e.worked += p.took
+	e.time.After(p.took, func() {
+		e.busy = false
+		if !e.dead {
+			end(p)
+			e.wake()
+		}
+	})
+}
+
+// admit takes on what waits, in the order in which it came, while there are slots
+// and memory. What fits passes what does not.
+func (e *engine) admit() {
+	var left []*run
+	for _, r := range e.waiting {
+		if e.running() >= e.cost.Slots || e.memory+r.tokens > e.cost.Memory {
+			left = append(left, r)
+			continue
+		}
+		e.memory += r.tokens
+		r.running = true
+		e.read(r)
+	}
+	e.waiting = left
+}
+
+func (e *engine) running() int {
+	own := 0
+	for _, p := range e.parts {
+		if p.run.first == e {
+			own++
+		}
+	}
+	return len(e.writers) + len(e.prompts) + own
+}
+
+// read begins to read the run's prompt, with the run's helpers if it has any.
+func (e *engine) read(r *run) {
+	prompt := r.request.prompt
+	if len(r.helpers) == 0 {
+		r.unread = 1
+		e.prompts = append(e.prompts, &reading{run: r, left: prompt, whole: true})
+		return
+	}
+	count := len(r.helpers) + 1
+	r.unread = count
+	perToken := e.cost.Read(prompt) / time.Duration(max(prompt, 1))
+	share := (prompt + count - 1) / count
+	e.parts = append(e.parts, &reading{run: r, left: share, perToken: perToken})
+	for _, h := range r.helpers {
+		h.help(r, share, perToken)
+	}
+}
+
+// plan decides what the next pass does, and returns what is to be done at its end.
+func (e *engine) plan() (p pass, end func(p pass)) {
+	steps := 1
+	writers := slices.Clone(e.writers)
+	if len(writers) > 0 {
+		steps = e.cost.Stride
+	}
+	p.took = time.Duration(steps) * e.stepTime()
+	budget := steps * e.cost.Chunk
+	var done []*reading
+	read := func(r *reading) {
+		tokens := min(budget, r.left)
+		if tokens == 0 && r.left > 0 {
+			return
+		}
+		budget -= tokens
+		p.note(r, e.cost, r.take(tokens, e.cost))
+		if r.left == 0 {
+			done = append(done, r)
+		}
+	}
+	for i := len(e.parts) - 1; i >= 0; i-- {
+		read(e.parts[i])
+	}
+	for _, r := range e.prompts {
+		read(r)
+	}
+	p.took = time.Duration(float64(p.took+p.parts+p.long+p.short) * e.slowness)
+	return p, func(p pass) { e.end(p, writers, done) }
+}
+
+func (e *engine) stepTime() time.Duration {
+	d := e.cost.Step
+	for _, w := range e.writers {
+		context := float64(w.request.prompt) / perThousand
+		d += e.cost.PerWriter + time.Duration(context*float64(e.cost.PerContext))
+	}
+	return d
+}
+
+const perThousand = 1000
+
+// take reads tokens and returns how long that takes.
+func (r *reading) take(tokens int, cost *fleet.CostModel) time.Duration {
+	before := r.left
+	r.left -= tokens
+	if !r.whole {
+		return time.Duration(tokens) * r.perToken
+	}
+	prompt := r.run.request.prompt
+	return cost.Read(prompt-r.left) - cost.Read(prompt-before)
+}
+
+func (p *pass) note(r *reading, cost *fleet.CostModel, took time.Duration) {
+	switch {
+	case !r.whole:
+		p.parts += took
+	case cost.Read(r.run.request.prompt) > r.run.request.tightest/2:
+		p.long += took
+	default:
+		p.short += took
+	}
+}
+
+func (e *engine) end(p pass, writers []*run, done []*reading) {
+	for _, w := range writers {
+		if w.over {
+			continue
+		}
+		w.written++
+		w.event(p)
+		if w.written >= w.events && !w.over {
+			w.stop()
+		}
+	}
+	for _, r := range done {
+		e.drop(r)
+		r.run.unread--
+		if r.run.unread == 0 && !r.run.over {
+			r.run.first.writers = append(r.run.first.writers, r.run)
+			r.run.first.wake()
+		}
+	}
+}
+
+func (e *engine) drop(r *reading) {
+	same := func(o *reading) bool { return o == r }
+	e.parts = slices.DeleteFunc(e.parts, same)
+	e.prompts = slices.DeleteFunc(e.prompts, same)
+}
+
+// stop ends a run wherever it stands, and its parts.
+func (r *run) stop() {
+	if r.over {
+		return
+	}
+	r.over = true
+	if r.running {
+		r.first.memory -= r.tokens
+	}
+	for _, e := range append([]*engine{r.first}, r.helpers...) {
+		e.forget(r)
+	}
+}
+
+func (e *engine) forget(r *run) {
+	same := func(o *run) bool { return o == r }
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	e.writers = slices.DeleteFunc(e.writers, same)
+	mine := func(o *reading) bool { return o.run == r }
+	e.parts = slices.DeleteFunc(e.parts, mine)
+	e.prompts = slices.DeleteFunc(e.prompts, mine)
+}
+
+// die ends the engine; what depends on it fails after a stall.
+func (e *engine) die() {
+	e.dead = true
+	runs := append(slices.Clone(e.waiting), e.writers...)
+	for _, r := range slices.Concat(e.parts, e.prompts) {
+		runs = append(runs, r.run)
+	}
+	for _, r := range runs {
+		if !r.over {
+			r.stop()
+			e.time.After(deadStall, r.failed)
+		}
+	}
+	e.memory = 0
+}
+
+// id returns the engine's name.
+func (e *engine) id() barleystep.TargetID { return e.target.ID }
--- /dev/null
+++ b/internal/lab/engine_internal_test.go
@@ -0,0 +1,124 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/timeline"
+)
+
+// testCost has round figures: a chunk is read in 10 ms, a pass with a writer takes
+// 40 ms.
+var testCost = &fleet.CostModel{
+	Slots: 2, Memory: 100_000, Stride: 20, Step: 2 * time.Millisecond,
+	ReadRate: 200_000, Chunk: 2000,
+}
+
+// bench is some engines and the runs at them.
+type bench struct {
+	time    *timeline.Timeline
+	engines []*engine
+	events  map[*run][]time.Duration
+}
+
+func newBench(engines int) *bench {
+	b := &bench{time: &timeline.Timeline{}, events: make(map[*run][]time.Duration)}
+	for range engines {
+		b.engines = append(b.engines, &engine{cost: testCost, time: b.time, slowness: 1})
+	}
+	return b
+}
+
+// run starts a prompt at the first engine, helped by others.
+func (b *bench) run(prompt, events int, helpers ...*engine) *run {
+	r := &run{
+		request: &request{prompt: prompt, tightest: 200 * time.Millisecond},
+		first:   b.engines[0], helpers: helpers, tokens: prompt, events: events,
+	}
+	r.event = func(pass) { b.events[r] = append(b.events[r], b.time.Elapsed()) }
+	r.failed = func() { b.events[r] = nil }
+	r.first.start(r)
+	return r
+}
+
+func ms(list ...int) []time.Duration {
+	out := make([]time.Duration, len(list))
+	for i, n := range list {
+		out[i] = time.Duration(n) * time.Millisecond
+	}
+	return out
+}
+
+// TestEngine checks the times of events against the cost model by hand.
+func TestEngine(t *testing.T) {
+	cases := map[string]struct {
+		start func(b *bench) *run
+		want  []time.Duration
+	}{
+		"alone: two steps of reading, then a pass for each event": {
+			func(b *bench) *run { return b.run(4000, 3) }, ms(64, 104, 144),
+		},
+		"a long prompt comes while it writes: one pass reads 40,000 tokens": {
+			func(b *bench) *run {
+				r := b.run(4000, 3)
+				b.time.After(30*time.Millisecond, func() { b.run(60_000, 1) })
+				return r
+			}, ms(64, 304, 444),
+		},
+		"two engines read half each": {
+			func(b *bench) *run { return b.run(8000, 1, b.engines[1]) }, ms(64),
+		},
+		"no slot is free until one of the two before it has ended": {
+			func(b *bench) *run {
+				b.run(2000, 1)
+				b.run(2000, 1)
+				return b.run(2000, 1)
+			}, ms(152),
+		},
+		"no memory is free until the other has ended": {
+			func(b *bench) *run {
+				b.run(60_000, 1)
+				return b.run(60_000, 1)
+			}, ms(800),
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(2)
+			r := tc.start(b)
+			b.time.Run(5 * time.Second)
+			quicktest.Check(t, b.events[r], quicktest.DeepEquals, tc.want)
+		})
+	}
+}
+
+// TestDeath checks that what an engine had fails, and nothing of it is left.
+func TestDeath(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(2)
+	failed := 0
+	for range 3 {
+		r := b.run(4000, 100, b.engines[1])
+		r.failed = func() { failed++ }
+	}
+	b.time.After(300*time.Millisecond, b.engines[0].die)
+	b.time.Run(5 * time.Second)
+	c.Check(failed, quicktest.Equals, 3)
+	for _, e := range b.engines {
+		c.Check(len(e.parts)+len(e.prompts)+len(e.writers)+len(e.waiting)+e.memory, quicktest.Equals, 0)
+	}
+}
+
+// TestPlan checks how much work fits into overlapping windows.
+func TestPlan(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPlan(10, 1)
+	c.Check(p.fit(0, 3, 10), quicktest.Equals, 4.0) // Four slots of one second.
+	c.Check(p.fit(1, 2, 10), quicktest.Equals, 0.0) // All taken.
+	c.Check(p.fit(2, 5, 10), quicktest.Equals, 2.0) // Only the slots from 4 on.
+	c.Check(p.fit(0, 9, 3), quicktest.Equals, 3.0)
+	c.Check(p.fit(0, 9, 3), quicktest.Equals, 1.0)
+}
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,244 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// Kind is one kind of streams of a load.
+type Kind struct {
+	Name string
+	// Rate is how many come in a second, as a mean.
+	Rate float64
+	// Prompt and Events are the mean prompt length in tokens and the mean number of
+	// events of an answer; Spread is the standard deviation of both over the mean.
+	Prompt    float64
+	Events    float64
+	Spread    float64
+	Objective time.Duration
+	Pause     time.Duration
+	Deadline  time.Duration
+	// Worth is that of a stream of mean size in time, and Late that of one that is
+	// late but whole.
+	Worth float64
+	Late  float64
+}
+
+// Load is a day: engines, boxes and what callers send.
+type Load struct {
+	Name    string
+	Cost    fleet.CostModel
+	Engines int
+	Boxes   int
+	Kinds   []Kind
+	// Turns is how long bursts of short and of long prompts last that come by
+	// turns; zero is a steady day.
+	Turns time.Duration
+	// Span is how long prompts come.
+	Span time.Duration
+	// Deaths is how many engines die, one after the other.
+	Deaths int
+	// Slow is how many engines take twice their time.
+	Slow int
+	// Restart is when all boxes are started anew, knowing nothing; zero is never.
+	Restart time.Duration
+}
+
+// Family is a way to draw loads.
+type Family struct {
+	Name string
+	Draw func(rng *rand.Rand) Load
+}
+
+// Families are the ways of drawing loads that are measured.
+var Families = []Family{
+	{"steady", func(rng *rand.Rand) Load { return draw(rng, 18) }},
+	{"turns of 8 to 11 s", func(rng *rand.Rand) Load { return turns(rng, 18, 8, 11) }},
+	{"turns of 4 to 6 s", func(rng *rand.Rand) Load { return turns(rng, 18, 4, 6) }},
+	{"many middling prompts", func(rng *rand.Rand) Load {
+		l := draw(rng, 18)
+		l.Kinds[1].Rate *= 4
+		l.Kinds[2].Rate /= 3
+		return l
+	}},
+	{"engines die and are slow", func(rng *rand.Rand) Load {
+		l := turns(rng, 18, 8, 11)
+		l.Deaths, l.Slow = 3, 2
+		return l
+	}},
+	{"all boxes start anew", func(rng *rand.Rand) Load {
+		l := turns(rng, 18, 8, 11)
+		l.Restart = span / 2
+		return l
+	}},
+	{"three engines", func(rng *rand.Rand) Load { return draw(rng, 3) }},
+	{"one engine", func(rng *rand.Rand) Load { return draw(rng, 1) }},
+	{"sixty engines, turns", func(rng *rand.Rand) Load { return turns(rng, 60, 8, 11) }},
+}
+
+const (
+	span = 32 * time.Second
+	// boxesOf is how many engines there are for each box.
+	boxesOf = 2
+)
+
+// between draws a number from a range.
+func between(rng *rand.Rand, low, high float64) float64 { return low + (high-low)*rng.Float64() }
+
+// draw draws a steady day: the speed of the engines, three kinds of prompts, and how
+// much of the engines they need.
+func draw(rng *rand.Rand, engines int) Load {
+	l := Load{Engines: engines, Boxes: max(engines/boxesOf, 1), Span: span}
+	l.Cost = fleet.CostModel{
+		Slots:       []int{8, 12, 16, 24}[rng.IntN(4)],
+		Memory:      int(between(rng, 350e3, 500e3)),
+		Step:        millis(between(rng, 0.8, 1.4)),
+		PerWriter:   millis(between(rng, 0.001, 0.005)),
+		PerContext:  millis(0.0023),
+		ReadRate:    between(rng, 140e3, 280e3),
+		PerPairs:    millis(between(rng, 0.08, 0.17)),
+		Chunk:       2048,
+		UsualOutput: 1200,
+	}
+	l.Cost.Stride = int(45 / (l.Cost.Step.Seconds() * perThousand))
+	l.Kinds = []Kind{
+		{Name: "short", Prompt: between(rng, 3e3, 6e3), Events: between(rng, 28, 42), Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(between(rng, 180, 280)), Deadline: 10 * time.Second, Worth: 1.3, Late: 0.33},
+		{Name: "middling", Prompt: between(rng, 30e3, 60e3), Events: between(rng, 18, 26), Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(between(rng, 450, 650)), Deadline: 10 * time.Second, Worth: 3.5, Late: 0.9},
+		{Name: "long", Prompt: between(rng, 150e3, 240e3), Events: between(rng, 15, 22), Spread: 0.55, Objective: 3 * time.Second, Pause: millis(between(rng, 750, 1050)), Deadline: 15 * time.Second, Worth: 23, Late: 5.7},
+	}
+	// Each kind needs so much of the engines: short streams of the slots, the others
+	// of the time.
+	needs := []float64{between(rng, 0.15, 0.3), between(rng, 0.03, 0.07), between(rng, 0.18, 0.3)}
+	for i := range l.Kinds {
+		l.Kinds[i].Rate = needs[i] * float64(engines) / l.Kinds[i].need(&l.Cost)
+	}
+	l.Cost.UsualPrompt = l.usualPrompt()
+	return l
+}
+
+func turns(rng *rand.Rand, engines int, low, high float64) Load {
+	l := draw(rng, engines)
+	l.Turns = millis(between(rng, low, high) * perThousand)
+	return l
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// need returns the engines that one prompt a second takes: the more of what its
+// slot and its reading need.
+func (k Kind) need(c *fleet.CostModel) float64 {
+	stream := k.Events * 1.2 * c.Pass().Seconds() / float64(c.Slots)
+	// The square of the length counts, which varies more than the length.
+	read := c.Read(int(k.Prompt * math.Sqrt(1+k.Spread*k.Spread))).Seconds()
+	return max(stream, read)
+}
+
+func (l Load) usualPrompt() int {
+	tokens, rate := 0.0, 0.0
+	for _, k := range l.Kinds {
+		tokens += k.Prompt * k.Rate
+		rate += k.Rate
+	}
+	return int(tokens / rate)
+}
+
+// The factors of bursts by kind, for turns of long prompts and of short ones.
+var turnFactors = [2][3]float64{{0.33, 1.3, 2.7}, {2.3, 0.5, 0.06}}
+
+// request is one prompt of a day.
+type request struct {
+	id       int
+	at       time.Duration
+	kind     int
+	prompt   int
+	events   int
+	tightest time.Duration
+	// size is the factor of its worth.
+	size float64
+	box  int
+
+	// tries counts the caller's own, sends those to engines.
+	tries   int
+	sends   int
+	got     int           // got counts the events that came.
+	last    time.Duration // last is when the caller was last answered something.
+	first   time.Duration
+	refused bool // refused is set once it was refused.
+	ended   bool
+	pause   time.Duration
+	cause   cause
+	run     *run
+	abandon func() // abandon ends its try at the box.
+	// waitAvoid lists the engines that it avoids once its wait is over, and moved is set
+	// while another engine takes it up.
+	waitAvoid []barleystep.TargetID
+	moved     bool
+}
+
+// requests draws the day's prompts.
+func (l Load) requests(rng *rand.Rand) []*request {
+	var list []*request
+	tightest := l.Kinds[0].Pause
+	for k, kind := range l.Kinds {
+		for at := 0.0; ; {
+			at += rng.ExpFloat64() / (kind.Rate * l.peak(k))
+			r := &request{at: millis(at * perThousand), kind: k, tightest: tightest, box: rng.IntN(l.Boxes)}
+			if r.at > l.Span {
+				break
+			}
+			prompt, events := lognormal(rng, kind.Spread), lognormal(rng, kind.Spread)
+			if rng.Float64() > l.factor(k, r.at)/l.peak(k) {
+				continue
+			}
+			r.prompt = int(kind.Prompt * min(prompt, 4.5))
+			r.events = max(int(kind.Events*min(events, 2.5)), 1)
+			r.size = l.size(kind, r)
+			list = append(list, r)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *request) int { return int(a.at - b.at) })
+	for i, r := range list {
+		r.id = i
+	}
+	return list
+}
+
+// size returns the factor of a prompt's worth: it grows with its tokens.
+func (l Load) size(k Kind, r *request) float64 {
+	const outputWeight, base, most = 10, 0.3, 4.0
+	stride := float64(l.Cost.Stride)
+	usual := k.Prompt + outputWeight*k.Events*stride
+	own := float64(r.prompt) + outputWeight*float64(r.events)*stride
+	return min(base+(1-base)*own/usual, most)
+}
+
+func (l Load) factor(kind int, at time.Duration) float64 {
+	if l.Turns == 0 {
+		return 1
+	}
+	return turnFactors[int(at/l.Turns)%len(turnFactors)][kind]
+}
+
+func (l Load) peak(kind int) float64 {
+	if l.Turns == 0 {
+		return 1
+	}
+	return max(turnFactors[0][kind], turnFactors[1][kind])
+}
+
+// lognormal draws a factor of mean 1 with the given standard deviation.
+func lognormal(rng *rand.Rand, spread float64) float64 {
+	variance := math.Log(1 + spread*spread)
+	return math.Exp(rng.NormFloat64()*math.Sqrt(variance) - variance/2)
+}
+
+// String returns the load in a few words.
+func (l Load) String() string {
+	return fmt.Sprintf("%d engines, %d boxes, turns %v", l.Engines, l.Boxes, l.Turns)
+}
--- /dev/null
+++ b/internal/lab/result.go
@@ -0,0 +1,111 @@
+package lab
+
+import (
+	"slices"
+	"time"
+)
+
+// Result is what became of the prompts of one day, or of several.
+type Result struct {
+	// Owed, Earned and Bound are the worth of all prompts, of those that were served,
+	// and of those that the bound serves.
+	Owed   float64
+	Earned float64
+	Bound  float64
+	// Kinds has the same by kind, and the causes of late streams.
+	Kinds [kinds]KindResult
+}
+
+// KindResult is what became of the prompts of one kind.
+type KindResult struct {
+	Count  int
+	Owed   float64
+	Earned float64
+	Causes [causes]int
+}
+
+const kinds = 3
+
+// Worth returns the part of what was owed that was earned.
+func (r Result) Worth() float64 { return r.Earned / max(r.Owed, 1) }
+
+// Possible returns the part of what was owed that the bound earns.
+func (r Result) Possible() float64 { return r.Bound / max(r.Owed, 1) }
+
+func (d *day) measure() Result {
+	var res Result
+	for _, r := range d.list {
+		kind := d.load.Kinds[r.kind]
+		k := &res.Kinds[r.kind]
+		owed, earned := kind.Worth*r.size, r.earned(kind)
+		k.Count++
+		k.Owed += owed
+		k.Earned += earned
+		k.Causes[r.cause]++
+		res.Owed += owed
+		res.Earned += earned
+	}
+	res.Bound = d.bound()
+	return res
+}
+
+// earned returns what the request was worth to its caller.
+func (r *request) earned(k Kind) float64 {
+	if r.got < r.events {
+		return 0
+	}
+	if r.first <= k.Objective && r.pause <= k.Pause {
+		return k.Worth * r.size
+	}
+	return k.Late * r.size
+}
+
+// Add takes in another day.
+func (r *Result) Add(o Result) {
+	r.Owed += o.Owed
+	r.Earned += o.Earned
+	r.Bound += o.Bound
+	for i := range r.Kinds {
+		k := &r.Kinds[i]
+		k.Count += o.Kinds[i].Count
+		k.Owed += o.Kinds[i].Owed
+		k.Earned += o.Kinds[i].Earned
+		for c := range k.Causes {
+			k.Causes[c] += o.Kinds[i].Causes[c]
+		}
+	}
+}
+
+// slot is the length of the intervals into which the bound divides a day.
+const slot = 200 * time.Millisecond
+
+// bound returns a worth that no policy exceeds: that of a planner who knows all
+// prompts in advance, may divide reading among all engines at will and stop it at
+// any time, gets worth for parts of a prompt, and has writing, slots, pauses and
+// memory for nothing. Late worth is taken as earned. Then the prompts that are worth
+// most for each second of reading come first, each as late as its objective allows:
+// sets of prompts that can be read in time form a matroid, so that this is best.
+func (d *day) bound() float64 {
+	total := 0.0
+	order := slices.Clone(d.list)
+	density := func(r *request) float64 {
+		k := d.load.Kinds[r.kind]
+		return (k.Worth - k.Late) * r.size / d.load.Cost.Read(r.prompt).Seconds()
+	}
+	slices.SortStableFunc(order, func(a, b *request) int {
+		if density(a) > density(b) {
+			return -1
+		}
+		return 1
+	})
+	p := newPlan(int((d.load.Span+after)/slot)+1, float64(d.load.Engines)*slot.Seconds())
+	for _, r := range order {
+		k := d.load.Kinds[r.kind]
+		read := d.load.Cost.Read(r.prompt).Seconds()
+		from := int(r.at / slot)
+		until := int((r.at + k.Objective) / slot)
+		part := p.fit(from, until, read) / read
+		total += r.size * (k.Late + (k.Worth-k.Late)*part)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/lab/table.go
@@ -0,0 +1,133 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+)
+
+// Plan says what is measured.
+type Plan struct {
+	// Seeds is how many days are drawn of each family.
+	Seeds int
+	// Workers is how many days run at a time.
+	Workers int
+	// Family, if not empty, is the start of the names of the families that run.
+	Family string
+}
+
+// row is a family under one policy.
+type row struct {
+	family Family
+	policy Policy
+	sum    Result
+	worths []float64
+}
+
+// policies are the rows of each family.
+var policies = []Policy{Random, LeastLoaded, Balanced}
+
+// WriteTables runs the plan and writes its tables as Markdown.
+func WriteTables(w io.Writer, p Plan) error {
+	var rows []*row
+	for _, f := range Families {
+		if !strings.HasPrefix(f.Name, p.Family) {
+			continue
+		}
+		for _, policy := range policies {
+			rows = append(rows, &row{family: f, policy: policy})
+		}
+	}
+	p.run(rows)
+	if err := writeWorth(w, rows); err != nil {
+		return err
+	}
+	return writeCauses(w, rows)
+}
+
+func (p Plan) run(rows []*row) {
+	var wait sync.WaitGroup
+	workers := make(chan struct{}, max(p.Workers, 1))
+	for _, r := range rows {
+		results := make([]Result, p.Seeds)
+		var days sync.WaitGroup
+		for seed := range p.Seeds {
+			workers <- struct{}{}
+			days.Add(1)
+			wait.Go(func() {
+				defer days.Done()
+				results[seed] = r.day(uint64(seed + 1))
+				<-workers
+			})
+		}
+		wait.Go(func() {
+			days.Wait()
+			for _, res := range results {
+				r.sum.Add(res)
+				r.worths = append(r.worths, res.Worth())
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func (r *row) day(seed uint64) Result {
+	load := r.family.Draw(rand.New(rand.NewPCG(seed, 0)))
+	return Run(load, r.policy, seed)
+}
+
+// spread returns the mean of the days' worths and the standard error of that mean.
+func (r *row) spread() (mean, err float64) {
+	for _, w := range r.worths {
+		mean += w / float64(len(r.worths))
+	}
+	for _, w := range r.worths {
+		err += (w - mean) * (w - mean)
+	}
+	n := float64(len(r.worths))
+	return mean, math.Sqrt(err/max(n-1, 1)) / math.Sqrt(n)
+}
+
+func writeWorth(w io.Writer, rows []*row) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| load | decided by | worth | ± | bound | short | middling | long |\n|---|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		mean, spread := r.spread()
+		fmt.Fprintf(&b, "| %s | %s | %.3f | %.3f | %.3f |", r.family.Name, r.policy.Name, mean, spread, r.sum.Possible())
+		for _, k := range r.sum.Kinds {
+			fmt.Fprintf(&b, " %.3f |", k.Earned/max(k.Owed, 1))
+		}
+		fmt.Fprintln(&b)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// writeCauses writes, of a hundred streams of each kind, how many were late for each
+// cause.
+func writeCauses(w io.Writer, rows []*row) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n| load | of 100 |")
+	for c := causeNone + 1; c < causes; c++ {
+		fmt.Fprintf(&b, " %s |", c)
+	}
+	fmt.Fprintf(&b, "\n|---|---|%s\n", strings.Repeat("---|", int(causes)-1))
+	names := [kinds]string{"short", "middling", "long"}
+	for _, r := range rows {
+		if r.policy.pick != nil {
+			continue
+		}
+		for i, k := range r.sum.Kinds {
+			fmt.Fprintf(&b, "| %s | %s |", r.family.Name, names[i])
+			for c := causeNone + 1; c < causes; c++ {
+				fmt.Fprintf(&b, " %.1f |", 100*float64(k.Causes[c])/float64(max(k.Count, 1)))
+			}
+			fmt.Fprintln(&b)
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -1,53 +1,62 @@
-package trial
+// Package timeline is simulated time: functions that run one after the other, each
+// at its moment. Measurements over fake engines run on it, so that the same seed
+// gives the same figures.
+package timeline
 
 import (
 	"container/heap"
 	"time"
 )
 
-// sim is simulated time: functions that run one after the other, each at its
-// time.
-type sim struct {
+// Timeline is simulated time. Its zero value stands at the beginning. It is used by
+// one goroutine.
+type Timeline struct {
 	now    time.Duration
 	events eventHeap
 	serial int
 }
 
-type event struct {
-	at     time.Duration
-	serial int
-	run    func()
-}
-
 // epoch is the time at which every run begins.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// clock returns the present time as the decision packages take it.
-func (s *sim) clock() time.Time { return epoch.Add(s.now) }
+// At returns the moment that is so long after the beginning.
+func At(d time.Duration) time.Time { return epoch.Add(d) }
+
+// Elapsed returns the time since the beginning.
+func (t *Timeline) Elapsed() time.Duration { return t.now }
 
-// after runs f once d has passed.
-func (s *sim) after(d time.Duration, f func()) {
-	s.serial++
-	heap.Push(&s.events, event{at: s.now + d, serial: s.serial, run: f})
+// Now returns the present time as the decision packages take it.
+func (t *Timeline) Now() time.Time { return At(t.now) }
+
+// After runs f once d has passed.
+func (t *Timeline) After(d time.Duration, f func()) {
+	t.serial++
+	heap.Push(&t.events, event{at: t.now + d, serial: t.serial, run: f})
 }
 
-// every runs f at intervals from now on.
-func (s *sim) every(d time.Duration, f func()) {
-	s.after(d, func() {
+// Every runs f at intervals from now on.
+func (t *Timeline) Every(d time.Duration, f func()) {
+	t.After(d, func() {
 		f()
-		s.every(d, f)
+		t.Every(d, f)
 	})
 }
 
-// run runs events until the given time.
-func (s *sim) run(until time.Duration) {
-	for len(s.events) > 0 && s.events[0].at <= until {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
+// Run runs what is due until the given time.
+func (t *Timeline) Run(until time.Duration) {
+	for len(t.events) > 0 && t.events[0].at <= until {
+		e := heap.Pop(&t.events).(event)
+		t.now = e.at
 		e.run()
 	}
 }
 
+type event struct {
+	at     time.Duration
+	serial int
+	run    func()
+}
+
 type eventHeap []event
 
 // Len returns the number of events.
--- a/internal/trial/baseline.go
+++ b/internal/trial/baseline.go
@@ -104,7 +104,7 @@
 	}
 	if len(targets) < n {
 		r.avoid = nil
-		b.fleet.sim.after(time.Second, func() { b.submit(r) })
+		b.fleet.sim.After(time.Second, func() { b.submit(r) })
 		return
 	}
 	for _, t := range targets {
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/timeline"
 )
 
 // Speed is how fast the engines of a run are. The users' engines are not
@@ -54,7 +55,7 @@
 type fakeEngine struct {
 	id      barleystep.TargetID
 	speed   Speed
-	sim     *sim
+	sim     *timeline.Timeline
 	waiting []*job
 	running []*job
 	memory  int // memory is what running jobs take.
@@ -70,7 +71,7 @@
 // add queues a job.
 func (e *fakeEngine) add(j *job) {
 	if e.dead {
-		e.sim.after(0, func() { j.failed(e.sim.now) })
+		e.sim.After(0, func() { j.failed(e.sim.Elapsed()) })
 		return
 	}
 	e.order++
@@ -97,7 +98,7 @@
 	}
 	e.busy = true
 	duration, apply := e.plan()
-	e.sim.after(duration, func() {
+	e.sim.After(duration, func() {
 		e.busy = false
 		if e.dead || e.hung {
 			return
@@ -158,7 +159,7 @@
 			j.unread -= n
 			if j.unread == 0 {
 				j.left--
-				j.first(e.sim.now)
+				j.first(e.sim.Elapsed())
 			}
 		}
 		if j.unread == 0 && j.left <= 0 {
@@ -175,7 +176,7 @@
 	e.memory -= j.tokens
 	e.cache.put(j.conv, j.tokens)
 	e.cache.shrink(e.speed.Tokens - e.memory)
-	j.done(e.sim.now)
+	j.done(e.sim.Elapsed())
 }
 
 func (e *fakeEngine) remove(j *job) bool {
@@ -209,7 +210,7 @@
 	e.running, e.waiting, e.memory = nil, nil, 0
 	e.cache = prefixCache{}
 	for _, j := range jobs {
-		j.failed(e.sim.now)
+		j.failed(e.sim.Elapsed())
 	}
 }
 
@@ -222,7 +223,7 @@
 // load is the engine's report. A hung engine still reports.
 func (e *fakeEngine) load() barleystep.Load {
 	return barleystep.Load{
-		At:          e.sim.clock(),
+		At:          e.sim.Now(),
 		Running:     len(e.running),
 		Waiting:     len(e.waiting),
 		FreeTokens:  e.speed.Tokens - e.memory,
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/timeline"
 )
 
 const (
@@ -36,7 +37,7 @@
 
 // fleet is the engines of a run and the attempts at them.
 type fleet struct {
-	sim      *sim
+	sim      *timeline.Timeline
 	speed    Speed
 	engines  []*fakeEngine
 	byID     map[barleystep.TargetID]*fakeEngine
@@ -57,14 +58,14 @@
 	over    bool
 }
 
-func newFleet(s *sim, speed Speed) *fleet {
+func newFleet(s *timeline.Timeline, speed Speed) *fleet {
 	f := &fleet{sim: s, speed: speed, byID: make(map[barleystep.TargetID]*fakeEngine), lag: loadEvery / 2, live: make(map[*attempt]bool)}
 	for i := range engines {
 		e := &fakeEngine{id: barleystep.TargetID(fmt.Sprintf("e%02d", i)), speed: speed, sim: s}
 		f.engines = append(f.engines, e)
 		f.byID[e.id] = e
 	}
-	s.every(loadEvery, f.report)
+	s.Every(loadEvery, f.report)
 	return f
 }
 
@@ -75,8 +76,8 @@
 		}
 		l := e.load()
 		id := e.id
-		f.sim.after(f.lag, func() {
-			l.At = f.sim.clock()
+		f.sim.After(f.lag, func() {
+			l.At = f.sim.Now()
 			f.dispatch.load(id, l)
 		})
 	}
@@ -111,7 +112,7 @@
 		j.done = func(time.Duration) { f.partDone(a) }
 		a.jobs = append(a.jobs, j)
 	}
-	f.sim.after(hop, func() {
+	f.sim.After(hop, func() {
 		for i, t := range targets {
 			f.byID[t].add(a.jobs[i])
 		}
@@ -124,7 +125,7 @@
 func (f *fleet) watch(a *attempt) {
 	const margin = 8
 	read := time.Duration(float64(a.request.prompt) / f.speed.Rate * margin * float64(time.Second))
-	f.sim.after(stall+read, func() {
+	f.sim.After(stall+read, func() {
 		if !a.over && !a.started {
 			f.fail(a)
 		}
@@ -138,9 +139,9 @@
 	}
 	a.started = true
 	if a.request.first == 0 {
-		a.request.first = f.sim.now
+		a.request.first = f.sim.Elapsed()
 	}
-	f.sim.after(hop, func() {
+	f.sim.After(hop, func() {
 		if !a.over {
 			f.dispatch.first(a)
 		}
@@ -156,7 +157,7 @@
 	delete(f.live, a)
 	f.drop(a)
 	a.request.ended = true
-	f.sim.after(hop, func() { f.dispatch.ended(a, true) })
+	f.sim.After(hop, func() { f.dispatch.ended(a, true) })
 }
 
 // drop frees what the attempt holds anywhere.
@@ -185,7 +186,7 @@
 		return
 	}
 	r.avoid = append(r.avoid, a.targets[0])
-	f.sim.after(retryPause, func() { f.dispatch.submit(r) })
+	f.sim.After(retryPause, func() { f.dispatch.submit(r) })
 }
 
 // killBox drops the requests of a box that has died. Its clean-up frees the
@@ -198,7 +199,7 @@
 		a.over = true
 		a.request.refused = true
 		delete(f.live, a)
-		f.sim.after(cleanUp, func() { f.drop(a) })
+		f.sim.After(cleanUp, func() { f.drop(a) })
 	}
 }
 
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/timeline"
 )
 
 // request is one request of the load.
@@ -204,8 +205,8 @@
 		Model:    "model",
 		Prompt:   r.prompt,
 		Output:   r.output,
-		Since:    epoch.Add(r.at),
-		Deadline: epoch.Add(r.at + r.limit),
+		Since:    timeline.At(r.at),
+		Deadline: timeline.At(r.at + r.limit),
 		Prefix:   r.prefixes(),
 		Avoid:    r.avoid,
 	}
--- a/internal/trial/ours.go
+++ b/internal/trial/ours.go
@@ -41,8 +41,8 @@
 	if interval == 0 {
 		interval = time.Second
 	}
-	f.sim.every(interval, o.reportAll)
-	f.sim.every(100*time.Millisecond, o.tick)
+	f.sim.Every(interval, o.reportAll)
+	f.sim.Every(100*time.Millisecond, o.tick)
 	return o
 }
 
@@ -50,7 +50,7 @@
 
 // found starts a dispenser that knows nothing yet.
 func (o *ours) found() {
-	o.dispenser = capacity.NewDispenser(o.settings, o.fleet.sim.clock())
+	o.dispenser = capacity.NewDispenser(o.settings, o.fleet.sim.Now())
 	var specs []capacity.Spec
 	for _, e := range o.fleet.engines {
 		specs = append(specs, capacity.Spec{ID: e.id, Tokens: o.fleet.speed.Tokens, Rate: o.fleet.speed.Rate})
@@ -64,7 +64,7 @@
 		r.refused = true
 		return
 	}
-	now := o.fleet.sim.clock()
+	now := o.fleet.sim.Now()
 	id := o.fleet.nextID(r.box)
 	d := r.demand(id)
 	if o.credits {
@@ -73,16 +73,16 @@
 			return
 		}
 	}
-	o.fleet.sim.after(hop, func() { o.ask(r, id) })
+	o.fleet.sim.After(hop, func() { o.ask(r, id) })
 }
 
 func (o *ours) ask(r *request, id barleystep.AttemptID) {
 	if o.down {
-		o.fleet.sim.after(takeOver, func() { o.ask(r, id) })
+		o.fleet.sim.After(takeOver, func() { o.ask(r, id) })
 		return
 	}
 	a := capacity.Ask{Demand: r.demand(id), Box: boxName(r.box), Weight: weightOf(r.account), Rank: r.rank, Limit: 1}
-	if o.dispenser.Ask(o.fleet.sim.clock(), a) != nil {
+	if o.dispenser.Ask(o.fleet.sim.Now(), a) != nil {
 		r.refused = true
 		return
 	}
@@ -94,7 +94,7 @@
 	if o.down {
 		return
 	}
-	for _, g := range o.dispenser.Tick(o.fleet.sim.clock()) {
+	for _, g := range o.dispenser.Tick(o.fleet.sim.Now()) {
 		r, ok := o.waiting[g.Attempt]
 		delete(o.waiting, g.Attempt)
 		switch {
@@ -102,19 +102,19 @@
 		case g.Refusal != nil:
 			r.refused = true
 		default:
-			o.fleet.sim.after(hop, func() { o.start(r, g) })
+			o.fleet.sim.After(hop, func() { o.start(r, g) })
 		}
 	}
 }
 
 func (o *ours) start(r *request, g capacity.Grant) {
 	o.granted[g.Attempt] = true
-	o.holders[r.box].Hold(o.fleet.sim.clock(), r.demand(g.Attempt), g.Targets)
+	o.holders[r.box].Hold(o.fleet.sim.Now(), r.demand(g.Attempt), g.Targets)
 	o.fleet.send(r, g.Attempt, g.Targets, g.Priority)
 }
 
 func (o *ours) first(a *attempt) {
-	now := o.fleet.sim.clock()
+	now := o.fleet.sim.Now()
 	o.holders[a.request.box].First(now, a.id)
 	if o.granted[a.id] && !o.down {
 		o.dispenser.First(now, a.id, 0)
@@ -135,7 +135,7 @@
 		return
 	}
 	delete(o.granted, a.id)
-	o.dispenser.Release(o.fleet.sim.clock(), a.id, u)
+	o.dispenser.Release(o.fleet.sim.Now(), a.id, u)
 	o.tick()
 }
 
@@ -149,7 +149,7 @@
 	if o.down {
 		return
 	}
-	now := o.fleet.sim.clock()
+	now := o.fleet.sim.Now()
 	for i, h := range o.holders {
 		if !o.dead[i] {
 			h.SetCredits(o.dispenser.Report(now, h.Report(now)))
@@ -162,14 +162,14 @@
 func (o *ours) boxDied(box int) {
 	o.dead[box] = true
 	if box != o.owner {
-		o.dispenser.Gone(o.fleet.sim.clock(), boxName(box))
+		o.dispenser.Gone(o.fleet.sim.Now(), boxName(box))
 		return
 	}
 	o.down = true
 	o.owner = (box + 1) % boxes
 	lost := o.waiting
 	o.waiting = make(map[barleystep.AttemptID]*request)
-	o.fleet.sim.after(takeOver, func() {
+	o.fleet.sim.After(takeOver, func() {
 		o.found()
 		o.reportAll()
 		for _, r := range sortedRequests(lost) {
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/timeline"
 )
 
 // Fault is what fails in the midst of a run.
@@ -95,29 +96,29 @@
 
 // Run carries out one case.
 func Run(c Case) Result {
-	s := &sim{}
+	s := &timeline.Timeline{}
 	f := newFleet(s, c.Speed)
 	f.dispatch = c.Variant.build(f, c.Seed)
 	list := c.Load.requests(c.Seed, c.Speed, engines, c.Level, span, warmup, !c.Short)
 	for _, r := range list {
-		s.after(r.at, func() { f.dispatch.submit(r) })
+		s.After(r.at, func() { f.dispatch.submit(r) })
 	}
 	c.fault(s, f)
-	s.run(span + tail)
+	s.Run(span + tail)
 	return measure(c, f, list)
 }
 
-func (c Case) fault(s *sim, f *fleet) {
+func (c Case) fault(s *timeline.Timeline, f *fleet) {
 	e := f.engines[3]
 	switch c.Fault {
 	case FaultEngineDeath:
-		s.after(faultAt, e.kill)
-		s.after(healAt, e.revive)
+		s.After(faultAt, e.kill)
+		s.After(healAt, e.revive)
 	case FaultEngineHang:
-		s.after(faultAt, func() { e.hung = true })
-		s.after(healAt, e.revive)
+		s.After(faultAt, func() { e.hung = true })
+		s.After(healAt, e.revive)
 	case FaultBoxDeath:
-		s.after(faultAt, func() {
+		s.After(faultAt, func() {
 			f.killBox(0)
 			f.dispatch.boxDied(0)
 		})
