Let long prompts wait at the lead until their engines have read

Cause: a long prompt was given its engines at once, whatever these still had to read. Engines read the part that came last first, so parts piled up, earlier prompts starved, and streams stood still behind several parts; and a choice once made could not be taken back. Now a prompt waits at the lead, shortest first, until the group of engines that suits it has read. What engines read is expected from the cost model; a part that is late counts for longer. Boxes tell the lead at once when a prompt was read. A prompt that is late still loses by more lateness until its caller gives up, so that it is no longer read by one engine for twelve seconds.

--- a/api/placement/v1/placementv1connect/placement.connect.go
+++ b/api/placement/v1/placementv1connect/placement.connect.go
@@ -35,13 +35,18 @@
 const (
 	// PlacementServicePlaceProcedure is the fully-qualified name of the PlacementService's Place RPC.
 	PlacementServicePlaceProcedure = "/placement.v1.PlacementService/Place"
+	// PlacementServiceReadProcedure is the fully-qualified name of the PlacementService's Read RPC.
+	PlacementServiceReadProcedure = "/placement.v1.PlacementService/Read"
 )
 
 // PlacementServiceClient is a client for the placement.v1.PlacementService service.
 type PlacementServiceClient interface {
-	// Place chooses the engines of a long prompt. It fails with the code
+	// Place chooses the engines of a long prompt. It waits for them for a while and
+	// then fails with the code Aborted: the box asks again. It fails with the code
 	// ResourceExhausted if the prompt should come back later.
 	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
+	// Read tells that the prompt of a plan was read, or never will be.
+	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error)
 }
 
 // NewPlacementServiceClient constructs a client for the placement.v1.PlacementService service. By
@@ -61,12 +66,19 @@
 			connect.WithSchema(placementServiceMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		read: connect.NewClient[v1.ReadRequest, v1.ReadResponse](
+			httpClient,
+			baseURL+PlacementServiceReadProcedure,
+			connect.WithSchema(placementServiceMethods.ByName("Read")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // placementServiceClient implements PlacementServiceClient.
 type placementServiceClient struct {
 	place *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
+	read  *connect.Client[v1.ReadRequest, v1.ReadResponse]
 }
 
 // Place calls placement.v1.PlacementService.Place.
@@ -74,11 +86,19 @@
 	return c.place.CallUnary(ctx, req)
 }
 
+// Read calls placement.v1.PlacementService.Read.
+func (c *placementServiceClient) Read(ctx context.Context, req *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error) {
+	return c.read.CallUnary(ctx, req)
+}
+
 // PlacementServiceHandler is an implementation of the placement.v1.PlacementService service.
 type PlacementServiceHandler interface {
-	// Place chooses the engines of a long prompt. It fails with the code
+	// Place chooses the engines of a long prompt. It waits for them for a while and
+	// then fails with the code Aborted: the box asks again. It fails with the code
 	// ResourceExhausted if the prompt should come back later.
 	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
+	// Read tells that the prompt of a plan was read, or never will be.
+	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error)
 }
 
 // NewPlacementServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +114,18 @@
 		connect.WithSchema(placementServiceMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	placementServiceReadHandler := connect.NewUnaryHandler(
+		PlacementServiceReadProcedure,
+		svc.Read,
+		connect.WithSchema(placementServiceMethods.ByName("Read")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/placement.v1.PlacementService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PlacementServicePlaceProcedure:
 			placementServicePlaceHandler.ServeHTTP(w, r)
+		case PlacementServiceReadProcedure:
+			placementServiceReadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +138,7 @@
 func (UnimplementedPlacementServiceHandler) Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("placement.v1.PlacementService.Place is not implemented"))
 }
+
+func (UnimplementedPlacementServiceHandler) Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("placement.v1.PlacementService.Read is not implemented"))
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,6 +25,10 @@
 // while these are needed for others. It may come back later.
 var ErrFull = eris.New("balance: all targets are full")
 
+// ErrWaiting is returned when a prompt has waited for its engines for as long as the
+// question was to be held. It is to be asked again.
+var ErrWaiting = eris.New("balance: no place yet")
+
 // Job is what the choice needs to know of a request.
 type Job struct {
 	Service   string
@@ -40,6 +44,8 @@
 	Cost *fleet.CostModel
 	// Tightest is the shortest pause that any stream of the service may have.
 	Tightest time.Duration
+	// Since is when the caller asked; zero is now.
+	Since time.Time
 	// Avoid lists targets that have already failed the request.
 	Avoid []barleystep.TargetID
 	// Alone asks for no helpers: a target refuses a request at once if one of its
@@ -84,8 +90,11 @@
 	// lightQueue and heavyQueue hold the jobs that wait for a place.
 	lightQueue []*Wait
 	heavyQueue []*Wait
-	// grants are the placements that were made for other boxes.
-	grants []grant
+	// grants are the placements that were made for other boxes, by their numbers, of
+	// which granted is the last. leads is set while this box places for others.
+	grants  map[uint64]*grant
+	granted uint64
+	leads   bool
 	// seen keeps the sums of work during one choice.
 	seen map[barleystep.TargetID]Work
 	// others is the work and demand of all other boxes, as last heard.
@@ -146,6 +155,10 @@
 	balancer *Balancer
 	parts    []*part
 	first    bool
+	// plan is the lead's number of the placement, zero if it was placed here, and
+	// told is set once the lead knows that the prompt was read.
+	plan     uint64
+	told     bool
 	expected time.Duration
 	urgency  barleystep.Urgency
 }
@@ -174,6 +187,15 @@
 type part struct {
 	target barleystep.TargetID
 	work   Work
+	// share is how long the target reads its part of a long prompt, and until when
+	// that is expected to end.
+	// pass is the time of a pass with a writer there.
+	share   time.Duration
+	pass    time.Duration
+	until   time.Time
+	wasRead bool
+	// led is set where the lead has placed it, which keeps its own books.
+	led bool
 }
 
 // Place chooses a target. Where all engines for short prompts are full it waits
@@ -190,11 +212,18 @@
 // Ask is Place for callers that do not want to be held up: where the job has to
 // wait for a place it returns the wait.
 func (b *Balancer) Ask(ctx context.Context, j Job) (p *Placement, w *Wait, err error) {
+	first := j.Since.IsZero()
+	if first {
+		j.Since = b.Clock.Now()
+	}
 	if p, err = b.askLead(ctx, j); p != nil || err != nil {
 		return p, nil, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if first {
+		b.noteHeavy(j)
+	}
 	p, err = b.try(j)
 	if p != nil || err != nil {
 		return p, nil, err
@@ -234,6 +263,7 @@
 	p.balancer = b
 	for _, part := range p.parts {
 		s := b.state(part.target)
+		b.expectRead(s, part)
 		s.parts = append(s.parts, part)
 	}
 }
@@ -244,6 +274,7 @@
 		s := b.state(own.target)
 		s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
 	}
+	p.tellLead()
 }
 
 // candidates returns the service's targets that may take the job: those that
@@ -331,7 +362,9 @@
 	p.first = true
 	for _, part := range p.parts {
 		part.work.Backlog, part.work.Unread = 0, 0
+		part.wasRead = true
 	}
+	p.tellLead()
 }
 
 // Done takes the try off its targets and learns from it.
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -67,6 +67,15 @@
 	d.add(b.Clock.Now(), read, heavy)
 }
 
+// noteHeavy counts a long prompt as demand when it is asked for the first time. One
+// that is longer than an engine's memory only counts once it is placed.
+func (b *Balancer) noteHeavy(j Job) {
+	if !Heavy(j) || giant(j) {
+		return
+	}
+	b.note(j, j.Cost.Read(j.Prompt), true)
+}
+
 // demand returns the demand of all boxes for the service.
 func (b *Balancer) demand(service string) Demand {
 	var total Demand
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -33,17 +33,48 @@
 	// easyPart is the part of the objective within which the first event is
 	// surely in time: the estimates are rough.
 	easyPart = 0.5
+	// lateWorth is what an answer that comes late is worth, where one in time counts 1
+	// more: callers have some use for it.
+	lateWorth = 0.5
+	// callerPatience is for how many objectives callers wait for the first event.
+	callerPatience = 4
+	// smallest keeps a division from being one by nothing.
+	smallest = 1e-9
 	// waitCost is what a second of waiting counts for by itself, so that of two
 	// ways without harm the faster is taken.
 	waitCost = 0.2
 )
 
+// readAhead is how much an engine may still have to read when it is given the next
+// part. An engine reads the part that came last first, so that parts that overlap
+// hold each other up.
+const readAhead = 80 * time.Millisecond
+
 // placeHeavy sends a long prompt to an engine that writes such prompts and
 // chooses how many others help to read it, and which: those where it holds up
-// the fewest streams.
+// the fewest streams. It returns nothing while these engines read something else:
+// a prompt that waits here can still go to others, or let a shorter one pass.
 func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
+	g := b.bestGroup(j, engines)
+	if g.wait > readAhead {
+		return nil
+	}
+	return b.group(j, g.first, g.helpers, 0, g.expected)
+}
+
+// readers is a way to read a long prompt.
+type readers struct {
+	first   fleet.Target
+	helpers []fleet.Target
+	// wait is how long the engines still read something else, and expected when the
+	// first event comes.
+	wait     time.Duration
+	expected time.Duration
+}
+
+// bestGroup returns the way to read the prompt that costs callers the least.
+func (b *Balancer) bestGroup(j Job, engines []fleet.Target) readers {
 	read := j.Cost.Read(j.Prompt)
-	b.note(j, read, true)
 	r := b.divide(j, engines)
 	writers := r.writers
 	if len(writers) == 0 {
@@ -55,23 +86,23 @@
 	if j.Alone {
 		most = 0
 	}
-	best, least := 0, math.Inf(1)
-	var expected time.Duration
-	harm := 0.0
+	waited := b.Clock.Now().Sub(j.Since)
+	best, least := readers{}, math.Inf(1)
 	for k := 0; k <= most; k++ {
 		share := read / time.Duration(k+1)
-		harm = b.harm(j, first, share)
+		harm := b.harm(j, first, share)
 		wait := b.work(first.ID).Backlog
 		for i, t := range others[:k] {
 			harm += b.harm(j, t, share) + risks[i]
 			wait = max(wait, b.work(t.ID).Backlog)
 		}
 		at := wait + share + j.Cost.Pass()
-		if cost := harm + lateCost(j, at); cost < least {
-			best, least, expected = k, cost, at
+		if cost := harm + lateCost(j, waited+at); cost < least {
+			least = cost
+			best = readers{first: first, helpers: others[:k], wait: wait, expected: at}
 		}
 	}
-	return b.group(j, first, others[:best], 0, expected)
+	return best
 }
 
 // group returns the placement of a prompt at an engine with helpers that each read
@@ -81,14 +112,14 @@
 	read := j.Cost.Read(j.Prompt)
 	share := read / time.Duration(len(helpers)+1)
 	p := &Placement{Target: first, expected: expected}
-	own := Work{Heavy: 1, Unread: 1, Backlog: share}
+	own := Work{Heavy: 1, Unread: 1}
 	if memory == 0 {
 		own.Memory = j.Prompt + j.Output
 	}
-	p.parts = append(p.parts, &part{target: first.ID, work: own})
+	p.parts = append(p.parts, &part{target: first.ID, work: own, share: share, pass: j.Cost.Pass()})
 	for _, t := range helpers {
 		p.Helpers = append(p.Helpers, Helper{ID: t.ID, Addr: t.Addr, Memory: memory})
-		p.parts = append(p.parts, &part{target: t.ID, work: Work{Backlog: share, Memory: memory}})
+		p.parts = append(p.parts, &part{target: t.ID, work: Work{Memory: memory}, share: share, pass: j.Cost.Pass()})
 	}
 	return p
 }
@@ -185,8 +216,7 @@
 }
 
 // helpers returns the engines that may help, best first: those where a part of
-// usual size costs the least; and what each one risks besides. Engines that write
-// long prompts never help.
+// usual size costs the least; and what each one risks besides.
 func (b *Balancer) helpers(j Job, first fleet.Target, r regions, read time.Duration) (targets []fleet.Target, risks []float64) {
 	usual := read / (maxHelpers / 2)
 	type candidate struct {
@@ -220,8 +250,8 @@
 }
 
 // helps reports whether an engine may be given a part of a prompt: not while it
-// has a long prompt of its own to read. It reads the part that came last first,
-// so that its own prompt would wait for as long as new parts come.
+// has a long prompt of its own to read. It reads parts first, so that its own prompt
+// would wait for as long as new parts come.
 func (b *Balancer) helps(t fleet.Target) bool { return b.work(t.ID).Unread == 0 }
 
 // harm is how many streams of the engine would be held up for longer than they
@@ -239,12 +269,20 @@
 	return harm
 }
 
-// lateCost is what it counts for that the first event comes after so long.
+// lateCost is what it counts for that the first event comes after so long: the worth
+// of being in time is lost by the objective, and what is left of it when the caller
+// gives up.
 func lateCost(j Job, first time.Duration) float64 {
 	weight := usualWeight * math.Pow(float64(j.Prompt)/max(float64(j.Cost.UsualPrompt), 1), weightPower)
-	easy := easyPart * float64(j.Objective)
-	late := (float64(first) - easy) / max(float64(j.Objective)-easy, 1)
-	return weight*min(max(late, 0), 1) + waitCost*first.Seconds()
+	objective := j.Objective.Seconds()
+	late := ramp(first.Seconds(), easyPart*objective, objective)
+	gone := ramp(first.Seconds(), objective, callerPatience*objective)
+	return weight*(late+lateWorth*gone) + waitCost*first.Seconds()
+}
+
+// ramp returns how far x is on its way between two values, 0 to 1.
+func ramp(x, from, to float64) float64 {
+	return min(max((x-from)/max(to-from, smallest), 0), 1)
 }
 
 // roomiest returns the engine of the pool with memory for the prompt that has
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,13 +14,22 @@
 // engines at once, so that boxes which decide at the same moment, each without
 // knowing of the other, would take the same ones.
 type Lead interface {
-	// Place returns the plan for a long prompt. It returns ErrFull if the prompt
+	// Place returns the plan for a long prompt, once its engines are ready for it. It
+	// returns ErrFull if the prompt
 	// should come back later, and any other error if it is to be placed here.
 	Place(ctx context.Context, j Job) (Plan, error)
+	// Read tells the lead that its plan's prompt was read, or never will be, so that
+	// the engines are ready for the next one. It does not wait.
+	Read(plan uint64)
 }
 
+// ErrHere is returned by a lead that is this box.
+var ErrHere = eris.New("balance: this box decides itself")
+
 // Plan names the engines of a long prompt.
 type Plan struct {
+	// Number is the lead's number of the plan.
+	Number   uint64
 	Target   barleystep.TargetID
 	Helpers  []PlannedHelper
 	Expected time.Duration
@@ -37,12 +45,21 @@
 // grant is a placement that was made for another box.
 type grant struct {
 	placement *Placement
-	until     time.Time
+	// counted is until when its requests and memory count here, and until when its
+	// reading counts if its box says nothing.
+	counted time.Time
+	until   time.Time
 }
 
-// grantLife is how long a placement for another box counts here: until that box
-// has told of it, which takes some ticks of the gossip.
-const grantLife = 200 * time.Millisecond
+const (
+	// grantLife is how long the requests and the memory of a placement for another
+	// box count here: until that box has told of them, which takes some ticks of the
+	// gossip.
+	grantLife = 200 * time.Millisecond
+	// readLate is how long after its time a prompt counts as unread of which its box
+	// has said nothing: the box may be gone.
+	readLate = 2 * time.Second
+)
 
 // askLead has a long prompt placed by the lead. It returns nothing if there is no
 // lead, or none that answers: the prompt is then placed here.
@@ -51,20 +68,23 @@
 		return nil, nil
 	}
 	plan, err := b.Lead.Place(ctx, j)
+	b.mu.Lock()
+	b.leads = eris.Is(err, ErrHere)
+	b.mu.Unlock()
 	if eris.Is(err, ErrFull) {
 		return nil, err
 	}
 	if err != nil {
 		return nil, nil // The client has logged why; the prompt is placed here.
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.adopt(j, plan), nil
+	return b.Adopt(j, plan), nil
 }
 
-// adopt enters a plan in the books, or returns nothing if this box believes that
+// Adopt enters a plan in the books, or returns nothing if this box believes that
 // one of its targets takes no work.
-func (b *Balancer) adopt(j Job, plan Plan) *Placement {
+func (b *Balancer) Adopt(j Job, plan Plan) *Placement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	byID := make(map[barleystep.TargetID]fleet.Target)
 	for _, t := range b.candidates(j) {
 		byID[t.ID] = t
@@ -85,41 +105,95 @@
 	}
 	p := b.group(j, first, helpers, memory, plan.Expected)
 	p.urgency = urgencyOf(j)
+	p.plan = plan.Number
+	for _, part := range p.parts {
+		part.led = true
+	}
 	b.book(p)
 	return p
 }
 
-// Grant places a long prompt for another box.
-func (b *Balancer) Grant(j Job) (plan Plan, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.endGrants()
+// Grant places a long prompt for another box. It waits until the given time and
+// then returns ErrWaiting.
+func (b *Balancer) Grant(ctx context.Context, j Job, until time.Time) (plan Plan, err error) {
 	if j.Cost == nil {
 		return Plan{}, ErrNoTarget
 	}
-	p, err := b.try(j)
+	p, w, err := b.Ask(ctx, j)
 	if err != nil {
 		return Plan{}, err
 	}
 	if p == nil {
-		return Plan{}, ErrFull
+		p, err = b.awaitUntil(ctx, w, until)
+	}
+	if err != nil && b.Clock.Now().Before(w.Until()) {
+		return Plan{}, ErrWaiting
+	}
+	if err != nil {
+		return Plan{}, err
+	}
+	return b.HandOver(p), nil
+}
+
+// HandOver makes a placement of this box one that another box carries out. It stays
+// in the books here until that box tells of it.
+func (b *Balancer) HandOver(p *Placement) Plan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.grants == nil {
+		b.grants = make(map[uint64]*grant)
 	}
-	b.grants = append(b.grants, grant{p, b.Clock.Now().Add(grantLife)})
-	plan = Plan{Target: p.Target.ID, Expected: p.expected}
+	now := b.Clock.Now()
+	b.leads = true
+	b.granted++
+	b.grants[b.granted] = &grant{p, now.Add(grantLife), now.Add(p.expected + readLate)}
+	plan := Plan{Number: b.granted, Target: p.Target.ID, Expected: p.expected}
 	for _, h := range p.Helpers {
 		plan.Helpers = append(plan.Helpers, PlannedHelper{Target: h.ID, Memory: h.Memory})
 	}
-	return plan, nil
+	return plan
+}
+
+// EndRead notes that the prompt of a grant was read.
+func (b *Balancer) EndRead(number uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g, ok := b.grants[number]
+	if !ok {
+		return
+	}
+	g.placement.read()
+	b.endGrants()
+	clear(b.seen)
+	b.serveQueue(&b.heavyQueue, len(b.heavyQueue))
 }
 
-// endGrants strikes the grants of which their boxes have told by now.
+// endGrants strikes the grants that count no longer.
 func (b *Balancer) endGrants() {
 	now := b.Clock.Now()
-	b.grants = slices.DeleteFunc(b.grants, func(g grant) bool {
-		if now.Before(g.until) {
-			return false
+	for number, g := range b.grants {
+		counts := now.Before(g.counted)
+		if !counts {
+			g.placement.uncount()
+		}
+		if !counts && (g.placement.first || !now.Before(g.until)) {
+			b.strike(g.placement)
+			delete(b.grants, number)
 		}
-		b.strike(g.placement)
-		return true
-	})
+	}
+}
+
+// uncount leaves only the reading of a placement in the books.
+func (p *Placement) uncount() {
+	for _, part := range p.parts {
+		part.work = Work{}
+	}
+}
+
+// tellLead tells the lead that the prompt was read, once.
+func (p *Placement) tellLead() {
+	if p.plan != 0 && !p.told {
+		p.told = true
+		p.balancer.Lead.Read(p.plan)
+	}
 }
--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -47,6 +47,9 @@
 // heavy returns all engines for long prompts.
 func (r regions) heavy() []fleet.Target { return slices.Concat(r.writers, r.readers) }
 
+// Heavy reports whether a prompt is placed by the lead.
+func Heavy(j Job) bool { return j.Cost != nil && heavy(j) }
+
 // heavy reports whether reading the prompt would hold up other streams for
 // longer than they may pause.
 func heavy(j Job) bool {
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -32,7 +32,7 @@
 )
 
 func (b *Balancer) enqueue(j Job) *Wait {
-	w := &Wait{job: j, since: b.Clock.Now(), ready: make(chan *Placement, 1)}
+	w := &Wait{job: j, since: j.Since, ready: make(chan *Placement, 1)}
 	q := b.queue(j)
 	*q = append(*q, w)
 	return w
@@ -49,7 +49,11 @@
 
 // await waits for the placement.
 func (b *Balancer) await(ctx context.Context, w *Wait) (p *Placement, err error) {
-	ctx, cancel := clock.WithDeadline(ctx, b.Clock, w.Until())
+	return b.awaitUntil(ctx, w, w.Until())
+}
+
+func (b *Balancer) awaitUntil(ctx context.Context, w *Wait, until time.Time) (p *Placement, err error) {
+	ctx, cancel := clock.WithDeadline(ctx, b.Clock, until)
 	defer cancel()
 	select {
 	case p = <-w.ready:
@@ -82,19 +86,14 @@
 
 // serveWaiting places the jobs that wait, as far as there are places. After news
 // of other boxes, all boxes have seen the same places become free: each takes only
-// a part of its short prompts, and places a long one, which takes many engines at
-// once, only now and then.
+// a part of its short prompts. Long ones wait at one box.
 func (b *Balancer) serveWaiting(news bool) {
-	lights, heavies := len(b.lightQueue), len(b.heavyQueue)
+	lights := len(b.lightQueue)
 	if news {
 		lights = (lights + shareDivisor - 1) / shareDivisor
-		heavies = min(heavies, 1)
-		if b.draw(shareDivisor) > 0 {
-			heavies = 0
-		}
 	}
 	b.serveQueue(&b.lightQueue, lights)
-	b.serveQueue(&b.heavyQueue, heavies)
+	b.serveQueue(&b.heavyQueue, len(b.heavyQueue))
 }
 
 func (b *Balancer) serveQueue(q *[]*Wait, most int) {
@@ -148,6 +147,9 @@
 	if w.job.Rank != o.job.Rank {
 		return w.job.Rank < o.job.Rank
 	}
+	if heavy(w.job) && heavy(o.job) {
+		return w.shorter(o, now)
+	}
 	fresh, otherFresh := w.inTime(now) && !heavy(w.job), o.inTime(now) && !heavy(o.job)
 	switch {
 	case fresh != otherFresh:
@@ -158,3 +160,19 @@
 		return w.since.Before(o.since)
 	}
 }
+
+// shorter reports whether a long prompt goes before another: those that can still
+// be in time go first, and of these the one that is read the soonest.
+func (w *Wait) shorter(o *Wait, now time.Time) bool {
+	hopeful, otherHopeful := w.hopeful(now), o.hopeful(now)
+	if hopeful != otherHopeful {
+		return hopeful
+	}
+	return w.job.Prompt < o.job.Prompt
+}
+
+// hopeful reports whether a long prompt that is placed now can be in time.
+func (w *Wait) hopeful(now time.Time) bool {
+	read := w.job.Cost.Read(w.job.Prompt) / maxHelpers
+	return now.Add(read + w.job.Cost.Pass()).Before(w.since.Add(w.job.Objective))
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -16,8 +16,10 @@
 	Heavy int
 	// Unread counts the requests of Heavy whose prompt was not read yet.
 	Unread int
-	// Backlog is the time that it takes to read what has not been read.
+	// Backlog is the time that it takes to read what has not been read, and Led that
+	// of the parts which the lead has placed.
 	Backlog time.Duration
+	Led     time.Duration
 	// Memory is the KV memory, in tokens, that the requests take.
 	Memory int
 	// Down counts boxes that could not reach the target a moment ago.
@@ -29,6 +31,7 @@
 	w.Heavy += o.Heavy
 	w.Unread += o.Unread
 	w.Backlog += o.Backlog
+	w.Led += o.Led
 	w.Memory += o.Memory
 	w.Down += o.Down
 }
@@ -38,6 +41,7 @@
 	w.Heavy -= o.Heavy
 	w.Unread -= o.Unread
 	w.Backlog -= o.Backlog
+	w.Led -= o.Led
 	w.Memory -= o.Memory
 	w.Down -= o.Down
 }
@@ -119,6 +123,11 @@
 	}
 	for _, p := range s.parts {
 		w.add(p.work)
+		if p.led {
+			w.Led += p.remaining(now)
+		} else {
+			w.Backlog += p.remaining(now)
+		}
 	}
 	return w
 }
@@ -132,7 +141,12 @@
 	if s := b.states[id]; s != nil {
 		w = s.own(b.Clock.Now())
 	}
-	w.add(b.others.Work[KeyOf(string(id))])
+	others := b.others.Work[KeyOf(string(id))]
+	if b.leads {
+		others.Led = 0 // This box knows better.
+	}
+	w.add(others)
+	w.Backlog, w.Led = w.Backlog+w.Led, 0
 	if b.seen == nil {
 		b.seen = make(map[barleystep.TargetID]Work)
 	}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -76,7 +76,7 @@
 type box struct {
 	balancer *balance.Balancer
 	snapshot balance.Snapshot
-	waits    map[*request]*balance.Wait
+	waits    map[*request]waiting
 	order    []*request // order is that of the waits, for the same day each time.
 	up       bool
 }
@@ -117,7 +117,7 @@
 	d.lives++
 	d.boxes = nil
 	for i := range d.load.Boxes {
-		b := &box{waits: make(map[*request]*balance.Wait), snapshot: balance.NewSnapshot(), up: true}
+		b := &box{waits: make(map[*request]waiting), snapshot: balance.NewSnapshot(), up: true}
 		b.balancer = &balance.Balancer{
 			Clock:   clockOf{d.time},
 			Hall:    "hall",
@@ -125,18 +125,29 @@
 			Rand:    rand.New(rand.NewPCG(seed, uint64(100*d.lives+i))),
 		}
 		if i > 0 {
-			b.balancer.Lead = lead{d.boxes[0].balancer}
+			b.balancer.Lead = lead{d, d.boxes[0].balancer}
 		}
 		d.boxes = append(d.boxes, b)
 	}
 }
 
-// lead is the lead as the other boxes ask it.
-type lead struct{ balancer *balance.Balancer }
+// lead is the lead as the other boxes reach it.
+type lead struct {
+	day      *day
+	balancer *balance.Balancer
+}
+
+// Place is not asked: the day itself asks the lead, as that may have to wait.
+func (lead) Place(context.Context, balance.Job) (balance.Plan, error) {
+	return balance.Plan{}, balance.ErrNoTarget
+}
 
-// Place returns the lead's plan.
-func (l lead) Place(_ context.Context, j balance.Job) (balance.Plan, error) {
-	return l.balancer.Grant(j)
+// Read tells the lead after the network's delay.
+func (l lead) Read(plan uint64) {
+	l.day.time.After(network, func() {
+		l.balancer.EndRead(plan)
+		l.day.poll(l.day.boxes[0])
+	})
 }
 
 func (d *day) targets() []fleet.Target {
--- a/internal/lab/engine_internal_test.go
+++ b/internal/lab/engine_internal_test.go
@@ -103,6 +103,7 @@
 	for range 3 {
 		r := b.run(4000, 100, b.engines[1])
 		r.failed = func() { failed++ }
+		r.unhelped = r.failed
 	}
 	b.time.After(300*time.Millisecond, b.engines[0].die)
 	b.time.Run(5 * time.Second)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -22,6 +22,7 @@
 
 // Server places prompts for other boxes.
 type Server struct {
+	Clock    barleystep.Clock
 	Balancer *balance.Balancer
 	// View returns the configuration in force, nil if there is none.
 	View func() *fleet.View
@@ -32,26 +33,44 @@
 	return placementv1connect.NewPlacementServiceHandler(s)
 }
 
+// holdTime is for how long a question is held while a prompt waits for its engines.
+// A box that asks again has lost its lead the sooner, the shorter it is; the longer,
+// the fewer questions there are.
+const holdTime = 250 * time.Millisecond
+
 // Place chooses the engines of a long prompt.
-func (s *Server) Place(_ context.Context, r *connect.Request[placementv1.PlaceRequest]) (*connect.Response[placementv1.PlaceResponse], error) {
+func (s *Server) Place(ctx context.Context, r *connect.Request[placementv1.PlaceRequest]) (*connect.Response[placementv1.PlaceResponse], error) {
 	view := s.View()
 	if view == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, eris.New("no configuration is known"))
 	}
-	plan, err := s.Balancer.Grant(jobOf(view, r.Msg))
+	j := jobOf(view, r.Msg)
+	now := s.Clock.Now()
+	if waited := r.Msg.GetWaitedMs(); waited > 0 {
+		j.Since = now.Add(-time.Duration(waited) * time.Millisecond)
+	}
+	plan, err := s.Balancer.Grant(ctx, j, now.Add(holdTime))
 	switch {
+	case eris.Is(err, balance.ErrWaiting):
+		return nil, connect.NewError(connect.CodeAborted, err)
 	case eris.Is(err, balance.ErrFull):
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	out := &placementv1.PlaceResponse{Target: string(plan.Target), ExpectedUs: plan.Expected.Microseconds()}
+	out := &placementv1.PlaceResponse{Number: plan.Number, Target: string(plan.Target), ExpectedUs: plan.Expected.Microseconds()}
 	for _, h := range plan.Helpers {
 		out.Helpers = append(out.Helpers, &placementv1.Helper{Target: string(h.Target), Memory: int64(h.Memory)})
 	}
 	return connect.NewResponse(out), nil
 }
 
+// Read notes that the prompt of a plan was read.
+func (s *Server) Read(_ context.Context, r *connect.Request[placementv1.ReadRequest]) (*connect.Response[placementv1.ReadResponse], error) {
+	s.Balancer.EndRead(r.Msg.GetNumber())
+	return connect.NewResponse(&placementv1.ReadResponse{}), nil
+}
+
 func jobOf(view *fleet.View, m *placementv1.PlaceRequest) balance.Job {
 	j := balance.Job{
 		Service:   m.GetService(),
@@ -81,34 +100,65 @@
 	Log  *log.Logger
 }
 
-// askTimeout bounds one question. The lead answers within a few milliseconds; if
-// it does not, the prompt is placed here.
-const askTimeout = 60 * time.Millisecond
-
-// errLocal is returned where there is nobody to ask.
-var errLocal = eris.New("lead: this box decides itself")
+// askTimeout bounds one question. The lead answers within a few milliseconds, or
+// once it has held the question; if it does not, the prompt is placed here.
+const askTimeout = holdTime + 60*time.Millisecond
 
-// Place asks the lead for the engines of a long prompt.
+// Place asks the lead for the engines of a long prompt, again and again while the
+// prompt has to wait for them.
 func (c *Client) Place(ctx context.Context, j balance.Job) (plan balance.Plan, err error) {
+	for {
+		plan, err = c.ask(ctx, j)
+		if !eris.Is(err, balance.ErrWaiting) || ctx.Err() != nil {
+			return plan, err
+		}
+	}
+}
+
+func (c *Client) ask(ctx context.Context, j balance.Job) (plan balance.Plan, err error) {
 	addr, ok := c.Addr()
 	if !ok {
-		return balance.Plan{}, errLocal
+		return balance.Plan{}, balance.ErrHere
 	}
-	ctx, cancel := clock.WithDeadline(ctx, c.Clock, c.Clock.Now().Add(askTimeout))
+	now := c.Clock.Now()
+	ctx, cancel := clock.WithDeadline(ctx, c.Clock, now.Add(askTimeout))
 	defer cancel()
 	client := placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
-	resp, err := client.Place(ctx, connect.NewRequest(requestOf(j)))
+	m := requestOf(j)
+	m.WaitedMs = max(now.Sub(j.Since), 0).Milliseconds() // Zero on the first question.
+	resp, err := client.Place(ctx, connect.NewRequest(m))
 	switch {
 	case err == nil:
 		return planOf(resp.Msg), nil
 	case connect.CodeOf(err) == connect.CodeResourceExhausted:
 		return balance.Plan{}, balance.ErrFull
+	case connect.CodeOf(err) == connect.CodeAborted:
+		return balance.Plan{}, balance.ErrWaiting
 	default:
 		c.Log.Warn().Str("lead", addr).Err(err).Msg(logPrefix + "The lead does not answer. The prompt is placed here.")
 		return balance.Plan{}, eris.Wrap(err, "lead: place")
 	}
 }
 
+// Read tells the lead that the prompt of a plan was read. Where that is lost, the lead
+// goes by its own expectation. It is called under the balancer's lock, and finding the
+// lead takes that of the gossip, which the gossip holds while it asks the balancer: all
+// of it is done apart.
+func (c *Client) Read(plan uint64) { go c.tell(plan) }
+
+func (c *Client) tell(plan uint64) {
+	addr, ok := c.Addr()
+	if !ok {
+		return
+	}
+	ctx, cancel := clock.WithDeadline(context.Background(), c.Clock, c.Clock.Now().Add(askTimeout))
+	defer cancel()
+	client := placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
+	if _, err := client.Read(ctx, connect.NewRequest(&placementv1.ReadRequest{Number: plan})); err != nil {
+		c.Log.Debug().Str("lead", addr).Err(err).Msg(logPrefix + "The lead was not told of a prompt that was read.")
+	}
+}
+
 func requestOf(j balance.Job) *placementv1.PlaceRequest {
 	m := &placementv1.PlaceRequest{
 		Service:     j.Service,
@@ -125,6 +175,7 @@
 
 func planOf(m *placementv1.PlaceResponse) balance.Plan {
 	plan := balance.Plan{
+		Number:   m.GetNumber(),
 		Target:   barleystep.TargetID(m.GetTarget()),
 		Expected: time.Duration(m.GetExpectedUs()) * time.Microsecond,
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -212,7 +212,7 @@
 func (r *Router) peers() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle((&gossip.Server{Followers: r.followers}).Handler())
-	mux.Handle((&lead.Server{Balancer: r.balancer, View: r.configuration.View}).Handler())
+	mux.Handle((&lead.Server{Clock: r.Clock, Balancer: r.balancer, View: r.configuration.View}).Handler())
 	return mux
 }
 
