--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -31,6 +31,8 @@
 
 // Job is what the choice needs to know of a request.
 type Job struct {
+	// Request is the request's id, for the logs.
+	Request   string
 	Service   string
 	Prompt    int
 	Output    int
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -59,6 +59,7 @@
 	if g.wait > readAhead {
 		return nil
 	}
+	b.logGroup(j, g)
 	return b.group(j, g.first, g.helpers, 0, g.expected)
 }
 
@@ -70,6 +71,24 @@
 	// first event comes.
 	wait     time.Duration
 	expected time.Duration
+	// harm is how many streams are held up for too long, by what they are worth.
+	harm float64
+	// short and long are the engines that are meant for short and for long prompts.
+	short int
+	long  int
+}
+
+// logGroup tells how the engines of a long prompt were chosen.
+func (b *Balancer) logGroup(j Job, g readers) {
+	if b.Log == nil {
+		return
+	}
+	d := b.demand(j.Service)
+	b.Log.Info().Str("request", j.Request).Str("target", string(g.first.ID)).Int("helpers", len(g.helpers)).
+		Int("prompt", j.Prompt).Dur("waited", b.Clock.Now().Sub(j.Since)).Dur("expected", g.expected).
+		Float64("harm", g.harm).Int("engines_short", g.short).Int("engines_long", g.long).
+		Float64("demand_short", d.Light).Float64("demand_long", d.Heavy).Int("waiting", len(b.heavyQueue)).
+		Msg(logPrefix + "The engines of a long prompt were chosen.")
 }
 
 // bestGroup returns the way to read the prompt that costs callers the least.
@@ -99,9 +118,10 @@
 		at := wait + share + j.Cost.Pass()
 		if cost := harm + lateCost(j, waited+at); cost < least {
 			least = cost
-			best = readers{first: first, helpers: others[:k], wait: wait, expected: at}
+			best = readers{first: first, helpers: others[:k], wait: wait, expected: at, harm: harm}
 		}
 	}
+	best.short, best.long = len(r.light), len(r.heavy())
 	return best
 }
 
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -15,8 +15,8 @@
 // knowing of the other, would take the same ones.
 type Lead interface {
 	// Place returns the plan for a long prompt, once its engines are ready for it. It
-	// returns ErrFull if the prompt
-	// should come back later, and any other error if it is to be placed here.
+	// returns ErrFull if the prompt should come back later, and any other error if it
+	// is to be placed here.
 	Place(ctx context.Context, j Job) (Plan, error)
 	// Read tells the lead that its plan's prompt was read, or never will be, so that
 	// the engines are ready for the next one. It does not wait.
@@ -71,13 +71,14 @@
 	b.mu.Lock()
 	b.leads = eris.Is(err, ErrHere)
 	b.mu.Unlock()
-	if eris.Is(err, ErrFull) {
+	switch {
+	case err == nil:
+		return b.Adopt(j, plan), nil
+	case eris.Is(err, ErrFull):
 		return nil, err
-	}
-	if err != nil {
+	default:
 		return nil, nil // The client has logged why; the prompt is placed here.
 	}
-	return b.Adopt(j, plan), nil
 }
 
 // Adopt enters a plan in the books, or returns nothing if this box believes that
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -91,10 +91,12 @@
 
 func (d *deliver) job(x *Exchange) balance.Job {
 	j := balance.Job{
+		Request:   x.call.ID,
 		Service:   x.service,
 		Prompt:    x.call.Prompt,
 		Output:    x.call.Output,
 		Objective: x.route.Objective,
+		Pause:     x.route.MaxPause,
 		Rank:      x.rank,
 	}
 	if s := x.view.Service(x.service); s != nil {
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -17,6 +17,8 @@
 	Workers int
 	// Family, if not empty, is the start of the names of the families that run.
 	Family string
+	// Alone leaves the simple policies out.
+	Alone bool
 }
 
 // row is a family under one policy.
@@ -27,8 +29,13 @@
 	worths []float64
 }
 
-// policies are the rows of each family.
-var policies = []Policy{Random, LeastLoaded, Balanced}
+// policies returns the rows of each family.
+func (p Plan) policies() []Policy {
+	if p.Alone {
+		return []Policy{Balanced}
+	}
+	return []Policy{Random, LeastLoaded, Balanced}
+}
 
 // WriteTables runs the plan and writes its tables as Markdown.
 func WriteTables(w io.Writer, p Plan) error {
@@ -37,7 +44,7 @@
 		if !strings.HasPrefix(f.Name, p.Family) {
 			continue
 		}
-		for _, policy := range policies {
+		for _, policy := range p.policies() {
 			rows = append(rows, &row{family: f, policy: policy})
 		}
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -73,6 +73,7 @@
 
 func jobOf(view *fleet.View, m *placementv1.PlaceRequest) balance.Job {
 	j := balance.Job{
+		Request:   m.GetRequest(),
 		Service:   m.GetService(),
 		Prompt:    int(m.GetPrompt()),
 		Output:    int(m.GetOutput()),
@@ -161,6 +162,7 @@
 
 func requestOf(j balance.Job) *placementv1.PlaceRequest {
 	m := &placementv1.PlaceRequest{
+		Request:     j.Request,
 		Service:     j.Service,
 		Prompt:      int64(j.Prompt),
 		Output:      int64(j.Output),
