Wait for a lull, and weigh giants against the streams that they hold up

Now a prompt waits while the streams that end meanwhile are worth more than what it loses, and a giant is placed as other long prompts are, by what it costs, and sent away at once where that is more than it gains. giantUse, giantTime, idlePart and the second way of spreading are gone.

--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -56,23 +56,50 @@
 // a prompt that waits here can still go to others, or let a shorter one pass.
 func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
 	g := b.bestGroup(j, engines)
-	if g.wait > readAhead {
+	if g.wait > readAhead || b.lull(j, g) {
 		return nil
 	}
 	b.logGroup(j, g)
 	return b.group(j, g.first, g.helpers, 0, g.expected)
 }
 
+const (
+	// lullStep is how far ahead it is looked whether a prompt should wait for streams
+	// to end, and streamLife how long a short stream lasts on when nothing is known
+	// of it but that it runs.
+	lullStep   = 250 * time.Millisecond
+	streamLife = 900 * time.Millisecond
+	// idleCost is what a second counts for in which the engines of a prompt wait for
+	// it.
+	idleCost = 1.0
+)
+
+// lull reports whether the prompt should wait until some of the streams that it
+// would hold up have ended: whether that saves more than the prompt loses.
+func (b *Balancer) lull(j Job, g readers) bool {
+	waited := b.Clock.Now().Sub(j.Since)
+	saved := g.passing * (1 - math.Exp(-lullStep.Seconds()/streamLife.Seconds()))
+	lost := lateCost(j, waited+g.expected+lullStep) - lateCost(j, waited+g.expected)
+	return saved > lost+idleCost*lullStep.Seconds()
+}
+
 // readers is a way to read a long prompt.
 type readers struct {
 	first   fleet.Target
 	helpers []fleet.Target
+	// memory is what each helper of a giant sets aside.
+	memory int
 	// wait is how long the engines still read something else, and expected when the
 	// first event comes.
 	wait     time.Duration
 	expected time.Duration
 	// harm is how many streams are held up for too long, by what they are worth.
 	harm float64
+	// passing is the part of harm that passes: engines for long prompts get no new
+	// short streams.
+	passing float64
+	// cost is what all of this costs callers.
+	cost float64
 	// short and long are the engines that are meant for short and for long prompts.
 	short int
 	long  int
@@ -96,7 +123,7 @@
 	read := j.Cost.Read(j.Prompt)
 	r := b.divide(j, engines)
 	writers := r.writers
-	if len(writers) == 0 {
+	if len(writers) == 0 || giant(j) {
 		writers = engines
 	}
 	first := b.roomiest(j, writers)
@@ -105,26 +132,43 @@
 	if j.Alone {
 		most = 0
 	}
-	waited := b.Clock.Now().Sub(j.Since)
 	best, least := readers{}, math.Inf(1)
 	for k := 0; k <= most; k++ {
-		share := read / time.Duration(k+1)
-		harm := b.harm(j, first, share)
-		wait := b.work(first.ID).Backlog
-		for i, t := range others[:k] {
-			harm += b.harm(j, t, share) + risks[i]
-			wait = max(wait, b.work(t.ID).Backlog)
-		}
-		at := wait + share + j.Cost.Pass()
-		if cost := harm + lateCost(j, waited+at); cost < least {
-			least = cost
-			best = readers{first: first, helpers: others[:k], wait: wait, expected: at, harm: harm}
+		g, ok := b.evaluate(j, first, others[:k], risks)
+		if ok && g.cost < least {
+			best, least = g, g.cost
 		}
 	}
 	best.short, best.long = len(r.light), len(r.heavy())
 	return best
 }
 
+// evaluate returns what it costs to have the prompt read by these engines; ok is false
+// if they lack the memory for a giant.
+func (b *Balancer) evaluate(j Job, first fleet.Target, helpers []fleet.Target, risks []float64) (g readers, ok bool) {
+	g = readers{first: first, helpers: helpers, wait: b.work(first.ID).Backlog}
+	if giant(j) {
+		if g.memory, ok = b.memoryEach(j, helpers); !ok {
+			return g, false
+		}
+	}
+	share := j.Cost.Read(j.Prompt) / time.Duration(len(helpers)+1)
+	g.passing = b.harm(j, first, share)
+	g.harm = g.passing
+	for i, t := range helpers {
+		harm := b.harm(j, t, share)
+		if risks[i] == 0 {
+			g.passing += harm
+		}
+		g.harm += harm + risks[i]
+		g.wait = max(g.wait, b.work(t.ID).Backlog)
+	}
+	g.expected = g.wait + share + j.Cost.Pass()
+	waited := b.Clock.Now().Sub(j.Since)
+	g.cost = g.harm + lateCost(j, waited+g.expected)
+	return g, true
+}
+
 // group returns the placement of a prompt at an engine with helpers that each read
 // an equal part. Each helper sets so much memory aside; without any, the first
 // engine holds all of it.
@@ -144,95 +188,43 @@
 	return p
 }
 
-const (
-	// memoryPart is the part of an engine's memory that one prompt may take. A
-	// prompt that needs more has its memory set aside at its helpers.
-	memoryPart = 0.9
-	// giantUse is how busy the engines may be with other reading when such a
-	// prompt is taken: it keeps all of them busy for seconds, in which time they
-	// could serve many others.
-	giantUse = 0.15
-	// giantTime is within what time such a prompt should be read where its engines are
-	// few: its caller gives up after 12 s.
-	giantTime = 5 * time.Second
-	// idlePart is the part of the idle engines, as a divisor, that it gets at least.
-	idlePart = 2
-)
+// memoryPart is the part of an engine's memory that one prompt may take. A prompt
+// that needs more has its memory set aside at its helpers.
+const memoryPart = 0.9
 
 // giant reports whether the prompt is longer than an engine's memory.
 func giant(j Job) bool {
 	return float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
 }
 
-// placeGiant places a prompt that is longer than an engine's memory: its memory
-// is spread over helpers that have enough free. It returns nothing if there are
-// too few, or if the engines are needed for others.
+// placeGiant places a prompt that is longer than an engine's memory: its memory is
+// spread over its helpers. It returns nothing if these have other things to read, or
+// if their streams are worth more than the prompt: many of them would be held up for
+// long.
 func (b *Balancer) placeGiant(j Job, engines []fleet.Target) *Placement {
-	read := j.Cost.Read(j.Prompt)
-	if p := b.spreadIdle(j, engines); p != nil {
-		return p
-	}
-	d := b.demand(j.Service)
-	if d.Heavy+d.Light > giantUse*float64(len(engines)) {
-		return nil
-	}
-	b.note(j, read, true)
-	r := b.divide(j, engines)
-	first := b.roomiest(j, engines)
-	others, _ := b.helpers(j, first, r, read)
-	if p := b.spread(j, first, others); p != nil {
-		return p
-	}
-	return b.spread(j, first, without(engines, first))
-}
-
-// spreadIdle places such a prompt on engines that have nothing to do, if there are
-// enough: on as few as read it soon enough, or on a part of them if that is more.
-func (b *Balancer) spreadIdle(j Job, engines []fleet.Target) *Placement {
-	var idle []fleet.Target
-	for _, t := range engines {
-		if w := b.work(t.ID); w.Light+w.Heavy == 0 && w.Backlog == 0 {
-			idle = append(idle, t)
-		}
-	}
-	read := j.Cost.Read(j.Prompt)
-	count := max(int(read/giantTime), len(idle)/idlePart)
-	if count < 1 || count >= len(idle) {
+	g := b.bestGroup(j, engines)
+	gain := worthOf(j)*(1+lateWorth) - lateLoss(j, g.expected)
+	if g.memory == 0 || g.wait > readAhead || g.harm > gain {
 		return nil
 	}
-	b.shuffle(len(idle), func(i, k int) { idle[i], idle[k] = idle[k], idle[i] })
-	return b.spread(j, idle[0], idle[1:count+1])
-}
-
-func without(engines []fleet.Target, t fleet.Target) []fleet.Target {
-	return slices.DeleteFunc(slices.Clone(engines), func(o fleet.Target) bool { return o.ID == t.ID })
+	b.note(j, j.Cost.Read(j.Prompt), true)
+	b.logGroup(j, g)
+	return b.group(j, g.first, g.helpers, g.memory, g.expected)
 }
 
-// spread divides the reading and the memory of a prompt evenly among as many of
-// the engines as can take their part of the memory.
-func (b *Balancer) spread(j Job, first fleet.Target, engines []fleet.Target) *Placement {
-	read := j.Cost.Read(j.Prompt)
-	for count := min(len(engines), maxHelpers); count > 0; count-- {
-		each := (j.Prompt+j.Output)/count + 1
-		holders := b.holders(j, engines, each)
-		if len(holders) < count {
-			continue
-		}
-		share := read / time.Duration(count+1)
-		return b.group(j, first, holders[:count], each, share+j.Cost.Pass())
+// memoryEach returns the memory that each of the helpers of a giant sets aside; ok is
+// false if one of them has less free.
+func (b *Balancer) memoryEach(j Job, helpers []fleet.Target) (tokens int, ok bool) {
+	if len(helpers) == 0 {
+		return 0, false
 	}
-	return nil
-}
-
-// holders returns the engines that have so much memory free.
-func (b *Balancer) holders(j Job, engines []fleet.Target, tokens int) []fleet.Target {
-	var list []fleet.Target
-	for _, t := range engines {
-		if float64(b.work(t.ID).Memory+tokens) <= memoryPart*float64(j.Cost.Memory) {
-			list = append(list, t)
+	each := (j.Prompt+j.Output)/len(helpers) + 1
+	for _, t := range helpers {
+		if float64(b.work(t.ID).Memory+each) > memoryPart*float64(j.Cost.Memory) {
+			return 0, false
 		}
 	}
-	return list
+	return each, true
 }
 
 // helpers returns the engines that may help, best first: those where a part of
@@ -254,6 +246,9 @@
 	}
 	add(r.readers, 0)
 	add(r.light, lightRisk)
+	if giant(j) {
+		add(r.writers, 0) // Its memory may need all engines.
+	}
 	b.shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	slices.SortStableFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	for _, c := range list {
@@ -289,15 +284,23 @@
 	return harm
 }
 
-// lateCost is what it counts for that the first event comes after so long: the worth
-// of being in time is lost by the objective, and what is left of it when the caller
-// gives up.
+// lateCost is what it counts for that the first event comes after so long.
 func lateCost(j Job, first time.Duration) float64 {
-	weight := usualWeight * math.Pow(float64(j.Prompt)/max(float64(j.Cost.UsualPrompt), 1), weightPower)
+	return lateLoss(j, first) + waitCost*first.Seconds()
+}
+
+// lateLoss is the worth that is lost: that of being in time by the objective, and what
+// is left of it when the caller gives up.
+func lateLoss(j Job, first time.Duration) float64 {
 	objective := j.Objective.Seconds()
 	late := ramp(first.Seconds(), easyPart*objective, objective)
 	gone := ramp(first.Seconds(), objective, callerPatience*objective)
-	return weight*(late+lateWorth*gone) + waitCost*first.Seconds()
+	return worthOf(j) * (late + lateWorth*gone)
+}
+
+// worthOf is what a prompt in time counts for.
+func worthOf(j Job) float64 {
+	return usualWeight * math.Pow(float64(j.Prompt)/max(float64(j.Cost.UsualPrompt), 1), weightPower)
 }
 
 // ramp returns how far x is on its way between two values, 0 to 1.
