Leave room for short prompts in a pass that reads a part

A pass that reads a part may take 0.8 of the tightest pause, and an idle engine for short prompts counts as two streams.

--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -23,7 +23,10 @@
 	heavyHarm = 3.0
 	// lightRisk is what reading at an engine for short prompts counts for even
 	// while it has none: one may be on its way.
-	lightRisk = 0.5
+	lightRisk = 2.0
+	// pauseRoom is the part of the tightest pause that a pass may take which is known
+	// in advance: short prompts that come meanwhile are read in it too.
+	pauseRoom = 0.8
 	// weightPower is how the worth of a prompt in time grows with its length,
 	// against the usual prompt.
 	weightPower = 0.75
@@ -275,7 +278,7 @@
 	w := b.work(t.ID)
 	pass := w.Backlog + share + j.Cost.Pass()
 	harm := 0.0
-	if pass > j.Tightest {
+	if float64(pass) > pauseRoom*float64(j.Tightest) {
 		harm += float64(w.Light)
 	}
 	if pass > promptPause {
