--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -50,8 +50,8 @@
 	Since time.Time
 	// Avoid lists targets that have already failed the request.
 	Avoid []barleystep.TargetID
-	// Alone asks for no helpers: a target refuses a request at once if one of its
-	// helpers is out of its reach, and does not say which.
+	// Alone asks for no helpers: a target has refused the request with some, and has
+	// not said which of them it cannot reach.
 	Alone bool
 
 	// spare is how many slots the job must leave free.
@@ -70,6 +70,8 @@
 	Full bool
 	// Moved is set when another target has the address.
 	Moved bool
+	// Helper is a helper that the target could not reach, if it named one.
+	Helper barleystep.TargetID
 }
 
 // Balancer chooses targets. Its exported fields are set before use; it is safe
@@ -376,6 +378,9 @@
 	defer b.mu.Unlock()
 	b.strike(p)
 	b.learn(p.Target.ID, r)
+	if r.Helper != "" {
+		b.learn(r.Helper, Report{Unreachable: true})
+	}
 	b.serveWaiting(false)
 }
 
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -77,8 +77,7 @@
 			return next(ctx, x)
 		}
 		d.note(x, t, res, err)
-		job.Avoid = append(job.Avoid, placement.Target.ID)
-		job.Alone = job.Alone || (res == resultNotRun && len(placement.Helpers) > 0)
+		t.learn(&job, res)
 		if res == resultNotSent {
 			dials++
 		}
@@ -89,6 +88,18 @@
 	}
 }
 
+// learn takes into account what the try taught for the next one: a helper that is to
+// blame is avoided, and the target otherwise. Where it is not known whom to blame, no
+// helpers are asked for again.
+func (t *try) learn(job *balance.Job, res result) {
+	if t.blamed != "" {
+		job.Avoid = append(job.Avoid, t.blamed)
+		return
+	}
+	job.Avoid = append(job.Avoid, t.placement.Target.ID)
+	job.Alone = job.Alone || (res == resultNotRun && len(t.placement.Helpers) > 0)
+}
+
 func (d *deliver) job(x *Exchange) balance.Job {
 	j := balance.Job{
 		Request:   x.call.ID,
@@ -161,7 +172,7 @@
 // note writes a line about a try that did not end the request.
 func (d *deliver) note(x *Exchange, t *try, res result, err error) {
 	e := d.log.Warn().Str("request", x.call.ID).Str("target", string(t.placement.Target.ID)).
-		Str("result", res.String()).Int("send", x.sends).Int("status", t.status).Str("last_event", x.last)
+		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.status).Str("last_event", x.last)
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -62,6 +62,7 @@
 		Sealed:  h.Get("Seal") != "",
 		NotRun:  h.Get("Not-Run") != "",
 		Encoded: h.Get("Content-Encoding") != "",
+		Blamed:  h.Get("Blamed"),
 	}
 }
 
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -53,6 +53,35 @@
 	}
 }
 
+// TestBlamed checks that a prompt whose helper is to blame gets others, and that
+// helpers are not asked for again where it is not known which one is.
+func TestBlamed(t *testing.T) {
+	refuse := func(blame bool) step {
+		return func(c net.Conn, r *http.Request) bool {
+			headers := "Not-Run: 1\r\n"
+			if blame {
+				headers += "Blamed: " + c.LocalAddr().String() + "\r\n" // All helpers have this address.
+			}
+			return whole(http.StatusServiceUnavailable, headers, "")(c, r)
+		}
+	}
+	cases := map[string]struct {
+		blame  bool
+		status int
+	}{
+		"a helper is named": {true, http.StatusOK},
+		"nobody is named":   {false, http.StatusServiceUnavailable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, state{view: newView()}, refuse(tc.blame), events(1, 2, false))
+			f.target.orders = []step{whole(http.StatusOK, "", "")}
+			got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+			quicktest.Check(t, got.status, quicktest.Equals, tc.status)
+		})
+	}
+}
+
 // failingOnce closes the connection of the first request below the path.
 func failingOnce(path string, otherwise step) step {
 	var failed atomic.Bool
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -36,6 +36,8 @@
 	renewals chan struct{}
 	paid     atomic.Bool // paid is set, by the watch, when the next try has been paid for.
 	noMemory bool        // noMemory is set when helpers had no memory to set aside.
+	// blamed is the helper that kept the target from running the request, if any.
+	blamed barleystep.TargetID
 }
 
 // failure is a target's own failure, kept until it is known whether another
@@ -187,12 +189,23 @@
 	}
 }
 
+// helperNamed returns the helper with the id or the address, empty if there is none.
+func (t *try) helperNamed(name string) barleystep.TargetID {
+	for _, h := range t.placement.Helpers {
+		if name != "" && (string(h.ID) == name || h.Addr == name) {
+			return h.ID
+		}
+	}
+	return ""
+}
+
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	x := t.exchange
 	t.status = resp.StatusCode
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
 	if verdict.NotRun {
+		t.blamed = t.helperNamed(verdict.Blamed)
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes))
 		return resultNotRun, err
 	}
@@ -265,7 +278,8 @@
 		Unreachable: ctx.Err() == nil && res == resultNotSent && !t.noMemory,
 		Failed:      ctx.Err() == nil && res == resultBroken,
 		Error:       res == resultFailed,
-		Full:        res == resultNotRun,
+		Full:        res == resultNotRun && t.blamed == "",
+		Helper:      t.blamed,
 		Moved:       t.status == http.StatusMisdirectedRequest,
 	}
 }
--- a/protocol.go
+++ b/protocol.go
@@ -81,16 +81,9 @@
 	NotRun bool
 	// Encoded is set when somebody re-encoded the body on its way.
 	Encoded bool
-	// Load is the target's own count, if it gave one.
-	Load QueueLoad
-}
-
-// QueueLoad is a target's count of its requests.
-type QueueLoad struct {
-	Known   bool
-	Running int
-	Waiting int
-	Slots   int
+	// Blamed is the id or the address of the target that is the reason why the request
+	// was not run, if the target names one: itself, or a helper.
+	Blamed string
 }
 
 // Protocol is how requests are written on the wire between callers, boxes and
