Tell why streams were late from logs alone; free what a box does not take

'barleystep losses' reads log lines and counts, by route, streams that were late by cause: waited for engines, slow first event, moved, paused by a part or by a whole long prompt. The line of a request carries its objective and longest pause.

Found on reading: where a box does not take the lead's plan, since it believes one of its targets to be down, the lead kept the engines for it until two seconds after the expected end. It is told now; TestNotAdopted hung before. A service's limit of connections was decoded and used nowhere; it is no longer decoded.

--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -73,7 +73,10 @@
 	b.mu.Unlock()
 	switch {
 	case err == nil:
-		return b.Adopt(j, plan), nil
+		if p = b.Adopt(j, plan); p == nil {
+			b.Lead.Read(plan.Number) // Nobody will read it there.
+		}
+		return p, nil
 	case eris.Is(err, ErrFull):
 		return nil, err
 	default:
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -39,6 +39,30 @@
 	}
 }
 
+// lossesCommand returns the command that tells why streams were late.
+func lossesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "losses [FILE ...]",
+		Short: "Tell why streams were late, by route, from the log lines of routers",
+		Long:  "Reads log lines from the files, or from standard input, and prints for each route how many streams were late or not served, by cause.",
+		RunE: func(cmd *cobra.Command, args []string) (err error) {
+			in, closeAll, err := openAll(cmd.InOrStdin(), args)
+			if err != nil {
+				return err
+			}
+			defer closeAll()
+			list, err := explain.FindLosses(in)
+			if err != nil {
+				return err
+			}
+			for _, l := range list {
+				fmt.Fprintln(cmd.OutOrStdout(), l)
+			}
+			return nil
+		},
+	}
+}
+
 // openAll returns the content of the files, one after another, or the standard
 // input if there are none.
 func openAll(stdin io.Reader, names []string) (in io.Reader, closeAll func(), err error) {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -95,6 +95,7 @@
 	f.StringVarP(&a.output, "output", "o", outputTable, "output: table or json")
 	root.AddCommand(
 		explainCommand(),
+		lossesCommand(),
 		a.configCommand(),
 		a.targetCommand(),
 		a.keyCommand(),
--- /dev/null
+++ b/internal/explain/losses.go
@@ -0,0 +1,174 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Cause says why a stream was late, or was not served.
+type Cause string
+
+// The causes of late streams. Streams that were not served have the reason of their
+// refusal as cause.
+const (
+	// CauseWait is a first event that came late after a wait for engines.
+	CauseWait Cause = "waited for engines"
+	// CauseSlow is one that came late although the stream was sent at once: its engine
+	// took longer than was expected of it, or that was too long already.
+	CauseSlow Cause = "slow first event"
+	// CauseMove is a pause while another target took the stream up.
+	CauseMove Cause = "moved to another target"
+	// CausePart is a pause at a target that was given a part of a long prompt while it
+	// wrote the stream, and CauseLong at one that was given a whole one.
+	CausePart Cause = "paused by a part of a long prompt"
+	CauseLong Cause = "paused by a long prompt"
+	// CauseOther is a pause with neither: short prompts, or the target itself.
+	CauseOther Cause = "paused by something else"
+)
+
+// Losses is how the streams of a route ended.
+type Losses struct {
+	// Route is the route's name.
+	Route string
+	// Streams counts all, and Causes those that were late or not served.
+	Streams int
+	Causes  map[Cause]int
+}
+
+const (
+	endedMessage  = "front: A request ended."
+	helpedMessage = "front: Several targets read the prompt."
+	// longWait is the part of the time to the first event from which on the wait
+	// counts as its cause.
+	longWait = 0.5
+	// memory is how long before a stream began a part may have been given that still
+	// holds it up.
+	memory = 2 * time.Second
+)
+
+// reading is a time at which a target was given something long to read.
+type reading struct {
+	at   time.Time
+	part bool
+}
+
+// FindLosses reads log lines and returns, by route, why streams were late. It goes by
+// the lines alone. The error is that of the reader.
+func FindLosses(r io.Reader) (list []Losses, err error) {
+	lines, err := read(r)
+	if err != nil {
+		return nil, eris.Wrap(err, "explain: losses")
+	}
+	readings := readingsOf(lines)
+	routes := make(map[string]*Losses)
+	for _, l := range lines {
+		name, _ := l.fields["route"].(string)
+		if l.message != endedMessage || l.number("max_pause") == 0 {
+			continue
+		}
+		if routes[name] == nil {
+			routes[name] = &Losses{Route: name, Causes: make(map[Cause]int)}
+		}
+		routes[name].Streams++
+		if cause := l.cause(readings); cause != "" {
+			routes[name].Causes[cause]++
+		}
+	}
+	for _, losses := range routes {
+		list = append(list, *losses)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Route < list[j].Route })
+	return list, nil
+}
+
+// readingsOf returns when targets were given something long to read.
+func readingsOf(lines []Line) map[string][]reading {
+	readings := make(map[string][]reading)
+	for _, l := range lines {
+		target, _ := l.fields[fieldTarget].(string)
+		switch {
+		case l.message == helpedMessage:
+			readings[target] = append(readings[target], reading{l.at, true})
+			helpers, _ := l.fields["helpers"].([]any)
+			for _, h := range helpers {
+				id, _ := h.(string)
+				readings[id] = append(readings[id], reading{l.at, true})
+			}
+		case l.message == endedMessage && l.number("helpers") == 0 && l.number("expected") > l.number("max_pause"):
+			readings[target] = append(readings[target], reading{l.begin().Add(l.millis("queued")), false})
+		}
+	}
+	return readings
+}
+
+// cause returns why a stream was late, empty if it was in time.
+func (l Line) cause(readings map[string][]reading) Cause {
+	if reason, ok := l.fields["reason"].(string); ok {
+		return Cause(reason)
+	}
+	first := l.number("first")
+	switch {
+	case first > l.number("objective") && l.number("queued") > longWait*first:
+		return CauseWait
+	case first > l.number("objective"):
+		return CauseSlow
+	case l.number("pause") <= l.number("max_pause"):
+		return ""
+	case l.number("sends") > 1:
+		return CauseMove
+	}
+	target, _ := l.fields[fieldTarget].(string)
+	during := func(part bool) bool {
+		return slices.ContainsFunc(readings[target], func(r reading) bool {
+			return r.part == part && r.at.After(l.begin().Add(-memory)) && r.at.Before(l.at)
+		})
+	}
+	switch {
+	case during(true):
+		return CausePart
+	case during(false):
+		return CauseLong
+	default:
+		return CauseOther
+	}
+}
+
+// begin returns when the request came.
+func (l Line) begin() time.Time { return l.at.Add(-l.millis("took")) }
+
+func (l Line) number(field string) float64 {
+	n, _ := l.fields[field].(float64)
+	return n
+}
+
+func (l Line) millis(field string) time.Duration {
+	return time.Duration(l.number(field) * float64(time.Millisecond))
+}
+
+// String returns the losses for a person, the largest first.
+func (l Losses) String() string {
+	causes := make([]Cause, 0, len(l.Causes))
+	late := 0
+	for c, n := range l.Causes {
+		causes = append(causes, c)
+		late += n
+	}
+	sort.Slice(causes, func(i, j int) bool {
+		if l.Causes[causes[i]] != l.Causes[causes[j]] {
+			return l.Causes[causes[i]] > l.Causes[causes[j]]
+		}
+		return causes[i] < causes[j]
+	})
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %d streams, %d late or not served", l.Route, l.Streams, late)
+	for _, c := range causes {
+		fmt.Fprintf(&b, "\n  %5d %s", l.Causes[c], c)
+	}
+	return b.String()
+}
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -76,8 +76,6 @@
 // Service is a group of targets that do the same.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one target takes from all callers.
-	MaxConnections int
 	// Cost tells how model engines spend their time; nil for plain services.
 	Cost *CostModel
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -157,7 +157,8 @@
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.age)
 	}
 	if x.route != nil {
-		e.Str("route", x.route.Name).Str("account", x.account)
+		e.Str("route", x.route.Name).Str("account", x.account).
+			Dur("objective", x.route.Objective).Dur("max_pause", x.route.MaxPause)
 	}
 	e.Dur("queued", x.queued).Dur("expected", x.expected).Dur("first", x.first).Dur("pause", x.pause).Dur("took", s.Clock.Now().Sub(x.started)).Msg(logPrefix + "A request ended.")
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -172,6 +172,19 @@
 	c.Check(next, quicktest.IsNotNil)
 }
 
+// TestNotAdopted checks that the lead gives engines to others when a box does not take
+// its plan.
+func TestNotAdopted(t *testing.T) {
+	p := newPair(t, view, []barleystep.TargetID{"x"})
+	_, err := p.box.Place(context.Background(), job(210_000))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	_, w, err := p.lead.Ask(context.Background(), job(210_000))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	if w != nil {
+		<-w.Ready()
+	}
+}
+
 // TestGrantEnds checks that what was placed for others is forgotten once they
 // tell of it themselves, and its reading when it is late.
 func TestGrantEnds(t *testing.T) {
