--- /dev/null
+++ b/internal/balance/giant.go
@@ -0,0 +1,42 @@
+package balance
+
+import "github.com/barleystep/barleystep/internal/fleet"
+
+// memoryPart is the part of an engine's memory that one prompt may take. A prompt
+// that needs more has its memory set aside at its helpers.
+const memoryPart = 0.9
+
+// giant reports whether the prompt is longer than an engine's memory.
+func giant(j Job) bool {
+	return float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
+}
+
+// placeGiant places a prompt that is longer than an engine's memory: its memory is
+// spread over its helpers. It returns nothing if these have other things to read, or
+// if their streams are worth more than the prompt: many of them would be held up for
+// long.
+func (b *Balancer) placeGiant(j Job, engines []fleet.Target) *Placement {
+	g := b.bestAssignment(j, engines)
+	gain := worthOf(j)*(1+lateWorth) - lateLoss(j, g.expected)
+	if g.memory == 0 || g.wait > readAhead || g.harm > gain {
+		return nil
+	}
+	b.note(j, j.Cost.Read(j.Prompt), true)
+	b.logAssignment(j, g)
+	return b.placement(j, g.first, g.helpers, g.memory, g.expected)
+}
+
+// memoryEach returns the memory that each of the helpers of a giant sets aside; ok is
+// false if one of them has less free.
+func (b *Balancer) memoryEach(j Job, helpers []fleet.Target) (tokens int, ok bool) {
+	if len(helpers) == 0 {
+		return 0, false
+	}
+	each := (j.Prompt+j.Output)/len(helpers) + 1
+	for _, t := range helpers {
+		if float64(b.work(t.ID).Memory+each) > memoryPart*float64(j.Cost.Memory) {
+			return 0, false
+		}
+	}
+	return each, true
+}
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -107,7 +107,7 @@
 		helpers = append(helpers, t)
 		memory = h.Memory
 	}
-	p := b.group(j, first, helpers, memory, plan.Expected)
+	p := b.placement(j, first, helpers, memory, plan.Expected)
 	p.urgency = urgencyOf(j)
 	p.plan = plan.Number
 	for _, part := range p.parts {
