--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -95,10 +95,11 @@
 	lightQueue []*Wait
 	heavyQueue []*Wait
 	// grants are the placements that were made for other boxes, by their numbers, of
-	// which granted is the last. leads is set while this box places for others.
-	grants  map[uint64]*grant
-	granted uint64
-	leads   bool
+	// which granted is the last. This box is the lead until leadUntil, as far as it
+	// knows.
+	grants    map[uint64]*grant
+	granted   uint64
+	leadUntil time.Time
 	// seen keeps the sums of work during one choice.
 	seen map[barleystep.TargetID]Work
 	// others is the work and demand of all other boxes, as last heard.
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +60,9 @@
 	// readLate is how long after its time a prompt counts as unread of which its box
 	// has said nothing: the box may be gone.
 	readLate = 2 * time.Second
+	// leadMemory is for how long a box counts as the lead that has placed a long prompt
+	// as such: they come a few a second, and none of them leaves nothing to know.
+	leadMemory = time.Second
 )
 
 // askLead has a long prompt placed by the lead. It returns nothing if there is no
@@ -68,9 +72,11 @@
 		return nil, nil
 	}
 	plan, err := b.Lead.Place(ctx, j)
-	b.mu.Lock()
-	b.leads = eris.Is(err, ErrHere)
-	b.mu.Unlock()
+	if eris.Is(err, ErrHere) {
+		b.mu.Lock()
+		b.leadUntil = b.Clock.Now().Add(leadMemory)
+		b.mu.Unlock()
+	}
 	switch {
 	case err == nil:
 		if p = b.Adopt(j, plan); p == nil {
@@ -146,9 +152,10 @@
 	defer b.mu.Unlock()
 	if b.grants == nil {
 		b.grants = make(map[uint64]*grant)
+		b.granted = uint64(b.draw(math.MaxInt)) // Leads that follow each other count apart.
 	}
 	now := b.Clock.Now()
-	b.leads = true
+	b.leadUntil = now.Add(leadMemory)
 	b.granted++
 	b.grants[b.granted] = &grant{p, now.Add(grantLife), now.Add(p.expected + readLate)}
 	plan := Plan{Number: b.granted, Target: p.Target.ID, Expected: p.expected}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -138,11 +138,12 @@
 		return w
 	}
 	var w Work
+	now := b.Clock.Now()
 	if s := b.states[id]; s != nil {
-		w = s.own(b.Clock.Now())
+		w = s.own(now)
 	}
 	others := b.others.Work[KeyOf(string(id))]
-	if b.leads {
+	if now.Before(b.leadUntil) {
 		others.Led = 0 // This box knows better.
 	}
 	w.add(others)
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -185,6 +185,19 @@
 	}
 }
 
+// TestNumbers checks that a lead does not take what a box tells of another lead's plan
+// for its own.
+func TestNumbers(t *testing.T) {
+	manual := clock.NewManual(time.Unix(1000, 0))
+	seen := make(map[uint64]bool)
+	for range 5 {
+		plan, err := newBalancer(manual, engines...).Grant(context.Background(), job(210_000), manual.Now())
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, seen[plan.Number], quicktest.IsFalse)
+		seen[plan.Number] = true
+	}
+}
+
 // TestGrantEnds checks that what was placed for others is forgotten once they
 // tell of it themselves, and its reading when it is late.
 func TestGrantEnds(t *testing.T) {
