--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -165,23 +165,6 @@
 	plan     uint64
 	told     bool
 	expected time.Duration
-	urgency  barleystep.Urgency
-}
-
-// Urgency returns the place of the request in the order of the target's work.
-func (p *Placement) Urgency() barleystep.Urgency { return p.urgency }
-
-// urgencyOf returns the urgency of a job: the shorter its reading, the less it
-// holds up those that come after it.
-func urgencyOf(j Job) barleystep.Urgency {
-	switch {
-	case j.Cost == nil || !heavy(j):
-		return barleystep.UrgencyShort
-	case giant(j):
-		return barleystep.UrgencyGiant
-	default:
-		return barleystep.UrgencyLong
-	}
 }
 
 // Expected returns after how long the first event is expected, zero if nothing
@@ -258,7 +241,6 @@
 	if p == nil {
 		return nil, nil
 	}
-	p.urgency = urgencyOf(j)
 	b.book(p)
 	return p, nil
 }
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -114,7 +114,6 @@
 		memory = h.Memory
 	}
 	p := b.placement(j, first, helpers, memory, plan.Expected)
-	p.urgency = urgencyOf(j)
 	p.plan = plan.Number
 	for _, part := range p.parts {
 		part.led = true
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -157,7 +157,6 @@
 		TimeLeft:  left,
 		LastEvent: x.last,
 		Helpers:   t.helpers(),
-		Urgency:   t.placement.Urgency(),
 	})
 	r := &http.Request{
 		Method:        x.r.Method,
--- a/protocol.go
+++ b/protocol.go
@@ -33,24 +33,8 @@
 	LastEvent string
 	// Helpers are the targets that read parts of the prompt.
 	Helpers []Helper
-	// Urgency orders the requests that wait at a target, 0 first.
-	Urgency Urgency
 }
 
-// Urgency is a request's place in the order in which a target takes on those that
-// wait.
-type Urgency uint8
-
-// The urgencies of requests. Protocols may have more steps between them.
-const (
-	// UrgencyShort is that of prompts that are read in no time.
-	UrgencyShort Urgency = iota
-	// UrgencyLong is that of prompts whose reading holds up others.
-	UrgencyLong
-	// UrgencyGiant is that of prompts that are longer than a target's memory.
-	UrgencyGiant
-)
-
 // Helper is a target that reads a part of a prompt for another one.
 type Helper struct {
 	// Addr is the IP and port.
