--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -201,6 +201,7 @@
 		"many, and late anyway":    {6, 3200 * time.Millisecond, true},
 		"few streams":              {1, 0, false},
 		"few, and it is still due": {1, 1400 * time.Millisecond, false},
+		"many, after a long wait":  {6, 6100 * time.Millisecond, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
