--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -221,7 +221,6 @@
 	helpers   []*engine
 	memory    int // memory is what its first engine holds of it.
 	placement *balance.Placement
-	delay     time.Duration
 }
 
 func (d *day) choiceOf(p *balance.Placement) *choice {
@@ -245,58 +244,75 @@
 	return c.first.id()
 }
 
+// attempt is one sending of a request, and what is to be done with its outcome.
+type attempt struct {
+	day     *day
+	box     *box
+	request *request
+	avoid   []barleystep.TargetID
+	choice  *choice
+	run     *run
+}
+
 // send starts the request at its engines.
-func (d *day) send(b *box, r *request, avoided []barleystep.TargetID, c *choice) {
+func (d *day) send(b *box, r *request, avoid []barleystep.TargetID, c *choice) {
 	r.sends++
-	kind := d.load.Kinds[r.kind]
-	a := &run{request: r, first: c.first, helpers: c.helpers, tokens: r.prompt + r.events*d.load.Cost.Stride, events: r.events - r.got}
+	tokens := r.prompt + r.events*d.load.Cost.Stride
 	if c.memory == 0 {
-		a.tokens = 0
+		tokens = 0
 	}
-	r.run = a
-	over := func(report balance.Report) {
-		if c.placement != nil {
-			c.placement.Done(report)
-			d.poll(b)
-		}
+	a := &attempt{day: d, box: b, request: r, avoid: avoid, choice: c}
+	a.run = &run{
+		request: r, first: c.first, helpers: c.helpers, tokens: tokens, events: r.events - r.got, event: a.event,
+		failed:   func() { a.again(balance.Report{Unreachable: true}, c.first.id()) },
+		unhelped: func() { a.again(balance.Report{}, c.dead()) },
 	}
-	r.abandon = func() {
-		a.stop()
-		over(balance.Report{})
-	}
-	a.event = func(p pass) {
-		d.event(r, kind, p)
-		if c.placement != nil {
-			c.placement.First()
-		}
-		if r.got >= r.events {
-			r.end(causeNone)
-			r.abandon = nil
-			a.stop()
-			over(balance.Report{})
+	r.run = a.run
+	r.abandon = func() { a.end(balance.Report{}) }
+	d.time.After(network, func() {
+		if r.run == a.run && !r.ended && !a.run.over {
+			c.first.start(a.run)
 		}
+	})
+}
+
+// event passes an event on; the last one ends the request.
+func (a *attempt) event(p pass) {
+	r := a.request
+	a.day.event(r, a.day.load.Kinds[r.kind], p)
+	if a.choice.placement != nil {
+		a.choice.placement.First()
 	}
-	again := func(report balance.Report, avoid barleystep.TargetID) {
-		if r.run != a || r.ended {
-			return
-		}
+	if r.got >= r.events {
+		r.end(causeNone)
 		r.abandon = nil
-		a.stop()
-		over(report)
-		if r.sends >= mostSends {
-			d.again(r, 0, causeGone)
-			return
-		}
-		r.moved = r.got > 0
-		d.place(b, r, append(slices.Clone(avoided), avoid))
+		a.end(balance.Report{})
 	}
-	a.failed = func() { again(balance.Report{Unreachable: true}, c.first.id()) }
-	a.unhelped = func() { again(balance.Report{}, c.dead()) }
-	d.time.After(network+c.delay, func() {
-		if r.run == a && !r.ended && !a.over {
-			c.first.start(a)
-		}
-	})
+}
+
+// end takes the attempt off its engines and tells the balancer what was learnt.
+func (a *attempt) end(report balance.Report) {
+	a.run.stop()
+	if a.choice.placement != nil {
+		a.choice.placement.Done(report)
+		a.day.poll(a.box)
+	}
+}
+
+// again sends the request to other engines after a failure, or back to its caller.
+func (a *attempt) again(report balance.Report, avoid barleystep.TargetID) {
+	r := a.request
+	if r.run != a.run || r.ended {
+		return
+	}
+	r.abandon = nil
+	a.end(report)
+	if r.sends >= mostSends {
+		a.day.again(r, 0, causeGone)
+		return
+	}
+	r.moved = r.got > 0
+	a.day.place(a.box, r, append(slices.Clone(a.avoid), avoid))
 }
 
 // event notes an event that the caller got.
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -28,8 +28,6 @@
 	waiting []*run
 	memory  int
 	busy    bool
-	// worked is the time spent in passes.
-	worked time.Duration
 }
 
 // reading is what an engine has to read of a prompt: all of it, or a part.
@@ -107,7 +105,6 @@
 	}
 	e.busy = true
 	p, end := e.plan()
-	e.worked += p.took
 	e.time.After(p.took, func() {
 		e.busy = false
 		if !e.dead {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -92,12 +93,7 @@
 		k := d.load.Kinds[r.kind]
 		return (k.Worth - k.Late) * r.size / d.load.Cost.Read(r.prompt).Seconds()
 	}
-	slices.SortStableFunc(order, func(a, b *request) int {
-		if density(a) > density(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(order, func(a, b *request) int { return cmp.Compare(density(b), density(a)) })
 	p := newPlan(int((d.load.Span+after)/slot)+1, float64(d.load.Engines)*slot.Seconds())
 	for _, r := range order {
 		k := d.load.Kinds[r.kind]
