Read the change through: one piece for what stood twice

Sums of work are added and taken out by one function in place of twins; heavy and giant prompts are assigned by one; a job's wait is worked out in one place; the lead's client reaches the lead in one way. What could be derived is gone: a part that was read has nothing left to read, a placement whose lead was told has no plan. Nobody read a job's own pause or whether a prompt of the laboratory was refused. The laboratory's simulated time is called timeline, not time, and the bound's table schedule, beside the Plan of what is measured. Losses has accessors, as other data. balancer.go and balance_test.go are split by concern (tests moved as they stood).

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -39,14 +39,23 @@
 	long  int
 }
 
-// logAssignment tells how the engines of a long prompt were chosen.
+// assign returns the placement of a prompt at the engines that were chosen for it, and
+// tells how they were.
+func (b *Balancer) assign(j Job, g assignment) *Placement {
+	b.logAssignment(j, g)
+	return b.placement(j, g.first, g.helpers, g.memory, g.expected)
+}
+
+// waited returns for how long a job has waited.
+func (b *Balancer) waited(j Job) time.Duration { return b.Clock.Now().Sub(j.Since) }
+
 func (b *Balancer) logAssignment(j Job, g assignment) {
 	if b.Log == nil {
 		return
 	}
 	d := b.demand(j.Service)
 	b.Log.Info().Str("request", j.Request).Str("target", string(g.first.ID)).Int("helpers", len(g.helpers)).
-		Int("prompt", j.Prompt).Dur("waited", b.Clock.Now().Sub(j.Since)).Dur("expected", g.expected).
+		Int("prompt", j.Prompt).Dur("waited", b.waited(j)).Dur("expected", g.expected).
 		Float64("harm", g.harm).Int("engines_short", g.short).Int("engines_long", g.long).
 		Float64("demand_short", d.Light).Float64("demand_long", d.Heavy).Int("waiting", len(b.heavyQueue)).
 		Msg(logPrefix + "The engines of a long prompt were chosen.")
@@ -98,8 +107,7 @@
 		g.wait = max(g.wait, b.work(t.ID).Backlog)
 	}
 	g.expected = g.wait + share + j.Cost.Pass()
-	waited := b.Clock.Now().Sub(j.Since)
-	g.cost = g.harm + lateCost(j, waited+g.expected)
+	g.cost = g.harm + lateCost(j, b.waited(j)+g.expected)
 	return g, true
 }
 
--- /dev/null
+++ b/internal/balance/assignment_test.go
@@ -0,0 +1,150 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// TestLongAway checks that several engines read a long prompt, that these have no
+// short streams, and that one which has a long prompt of its own to read does not
+// help others.
+func TestLongAway(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(18)
+	short := make(map[string]bool)
+	for range 12 {
+		short[f.place(t, job(shortPrompt)).Target.Addr] = true
+	}
+	unread := make(map[string]bool)
+	for range 2 {
+		p := f.place(t, job(longPrompt))
+		c.Check(len(p.Helpers) > 0, quicktest.IsTrue)
+		for _, h := range p.Helpers {
+			c.Check(unread[h.Addr], quicktest.IsFalse, quicktest.Commentf("%s has a long prompt to read", h.Addr))
+			c.Check(short[h.Addr], quicktest.IsFalse, quicktest.Commentf("%s has a short stream", h.Addr))
+		}
+		unread[p.Target.Addr] = true
+		f.clock.Advance(p.Expected())
+	}
+}
+
+// TestAlone checks that a prompt gets no helpers when these have been refused.
+func TestAlone(t *testing.T) {
+	f := newFixture(18)
+	j := job(longPrompt)
+	j.Alone = true
+	quicktest.Assert(t, f.place(t, j).Helpers, quicktest.HasLen, 0)
+}
+
+// TestFewEngines checks that there is a choice however few engines there are, but for
+// prompts that do not fit the memory of all.
+func TestFewEngines(t *testing.T) {
+	const giantPrompt = 600_000
+	for engines := 1; engines <= 6; engines++ {
+		for _, prompt := range []int{0, shortPrompt, longPrompt, giantPrompt} {
+			f := newFixture(engines)
+			j := job(prompt)
+			j.Objective = 3 * time.Second
+			p, err := f.Place(context.Background(), j)
+			if prompt == giantPrompt && engines < 3 {
+				quicktest.Check(t, eris.Is(err, balance.ErrFull), quicktest.IsTrue)
+				continue
+			}
+			quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%d tokens, %d engines", prompt, engines))
+			p.First()
+			p.Done(balance.Report{})
+		}
+	}
+}
+
+// TestGiant checks that a prompt that is longer than an engine's memory is placed
+// where it holds up little, with its memory on its helpers, and is sent away at once
+// where the streams that it would hold up are worth more, or where its caller would
+// not wait for it.
+func TestGiant(t *testing.T) {
+	const giantPrompt = 500_000
+	cases := map[string]struct {
+		engines   int
+		busy      int
+		objective time.Duration
+		placed    bool
+	}{
+		"all are idle":         {18, 0, 3 * time.Second, true},
+		"most are idle":        {18, 6, 3 * time.Second, true},
+		"a few are idle":       {18, 14, 3 * time.Second, true},
+		"too few are idle":     {18, 17, 3 * time.Second, false},
+		"its caller is hasty":  {18, 14, 300 * time.Millisecond, false},
+		"too few for a prompt": {2, 0, 3 * time.Second, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(tc.engines)
+			busy := balance.NewSnapshot()
+			// The demand says that other reading needs most engines.
+			busy.Demands[balance.KeyOf("s")] = balance.Demand{Heavy: float64(tc.engines)}
+			isBusy := make(map[barleystep.TargetID]bool)
+			for _, target := range f.targets[:tc.busy] {
+				busy.Work[balance.KeyOf(string(target.ID))] = balance.Work{Light: 12}
+				isBusy[target.ID] = true
+			}
+			f.SetOthers(busy)
+			j := job(giantPrompt)
+			j.Objective = tc.objective
+			p, err := f.Place(context.Background(), j)
+			if !tc.placed {
+				c.Assert(eris.Is(err, balance.ErrFull), quicktest.IsTrue)
+				return
+			}
+			c.Assert(err, quicktest.IsNil)
+			c.Check(isBusy[p.Target.ID], quicktest.IsFalse)
+			tokens := 0
+			for _, h := range p.Helpers {
+				c.Check(isBusy[h.ID], quicktest.IsFalse, quicktest.Commentf("%s is busy", h.ID))
+				tokens += h.Memory
+			}
+			c.Check(tokens >= giantPrompt, quicktest.IsTrue)
+		})
+	}
+}
+
+// TestIdleHelps checks that engines with little to do help before those that have
+// much to read, also where the former are for short prompts.
+func TestIdleHelps(t *testing.T) {
+	const engines, idle, prompt = 18, 3, 45_000
+	for from := range engines {
+		c := quicktest.New(t)
+		f := newFixture(engines)
+		demand := balance.Demand{Heavy: engines / 4, Light: 2}
+		known := balance.NewSnapshot()
+		known.Demands[balance.KeyOf("s")] = demand
+		f.SetOthers(known)
+		alone := job(prompt)
+		alone.Alone = true
+		first := f.place(t, alone)
+		first.Done(balance.Report{})
+
+		busy := make(map[barleystep.TargetID]bool)
+		for i := range engines - idle {
+			id := f.targets[(from+i)%engines].ID
+			if id != first.Target.ID {
+				busy[id] = true
+				known.Work[balance.KeyOf(string(id))] = balance.Work{Backlog: 3 * time.Second}
+			}
+		}
+		f.SetOthers(known)
+		p := f.place(t, job(prompt))
+		c.Check(busy[p.Target.ID], quicktest.IsFalse)
+		c.Check(len(p.Helpers) > 0, quicktest.IsTrue)
+		for _, h := range p.Helpers {
+			c.Check(busy[h.ID], quicktest.IsFalse, quicktest.Commentf("%s has much to read", h.ID))
+		}
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -37,8 +37,6 @@
 	Prompt    int
 	Output    int
 	Objective time.Duration
-	// Pause is the longest pause between events that the stream may have.
-	Pause time.Duration
 	// Rank is the priority, 0 first.
 	Rank int
 	// Cost is how the service's engines spend their time; nil for plain
@@ -142,50 +140,6 @@
 	errorWait    = 600 * time.Millisecond
 )
 
-// Helper is an engine that reads a part of a prompt.
-type Helper struct {
-	ID   barleystep.TargetID
-	Addr string
-	// Memory is the memory, in tokens, to be set aside there for the prompt; zero
-	// if the engine that writes holds all of it.
-	Memory int
-}
-
-// Placement is the choice for one try. Done must be called once.
-type Placement struct {
-	Target fleet.Target
-	// Helpers are engines that read parts of the prompt.
-	Helpers []Helper
-
-	balancer *Balancer
-	parts    []*part
-	first    bool
-	// plan is the lead's number of the placement, zero if it was placed here, and
-	// told is set once the lead knows that the prompt was read.
-	plan     uint64
-	told     bool
-	expected time.Duration
-}
-
-// Expected returns after how long the first event is expected, zero if nothing
-// is known of it.
-func (p *Placement) Expected() time.Duration { return p.expected }
-
-// part is what a try costs one target.
-type part struct {
-	target barleystep.TargetID
-	work   Work
-	// share is how long the target reads its part of a long prompt, and until when
-	// that is expected to end.
-	// pass is the time of a pass with a writer there.
-	share   time.Duration
-	pass    time.Duration
-	until   time.Time
-	wasRead bool
-	// led is set where the lead has placed it, which keeps its own books.
-	led bool
-}
-
 // Place chooses a target. Where all engines for short prompts are full it waits
 // for a place. It returns ErrNoTarget, ErrFull when the wait would be in vain, or
 // the context's error.
@@ -325,48 +279,6 @@
 	return &Placement{Target: t, parts: []*part{{target: t.ID, work: Work{Light: 1}}}}
 }
 
-// First tells that the first event came: the prompt has been read.
-func (p *Placement) First() {
-	b := p.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state(p.Target.ID).heard = b.Clock.Now()
-	p.read()
-}
-
-// Heard tells that the target sent something.
-func (p *Placement) Heard() {
-	b := p.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state(p.Target.ID).heard = b.Clock.Now()
-}
-
-func (p *Placement) read() {
-	if p.first {
-		return
-	}
-	p.first = true
-	for _, part := range p.parts {
-		part.work.Backlog, part.work.Unread = 0, 0
-		part.wasRead = true
-	}
-	p.tellLead()
-}
-
-// Done takes the try off its targets and learns from it.
-func (p *Placement) Done(r Report) {
-	b := p.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.strike(p)
-	b.learn(p.Target.ID, r)
-	if r.Helper != "" {
-		b.learn(r.Helper, Report{Unreachable: true})
-	}
-	b.serveWaiting(false)
-}
-
 func (b *Balancer) learn(id barleystep.TargetID, r Report) {
 	s := b.state(id)
 	now := b.Clock.Now()
--- a/internal/balance/giant.go
+++ b/internal/balance/giant.go
@@ -22,8 +22,7 @@
 		return nil
 	}
 	b.note(j, j.Cost.Read(j.Prompt), true)
-	b.logAssignment(j, g)
-	return b.placement(j, g.first, g.helpers, g.memory, g.expected)
+	return b.assign(j, g)
 }
 
 // memoryEach returns the memory that each of the helpers of a giant sets aside; ok is
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -23,12 +23,11 @@
 // a prompt that waits here can still go to others, or let a shorter one pass.
 func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
 	g := b.bestAssignment(j, engines)
-	due := b.Clock.Now().Sub(j.Since) > mostWait*j.Objective
+	due := b.waited(j) > mostWait*j.Objective
 	if !due && (g.wait > readAhead || b.lull(j, g)) {
 		return nil
 	}
-	b.logAssignment(j, g)
-	return b.placement(j, g.first, g.helpers, 0, g.expected)
+	return b.assign(j, g)
 }
 
 const (
@@ -45,8 +44,8 @@
 // lull reports whether the prompt should wait until some of the streams that it
 // would hold up have ended: whether that saves more than the prompt loses.
 func (b *Balancer) lull(j Job, g assignment) bool {
-	waited := b.Clock.Now().Sub(j.Since)
+	at := b.waited(j) + g.expected
 	saved := g.passing * (1 - math.Exp(-lullStep.Seconds()/streamLife.Seconds()))
-	lost := lateCost(j, waited+g.expected+lullStep) - lateCost(j, waited+g.expected)
+	lost := lateCost(j, at+lullStep) - lateCost(j, at)
 	return saved > lost+idleCost*lullStep.Seconds()
 }
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -68,7 +68,7 @@
 // askLead has a long prompt placed by the lead. It returns nothing if there is no
 // lead, or none that answers: the prompt is then placed here.
 func (b *Balancer) askLead(ctx context.Context, j Job) (p *Placement, err error) {
-	if b.Lead == nil || j.Cost == nil || !heavy(j) {
+	if b.Lead == nil || !Heavy(j) {
 		return nil, nil
 	}
 	plan, err := b.Lead.Place(ctx, j)
@@ -129,14 +129,11 @@
 		return Plan{}, ErrNoTarget
 	}
 	p, w, err := b.Ask(ctx, j)
-	if err != nil {
-		return Plan{}, err
-	}
-	if p == nil {
+	if w != nil {
 		p, err = b.awaitUntil(ctx, w, until)
-	}
-	if err != nil && b.Clock.Now().Before(w.Until()) {
-		return Plan{}, ErrWaiting
+		if err != nil && b.Clock.Now().Before(w.Until()) {
+			err = ErrWaiting
+		}
 	}
 	if err != nil {
 		return Plan{}, err
@@ -202,8 +199,9 @@
 
 // tellLead tells the lead that the prompt was read, once.
 func (p *Placement) tellLead() {
-	if p.plan != 0 && !p.told {
-		p.told = true
-		p.balancer.Lead.Read(p.plan)
+	if p.plan == 0 {
+		return
 	}
+	p.balancer.Lead.Read(p.plan)
+	p.plan = 0
 }
--- /dev/null
+++ b/internal/balance/placement.go
@@ -0,0 +1,92 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	ID   barleystep.TargetID
+	Addr string
+	// Memory is the memory, in tokens, to be set aside there for the prompt; zero
+	// if the engine that writes holds all of it.
+	Memory int
+}
+
+// Placement is the choice for one try. Done must be called once.
+type Placement struct {
+	Target fleet.Target
+	// Helpers are engines that read parts of the prompt.
+	Helpers []Helper
+
+	balancer *Balancer
+	parts    []*part
+	first    bool
+	// plan is the lead's number of the placement while the lead is to be told that the
+	// prompt was read; zero if it was placed here.
+	plan     uint64
+	expected time.Duration
+}
+
+// Expected returns after how long the first event is expected, zero if nothing
+// is known of it.
+func (p *Placement) Expected() time.Duration { return p.expected }
+
+// part is what a try costs one target.
+type part struct {
+	target barleystep.TargetID
+	work   Work
+	// share is how long the target reads its part of a long prompt, zero once that is
+	// done, and until is when it is expected to be done. A pass with a writer takes so
+	// long there.
+	share time.Duration
+	until time.Time
+	pass  time.Duration
+	// led is set where the lead has placed it, which keeps its own books.
+	led bool
+}
+
+// First tells that the first event came: the prompt has been read.
+func (p *Placement) First() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(p.Target.ID).heard = b.Clock.Now()
+	p.read()
+}
+
+// Heard tells that the target sent something.
+func (p *Placement) Heard() {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(p.Target.ID).heard = b.Clock.Now()
+}
+
+func (p *Placement) read() {
+	if p.first {
+		return
+	}
+	p.first = true
+	for _, part := range p.parts {
+		part.work.Backlog, part.work.Unread = 0, 0
+		part.share = 0
+	}
+	p.tellLead()
+}
+
+// Done takes the try off its targets and learns from it.
+func (p *Placement) Done(r Report) {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.strike(p)
+	b.learn(p.Target.ID, r)
+	if r.Helper != "" {
+		b.learn(r.Helper, Report{Unreachable: true})
+	}
+	b.serveWaiting(false)
+}
--- a/internal/balance/reading.go
+++ b/internal/balance/reading.go
@@ -24,7 +24,7 @@
 }
 
 // unread reports whether the target has a part to read.
-func (p *part) unread() bool { return p.share > 0 && !p.wasRead }
+func (p *part) unread() bool { return p.share > 0 }
 
 // remaining returns how long the target still reads the part. A part that is late is
 // taken to last for as long again as it is late: the target is slower than its cost
--- /dev/null
+++ b/internal/balance/waiting_test.go
@@ -0,0 +1,149 @@
+package balance_test
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// TestWaits checks that a short prompt waits while all slots are taken, gets the
+// next one that is free, and is refused when its caller would not wait longer.
+func TestWaits(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(1)
+	var placed []*balance.Placement
+	for range 4 {
+		placed = append(placed, f.place(t, job(shortPrompt)))
+	}
+	got := make(chan error, 2)
+	wait := func() {
+		_, err := f.Place(context.Background(), job(shortPrompt))
+		got <- err
+	}
+	go wait()
+	f.queued()
+	placed[0].Done(balance.Report{})
+	c.Check(<-got, quicktest.IsNil)
+
+	f = newFixture(1)
+	for range 4 {
+		f.place(t, job(shortPrompt))
+	}
+	go wait()
+	f.queued()
+	f.clock.Advance(2 * time.Second)
+	c.Check(eris.Is(<-got, balance.ErrFull), quicktest.IsTrue)
+}
+
+// TestOrder checks which of the waiting prompts gets the next free slot.
+func TestOrder(t *testing.T) {
+	type wait struct {
+		name string
+		rank int
+		// after is how long after the one before it came.
+		after time.Duration
+	}
+	cases := map[string]struct {
+		waits []wait
+		want  string
+	}{
+		"the newest that can be in time": {[]wait{{"old", 1, 0}, {"new", 1, 50 * time.Millisecond}}, "new"},
+		"the better rank":                {[]wait{{"first", 0, 0}, {"new", 1, 50 * time.Millisecond}}, "first"},
+		"not one that is late":           {[]wait{{"late", 1, 0}, {"new", 1, 250 * time.Millisecond}}, "new"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(1)
+			var placed []*balance.Placement
+			for range 4 {
+				placed = append(placed, f.place(t, job(shortPrompt)))
+			}
+			served := make(chan string, len(tc.waits))
+			for i, w := range tc.waits {
+				f.clock.Advance(w.after)
+				go func() {
+					j := job(shortPrompt)
+					j.Rank = w.rank
+					if _, err := f.Place(context.Background(), j); err == nil {
+						served <- w.name
+					}
+				}()
+				for f.clock.Timers() != i+1 {
+					runtime.Gosched()
+				}
+			}
+			placed[0].Done(balance.Report{})
+			quicktest.Check(t, <-served, quicktest.Equals, tc.want)
+			quicktest.Check(t, served, quicktest.HasLen, 0)
+			f.clock.Advance(time.Minute) // The others give up.
+		})
+	}
+}
+
+// TestLongWaits checks that long prompts wait until their engine has read the one
+// before, and that of those that wait the shortest goes first.
+func TestLongWaits(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(1)
+	first := f.place(t, job(longPrompt))
+	ask := func(prompt int) *balance.Wait {
+		_, w, err := f.Ask(context.Background(), job(prompt))
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(w, quicktest.IsNotNil)
+		return w
+	}
+	long := ask(longPrompt)
+	short := ask(longPrompt / 2)
+	first.First()
+	first.Done(balance.Report{})
+	c.Check(short.Ready(), quicktest.HasLen, 1)
+	c.Check(long.Ready(), quicktest.HasLen, 0)
+}
+
+// TestLull checks that a long prompt waits for the streams that it would hold up to
+// end while it has time, and no longer when it has not.
+func TestLull(t *testing.T) {
+	cases := map[string]struct {
+		streams int
+		waited  time.Duration
+		waits   bool
+	}{
+		"many streams":             {6, 0, true},
+		"many, and late anyway":    {6, 3200 * time.Millisecond, true},
+		"few streams":              {1, 0, false},
+		"few, and it is still due": {1, 1400 * time.Millisecond, false},
+		"many, after a long wait":  {6, 6100 * time.Millisecond, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(18)
+			busy := balance.NewSnapshot()
+			busy.Demands[balance.KeyOf("s")] = balance.Demand{Heavy: 18}
+			for _, target := range f.targets {
+				busy.Work[balance.KeyOf(string(target.ID))] = balance.Work{Light: tc.streams}
+			}
+			f.SetOthers(busy)
+			slots := *cost
+			slots.Slots = 16
+			j := job(longPrompt)
+			j.Cost = &slots
+			j.Objective = 3 * time.Second
+			j.Since = f.clock.Now().Add(-tc.waited)
+			p, w, err := f.Ask(context.Background(), j)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(w != nil, quicktest.Equals, tc.waits)
+			if p != nil {
+				return
+			}
+			f.SetOthers(balance.NewSnapshot())
+			c.Check(w.Ready(), quicktest.HasLen, 1)
+		})
+	}
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -26,24 +26,17 @@
 	Down int
 }
 
-func (w *Work) add(o Work) {
-	w.Light += o.Light
-	w.Heavy += o.Heavy
-	w.Unread += o.Unread
-	w.Backlog += o.Backlog
-	w.Led += o.Led
-	w.Memory += o.Memory
-	w.Down += o.Down
-}
-
-func (w *Work) remove(o Work) {
-	w.Light -= o.Light
-	w.Heavy -= o.Heavy
-	w.Unread -= o.Unread
-	w.Backlog -= o.Backlog
-	w.Led -= o.Led
-	w.Memory -= o.Memory
-	w.Down -= o.Down
+func (w *Work) add(o Work) { w.merge(o, 1) }
+
+// merge adds other work so many times; minus one takes it out again.
+func (w *Work) merge(o Work, times int) {
+	w.Light += times * o.Light
+	w.Heavy += times * o.Heavy
+	w.Unread += times * o.Unread
+	w.Backlog += time.Duration(times) * o.Backlog
+	w.Led += time.Duration(times) * o.Led
+	w.Memory += times * o.Memory
+	w.Down += times * o.Down
 }
 
 // Key names a target or a service between boxes, in less room than its id.
@@ -64,26 +57,22 @@
 }
 
 // Add adds another snapshot.
-func (s Snapshot) Add(o Snapshot) {
-	for k, w := range o.Work {
-		sum := s.Work[k]
-		sum.add(w)
-		s.Work[k] = sum
-	}
-	for k, d := range o.Demands {
-		s.Demands[k] = Demand{Light: s.Demands[k].Light + d.Light, Heavy: s.Demands[k].Heavy + d.Heavy}
-	}
-}
+func (s Snapshot) Add(o Snapshot) { s.merge(o, 1) }
 
 // Remove takes away a snapshot that was added.
-func (s Snapshot) Remove(o Snapshot) {
+func (s Snapshot) Remove(o Snapshot) { s.merge(o, -1) }
+
+func (s Snapshot) merge(o Snapshot, times int) {
 	for k, w := range o.Work {
-		rest := s.Work[k]
-		rest.remove(w)
-		s.Work[k] = rest
+		sum := s.Work[k]
+		sum.merge(w, times)
+		s.Work[k] = sum
 	}
 	for k, d := range o.Demands {
-		s.Demands[k] = Demand{Light: s.Demands[k].Light - d.Light, Heavy: s.Demands[k].Heavy - d.Heavy}
+		sum := s.Demands[k]
+		sum.Light += float64(times) * d.Light
+		sum.Heavy += float64(times) * d.Heavy
+		s.Demands[k] = sum
 	}
 }
 
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -34,13 +34,20 @@
 
 // Losses is how the streams of a route ended.
 type Losses struct {
-	// Route is the route's name.
-	Route string
-	// Streams counts all, and Causes those that were late or not served.
-	Streams int
-	Causes  map[Cause]int
+	route   string
+	streams int
+	causes  map[Cause]int
 }
 
+// Route returns the route's name.
+func (l Losses) Route() string { return l.route }
+
+// Streams returns how many streams there were.
+func (l Losses) Streams() int { return l.streams }
+
+// Causes returns how many of them were late or not served, by cause.
+func (l Losses) Causes() map[Cause]int { return l.causes }
+
 const (
 	endedMessage  = "front: A request ended."
 	helpedMessage = "front: Several targets read the prompt."
@@ -73,17 +80,17 @@
 			continue
 		}
 		if routes[name] == nil {
-			routes[name] = &Losses{Route: name, Causes: make(map[Cause]int)}
+			routes[name] = &Losses{route: name, causes: make(map[Cause]int)}
 		}
-		routes[name].Streams++
+		routes[name].streams++
 		if cause := l.cause(readings); cause != "" {
-			routes[name].Causes[cause]++
+			routes[name].causes[cause]++
 		}
 	}
 	for _, losses := range routes {
 		list = append(list, *losses)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Route < list[j].Route })
+	sort.Slice(list, func(i, j int) bool { return list[i].route < list[j].route })
 	return list, nil
 }
 
@@ -153,22 +160,22 @@
 
 // String returns the losses for a person, the largest first.
 func (l Losses) String() string {
-	causes := make([]Cause, 0, len(l.Causes))
+	causes := make([]Cause, 0, len(l.causes))
 	late := 0
-	for c, n := range l.Causes {
+	for c, n := range l.causes {
 		causes = append(causes, c)
 		late += n
 	}
 	sort.Slice(causes, func(i, j int) bool {
-		if l.Causes[causes[i]] != l.Causes[causes[j]] {
-			return l.Causes[causes[i]] > l.Causes[causes[j]]
+		if l.causes[causes[i]] != l.causes[causes[j]] {
+			return l.causes[causes[i]] > l.causes[causes[j]]
 		}
 		return causes[i] < causes[j]
 	})
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s: %d streams, %d late or not served", l.Route, l.Streams, late)
+	fmt.Fprintf(&b, "%s: %d streams, %d late or not served", l.route, l.streams, late)
 	for _, c := range causes {
-		fmt.Fprintf(&b, "\n  %5d %s", l.Causes[c], c)
+		fmt.Fprintf(&b, "\n  %5d %s", l.causes[c], c)
 	}
 	return b.String()
 }
--- a/internal/explain/losses_test.go
+++ b/internal/explain/losses_test.go
@@ -44,14 +44,14 @@
 			list, err := explain.FindLosses(strings.NewReader(strings.Join(tc.lines, "\n")))
 			c.Assert(err, quicktest.IsNil)
 			short := list[len(list)-1]
-			c.Check(short.Route, quicktest.Equals, "short")
-			c.Check(short.Streams, quicktest.Equals, 1)
+			c.Check(short.Route(), quicktest.Equals, "short")
+			c.Check(short.Streams(), quicktest.Equals, 1)
 			want := map[explain.Cause]int{}
 			if tc.want != "" {
 				want[tc.want] = 1
 				c.Check(strings.HasSuffix(short.String(), string(tc.want)), quicktest.IsTrue)
 			}
-			c.Check(short.Causes, quicktest.DeepEquals, want)
+			c.Check(short.Causes(), quicktest.DeepEquals, want)
 		})
 	}
 }
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -107,7 +107,6 @@
 		Prompt:    x.call.Prompt,
 		Output:    x.call.Output,
 		Objective: x.route.Objective,
-		Pause:     x.route.MaxPause,
 		Rank:      x.rank,
 	}
 	if s := x.view.Service(x.service); s != nil {
--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -35,7 +35,7 @@
 	}
 	r.tries++
 	r.sends = 0
-	r.last = d.time.Elapsed()
+	r.last = d.timeline.Elapsed()
 	b := d.boxes[r.box]
 	if !b.up {
 		d.again(r, down, causeCut)
@@ -52,10 +52,10 @@
 	if r.got > 0 {
 		patience = max(patience, 8*kind.Pause)
 	}
-	now := d.time.Elapsed()
+	now := d.timeline.Elapsed()
 	due := min(r.last+patience, r.at+kind.Deadline)
 	if now < due {
-		d.time.After(due-now, func() {
+		d.timeline.After(due-now, func() {
 			if !r.ended && r.tries == try {
 				d.watch(r, try)
 			}
@@ -82,7 +82,7 @@
 // again lets the caller come back, if it does.
 func (d *day) again(r *request, wait time.Duration, c cause) {
 	kind := d.load.Kinds[r.kind]
-	left := r.at + kind.Deadline - d.time.Elapsed()
+	left := r.at + kind.Deadline - d.timeline.Elapsed()
 	if r.tries >= callerTries || left <= 0 {
 		r.end(c)
 		return
@@ -91,7 +91,7 @@
 	r.box = d.rng.IntN(len(d.boxes))
 	r.got, r.first, r.pause, r.cause = 0, 0, 0, causeNone
 	try := r.tries
-	d.time.After(min(wait, left/3), func() {
+	d.timeline.After(min(wait, left/3), func() {
 		if r.tries == try {
 			d.arrive(r)
 		}
@@ -105,7 +105,6 @@
 		Prompt:    r.prompt,
 		Output:    r.events * d.load.Cost.Stride,
 		Objective: kind.Objective,
-		Pause:     kind.Pause,
 		Cost:      &d.load.Cost,
 		Tightest:  r.tightest,
 	}
@@ -150,7 +149,6 @@
 }
 
 func (d *day) refuse(r *request, err error) {
-	r.refused = true
 	wait := noTargetPause
 	if eris.Is(err, balance.ErrFull) {
 		wait = d.load.Kinds[r.kind].Objective
@@ -178,7 +176,7 @@
 			p.Done(balance.Report{})
 		}
 	}
-	d.time.After(w.Until().Sub(d.time.Now()), func() {
+	d.timeline.After(w.Until().Sub(d.timeline.Now()), func() {
 		if asked.waits[r].wait != w {
 			return
 		}
@@ -269,7 +267,7 @@
 	}
 	r.run = a.run
 	r.abandon = func() { a.end(balance.Report{}) }
-	d.time.After(network, func() {
+	d.timeline.After(network, func() {
 		if r.run == a.run && !r.ended && !a.run.over {
 			c.first.start(a.run)
 		}
@@ -317,7 +315,7 @@
 
 // event notes an event that the caller got.
 func (d *day) event(r *request, kind Kind, p pass) {
-	now := d.time.Elapsed()
+	now := d.timeline.Elapsed()
 	if r.got == 0 {
 		r.first = now - r.at
 		if r.first > kind.Objective {
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -61,15 +61,15 @@
 
 // day is one run of a load.
 type day struct {
-	load    Load
-	time    *timeline.Timeline
-	rng     *rand.Rand
-	engines []*engine
-	byID    map[barleystep.TargetID]*engine
-	boxes   []*box
-	list    []*request
-	policy  Policy
-	lives   int // lives counts the starts of the boxes.
+	load     Load
+	timeline *timeline.Timeline
+	rng      *rand.Rand
+	engines  []*engine
+	byID     map[barleystep.TargetID]*engine
+	boxes    []*box
+	list     []*request
+	policy   Policy
+	lives    int // lives counts the starts of the boxes.
 }
 
 // box is one box with its balancer and what it has told of its work.
@@ -85,15 +85,15 @@
 func Run(l Load, p Policy, seed uint64) Result {
 	d := newDay(l, p, seed)
 	for _, r := range d.list {
-		d.time.After(r.at, func() { d.arrive(r) })
+		d.timeline.After(r.at, func() { d.arrive(r) })
 	}
 	d.faults()
-	d.time.Run(l.Span + after)
+	d.timeline.Run(l.Span + after)
 	return d.measure()
 }
 
 func newDay(l Load, p Policy, seed uint64) *day {
-	d := &day{load: l, time: &timeline.Timeline{}, byID: make(map[barleystep.TargetID]*engine), policy: p}
+	d := &day{load: l, timeline: &timeline.Timeline{}, byID: make(map[barleystep.TargetID]*engine), policy: p}
 	d.list = l.requests(rand.New(rand.NewPCG(seed, 1)))
 	d.rng = rand.New(rand.NewPCG(seed, 2))
 	for i := range l.Engines {
@@ -101,14 +101,14 @@
 		e := &engine{
 			target:   fleet.Target{ID: id, Service: service, Addr: string(id), Hall: "hall", Slots: l.Cost.Slots},
 			cost:     &d.load.Cost,
-			time:     d.time,
+			timeline: d.timeline,
 			slowness: 1,
 		}
 		d.engines = append(d.engines, e)
 		d.byID[id] = e
 	}
 	d.begin(seed)
-	d.time.Every(told, d.gossip)
+	d.timeline.Every(told, d.gossip)
 	return d
 }
 
@@ -119,7 +119,7 @@
 	for i := range d.load.Boxes {
 		b := &box{waits: make(map[*request]waiting), snapshot: balance.NewSnapshot(), up: true}
 		b.balancer = &balance.Balancer{
-			Clock:   clockOf{d.time},
+			Clock:   clockOf{d.timeline},
 			Hall:    "hall",
 			Targets: d.targets,
 			Rand:    rand.New(rand.NewPCG(seed, uint64(100*d.lives+i))),
@@ -144,7 +144,7 @@
 
 // Read tells the lead after the network's delay.
 func (l lead) Read(plan uint64) {
-	l.day.time.After(network, func() {
+	l.day.timeline.After(network, func() {
 		l.balancer.EndRead(plan)
 		l.day.poll(l.day.boxes[0])
 	})
@@ -162,20 +162,20 @@
 func (d *day) faults() {
 	for i := range d.load.Deaths {
 		at := d.load.Span * time.Duration(i+1) / time.Duration(d.load.Deaths+1)
-		d.time.After(at, d.engines[i].die)
+		d.timeline.After(at, d.engines[i].die)
 	}
 	for i := range d.load.Slow {
 		d.engines[len(d.engines)-1-i].slowness = 2
 	}
 	if d.load.Restart > 0 {
-		d.time.After(d.load.Restart, d.restart)
+		d.timeline.After(d.load.Restart, d.restart)
 	}
 }
 
 // restart kills all boxes; callers come back once they are there again.
 func (d *day) restart() {
 	for _, r := range d.list {
-		if r.at > d.time.Elapsed() || r.ended || r.tries == 0 {
+		if r.at > d.timeline.Elapsed() || r.ended || r.tries == 0 {
 			continue
 		}
 		if r.abandon != nil {
@@ -186,7 +186,7 @@
 	for _, b := range d.boxes {
 		b.up = false
 	}
-	d.time.After(down, func() { d.begin(d.rng.Uint64()) })
+	d.timeline.After(down, func() { d.begin(d.rng.Uint64()) })
 }
 
 // gossip lets the boxes tell their work. What the others hear is older by the delay.
@@ -200,7 +200,7 @@
 		others.Add(sum)
 		others.Remove(b.snapshot)
 		b.snapshot = b.balancer.Snapshot()
-		d.time.After(delay, func() {
+		d.timeline.After(delay, func() {
 			b.balancer.SetOthers(others)
 			d.poll(b)
 		})
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -13,9 +13,9 @@
 // all that it has. A pass in which somebody writes has Stride token steps, each of
 // which may read a chunk of prompts; one without writers has a single step.
 type engine struct {
-	target fleet.Target
-	cost   *fleet.CostModel
-	time   *timeline.Timeline
+	target   fleet.Target
+	cost     *fleet.CostModel
+	timeline *timeline.Timeline
 	// slowness multiplies the time of each pass.
 	slowness float64
 	dead     bool
@@ -73,7 +73,7 @@
 // start takes a run on, or lets it wait for a slot or for memory.
 func (e *engine) start(r *run) {
 	if e.dead {
-		e.time.After(deadStall, r.failed)
+		e.timeline.After(deadStall, r.failed)
 		return
 	}
 	e.waiting = append(e.waiting, r)
@@ -87,7 +87,7 @@
 // help takes on a part of a prompt.
 func (e *engine) help(r *run, tokens int, perToken time.Duration) {
 	if e.dead {
-		e.time.After(deadStall, r.unhelped)
+		e.timeline.After(deadStall, r.unhelped)
 		return
 	}
 	e.parts = append(e.parts, &reading{run: r, left: tokens, perToken: perToken})
@@ -105,7 +105,7 @@
 	}
 	e.busy = true
 	p, end := e.plan()
-	e.time.After(p.took, func() {
+	e.timeline.After(p.took, func() {
 		e.busy = false
 		if !e.dead {
 			end(p)
@@ -280,9 +280,9 @@
 		}
 		r.stop()
 		if r.first == e {
-			e.time.After(deadStall, r.failed)
+			e.timeline.After(deadStall, r.failed)
 		} else {
-			e.time.After(deadStall, r.unhelped)
+			e.timeline.After(deadStall, r.unhelped)
 		}
 	}
 	e.memory = 0
--- a/internal/lab/engine_internal_test.go
+++ b/internal/lab/engine_internal_test.go
@@ -19,15 +19,15 @@
 
 // bench is some engines and the runs at them.
 type bench struct {
-	time    *timeline.Timeline
-	engines []*engine
-	events  map[*run][]time.Duration
+	timeline *timeline.Timeline
+	engines  []*engine
+	events   map[*run][]time.Duration
 }
 
 func newBench(engines int) *bench {
-	b := &bench{time: &timeline.Timeline{}, events: make(map[*run][]time.Duration)}
+	b := &bench{timeline: &timeline.Timeline{}, events: make(map[*run][]time.Duration)}
 	for range engines {
-		b.engines = append(b.engines, &engine{cost: testCost, time: b.time, slowness: 1})
+		b.engines = append(b.engines, &engine{cost: testCost, timeline: b.timeline, slowness: 1})
 	}
 	return b
 }
@@ -38,7 +38,7 @@
 		request: &request{prompt: prompt, tightest: 200 * time.Millisecond},
 		first:   b.engines[0], helpers: helpers, tokens: prompt, events: events,
 	}
-	r.event = func(pass) { b.events[r] = append(b.events[r], b.time.Elapsed()) }
+	r.event = func(pass) { b.events[r] = append(b.events[r], b.timeline.Elapsed()) }
 	r.failed = func() { b.events[r] = nil }
 	r.first.start(r)
 	return r
@@ -64,7 +64,7 @@
 		"a long prompt comes while it writes: one pass reads 40,000 tokens": {
 			func(b *bench) *run {
 				r := b.run(4000, 3)
-				b.time.After(30*time.Millisecond, func() { b.run(60_000, 1) })
+				b.timeline.After(30*time.Millisecond, func() { b.run(60_000, 1) })
 				return r
 			}, ms(64, 304, 444),
 		},
@@ -89,7 +89,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(2)
 			r := tc.start(b)
-			b.time.Run(5 * time.Second)
+			b.timeline.Run(5 * time.Second)
 			quicktest.Check(t, b.events[r], quicktest.DeepEquals, tc.want)
 		})
 	}
@@ -105,18 +105,18 @@
 		r.failed = func() { failed++ }
 		r.unhelped = r.failed
 	}
-	b.time.After(300*time.Millisecond, b.engines[0].die)
-	b.time.Run(5 * time.Second)
+	b.timeline.After(300*time.Millisecond, b.engines[0].die)
+	b.timeline.Run(5 * time.Second)
 	c.Check(failed, quicktest.Equals, 3)
 	for _, e := range b.engines {
 		c.Check(len(e.parts)+len(e.prompts)+len(e.writers)+len(e.waiting)+e.memory, quicktest.Equals, 0)
 	}
 }
 
-// TestPlan checks how much work fits into overlapping windows.
-func TestPlan(t *testing.T) {
+// TestSchedule checks how much work fits into overlapping windows.
+func TestSchedule(t *testing.T) {
 	c := quicktest.New(t)
-	p := newPlan(10, 1)
+	p := newSchedule(10, 1)
 	c.Check(p.fit(0, 3, 10), quicktest.Equals, 4.0) // Four slots of one second.
 	c.Check(p.fit(1, 2, 10), quicktest.Equals, 0.0) // All taken.
 	c.Check(p.fit(2, 5, 10), quicktest.Equals, 2.0) // Only the slots from 4 on.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -168,7 +168,6 @@
 	got     int           // got counts the events that came.
 	last    time.Duration // last is when the caller was last answered something.
 	first   time.Duration
-	refused bool // refused is set once it was refused.
 	ended   bool
 	pause   time.Duration
 	cause   cause
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -94,7 +94,7 @@
 		return (k.Worth - k.Late) * r.size / d.load.Cost.Read(r.prompt).Seconds()
 	}
 	slices.SortStableFunc(order, func(a, b *request) int { return cmp.Compare(density(b), density(a)) })
-	p := newPlan(int((d.load.Span+after)/slot)+1, float64(d.load.Engines)*slot.Seconds())
+	p := newSchedule(int((d.load.Span+after)/slot)+1, float64(d.load.Engines)*slot.Seconds())
 	for _, r := range order {
 		k := d.load.Kinds[r.kind]
 		read := d.load.Cost.Read(r.prompt).Seconds()
--- a/internal/lab/plan.go
+++ b/internal/lab/schedule.go
@@ -1,9 +1,9 @@
 package lab
 
-// plan says how much of the engines' time is taken, by the windows in which the
+// schedule says how much of the engines' time is taken, by the windows in which the
 // work may be done. Work with windows can be done if, for each interval, the work
 // whose windows lie inside it does not exceed the engines' time in it.
-type plan struct {
+type schedule struct {
 	slots    int
 	capacity float64 // capacity is the engines' time in one slot, in seconds.
 	// taken is the work whose windows lie inside an interval, by its first and last
@@ -11,28 +11,28 @@
 	taken [][]float64
 }
 
-func newPlan(slots int, capacity float64) *plan {
-	p := &plan{slots: slots, capacity: capacity, taken: make([][]float64, slots)}
-	for i := range p.taken {
-		p.taken[i] = make([]float64, slots)
+func newSchedule(slots int, capacity float64) *schedule {
+	s := &schedule{slots: slots, capacity: capacity, taken: make([][]float64, slots)}
+	for i := range s.taken {
+		s.taken[i] = make([]float64, slots)
 	}
-	return p
+	return s
 }
 
 // fit takes as much of the work as can be done between two slots, both included,
 // and returns how much that is.
-func (p *plan) fit(from, until int, work float64) float64 {
-	until = min(until, p.slots-1)
+func (s *schedule) fit(from, until int, work float64) float64 {
+	until = min(until, s.slots-1)
 	for first := 0; first <= from; first++ {
-		for last := until; last < p.slots; last++ {
-			free := float64(last-first+1)*p.capacity - p.taken[first][last]
+		for last := until; last < s.slots; last++ {
+			free := float64(last-first+1)*s.capacity - s.taken[first][last]
 			work = min(work, free)
 		}
 	}
 	work = max(work, 0)
 	for first := 0; first <= from; first++ {
-		for last := until; last < p.slots; last++ {
-			p.taken[first][last] += work
+		for last := until; last < s.slots; last++ {
+			s.taken[first][last] += work
 		}
 	}
 	return work
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -124,10 +124,9 @@
 	now := c.Clock.Now()
 	ctx, cancel := clock.WithDeadline(ctx, c.Clock, now.Add(askTimeout))
 	defer cancel()
-	client := placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
 	m := requestOf(j)
 	m.WaitedMs = max(now.Sub(j.Since), 0).Milliseconds() // Zero on the first question.
-	resp, err := client.Place(ctx, connect.NewRequest(m))
+	resp, err := c.service(addr).Place(ctx, connect.NewRequest(m))
 	switch {
 	case err == nil:
 		return planOf(resp.Msg), nil
@@ -147,6 +146,10 @@
 // of it is done apart.
 func (c *Client) Read(plan uint64) { go c.tell(plan) }
 
+func (c *Client) service(addr string) placementv1connect.PlacementServiceClient {
+	return placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
+}
+
 func (c *Client) tell(plan uint64) {
 	addr, ok := c.Addr()
 	if !ok {
@@ -154,8 +157,7 @@
 	}
 	ctx, cancel := clock.WithDeadline(context.Background(), c.Clock, c.Clock.Now().Add(askTimeout))
 	defer cancel()
-	client := placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
-	if _, err := client.Read(ctx, connect.NewRequest(&placementv1.ReadRequest{Number: plan})); err != nil {
+	if _, err := c.service(addr).Read(ctx, connect.NewRequest(&placementv1.ReadRequest{Number: plan})); err != nil {
 		c.Log.Debug().Str("lead", addr).Err(err).Msg(logPrefix + "The lead was not told of a prompt that was read.")
 	}
 }
