Tell in the logs whose head an answer went out with

The line of a request named its status and its last target only, so that a box's own refusal under a target's header, a target's failure under another status and an answer of another request looked alike. The line now has source and sealed; that of a failed try has sealed, skipped and begun. No logic is changed.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -31,6 +31,8 @@
 	writing  chan struct{}
 	writeErr error
 	broken   bool
+	// skipped counts the surplus answers that were read before the last one.
+	skipped int
 }
 
 const (
@@ -57,7 +59,7 @@
 	if err := c.write(req, body); err != nil {
 		return nil, err
 	}
-	for range maxSurplus {
+	for c.skipped = 0; c.skipped < maxSurplus; c.skipped++ {
 		resp, err = http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, eris.Wrap(err, "conn: read answer")
@@ -217,5 +219,9 @@
 	c.Release(nil)
 }
 
+// Skipped returns how many interim answers and answers to other requests came before
+// the last one.
+func (c *Conn) Skipped() int { return c.skipped }
+
 // Reused reports whether the connection has served a request before.
 func (c *Conn) Reused() bool { return !c.idle.IsZero() }
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -171,7 +171,8 @@
 // note writes a line about a try that did not end the request.
 func (d *deliver) note(x *Exchange, t *try, res result, err error) {
 	e := d.log.Warn().Str("request", x.call.ID).Str("target", string(t.placement.Target.ID)).
-		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.status).Str("last_event", x.last)
+		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.status).
+		Bool("sealed", t.sealed).Int("skipped", t.skipped).Bool("begun", x.begun).Str("last_event", x.last)
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -242,6 +242,8 @@
 	url    string
 	front  *front.Server
 	target *server
+	// targets are the ones that the balancer knows.
+	targets []fleet.Target
 }
 
 func newFixture(t *testing.T, s state, steps ...step) *fixture {
@@ -251,12 +253,12 @@
 func newFixtureAt(t *testing.T, clk barleystep.Clock, s state, steps ...step) *fixture {
 	f := &fixture{target: &server{steps: steps}}
 	addr := f.target.start(t)
-	targets := []fleet.Target{
+	f.targets = []fleet.Target{
 		{ID: "a", Service: "s", Addr: addr, Slots: 4},
 		{ID: "b", Service: "s", Addr: addr, Slots: 4},
 	}
 	for _, id := range []barleystep.TargetID{"x", "y", "z", "w"} {
-		targets = append(targets, fleet.Target{ID: id, Service: "engines", Addr: addr, Slots: 4})
+		f.targets = append(f.targets, fleet.Target{ID: id, Service: "engines", Addr: addr, Slots: 4})
 	}
 	spent := &budget.Budget{Clock: clk, Window: 10 * time.Second, Boxes: func() int { return 1 }}
 	spent.Set(1, 10)
@@ -265,7 +267,7 @@
 		Clock:         clk,
 		Protocol:      protocol{},
 		Configuration: s,
-		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return targets }},
+		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return f.targets }},
 		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
 		Budget:        spent,
 		Meter:         metric.Discard(),
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -106,6 +106,7 @@
 	x.begun = true
 	x.first = t.stage.clock.Now().Sub(x.started)
 	t.stage.meter.FirstToken(x.route.Kind.String(), x.first)
+	x.noteHead(t.stage.protocol, t.placement.Target.ID)
 	x.w.WriteHeader(x.status)
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -121,6 +121,7 @@
 	s.Protocol.Answer(h, x.call.ID, r.RetryAfter())
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	x.status = statusOf(r)
+	x.noteHead(s.Protocol, "")
 	x.w.WriteHeader(x.status)
 	_, _ = x.w.Write([]byte(r.Error() + "\n")) // The caller may have gone away.
 }
@@ -152,6 +153,7 @@
 	}
 	e.Str("request", x.call.ID).Str("outcome", outcome.String()).Int("status", x.status).
 		Int("sends", x.sends).Str("target", string(x.target)).Int("helpers", x.helpers).
+		Str("source", string(x.source)).Bool("sealed", x.sealed).
 		Int("prompt", x.call.Prompt).Int("events", x.events)
 	if x.view != nil {
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.age)
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -28,6 +28,10 @@
 	number  int
 	started time.Time
 	status  int
+	// sealed is set when the answer carries the target's digest, and skipped counts
+	// the answers to other requests that came before it.
+	sealed  bool
+	skipped int
 	first   time.Duration // first is the time to the first event or the answer.
 	failure *failure
 	// reserved are the reservations at helpers.
@@ -88,6 +92,7 @@
 	x.helpers = len(t.placement.Helpers)
 	x.expected = t.placement.Expected()
 	resp, err := c.Send(ctx, t.request(left), x.body, t.mine)
+	t.skipped = c.Skipped()
 	if err != nil {
 		c.Release(nil)
 		return t.unanswered(ctx, err)
@@ -203,6 +208,7 @@
 	x := t.exchange
 	t.status = resp.StatusCode
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
+	t.sealed = verdict.Sealed
 	if verdict.NotRun {
 		t.blamed = t.helperNamed(verdict.Blamed)
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes))
@@ -242,6 +248,7 @@
 	x.status = status
 	x.begun = true
 	x.first = t.stage.clock.Now().Sub(x.started)
+	x.noteHead(t.stage.protocol, t.placement.Target.ID)
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write(body) // The caller may have gone away.
 }
