A red test of where answers come from: every ending of a target's answer, next step and kind

It shows the recorded fault (a refusal of the box's own under the header of a target whose stream ended before its first event) and two near ones that were not recorded: answers that name no request are taken for any, and statuses that promise that a request has not run are passed on though the target does not say so.

--- /dev/null
+++ b/internal/front/source_test.go
@@ -0,0 +1,365 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// answered is what one target sent in answer to one try.
+type answered struct {
+	number int
+	status int
+	sealed bool
+	// ran is set if the target ran the request, or may have.
+	ran bool
+	// body is what the target sent of it, and whole is set if that is all.
+	body  string
+	whole bool
+}
+
+// script is how the targets of one test answer, try by try.
+type script struct {
+	mu   sync.Mutex
+	sent []*answered
+	// stalled is sent to when a target sends no more and keeps the connection.
+	stalled chan struct{}
+	ended   chan struct{}
+}
+
+// ending is one way in which a target's answer can end. It writes to the connection
+// and says what it sent; it keeps the connection if the answer was whole.
+type ending func(s *script, a *answered, c net.Conn, r *http.Request) (keep bool)
+
+// step returns the ending as a step that notes what was sent.
+func (s *script) step(e ending) step {
+	return func(c net.Conn, r *http.Request) bool {
+		a := &answered{ran: true}
+		s.mu.Lock()
+		s.sent = append(s.sent, a)
+		a.number = len(s.sent)
+		s.mu.Unlock()
+		return e(s, a, c, r)
+	}
+}
+
+// lastEvent is the id of the last event of a whole stream.
+const lastEvent = 6
+
+// body returns the body that a target has for a request.
+func (a *answered) wholeBody(r *http.Request) string {
+	if !isStreamPath(r.RequestURI) {
+		return fmt.Sprintf("mark-%d;mark-%d;", a.number, a.number)
+	}
+	after, err := strconv.Atoi(r.Header.Get("Last"))
+	if err != nil {
+		after = 0
+	}
+	var b strings.Builder
+	for id := after + 1; id <= lastEvent; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: mark-%d;\n\n", id, a.number)
+	}
+	return b.String()
+}
+
+func isStreamPath(path string) bool { return strings.Contains(path, "stream") }
+
+// framing is how an answer tells where its body ends.
+type framing string
+
+const (
+	framedByLength framing = "length"
+	framedByChunks framing = "chunks"
+	framedByClose  framing = "close"
+)
+
+// head writes the head of an answer.
+func (a *answered) head(c net.Conn, r *http.Request, f framing, length int, extra string) {
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nMark: %d\r\nOnly-%d: 1\r\n%s", a.status, r.Header.Get("Id"), a.number, a.number, extra)
+	if a.sealed {
+		text += fmt.Sprintf("Seal: s%d\r\n", a.number)
+	}
+	switch f {
+	case framedByLength:
+		text += fmt.Sprintf("Content-Length: %d\r\n", length)
+	case framedByChunks:
+		text += "Transfer-Encoding: chunked\r\n"
+	case framedByClose:
+		text += "Connection: close\r\n"
+	}
+	_, _ = io.WriteString(c, text+"\r\n")
+}
+
+func (a *answered) part(c net.Conn, f framing, text string) {
+	a.body += text
+	if f == framedByChunks && text != "" {
+		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	_, _ = io.WriteString(c, text)
+}
+
+// whole answers well, or with a failure, to the end.
+func wholly(status int, sealed, ran bool, f framing, extra string) ending {
+	return func(_ *script, a *answered, c net.Conn, r *http.Request) bool {
+		a.status, a.sealed, a.ran = status, sealed, ran
+		body := a.wholeBody(r)
+		a.head(c, r, f, len(body), extra)
+		a.part(c, f, body)
+		a.whole = true
+		if f == framedByChunks {
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+		return f != framedByClose
+	}
+}
+
+// cutAfter sends the head and so much of the body; then the connection is reset, or
+// kept without a word.
+func cutAfter(status int, part float64, f framing, silent bool) ending {
+	return func(s *script, a *answered, c net.Conn, r *http.Request) bool {
+		a.status, a.sealed = status, true
+		body := a.wholeBody(r)
+		a.head(c, r, f, len(body), "")
+		a.part(c, f, body[:int(part*float64(len(body)))])
+		return s.finish(c, silent)
+	}
+}
+
+// finish ends an answer that is not whole.
+func (s *script) finish(c net.Conn, silent bool) bool {
+	if silent {
+		s.stalled <- struct{}{}
+		<-s.ended
+		return false
+	}
+	if f, ok := c.(*net.TCPConn); ok {
+		_ = f.CloseWrite() // What was sent arrives; a body without a length is then reset.
+	}
+	return false
+}
+
+func text(t string) ending {
+	return func(s *script, _ *answered, c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(t, "ID", r.Header.Get("Id")))
+		return s.finish(c, false)
+	}
+}
+
+// nothing sends nothing.
+func nothing(silent bool) ending {
+	return func(s *script, _ *answered, c net.Conn, _ *http.Request) bool { return s.finish(c, silent) }
+}
+
+// behind sends the text of another answer before the ending.
+func behind(foreign string, e ending) ending {
+	return func(s *script, a *answered, c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, foreign)
+		return e(s, a, c, r)
+	}
+}
+
+const (
+	foreignAnswer = "HTTP/1.1 200 X\r\nId: other\r\nMark: 77\r\nSeal: s77\r\nContent-Length: 8\r\n\r\nmark-77;"
+	namelessReply = "HTTP/1.1 200 X\r\nMark: 77\r\nSeal: s77\r\nContent-Length: 8\r\n\r\nmark-77;"
+)
+
+// endings are the ways in which an answer can end.
+var endings = map[string]ending{
+	"whole, by length":                wholly(200, true, true, framedByLength, ""),
+	"whole, by chunks":                wholly(200, true, true, framedByChunks, ""),
+	"whole, by close":                 wholly(200, true, true, framedByClose, ""),
+	"whole behind a foreign one":      behind(foreignAnswer, wholly(200, true, true, framedByLength, "")),
+	"whole behind a nameless one":     behind(namelessReply, wholly(200, true, true, framedByLength, "")),
+	"whole behind an interim one":     behind("HTTP/1.1 102 X\r\nMark: 77\r\nSeal: s77\r\n\r\n", wholly(200, true, true, framedByLength, "")),
+	"foreign one only":                text(foreignAnswer),
+	"nameless one only":               text(namelessReply),
+	"without seal":                    wholly(200, false, true, framedByLength, ""),
+	"encoded":                         wholly(200, true, true, framedByLength, "Content-Encoding: gzip\r\n"),
+	"failure":                         wholly(500, true, true, framedByLength, ""),
+	"failure of another kind":         wholly(507, true, true, framedByChunks, "Retry-After: 9\r\n"),
+	"failure without seal":            wholly(500, false, true, framedByLength, ""),
+	"its time limit":                  wholly(504, true, true, framedByLength, ""),
+	"rejection by the caller's fault": wholly(422, true, true, framedByLength, ""),
+	"busy, may have run":              wholly(503, true, true, framedByLength, "Retry-After: 9\r\n"),
+	"too many, may have run":          wholly(429, true, true, framedByLength, "Retry-After: 9\r\n"),
+	"too slow, may have run":          wholly(408, true, true, framedByLength, ""),
+	"shed":                            wholly(503, true, false, framedByLength, "Not-Run: 1\r\nRetry-After: 9\r\n"),
+	"shed without seal":               wholly(429, false, false, framedByLength, "Not-Run: 1\r\n"),
+	"failure cut":                     cutAfter(500, 0.5, framedByLength, false),
+	"head cut off, by length":         cutAfter(200, 0, framedByLength, false),
+	"head cut off, by chunks":         cutAfter(200, 0, framedByChunks, false),
+	"head, then silence":              cutAfter(200, 0, framedByChunks, true),
+	"cut in the first piece":          cutAfter(200, 0.05, framedByChunks, false),
+	"cut midway, by length":           cutAfter(200, 0.5, framedByLength, false),
+	"cut midway, by chunks":           cutAfter(200, 0.5, framedByChunks, false),
+	"silent midway":                   cutAfter(200, 0.5, framedByChunks, true),
+	"closed":                          nothing(false),
+	"silent":                          nothing(true),
+	"not an answer":                   text("zzz\r\n\r\n"),
+	"head cut":                        text("HTTP/1.1 200 X\r\nId: ID\r\nSeal: s1\r\nMark: 1\r\n"),
+}
+
+// next is what the box can do after the first try.
+type next struct {
+	// second is the second target's answer, nil if there is none to be had.
+	second ending
+	// prepare takes the next try away from the box.
+	prepare func(f *fixture)
+}
+
+var nexts = map[string]next{
+	"another serves":              {second: endings["whole, by chunks"]},
+	"another sheds":               {second: endings["shed"]},
+	"another fails":               {second: endings["failure of another kind"]},
+	"another closes":              {second: endings["closed"]},
+	"another breaks at its head":  {second: endings["head cut off, by chunks"]},
+	"another is silent":           {second: endings["head, then silence"]},
+	"another answers for a third": {second: endings["foreign one only"]},
+	"no other":                    {prepare: func(f *fixture) { f.targets = f.targets[:1] }},
+	"no retry is left":            {prepare: func(f *fixture) { f.front.Budget.Set(0, 0) }},
+	"another is unreachable":      {prepare: func(f *fixture) { f.targets[1].Addr = "127.0.0.1:1" }},
+}
+
+// TestAnswerOfOneSource checks that an answer is of one source in all its parts,
+// whatever targets send and however many tries there were: all that a caller gets
+// comes from one target, whose digest it carries, or from the box itself. Only the
+// events of a stream may come from several, without a gap.
+func TestAnswerOfOneSource(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/", "/stream/", "/plainstream/"} {
+		for ended, first := range endings {
+			for name, then := range nexts {
+				t.Run(strings.Trim(path, "/")+"/"+ended+"/"+name, func(t *testing.T) {
+					t.Parallel()
+					checkSource(t, path, first, then)
+				})
+			}
+		}
+	}
+}
+
+func checkSource(t *testing.T, path string, first ending, then next) {
+	c := quicktest.New(t)
+	s := &script{stalled: make(chan struct{}, 8), ended: make(chan struct{})}
+	defer close(s.ended)
+	steps := []step{s.step(first)}
+	if then.second != nil {
+		steps = append(steps, s.step(then.second))
+	}
+	view := newView()
+	view.Route("h", path).Timeout = 24 * time.Hour
+	manual := clock.NewManual(time.Unix(1000, 0))
+	f := newFixtureAt(t, manual, state{view: view}, steps...)
+	f.targets = f.targets[:2]
+	if then.prepare != nil {
+		then.prepare(f)
+	}
+	got := make(chan reply, 1)
+	go func() { got <- f.ask(t, http.MethodPost, path, "ask") }()
+	s.check(c, path, await(manual, s.stalled, got))
+}
+
+// await returns the answer; from the time on at which a target stalls, it lets time
+// pass.
+func await(manual *clock.Manual, stalled <-chan struct{}, got <-chan reply) reply {
+	select {
+	case r := <-got:
+		return r
+	case <-stalled:
+	}
+	for {
+		select {
+		case r := <-got:
+			return r
+		default:
+			manual.Advance(time.Minute)
+			runtime.Gosched()
+		}
+	}
+}
+
+// check holds the answer against what the targets sent.
+func (s *script) check(c *quicktest.C, path string, got reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Assert(got.status, quicktest.Not(quicktest.Equals), 0)
+	c.Check(got.header.Get("Id"), quicktest.Equals, "r1")
+	s.checkPromises(c, path, got)
+	seal := got.header.Get("Seal")
+	if seal == "" {
+		checkOwn(c, got)
+		return
+	}
+	number, err := strconv.Atoi(strings.TrimPrefix(seal, "s"))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(number <= len(s.sent), quicktest.IsTrue)
+	from := s.sent[number-1]
+	c.Check(got.status, quicktest.Equals, from.status)
+	c.Check(got.header.Get("Mark"), quicktest.Equals, strconv.Itoa(number))
+	for other := 1; other <= len(s.sent); other++ {
+		c.Check(got.header.Get(fmt.Sprintf("Only-%d", other)) != "", quicktest.Equals, other == number)
+	}
+	if isStreamPath(path) && got.status == http.StatusOK {
+		s.checkStream(c, got)
+		return
+	}
+	c.Check(from.whole, quicktest.IsTrue)
+	c.Check(got.broken, quicktest.IsFalse)
+	c.Check(got.body, quicktest.Equals, from.body)
+}
+
+// checkOwn checks an answer that carries no target's digest: it is the box's own, and
+// a failure.
+func checkOwn(c *quicktest.C, got reply) {
+	c.Check(got.status >= http.StatusBadRequest, quicktest.IsTrue)
+	c.Check(got.broken, quicktest.IsFalse)
+	c.Check(got.body, quicktest.Not(quicktest.Contains), "mark-")
+	own := map[string]bool{"Id": true, "Again": true, "Content-Type": true, "Content-Length": true, "Date": true, "Connection": true}
+	for name := range got.header {
+		c.Check(own[name], quicktest.IsTrue, quicktest.Commentf("%s is not of the box", name))
+	}
+}
+
+// checkPromises checks that an answer that promises that the request has not run says
+// so truly, and that what must not be repeated has run once.
+func (s *script) checkPromises(c *quicktest.C, path string, got reply) {
+	ran := 0
+	for _, a := range s.sent {
+		if a.ran {
+			ran++
+		}
+	}
+	switch got.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		c.Check(ran, quicktest.Equals, 0)
+	}
+	if path == "/once/" || path == "/plainstream/" {
+		c.Check(ran <= 1, quicktest.IsTrue)
+	}
+}
+
+// checkStream checks that the events of a stream come without a gap and without
+// repetition, and that a stream that looks whole is.
+func (s *script) checkStream(c *quicktest.C, got reply) {
+	events := strings.Split(strings.TrimSuffix(got.body, "\n\n"), "\n\n")
+	if got.body == "" {
+		events = nil
+	}
+	for i, e := range events {
+		c.Check(strings.HasPrefix(e, fmt.Sprintf("id: %d\n", i+1)), quicktest.IsTrue, quicktest.Commentf("event %d: %q", i+1, e))
+	}
+	if !got.broken {
+		c.Check(events, quicktest.HasLen, lastEvent)
+		c.Check(s.sent[len(s.sent)-1].whole, quicktest.IsTrue)
+	}
+}
