Make each answer of one source: a head is whole and goes out once

internal/reply alone holds the caller's writer. A head is made whole from a target's answer or by the box and replaces all that lies in the map; only the first goes out. Protocol.Unseal, a clean-up, is gone. Besides: answers that name no request are not taken, promises that a target does not make are not passed on, failures without a digest neither, an unframed stream without events is broken off, and each order has a connection of its own, since answers to orders name nothing.

--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -53,7 +53,7 @@
 		}
 		p.discard(c)
 	}
-	return p.dial(ctx, addr)
+	return p.Dial(ctx, addr)
 }
 
 func (p *Pool) usable(c *Conn) bool {
@@ -77,7 +77,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (c *Conn, err error) {
+// Dial returns a new connection to the address. Its errors are those of Get.
+func (p *Pool) Dial(ctx context.Context, addr string) (c *Conn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
 	defer cancel()
 	d := net.Dialer{
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -131,7 +131,7 @@
 	if x.ran && !x.route.Repeatable() {
 		return false
 	}
-	if x.begun && (x.last == "" || !x.route.Resumable) {
+	if x.answer.Begun() && (x.last == "" || !x.route.Resumable) {
 		return false
 	}
 	return t.paid.Load() || d.budget.Retry(x.service)
@@ -144,14 +144,15 @@
 	if x.ran {
 		outcome = barleystep.OutcomeUnknown
 	}
+	late := eris.Is(context.Cause(ctx), context.DeadlineExceeded)
 	switch {
-	case ctx.Err() != nil && eris.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !late:
 		return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
-	case t != nil && t.failure != nil && !x.begun:
-		t.passFailure()
+	case t != nil && t.failure != nil && !x.answer.Begun():
+		t.pass(t.failure)
 		return nil
+	case late:
+		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
 	case eris.Is(err, balance.ErrFull) && !x.ran:
 		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.route.Objective)
 	case !x.ran:
@@ -171,8 +172,8 @@
 // note writes a line about a try that did not end the request.
 func (d *deliver) note(x *Exchange, t *try, res result, err error) {
 	e := d.log.Warn().Str("request", x.call.ID).Str("target", string(t.placement.Target.ID)).
-		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.status).
-		Bool("sealed", t.sealed).Int("skipped", t.skipped).Bool("begun", x.begun).Str("last_event", x.last)
+		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.head.Status()).
+		Bool("sealed", t.head.Sealed()).Int("skipped", t.skipped).Bool("begun", x.answer.Begun()).Str("last_event", x.last)
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -7,13 +7,13 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/pipeline"
+	"github.com/barleystep/barleystep/internal/reply"
 )
 
 // Exchange is one request on its way through the stages.
 type Exchange struct {
-	w       http.ResponseWriter
 	r       *http.Request
-	control *http.ResponseController
+	answer  *reply.Writer
 	started time.Time
 	call    barleystep.Call
 
@@ -26,14 +26,8 @@
 	until   time.Time
 	body    []byte
 
-	sends  int
-	ran    bool // ran is set once a target may have run the request.
-	begun  bool // begun is set once the head of the answer went to the caller.
-	status int
-	// source is the target that gave the answer's status, empty for the box itself,
-	// and sealed is set when a target's digest went out with it.
-	source  barleystep.TargetID
-	sealed  bool
+	sends   int
+	ran     bool // ran is set once a target may have run the request.
 	target  barleystep.TargetID
 	helpers int
 	// queued is the time that the request waited for places at targets, and
@@ -61,9 +55,3 @@
 func notRun(reason barleystep.Reason, message string, after time.Duration) *barleystep.Refusal {
 	return barleystep.NewRefusal(reason, barleystep.OutcomeNotRun, message).WithRetryAfter(after)
 }
-
-// noteHead notes whose the head is that goes out now, for the request's line.
-func (x *Exchange) noteHead(p barleystep.Protocol, source barleystep.TargetID) {
-	x.source = source
-	x.sealed = p.Verdict(x.status, x.w.Header()).Sealed
-}
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -27,7 +27,7 @@
 	if n := x.r.ContentLength; n > 0 && n <= limit {
 		buffer.Grow(int(n) + bytes.MinRead)
 	}
-	_, err := buffer.ReadFrom(http.MaxBytesReader(x.w, x.r.Body, limit))
+	_, err := buffer.ReadFrom(x.answer.LimitBody(x.r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
 	case eris.As(err, &large):
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -23,12 +23,6 @@
 // relay passes a stream on, whole events at a time, so that a stream that
 // breaks can be taken up elsewhere at the border of an event.
 func (t *try) relay(resp *http.Response, w *watch) (result, error) {
-	x := t.exchange
-	resumed := x.begun
-	if !resumed {
-		t.head(resp.Header)
-		x.status = resp.StatusCode
-	}
 	buffer := make([]byte, 0, eventBuffer)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -45,7 +39,7 @@
 		}
 		buffer = append(buffer[:0], rest...)
 		switch {
-		case eris.Is(err, io.EOF) && len(buffer) == 0:
+		case eris.Is(err, io.EOF) && len(buffer) == 0 && t.mayBeEmpty(resp):
 			t.begin()
 			return resultDone, nil
 		case eris.Is(err, io.EOF):
@@ -56,6 +50,15 @@
 	}
 }
 
+// mayBeEmpty reports whether the stream may be whole as far as its events go. One that
+// ends with its connection looks the same if the target broke off after the head; then
+// it is whole only if the caller has events, after which there may be no more.
+func (t *try) mayBeEmpty(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	x := t.exchange
+	return framed || x.answer.Begun() || x.call.LastEvent != ""
+}
+
 // forward sends the whole events of data and returns what is left.
 func (t *try) forward(data []byte, w *watch) (rest []byte, err error) {
 	end := eventEnd(data)
@@ -84,30 +87,25 @@
 	}
 	x.events += bytes.Count(fresh, eventBorder)
 	x.notePause(t.stage.clock.Now())
-	if _, err := x.w.Write(fresh); err != nil {
-		return nil, eris.Wrap(errCaller, err.Error())
-	}
-	if err := x.control.Flush(); err != nil {
+	if err := x.answer.Write(fresh); err != nil {
 		return nil, eris.Wrap(errCaller, err.Error())
 	}
 	return data[end:], nil
 }
 
-// begin sends the head of the answer, once.
+// begin sends the head of the try's answer, unless that of an earlier try went out.
 func (t *try) begin() {
 	x := t.exchange
 	if t.first == 0 {
 		t.first = t.stage.clock.Now().Sub(t.started)
 		t.placement.First()
 	}
-	if x.begun {
+	if x.answer.Begun() {
 		return
 	}
-	x.begun = true
 	x.first = t.stage.clock.Now().Sub(x.started)
 	t.stage.meter.FirstToken(x.route.Kind.String(), x.first)
-	x.noteHead(t.stage.protocol, t.placement.Target.ID)
-	x.w.WriteHeader(x.status)
+	x.answer.Begin(t.head)
 }
 
 // notePause notes that events go out now.
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -138,25 +138,29 @@
 	return status > 0 && status < http.StatusInternalServerError
 }
 
-// order gives one order and returns the status of the answer, 0 if there was
-// none.
+// order gives one order and returns the status of the answer, 0 if there was none.
+//
+// Answers to orders name nothing that they belong to. So each order has a connection of
+// its own, on which no late answer to anything else can come.
 func (t *try) order(ctx context.Context, addr string, req *http.Request, body []byte) int {
-	c, err := t.stage.pool.Get(ctx, addr)
+	c, err := t.stage.pool.Dial(ctx, addr)
 	if err != nil {
 		return 0
 	}
+	defer c.Discard()
 	req.Host = addr
-	resp, err := c.Send(ctx, req, body, func(http.Header) bool { return true })
+	resp, err := c.Send(ctx, req, body, t.answersOrder)
 	if err != nil {
-		c.Discard()
 		return 0
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes))
-	resp.Body.Close()
-	if err != nil {
-		c.Discard()
+	defer resp.Body.Close()
+	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes)); err != nil {
 		return 0
 	}
-	c.Release(resp)
 	return resp.StatusCode
 }
+
+// answersOrder reports whether an answer may be one to an order: it names no request.
+func (t *try) answersOrder(h http.Header) bool {
+	return t.stage.protocol.Verdict(0, h).ID == ""
+}
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -1,10 +1,12 @@
 package front_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -82,6 +84,48 @@
 	}
 }
 
+// TestForeignOrderAnswer checks that an order is not taken for done because of an answer
+// to something else that comes late on a connection that has been used before.
+func TestForeignOrderAnswer(t *testing.T) {
+	cases := map[string]string{
+		"of a request":       "HTTP/1.1 200 X\r\nId: r0\r\nSeal: s\r\nContent-Length: 0\r\n\r\n",
+		"of another order":   "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
+		"without any length": "HTTP/1.1 200 X\r\n\r\n",
+	}
+	for name, foreign := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			view := newView()
+			view.Route("h", "/giant/").MaxSends = 1
+			var used sync.Map
+			var together sync.WaitGroup // It keeps a connection for each of the two helpers.
+			together.Add(2)
+			first := func(k net.Conn, r *http.Request) bool {
+				used.Store(k, true)
+				together.Done()
+				together.Wait()
+				return whole(http.StatusOK, sealed, "good")(k, r)
+			}
+			refuse := func(k net.Conn, r *http.Request) bool {
+				if _, ok := used.Load(k); ok {
+					_, _ = io.WriteString(k, foreign)
+				}
+				return whole(http.StatusConflict, "", "")(k, r)
+			}
+			f := newFixture(t, state{view: view}, first, first, events(1, 2, false))
+			f.target.orders = []step{refuse}
+			var asked sync.WaitGroup
+			for range 2 {
+				asked.Go(func() { c.Check(f.ask(t, http.MethodPost, "/once/", "").status, quicktest.Equals, http.StatusOK) })
+			}
+			asked.Wait()
+			got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+			c.Check(got.status, quicktest.Equals, http.StatusServiceUnavailable)
+			c.Check(strings.Count(f.target.kinds(), "S"), quicktest.Equals, 2)
+		})
+	}
+}
+
 // failingOnce closes the connection of the first request below the path.
 func failingOnce(path string, otherwise step) step {
 	var failed atomic.Bool
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,6 +15,7 @@
 	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/reply"
 )
 
 // Configuration is the configuration in force and the age of its proof.
@@ -82,14 +83,13 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	x := &Exchange{
-		w:       w,
 		r:       r,
-		control: http.NewResponseController(w),
+		answer:  reply.NewWriter(w),
 		started: s.Clock.Now(),
 		call:    s.Protocol.Call(r.Header),
 	}
 	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
+		x.answer.CloseAfter()
 	}
 	if s.closed.Load() {
 		s.end(x, notRun(barleystep.ReasonStopping, "The box is stopping.", restartPause))
@@ -106,24 +106,22 @@
 	}
 	r := barleystep.AsRefusal(err)
 	s.Meter.Refused(string(r.Reason()), r.Outcome().String())
-	if !x.begun && r.Reason() != barleystep.ReasonCallerGone {
+	begun := x.answer.Begun()
+	if !begun && r.Reason() != barleystep.ReasonCallerGone {
 		s.refuse(x, r)
 	}
 	s.line(x, r.Reason(), r.Outcome())
-	if x.begun || r.Reason() == barleystep.ReasonCallerGone {
+	if begun || r.Reason() == barleystep.ReasonCallerGone {
 		// An answer that was cut must not look whole.
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func (s *Server) refuse(x *Exchange, r *barleystep.Refusal) {
-	h := x.w.Header()
+	h := make(http.Header)
 	s.Protocol.Answer(h, x.call.ID, r.RetryAfter())
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	x.status = statusOf(r)
-	x.noteHead(s.Protocol, "")
-	x.w.WriteHeader(x.status)
-	_, _ = x.w.Write([]byte(r.Error() + "\n")) // The caller may have gone away.
+	x.answer.Whole(reply.Own(statusOf(r), h), []byte(r.Error()+"\n"))
 }
 
 // statusOf returns the HTTP status for a refusal. Statuses that promise that a
@@ -151,9 +149,10 @@
 	if reason != "" {
 		e = s.Log.Warn().Str("reason", string(reason))
 	}
-	e.Str("request", x.call.ID).Str("outcome", outcome.String()).Int("status", x.status).
+	head := x.answer.Head()
+	e.Str("request", x.call.ID).Str("outcome", outcome.String()).Int("status", head.Status()).
 		Int("sends", x.sends).Str("target", string(x.target)).Int("helpers", x.helpers).
-		Str("source", string(x.source)).Bool("sealed", x.sealed).
+		Str("source", string(head.Source())).Bool("sealed", head.Sealed()).
 		Int("prompt", x.call.Prompt).Int("events", x.events)
 	if x.view != nil {
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.age)
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/reply"
 )
 
 // try is one try of a request at one target.
@@ -27,13 +27,10 @@
 	// number counts the request's tries, also those that reached no target.
 	number  int
 	started time.Time
-	status  int
-	// sealed is set when the answer carries the target's digest, and skipped counts
-	// the answers to other requests that came before it.
-	sealed  bool
-	skipped int
+	head    reply.Head    // head is that of the target's answer.
+	skipped int           // skipped counts the answers to other requests that came before it.
 	first   time.Duration // first is the time to the first event or the answer.
-	failure *failure
+	failure []byte        // failure is the body of the target's own failure, kept to be passed on.
 	// reserved are the reservations at helpers.
 	reserved []reservation
 	// renewals is closed when no renewal is on its way any more.
@@ -44,13 +41,6 @@
 	blamed barleystep.TargetID
 }
 
-// failure is a target's own failure, kept until it is known whether another
-// target does better.
-type failure struct {
-	header http.Header
-	body   []byte
-}
-
 // answerBytes bounds an answer that is held until it is whole; longer ones do
 // not occur on routes that are no streams.
 const answerBytes = 8 << 20
@@ -63,6 +53,9 @@
 	errCaller   = eris.New("front: the caller does not read")
 
 	errLongAnswer = eris.New("front: the answer is too long")
+	// errPromise means that a status promises that the request has not run, which the
+	// target does not say besides. It may have run, so the status is not passed on.
+	errPromise = eris.New("front: the target does not say that the request has not run")
 )
 
 // run sends the request and relays its answer.
@@ -99,7 +92,7 @@
 	}
 	res, err := t.take(resp, watch)
 	resp.Body.Close()
-	if err != nil && res != resultNotRun {
+	if res == resultBroken {
 		c.Discard()
 	} else {
 		c.Release(resp)
@@ -138,10 +131,10 @@
 	return resultBroken, stallOf(ctx, err)
 }
 
-// mine reports whether an answer belongs to this request.
+// mine reports whether an answer is to this request. One that names no request is not:
+// targets name the request in each answer.
 func (t *try) mine(h http.Header) bool {
-	v := t.stage.protocol.Verdict(0, h)
-	return v.ID == "" || v.ID == t.exchange.call.ID
+	return t.stage.protocol.Verdict(0, h).ID == t.exchange.call.ID
 }
 
 // request returns the request as the target gets it.
@@ -152,7 +145,7 @@
 		target = x.r.URL.RequestURI()
 	}
 	h := x.r.Header.Clone()
-	removeHop(h)
+	reply.RemoveHop(h)
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "") // An empty one is not sent.
 	}
@@ -176,23 +169,6 @@
 	return r
 }
 
-// hopHeaders belong to one connection only.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-func removeHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // helperNamed returns the helper with the id or the address, empty if there is none.
 func (t *try) helperNamed(name string) barleystep.TargetID {
 	for _, h := range t.placement.Helpers {
@@ -205,25 +181,30 @@
 
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
-	x := t.exchange
-	t.status = resp.StatusCode
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
-	t.sealed = verdict.Sealed
+	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.Sealed)
 	if verdict.NotRun {
 		t.blamed = t.helperNamed(verdict.Blamed)
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes))
 		return resultNotRun, err
 	}
-	x.ran = true
-	success := resp.StatusCode < http.StatusMultipleChoices
+	t.exchange.ran = true
 	switch {
 	case verdict.Encoded:
 		return resultBroken, errEncoded
-	case success && !verdict.Sealed:
+	case !verdict.Sealed:
 		return resultBroken, errUnsealed
-	case success && x.route.Kind == fleet.KindStream:
+	case success(resp.StatusCode) && t.exchange.route.Kind == fleet.KindStream:
 		return t.relay(resp, w)
 	}
+	return t.hold(resp)
+}
+
+func success(status int) bool { return status < http.StatusMultipleChoices }
+
+// hold takes in an answer that is no stream and passes it on once it is whole. A
+// failure of the target's own is kept until it is known whether another does better.
+func (t *try) hold(resp *http.Response) (result, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes+1))
 	if err == nil && len(body) > answerBytes {
 		err = errLongAnswer
@@ -232,50 +213,31 @@
 		return resultBroken, err
 	}
 	t.first = t.stage.clock.Now().Sub(t.started)
-	if resp.StatusCode >= http.StatusInternalServerError {
-		t.failure = &failure{header: resp.Header, body: body}
+	switch {
+	case promises(resp.StatusCode):
+		return resultFailed, errPromise
+	case resp.StatusCode >= http.StatusInternalServerError:
+		t.failure = body
 		return resultFailed, nil
 	}
-	t.pass(resp.StatusCode, resp.Header, body)
+	t.pass(body)
 	return resultDone, nil
 }
 
-// pass gives a whole answer to the caller.
-func (t *try) pass(status int, from http.Header, body []byte) {
-	x := t.exchange
-	t.head(from)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.status = status
-	x.begun = true
-	x.first = t.stage.clock.Now().Sub(x.started)
-	x.noteHead(t.stage.protocol, t.placement.Target.ID)
-	x.w.WriteHeader(status)
-	_, _ = x.w.Write(body) // The caller may have gone away.
-}
-
-// passFailure gives the target's own failure to the caller. A status that would
-// promise that the request has not run, which the target did not say, is
-// replaced.
-func (t *try) passFailure() {
-	status := t.status
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		status = http.StatusBadGateway
-		t.stage.protocol.Unseal(t.failure.header)
+// promises reports whether a status tells callers that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
 	}
-	t.pass(status, t.failure.header, t.failure.body)
+	return false
 }
 
-// head copies the headers of an answer.
-func (t *try) head(from http.Header) {
-	to := t.exchange.w.Header()
-	removeHop(from)
-	from.Del("Content-Length")
-	for name, values := range from {
-		to[name] = values
-	}
-	if _, ok := to["Date"]; !ok {
-		to["Date"] = nil // The answer is passed on as it came.
-	}
+// pass gives the target's whole answer to the caller.
+func (t *try) pass(body []byte) {
+	x := t.exchange
+	x.first = t.stage.clock.Now().Sub(x.started)
+	x.answer.Whole(t.head, body)
 }
 
 // report tells the balancer what was learnt of the target.
@@ -286,6 +248,6 @@
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun && t.blamed == "",
 		Helper:      t.blamed,
-		Moved:       t.status == http.StatusMisdirectedRequest,
+		Moved:       t.head.Status() == http.StatusMisdirectedRequest,
 	}
 }
--- /dev/null
+++ b/internal/reply/head.go
@@ -0,0 +1,65 @@
+package reply
+
+import (
+	"maps"
+	"net/http"
+	"strings"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Head is the status and the header fields of one answer. The zero value is the head
+// of no answer.
+type Head struct {
+	status int
+	header http.Header
+	source barleystep.TargetID
+	sealed bool
+}
+
+// Own returns the head of an answer that the box itself gives.
+func Own(status int, header http.Header) Head {
+	return Head{status: status, header: header}
+}
+
+// FromTarget returns the head of a target's answer, less what belongs to the
+// connection to the target. It copies what it takes of the answer.
+func FromTarget(source barleystep.TargetID, answer *http.Response, sealed bool) Head {
+	header := maps.Clone(answer.Header)
+	if header == nil {
+		header = make(http.Header)
+	}
+	RemoveHop(header)
+	header.Del("Content-Length") // It is set anew where the body is known.
+	if _, ok := header["Date"]; !ok {
+		header["Date"] = nil // The server of the box would add its own.
+	}
+	return Head{status: answer.StatusCode, header: header, source: source, sealed: sealed}
+}
+
+// Status returns the HTTP status, 0 for the head of no answer.
+func (h Head) Status() int { return h.status }
+
+// Source returns the target whose answer it is, empty for the box.
+func (h Head) Source() barleystep.TargetID { return h.source }
+
+// Sealed reports whether the head carries its target's digest.
+func (h Head) Sealed() bool { return h.sealed }
+
+// hopHeaders belong to one connection only.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// RemoveHop removes the header fields that belong to one connection only.
+func RemoveHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- a/protocol.go
+++ b/protocol.go
@@ -56,7 +56,7 @@
 
 // Verdict is what the head of a target's answer says, besides its status.
 type Verdict struct {
-	// ID is the request that the answer belongs to.
+	// ID is the request that the answer belongs to; each answer to a request names it.
 	ID string
 	// Sealed is set when the answer carries the target's digest, without which
 	// a success does not count.
@@ -84,9 +84,6 @@
 	Reserve(r Reservation) (req *http.Request, body []byte)
 	// Release returns the order that ends a reservation.
 	Release(id string) (req *http.Request, body []byte)
-	// Unseal removes from an answer's headers what says that the target vouches
-	// for it.
-	Unseal(h http.Header)
 	// Answer writes the headers of an answer that the box itself gives.
 	Answer(h http.Header, id string, retryAfter time.Duration)
 }
