--- /dev/null
+++ b/deploy/days/draw/main.go
@@ -0,0 +1,114 @@
+// Command draw writes days of trouble between boxes and targets, drawn from a seed:
+// spoilt, repeated, late and lost answers while targets fail, hang, crash and have
+// their connections reset, on all services at once and all day long.
+//
+//	go run ./deploy/days/draw --service cititor-model --service portal-coop --count 12 DIR
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+// draw holds the command's settings.
+type draw struct {
+	services []string
+	count    int
+	seed     uint64
+}
+
+const (
+	// dayLength is how long callers send, in seconds.
+	dayLength = 44
+	// period is how often each service gets new troubles, in seconds.
+	period = 4
+	// lastStart is after when no new troubles begin, in seconds, so that they end
+	// with the day.
+	lastStart = 40
+)
+
+// The variants of the bench's page of kinds.
+var (
+	spoilt = []string{"", "extra", "extra late", "unframed", "early", "unframed extra", "rot"}
+	failed = []string{"errors", "shed", "busy", "hang", "reset", "mute", "slow"}
+	lost   = []string{"", "reset"}
+	dead   = []string{"", "dark"}
+)
+
+func main() {
+	d := &draw{}
+	cmd := &cobra.Command{
+		Use:          "draw DIR",
+		Short:        "Draws days of trouble between boxes and targets.",
+		Args:         cobra.ExactArgs(1),
+		SilenceUsage: true,
+		RunE:         func(_ *cobra.Command, args []string) error { return d.run(args[0]) },
+	}
+	cmd.Flags().StringArrayVar(&d.services, "service", nil, "a service of the deployment (repeat for each)")
+	cmd.Flags().IntVar(&d.count, "count", 1, "how many days")
+	cmd.Flags().Uint64Var(&d.seed, "seed", 1, "what the days are drawn from")
+	if cmd.Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+func (d *draw) run(dir string) (err error) {
+	defer func() { err = eris.Wrap(err, "draw: write days") }()
+	for i := range d.count {
+		name := fmt.Sprintf("answers-%d-%d", d.seed, i)
+		text := d.day(name, rand.New(rand.NewPCG(d.seed, uint64(i))))
+		if err := os.WriteFile(filepath.Join(dir, name+".toml"), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// day returns one day as the bench reads it.
+func (d *draw) day(name string, r *rand.Rand) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nslot = \"trouble\"\nseed = %d\nlength_s = %d\n", name, r.IntN(1_000_000), dayLength)
+	b.WriteString("one = 0.8\nzero = 0.3\ngoal = { floor = 0.1 }\nlabels = []\nplan = []\nfaults = [\n")
+	for at := 1; at < lastStart; at += period {
+		for _, s := range d.services {
+			for _, entry := range troubles(r, s, float64(at)) {
+				b.WriteString("  " + entry + "\n")
+			}
+		}
+	}
+	b.WriteString("]\n")
+	return b.String()
+}
+
+// troubles returns what befalls a service from about the time on.
+func troubles(r *rand.Rand, service string, at float64) []string {
+	entry := func(kind string, share, x, length float64, how string) string {
+		return fmt.Sprintf("{ at = %.1f, kind = %q, service = %q, share = %.2f, x = %.3f, for_s = %.1f, how = %q },",
+			at+between(r, 0, 3), kind, service, share, x, length, how)
+	}
+	list := []string{
+		entry("garble", between(r, 0.4, 0.9), between(r, 0.02, 0.2), between(r, 3, 6), one(r, spoilt)),
+		entry("srv_grey", between(r, 0.15, 0.6), between(r, 0.2, 0.6), between(r, 2, 5), one(r, failed)),
+	}
+	if r.Float64() < 0.4 {
+		list = append(list, entry("answer_lost", 0.6, between(r, 0.02, 0.3), 4, one(r, lost)))
+	}
+	if r.Float64() < 0.3 {
+		list = append(list, fmt.Sprintf("{ at = %.1f, kind = \"srv_crash\", service = %q, share = %.2f, for_s = 3.0, how = %q },",
+			at+between(r, 0, 3), service, between(r, 0.1, 0.3), one(r, dead)))
+	}
+	if r.Float64() < 0.3 {
+		list = append(list, fmt.Sprintf("{ at = %.1f, kind = \"reset_conns\", share = 0.5, x = 0.6 },", at+between(r, 0, 3)))
+	}
+	return list
+}
+
+func between(r *rand.Rand, from, to float64) float64 { return from + (to-from)*r.Float64() }
+
+func one(r *rand.Rand, of []string) string { return of[r.IntN(len(of))] }
