A soak of real processes: faults from a seed, a checker for each promise

barleystep-soak runs boxes, the stand-in store and stand-in targets as processes on loopback sockets. Faults overlap: signals, crashes, leaving targets, spoilt answers in thirteen ways, links reset, silent and slow, a store that fails and forgets, new routes, a key taken away.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test lint model generate placement balance capacity
+.PHONY: run test soak lint model generate placement balance capacity
 
 # run starts a small hall on loopback.
 run:
@@ -10,6 +10,13 @@
 test:
 	skip=$$(.ci/known-red.sh); $(GO) test -race -timeout 20m $${skip:+-skip "$$skip"} ./...
 
+# soak runs processes under faults drawn from SEED for LENGTH and checks every promise.
+SEED ?= 2
+LENGTH ?= 20s
+soak:
+	$(GO) build -o target/ ./cmd/barleystep-router ./cmd/barleystep-soak
+	target/barleystep-soak --seed $(SEED) --length $(LENGTH)
+
 # lint checks formatting and the linter's rules with the pinned linter.
 lint:
 	cd tools/lint && $(GO) build -o ../../build/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
--- /dev/null
+++ b/cmd/barleystep-soak/main.go
@@ -0,0 +1,94 @@
+// Command barleystep-soak runs boxes, a store and targets as processes on loopback
+// sockets under faults drawn from a seed, and checks that every promise is kept.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/soak"
+)
+
+// Defaults of a short run.
+const (
+	defaultLength  = 30 * time.Second
+	defaultBoxes   = 3
+	defaultTargets = 6
+	defaultCallers = 24
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		os.Exit(command.ExitFailure)
+	}
+}
+
+func newCommand() *cobra.Command {
+	s := &soak.Soak{Clock: clock.System{}, Out: os.Stdout}
+	root := &cobra.Command{
+		Use:          "barleystep-soak",
+		Short:        "Run boxes under faults and check every promise",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(cmd *cobra.Command, _ []string) error { return run(cmd, s) },
+	}
+	root.Flags().Uint64Var(&s.Seed, "seed", 1, "what the faults are drawn from")
+	root.Flags().DurationVar(&s.Length, "length", defaultLength, "how long requests are sent")
+	root.Flags().IntVar(&s.Boxes, "boxes", defaultBoxes, "how many boxes")
+	root.Flags().IntVar(&s.Targets, "targets", defaultTargets, "how many engines; there are half as many plain targets")
+	root.Flags().IntVar(&s.Callers, "callers", defaultCallers, "how many callers")
+	root.Flags().StringVar(&s.Program, "router", "target/barleystep-router", "the box's program")
+	root.AddCommand(targetCommand(), storeCommand())
+	return root
+}
+
+func run(cmd *cobra.Command, s *soak.Soak) (err error) {
+	if s.Self, err = os.Executable(); err != nil {
+		return eris.Wrap(err, "soak: own program")
+	}
+	if s.Dir, err = soak.TempDir(s.Seed); err != nil {
+		return err
+	}
+	found, err := s.Run(cmd.Context())
+	if err != nil {
+		return err
+	}
+	for _, line := range found {
+		fmt.Fprintln(s.Out, "WRONG", line)
+	}
+	fmt.Fprintf(s.Out, "seed %d: %s, %d wrong; logs of the boxes are in %s\n", s.Seed, s.Summary(), len(found), s.Dir)
+	if len(found) > 0 {
+		return eris.Errorf("seed %d: %d promises broken", s.Seed, len(found))
+	}
+	return nil
+}
+
+func targetCommand() *cobra.Command {
+	var id string
+	var memory int
+	var seed uint64
+	cmd := &cobra.Command{Use: "target", Short: "A stand-in for a target", Hidden: true, RunE: func(cmd *cobra.Command, _ []string) error {
+		return soak.RunTarget(cmd.Context(), clock.System{}, id, memory, seed)
+	}}
+	cmd.Flags().StringVar(&id, "id", "t", "its instance")
+	cmd.Flags().IntVar(&memory, "memory", 0, "its memory in tokens")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "what spoilt answers are drawn from")
+	return cmd
+}
+
+func storeCommand() *cobra.Command {
+	return &cobra.Command{Use: "store", Short: "A stand-in for the store", Hidden: true, RunE: func(cmd *cobra.Command, _ []string) error {
+		return soak.RunStore(cmd.Context(), clock.System{})
+	}}
+}
--- /dev/null
+++ b/internal/soak/box.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+)
+
+// box is a box's program, which is started again when it ends.
+type box struct {
+	id      string
+	program string
+	file    string // file is its settings file.
+	logs    *os.File
+	callers string
+	ready   string
+	clock   barleystep.Clock
+	history *History
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	life int
+	// wanted is set while the box is to run.
+	wanted bool
+	done   chan struct{}
+}
+
+// restartPause is how long a box is down after its process has ended.
+const restartPause = 300 * time.Millisecond
+
+// newBox writes the settings of a box, whose first seeds are the given addresses.
+func newBox(ctx context.Context, clk barleystep.Clock, h *History, program, dir string, number int, peers []string, store string) (b *box, err error) {
+	defer func() { err = eris.Wrap(err, "soak: box") }()
+	b = &box{id: fmt.Sprintf("b%d", number), program: program, clock: clk, history: h}
+	if b.callers, err = freeAddr(ctx); err != nil {
+		return nil, err
+	}
+	if b.ready, err = freeAddr(ctx); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("[box]\nid = %q\nhall = \"h%d\"\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[peers]\ntrusted = true\nseeds = [\"%s\"]\n"+
+		"[platform]\nurl = \"http://%s\"\n[keys]\nfreshness = %q\n[retries]\nratio = %g\nextra = %d\nwindow = %q\n[limits]\ngrace = \"8s\"\n",
+		b.id, number%2, b.callers, b.ready, peers[number], strings.Join(peers[:min(3, len(peers))], `", "`), store, freshness, retryRatio, retryExtra, retryWindow)
+	b.file = filepath.Join(dir, b.id+".toml")
+	if err = os.WriteFile(b.file, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	b.logs, err = os.Create(filepath.Join(dir, b.id+".log"))
+	return b, err
+}
+
+// listen listens on a loopback address.
+func listen(ctx context.Context) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(ctx, "tcp", "127.0.0.1:0")
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr(ctx context.Context) (addr string, err error) {
+	l, err := listen(ctx)
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// start runs the program until stop.
+func (b *box) start(ctx context.Context) {
+	b.wanted = true
+	b.done = make(chan struct{})
+	started := make(chan struct{})
+	go b.keep(ctx, started)
+	<-started
+}
+
+// keep starts the program again whenever it ends.
+func (b *box) keep(ctx context.Context, started chan struct{}) {
+	defer close(b.done)
+	for {
+		cmd := exec.CommandContext(ctx, b.program, "--config", b.file)
+		cmd.Stdout, cmd.Stderr = b.logs, b.logs
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		b.mu.Lock()
+		if !b.wanted {
+			b.mu.Unlock()
+			return
+		}
+		err := cmd.Start()
+		if err == nil {
+			b.cmd = cmd
+			b.life++
+		}
+		b.mu.Unlock()
+		if started != nil {
+			close(started)
+			started = nil
+		}
+		if err != nil {
+			b.history.Find("%s cannot be started: %v", b.id, err)
+			return
+		}
+		_ = cmd.Wait() // How it ended is judged where it was ended.
+		b.ended(cmd)
+		timer := b.clock.NewTimer(restartPause)
+		<-timer.C()
+	}
+}
+
+// ended notes a process that ended by itself.
+func (b *box) ended(cmd *exec.Cmd) {
+	life := lifeOf(b.id, b.currentLife())
+	b.history.mu.Lock()
+	_, killed := b.history.killed[life]
+	_, stopping := b.history.stopping[life]
+	b.history.mu.Unlock()
+	if !killed && !stopping {
+		b.history.Find("%s ended by itself: %s", life, cmd.ProcessState)
+	}
+}
+
+func (b *box) currentLife() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.life
+}
+
+// signal sends a signal to the current process.
+func (b *box) signal(s syscall.Signal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch s {
+	case syscall.SIGKILL:
+		b.history.Killed(b.id, b.life, b.clock.Now())
+	case syscall.SIGTERM:
+		b.history.Stopping(b.id, b.life, b.clock.Now())
+	case syscall.SIGSTOP:
+		b.history.Frozen(b.id, b.life)
+	}
+	_ = b.cmd.Process.Signal(s) // It may have ended just now.
+}
+
+// stop ends the box for good.
+func (b *box) stop() {
+	b.mu.Lock()
+	b.wanted = false
+	b.mu.Unlock()
+	b.signal(syscall.SIGCONT)
+	b.signal(syscall.SIGTERM)
+	<-b.done
+	_ = b.logs.Close()
+}
+
+// usage is what a process holds.
+type usage struct {
+	descriptors int
+	megabytes   int
+}
+
+// pageBytes is the size of a page in /proc/PID/statm.
+const pageBytes = 4 << 10
+
+func (b *box) usage() (u usage, err error) {
+	defer func() { err = eris.Wrap(err, "soak: usage") }()
+	b.mu.Lock()
+	pid := strconv.Itoa(b.cmd.Process.Pid)
+	b.mu.Unlock()
+	files, err := os.ReadDir(filepath.Join("/proc", pid, "fd"))
+	if err != nil {
+		return usage{}, err
+	}
+	text, err := os.ReadFile(filepath.Join("/proc", pid, "statm"))
+	if err != nil {
+		return usage{}, err
+	}
+	var size, resident int
+	if _, err = fmt.Sscan(string(text), &size, &resident); err != nil {
+		return usage{}, err
+	}
+	return usage{len(files), resident * pageBytes >> 20}, nil
+}
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// caller sends requests one after the other to boxes at random, over connections that it
+// keeps until the box's process is gone.
+type caller struct {
+	name    string
+	clock   barleystep.Clock
+	rand    *rand.Rand
+	boxes   []*box
+	history *History
+	// routes returns how many routes were added so far, keys the keys that may be used.
+	routes func() int
+	keys   []string
+	client *http.Client
+	number int
+}
+
+const (
+	// host is that of all routes.
+	host = "soak.example"
+	// thinkTime is the mean time between two requests of a caller.
+	thinkTime = 25 * time.Millisecond
+	// longBody is the size of a body that does not fit in socket buffers at once, and
+	// longEvery how seldom it comes.
+	longBody  = 96 << 10
+	longEvery = 20
+	// shortPrompt and giantPrompt are lengths in tokens; the second is over an engine's
+	// memory and comes once in giantEvery.
+	shortPrompt = 500
+	giantPrompt = 60_000
+	giantEvery  = 25
+)
+
+func newCaller(number int, seed uint64) *caller {
+	return &caller{
+		name:   fmt.Sprintf("c%d", number),
+		rand:   rand.New(rand.NewPCG(seed, uint64(number)+1)),
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+	}
+}
+
+// run sends requests until ctx ends.
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		b := c.boxes[c.rand.IntN(len(c.boxes))]
+		c.history.Called(c.call(b, c.draw()))
+		timer := c.clock.NewTimer(time.Duration(c.rand.ExpFloat64() * float64(thinkTime)))
+		select {
+		case <-ctx.Done():
+		case <-timer.C():
+		}
+		timer.Stop()
+	}
+	c.client.CloseIdleConnections()
+}
+
+// draw chooses what to ask for.
+func (c *caller) draw() Call {
+	c.number++
+	x := Call{ID: fmt.Sprintf("%s-%d", c.name, c.number), Key: c.keys[c.rand.IntN(len(c.keys))], Body: "body of a request"}
+	x.Kind = []Kind{KindOnce, KindAgain, KindStream, KindPlain}[c.rand.IntN(4)]
+	x.Path = "/" + string(x.Kind) + "/"
+	if n := c.routes(); n > 0 && c.rand.IntN(10) == 0 {
+		x.Kind, x.Path = KindAgain, fmt.Sprintf("/added%d/", 1+c.rand.IntN(n))
+	}
+	if c.rand.IntN(longEvery) == 0 {
+		x.Body = strings.Repeat("long body ", longBody/10)
+	}
+	return x
+}
+
+// call sends one request and takes in the answer.
+func (c *caller) call(b *box, x Call) Call {
+	x.Box, x.Life, x.Started = b.id, b.currentLife(), c.clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+	defer cancel()
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		connected, x.Reused = true, i.Reused
+	}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.callers+x.Path, strings.NewReader(x.Body))
+	if err != nil {
+		panic(err) // The address and path are this package's own.
+	}
+	req.Host = host
+	req.GetBody = nil // The transport must not send it again.
+	platformtest.SetCaller(req.Header, x.ID, x.Key)
+	prompt := shortPrompt
+	if x.Kind == KindStream && c.rand.IntN(giantEvery) == 0 {
+		prompt = giantPrompt
+	}
+	platformtest.SetPrompt(req.Header, prompt, timeLimit)
+	resp, err := c.client.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		x.Status, x.Header = resp.StatusCode, resp.Header
+		var data []byte
+		data, err = io.ReadAll(resp.Body)
+		x.Answer, x.Broken = string(data), err != nil
+	}
+	x.Ended = c.clock.Now()
+	x.GaveUp = eris.Is(err, context.DeadlineExceeded)
+	x.Unsent = !connected
+	return x
+}
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,249 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// The bounds that the boxes are given, and which their callers rely on.
+const (
+	// timeLimit is how long callers wait.
+	timeLimit = 4 * time.Second
+	// overtime is how much later than its limit a request may be answered; it is wide,
+	// since the machine may be busy, and finds what is never answered.
+	overtime = 10 * time.Second
+	// freshness is how long after it was taken away a key may still be served.
+	freshness = 5 * time.Second
+	// retryRatio, retryExtra and retryWindow are the retry budget of all boxes.
+	retryRatio  = 0.2
+	retryExtra  = 100
+	retryWindow = 10 * time.Second
+)
+
+// Check returns all that is wrong with a history, a line each.
+func (h *History) Check() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := &check{history: h, found: append([]string(nil), h.found...), arrivals: make(map[string][]platformtest.Arrival)}
+	for _, a := range h.arrivals {
+		c.arrivals[a.Request] = append(c.arrivals[a.Request], a)
+	}
+	calls := make(map[string]*Call, len(h.calls))
+	for i := range h.calls {
+		calls[h.calls[i].ID] = &h.calls[i]
+	}
+	for i := range h.calls {
+		c.call(&h.calls[i])
+	}
+	for _, a := range h.arrivals {
+		c.arrival(a, calls[a.Request])
+	}
+	c.budget(calls)
+	c.routes()
+	sort.Strings(c.found)
+	return c.found
+}
+
+// check is one examination of a history, whose lock is held.
+type check struct {
+	history  *History
+	arrivals map[string][]platformtest.Arrival
+	found    []string
+}
+
+func (c *check) find(rule, request, format string, args ...any) {
+	c.found = append(c.found, rule+": request "+request+": "+fmt.Sprintf(format, args...))
+}
+
+// call checks what one caller got.
+func (c *check) call(x *Call) {
+	c.once(x)
+	if took := x.Ended.Sub(x.Started); took > timeLimit+overtime && !c.history.frozen[lifeOf(x.Box, x.Life)] {
+		c.find("time limit", x.ID, "it took %s", took)
+	}
+	switch {
+	case x.Status == 0:
+		c.unanswered(x)
+	case x.GaveUp:
+	default:
+		c.answer(x)
+	}
+}
+
+// once checks that what must not be repeated has run once, and that a promise that it has
+// not run is true.
+func (c *check) once(x *Call) {
+	runs := 0
+	for _, a := range c.arrivals[x.ID] {
+		if a.Run > 0 {
+			runs++
+		}
+	}
+	if runs > 1 && (x.Kind == KindOnce || x.Kind == KindPlain) {
+		c.find("at most once", x.ID, "%s ran %d times", x.Kind, runs)
+	}
+	switch x.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if runs > 0 {
+			c.find("true refusals", x.ID, "%s was answered %d and ran %d times", x.Kind, x.Status, runs)
+		}
+	}
+}
+
+// unanswered checks a call that ended without any answer: only a box that was killed, or
+// one that has not taken the request, leaves one so.
+func (c *check) unanswered(x *Call) {
+	life := lifeOf(x.Box, x.Life)
+	_, killed := c.history.killed[life]
+	if x.Unsent || x.GaveUp || killed || c.history.frozen[life] {
+		return
+	}
+	if len(c.arrivals[x.ID]) > 0 {
+		c.find("no answer lost", x.ID, "%s was passed on by %s and its connection closed without an answer", x.Kind, life)
+		return
+	}
+	if _, stopping := c.history.stopping[life]; !x.Reused && !stopping {
+		c.find("no answer lost", x.ID, "%s closed a new connection without an answer", life)
+	}
+}
+
+// answer checks that an answer is the request's own, of one source, and whole.
+func (c *check) answer(x *Call) {
+	if got := platformtest.RequestOf(x.Header); got != x.ID {
+		c.find("own answer", x.ID, "the answer names %q", got)
+	}
+	seal, sealed := platformtest.ReadSeal(x.Header)
+	_, killed := c.history.killed[lifeOf(x.Box, x.Life)]
+	switch {
+	case killed && x.Broken: // It was cut in the midst, and looks it.
+	case !sealed && x.Status < http.StatusBadRequest:
+		c.find("own answer", x.ID, "a %d without a digest", x.Status)
+	case !sealed:
+		c.own(x)
+	case seal.Status != x.Status:
+		c.find("own answer", x.ID, "a %d under the digest of a %d", x.Status, seal.Status)
+	case x.Status == http.StatusOK && strings.HasPrefix(string(x.Kind), "stream"):
+		c.stream(x)
+	case x.Status == http.StatusOK:
+		c.whole(x, seal)
+	}
+}
+
+// own checks an answer of the box itself: it holds nothing of a target's.
+func (c *check) own(x *Call) {
+	if strings.Contains(x.Answer, x.ID) || x.Broken {
+		c.find("own answer", x.ID, "the box's own %d has %q, broken: %t", x.Status, x.Answer, x.Broken)
+	}
+}
+
+func (c *check) whole(x *Call, seal platformtest.Seal) {
+	want := strings.Join(platformtest.Parts(x.ID, seal, x.Path, ""), "")
+	if x.Broken || x.Answer != want {
+		c.find("whole answer", x.ID, "broken: %t, %d of %d bytes", x.Broken, len(x.Answer), len(want))
+	}
+}
+
+// stream checks that events come in order, without gap and repetition, from targets
+// that ran this request, and that a stream that looks whole is.
+func (c *check) stream(x *Call) {
+	events := strings.SplitAfter(x.Answer, "\n\n")
+	events = events[:len(events)-1] // What follows the last border is no event.
+	for i, e := range events {
+		if !strings.HasPrefix(e, fmt.Sprintf("id: %d\ndata: %s ", i+1, x.ID)) {
+			c.find("stream order", x.ID, "event %d is %q", i+1, e)
+			return
+		}
+	}
+	if !x.Broken && len(events) != platformtest.StreamEvents {
+		c.find("stream order", x.ID, "it looks whole with %d events", len(events))
+	}
+}
+
+// arrival checks what a target got against what the caller sent.
+func (c *check) arrival(a platformtest.Arrival, x *Call) {
+	if x == nil {
+		c.find("unchanged", a.Request, "no caller sent what reached %s", a.Target)
+		return
+	}
+	if want := http.MethodPost + " " + x.Path; a.Line != want || a.Body != x.Body {
+		c.find("unchanged", a.Request, "%s got %q", a.Target, a.Line)
+	}
+	if a.Key {
+		c.find("keys stay", a.Request, "%s got the caller's key", a.Target)
+	}
+	if want := c.history.tenants[x.Key]; a.Tenant != want {
+		c.find("client accounts", a.Request, "%s got %q for %q", a.Target, a.Tenant, want)
+	}
+	at, gone := c.history.revoked[x.Key]
+	if gone && a.Run > 0 && x.Started.After(at.Add(freshness)) {
+		c.find("keys taken away", a.Request, "it ran, sent %s after its key went", x.Started.Sub(at))
+	}
+}
+
+// budget checks the retries of all boxes together in every window.
+func (c *check) budget(calls map[string]*Call) {
+	var requests, repeats []time.Time
+	for _, x := range calls {
+		requests = append(requests, x.Started)
+	}
+	for _, list := range c.arrivals {
+		sort.Slice(list, func(i, k int) bool { return list[i].At.Before(list[k].At) })
+		for _, a := range list[1:] {
+			repeats = append(repeats, a.At)
+		}
+	}
+	byTime := func(list []time.Time) { sort.Slice(list, func(i, k int) bool { return list[i].Before(list[k]) }) }
+	byTime(requests)
+	byTime(repeats)
+	for i, start := range repeats {
+		end := start.Add(retryWindow)
+		n := sort.Search(len(repeats), func(k int) bool { return !repeats[k].Before(end) }) - i
+		sent := sort.Search(len(requests), func(k int) bool { return !requests[k].Before(end) }) -
+			sort.Search(len(requests), func(k int) bool { return !requests[k].Before(start.Add(-retryWindow)) })
+		if float64(n) > retryRatio*float64(sent)+retryExtra {
+			c.found = append(c.found, fmt.Sprintf("retry budget: %d repeats for %d requests", n, sent))
+			return
+		}
+	}
+}
+
+// routes checks that no life of a box forgets a route that it has served.
+func (c *check) routes() {
+	known := make(map[string]time.Time)
+	for _, x := range c.history.calls {
+		id := lifeOf(x.Box, x.Life) + x.Path
+		if at, ok := known[id]; x.Status == http.StatusOK && (!ok || x.Ended.Before(at)) {
+			known[id] = x.Ended
+		}
+	}
+	for _, x := range c.history.calls {
+		at, ok := known[lifeOf(x.Box, x.Life)+x.Path]
+		if ok && x.Status == http.StatusNotFound && x.Started.After(at) {
+			c.find("configuration never back", x.ID, "%s is not found after it was served", x.Path)
+		}
+	}
+}
+
+// Summary tells how much was seen.
+func (h *History) Summary() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	served, refused, cut := 0, 0, 0
+	for _, x := range h.calls {
+		switch {
+		case x.Status == http.StatusOK && !x.Broken:
+			served++
+		case x.Status == http.StatusOK || x.Status == 0:
+			cut++
+		default:
+			refused++
+		}
+	}
+	return fmt.Sprintf("%d requests (%d served, %d refused or failed, %d cut or unanswered), %d arrivals at targets",
+		len(h.calls), served, refused, cut, len(h.arrivals))
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// Kind is a kind of request.
+type Kind string
+
+// The kinds: what must run once, what may run again, a stream that may be taken up at
+// another target and one that may not.
+const (
+	KindOnce   Kind = "once"
+	KindAgain  Kind = "again"
+	KindStream Kind = "stream"
+	KindPlain  Kind = "streamplain"
+)
+
+// Call is one request of a caller, and what it got.
+type Call struct {
+	ID      string
+	Kind    Kind
+	Box     string
+	Life    int // Life counts the starts of the box's process.
+	Key     string
+	Path    string
+	Body    string
+	Started time.Time
+	Ended   time.Time
+	// Reused is set if the connection had served a request before.
+	Reused bool
+	// Unsent is set if no connection could be had.
+	Unsent bool
+	// GaveUp is set if the caller stopped waiting.
+	GaveUp bool
+	// Status is 0 if no head came, and Broken is set if the body did not come whole.
+	Status int
+	Header http.Header
+	Answer string
+	Broken bool
+}
+
+// History is all that callers and targets saw. It is safe for concurrent use.
+type History struct {
+	mu       sync.Mutex
+	calls    []Call
+	arrivals []platformtest.Arrival
+	// killed lists when processes of boxes were killed, by box and life, and stopping
+	// those that were told to stop.
+	killed   map[string]time.Time
+	stopping map[string]time.Time
+	frozen   map[string]bool
+	// revoked is when the store had taken each key away.
+	revoked map[string]time.Time
+	// tenants are the client accounts by their keys.
+	tenants map[string]string
+	found   []string
+}
+
+// NewHistory returns an empty history.
+func NewHistory(tenants map[string]string) *History {
+	return &History{
+		killed:   make(map[string]time.Time),
+		stopping: make(map[string]time.Time),
+		frozen:   make(map[string]bool),
+		revoked:  make(map[string]time.Time),
+		tenants:  tenants,
+	}
+}
+
+// Called notes a call that has ended.
+func (h *History) Called(c Call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, c)
+}
+
+// Arrived notes what reached a target.
+func (h *History) Arrived(a platformtest.Arrival) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.arrivals = append(h.arrivals, a)
+}
+
+// Killed notes that a life of a box was killed.
+func (h *History) Killed(box string, life int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.killed[lifeOf(box, life)] = at
+}
+
+// Stopping notes that a life of a box was told to stop.
+func (h *History) Stopping(box string, life int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping[lifeOf(box, life)] = at
+}
+
+// Frozen notes that a life of a box stood still for a time.
+func (h *History) Frozen(box string, life int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.frozen[lifeOf(box, life)] = true
+}
+
+// Revoked notes that the store has taken a key away.
+func (h *History) Revoked(key string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revoked[key] = at
+}
+
+// Find notes something wrong that was found while the run went on.
+func (h *History) Find(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.found = append(h.found, fmt.Sprintf(format, args...))
+}
+
+func lifeOf(box string, life int) string { return fmt.Sprintf("%s/%d", box, life) }
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// Action is what is done to a process, a link or the store.
+type Action string
+
+// The actions. Those with a duration end after it.
+const (
+	// ActionTerm, ActionKill, ActionFreeze and ActionReload send a box SIGTERM,
+	// SIGKILL, SIGSTOP (and SIGCONT in the end) and SIGHUP. A box that ends is
+	// started again.
+	ActionTerm   Action = "term"
+	ActionKill   Action = "kill"
+	ActionFreeze Action = "freeze"
+	ActionReload Action = "reload"
+	// ActionKillAll kills all boxes at once.
+	ActionKillAll Action = "kill-all"
+	// ActionCrash kills a target; another with a new id takes its place in the end.
+	ActionCrash Action = "crash"
+	// ActionDrain has a target say that it leaves, and end it in the end.
+	ActionDrain Action = "drain"
+	// ActionSpoil has targets spoil their answers.
+	ActionSpoil Action = "spoil"
+	// ActionReset, ActionSilence and ActionSlow break, silence and slow the
+	// connections to a target.
+	ActionReset   Action = "reset"
+	ActionSilence Action = "silence"
+	ActionSlow    Action = "slow"
+	// ActionStore has the store fail in the way that Detail names.
+	ActionStore Action = "store"
+	// ActionForget has the store forget its history.
+	ActionForget Action = "forget"
+	// ActionRoute adds a route, and ActionRevoke takes the key away that is there to be
+	// taken away.
+	ActionRoute  Action = "route"
+	ActionRevoke Action = "revoke"
+)
+
+// Event is one entry of a schedule.
+type Event struct {
+	At     time.Duration
+	For    time.Duration
+	Action Action
+	// Index chooses the box or target.
+	Index int
+	// Detail is the store's fault or how answers are spoilt, and Share of how many.
+	Detail string
+	Share  float64
+}
+
+// String returns the event as a line of the schedule.
+func (e Event) String() string {
+	return fmt.Sprintf("%8s %-8s %d for %s %s %.2f", e.At, e.Action, e.Index, e.For, e.Detail, e.Share)
+}
+
+const (
+	// quietStart and quietEnd are free of faults: all must work before, and again
+	// after.
+	quietStart = 2 * time.Second
+	quietEnd   = 3 * time.Second
+	// gap is the mean time between two events; they overlap, since most last longer.
+	gap = 350 * time.Millisecond
+	// shortest and longest bound how long a fault lasts.
+	shortest = 300 * time.Millisecond
+	longest  = 4 * time.Second
+	// leastShare and mostShare bound how many answers of a target are spoilt.
+	leastShare = 0.05
+	mostShare  = 0.4
+)
+
+// weights say how often each action comes.
+var weights = map[Action]int{
+	ActionTerm: 6, ActionKill: 4, ActionFreeze: 4, ActionReload: 4, ActionKillAll: 1,
+	ActionCrash: 5, ActionDrain: 4, ActionSpoil: 30, ActionReset: 6, ActionSilence: 4, ActionSlow: 4,
+	ActionStore: 6, ActionForget: 2, ActionRoute: 4, ActionRevoke: 1,
+}
+
+// actions returns the actions in a fixed order, each as often as its weight says.
+func actions() []Action {
+	var list []Action
+	for a, n := range weights {
+		for range n {
+			list = append(list, a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Schedule draws the events of a run; the same seed gives the same schedule.
+func Schedule(seed uint64, length time.Duration, boxes, targets int) []Event {
+	r := rand.New(rand.NewPCG(seed, 0))
+	list := actions()
+	var events []Event
+	for at := quietStart; at < length-quietEnd; at += time.Duration(r.ExpFloat64() * float64(gap)) {
+		e := Event{
+			At:     at.Round(time.Millisecond),
+			For:    (shortest + time.Duration(r.Int64N(int64(longest-shortest)))).Round(time.Millisecond),
+			Action: list[r.IntN(len(list))],
+		}
+		e.For = min(e.For, (length - quietEnd - e.At).Round(time.Millisecond))
+		e.detail(r, boxes, targets)
+		events = append(events, e)
+	}
+	return events
+}
+
+// detail draws what the action is done to, and how.
+func (e *Event) detail(r *rand.Rand, boxes, targets int) {
+	e.Index = r.IntN(targets)
+	switch e.Action {
+	case ActionTerm, ActionKill, ActionFreeze, ActionReload:
+		e.Index = r.IntN(boxes)
+	case ActionSpoil:
+		e.Detail = string(platformtest.Spoils[r.IntN(len(platformtest.Spoils))])
+		e.Share = leastShare + (mostShare-leastShare)*r.Float64()
+	case ActionStore:
+		e.Detail = storeFaults[r.IntN(len(storeFaults))]
+	}
+}
+
+// storeFaults are the store's faults by their names.
+var storeFaults = []string{"busy", "reset", "lost", "hang"}
--- /dev/null
+++ b/internal/soak/standin.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// output writes reports to the process that started this one.
+type output struct {
+	mu    sync.Mutex
+	lines *json.Encoder
+}
+
+func newOutput() *output { return &output{lines: json.NewEncoder(os.Stdout)} }
+
+func (o *output) tell(r report) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_ = o.lines.Encode(r) // The other process has ended; so does this one, with its input.
+}
+
+// serveOrders carries out orders until the input ends.
+func serveOrders(out *output, carry func(order) (held int)) error {
+	in := json.NewDecoder(os.Stdin)
+	for {
+		var o order
+		err := in.Decode(&o)
+		if eris.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "soak: read orders")
+		}
+		out.tell(report{Done: o.Number, Held: carry(o)})
+	}
+}
+
+// RunTarget is the process of a stand-in for a target. It returns when its input ends.
+func RunTarget(ctx context.Context, clk barleystep.Clock, id string, memory int, seed uint64) (err error) {
+	l, err := listen(ctx)
+	if err != nil {
+		return eris.Wrap(err, "soak: target")
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	out := newOutput()
+	t := &platformtest.Target{ID: id, Clock: clk, Pause: targetPause, Memory: memory, Seed: seed, Note: func(a platformtest.Arrival) {
+		out.tell(report{Arrival: &a})
+	}}
+	out.tell(report{Addr: l.Addr().String()})
+	go func() { _ = t.Serve(l) }() // It ends with the process.
+	return serveOrders(out, func(o order) int {
+		if o.Spoils != nil {
+			t.SetSpoils(o.Spoils)
+		}
+		return t.Held()
+	})
+}
+
+// targetPause is the time between events of a target.
+const targetPause = 8 * time.Millisecond
+
+// RunStore is the process of a stand-in for the platform's store.
+func RunStore(ctx context.Context, clk barleystep.Clock) (err error) {
+	l, err := listen(ctx)
+	if err != nil {
+		return eris.Wrap(err, "soak: store")
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	s := &platformtest.Store{Clock: clk}
+	out := newOutput()
+	out.tell(report{Addr: l.Addr().String()})
+	server := &http.Server{Handler: s, ReadHeaderTimeout: timeLimit}
+	go func() { _ = server.Serve(l) }() // It ends with the process.
+	return serveOrders(out, func(o order) int {
+		carryStore(s, o)
+		return 0
+	})
+}
+
+func carryStore(s *platformtest.Store, o order) {
+	switch {
+	case o.Put != nil:
+		s.Put(o.Put.Table, o.Put.Key, o.Put.Value)
+	case o.Remove != nil:
+		s.Remove(o.Remove.Table, o.Remove.Key)
+	case o.Forget:
+		s.Forget()
+	case o.Fault != "":
+		s.SetFault(faultsByName[o.Fault])
+	}
+}
+
+var faultsByName = map[string]platformtest.Fault{
+	"none":  platformtest.FaultNone,
+	"busy":  platformtest.FaultBusy,
+	"reset": platformtest.FaultReset,
+	"lost":  platformtest.FaultLost,
+	"hang":  platformtest.FaultHang,
+}
