Tell the balancer for how long a caller waits, and refuse at once what is in vain

Cause: a long prompt waited at the lead by its objective, whatever was left of its caller's time; one that came back with 3 s left waited for all of them, then had no answer. Change: a job has the time at which its caller stops waiting (the request's time limit, and for streams that were not sent yet the patience that callers publish); what cannot be served in it by idle engines is refused at once; what waits is placed, if that still serves it, or refused when it has to go.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,6 +25,9 @@
 // while these are needed for others. It may come back later.
 var ErrFull = eris.New("balance: all targets are full")
 
+// ErrInVain is returned when the caller would be gone before the first event could come.
+var ErrInVain = eris.New("balance: the caller would be gone before an answer")
+
 // ErrWaiting is returned when a prompt has waited for its engines for as long as the
 // question was to be held. It is to be asked again.
 var ErrWaiting = eris.New("balance: no place yet")
@@ -46,6 +49,8 @@
 	Tightest time.Duration
 	// Since is when the caller asked; zero is now.
 	Since time.Time
+	// Until is when the caller stops waiting for the first event; zero is not known.
+	Until time.Time
 	// Avoid lists targets that have already failed the request.
 	Avoid []barleystep.TargetID
 	// Alone asks for no helpers: a target has refused the request with some, and has
@@ -54,6 +59,8 @@
 
 	// spare is how many slots the job must leave free.
 	spare int
+	// last is set when the job cannot wait any longer.
+	last bool
 }
 
 // Report is what a try taught about its target.
@@ -141,8 +148,8 @@
 )
 
 // Place chooses a target. Where all engines for short prompts are full it waits
-// for a place. It returns ErrNoTarget, ErrFull when the wait would be in vain, or
-// the context's error.
+// for a place. It returns ErrNoTarget, ErrFull when there was none, ErrInVain when the
+// caller would not wait for the answer, or the context's error.
 func (b *Balancer) Place(ctx context.Context, j Job) (p *Placement, err error) {
 	p, w, err := b.Ask(ctx, j)
 	if p != nil || err != nil {
@@ -158,6 +165,9 @@
 	if first {
 		j.Since = b.Clock.Now()
 	}
+	if b.inVain(j) {
+		return nil, nil, ErrInVain
+	}
 	if p, err = b.askLead(ctx, j); p != nil || err != nil {
 		return p, nil, err
 	}
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -23,7 +23,10 @@
 // a prompt that waits here can still go to others, or let a shorter one pass.
 func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
 	g := b.bestAssignment(j, engines)
-	due := b.waited(j) > mostWait*j.Objective
+	due := j.last || b.waited(j) > mostWait*j.Objective
+	if due && b.inVainAfter(j, g.expected) {
+		return nil
+	}
 	if !due && (g.wait > readAhead || b.lull(j, g)) {
 		return nil
 	}
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -16,8 +16,8 @@
 // knowing of the other, would take the same ones.
 type Lead interface {
 	// Place returns the plan for a long prompt, once its engines are ready for it. It
-	// returns ErrFull if the prompt should come back later, and any other error if it
-	// is to be placed here.
+	// returns ErrFull if the prompt should come back later, ErrInVain if its caller would
+	// be gone, and any other error if it is to be placed here.
 	Place(ctx context.Context, j Job) (Plan, error)
 	// Read tells the lead that its plan's prompt was read, or never will be, so that
 	// the engines are ready for the next one. It does not wait.
@@ -83,7 +83,7 @@
 			b.Lead.Read(plan.Number) // Nobody will read it there.
 		}
 		return p, nil
-	case eris.Is(err, ErrFull):
+	case eris.Is(err, ErrFull), eris.Is(err, ErrInVain):
 		return nil, err
 	default:
 		return nil, nil // The client has logged why; the prompt is placed here.
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -66,12 +66,21 @@
 // Ready returns the channel on which the placement comes.
 func (w *Wait) Ready() <-chan *Placement { return w.ready }
 
-// Until returns when the wait is to be abandoned.
+// Until returns when the wait is to be abandoned: while the caller would still wait for
+// the answer that a placement then gives.
 func (w *Wait) Until() time.Time {
-	return w.since.Add(max(patience*w.job.Objective, leastPatience))
+	until := w.since.Add(max(patience*w.job.Objective, leastPatience))
+	if w.job.Until.IsZero() {
+		return until
+	}
+	if latest := w.job.Until.Add(-w.job.leastTime()); latest.Before(until) {
+		return latest
+	}
+	return until
 }
 
-// Abandon ends a wait. It returns ErrFull, or the placement if it has just come.
+// Abandon ends a wait. It returns the placement if it has just come, or if a long prompt
+// that has to go now can still be served in time; else ErrFull.
 func (b *Balancer) Abandon(w *Wait) (p *Placement, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -80,8 +89,36 @@
 	case p = <-w.ready:
 		return p, nil
 	default:
+	}
+	if !heavy(w.job) || b.Clock.Now().Before(w.Until()) {
 		return nil, ErrFull
 	}
+	w.job.last = true
+	if p, err = b.try(w.job); p != nil {
+		return p, nil
+	}
+	return nil, ErrFull
+}
+
+// leastTime is about how long the job takes to its first event where all engines that
+// may help it are idle.
+func (j Job) leastTime() time.Duration {
+	switch {
+	case j.Cost == nil:
+		return 0
+	case !heavy(j):
+		return j.Cost.Read(j.Prompt) + j.Cost.Pass()
+	default:
+		return j.Cost.Read(j.Prompt)/(maxHelpers+1) + j.Cost.Pass()
+	}
+}
+
+// inVain reports whether the job's caller would be gone before the first event, however
+// idle the engines are.
+func (b *Balancer) inVain(j Job) bool { return b.inVainAfter(j, j.leastTime()) }
+
+func (b *Balancer) inVainAfter(j Job, first time.Duration) bool {
+	return !j.Until.IsZero() && b.Clock.Now().Add(first).After(j.Until)
 }
 
 // serveWaiting places the jobs that wait, as far as there are places. After news
--- a/internal/balance/waiting_test.go
+++ b/internal/balance/waiting_test.go
@@ -147,3 +147,47 @@
 		})
 	}
 }
+
+// TestTimeLeft checks that a long prompt whose caller would be gone before an answer is
+// refused at once, and that one that waits is placed, or refused, while there is time.
+func TestTimeLeft(t *testing.T) {
+	read := cost.Read(longPrompt)
+	cases := map[string]struct {
+		left   time.Duration
+		busy   time.Duration // busy is for how long the one engine reads something else.
+		waits  bool
+		placed bool
+	}{
+		"idle, time enough":           {left: 2 * read, placed: true},
+		"no time at all":              {left: 10 * time.Millisecond},
+		"busy, no time at all":        {left: 10 * time.Millisecond, busy: read},
+		"waits, and can still go":     {left: 3 * read, busy: read / 2, waits: true, placed: true},
+		"waits, and cannot go either": {left: read, busy: 2 * read, waits: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(1)
+			if tc.busy > 0 {
+				busy := balance.NewSnapshot()
+				busy.Work[balance.KeyOf("i-00")] = balance.Work{Backlog: tc.busy, Heavy: 1}
+				f.SetOthers(busy)
+			}
+			j := job(longPrompt)
+			j.Objective = time.Minute
+			j.Until = f.clock.Now().Add(tc.left)
+			p, w, err := f.Ask(context.Background(), j)
+			c.Assert(w != nil, quicktest.Equals, tc.waits)
+			if w != nil {
+				c.Assert(w.Until().After(j.Until), quicktest.IsFalse)
+				f.clock.Advance(w.Until().Sub(f.clock.Now()))
+				if tc.placed {
+					f.SetOthers(balance.NewSnapshot())
+				}
+				p, err = f.Abandon(w)
+			}
+			c.Check(p != nil, quicktest.Equals, tc.placed)
+			c.Check(err == nil, quicktest.Equals, tc.placed)
+		})
+	}
+}
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -64,6 +64,7 @@
 	job := d.job(x)
 	for dials, tries := 0, 0; ; {
 		asked := d.clock.Now()
+		job.Until = x.patience()
 		placement, err := d.balancer.Place(ctx, job)
 		x.queued += d.clock.Now().Sub(asked)
 		if err != nil {
@@ -153,6 +154,8 @@
 		return nil
 	case late:
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
+	case eris.Is(err, balance.ErrInVain) && !x.ran:
+		return notRun(barleystep.ReasonCannotMeet, "No target could answer in the time that is left.", 0)
 	case eris.Is(err, balance.ErrFull) && !x.ran:
 		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.route.Objective)
 	case !x.ran:
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -51,6 +51,28 @@
 	Pipeline = pipeline.Pipeline[*Exchange]
 )
 
+const (
+	// callerSilence, callerObjectives and callerPauses say for how long callers of
+	// streams wait for an event: two seconds, so many objectives or so many of the longest
+	// pauses, whichever is the longest.
+	callerSilence    = 2 * time.Second
+	callerObjectives = 4
+	callerPauses     = 8
+)
+
+// patience returns when the caller stops waiting for the first event or the answer. A
+// stream that was sent is taken up elsewhere for as long as its caller is there.
+func (x *Exchange) patience() time.Time {
+	if x.route.Kind != fleet.KindStream || x.sends > 0 {
+		return x.until
+	}
+	gone := x.started.Add(max(callerSilence, callerObjectives*x.route.Objective, callerPauses*x.route.MaxPause))
+	if gone.Before(x.until) {
+		return gone
+	}
+	return x.until
+}
+
 // notRun returns a refusal that promises that the request has not run.
 func notRun(reason barleystep.Reason, message string, after time.Duration) *barleystep.Refusal {
 	return barleystep.NewRefusal(reason, barleystep.OutcomeNotRun, message).WithRetryAfter(after)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -49,12 +49,17 @@
 	if waited := r.Msg.GetWaitedMs(); waited > 0 {
 		j.Since = now.Add(-time.Duration(waited) * time.Millisecond)
 	}
+	if left := r.Msg.GetLeftMs(); left > 0 {
+		j.Until = now.Add(time.Duration(left) * time.Millisecond)
+	}
 	plan, err := s.Balancer.Grant(ctx, j, now.Add(holdTime))
 	switch {
 	case eris.Is(err, balance.ErrWaiting):
 		return nil, connect.NewError(connect.CodeAborted, err)
 	case eris.Is(err, balance.ErrFull):
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	case eris.Is(err, balance.ErrInVain):
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -126,12 +131,17 @@
 	defer cancel()
 	m := requestOf(j)
 	m.WaitedMs = max(now.Sub(j.Since), 0).Milliseconds() // Zero on the first question.
+	if !j.Until.IsZero() {
+		m.LeftMs = max(j.Until.Sub(now).Milliseconds(), 1)
+	}
 	resp, err := c.service(addr).Place(ctx, connect.NewRequest(m))
 	switch {
 	case err == nil:
 		return planOf(resp.Msg), nil
 	case connect.CodeOf(err) == connect.CodeResourceExhausted:
 		return balance.Plan{}, balance.ErrFull
+	case connect.CodeOf(err) == connect.CodeDeadlineExceeded && ctx.Err() == nil:
+		return balance.Plan{}, balance.ErrInVain
 	case connect.CodeOf(err) == connect.CodeAborted:
 		return balance.Plan{}, balance.ErrWaiting
 	default:
