--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -124,7 +124,7 @@
 	}
 	p.parts = append(p.parts, &part{target: first.ID, work: own, share: share, pass: j.Cost.Pass()})
 	for _, t := range helpers {
-		p.Helpers = append(p.Helpers, Helper{ID: t.ID, Addr: t.Addr, Memory: memory})
+		p.Helpers = append(p.Helpers, Helper{ID: t.ID, Addr: t.Addr, Hall: t.Hall, Memory: memory})
 		p.parts = append(p.parts, &part{target: t.ID, work: Work{Memory: memory}, share: share, pass: j.Cost.Pass()})
 	}
 	return p
@@ -142,7 +142,8 @@
 	var list []candidate
 	add := func(pool []fleet.Target, risk float64) {
 		for _, t := range pool {
-			if t.ID != first.ID && b.helps(t) {
+			far := j.Near && t.Hall != first.Hall
+			if t.ID != first.ID && !far && b.helps(t) {
 				list = append(list, candidate{t, b.partCost(j, t, usual) + risk, risk})
 			}
 		}
--- a/internal/balance/assignment_test.go
+++ b/internal/balance/assignment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -35,6 +36,23 @@
 	}
 }
 
+// TestNear checks that a prompt gets helpers of one hall only when another one is cut
+// off from it.
+func TestNear(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(12)
+	for i := range f.targets {
+		f.targets[i].Hall = barleystep.HallID(fmt.Sprint(i % 3))
+	}
+	j := job(longPrompt)
+	j.Near = true
+	p := f.place(t, j)
+	c.Assert(len(p.Helpers) > 0, quicktest.IsTrue)
+	for _, h := range p.Helpers {
+		c.Check(h.Hall, quicktest.Equals, p.Target.Hall)
+	}
+}
+
 // TestAlone checks that a prompt gets no helpers when these have been refused.
 func TestAlone(t *testing.T) {
 	f := newFixture(18)
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -56,6 +56,9 @@
 	// Alone asks for no helpers: a target has refused the request with some, and has
 	// not said which of them it cannot reach.
 	Alone bool
+	// Near asks for helpers of the target's own hall only: a target could not reach one
+	// in another hall, from which its own may be cut off.
+	Near bool
 
 	// spare is how many slots the job must leave free.
 	spare int
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -11,6 +11,7 @@
 type Helper struct {
 	ID   barleystep.TargetID
 	Addr string
+	Hall barleystep.HallID
 	// Memory is the memory, in tokens, to be set aside there for the prompt; zero
 	// if the engine that writes holds all of it.
 	Memory int
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -94,10 +94,11 @@
 		return nil, ErrFull
 	}
 	w.job.last = true
-	if p, err = b.try(w.job); p != nil {
-		return p, nil
+	p, err = b.try(w.job)
+	if p == nil && err == nil {
+		err = ErrFull
 	}
-	return nil, ErrFull
+	return p, err
 }
 
 // leastTime is about how long the job takes to its first event where all engines that
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -90,11 +90,13 @@
 }
 
 // learn takes into account what the try taught for the next one: a helper that is to
-// blame is avoided, and the target otherwise. Where it is not known whom to blame, no
-// helpers are asked for again.
+// blame is avoided, and the target otherwise. A helper in another hall that cannot be
+// reached is rarely the only one there. Where it is not known whom to blame, no helpers
+// are asked for again.
 func (t *try) learn(job *balance.Job, res result) {
 	if t.blamed != "" {
 		job.Avoid = append(job.Avoid, t.blamed)
+		job.Near = job.Near || t.blamedFar()
 		return
 	}
 	job.Avoid = append(job.Avoid, t.placement.Target.ID)
@@ -154,17 +156,25 @@
 		return nil
 	case late:
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
-	case eris.Is(err, balance.ErrInVain) && !x.ran:
-		return notRun(barleystep.ReasonCannotMeet, "No target could answer in the time that is left.", 0)
-	case eris.Is(err, balance.ErrFull) && !x.ran:
-		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.route.Objective)
 	case !x.ran:
-		return notRun(barleystep.ReasonNoTarget, "No target took the request.", fullPause)
+		return notTaken(x, err)
 	default:
 		return barleystep.NewRefusal(barleystep.ReasonTargetFailed, outcome, "The target did not answer: "+rootOf(err)+".")
 	}
 }
 
+// notTaken refuses a request that no target has run. It is in vain, or may come back.
+func notTaken(x *Exchange, err error) *barleystep.Refusal {
+	switch {
+	case eris.Is(err, balance.ErrInVain):
+		return notRun(barleystep.ReasonCannotMeet, "No target could answer in the time that is left.", 0)
+	case eris.Is(err, balance.ErrFull):
+		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.route.Objective)
+	default:
+		return notRun(barleystep.ReasonNoTarget, "No target took the request.", fullPause)
+	}
+}
+
 func rootOf(err error) string {
 	if err == nil {
 		return "no target is left"
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -54,6 +54,7 @@
 	}
 	for _, helper := range d.Helpers {
 		h.Add("Helper", helper.Reservation)
+		h.Add("Helper-At", helper.Addr)
 	}
 }
 
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
 )
 
 // TestReserve checks that the memory of a prompt that is longer than an engine's
@@ -126,6 +128,36 @@
 	}
 }
 
+// TestBlamedFar checks that a prompt whose target cannot reach a helper in another hall
+// gets helpers of one hall, of which the others are as likely to be out of reach.
+func TestBlamedFar(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()})
+	halls := map[string]string{"x": "1", "y": "2", "z": "1", "w": "2"}
+	addrs := make(map[string]string)
+	for i, target := range f.targets {
+		hall, engine := halls[string(target.ID)]
+		if !engine {
+			continue
+		}
+		f.targets[i].Hall = barleystep.HallID(hall)
+		f.targets[i].Addr = f.target.start(t)
+		addrs[f.targets[i].Addr] = hall
+	}
+	// An engine takes no prompt that is read in two halls, and names one that is not its own.
+	cut := func(k net.Conn, r *http.Request) bool {
+		for _, helper := range r.Header.Values("Helper-At") {
+			if addrs[helper] != addrs[k.LocalAddr().String()] {
+				return whole(http.StatusServiceUnavailable, "Not-Run: 1\r\nBlamed: "+helper+"\r\n", "")(k, r)
+			}
+		}
+		return events(1, 2, false)(k, r)
+	}
+	f.target.steps = []step{cut, cut}
+	got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "800")
+	c.Check(got.status, quicktest.Equals, http.StatusOK)
+}
+
 // failingOnce closes the connection of the first request below the path.
 func failingOnce(path string, otherwise step) step {
 	var failed atomic.Bool
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -179,6 +179,17 @@
 	return ""
 }
 
+// blamedFar reports whether the helper that is to blame is in another hall than the
+// target.
+func (t *try) blamedFar() bool {
+	for _, h := range t.placement.Helpers {
+		if h.ID == t.blamed {
+			return h.Hall != t.placement.Target.Hall
+		}
+	}
+	return false
+}
+
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -85,6 +85,7 @@
 		Objective: time.Duration(m.GetObjectiveMs()) * time.Millisecond,
 		Tightest:  view.TightestPause(m.GetService()),
 		Alone:     m.GetAlone(),
+		Near:      m.GetNear(),
 	}
 	if s := view.Service(j.Service); s != nil {
 		j.Cost = s.Cost
@@ -180,6 +181,7 @@
 		Output:      int64(j.Output),
 		ObjectiveMs: j.Objective.Milliseconds(),
 		Alone:       j.Alone,
+		Near:        j.Near,
 	}
 	for _, id := range j.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
