Count lateness from a caller's first try, which its time limit tells

Cause: a prompt that came back after a refusal counted as fresh, and went before prompts that could still be in time, though its own answer could not. Change: a box remembers the longest time limit of each route; a caller with less has first tried so much earlier. By that time prompts are late, in what they cost and in who goes first.

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -46,8 +46,16 @@
 	return b.placement(j, g.first, g.helpers, g.memory, g.expected)
 }
 
-// waited returns for how long a job has waited.
-func (b *Balancer) waited(j Job) time.Duration { return b.Clock.Now().Sub(j.Since) }
+// waited returns for how long a job's caller has waited since it first tried.
+func (b *Balancer) waited(j Job) time.Duration { return b.Clock.Now().Sub(j.first()) }
+
+// first returns when the job's caller first tried.
+func (j Job) first() time.Time {
+	if j.First.IsZero() {
+		return j.Since
+	}
+	return j.First
+}
 
 func (b *Balancer) logAssignment(j Job, g assignment) {
 	if b.Log == nil {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -49,6 +49,9 @@
 	Tightest time.Duration
 	// Since is when the caller asked; zero is now.
 	Since time.Time
+	// First is when the caller first tried, by which its answer is late; zero is Since. A
+	// caller comes back after a refusal.
+	First time.Time
 	// Until is when the caller stops waiting for the first event; zero is not known.
 	Until time.Time
 	// Avoid lists targets that have already failed the request.
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -177,7 +177,7 @@
 
 // inTime reports whether a job that is placed now can still be in time.
 func (w *Wait) inTime(now time.Time) bool {
-	return now.Sub(w.since) < w.job.Objective-answerTime
+	return now.Sub(w.job.first()) < w.job.Objective-answerTime
 }
 
 // before reports whether the job goes before another one.
@@ -212,5 +212,5 @@
 // hopeful reports whether a long prompt that is placed now can be in time.
 func (w *Wait) hopeful(now time.Time) bool {
 	read := w.job.Cost.Read(w.job.Prompt) / maxHelpers
-	return now.Add(read + w.job.Cost.Pass()).Before(w.since.Add(w.job.Objective))
+	return now.Add(read + w.job.Cost.Pass()).Before(w.job.first().Add(w.job.Objective))
 }
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -24,6 +24,7 @@
 	budget   *budget.Budget
 	meter    *metric.Meter
 	log      *log.Logger
+	habit    habit
 }
 
 const (
@@ -61,6 +62,7 @@
 	ctx, cancel := bound(ctx, d.clock, x)
 	defer cancel()
 	d.budget.Request(x.service)
+	x.firstTry = d.habit.firstTry(d.clock, x)
 	job := d.job(x)
 	for dials, tries := 0, 0; ; {
 		asked := d.clock.Now()
@@ -111,6 +113,7 @@
 		Output:    x.call.Output,
 		Objective: x.route.Objective,
 		Rank:      x.rank,
+		First:     x.firstTry,
 	}
 	if s := x.view.Service(x.service); s != nil {
 		j.Cost = s.Cost
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -24,7 +24,9 @@
 	account string
 	rank    int // rank is the request's priority, 0 first.
 	until   time.Time
-	body    []byte
+	// firstTry is when the caller first tried, as far as is known.
+	firstTry time.Time
+	body     []byte
 
 	sends   int
 	ran     bool // ran is set once a target may have run the request.
--- /dev/null
+++ b/internal/front/habit_internal_test.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestHabit checks what a request's time limit tells of its caller's first try.
+func TestHabit(t *testing.T) {
+	const usual = 10 * time.Second
+	start := time.Unix(1000, 0)
+	cases := map[string]struct {
+		route string
+		limit time.Duration
+		after time.Duration
+		want  time.Duration
+	}{
+		"as usual":          {"r", usual, 0, 0},
+		"a little less":     {"r", usual - 10*time.Millisecond, 0, 0},
+		"comes back":        {"r", 7 * time.Second, 0, 3 * time.Second},
+		"another route":     {"other", 7 * time.Second, 0, 0},
+		"no limit":          {"r", 0, 0, 0},
+		"longer than usual": {"r", 2 * usual, 0, 0},
+		"the next period":   {"r", 7 * time.Second, habitPeriod + 1, 3 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var h habit
+			h.age(start, "r", usual)
+			quicktest.Assert(t, h.age(start.Add(tc.after), tc.route, tc.limit), quicktest.Equals, tc.want)
+		})
+	}
+	t.Run("forgotten", func(t *testing.T) {
+		var h habit
+		h.age(start, "r", usual)
+		h.age(start.Add(habitPeriod+1), "r", usual/2)
+		quicktest.Assert(t, h.age(start.Add(3*habitPeriod), "r", usual/2), quicktest.Equals, time.Duration(0))
+	})
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -49,6 +49,9 @@
 	if waited := r.Msg.GetWaitedMs(); waited > 0 {
 		j.Since = now.Add(-time.Duration(waited) * time.Millisecond)
 	}
+	if earlier := r.Msg.GetEarlierMs(); earlier > 0 {
+		j.First = now.Add(-time.Duration(r.Msg.GetWaitedMs()+earlier) * time.Millisecond)
+	}
 	if left := r.Msg.GetLeftMs(); left > 0 {
 		j.Until = now.Add(time.Duration(left) * time.Millisecond)
 	}
@@ -132,6 +135,9 @@
 	defer cancel()
 	m := requestOf(j)
 	m.WaitedMs = max(now.Sub(j.Since), 0).Milliseconds() // Zero on the first question.
+	if !j.First.IsZero() {
+		m.EarlierMs = max(j.Since.Sub(j.First), 0).Milliseconds()
+	}
 	if !j.Until.IsZero() {
 		m.LeftMs = max(j.Until.Sub(now).Milliseconds(), 1)
 	}
