Place long prompts on engines that are ready, and refuse them once they are late

Cause: a long prompt that had waited for two objectives was placed on engines that still read others. Change: a long prompt goes to engines that are ready for it or waits, for 0.6 of its objective after its caller's first try (an eighth of it at least); then it is refused.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -65,8 +65,6 @@
 
 	// spare is how many slots the job must leave free.
 	spare int
-	// last is set when the job cannot wait any longer.
-	last bool
 }
 
 // Report is what a try taught about its target.
@@ -186,7 +184,7 @@
 	if p != nil || err != nil {
 		return p, nil, err
 	}
-	return nil, b.enqueue(j), nil
+	return b.enqueue(j)
 }
 
 // try chooses a target; it returns nothing if the job has to wait.
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -12,22 +12,13 @@
 // hold each other up.
 const readAhead = 80 * time.Millisecond
 
-// mostWait is for how many objectives a prompt waits for its engines. After that it
-// is late, and is placed wherever it costs the least: its caller would be served late
-// rather than sent away after a long wait.
-const mostWait = 2
-
 // placeHeavy sends a long prompt to an engine that writes such prompts and
 // chooses how many others help to read it, and which: those where it holds up
 // the fewest streams. It returns nothing while these engines read something else:
 // a prompt that waits here can still go to others, or let a shorter one pass.
 func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
 	g := b.bestAssignment(j, engines)
-	due := j.last || b.waited(j) > mostWait*j.Objective
-	if due && b.inVainAfter(j, g.expected) {
-		return nil
-	}
-	if !due && (g.wait > readAhead || b.lull(j, g)) {
+	if g.wait > readAhead || b.lull(j, g) {
 		return nil
 	}
 	return b.assign(j, g)
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -21,21 +21,31 @@
 	// answerTime is about how long an engine with free slots takes to the first
 	// event of a short prompt.
 	answerTime = 110 * time.Millisecond
-	// patience is how many times its objective a job waits before it is given
+	// patience is how many times its objective a short prompt waits before it is given
 	// up, and leastPatience how long at least. Callers of streams give up after
 	// four times the objective, and after two seconds at the earliest.
 	patience      = 3
 	leastPatience = 1500 * time.Millisecond
+	// waitPart is the part of its objective after its caller's first try for which a long
+	// prompt waits for its engines: of those that wait for half of it, one in four is in
+	// time. One that comes back after a refusal waits for an objective by leastWaitPart.
+	// Measured against 1.0 and 1.5, and 2 (docs/worth.md).
+	waitPart      = 0.6
+	leastWaitPart = 8
 	// shareDivisor is the part of the places seen free that a box takes at once:
 	// all boxes see the same places.
 	shareDivisor = 4
 )
 
-func (b *Balancer) enqueue(j Job) *Wait {
-	w := &Wait{job: j, since: j.Since, ready: make(chan *Placement, 1)}
+// enqueue has the job wait for a place, unless its wait is over already.
+func (b *Balancer) enqueue(j Job) (p *Placement, w *Wait, err error) {
+	w = &Wait{job: j, since: j.Since, ready: make(chan *Placement, 1)}
+	if !b.Clock.Now().Before(w.Until()) {
+		return nil, nil, ErrFull
+	}
 	q := b.queue(j)
 	*q = append(*q, w)
-	return w
+	return nil, w, nil
 }
 
 // queue returns the queue for jobs like this one. Those of one queue need the
@@ -66,10 +76,13 @@
 // Ready returns the channel on which the placement comes.
 func (w *Wait) Ready() <-chan *Placement { return w.ready }
 
-// Until returns when the wait is to be abandoned: while the caller would still wait for
-// the answer that a placement then gives.
+// Until returns when the wait is to be abandoned: when it has become unlikely that the
+// answer is in time, and while the caller would still be there for it.
 func (w *Wait) Until() time.Time {
 	until := w.since.Add(max(patience*w.job.Objective, leastPatience))
+	if heavy(w.job) {
+		until = w.longUntil()
+	}
 	if w.job.Until.IsZero() {
 		return until
 	}
@@ -79,8 +92,16 @@
 	return until
 }
 
-// Abandon ends a wait. It returns the placement if it has just come, or if a long prompt
-// that has to go now can still be served in time; else ErrFull.
+// longUntil is when the wait of a long prompt is to be abandoned for its lateness.
+func (w *Wait) longUntil() time.Time {
+	until := w.job.first().Add(time.Duration(waitPart * float64(w.job.Objective)))
+	if least := w.since.Add(w.job.Objective / leastWaitPart); until.Before(least) {
+		return least
+	}
+	return until
+}
+
+// Abandon ends a wait. It returns ErrFull, or the placement if it has just come.
 func (b *Balancer) Abandon(w *Wait) (p *Placement, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -89,16 +110,8 @@
 	case p = <-w.ready:
 		return p, nil
 	default:
-	}
-	if !heavy(w.job) || b.Clock.Now().Before(w.Until()) {
 		return nil, ErrFull
 	}
-	w.job.last = true
-	p, err = b.try(w.job)
-	if p == nil && err == nil {
-		err = ErrFull
-	}
-	return p, err
 }
 
 // leastTime is about how long the job takes to its first event where all engines that
@@ -116,10 +129,8 @@
 
 // inVain reports whether the job's caller would be gone before the first event, however
 // idle the engines are.
-func (b *Balancer) inVain(j Job) bool { return b.inVainAfter(j, j.leastTime()) }
-
-func (b *Balancer) inVainAfter(j Job, first time.Duration) bool {
-	return !j.Until.IsZero() && b.Clock.Now().Add(first).After(j.Until)
+func (b *Balancer) inVain(j Job) bool {
+	return !j.Until.IsZero() && b.Clock.Now().Add(j.leastTime()).After(j.Until)
 }
 
 // serveWaiting places the jobs that wait, as far as there are places. After news
--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -100,6 +100,7 @@
 
 func (d *day) job(r *request) balance.Job {
 	kind := d.load.Kinds[r.kind]
+	first := d.timeline.Now().Add(r.at - d.timeline.Elapsed())
 	return balance.Job{
 		Service:   service,
 		Prompt:    r.prompt,
@@ -107,6 +108,8 @@
 		Objective: kind.Objective,
 		Cost:      &d.load.Cost,
 		Tightest:  r.tightest,
+		First:     first,
+		Until:     first.Add(kind.Deadline),
 	}
 }
 
