Tell callers to come back as late as they heed when targets are full

Cause: a caller that was refused for want of room was told to come back after its objective, a third of a second for short prompts: into the same burst, to be refused again. Change: after a third of its time, the longest pause that callers heed; they come back once.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -33,6 +33,10 @@
 	maxDials = 4
 	// fullPause is when a caller may come back whose request no target took.
 	fullPause = 200 * time.Millisecond
+	// returnPart is the part of its time, as a divisor, after which a caller may come back
+	// to targets that are full. Callers heed no longer a pause, and come back once: the
+	// later, the likelier the burst is over.
+	returnPart = 3
 )
 
 // result says how one try of a request ended.
@@ -160,19 +164,19 @@
 	case late:
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
 	case !x.ran:
-		return notTaken(x, err)
+		return d.notTaken(x, err)
 	default:
 		return barleystep.NewRefusal(barleystep.ReasonTargetFailed, outcome, "The target did not answer: "+rootOf(err)+".")
 	}
 }
 
 // notTaken refuses a request that no target has run. It is in vain, or may come back.
-func notTaken(x *Exchange, err error) *barleystep.Refusal {
+func (d *deliver) notTaken(x *Exchange, err error) *barleystep.Refusal {
 	switch {
 	case eris.Is(err, balance.ErrInVain):
 		return notRun(barleystep.ReasonCannotMeet, "No target could answer in the time that is left.", 0)
 	case eris.Is(err, balance.ErrFull):
-		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.route.Objective)
+		return notRun(barleystep.ReasonQueueFull, "All targets are full.", x.comeBack(d.clock.Now()))
 	default:
 		return notRun(barleystep.ReasonNoTarget, "No target took the request.", fullPause)
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -53,6 +53,11 @@
 	Pipeline = pipeline.Pipeline[*Exchange]
 )
 
+// comeBack returns after how long the caller may come back to targets that are full.
+func (x *Exchange) comeBack(now time.Time) time.Duration {
+	return max(x.route.Objective, x.until.Sub(now)/returnPart)
+}
+
 const (
 	// callerSilence, callerObjectives and callerPauses say for how long callers of
 	// streams wait for an event: two seconds, so many objectives or so many of the longest
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 func stream(from, to int) string {
@@ -182,6 +184,20 @@
 	<-ended
 }
 
+// TestComeBack checks that a caller whose prompt finds all engines full is told to come
+// back as late as it heeds.
+func TestComeBack(t *testing.T) {
+	c := quicktest.New(t)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	f := newFixtureAt(t, manual, state{view: newView()})
+	got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "9000")
+	c.Check(got.status, quicktest.Equals, http.StatusServiceUnavailable)
+	c.Check(got.header.Get("Again"), quicktest.Equals, (20 * time.Second / 3).String())
+	c.Check(f.target.requests, quicktest.HasLen, 0)
+	got = f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "9000", "Limit", "600ms")
+	c.Check(got.status, quicktest.Equals, http.StatusServiceUnavailable)
+}
+
 // TestStop checks that a stopping box ends its connections and then refuses.
 func TestStop(t *testing.T) {
 	c := quicktest.New(t)
