--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -217,13 +217,13 @@
 
 // play has callers send requests while the events happen.
 func (s *Soak) play(ctx context.Context, events []Event) {
-	ctx, cancel := context.WithCancel(ctx)
+	asking, cancel := context.WithCancel(ctx) // Processes that faults start go on after it.
 	defer cancel()
 	var callers, faults sync.WaitGroup
 	for i := range s.Callers {
 		c := newCaller(i, s.Seed)
 		s.equip(c)
-		callers.Go(func() { c.run(ctx) })
+		callers.Go(func() { c.run(asking) })
 	}
 	started := s.Clock.Now()
 	for _, e := range events {
