Let long prompts wait to be served late where the engines are not crowded

Change: while callers ask for less than 0.8 of the engines' time a prompt waits for three objectives, as short ones do.

--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -11,7 +11,7 @@
 // Wait is a job that waits for a place.
 type Wait struct {
 	job   Job
-	since time.Time
+	until time.Time
 	// ready gets the placement; it holds one, so that nobody waits to send.
 	ready chan *Placement
 	gone  bool
@@ -32,6 +32,9 @@
 	// Measured against 1.0 and 1.5, and 2 (docs/worth.md).
 	waitPart      = 0.6
 	leastWaitPart = 8
+	// drainUse is how much of the engines' time callers ask for, up to which prompts that
+	// wait are rather served late than refused. Measured against 0, 0.4, 0.6 and 1.
+	drainUse = 0.8
 	// shareDivisor is the part of the places seen free that a box takes at once:
 	// all boxes see the same places.
 	shareDivisor = 4
@@ -39,7 +42,7 @@
 
 // enqueue has the job wait for a place, unless its wait is over already.
 func (b *Balancer) enqueue(j Job) (p *Placement, w *Wait, err error) {
-	w = &Wait{job: j, since: j.Since, ready: make(chan *Placement, 1)}
+	w = &Wait{job: j, until: b.waitUntil(j), ready: make(chan *Placement, 1)}
 	if !b.Clock.Now().Before(w.Until()) {
 		return nil, nil, ErrFull
 	}
@@ -76,26 +79,36 @@
 // Ready returns the channel on which the placement comes.
 func (w *Wait) Ready() <-chan *Placement { return w.ready }
 
-// Until returns when the wait is to be abandoned: when it has become unlikely that the
-// answer is in time, and while the caller would still be there for it.
-func (w *Wait) Until() time.Time {
-	until := w.since.Add(max(patience*w.job.Objective, leastPatience))
-	if heavy(w.job) {
-		until = w.longUntil()
+// Until returns when the wait is to be abandoned.
+func (w *Wait) Until() time.Time { return w.until }
+
+// waitUntil returns until when a job may wait: while it is likely enough that the answer
+// is in time, or comes at all, and while the caller would still be there for it.
+func (b *Balancer) waitUntil(j Job) time.Time {
+	until := j.Since.Add(max(patience*j.Objective, leastPatience))
+	if heavy(j) && !b.drains(j) {
+		until = j.hopeUntil()
 	}
-	if w.job.Until.IsZero() {
+	if j.Until.IsZero() {
 		return until
 	}
-	if latest := w.job.Until.Add(-w.job.leastTime()); latest.Before(until) {
+	if latest := j.Until.Add(-j.leastTime()); latest.Before(until) {
 		return latest
 	}
 	return until
 }
 
-// longUntil is when the wait of a long prompt is to be abandoned for its lateness.
-func (w *Wait) longUntil() time.Time {
-	until := w.job.first().Add(time.Duration(waitPart * float64(w.job.Objective)))
-	if least := w.since.Add(w.job.Objective / leastWaitPart); until.Before(least) {
+// drains reports whether callers ask for so little that prompts which wait are read
+// soon, if late.
+func (b *Balancer) drains(j Job) bool {
+	d := b.demand(j.Service)
+	return d.Light+d.Heavy < drainUse*float64(len(b.candidates(j)))
+}
+
+// hopeUntil is until when a long prompt waits in a crowd, by its lateness.
+func (j Job) hopeUntil() time.Time {
+	until := j.first().Add(time.Duration(waitPart * float64(j.Objective)))
+	if least := j.Since.Add(j.Objective / leastWaitPart); until.Before(least) {
 		return least
 	}
 	return until
@@ -204,9 +217,9 @@
 	case fresh != otherFresh:
 		return fresh
 	case fresh:
-		return w.since.After(o.since)
+		return w.job.Since.After(o.job.Since)
 	default:
-		return w.since.Before(o.since)
+		return w.job.Since.Before(o.job.Since)
 	}
 }
 
--- a/internal/balance/waiting_test.go
+++ b/internal/balance/waiting_test.go
@@ -193,17 +193,21 @@
 	}
 }
 
-// TestLongWait checks for how long a long prompt waits for its engines, by when its caller
-// first tried.
+// TestLongWait checks for how long a long prompt waits for its engines, by how much of
+// them callers ask for and when its own first tried.
 func TestLongWait(t *testing.T) {
 	const objective = 10 * time.Second
+	const crowd, calm = 1.0, 0.1
 	cases := map[string]struct {
+		demand  float64
 		earlier time.Duration
 		want    time.Duration
 	}{
-		"first try":             {0, 6 * time.Second},
-		"came back soon":        {2 * time.Second, 4 * time.Second},
-		"came back, late by it": {20 * time.Second, objective / 8},
+		"first try":             {crowd, 0, 6 * time.Second},
+		"came back soon":        {crowd, 2 * time.Second, 4 * time.Second},
+		"came back, late by it": {crowd, 20 * time.Second, objective / 8},
+		"on a calm day":         {calm, 0, 3 * objective},
+		"came back, calm day":   {calm, 20 * time.Second, 3 * objective},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -211,8 +215,9 @@
 			f := newFixture(1)
 			busy := balance.NewSnapshot()
 			busy.Work[balance.KeyOf("i-00")] = balance.Work{Backlog: time.Minute, Heavy: 1}
+			busy.Demands[balance.KeyOf("s")] = balance.Demand{Heavy: tc.demand}
 			f.SetOthers(busy)
-			j := job(longPrompt)
+			j := job(60_000)
 			j.Objective = objective
 			j.First = f.clock.Now().Add(-tc.earlier)
 			_, w, err := f.Ask(context.Background(), j)
