--- /dev/null
+++ b/internal/soak/examine.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	// settleTime is how long all may take to work after the last fault, which is wide,
+	// since the machine may be busy.
+	settleTime = 30 * time.Second
+	// pollEvery is how often it is looked whether all works.
+	pollEvery = 50 * time.Millisecond
+	// moreDescriptors and mostMegabytes bound what a box may hold in the end, when it
+	// has nothing to do.
+	moreDescriptors = 150
+	mostMegabytes   = 256
+	// holdTime is how long memory may stay set aside after the last request.
+	holdTime = 4 * time.Second
+)
+
+// settled waits until every box serves a request of each service.
+func (s *Soak) settled(ctx context.Context) bool {
+	end := s.Clock.Now().Add(settleTime)
+	s.probes++
+	probe := newCaller(s.Callers+s.probes, s.Seed)
+	s.equip(probe)
+	defer probe.client.CloseIdleConnections()
+	for _, b := range s.boxes {
+		for _, path := range []Kind{KindAgain, KindStream} {
+			for !s.serves(probe, b, path) {
+				if ctx.Err() != nil || s.Clock.Now().After(end) {
+					return false
+				}
+				timer := s.Clock.NewTimer(pollEvery)
+				<-timer.C()
+			}
+		}
+	}
+	return true
+}
+
+func (s *Soak) serves(probe *caller, b *box, kind Kind) bool {
+	probe.number++
+	x := probe.call(b, Call{ID: fmt.Sprintf("%s-%d", probe.name, probe.number), Kind: kind, Key: s.keys[0], Path: "/" + string(kind) + "/", Body: "probe"})
+	s.history.Called(x)
+	return x.Status == http.StatusOK && !x.Broken
+}
+
+func (s *Soak) equip(c *caller) {
+	c.clock, c.boxes, c.history, c.keys = s.Clock, s.boxes, s.history, slices.Clone(s.keys)
+	c.routes = func() int { return int(s.routes.Load()) }
+}
+
+// examine looks at what is left when all faults are over.
+func (s *Soak) examine(ctx context.Context) {
+	if !s.settled(ctx) {
+		s.history.Find("served again: not all boxes serve %s after the last fault", settleTime)
+	}
+	s.sleep(ctx, holdTime)
+	for _, t := range s.targets {
+		if held := t.child.heldMemory(); held > 0 {
+			s.history.Find("memory free: %s has %d tokens set aside", t.id, held)
+		}
+	}
+	for _, b := range s.boxes {
+		u, err := b.usage()
+		if err != nil {
+			s.history.Find("resources: %s: %v", b.id, err)
+		} else if u.descriptors > moreDescriptors || u.megabytes > mostMegabytes {
+			s.history.Find("resources: %s holds %d descriptors and %d MB", b.id, u.descriptors, u.megabytes)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/play.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// play has callers send requests while the events happen.
+func (s *Soak) play(ctx context.Context, events []Event) {
+	asking, cancel := context.WithCancel(ctx) // Processes that faults start go on after it.
+	defer cancel()
+	var callers, faults sync.WaitGroup
+	for i := range s.Callers {
+		c := newCaller(i, s.Seed)
+		s.equip(c)
+		callers.Go(func() { c.run(asking) })
+	}
+	started := s.Clock.Now()
+	for _, e := range events {
+		if !s.sleep(ctx, started.Add(e.At).Sub(s.Clock.Now())) {
+			break
+		}
+		faults.Go(func() { s.act(ctx, e) })
+	}
+	s.sleep(ctx, started.Add(s.Length).Sub(s.Clock.Now()))
+	faults.Wait()
+	cancel()
+	callers.Wait()
+}
+
+func (s *Soak) sleep(ctx context.Context, d time.Duration) bool {
+	timer := s.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C():
+		return true
+	}
+}
+
+// act brings one fault about and ends it after its time.
+func (s *Soak) act(ctx context.Context, e Event) {
+	switch e.Action {
+	case ActionTerm, ActionKill, ActionReload, ActionFreeze:
+		s.actOnBox(ctx, e)
+	case ActionKillAll:
+		for _, b := range s.boxes {
+			b.signal(syscall.SIGKILL)
+		}
+	case ActionStore:
+		s.storeFault(ctx, e)
+	case ActionForget:
+		s.store.give(order{Forget: true})
+	case ActionRoute:
+		s.routes.Add(1)
+		s.configure()
+	case ActionRevoke:
+		s.revoke()
+	default:
+		s.targets[e.Index].act(ctx, e)
+	}
+}
+
+func (s *Soak) actOnBox(ctx context.Context, e Event) {
+	b := s.boxes[e.Index]
+	switch e.Action {
+	case ActionTerm:
+		b.signal(syscall.SIGTERM)
+	case ActionKill:
+		b.signal(syscall.SIGKILL)
+	case ActionReload:
+		b.signal(syscall.SIGHUP)
+	default:
+		b.signal(syscall.SIGSTOP)
+		s.sleep(ctx, e.For)
+		b.signal(syscall.SIGCONT)
+	}
+}
+
+// storeFault has the store fail for a time. Where several overlap the newest is in force.
+func (s *Soak) storeFault(ctx context.Context, e Event) {
+	s.storeMu.Lock()
+	s.storeFaults = append(s.storeFaults, e.Detail)
+	s.store.give(order{Fault: e.Detail})
+	s.storeMu.Unlock()
+	s.sleep(ctx, e.For)
+	s.storeMu.Lock()
+	defer s.storeMu.Unlock()
+	s.storeFaults = slices.Delete(s.storeFaults, 0, 1)
+	if len(s.storeFaults) == 0 {
+		s.store.give(order{Fault: "none"})
+	}
+}
+
+// revoke takes away the key that is there for it, once.
+func (s *Soak) revoke() {
+	s.configuring.Lock()
+	known := slices.Contains(s.keys, doomedKey)
+	s.keys = slices.DeleteFunc(slices.Clone(s.keys), func(k string) bool { return k == doomedKey })
+	s.configuring.Unlock()
+	if known {
+		s.configure()
+		s.history.Revoked(doomedKey, s.Clock.Now())
+	}
+}
