--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -21,19 +21,22 @@
 	// answerTime is about how long an engine with free slots takes to the first
 	// event of a short prompt.
 	answerTime = 110 * time.Millisecond
-	// patience is how many times its objective a short prompt waits before it is given
-	// up, and leastPatience how long at least. Callers of streams give up after
-	// four times the objective, and after two seconds at the earliest.
+	// patience is how many times its objective a prompt waits before it is given up, a long
+	// one only where the engines are not crowded, and leastPatience how long at least.
+	// Callers of streams give up after four times the objective, and after two seconds at
+	// the earliest.
 	patience      = 3
 	leastPatience = 1500 * time.Millisecond
-	// waitPart is the part of its objective after its caller's first try for which a long
-	// prompt waits for its engines: of those that wait for half of it, one in four is in
-	// time. One that comes back after a refusal waits for an objective by leastWaitPart.
-	// Measured against 1.0 and 1.5, and 2 (docs/worth.md).
-	waitPart      = 0.6
+	// waitPart is the part of its objective, from its caller's first try on, for which a
+	// long prompt waits for crowded engines: of those that wait for half of it, one in four
+	// is in time. Measured against 1.0 and 1.5, see docs/worth.md.
+	waitPart = 0.6
+	// leastWaitPart is the part of its objective, as a divisor, for which a long prompt waits
+	// at least, also one that comes back. Measured against 4 and 2.
 	leastWaitPart = 8
-	// drainUse is how much of the engines' time callers ask for, up to which prompts that
-	// wait are rather served late than refused. Measured against 0, 0.4, 0.6 and 1.
+	// drainUse is the part of the engines' time that callers ask for up to which these are
+	// not crowded: what waits is rather served late than refused. Measured against 0, 0.4,
+	// 0.6 and 1.
 	drainUse = 0.8
 	// shareDivisor is the part of the places seen free that a box takes at once:
 	// all boxes see the same places.
