Model of the control plane in simulated time: real nodes and followers over a modelled network and store

Cause to look for: at 295 boxes several take themselves for their hall's collector at once, and 2,000 of 2,200 calls to the store are made by the start. Change: gossip.Node takes its network as an interface (barleystep.Network; UDP stays the default); internal/plane composes node and followers, for the router and for the model. No behaviour of the router changes. Not reproduced: a dozen boxes a hall as their own collectors; the model's machines have no lack of processor time.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -61,12 +60,14 @@
 	// share.
 	Topics   []Topic
 	Balancer Balancer
-	Log      *log.Logger
+	// Network carries the datagrams; nil is the operating system's.
+	Network barleystep.Network
+	Log     *log.Logger
 
 	mu          sync.Mutex
 	origin      time.Time
 	incarnation uint64
-	socket      *net.UDPConn
+	socket      barleystep.Socket
 	members     map[barleystep.BoxID]*member
 	sequence    uint64
 	// sent holds the own snapshots that were sent lately, by sequence, to be
@@ -161,11 +162,15 @@
 			err = eris.Wrap(err, "gossip: serve")
 		}
 	}()
-	addr, err := net.ResolveUDPAddr("udp4", n.Addr)
+	addr, err := netip.ParseAddrPort(n.Addr)
 	if err != nil {
 		return err
 	}
-	socket, err := net.ListenUDP("udp4", addr)
+	var network barleystep.Network = UDP{}
+	if n.Network != nil {
+		network = n.Network
+	}
+	socket, err := network.Listen(addr)
 	if err != nil {
 		return err
 	}
@@ -177,7 +182,7 @@
 	return n.read(ctx, socket)
 }
 
-func (n *Node) begin(socket *net.UDPConn) {
+func (n *Node) begin(socket barleystep.Socket) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.socket = socket
@@ -242,10 +247,10 @@
 	return last
 }
 
-func (n *Node) read(ctx context.Context, socket *net.UDPConn) error {
+func (n *Node) read(ctx context.Context, socket barleystep.Socket) error {
 	buffer := make([]byte, datagramBytes)
 	for {
-		size, from, err := socket.ReadFromUDPAddrPort(buffer)
+		size, from, err := socket.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -257,6 +262,6 @@
 			n.Log.Warn().Str("from", from.String()).Err(err).Msg(logPrefix + "A datagram cannot be read.")
 			continue
 		}
-		n.receive(ctx, &d, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		n.receive(ctx, &d, from)
 	}
 }
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -280,7 +280,7 @@
 		n.Log.Error().Err(err).Msg(logPrefix + "A datagram cannot be encoded.")
 		return
 	}
-	if _, err := n.socket.WriteToUDPAddrPort(data, addr); err != nil {
+	if err := n.socket.WriteTo(data, addr); err != nil {
 		n.Log.Debug().Str("to", addr.String()).Err(err).Msg(logPrefix + "A datagram could not be sent.")
 	}
 }
--- /dev/null
+++ b/internal/plane/box_test.go
@@ -0,0 +1,200 @@
+package plane_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/follow"
+	"github.com/barleystep/barleystep/internal/plane"
+)
+
+// box is a modelled machine that runs a real box's part in the control plane.
+type box struct {
+	day       *day
+	index     int
+	name      string
+	hall      string
+	addr      netip.AddrPort
+	linkBytes float64 // linkBytes is what its link carries in a second.
+	strong    bool
+
+	mu     sync.Mutex
+	socket *socket
+	// frozen is until when the machine stands still.
+	frozen time.Time
+	life   *life
+	// last is what the balancer was told of the others.
+	last balance.Snapshot
+}
+
+// life is what runs between a start and a kill.
+type life struct {
+	plane         *plane.Plane
+	configuration *follow.Configuration
+	targets       *follow.Targets
+	handler       http.Handler
+	stop          context.CancelFunc
+	done          sync.WaitGroup
+}
+
+var quiet = &log.Logger{Level: log.PanicLevel}
+
+func (b *box) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &life{stop: cancel}
+	l.configuration = &follow.Configuration{Clock: b, Decode: decodeConfiguration, Log: quiet}
+	l.targets = &follow.Targets{Clock: b, Decode: decodeTarget, Log: quiet}
+	l.plane = &plane.Plane{
+		Clock:         b,
+		Box:           barleystep.BoxID(b.name),
+		Hall:          barleystep.HallID(b.hall),
+		Addr:          b.addr.String(),
+		Seeds:         b.day.seeds(),
+		Catalogue:     &client{store: b.day.store, box: b},
+		Network:       b,
+		HTTP:          &http.Client{Transport: b},
+		Configuration: l.configuration,
+		Targets:       l.targets,
+		Balancer:      b,
+		Log:           quiet,
+	}
+	l.plane.Build()
+	mux := http.NewServeMux()
+	mux.Handle(l.plane.Handler())
+	l.handler = mux
+	l.done.Go(func() { _ = l.plane.Node().Serve(ctx) })
+	for _, f := range l.plane.Followers() {
+		l.done.Go(func() { _ = f.Serve(ctx) })
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.life = l
+}
+
+// kill ends the box without a word.
+func (b *box) kill() {
+	b.mu.Lock()
+	l := b.life
+	b.life, b.socket = nil, nil
+	b.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.stop()
+	l.done.Wait()
+}
+
+// freeze lets the machine stand still.
+func (b *box) freeze(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.frozen = time.Now().Add(d)
+}
+
+func (b *box) running() *life {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.life
+}
+
+// awake waits while the box stands still and returns its handler, nil if it does
+// not run.
+func (b *box) awake() http.Handler {
+	b.mu.Lock()
+	wait, l := time.Until(b.frozen), b.life
+	b.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	time.Sleep(wait)
+	return l.handler
+}
+
+// place returns the box's place on the network.
+func (b *box) place() *socket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.socket == nil {
+		return &socket{box: b}
+	}
+	return b.socket
+}
+
+// serves reports whether the box knows what it needs to serve callers.
+func (b *box) serves() bool {
+	l := b.running()
+	return l != nil && l.configuration.View() != nil && l.targets.Known()
+}
+
+// Now returns the simulated time.
+func (*box) Now() time.Time { return time.Now() }
+
+// NewTimer returns a timer that does not fire while the machine stands still.
+func (b *box) NewTimer(d time.Duration) barleystep.Timer {
+	t := &timer{c: make(chan time.Time, 1)}
+	t.timer = time.AfterFunc(d, func() {
+		b.mu.Lock()
+		wait := time.Until(b.frozen)
+		b.mu.Unlock()
+		time.Sleep(wait)
+		t.c <- time.Now()
+	})
+	return t
+}
+
+type timer struct {
+	timer *time.Timer
+	c     chan time.Time
+}
+
+// C returns the channel on which the timer fires.
+func (t *timer) C() <-chan time.Time { return t.c }
+
+// Stop keeps the timer from firing.
+func (t *timer) Stop() bool { return t.timer.Stop() }
+
+// Snapshot returns the box's own news: the time at which it tells them, as work of
+// a target of its own, so that others see how old it is.
+func (b *box) Snapshot() balance.Snapshot {
+	s := balance.NewSnapshot()
+	s.Work[b.key()] = balance.Work{Light: 1, Backlog: b.day.elapsed()}
+	return s
+}
+
+func (b *box) key() balance.Key { return balance.Key(b.index + 1) }
+
+// SetOthers keeps the others' news.
+func (b *box) SetOthers(s balance.Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.last = s
+}
+
+// age returns how old the news of another box is here; ok is false without any.
+func (b *box) age(of *box) (d time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, ok := b.last.Work[of.key()]
+	if !ok || w.Light != 1 {
+		return 0, false
+	}
+	return b.day.elapsed() - w.Backlog, true
+}
+
+// decodeConfiguration reads the version of a configuration, its first 8 bytes.
+func decodeConfiguration(value []byte) (fleet.Configuration, error) {
+	return fleet.Configuration{Version: int64(binary.LittleEndian.Uint64(value))}, nil
+}
+
+func decodeTarget(r barleystep.Record) (fleet.Target, error) {
+	return fleet.Target{ID: barleystep.TargetID(r.Key())}, nil
+}
--- /dev/null
+++ b/internal/plane/network_test.go
@@ -0,0 +1,197 @@
+package plane_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/barleystep/barleystep"
+)
+
+// network is a modelled network between boxes: delay, loss, links of a given
+// width, and pairs that cannot reach each other. What happens to a datagram
+// follows from the seed, its sender, its receiver and its number alone.
+type network struct {
+	seed uint64
+	// loss is the part of the datagrams that is lost.
+	loss float64
+
+	mu    sync.Mutex
+	boxes map[netip.AddrPort]*box
+	// cut reports whether nothing gets from one box to another; nil cuts nothing.
+	cut func(from, to *box) bool
+	// datagrams and bytes count what was sent.
+	datagrams int
+	bytes     int
+	largest   int
+}
+
+const (
+	// hallDelay and farDelay are the times that a datagram takes within a hall and
+	// between halls, and jitter what is added at most: a network of one region.
+	hallDelay = 300 * time.Microsecond
+	farDelay  = 900 * time.Microsecond
+	jitter    = 200 * time.Microsecond
+	// queued bounds the datagrams that wait at a socket, as systems do.
+	queued = 1024
+)
+
+type datagram struct {
+	data []byte
+	from netip.AddrPort
+}
+
+// socket is a box's place on the network.
+type socket struct {
+	box    *box
+	in     chan datagram
+	closed chan struct{}
+	once   sync.Once
+
+	mu sync.Mutex
+	// free is when the link will have sent, or received, what waits there.
+	free   time.Time
+	number uint64
+}
+
+// Listen opens the box's socket.
+func (b *box) Listen(netip.AddrPort) (barleystep.Socket, error) {
+	s := &socket{box: b, in: make(chan datagram, queued), closed: make(chan struct{})}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.socket = s
+	return s, nil
+}
+
+// ReadFrom waits for a datagram.
+func (s *socket) ReadFrom(buffer []byte) (size int, from netip.AddrPort, err error) {
+	select {
+	case d := <-s.in:
+		return copy(buffer, d.data), d.from, nil
+	case <-s.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+// WriteTo sends a datagram through the links of both boxes.
+func (s *socket) WriteTo(data []byte, addr netip.AddrPort) error {
+	n := s.box.day.network
+	to := n.note(addr, len(data))
+	if to == nil || n.severed(s.box, to) || n.draw(s, addr, 1) < n.loss {
+		return nil
+	}
+	delay := n.delay(s.box, to) + time.Duration(n.draw(s, addr, 2)*float64(jitter))
+	d := datagram{data: append([]byte(nil), data...), from: s.box.addr}
+	time.AfterFunc(s.pass(len(data))+delay, func() { to.deliver(d) })
+	return nil
+}
+
+// Close closes the socket.
+func (s *socket) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+// pass returns how long the bytes wait for the link and take to pass it.
+func (s *socket) pass(size int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	now := time.Now()
+	if s.free.Before(now) {
+		s.free = now
+	}
+	s.free = s.free.Add(time.Duration(float64(size) / s.box.linkBytes * float64(time.Second)))
+	return s.free.Sub(now)
+}
+
+// deliver puts a datagram into the box's queue, once it is not frozen.
+func (b *box) deliver(d datagram) {
+	b.mu.Lock()
+	s, wait := b.socket, time.Until(b.frozen)
+	b.mu.Unlock()
+	if s == nil {
+		return
+	}
+	time.AfterFunc(max(wait, s.pass(len(d.data))), func() {
+		select {
+		case s.in <- d:
+		default: // The queue is full.
+		}
+	})
+}
+
+func (n *network) note(addr netip.AddrPort, size int) *box {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.datagrams++
+	n.bytes += size
+	n.largest = max(n.largest, size)
+	return n.boxes[addr]
+}
+
+func (n *network) severed(from, to *box) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut != nil && n.cut(from, to)
+}
+
+func (n *network) setCut(cut func(from, to *box) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+func (n *network) delay(from, to *box) time.Duration {
+	if from.hall == to.hall {
+		return hallDelay
+	}
+	return farDelay
+}
+
+// draw returns a number from 0 to 1.
+func (n *network) draw(s *socket, to netip.AddrPort, salt uint64) float64 {
+	s.mu.Lock()
+	number := s.number
+	s.mu.Unlock()
+	var b []byte
+	b = binary.LittleEndian.AppendUint64(b, n.seed)
+	b = binary.LittleEndian.AppendUint64(b, number)
+	b = binary.LittleEndian.AppendUint64(b, salt)
+	b = append(b, s.box.addr.String()...)
+	b = append(b, to.String()...)
+	return float64(xxhash.Sum64(b)>>11) / (1 << 53)
+}
+
+// RoundTrip carries a call from this box to another one, whose handler answers.
+func (b *box) RoundTrip(r *http.Request) (*http.Response, error) {
+	n := b.day.network
+	to := n.note(netip.MustParseAddrPort(r.URL.Host), 0)
+	if to == nil || n.severed(b, to) || n.severed(to, b) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	time.Sleep(n.delay(b, to))
+	handler := to.awake()
+	if handler == nil {
+		return nil, net.ErrClosed
+	}
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, r)
+	n.note(b.addr, answer.Body.Len())
+	time.Sleep(n.delay(to, b) + to.place().pass(answer.Body.Len()) + b.place().pass(answer.Body.Len()))
+	return answer.Result(), r.Context().Err()
+}
--- /dev/null
+++ b/internal/plane/plane.go
@@ -0,0 +1,79 @@
+// Package plane composes a box's part in the control plane: the gossip between
+// boxes and the followers of the store's topics, which read for each other.
+package plane
+
+import (
+	"net/http"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/follow"
+	"github.com/barleystep/barleystep/internal/gossip"
+)
+
+// Plane is one box's part. Its exported fields are set before Build.
+type Plane struct {
+	Clock     barleystep.Clock
+	Box       barleystep.BoxID
+	Hall      barleystep.HallID
+	Addr      string
+	Seeds     []string
+	Catalogue barleystep.Catalogue
+	// Network carries datagrams between boxes; nil is the operating system's.
+	Network barleystep.Network
+	// HTTP makes calls to other boxes.
+	HTTP          *http.Client
+	Configuration follow.Handler
+	Targets       follow.Handler
+	Balancer      gossip.Balancer
+	Log           *log.Logger
+
+	node      *gossip.Node
+	followers map[barleystep.Topic]*follow.Follower
+}
+
+// Build makes the parts. The services that they are run by the caller.
+func (p *Plane) Build() {
+	p.node = &gossip.Node{
+		Clock:     p.Clock,
+		Box:       p.Box,
+		Hall:      p.Hall,
+		Addr:      p.Addr,
+		Seeds:     p.Seeds,
+		Catalogue: p.Catalogue,
+		Balancer:  p.Balancer,
+		Network:   p.Network,
+		Log:       p.Log,
+	}
+	p.followers = make(map[barleystep.Topic]*follow.Follower)
+	p.follow(barleystep.TopicConfiguration, p.Configuration)
+	p.follow(barleystep.TopicTargets, p.Targets)
+}
+
+func (p *Plane) follow(topic barleystep.Topic, h follow.Handler) {
+	f := &follow.Follower{
+		Clock:     p.Clock,
+		Catalogue: p.Catalogue,
+		Topic:     topic,
+		Handler:   h,
+		Log:       p.Log,
+		Wait:      followWait,
+		Reads:     p.node.Collects,
+		Peers:     &gossip.Client{HTTP: p.HTTP},
+		Large:     topic == barleystep.TopicConfiguration,
+	}
+	p.followers[topic] = f
+	p.node.Topics = append(p.node.Topics, f)
+}
+
+// Node returns the gossip.
+func (p *Plane) Node() *gossip.Node { return p.node }
+
+// Followers returns the followers of the topics.
+func (p *Plane) Followers() map[barleystep.Topic]*follow.Follower { return p.followers }
+
+// Handler returns the handler for other boxes.
+func (p *Plane) Handler() (path string, h http.Handler) {
+	return (&gossip.Server{Followers: p.followers}).Handler()
+}
--- /dev/null
+++ b/internal/plane/store_test.go
@@ -0,0 +1,165 @@
+package plane_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// store is a modelled store of the platform. Its zero value is empty and serves
+// all boxes.
+type store struct {
+	mu       sync.Mutex
+	revision barleystep.Revision
+	changes  map[barleystep.Topic][]change
+	changed  chan struct{}
+	// away reports whether a box is turned away; nil turns none away.
+	away func(b *box) bool
+	// calls counts calls by kind.
+	calls map[string]int
+	// failed counts those that were turned away.
+	failed int
+}
+
+type change struct {
+	record   barleystep.Record
+	revision barleystep.Revision
+}
+
+// storeDelay is what a call takes besides waiting.
+const storeDelay = 4 * time.Millisecond
+
+// put writes records.
+func (s *store) put(topic barleystep.Topic, records ...barleystep.Record) barleystep.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changes == nil {
+		s.changes = make(map[barleystep.Topic][]change)
+	}
+	s.revision++
+	for _, r := range records {
+		s.changes[topic] = append(s.changes[topic], change{r, s.revision})
+	}
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *store) setAway(away func(b *box) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// count returns the calls of all kinds so far.
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, n := range s.calls {
+		sum += n
+	}
+	return sum
+}
+
+// client is the store as one box reaches it.
+type client struct {
+	store *store
+	box   *box
+}
+
+// enter counts a call and makes it wait for its answer.
+func (c *client) enter(ctx context.Context, kind string) error {
+	s := c.store
+	s.mu.Lock()
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	s.calls[kind]++
+	away := s.away != nil && s.away(c.box)
+	if away {
+		s.failed++
+	}
+	s.mu.Unlock()
+	time.Sleep(storeDelay)
+	if away || ctx.Err() != nil {
+		return barleystep.ErrUnavailable
+	}
+	return nil
+}
+
+// Fetch returns the last record of each key.
+func (c *client) Fetch(ctx context.Context, topic barleystep.Topic) (barleystep.Batch, error) {
+	if err := c.enter(ctx, "fetch "+topic.String()); err != nil {
+		return barleystep.Batch{}, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := make(map[string]barleystep.Record)
+	for _, ch := range s.changes[topic] {
+		last[ch.record.Key()] = ch.record
+	}
+	var list []barleystep.Record
+	for _, r := range last {
+		if !r.Removed() {
+			list = append(list, r)
+		}
+	}
+	return barleystep.NewBatch(list, s.revision), nil
+}
+
+// Follow waits for changes of the topic.
+func (c *client) Follow(ctx context.Context, topic barleystep.Topic, since barleystep.Revision, wait time.Duration) (barleystep.Batch, error) {
+	if err := c.enter(ctx, "follow "+topic.String()); err != nil {
+		return barleystep.Batch{}, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		list, revision, changed := c.store.since(topic, since)
+		if len(list) > 0 {
+			return barleystep.NewBatch(list, revision), nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return barleystep.NewBatch(nil, revision), nil
+		case <-ctx.Done():
+			return barleystep.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *store) since(topic barleystep.Topic, since barleystep.Revision) (list []barleystep.Record, now barleystep.Revision, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ch := range s.changes[topic] {
+		if ch.revision > since {
+			list = append(list, ch.record)
+		}
+	}
+	return list, s.revision, s.changed
+}
+
+// Publish writes a box's record.
+func (c *client) Publish(ctx context.Context, key string, value []byte) error {
+	if err := c.enter(ctx, "publish"); err != nil {
+		return err
+	}
+	c.store.put(barleystep.TopicBoxes, barleystep.NewRecord(key, value))
+	return nil
+}
+
+// Withdraw removes a box's record.
+func (c *client) Withdraw(ctx context.Context, key string) error {
+	if err := c.enter(ctx, "withdraw"); err != nil {
+		return err
+	}
+	c.store.put(barleystep.TopicBoxes, barleystep.NewRemoval(key))
+	return nil
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -11,7 +11,7 @@
 	r.Exporter.Observe("barleystep_belief_age_seconds", "How long ago a change of the topic could last have been missed; below zero without any proof.", "topic", r.beliefAges)
 	r.Exporter.Observe("barleystep_targets_believed", "Targets by what the box believes of them.", "state", r.targetStates)
 	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
-		return []metric.Sample{{Label: "counted", Value: float64(r.gossip.Boxes())}}
+		return []metric.Sample{{Label: "counted", Value: float64(r.plane.Node().Boxes())}}
 	})
 	if r.DroppedLines != nil {
 		r.Exporter.Observe("barleystep_log_lines_dropped", "Log lines that nobody read in time.", "stream", func() []metric.Sample {
@@ -22,7 +22,7 @@
 
 func (r *Router) beliefAges() []metric.Sample {
 	list := []metric.Sample{{Label: "keys", Value: r.configuration.Age().Seconds()}}
-	for topic, f := range r.followers {
+	for topic, f := range r.plane.Followers() {
 		age := f.Age()
 		if age < 0 {
 			age = -time.Second
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,9 +19,9 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/follow"
 	"github.com/barleystep/barleystep/internal/front"
-	"github.com/barleystep/barleystep/internal/gossip"
 	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/plane"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/supervisor"
 	"github.com/barleystep/barleystep/internal/web"
@@ -45,11 +45,10 @@
 
 	configuration *follow.Configuration
 	targets       *follow.Targets
-	followers     map[barleystep.Topic]*follow.Follower
 	balancer      *balance.Balancer
 	pool          *conn.Pool
 	budget        *budget.Budget
-	gossip        *gossip.Node
+	plane         *plane.Plane
 	front         *front.Server
 	callers       *listener
 	top           *suture.Supervisor
@@ -62,11 +61,6 @@
 const logPrefix = "router: "
 
 const (
-	// followWait is how long one call waits for a change. Each answer proves that
-	// none was missed until it was asked for, so that the proof, on which other boxes
-	// rely too, is at most twice as old, which leaves them some time below the limit
-	// from which on they read the store themselves.
-	followWait = 500 * time.Millisecond
 	// dialTimeout bounds the making of a connection to a target, which takes a
 	// few milliseconds where the target lives. A lost packet is sent again only
 	// after a second: another target is tried before that.
@@ -113,25 +107,28 @@
 		Targets: r.targets.List,
 		Log:     r.Log,
 	}
-	r.gossip = &gossip.Node{
-		Clock:     r.Clock,
-		Box:       barleystep.BoxID(s.Box.ID),
-		Hall:      barleystep.HallID(s.Box.Hall),
-		Addr:      s.Listen.Peers,
-		Seeds:     s.Peers.Seeds,
-		Catalogue: r.Catalogue,
-		Balancer:  r.balancer,
-		Log:       r.Log,
+	r.plane = &plane.Plane{
+		Clock:         r.Clock,
+		Box:           barleystep.BoxID(s.Box.ID),
+		Hall:          barleystep.HallID(s.Box.Hall),
+		Addr:          s.Listen.Peers,
+		Seeds:         s.Peers.Seeds,
+		Catalogue:     r.Catalogue,
+		HTTP:          &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnections}},
+		Configuration: r.configuration,
+		Targets:       r.targets,
+		Balancer:      r.balancer,
+		Log:           r.Log,
 	}
-	r.follow()
+	r.plane.Build()
 	r.balancer.Lead = &lead.Client{
 		Clock: r.Clock,
 		HTTP:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: leadConnections}},
-		Addr:  r.gossip.Lead,
+		Addr:  r.plane.Node().Lead,
 		Log:   r.Log,
 	}
 	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
-	r.budget = &budget.Budget{Clock: r.Clock, Window: s.Retries.Window.Or(defaultWindow), Boxes: r.gossip.Boxes}
+	r.budget = &budget.Budget{Clock: r.Clock, Window: s.Retries.Window.Or(defaultWindow), Boxes: r.plane.Node().Boxes}
 	r.front = &front.Server{
 		Clock:         r.Clock,
 		Protocol:      r.Protocol,
@@ -154,32 +151,6 @@
 	r.supervise()
 }
 
-// follow makes the followers of the store's topics, which share what they read
-// with other boxes.
-func (r *Router) follow() {
-	peers := &gossip.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConnections}}}
-	handlers := map[barleystep.Topic]follow.Handler{
-		barleystep.TopicConfiguration: r.configuration,
-		barleystep.TopicTargets:       r.targets,
-	}
-	r.followers = make(map[barleystep.Topic]*follow.Follower)
-	for _, topic := range []barleystep.Topic{barleystep.TopicConfiguration, barleystep.TopicTargets} {
-		f := &follow.Follower{
-			Clock:     r.Clock,
-			Catalogue: r.Catalogue,
-			Topic:     topic,
-			Handler:   handlers[topic],
-			Log:       r.Log,
-			Wait:      followWait,
-			Reads:     r.gossip.Collects,
-			Peers:     peers,
-			Large:     topic == barleystep.TopicConfiguration,
-		}
-		r.followers[topic] = f
-		r.gossip.Topics = append(r.gossip.Topics, f)
-	}
-}
-
 // apply puts the settings in force that may change while the program runs.
 func (r *Router) apply(s settings.Settings) {
 	r.freshness.Store(int64(s.Keys.Freshness))
@@ -194,7 +165,7 @@
 func (r *Router) supervise() {
 	s := r.Settings
 	r.top = supervisor.New("router", r.Log, time.Second)
-	for _, f := range r.followers {
+	for _, f := range r.plane.Followers() {
 		r.top.Add(f)
 	}
 	r.top.Add(r.callers)
@@ -203,7 +174,7 @@
 		r.top.Add(r.web("metrics", s.Listen.Admin, r.Exporter))
 	}
 	r.top.Add(r.web("peers", s.Listen.Peers, r.peers()))
-	r.top.Add(r.gossip)
+	r.top.Add(r.plane.Node())
 	r.top.Add(tender{r})
 	r.top.Add(&settings.Watcher{Clock: r.Clock, Current: s, Apply: r.apply, Log: r.Log})
 }
@@ -211,7 +182,7 @@
 // peers returns the handler for other boxes.
 func (r *Router) peers() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle((&gossip.Server{Followers: r.followers}).Handler())
+	mux.Handle(r.plane.Handler())
 	mux.Handle((&lead.Server{Clock: r.Clock, Balancer: r.balancer, View: r.configuration.View}).Handler())
 	return mux
 }
@@ -266,7 +237,7 @@
 	r.Log.Info().Int64("running", r.front.Running()).Msg(logPrefix + "Stopping. New callers are sent elsewhere.")
 	close(r.leaving)
 	r.front.Leave()
-	r.gossip.Leave()
+	r.plane.Node().Leave()
 	grace := time.Duration(r.grace.Load())
 	started := r.Clock.Now()
 	clock.Sleep(ctx, r.Clock, noticeTime)
