Boxes that hear nobody read the registry before they take a role

Cause: after all boxes lost their power the seeds they were given did not answer; after 0.4 s 288 of 295 took the collector's role, read the store and wrote themselves into the registry. Change: a box that hears nobody reads the registry after 0.3 s, asks those it finds there, and takes the role only after 1.5 to 2.5 s, as it registers itself; once it has heard anybody it waits 0.4 s for word of a collector. Ruled out: processor time of the starting boxes; at the first start, with seeds that answer, 8 of 295 took the role.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -81,6 +81,8 @@
 	// collecting is set while this box is its hall's collector.
 	collecting      bool
 	collectingSince time.Time
+	// met is when the first word of another box came.
+	met time.Time
 	// stepped is when the last tick came, and weakUntil until when this box holds
 	// itself for weak.
 	stepped   time.Time
@@ -137,9 +139,14 @@
 	// a collector within two seconds.
 	firstAsked = 2
 	widenTicks = 5
-	// startPatience is how long a box that starts waits for word of a collector, and
-	// settleFor how long before it takes the role from one.
+	// startPatience is how long a box that starts, or the first of a hall, waits for
+	// word of a collector once it has heard anybody, and lonePatience how long while it
+	// hears nobody, with up to loneSpread more that part the boxes: after all lost
+	// their power the seeds may be stale, and the registry is read first. settleFor is
+	// how long a box waits before it takes the role from a collector.
 	startPatience = 400 * time.Millisecond
+	lonePatience  = 1500 * time.Millisecond
+	loneSpread    = time.Second
 	settleFor     = 2 * time.Second
 	// heldUp is the gap between ticks from which on a box counts as held up, and
 	// weakFor how long it then leaves roles to others: machines that turn slow do so
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -64,6 +64,9 @@
 // revive notes that a box was heard of directly.
 func (n *Node) revive(m *member, now time.Time) {
 	m.heard, m.asked = now, time.Time{}
+	if n.met.IsZero() {
+		n.met = now
+	}
 	if m.alive {
 		return
 	}
--- a/internal/gossip/registry.go
+++ b/internal/gossip/registry.go
@@ -15,7 +15,7 @@
 	// announcePause is the wait between looks whether the box has to be registered,
 	// and between tries while the store is away; alone a box waits up to
 	// longestAnnouncePause between its looks at the registry.
-	announcePause        = 500 * time.Millisecond
+	announcePause        = 300 * time.Millisecond
 	longestAnnouncePause = 8 * time.Second
 	// aloneFor is how long a box hears nobody before it counts as alone: by then
 	// others have taken over the roles of boxes that were lost.
@@ -27,7 +27,7 @@
 	withdrawTimeout = 2 * time.Second
 )
 
-// announce registers this box where others could not find it without: once it
+// announce reads the registry while the box hears of nobody, and registers this box where others could not find it without: once it
 // collects for its hall, and while it hears of nobody. Each of the others is known
 // to its collector, so that hundreds of boxes start without a call to the store for
 // each.
@@ -39,37 +39,39 @@
 	}
 	pause, done := announcePause, false
 	for clock.Sleep(ctx, n.Clock, pause) {
-		alone, collects := n.standing()
+		alone, lone, collects := n.standing()
 		if !alone && (done || !collects) {
 			pause = announcePause
 			continue
 		}
-		if err = n.register(ctx, value, done); err != nil {
-			n.Log.Warn().Err(err).Msg(logPrefix + "The box could not be registered. It tries again.")
+		publish := !done && (collects || lone)
+		if err = n.register(ctx, value, publish); err != nil {
+			n.Log.Warn().Err(err).Msg(logPrefix + "The registry does not answer. The box tries again.")
 		}
-		done = done || err == nil
+		done = done || (publish && err == nil)
 		pause = min(2*pause, longestAnnouncePause)
 	}
 }
 
-// standing reports whether this box hears of nobody, and whether it has collected for
-// a while.
-func (n *Node) standing() (alone, collects bool) {
+// standing reports whether this box hears of nobody now, whether it has done so for
+// long, and whether it has collected for a while.
+func (n *Node) standing() (alone, lone, collects bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Clock.Now()
 	heard := n.first(func(m *member) bool { return now.Sub(m.heard) <= aloneFor })
-	return heard == nil && now.Sub(n.origin) >= startPatience, n.collecting && now.Sub(n.collectingSince) >= collectingFor
+	lone = heard == nil && now.Sub(n.origin) >= lonePatience
+	return heard == nil, lone, n.collecting && now.Sub(n.collectingSince) >= collectingFor
 }
 
-// register writes this box's record, unless that is done, and reads those of others.
-func (n *Node) register(ctx context.Context, value []byte, done bool) (err error) {
+// register writes this box's record, if wanted, and reads those of others.
+func (n *Node) register(ctx context.Context, value []byte, publish bool) (err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrap(err, "gossip: register")
 		}
 	}()
-	if !done {
+	if publish {
 		if err = n.Catalogue.Publish(ctx, string(n.Box), value); err != nil {
 			return err
 		}
--- a/internal/gossip/role.go
+++ b/internal/gossip/role.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -101,6 +102,19 @@
 	return list
 }
 
+// strangers returns boxes that are known from the registry only: how they rank is
+// told by themselves.
+func (n *Node) strangers(now time.Time) []*member {
+	var list []*member
+	for _, m := range n.members {
+		if m.heard.IsZero() && m.named.IsZero() && m.presumed(now) {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, byRank)
+	return list
+}
+
 // choose takes the collector's role up or lays it down. A collector goes on until it
 // hears the sums of one that comes before it, so that its hall is never without; two
 // at a time do no harm, since each box goes by the sums of one.
@@ -130,13 +144,21 @@
 	return source.rank().before(n.rank(now))
 }
 
+// spread is this box's place from 0 to 1 among those that would act at one moment.
+func (n *Node) spread() float64 {
+	return float64(rankOf(n.Box, 0).hash) / math.MaxUint64
+}
+
 // settled reports whether this box may take the role up: without a collector, once
 // others had the time to tell of themselves; beside one, once it knows what it would
 // pass on and has listened for longer.
 func (n *Node) settled(now time.Time, source *member) bool {
 	up := now.Sub(n.origin)
+	if source == nil && n.met.IsZero() {
+		return up >= lonePatience+time.Duration(n.spread()*float64(loneSpread))
+	}
 	if source == nil {
-		return up >= startPatience
+		return now.Sub(n.met) >= startPatience
 	}
 	for _, t := range n.Topics {
 		if changed, _ := t.State(); changed == 0 {
@@ -157,7 +179,7 @@
 	d := n.report(own, now)
 	d.Asks = true
 	asked := 0
-	for _, m := range n.superiors(now) {
+	for _, m := range append(n.superiors(now), n.strangers(now)...) {
 		if asked == n.askWidth {
 			break
 		}
--- a/internal/plane/day_test.go
+++ b/internal/plane/day_test.go
@@ -40,6 +40,8 @@
 	network *network
 	store   *store
 	boxes   []*box
+	// seedless is set once boxes that start are told no seeds.
+	seedless bool
 	// version is the last configuration's.
 	version int64
 	result  result
@@ -164,6 +166,9 @@
 // seeds returns the addresses of the first boxes of some halls.
 func (d *day) seeds() []string {
 	var list []string
+	if d.seedless {
+		return nil
+	}
 	for i := range min(seedBoxes, len(d.boxes)) {
 		list = append(list, d.boxes[i].addr.String())
 	}
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -49,6 +49,13 @@
 	})
 }
 
+// losePower is killAll where no seeds are known afterwards, as where seeds are the
+// boxes that lived a moment ago.
+func losePower(d *day) {
+	d.seedless = true
+	killAll(d)
+}
+
 // killMost ends nine of ten boxes of a hall.
 func killMost(hall string) func(d *day) {
 	return func(d *day) {
@@ -141,6 +148,10 @@
 			scene{halls: 5, boxes: 100, length: 10 * time.Second, events: []event{{4 * time.Second, killAll}}},
 			want{collectors: 2, leads: 5, changes: 10, gap: time.Second, settled: 6 * time.Second, served: 6 * time.Second, calls: 130},
 		},
+		"all lose power, and no seeds are known": {
+			scene{halls: 5, boxes: 100, length: 10 * time.Second, events: []event{{4 * time.Second, losePower}}},
+			want{collectors: 2, leads: 5, changes: 10, gap: 1500 * ms, settled: 7 * time.Second, served: 7 * time.Second, calls: 250},
+		},
 		"a hall loses nine of ten": {
 			scene{halls: 5, boxes: 100, length: 10 * time.Second, events: []event{{4 * time.Second, killMost("hall-1")}}},
 			want{collectors: 2, leads: 2, changes: 2, gap: 1500 * ms, settled: 6 * time.Second, proof: 2800 * ms, calls: 120},
