The registry is read at once where no seeds are given, and written where it names nobody

Cause: two boxes without seeds, of which the store soon turns one away, never met: each registered itself only after hearing nobody for 1.5 s (router.TestRevokedWhileTurnedAway hung for its minute). Change: without seeds a box reads the registry at its start; whoever finds nobody else in it writes itself at once.

--- a/internal/gossip/registry.go
+++ b/internal/gossip/registry.go
@@ -27,10 +27,10 @@
 	withdrawTimeout = 2 * time.Second
 )
 
-// announce reads the registry while the box hears of nobody, and registers this box where others could not find it without: once it
-// collects for its hall, and while it hears of nobody. Each of the others is known
-// to its collector, so that hundreds of boxes start without a call to the store for
-// each.
+// announce reads the registry while the box hears of nobody, and registers this box
+// where others could not find it without: once it collects for its hall, and where
+// the registry names nobody who answers. Each of the others is known to its
+// collector, so that hundreds of boxes start without a call to the store for each.
 func (n *Node) announce(ctx context.Context) {
 	value, err := barleystep.EncodeBox(barleystep.NewBox(n.Box, n.Hall, n.Addr, false))
 	if err != nil {
@@ -38,18 +38,22 @@
 		return
 	}
 	pause, done := announcePause, false
+	if len(n.Seeds) == 0 {
+		pause = 0
+	}
 	for clock.Sleep(ctx, n.Clock, pause) {
 		alone, lone, collects := n.standing()
 		if !alone && (done || !collects) {
 			pause = announcePause
 			continue
 		}
-		publish := !done && (collects || lone)
-		if err = n.register(ctx, value, publish); err != nil {
+		wanted := !done && (collects || lone)
+		published, err := n.register(ctx, value, wanted, !done)
+		if err != nil {
 			n.Log.Warn().Err(err).Msg(logPrefix + "The registry does not answer. The box tries again.")
 		}
-		done = done || (publish && err == nil)
-		pause = min(2*pause, longestAnnouncePause)
+		done = done || published
+		pause = min(2*max(pause, announcePause), longestAnnouncePause)
 	}
 }
 
@@ -64,26 +68,30 @@
 	return heard == nil, lone, n.collecting && now.Sub(n.collectingSince) >= collectingFor
 }
 
-// register writes this box's record, if wanted, and reads those of others.
-func (n *Node) register(ctx context.Context, value []byte, publish bool) (err error) {
+// register reads the others' records, and writes this box's if that is wanted or, where
+// it may, if there are no others.
+func (n *Node) register(ctx context.Context, value []byte, wanted, may bool) (published bool, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrap(err, "gossip: register")
 		}
 	}()
-	if publish {
-		if err = n.Catalogue.Publish(ctx, string(n.Box), value); err != nil {
-			return err
-		}
-	}
 	b, err := n.Catalogue.Fetch(ctx, barleystep.TopicBoxes)
 	if err != nil {
-		return err
+		return false, err
 	}
+	others := 0
 	for _, r := range b.Records() {
+		if r.Key() != string(n.Box) {
+			others++
+		}
 		n.learn(r)
 	}
-	return nil
+	if !wanted && (!may || others > 0) {
+		return false, nil
+	}
+	err = n.Catalogue.Publish(ctx, string(n.Box), value)
+	return err == nil, err
 }
 
 func (n *Node) learn(r barleystep.Record) {
