The lead places short prompts too

Cause, by the laboratory: with 295 boxes before 150 engines 23 of 100 short prompts are late by their first event; engines read one in 20 ms and work in passes of 70 ms, so that two prompts in one pass are late, and boxes choose by news of 100 to 150 ms ago. More draws by such news are worse (6: 34 late, 15: 47), as is filling engines up to one level by what comes meanwhile (34); shares of the engines for 3 and 5 boxes that place for all give 7 and 13, one box 4. What the lead has placed counts there for 0.1 s, until its box's word comes: with 0.2 s long prompts waited. A way that was dropped: reckoning short prompts' reading by the cost model; its test run hung for ten minutes and was ended, the cause is not traced.

--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -11,16 +11,18 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-// Lead is the one box that places the long prompts of all. These take many
-// engines at once, so that boxes which decide at the same moment, each without
-// knowing of the other, would take the same ones.
+// Lead is the one box that places the prompts of all. Long ones take many engines at
+// once; short ones are late where two of them are read in one pass. Boxes that decide
+// at the same moment, each without knowing of the other, would take the same engines:
+// in the laboratory 23 of 100 short prompts were late by their first event where 295
+// boxes placed them, 4 where one did, and 7 and 1 of 100 with 9 boxes.
 type Lead interface {
-	// Place returns the plan for a long prompt, once its engines are ready for it. It
+	// Place returns the plan for a prompt, once its engines are ready for it. It
 	// returns ErrFull if the prompt should come back later, ErrInVain if its caller would
 	// be gone, and any other error if it is to be placed here.
 	Place(ctx context.Context, j Job) (Plan, error)
-	// Read tells the lead that its plan's prompt was read, or never will be, so that
-	// the engines are ready for the next one. It does not wait.
+	// Read tells the lead that its plan's long prompt was read, or never will be, so
+	// that the engines are ready for the next one. It does not wait.
 	Read(plan uint64)
 }
 
@@ -50,6 +52,8 @@
 	// reading counts if its box says nothing.
 	counted time.Time
 	until   time.Time
+	// short is set for short prompts.
+	short bool
 }
 
 const (
@@ -57,6 +61,9 @@
 	// box count here: until that box has told of them, which takes some ticks of the
 	// gossip.
 	grantLife = 200 * time.Millisecond
+	// lightGrantLife is the same for short prompts, of which a few a second go to an
+	// engine: what counts twice for longer holds up long ones.
+	lightGrantLife = 100 * time.Millisecond
 	// readLate is how long after its time a prompt counts as unread of which its box
 	// has said nothing: the box may be gone.
 	readLate = 2 * time.Second
@@ -65,10 +72,10 @@
 	leadMemory = time.Second
 )
 
-// askLead has a long prompt placed by the lead. It returns nothing if there is no
+// askLead has a prompt placed by the lead. It returns nothing if there is no
 // lead, or none that answers: the prompt is then placed here.
 func (b *Balancer) askLead(ctx context.Context, j Job) (p *Placement, err error) {
-	if b.Lead == nil || !Heavy(j) {
+	if b.Lead == nil || j.Cost == nil {
 		return nil, nil
 	}
 	plan, err := b.Lead.Place(ctx, j)
@@ -79,7 +86,7 @@
 	}
 	switch {
 	case err == nil:
-		if p = b.Adopt(j, plan); p == nil {
+		if p = b.Adopt(j, plan); p == nil && heavy(j) {
 			b.Lead.Read(plan.Number) // Nobody will read it there.
 		}
 		return p, nil
@@ -103,6 +110,11 @@
 	if !ok {
 		return nil
 	}
+	if !heavy(j) {
+		p := lightPlacement(j, first, plan.Expected)
+		b.book(p)
+		return p
+	}
 	var helpers []fleet.Target
 	memory := 0
 	for _, h := range plan.Helpers {
@@ -153,7 +165,11 @@
 	now := b.Clock.Now()
 	b.leadUntil = now.Add(leadMemory)
 	b.granted++
-	b.grants[b.granted] = &grant{p, now.Add(grantLife), now.Add(p.expected + readLate)}
+	g := &grant{placement: p, counted: now.Add(grantLife), until: now.Add(p.expected + readLate), short: p.light()}
+	if g.short {
+		g.counted = now.Add(lightGrantLife)
+	}
+	b.grants[b.granted] = g
 	plan := Plan{Number: b.granted, Target: p.Target.ID, Expected: p.expected}
 	for _, h := range p.Helpers {
 		plan.Helpers = append(plan.Helpers, PlannedHelper{Target: h.ID, Memory: h.Memory})
@@ -183,7 +199,7 @@
 		if !counts {
 			g.placement.uncount()
 		}
-		if !counts && (g.placement.first || !now.Before(g.until)) {
+		if !counts && (g.placement.first || g.short || !now.Before(g.until)) {
 			b.strike(g.placement)
 			delete(b.grants, number)
 		}
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -48,8 +48,19 @@
 		return nil
 	}
 	b.note(j, read, false)
-	work := Work{Light: 1, Backlog: read, Memory: j.Prompt + j.Output}
-	return &Placement{Target: best, expected: score + read + j.Cost.Pass(), parts: []*part{{target: best.ID, work: work}}}
+	return lightPlacement(j, best, score+read+j.Cost.Pass())
+}
+
+// lightPlacement returns the placement of a short prompt at an engine.
+func lightPlacement(j Job, t fleet.Target, expected time.Duration) *Placement {
+	work := Work{Light: 1, Backlog: j.Cost.Read(j.Prompt), Memory: j.Prompt + j.Output}
+	return &Placement{Target: t, expected: expected, parts: []*part{{target: t.ID, work: work}}}
+}
+
+// light reports whether the placement is that of a short prompt or of a request to a
+// plain service.
+func (p *Placement) light() bool {
+	return len(p.parts) == 1 && p.parts[0].share == 0 && p.parts[0].pass == 0
 }
 
 // bestLight returns the best of some engines drawn at random, and its score.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -62,3 +62,18 @@
 	c.Assert(lab.WriteTables(&out, lab.Plan{Seeds: 1, Workers: 2, Family: "one"}), quicktest.IsNil)
 	c.Check(strings.Count(out.String(), "| one engine |"), quicktest.Equals, 6)
 }
+
+// TestHundredsOfBoxes checks that short prompts are in time where hundreds of boxes ask
+// before engines of which callers need a quarter, and half in bursts: engines read one
+// prompt in about 20 ms and write in passes of 70, so that two prompts in one pass are
+// late. Where each box chose by news of 100 to 150 ms ago, 76 of 100 of their worth were
+// earned.
+func TestHundredsOfBoxes(t *testing.T) {
+	for _, f := range lab.Families {
+		if f.Name != "three hundred boxes" {
+			continue
+		}
+		k := lab.Run(short(f), lab.Balanced, 3).Kinds[0]
+		quicktest.Check(t, k.Earned/k.Owed > 0.88, quicktest.IsTrue, quicktest.Commentf("%.3f", k.Earned/k.Owed))
+	}
+}
--- /dev/null
+++ b/internal/lead/server.go
@@ -0,0 +1,101 @@
+// Package lead lets boxes have their prompts placed by one of them.
+package lead
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	placementv1 "github.com/barleystep/barleystep/api/placement/v1"
+	"github.com/barleystep/barleystep/api/placement/v1/placementv1connect"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// Server places prompts for other boxes.
+type Server struct {
+	Clock    barleystep.Clock
+	Balancer *balance.Balancer
+	// View returns the configuration in force, nil if there is none.
+	View func() *fleet.View
+
+	mu sync.Mutex
+	// second is that in which asked questions came.
+	second time.Time
+	asked  int
+}
+
+// mostAsked is how many questions the lead answers in a second: each takes about 0.2 ms
+// of a core, so that a machine with 0.8 of one is left most of it. Boxes that are turned
+// away place their prompts themselves for a while.
+const mostAsked = 700
+
+// busy counts a question and reports whether there are too many.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := s.Clock.Now(); now.Sub(s.second) >= time.Second {
+		s.second, s.asked = now, 0
+	}
+	s.asked++
+	return s.asked > mostAsked
+}
+
+// Handler returns the handler for other boxes.
+func (s *Server) Handler() (path string, h http.Handler) {
+	return placementv1connect.NewPlacementServiceHandler(s)
+}
+
+// holdTime is for how long a question is held while a prompt waits for its engines.
+// A box that asks again has lost its lead the sooner, the shorter it is; the longer,
+// the fewer questions there are.
+const holdTime = 250 * time.Millisecond
+
+// Place chooses the engines of a prompt.
+func (s *Server) Place(ctx context.Context, r *connect.Request[placementv1.PlaceRequest]) (*connect.Response[placementv1.PlaceResponse], error) {
+	if s.busy() {
+		return nil, connect.NewError(connect.CodeUnavailable, eris.New("others are asking already"))
+	}
+	view := s.View()
+	if view == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, eris.New("no configuration is known"))
+	}
+	j := jobOf(view, r.Msg)
+	now := s.Clock.Now()
+	if waited := r.Msg.GetWaitedMs(); waited > 0 {
+		j.Since = now.Add(-time.Duration(waited) * time.Millisecond)
+	}
+	if earlier := r.Msg.GetEarlierMs(); earlier > 0 {
+		j.First = now.Add(-time.Duration(r.Msg.GetWaitedMs()+earlier) * time.Millisecond)
+	}
+	if left := r.Msg.GetLeftMs(); left > 0 {
+		j.Until = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	plan, err := s.Balancer.Grant(ctx, j, now.Add(holdTime))
+	switch {
+	case eris.Is(err, balance.ErrWaiting):
+		return nil, connect.NewError(connect.CodeAborted, err)
+	case eris.Is(err, balance.ErrFull):
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	case eris.Is(err, balance.ErrInVain):
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	out := &placementv1.PlaceResponse{Number: plan.Number, Target: string(plan.Target), ExpectedUs: plan.Expected.Microseconds()}
+	for _, h := range plan.Helpers {
+		out.Helpers = append(out.Helpers, &placementv1.Helper{Target: string(h.Target), Memory: int64(h.Memory)})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Read notes that the prompt of a plan was read.
+func (s *Server) Read(_ context.Context, r *connect.Request[placementv1.ReadRequest]) (*connect.Response[placementv1.ReadResponse], error) {
+	s.Balancer.EndRead(r.Msg.GetNumber())
+	return connect.NewResponse(&placementv1.ReadResponse{}), nil
+}
--- /dev/null
+++ b/internal/lead/wire.go
@@ -0,0 +1,60 @@
+package lead
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+	placementv1 "github.com/barleystep/barleystep/api/placement/v1"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+func jobOf(view *fleet.View, m *placementv1.PlaceRequest) balance.Job {
+	j := balance.Job{
+		Request:   m.GetRequest(),
+		Service:   m.GetService(),
+		Prompt:    int(m.GetPrompt()),
+		Output:    int(m.GetOutput()),
+		Objective: time.Duration(m.GetObjectiveMs()) * time.Millisecond,
+		Tightest:  view.TightestPause(m.GetService()),
+		Rank:      int(m.GetRank()),
+		Alone:     m.GetAlone(),
+		Near:      m.GetNear(),
+	}
+	if s := view.Service(j.Service); s != nil {
+		j.Cost = s.Cost
+	}
+	for _, id := range m.GetAvoid() {
+		j.Avoid = append(j.Avoid, barleystep.TargetID(id))
+	}
+	return j
+}
+
+func requestOf(j balance.Job) *placementv1.PlaceRequest {
+	m := &placementv1.PlaceRequest{
+		Request:     j.Request,
+		Service:     j.Service,
+		Prompt:      int64(j.Prompt),
+		Output:      int64(j.Output),
+		ObjectiveMs: j.Objective.Milliseconds(),
+		Rank:        int32(j.Rank),
+		Alone:       j.Alone,
+		Near:        j.Near,
+	}
+	for _, id := range j.Avoid {
+		m.Avoid = append(m.Avoid, string(id))
+	}
+	return m
+}
+
+func planOf(m *placementv1.PlaceResponse) balance.Plan {
+	plan := balance.Plan{
+		Number:   m.GetNumber(),
+		Target:   barleystep.TargetID(m.GetTarget()),
+		Expected: time.Duration(m.GetExpectedUs()) * time.Microsecond,
+	}
+	for _, h := range m.GetHelpers() {
+		plan.Helpers = append(plan.Helpers, balance.PlannedHelper{Target: barleystep.TargetID(h.GetTarget()), Memory: int(h.GetMemory())})
+	}
+	return plan
+}
