--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -71,6 +71,7 @@
 
 	failing  time.Time
 	failures int
+	calls    callKinds
 }
 
 const (
@@ -108,7 +109,9 @@
 			continue
 		}
 		asked := f.Clock.Now()
+		duty := f.duty()
 		changed, err := f.step(ctx, asked, f.wait())
+		f.count(duty, err)
 		if err == nil {
 			f.recovered()
 			if changed {
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -221,3 +221,27 @@
 	}
 	c.Check(waits, quicktest.DeepEquals, []time.Duration{0, 100 * time.Millisecond, 0, 0})
 }
+
+// TestCalls checks that calls are counted by what the box reads for others and by their
+// outcome.
+func TestCalls(t *testing.T) {
+	c := quicktest.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clk := &instant{}
+	source := &catalogue{end: cancel, replies: []reply{{batch: batchOf(3, record("1"))}, {err: barleystep.ErrUnavailable}, {batch: batchOf(3)}}}
+	f := &follow.Follower{
+		Clock: clk, Catalogue: source, Log: quiet,
+		Handler: &follow.Configuration{Clock: clk, Decode: decode, Log: quiet},
+		Duty:    func() follow.Duty { return follow.DutyStandIn },
+	}
+	c.Check(f.Serve(ctx), quicktest.Equals, context.Canceled)
+	got := make(map[follow.Calls]bool)
+	for _, n := range f.Calls() {
+		got[n] = true
+	}
+	// The fourth call is the one with which the test ends.
+	c.Check(got[follow.Calls{Duty: follow.DutyStandIn, Count: 2}], quicktest.IsTrue)
+	c.Check(got[follow.Calls{Duty: follow.DutyStandIn, Failed: true, Count: 2}], quicktest.IsTrue)
+	c.Check(got[follow.Calls{Duty: follow.DutyRead}], quicktest.IsTrue)
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -13,6 +13,7 @@
 	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
 		return []metric.Sample{{Label: "counted", Value: float64(r.plane.Node().Boxes())}}
 	})
+	r.Exporter.Observe("barleystep_store_calls", "Calls to the platform's store since the start, by topic, by what the box reads for others, and by outcome.", "reason", r.storeCalls)
 	if r.DroppedLines != nil {
 		r.Exporter.Observe("barleystep_log_lines_dropped", "Log lines that nobody read in time.", "stream", func() []metric.Sample {
 			return []metric.Sample{{Label: "stdout", Value: float64(r.DroppedLines())}}
@@ -32,6 +33,21 @@
 	return list
 }
 
+func (r *Router) storeCalls() []metric.Sample {
+	var list []metric.Sample
+	for topic, f := range r.plane.Followers() {
+		for _, c := range f.Calls() {
+			outcome := "answered"
+			if c.Failed {
+				outcome = "failed"
+			}
+			label := topic.String() + ", " + c.Duty.String() + ", " + outcome
+			list = append(list, metric.Sample{Label: label, Value: float64(c.Count)})
+		}
+	}
+	return list
+}
+
 func (r *Router) targetStates() []metric.Sample {
 	known, draining, down := 0, 0, 0
 	for _, t := range r.targets.List() {
