--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -124,7 +124,7 @@
 	if l == nil {
 		return nil
 	}
-	time.Sleep(wait)
+	pause(wait)
 	return l.handler
 }
 
@@ -160,7 +160,7 @@
 		b.mu.Lock()
 		wait := time.Until(b.frozen)
 		b.mu.Unlock()
-		time.Sleep(wait)
+		pause(wait)
 		t.c <- time.Now()
 	})
 	return t
--- a/internal/plane/day_test.go
+++ b/internal/plane/day_test.go
@@ -1,6 +1,7 @@
 package plane_test
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 // scene says what is played.
@@ -95,6 +97,10 @@
 	configurationBytes = 60_000
 )
 
+// pause lets simulated time pass. All that a scene runs, real nodes too, is inside of
+// one bubble of synctest, in which nothing waits for the wall clock.
+func pause(d time.Duration) { clock.Sleep(context.Background(), clock.System{}, d) }
+
 // play plays the scene in simulated time.
 func play(t *testing.T, s scene) (r result) {
 	synctest.Test(t, func(*testing.T) {
@@ -182,7 +188,7 @@
 	}
 	events := d.scene.events
 	for d.elapsed() < d.scene.length {
-		time.Sleep(lookEvery)
+		pause(lookEvery)
 		for len(events) > 0 && events[0].at <= d.elapsed() {
 			events[0].do(d)
 			events = events[1:]
--- a/internal/plane/network_test.go
+++ b/internal/plane/network_test.go
@@ -191,7 +191,7 @@
 		return nil, err
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	time.Sleep(n.delay(b, to))
+	pause(n.delay(b, to))
 	handler := to.awake()
 	if handler == nil {
 		return nil, net.ErrClosed
@@ -199,6 +199,6 @@
 	answer := httptest.NewRecorder()
 	handler.ServeHTTP(answer, r)
 	n.note(b.addr, answer.Body.Len())
-	time.Sleep(n.delay(to, b) + to.place().pass(answer.Body.Len()) + b.place().pass(answer.Body.Len()))
+	pause(n.delay(to, b) + to.place().pass(answer.Body.Len()) + b.place().pass(answer.Body.Len()))
 	return answer.Result(), r.Context().Err()
 }
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -85,7 +85,7 @@
 func heal(d *day) { d.network.setCut(nil) }
 
 // roll ends and starts every box once, so many at a time.
-func roll(boxes int, pause time.Duration) []event {
+func roll(boxes int, away time.Duration) []event {
 	var list []event
 	at := start
 	for first := 0; first < 100; first += boxes {
@@ -94,12 +94,12 @@
 			for _, b := range part(d) {
 				b.kill()
 			}
-		}}, event{at + pause, func(d *day) {
+		}}, event{at + away, func(d *day) {
 			for _, b := range part(d) {
 				b.start()
 			}
 		}})
-		at += 2 * pause
+		at += 2 * away
 	}
 	return list
 }
--- a/internal/plane/store_test.go
+++ b/internal/plane/store_test.go
@@ -93,7 +93,7 @@
 		s.failed++
 	}
 	s.mu.Unlock()
-	time.Sleep(storeDelay)
+	pause(storeDelay)
 	if away || ctx.Err() != nil {
 		return barleystep.ErrUnavailable
 	}
