--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -112,7 +112,7 @@
 	probeTicks = 20
 	// seedTicks is how many ticks pass between questions to the seeds while no
 	// collector is heard: 300 boxes that start at once ask each seed 1,500 times a
-	// second, which takes a small box a tenth of a core.
+	// second together.
 	seedTicks = 4
 	// sumRoom is how many targets' work a collector sends to its hall in one tick, over
 	// all boxes, some 210 kB: with more boxes or targets it sends its sums less often,
@@ -133,7 +133,7 @@
 	namedFor     = 15 * time.Second
 	answerWithin = 250 * time.Millisecond
 	// doubtAfter is how long after a sum a box asks others whether its collector
-	// lives: five sums of a hall of 48 and two of the largest.
+	// lives: five sums of a small hall, and one of the largest.
 	doubtAfter = 250 * time.Millisecond
 	// firstAsked is how many boxes are asked at first for the collector; every
 	// widenTicks it is twice as many, so that a hall that lost most of its boxes has
