The control plane's scenes are played without the race detector, at which it falls over itself

All scenes stay in make test, at their whole size, without it; the packages that they play have their tests run with it. Ruled out: memory, the count of goroutines alone (nine boxes and two scenes fail as well).

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 run:
 	$(GO) run ./cmd/barleystep-dev
 
-# test passes all tests with the race detector on, and the control plane's scenes, which
-# are smaller with it, at their whole size without.
+# test passes all tests with the race detector on, but for the control plane's scenes, at
+# which it falls over: these follow without it.
 test:
 	skip=$$(.ci/known-red.sh); $(GO) test -race -timeout 20m $${skip:+-skip "$$skip"} ./...
 	skip=$$(.ci/known-red.sh); $(GO) test -timeout 20m $${skip:+-skip "$$skip"} ./internal/plane
--- a/internal/plane/day_test.go
+++ b/internal/plane/day_test.go
@@ -1,3 +1,9 @@
+//go:build !race
+
+// The scenes of this package run in bubbles of testing/synctest. With the race detector
+// on, the runtime itself falls over there now and then (a segmentation violation in
+// runtime.(*timer).maybeRunChan, or ThreadSanitizer's check of its own state), so that
+// they are played without it; the tests of gossip, follow and router run with it.
 package plane_test
 
 import (
--- a/internal/plane/store_test.go
+++ b/internal/plane/store_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package plane_test
 
 import (
