Prompts over an engine's memory wait for a lull, shortly at first, longer when their callers came back

Earlier tries to let them wait held up the others behind them in the queue.

Change: they wait in the queue of long prompts, those behind pass them, and they go last among those that can be in time. The first try waits for a quarter of the objective, so that its caller is told soon to come back; the second one, after which there is none, for as long as it can be in time by itself. One that has no place on idle engines either is refused at once.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -21,8 +21,7 @@
 var ErrNoTarget = eris.New("balance: no target")
 
 // ErrFull is returned when a request has waited for a place so long that its
-// caller would not wait for the answer, and for a prompt that takes many engines
-// while these are needed for others. It may come back later.
+// caller would not wait for the answer, or is better told to come back later.
 var ErrFull = eris.New("balance: all targets are full")
 
 // ErrInVain is returned when the caller would be gone before the first event could come.
@@ -204,9 +203,10 @@
 	case j.Cost == nil:
 		p = b.placePlain(candidates)
 	case heavy(j) && giant(j):
-		if p = b.placeGiant(j, candidates); p == nil {
-			return nil, ErrFull // Waiting here would not help: the engines are needed.
+		if !fits(j, len(candidates)) {
+			return nil, ErrFull // Waiting here would not help.
 		}
+		p = b.placeGiant(j, candidates)
 	case heavy(j):
 		p = b.placeHeavy(j, candidates)
 	default:
--- a/internal/balance/giant.go
+++ b/internal/balance/giant.go
@@ -11,9 +11,16 @@
 	return float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
 }
 
+// fits reports whether so many engines have the memory for a giant: one writes, and the
+// others hold it.
+func fits(j Job, engines int) bool {
+	helpers := min(engines-1, maxHelpers)
+	return float64(j.Prompt+j.Output) <= memoryPart*float64(helpers*j.Cost.Memory)
+}
+
 // placeGiant places a prompt that is longer than an engine's memory: its memory is
-// spread over its helpers. It returns nothing if these have other things to read, or
-// if their streams are worth more than the prompt: many of them would be held up for
+// spread over its helpers. It returns nothing while these have other things to read, or
+// while their streams are worth more than the prompt: many of them would be held up for
 // long.
 func (b *Balancer) placeGiant(j Job, engines []fleet.Target) *Placement {
 	g := b.bestAssignment(j, engines)
--- /dev/null
+++ b/internal/balance/giant_test.go
@@ -0,0 +1,86 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// overMemory is a prompt for which no engine of these tests has the memory.
+const overMemory = 500_000
+
+// TestOverMemoryWaits checks that a prompt over an engine's memory waits for engines to be
+// idle, holds up nobody behind it, and is placed once they are.
+func TestOverMemoryWaits(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(6)
+	all := func(w balance.Work) balance.Snapshot {
+		s := balance.NewSnapshot()
+		for _, target := range f.targets {
+			s.Work[balance.KeyOf(string(target.ID))] = w
+		}
+		return s
+	}
+	f.SetOthers(all(balance.Work{Backlog: time.Second}))
+	ask := func(prompt int) *balance.Wait {
+		j := job(prompt)
+		j.Objective = 4 * time.Second
+		_, w, err := f.Ask(context.Background(), j)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(w, quicktest.IsNotNil)
+		return w
+	}
+	over, long := ask(overMemory), ask(longPrompt)
+	f.SetOthers(all(balance.Work{Memory: 420_000})) // They have read, and write.
+	c.Assert(long.Ready(), quicktest.HasLen, 1)
+	c.Check(over.Ready(), quicktest.HasLen, 0)
+	p := <-long.Ready()
+	p.First()
+	p.Done(balance.Report{})
+	f.SetOthers(balance.NewSnapshot())
+	c.Check(over.Ready(), quicktest.HasLen, 1)
+}
+
+// TestOverMemoryWait checks for how long a prompt over an engine's memory waits: its caller
+// is told soon to come back, and then, as it has no third try, waits while it can be in time
+// by the second.
+func TestOverMemoryWait(t *testing.T) {
+	const objective = 8 * time.Second
+	least := cost.Read(overMemory)/17 + cost.Pass()
+	cases := map[string]struct {
+		earlier time.Duration
+		left    time.Duration
+		want    time.Duration
+	}{
+		"first try":               {0, 30 * time.Second, objective / 4},
+		"came back":               {5 * time.Second, 30 * time.Second, objective - least},
+		"came back, has no time":  {5 * time.Second, 4 * time.Second, 4*time.Second - least},
+		"first try, has no time":  {0, least + time.Second, time.Second},
+		"first try, time unknown": {0, 0, objective / 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(18)
+			busy := balance.NewSnapshot()
+			for _, target := range f.targets {
+				busy.Work[balance.KeyOf(string(target.ID))] = balance.Work{Backlog: time.Minute}
+			}
+			f.SetOthers(busy)
+			j := job(overMemory)
+			j.Objective = objective
+			now := f.clock.Now()
+			j.First = now.Add(-tc.earlier)
+			if tc.left > 0 {
+				j.Until = now.Add(tc.left)
+			}
+			_, w, err := f.Ask(context.Background(), j)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(w.Until().Sub(now).Round(time.Millisecond), quicktest.Equals, tc.want.Round(time.Millisecond))
+		})
+	}
+}
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -34,6 +34,10 @@
 	// leastWaitPart is the part of its objective, as a divisor, for which a long prompt waits
 	// at least, also one that comes back. Measured against 4 and 2.
 	leastWaitPart = 8
+	// soonPart is the part of the objective, as a divisor, within which a caller is told to
+	// come back whose prompt is over an engine's memory: one told so much later has lost
+	// the time in which it could have been served elsewhere or later.
+	soonPart = 4
 	// drainUse is the part of the engines' time that callers ask for up to which these are
 	// not crowded: what waits is rather served late than refused. Measured against 0, 0.4,
 	// 0.6 and 1.
@@ -89,7 +93,10 @@
 // is in time, or comes at all, and while the caller would still be there for it.
 func (b *Balancer) waitUntil(j Job) time.Time {
 	until := j.Since.Add(max(patience*j.Objective, leastPatience))
-	if heavy(j) && !b.drains(j) {
+	switch {
+	case heavy(j) && giant(j):
+		until = j.lullUntil()
+	case heavy(j) && !b.drains(j):
 		until = j.hopeUntil()
 	}
 	if j.Until.IsZero() {
@@ -117,6 +124,16 @@
 	return until
 }
 
+// lullUntil is until when a prompt over an engine's memory waits for engines that are idle
+// enough. Its caller is told soon to come back, and has no third try: the second one waits
+// for as long as it can be in time by itself.
+func (j Job) lullUntil() time.Time {
+	if j.first().Before(j.Since) {
+		return j.Since.Add(j.Objective - j.leastTime())
+	}
+	return j.Since.Add(j.Objective / soonPart)
+}
+
 // Abandon ends a wait. It returns ErrFull, or the placement if it has just come.
 func (b *Balancer) Abandon(w *Wait) (p *Placement, err error) {
 	b.mu.Lock()
@@ -161,19 +178,39 @@
 	b.serveQueue(&b.heavyQueue, len(b.heavyQueue))
 }
 
+// serveQueue places jobs that wait, in their order. If one finds no place, neither do those
+// behind it, but for prompts over an engine's memory, which need more than any other.
 func (b *Balancer) serveQueue(q *[]*Wait, most int) {
+	var left []*Wait
 	for ; most > 0; most-- {
 		w := b.nextWaiter(q)
 		if w == nil {
-			return
+			break
+		}
+		over := heavy(w.job) && giant(w.job)
+		if over && len(left) > 0 {
+			left = append(left, w) // The one before it found no place either.
+			continue
 		}
-		p, err := b.try(w.job)
-		if err != nil || p == nil {
-			*q = append(*q, w)
-			return
+		if b.serve(w) {
+			continue
 		}
-		w.ready <- p
+		left = append(left, w)
+		if !over {
+			break
+		}
+	}
+	*q = append(*q, left...)
+}
+
+// serve places a job that waits; it reports false if there is no place.
+func (b *Balancer) serve(w *Wait) bool {
+	p, err := b.try(w.job)
+	if err != nil || p == nil {
+		return false
 	}
+	w.ready <- p
+	return true
 }
 
 // nextWaiter takes the next job off the queue: one of the best rank, and of these,
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -107,3 +107,15 @@
 	quicktest.Check(t, kinds[1].Unserved() < 0.05, quicktest.IsTrue, quicktest.Commentf("middling: %.3f", kinds[1].Unserved()))
 	quicktest.Check(t, kinds[2].Unserved() < 0.4, quicktest.IsTrue, quicktest.Commentf("long: %.3f", kinds[2].Unserved()))
 }
+
+// TestOverMemory checks how much of the worth of long prompts is served of which a fifth is
+// over an engine's memory, in turns with short ones: 75 of 100. Where those were refused at
+// once unless engines idled just then, it was 70.
+func TestOverMemory(t *testing.T) {
+	var long lab.KindResult
+	for seed := range uint64(4) {
+		long.Add(lab.Run(family(t, "a fifth over memory"), lab.Balanced, seed).Kinds[2])
+	}
+	worth := long.Earned / long.Owed
+	quicktest.Check(t, worth > 0.725, quicktest.IsTrue, quicktest.Commentf("%.3f", worth))
+}
