--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -101,7 +101,7 @@
 // are asked for again.
 func (t *try) learn(job *balance.Job, res result) {
 	job.Avoid = append(job.Avoid, t.silent...)
-	if res == resultNotSent && len(t.silent) > 0 {
+	if t.unplaced {
 		return
 	}
 	if t.blamed != "" {
--- a/internal/front/helper.go
+++ b/internal/front/helper.go
@@ -35,6 +35,7 @@
 	if left {
 		return nil
 	}
+	t.unplaced = true
 	return eris.Wrap(barleystep.ErrNotStarted, errSilent.Error())
 }
 
--- a/internal/front/helper_test.go
+++ b/internal/front/helper_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
@@ -82,3 +83,25 @@
 	}
 	return n
 }
+
+// TestTargetThatLeftToo checks that a target which has ended itself is left alone, also when
+// helpers of the same plan have ended, whatever the order of the engines is by their names.
+func TestTargetThatLeftToo(t *testing.T) {
+	for order := range 12 {
+		t.Run(fmt.Sprint(order), func(t *testing.T) {
+			f := newFixture(t, state{view: newView()}, events(1, 2, false))
+			alive := f.targets[len(f.targets)-1].Addr
+			gone := closedAddr(t)
+			f.targets = []fleet.Target{{ID: "alive", Service: "engines", Addr: alive, Slots: 4}}
+			for i := range 6 {
+				id := barleystep.TargetID(fmt.Sprintf("e%d-%d", order, i))
+				f.targets = append(f.targets, fleet.Target{ID: id, Service: "engines", Addr: gone, Slots: 4})
+			}
+			told := balance.NewSnapshot()
+			told.Work[balance.KeyOf("alive")] = balance.Work{Memory: 990, Heavy: 1} // It is the last choice.
+			f.front.Balancer.SetOthers(told)
+			got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "800")
+			quicktest.Check(t, got.status, quicktest.Equals, http.StatusOK)
+		})
+	}
+}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -37,8 +37,10 @@
 	renewals chan struct{}
 	paid     atomic.Bool // paid is set, by the watch, when the next try has been paid for.
 	noMemory bool        // noMemory is set when helpers had no memory to set aside.
-	// silent are the helpers that could not be reached.
-	silent []barleystep.TargetID
+	// silent are the helpers that could not be reached; unplaced is set if the prompt has to
+	// be placed anew without them.
+	silent   []barleystep.TargetID
+	unplaced bool
 	// blamed is the helper that kept the target from running the request, if any.
 	blamed barleystep.TargetID
 }
@@ -259,7 +261,7 @@
 // report tells the balancer what was learnt of the target.
 func (t *try) report(ctx context.Context, res result) balance.Report {
 	return balance.Report{
-		Unreachable: ctx.Err() == nil && res == resultNotSent && !t.noMemory && len(t.silent) == 0,
+		Unreachable: ctx.Err() == nil && res == resultNotSent && !t.noMemory && !t.unplaced,
 		Failed:      ctx.Err() == nil && res == resultBroken,
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun && t.blamed == "",
