Short prompts leave the engines for short ones only where none in any hall is as good

Cause: since a short prompt prefers engines of its caller's hall by 60 ms, the best of that hall was compared with the engines for long prompts, which are 80 ms dearer: an idle one of these was taken where another hall had a better one for short prompts, and long prompts found streams there.

Change: whether a short prompt leaves its engines is decided by the best of them in any hall.

TestHallsBeforeRegions fails before.

--- a/box.go
+++ b/box.go
@@ -5,12 +5,20 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
 // BoxID names a box in the platform's list, for example "cluj-hala1-e3".
 type BoxID string
 
+// Spread returns the box's place from 0 to 1 among boxes that would otherwise act at one
+// moment: another one for each name, and the same on all boxes.
+func (id BoxID) Spread() float64 {
+	const bits = 53 // A float64 holds so many exactly.
+	return float64(xxhash.Sum64String(string(id))>>(64-bits)) / (1 << bits)
+}
+
 // HallID names a hall, for example "dej-hala".
 type HallID string
 
--- a/internal/balance/hall_test.go
+++ b/internal/balance/hall_test.go
@@ -1,13 +1,17 @@
 package balance_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
 )
 
 // TestOwnHall checks that short prompts go to engines of their caller's hall, from which
@@ -51,3 +55,35 @@
 		})
 	}
 }
+
+// TestHallsBeforeRegions checks that a short prompt stays with the engines for short prompts
+// while one of these in any hall is nearly as good as an idle one for long prompts, and is
+// then answered in its caller's hall.
+func TestHallsBeforeRegions(t *testing.T) {
+	const engines = 20
+	const near, far = 90 * time.Millisecond, 40 * time.Millisecond
+	f := newFixture(engines)
+	slices.SortFunc(f.targets, func(x, y fleet.Target) int {
+		return cmp.Compare(xxhash.Sum64String(string(x.ID)), xxhash.Sum64String(string(y.ID)))
+	})
+	known := balance.NewSnapshot()
+	known.Demands[balance.KeyOf("s")] = balance.Demand{Light: 3, Heavy: 6} // Half of the engines for each.
+	short := make(map[barleystep.TargetID]bool)
+	for i := range f.targets {
+		read := near
+		if i%2 == 0 {
+			f.targets[i].Hall, read = "other", far
+		}
+		if i >= engines/2 {
+			short[f.targets[i].ID] = true
+			known.Work[balance.KeyOf(string(f.targets[i].ID))] = balance.Work{Backlog: read}
+		}
+	}
+	f.SetOthers(known)
+	for range 20 {
+		p := f.place(t, job(shortPrompt))
+		quicktest.Check(t, short[p.Target.ID], quicktest.IsTrue)
+		quicktest.Check(t, p.Target.Hall, quicktest.Equals, barleystep.HallID("h"))
+		p.Done(balance.Report{})
+	}
+}
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -52,8 +52,6 @@
 	// reading counts if its box says nothing.
 	counted time.Time
 	until   time.Time
-	// short is set for short prompts.
-	short bool
 }
 
 const (
@@ -168,8 +166,8 @@
 	now := b.Clock.Now()
 	b.leadUntil = now.Add(leadMemory)
 	b.granted++
-	g := &grant{placement: p, counted: now.Add(grantLife), until: now.Add(p.expected + readLate), short: p.light()}
-	if g.short {
+	g := &grant{placement: p, counted: now.Add(grantLife), until: now.Add(p.expected + readLate)}
+	if p.light() {
 		g.counted = now.Add(lightGrantLife)
 	}
 	b.grants[b.granted] = g
@@ -202,7 +200,7 @@
 		if !counts {
 			g.placement.uncount()
 		}
-		if !counts && (g.placement.first || g.short || !now.Before(g.until)) {
+		if !counts && (g.placement.first || g.placement.light() || !now.Before(g.until)) {
 			b.strike(g.placement)
 			delete(b.grants, number)
 		}
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -44,9 +44,9 @@
 func (b *Balancer) placeLight(j Job, engines []fleet.Target) *Placement {
 	read := j.Cost.Read(j.Prompt)
 	r := b.divide(j, engines)
-	best, score := b.bestOfHalls(j, r.light)
+	best, score, least := b.bestOfHalls(j, r.light)
 	if others := r.heavy(); len(others) > 0 {
-		if t, s := b.bestOfHalls(j, others); s+outsideCost < score {
+		if t, s, _ := b.bestOfHalls(j, others); s+outsideCost < least {
 			best, score = t, s
 		}
 	}
@@ -70,8 +70,8 @@
 }
 
 // bestOfHalls returns the best of some engines drawn from the caller's hall, or one of
-// another hall that is better by abroadCost.
-func (b *Balancer) bestOfHalls(j Job, pool []fleet.Target) (best fleet.Target, score time.Duration) {
+// another hall that is better by abroadCost, and its score; and the least score of any.
+func (b *Balancer) bestOfHalls(j Job, pool []fleet.Target) (best fleet.Target, score, least time.Duration) {
 	var near, far []fleet.Target
 	for _, t := range pool {
 		if t.Hall == j.Hall {
@@ -82,15 +82,19 @@
 	}
 	switch {
 	case len(near) == 0:
-		return b.bestLight(far)
+		best, score = b.bestLight(far)
+		return best, score, score
 	case len(far) == 0:
-		return b.bestLight(near)
+		best, score = b.bestLight(near)
+		return best, score, score
 	}
 	best, score = b.bestLight(near)
-	if t, s := b.bestLight(far); s+abroadCost < score {
-		best, score = t, s
+	t, abroad := b.bestLight(far)
+	least = min(score, abroad)
+	if abroad+abroadCost < score {
+		best, score = t, abroad
 	}
-	return best, score
+	return best, score, least
 }
 
 // bestLight returns the best of some engines drawn at random, and its score.
--- a/internal/gossip/role.go
+++ b/internal/gossip/role.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -144,18 +143,13 @@
 	return source.rank().before(n.rank(now))
 }
 
-// spread is this box's place from 0 to 1 among those that would act at one moment.
-func (n *Node) spread() float64 {
-	return float64(rankOf(n.Box, 0).hash) / math.MaxUint64
-}
-
 // settled reports whether this box may take the role up: without a collector, once
 // others had the time to tell of themselves; beside one, once it knows what it would
 // pass on and has listened for longer.
 func (n *Node) settled(now time.Time, source *member) bool {
 	up := now.Sub(n.origin)
 	if source == nil && n.met.IsZero() {
-		return up >= lonePatience+time.Duration(n.spread()*float64(loneSpread))
+		return up >= lonePatience+time.Duration(n.Box.Spread()*float64(loneSpread))
 	}
 	if source == nil {
 		return now.Sub(n.met) >= startPatience
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/barleystep/barleystep"
@@ -68,7 +67,7 @@
 		Within:    p.Within,
 		Duty:      p.duty,
 		Boxes:     p.node.HallBoxes,
-		Spread:    spreadOf(p.Box),
+		Spread:    p.Box.Spread(),
 		Peers:     &gossip.Client{HTTP: p.HTTP},
 	}
 	p.followers[topic] = f
@@ -87,12 +86,6 @@
 	}
 }
 
-// spreadOf returns a number from 0 to 1 that is another one for each box.
-func spreadOf(box barleystep.BoxID) float64 {
-	const bits = 53
-	return float64(xxhash.Sum64String(string(box))>>(64-bits)) / (1 << bits)
-}
-
 // Node returns the gossip.
 func (p *Plane) Node() *gossip.Node { return p.node }
 
