--- a/internal/front/helper.go
+++ b/internal/front/helper.go
@@ -25,7 +25,10 @@
 // connections that it keeps.
 func (t *try) reach(ctx context.Context) error {
 	t.silent = t.silentHelpers(ctx)
-	if len(t.silent) == 0 || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return eris.Wrap(barleystep.ErrNotStarted, context.Cause(ctx).Error())
+	}
+	if len(t.silent) == 0 {
 		return nil
 	}
 	left := t.placement.LeaveOut(t.silent)
