--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -70,7 +70,10 @@
 }
 
 // bestOfHalls returns the best of some engines drawn from the caller's hall, or one of
-// another hall that is better by abroadCost, and its score; and the least score of any.
+// another hall that is better by abroadCost, and its score; and the least score of any,
+// by which a short prompt leaves the engines for short ones: by that of its own hall alone,
+// it would go among long prompts while another hall has room (1.1 more of 100 late, over
+// three deployments of nine boxes).
 func (b *Balancer) bestOfHalls(j Job, pool []fleet.Target) (best fleet.Target, score, least time.Duration) {
 	var near, far []fleet.Target
 	for _, t := range pool {
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -35,8 +35,10 @@
 	// at least, also one that comes back. Measured against 4 and 2.
 	leastWaitPart = 8
 	// soonPart is the part of the objective, as a divisor, within which a caller is told to
-	// come back whose prompt is over an engine's memory: one told so much later has lost
-	// the time in which it could have been served elsewhere or later.
+	// come back whose prompt is over an engine's memory, while there is time for it to be
+	// served then. Where a fifth of the long prompts are so long, waiting this way serves
+	// 75 of 100 of the worth of long prompts, refusing at once 70, in the laboratory; a
+	// whole objective is no better (0.855 for 0.858 of all worth).
 	soonPart = 4
 	// drainUse is the part of the engines' time that callers ask for up to which these are
 	// not crowded: what waits is rather served late than refused. Measured against 0, 0.4,
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -223,5 +223,5 @@
 // the last one.
 func (c *Conn) Skipped() int { return c.skipped }
 
-// Reused reports whether the connection has served a request before.
+// Reused reports whether the connection has rested in its pool.
 func (c *Conn) Reused() bool { return !c.idle.IsZero() }
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -56,7 +56,8 @@
 // engines. A box that asks again has lost its lead the sooner, the shorter it is; the
 // longer, the fewer questions there are. A short prompt has an objective of some 300 ms and
 // takes 120 ms of it where it waits for nothing: with a question in vain of 310 ms each was
-// late while a lead was cut off or dead, with one of 120 ms it need not be.
+// late while a lead was cut off or dead, with one of 120 ms it need not be: 5.5 of 100 short
+// prompts were late in place of 6.0 on days with a hall cut off and boxes that die.
 const (
 	longHold  = 250 * time.Millisecond
 	shortHold = 60 * time.Millisecond
