--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -202,7 +202,7 @@
 	switch {
 	case j.Cost == nil:
 		p = b.placePlain(candidates)
-	case heavy(j) && giant(j):
+	case giant(j):
 		if !fits(j, len(candidates)) {
 			return nil, ErrFull // Waiting here would not help.
 		}
@@ -232,12 +232,16 @@
 // strike takes a placement out of the books of its targets.
 func (b *Balancer) strike(p *Placement) {
 	for _, own := range p.parts {
-		s := b.state(own.target)
-		s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
+		b.strikePart(own)
 	}
 	p.tellLead()
 }
 
+func (b *Balancer) strikePart(own *part) {
+	s := b.state(own.target)
+	s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
+}
+
 // candidates returns the service's targets that may take the job: those that
 // neither leave, nor have failed the request, nor are shunned. Shunned ones are
 // better than none.
--- a/internal/balance/giant.go
+++ b/internal/balance/giant.go
@@ -6,9 +6,9 @@
 // that needs more has its memory set aside at its helpers.
 const memoryPart = 0.9
 
-// giant reports whether the prompt is longer than an engine's memory.
+// giant reports whether a long prompt is longer than an engine's memory.
 func giant(j Job) bool {
-	return float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
+	return heavy(j) && float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
 }
 
 // fits reports whether so many engines have the memory for a giant: one writes, and the
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -87,16 +87,13 @@
 		return false
 	}
 	before := len(p.parts)
-	left := p.parts[:0:0]
-	for _, own := range p.parts {
-		if !slices.Contains(silent, own.target) {
-			left = append(left, own)
-			continue
+	p.parts = slices.DeleteFunc(p.parts, func(own *part) bool {
+		out := slices.Contains(silent, own.target)
+		if out {
+			b.strikePart(own)
 		}
-		s := b.state(own.target)
-		s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
-	}
-	p.parts = left
+		return out
+	})
 	p.Helpers = slices.DeleteFunc(p.Helpers, func(h Helper) bool { return slices.Contains(silent, h.ID) })
 	for _, own := range p.parts {
 		more := own.share*time.Duration(before)/time.Duration(len(p.parts)) - own.share
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -96,7 +96,7 @@
 func (b *Balancer) waitUntil(j Job) time.Time {
 	until := j.Since.Add(max(patience*j.Objective, leastPatience))
 	switch {
-	case heavy(j) && giant(j):
+	case giant(j):
 		until = j.lullUntil()
 	case heavy(j) && !b.drains(j):
 		until = j.hopeUntil()
@@ -189,7 +189,7 @@
 		if w == nil {
 			break
 		}
-		over := heavy(w.job) && giant(w.job)
+		over := giant(w.job)
 		if over && len(left) > 0 {
 			left = append(left, w) // The one before it found no place either.
 			continue
