--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -49,7 +49,7 @@
 	r.store.PutServer("i-1", "app", targetServer.Listener.Addr().String())
 	r.configure(1, "k1")
 	for i := range boxes {
-		r.start(t, i, storeServer.URL)
+		r.start(t, i, storeServer.URL, 5*time.Second)
 	}
 	return r
 }
@@ -59,7 +59,7 @@
 	r.store.PutConfiguration(platformtest.Configuration{Version: version, Host: "h", Prefix: "/a/", Service: "app", Keys: keys})
 }
 
-func (r *rig) start(t *testing.T, i int, storeURL string) {
+func (r *rig) start(t *testing.T, i int, storeURL string, grace time.Duration) {
 	exporter, err := metric.NewExporter()
 	quicktest.Assert(t, err, quicktest.IsNil)
 	s := settings.Settings{
@@ -67,7 +67,7 @@
 		Listen:   settings.Listen{Callers: freeAddr(t), Ready: freeAddr(t), Peers: freeAddr(t)},
 		Platform: settings.Platform{URL: storeURL},
 		Keys:     settings.Keys{Freshness: settings.Duration(time.Minute)},
-		Limits:   settings.Limits{Grace: settings.Duration(5 * time.Second)},
+		Limits:   settings.Limits{Grace: settings.Duration(grace)},
 	}
 	node := &router.Router{
 		Settings:            s,
@@ -103,10 +103,15 @@
 // ask sends a request and returns the status and body of the answer, 0 if there
 // was none.
 func (r *rig) ask(t *testing.T, i int, path, key string) (int, string) {
+	return r.askAs(t, i, path, key, "r1")
+}
+
+// askAs is ask under a request id.
+func (r *rig) askAs(t *testing.T, i int, path, key, id string) (int, string) {
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.callers[i]+path, strings.NewReader("body"))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	req.Host = "h"
-	platformtest.SetCaller(req.Header, "r1", key)
+	platformtest.SetCaller(req.Header, id, key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
