A target's own failure reaches its caller also where no other target can be tried

A whole answer of a target's, a failure, was replaced by the box's own 502 if the next try found no place, or came to nothing: the box knew only the last try. It keeps the last whole failure now. The new case of TestAnswers got 502 in place of 500 before.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -71,6 +71,7 @@
 	d.budget.Request(x.service)
 	x.firstTry = d.habit.firstTry(d.clock, x)
 	job := d.job(x)
+	var failed *try // failed is the last try whose target gave a whole failure of its own.
 	for dials, tries := 0, 0; ; {
 		asked := d.clock.Now()
 		x.progress.enter(PhaseWaiting, asked)
@@ -78,7 +79,7 @@
 		placement, err := d.place(ctx, x, job)
 		x.queued += d.clock.Now().Sub(asked)
 		if err != nil {
-			return d.ended(ctx, x, nil, err)
+			return d.ended(ctx, x, failed, err)
 		}
 		tries++
 		t := &try{stage: d, exchange: x, placement: placement, number: tries}
@@ -89,11 +90,14 @@
 		}
 		d.note(x, t, res, err)
 		t.learn(&job, res)
+		if t.failure != nil {
+			failed = t
+		}
 		if res == resultNotSent {
 			dials++
 		}
 		if !d.again(ctx, t, res, dials) {
-			return d.ended(ctx, x, t, err)
+			return d.ended(ctx, x, failed, err)
 		}
 		d.meter.Retried(res.String())
 	}
@@ -181,9 +185,9 @@
 	return t.paid.Load() || d.budget.Retry(x.service)
 }
 
-// ended turns the last try into the end of the request. A failure of the
-// target's own is passed on as it came.
-func (d *deliver) ended(ctx context.Context, x *Exchange, t *try, err error) error {
+// ended ends a request for which nothing more is tried. A whole failure of a target's own is
+// passed on as it came, also where what was tried after it came to nothing.
+func (d *deliver) ended(ctx context.Context, x *Exchange, failed *try, err error) error {
 	outcome := barleystep.OutcomeNotRun
 	if x.ran {
 		outcome = barleystep.OutcomeUnknown
@@ -192,8 +196,8 @@
 	switch {
 	case end == endCaller:
 		return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
-	case t != nil && t.failure != nil && !x.answer.Begun():
-		t.pass(t.failure)
+	case failed != nil && !x.answer.Begun():
+		failed.pass(failed.failure)
 		return nil
 	case end == endTime:
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -229,16 +229,20 @@
 			route("/stream/", fleet.KindStream, true, true),
 			route("/plainstream/", fleet.KindStream, false, true),
 			route("/giant/", fleet.KindStream, true, true),
+			route("/lone/", fleet.KindRepeatable, false, true),
 			route("/keyed/", fleet.KindOnce, false, false),
 			short,
 		},
-		Services: []fleet.Service{{Name: "s"}, {Name: "engines", Cost: engineCost}},
+		Services: []fleet.Service{{Name: "s"}, {Name: "lone"}, {Name: "engines", Cost: engineCost}},
 		Accounts: []fleet.Account{{Name: "acme", Keys: []string{"k"}}},
 		Limits:   fleet.Limits{BodyBytes: 100},
 	}
 	for i := range c.Routes {
-		if c.Routes[i].Name == "/giant/" {
+		switch c.Routes[i].Name {
+		case "/giant/":
 			c.Routes[i].Split = giant
+		case "/lone/":
+			c.Routes[i].Split = []fleet.Share{{Service: "lone", Weight: 1}}
 		}
 	}
 	return fleet.NewView(c)
@@ -268,6 +272,7 @@
 	f.targets = []fleet.Target{
 		{ID: "a", Service: "s", Addr: addr, Slots: 4},
 		{ID: "b", Service: "s", Addr: addr, Slots: 4},
+		{ID: "c", Service: "lone", Addr: addr, Slots: 4},
 	}
 	for _, id := range []barleystep.TargetID{"x", "y", "z", "w"} {
 		f.targets = append(f.targets, fleet.Target{ID: id, Service: "engines", Addr: addr, Slots: 4})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -50,6 +50,7 @@
 		"another request's answer":         {"/once/", []step{raw("HTTP/1.1 200 OK\r\nId: other\r\nSeal: s\r\nContent-Length: 3\r\n\r\nbad")}, 502, "", 1, false},
 		"own failure, must not repeat":     {"/once/", []step{whole(500, sealed, "bad"), ok}, 500, "bad", 1, false},
 		"own failure, repeatable":          {"/again/", []step{whole(500, sealed, "bad"), ok}, 200, "good", 2, false},
+		"own failure, then no place":       {"/lone/", []step{whole(500, sealed, "bad")}, 500, "bad", 1, false},
 		"own failure twice":                {"/again/", []step{whole(500, sealed, "bad"), whole(500, sealed, "bad2")}, 500, "bad2", 2, false},
 		"503 that may have run":            {"/once/", []step{whole(503, sealed, "x")}, 502, "The target did not answer: front: the target does not say that the request has not run.\n", 1, false},
 		"own 4xx goes through":             {"/again/", []step{whole(422, sealed, "no"), ok}, 422, "no", 1, false},
