A caller that sends its body too slowly for a planned stop is told so

Reading the body had no bound but the caller's patience: at the end of the box its connection was closed with no answer, though nothing had been sent to a target. Now the reading ends when the box does, and the caller gets the refusal that promises that the request has not run.

--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -12,10 +12,13 @@
 )
 
 // read takes in the whole body, so that it can be sent more than once.
-type read struct{}
+type read struct {
+	stop *stop
+}
 
-// Run refuses bodies over the configured size.
-func (*read) Run(ctx context.Context, x *Exchange, next Next) error {
+// Run refuses bodies over the configured size, and those that have not come when the box
+// ends.
+func (s *read) Run(ctx context.Context, x *Exchange, next Next) error {
 	if x.r.ContentLength == 0 {
 		return next(ctx, x)
 	}
@@ -27,11 +30,16 @@
 	if n := x.r.ContentLength; n > 0 && n <= limit {
 		buffer.Grow(int(n) + bytes.MinRead)
 	}
+	ending, release := s.stop.bound(ctx, 0)
+	defer release()
+	defer context.AfterFunc(ending, x.answer.EndBody)()
 	_, err := buffer.ReadFrom(x.answer.LimitBody(x.r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
 	case eris.As(err, &large):
 		return barleystep.NewRefusal(barleystep.ReasonBodyTooLarge, barleystep.OutcomeNotRun, "The body is too large.")
+	case err != nil && eris.Is(context.Cause(ending), errStopping):
+		return stopping()
 	case err != nil && !eris.Is(err, io.EOF):
 		return barleystep.NewRefusal(barleystep.ReasonCallerGone, barleystep.OutcomeNotRun, "The body did not come whole.")
 	}
