A target's entry that another writer left names no target

Decoded by internal/strict: what is missing, null, of another type, spelled otherwise or not named makes the entry foreign; the target gets no new work, the others hold. One line a change of the reason, bounded, and counts by reason.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -108,4 +108,8 @@
 	Slots int
 	// Draining targets finish what they have and are about to end.
 	Draining bool
+	// Born is when the target started by its own clock, in Unix milliseconds; zero if it
+	// does not say. It tells the lifetimes under one id apart and does not order them: a
+	// clock may step.
+	Born int64
 }
--- /dev/null
+++ b/internal/follow/refusals.go
@@ -0,0 +1,91 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep/internal/strict"
+)
+
+const (
+	// refusalLines is the most lines about refused records in refusalWindow: whoever
+	// writes such records writes as many as he likes, and the lines share their room
+	// with those about requests.
+	refusalLines  = 20
+	refusalWindow = 10 * time.Second
+)
+
+// refusal is why a record is refused now.
+type refusal struct {
+	text string
+	// told is set if there was a line about it.
+	told bool
+}
+
+// refusals holds the records of a topic that are refused, and counts how often that
+// was. Its zero value holds none.
+type refusals struct {
+	now    map[string]refusal
+	counts [len(strict.Flaws)]int64
+
+	window   time.Time // window is when the lines began to be counted.
+	lines    int
+	unlogged int
+}
+
+// add notes that a record is refused, and returns the line to be written about it, nil
+// if its reason is the same as before or there were too many lines.
+func (r *refusals) add(key string, err error, now time.Time, l *log.Logger) *log.Entry {
+	flaw := strict.FlawOf(err)
+	r.counts[flaw]++
+	if old, had := r.now[key]; had && old.text == err.Error() {
+		return nil
+	}
+	if r.now == nil {
+		r.now = make(map[string]refusal)
+	}
+	told := r.mayTell(now)
+	r.now[key] = refusal{text: err.Error(), told: told}
+	if !told {
+		return nil
+	}
+	line := l.Error().Str("reason", flaw.String()).Err(err).Int("unlogged", r.unlogged)
+	r.unlogged = 0
+	return line
+}
+
+func (r *refusals) mayTell(now time.Time) bool {
+	if now.Sub(r.window) >= refusalWindow {
+		r.window, r.lines = now, 0
+	}
+	if r.lines == refusalLines {
+		r.unlogged++
+		return false
+	}
+	r.lines++
+	return true
+}
+
+// drop notes that a record is refused no longer. It reports whether it was refused
+// without a line, so that its return needs none.
+func (r *refusals) drop(key string) (silent bool) {
+	old, had := r.now[key]
+	delete(r.now, key)
+	return had && !old.told
+}
+
+// Refused is how many records were refused for a reason.
+type Refused struct {
+	Flaw  strict.Flaw
+	Count int64
+}
+
+// list returns the counts by reason.
+func (r *refusals) list() []Refused {
+	list := make([]Refused, 0, len(r.counts))
+	for flaw, n := range r.counts {
+		list = append(list, Refused{Flaw: strict.Flaw(flaw), Count: n})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/follow/refusals_test.go
@@ -0,0 +1,123 @@
+package follow_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/follow"
+	"github.com/barleystep/barleystep/internal/strict"
+	"github.com/barleystep/barleystep/platform"
+)
+
+// noSlots and noState are two foreign entries.
+var (
+	noSlots = strings.Replace(own, `"slots":16,`, ``, 1)
+	noState = strings.Replace(own, `"ready"`, `"up"`, 1)
+)
+
+// refusedLine and announcedLine are the lines whose number is bounded.
+const (
+	refusedLine   = "A record names no target."
+	announcedLine = "A target is announced."
+)
+
+// TestRefusalLines checks that there is one line a change, and that no writer fills the
+// log, while each refusal is counted.
+func TestRefusalLines(t *testing.T) {
+	const writes = 100
+	alternate := func(values ...string) func(i int) (key, value string) {
+		return func(i int) (key, value string) { return "a", values[i%len(values)] }
+	}
+	cases := map[string]struct {
+		write               func(i int) (key, value string)
+		refused, announced  int
+		countMissing, count int64
+		unlogged            string
+	}{
+		"once and for all":  {alternate(noSlots), 1, 0, writes, writes, `"unlogged":0`},
+		"two reasons":       {alternate(noSlots, noState), 20, 0, writes / 2, writes, `"unlogged":80`},
+		"own and another's": {alternate(noSlots, own), 20, 20, writes / 2, writes / 2, `"unlogged":30`},
+		"many targets":      {func(i int) (key, value string) { return fmt.Sprint(i), noSlots }, 20, 0, writes, writes, `"unlogged":80`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var out bytes.Buffer
+			manual := clock.NewManual(time.Unix(1000, 0))
+			s := &follow.Targets{Clock: manual, Decode: platform.DecodeTarget, Log: &log.Logger{Writer: log.IOWriter{Writer: &out}}}
+			s.Reset(nil)
+			for i := range writes {
+				key, value := tc.write(i)
+				s.Change(barleystep.NewRecord(key, []byte(value)))
+			}
+			c.Check(strings.Count(out.String(), refusedLine), quicktest.Equals, tc.refused)
+			c.Check(strings.Count(out.String(), announcedLine), quicktest.Equals, tc.announced)
+			c.Check(refusedFor(s.Refused(), strict.FlawMissing), quicktest.Equals, tc.countMissing)
+			c.Check(sum(s.Refused()), quicktest.Equals, tc.count)
+
+			out.Reset()
+			manual.Advance(10 * time.Second)
+			s.Change(barleystep.NewRecord("later", []byte(noState)))
+			c.Check(out.String(), quicktest.Contains, tc.unlogged)
+			c.Check(out.String(), quicktest.Contains, `"reason":"unnamed"`)
+		})
+	}
+}
+
+func refusedFor(list []follow.Refused, f strict.Flaw) int64 {
+	for _, r := range list {
+		if r.Flaw == f {
+			return r.Count
+		}
+	}
+	return 0
+}
+
+func sum(list []follow.Refused) (n int64) {
+	for _, r := range list {
+		n += r.Count
+	}
+	return n
+}
+
+// TestForeign checks that refused records are forgotten once they go or are mended.
+func TestForeign(t *testing.T) {
+	bad := barleystep.NewRecord("a", []byte(noSlots))
+	cases := map[string]struct {
+		then func(*follow.Targets)
+		want int
+	}{
+		"stays":                   {func(*follow.Targets) {}, 1},
+		"stays in a full reading": {func(s *follow.Targets) { s.Reset([]barleystep.Record{bad}) }, 1},
+		"goes":                    {func(s *follow.Targets) { s.Change(barleystep.NewRemoval("a")) }, 0},
+		"goes in a full reading":  {func(s *follow.Targets) { s.Reset(nil) }, 0},
+		"is mended":               {func(s *follow.Targets) { s.Change(barleystep.NewRecord("a", []byte(own))) }, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &follow.Targets{Clock: clock.NewManual(time.Unix(1000, 0)), Decode: platform.DecodeTarget, Log: quiet}
+			s.Change(bad)
+			tc.then(s)
+			quicktest.Check(t, s.Foreign(), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// TestServiceChanges checks that an entry that names another service names no target of
+// the one before.
+func TestServiceChanges(t *testing.T) {
+	s := &follow.Targets{Clock: clock.NewManual(time.Unix(1000, 0)), Decode: platform.DecodeTarget, Log: quiet}
+	s.Change(barleystep.NewRecord("a", []byte(own)))
+	s.Change(barleystep.NewRecord("a", []byte(strings.Replace(own, `"lm"`, `"nobody's"`, 1))))
+	for _, target := range s.List() {
+		quicktest.Check(t, target.Service, quicktest.Equals, "nobody's")
+	}
+}
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -23,6 +23,8 @@
 	// lapsed holds targets whose record went while the store was away, and
 	// until when they are still used.
 	lapsed map[string]time.Time
+	// refused holds the records that name no target.
+	refused refusals
 	// lostAt is when the store was found away, zero if it is there, and backAt when
 	// it came back.
 	lostAt time.Time
@@ -58,6 +60,21 @@
 	return t.known
 }
 
+// Refused returns how many records named no target since the start, by reason; a record
+// that is read again counts again.
+func (t *Targets) Refused() []Refused {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused.list()
+}
+
+// Foreign returns how many records name no target now.
+func (t *Targets) Foreign() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.refused.now)
+}
+
 // Reset is part of Handler.
 func (t *Targets) Reset(records []barleystep.Record) {
 	t.mu.Lock()
@@ -67,7 +84,13 @@
 		seen[r.Key()] = true
 		t.put(r)
 	}
-	t.Log.Info().Int("targets", len(records)).Msg(logPrefix + "All targets were read.")
+	for key := range t.refused.now {
+		if !seen[key] {
+			t.refused.drop(key)
+		}
+	}
+	t.Log.Info().Int("targets", len(records)-len(t.refused.now)).Int("refused", len(t.refused.now)).
+		Msg(logPrefix + "All targets were read.")
 	for key := range t.targets {
 		if !seen[key] {
 			t.gone(key)
@@ -92,9 +115,10 @@
 func (t *Targets) put(r barleystep.Record) {
 	target, err := t.Decode(r)
 	if err != nil {
-		t.Log.Error().Str("target", r.Key()).Err(err).Msg(logPrefix + "A target's record was refused.")
+		t.refuse(r.Key(), err)
 		return
 	}
+	silent := t.refused.drop(r.Key())
 	if t.targets == nil {
 		t.targets = make(map[string]fleet.Target)
 		t.lapsed = make(map[string]time.Time)
@@ -102,8 +126,8 @@
 	old, had := t.targets[r.Key()]
 	t.targets[r.Key()] = target
 	delete(t.lapsed, r.Key())
-	if !t.known {
-		return // The first reading has one line for all.
+	if !t.known || silent {
+		return // The first reading has one line for all; what had no line needs none now.
 	}
 	if !had || old.Draining != target.Draining || old.Addr != target.Addr {
 		t.Log.Info().Str("target", r.Key()).Str("service", target.Service).Str("addr", target.Addr).
@@ -111,9 +135,21 @@
 	}
 }
 
+// refuse drops a target whose record another writer has replaced. Work that it has goes
+// on; whether it lives, and where, nobody says any longer.
+func (t *Targets) refuse(key string, err error) {
+	_, used := t.targets[key]
+	delete(t.targets, key)
+	delete(t.lapsed, key)
+	if line := t.refused.add(key, err, t.Clock.Now(), t.Log); line != nil {
+		line.Str("target", key).Bool("was_used", used).Msg(logPrefix + "A record names no target.")
+	}
+}
+
 // gone drops a target, at once or, if its record may merely have lapsed, after
 // a grace.
 func (t *Targets) gone(key string) {
+	t.refused.drop(key)
 	if _, had := t.targets[key]; !had {
 		return
 	}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
@@ -14,6 +15,7 @@
 		return []metric.Sample{{Label: "counted", Value: float64(r.plane.Node().Boxes())}}
 	})
 	r.Exporter.Observe("barleystep_store_calls", "Calls to the platform's store since the start, by topic, by what the box reads for others, and by outcome.", "reason", r.storeCalls)
+	r.Exporter.Observe("barleystep_records_refused", "Records of the store that another writer left, since the start, by topic and by what is wrong with them.", "reason", r.recordsRefused)
 	if r.DroppedLines != nil {
 		r.Exporter.Observe("barleystep_log_lines_dropped", "Log lines that nobody read in time.", "stream", func() []metric.Sample {
 			return []metric.Sample{{Label: "stdout", Value: float64(r.DroppedLines())}}
@@ -48,8 +50,18 @@
 	return list
 }
 
+func (r *Router) recordsRefused() []metric.Sample {
+	var list []metric.Sample
+	for _, refused := range r.targets.Refused() {
+		label := barleystep.TopicTargets.String() + ", " + refused.Flaw.String()
+		list = append(list, metric.Sample{Label: label, Value: float64(refused.Count)})
+	}
+	return list
+}
+
 func (r *Router) targetStates() []metric.Sample {
-	known, draining, down := 0, 0, 0
+	known, draining, down, unnamed := 0, 0, 0, 0
+	view := r.configuration.View()
 	for _, t := range r.targets.List() {
 		known++
 		if t.Draining {
@@ -58,10 +70,15 @@
 		if r.balancer.Down(t.ID) {
 			down++
 		}
+		if view != nil && view.Service(t.Service) == nil {
+			unnamed++
+		}
 	}
 	return []metric.Sample{
 		{Label: "known", Value: float64(known)},
 		{Label: "draining", Value: float64(draining)},
 		{Label: "down", Value: float64(down)},
+		{Label: "no_service", Value: float64(unnamed)},
+		{Label: "foreign", Value: float64(r.targets.Foreign())},
 	}
 }
--- /dev/null
+++ b/internal/strict/object.go
@@ -0,0 +1,140 @@
+// Package strict reads records that anybody may have written. A field that is missing,
+// of another type or of a value that it cannot have is an error, where encoding/json
+// would leave a zero value, and names of fields count as they are spelled.
+package strict
+
+import (
+	"encoding/json"
+	"math"
+	"net/netip"
+	"slices"
+	"unicode/utf8"
+)
+
+// Object reads the fields of one JSON object. It keeps the first error, so that callers
+// read all fields and then ask for it once.
+type Object struct {
+	fields map[string]json.RawMessage
+	err    error
+}
+
+// Parse returns the object that the bytes hold.
+func Parse(data []byte) *Object {
+	o := &Object{}
+	if !utf8.Valid(data) {
+		o.fail(Errorf(FlawUnreadable, "the bytes are no UTF-8"))
+		return o
+	}
+	if err := json.Unmarshal(data, &o.fields); err != nil || o.fields == nil {
+		o.fail(Errorf(FlawUnreadable, "the bytes are no JSON object"))
+	}
+	return o
+}
+
+// Err returns what was wrong first, nil if nothing was.
+func (o *Object) Err() error { return o.err }
+
+func (o *Object) fail(e *Error) {
+	if o.err == nil {
+		o.err = e
+	}
+}
+
+// Has reports whether the field is there, of whatever type. It tells optional fields.
+func (o *Object) Has(name string) bool {
+	_, ok := o.fields[name]
+	return ok
+}
+
+// into decodes a field. What encoding/json takes for "leave it as it is" is another type
+// here.
+func (o *Object) into(name string, out any) bool {
+	raw, ok := o.fields[name]
+	if !ok {
+		o.fail(Errorf(FlawMissing, "field %q is missing", name))
+		return false
+	}
+	if string(raw) == "null" || json.Unmarshal(raw, out) != nil {
+		o.fail(Errorf(FlawType, "field %q is of another type", name))
+		return false
+	}
+	return true
+}
+
+// Text returns a text.
+func (o *Object) Text(name string) (s string) {
+	o.into(name, &s)
+	return s
+}
+
+// Name returns a text that is not empty.
+func (o *Object) Name(name string) (s string) {
+	if o.into(name, &s) && s == "" {
+		o.fail(Errorf(FlawValue, "field %q is empty", name))
+	}
+	return s
+}
+
+// OneOf returns a text, which must be one of those given.
+func (o *Object) OneOf(name string, known ...string) (s string) {
+	if o.into(name, &s) && !slices.Contains(known, s) {
+		o.fail(Errorf(FlawUnnamed, "field %q is none of %q", name, known))
+	}
+	return s
+}
+
+// Address returns a text, which must be the IP and port of somebody.
+func (o *Object) Address(name string) (s string) {
+	if !o.into(name, &s) {
+		return ""
+	}
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		o.fail(Errorf(FlawValue, "field %q is no IP and port", name))
+	}
+	return s
+}
+
+// Whole returns a whole number.
+func (o *Object) Whole(name string) (n int64) {
+	o.into(name, &n)
+	return n
+}
+
+// Count returns a whole number above 0.
+func (o *Object) Count(name string) int {
+	n := o.Whole(name)
+	if n <= 0 || n > math.MaxInt32 {
+		o.fail(Errorf(FlawValue, "field %q is no count", name))
+		return 0
+	}
+	return int(n)
+}
+
+// Number returns a number.
+func (o *Object) Number(name string) (f float64) {
+	o.into(name, &f)
+	return f
+}
+
+// Flag returns true or false.
+func (o *Object) Flag(name string) (b bool) {
+	o.into(name, &b)
+	return b
+}
+
+// List returns the objects of a list.
+func (o *Object) List(name string) []*Object {
+	var raw []json.RawMessage
+	if !o.into(name, &raw) {
+		return nil
+	}
+	list := make([]*Object, len(raw))
+	for i, r := range raw {
+		list[i] = Parse(r)
+		if list[i].err != nil {
+			o.fail(Errorf(FlawType, "field %q is of another type", name))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/strict/object_test.go
@@ -0,0 +1,73 @@
+package strict_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/strict"
+)
+
+// TestObject checks what each kind of field may hold.
+func TestObject(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		read func(o *strict.Object)
+		want string // want is the error, empty for none.
+	}{
+		"text":               {`{"f":"a"}`, func(o *strict.Object) { o.Text("f") }, ""},
+		"empty text":         {`{"f":""}`, func(o *strict.Object) { o.Text("f") }, ""},
+		"text missing":       {`{"F":"a"}`, func(o *strict.Object) { o.Text("f") }, `field "f" is missing`},
+		"text is null":       {`{"f":null}`, func(o *strict.Object) { o.Text("f") }, `field "f" is of another type`},
+		"name":               {`{"f":"a"}`, func(o *strict.Object) { o.Name("f") }, ""},
+		"empty name":         {`{"f":""}`, func(o *strict.Object) { o.Name("f") }, `field "f" is empty`},
+		"one of two":         {`{"f":"b"}`, func(o *strict.Object) { o.OneOf("f", "a", "b") }, ""},
+		"none of two":        {`{"f":"c"}`, func(o *strict.Object) { o.OneOf("f", "a", "b") }, `field "f" is none of \["a" "b"\]`},
+		"address":            {`{"f":"10.0.0.1:80"}`, func(o *strict.Object) { o.Address("f") }, ""},
+		"address of six":     {`{"f":"[fd00::1]:80"}`, func(o *strict.Object) { o.Address("f") }, ""},
+		"address of nobody":  {`{"f":"[::]:80"}`, func(o *strict.Object) { o.Address("f") }, `field "f" is no IP and port`},
+		"address of a name":  {`{"f":"a.example:80"}`, func(o *strict.Object) { o.Address("f") }, `field "f" is no IP and port`},
+		"address missing":    {`{}`, func(o *strict.Object) { o.Address("f") }, `field "f" is missing`},
+		"whole number":       {`{"f":-3}`, func(o *strict.Object) { o.Whole("f") }, ""},
+		"part of a number":   {`{"f":0.5}`, func(o *strict.Object) { o.Whole("f") }, `field "f" is of another type`},
+		"number beyond 64":   {`{"f":9223372036854775808}`, func(o *strict.Object) { o.Whole("f") }, `field "f" is of another type`},
+		"count":              {`{"f":1}`, func(o *strict.Object) { o.Count("f") }, ""},
+		"count of 0":         {`{"f":0}`, func(o *strict.Object) { o.Count("f") }, `field "f" is no count`},
+		"count beyond 32":    {`{"f":2147483648}`, func(o *strict.Object) { o.Count("f") }, `field "f" is no count`},
+		"number":             {`{"f":0.5}`, func(o *strict.Object) { o.Number("f") }, ""},
+		"number as a text":   {`{"f":"0.5"}`, func(o *strict.Object) { o.Number("f") }, `field "f" is of another type`},
+		"flag":               {`{"f":false}`, func(o *strict.Object) { o.Flag("f") }, ""},
+		"flag as a number":   {`{"f":0}`, func(o *strict.Object) { o.Flag("f") }, `field "f" is of another type`},
+		"list":               {`{"f":[{},{"a":1}]}`, func(o *strict.Object) { o.List("f") }, ""},
+		"list of texts":      {`{"f":["a"]}`, func(o *strict.Object) { o.List("f") }, `field "f" is of another type`},
+		"list with a null":   {`{"f":[null]}`, func(o *strict.Object) { o.List("f") }, `field "f" is of another type`},
+		"the first error":    {`{"f":1}`, func(o *strict.Object) { o.Text("f"); o.Text("g") }, `field "f" is of another type`},
+		"null for an object": {`null`, func(*strict.Object) {}, "the bytes are no JSON object"},
+		"list for an object": {`[]`, func(*strict.Object) {}, "the bytes are no JSON object"},
+		"two objects":        {`{}{}`, func(*strict.Object) {}, "the bytes are no JSON object"},
+		"nothing":            {``, func(*strict.Object) {}, "the bytes are no JSON object"},
+		"no UTF-8":           {"{\"\xff\":1}", func(*strict.Object) {}, "the bytes are no UTF-8"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			o := strict.Parse([]byte(tc.text))
+			tc.read(o)
+			if tc.want == "" {
+				quicktest.Check(t, o.Err(), quicktest.IsNil)
+				return
+			}
+			quicktest.Check(t, o.Err(), quicktest.ErrorMatches, tc.want)
+		})
+	}
+}
+
+func TestFlawOf(t *testing.T) {
+	wrapped := eris.Wrap(strict.Errorf(strict.FlawType, "t"), "outer")
+	quicktest.Check(t, strict.FlawOf(wrapped), quicktest.Equals, strict.FlawType)
+	quicktest.Check(t, strict.FlawOf(eris.New("other")), quicktest.Equals, strict.FlawUnreadable)
+	for i, f := range strict.Flaws {
+		quicktest.Check(t, int(f), quicktest.Equals, i)
+		quicktest.Check(t, f.String(), quicktest.Not(quicktest.Equals), "")
+	}
+}
