--- a/box.go
+++ b/box.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/strict"
 )
 
 // BoxID names a box in the platform's list, for example "cluj-hala1-e3".
@@ -74,11 +76,30 @@
 	return value, eris.Wrap(err, "barleystep: encode box")
 }
 
-// DecodeBox reads a record of TopicBoxes.
+// The fields of a box's record.
+const (
+	fieldHall    = "hall"
+	fieldAddr    = "addr"
+	fieldLeaving = "leaving"
+)
+
+// DecodeBox reads a record of TopicBoxes. An error says that no box wrote it.
 func DecodeBox(r Record) (b Box, err error) {
-	var w boxRecord
-	if err = json.Unmarshal(r.Value(), &w); err != nil {
-		return Box{}, eris.Wrapf(err, "barleystep: decode box %q", r.Key())
+	defer func() {
+		if err != nil {
+			err = eris.Wrapf(err, "barleystep: decode box %q", r.Key())
+		}
+	}()
+	if r.Key() == "" {
+		return Box{}, strict.Errorf(strict.FlawMissing, "the name is missing")
+	}
+	o := strict.Parse(r.Value())
+	b = NewBox(BoxID(r.Key()), HallID(o.Name(fieldHall)), o.Address(fieldAddr), false)
+	if o.Has(fieldLeaving) {
+		b.leaving = o.Flag(fieldLeaving)
+	}
+	if err = o.Err(); err != nil {
+		return Box{}, err
 	}
-	return NewBox(BoxID(r.Key()), HallID(w.Hall), w.Addr, w.Leaving), nil
+	return b, nil
 }
--- a/internal/gossip/registry.go
+++ b/internal/gossip/registry.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/strict"
 )
 
 const (
@@ -80,13 +82,7 @@
 	if err != nil {
 		return false, err
 	}
-	others := 0
-	for _, r := range b.Records() {
-		if r.Key() != string(n.Box) {
-			others++
-		}
-		n.learn(r)
-	}
+	others := n.learn(b.Records())
 	if !wanted && (!may || others > 0) {
 		return false, nil
 	}
@@ -94,18 +90,38 @@
 	return err == nil, err
 }
 
-func (n *Node) learn(r barleystep.Record) {
-	b, err := barleystep.DecodeBox(r)
-	if err != nil {
-		n.Log.Warn().Str("box", r.Key()).Err(err).Msg(logPrefix + "A box's record cannot be read.")
-		return
+// learn takes in the records and returns how many of them name other boxes. One that no
+// box wrote names none; there is one line about all of them, since the registry is read
+// again and again by a box that hears nobody.
+func (n *Node) learn(records []barleystep.Record) (others int) {
+	var first error
+	refused := 0
+	for _, r := range records {
+		b, addr, err := decodeBox(r)
+		if err != nil {
+			first = cmp.Or(first, err)
+			refused++
+			continue
+		}
+		if b.ID() != n.Box {
+			others++
+		}
+		n.add(b.ID(), b.Hall(), addr)
 	}
-	addr, err := netip.ParseAddrPort(b.Addr())
-	if err != nil {
-		n.Log.Warn().Str("box", r.Key()).Err(err).Msg(logPrefix + "A box's address cannot be read.")
-		return
+	if refused > 0 {
+		n.Log.Warn().Int("records", refused).Str("reason", strict.FlawOf(first).String()).Err(first).
+			Msg(logPrefix + "Records of the registry name no box.")
+	}
+	return others
+}
+
+// decodeBox reads a box's record with its address.
+func decodeBox(r barleystep.Record) (b barleystep.Box, addr netip.AddrPort, err error) {
+	if b, err = barleystep.DecodeBox(r); err != nil {
+		return barleystep.Box{}, netip.AddrPort{}, err
 	}
-	n.add(b.ID(), b.Hall(), addr)
+	addr, err = netip.ParseAddrPort(b.Addr())
+	return b, addr, err
 }
 
 func (n *Node) add(box barleystep.BoxID, hall barleystep.HallID, addr netip.AddrPort) {
--- /dev/null
+++ b/internal/gossip/registry_internal_test.go
@@ -0,0 +1,77 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// shelf is a registry in memory.
+type shelf struct {
+	records   []barleystep.Record
+	published int
+}
+
+func (s *shelf) Fetch(context.Context, barleystep.Topic) (barleystep.Batch, error) {
+	return barleystep.NewBatch(s.records, 1), nil
+}
+
+func (*shelf) Follow(context.Context, barleystep.Topic, barleystep.Revision, time.Duration) (barleystep.Batch, error) {
+	return barleystep.Batch{}, barleystep.ErrUnavailable
+}
+
+func (s *shelf) Publish(context.Context, string, []byte) error {
+	s.published++
+	return nil
+}
+
+func (*shelf) Withdraw(context.Context, string) error { return nil }
+
+// TestRegisterForeign checks that records that no box wrote neither name a box, nor keep
+// this one from registering itself, nor fill the log, and that the others hold.
+func TestRegisterForeign(t *testing.T) {
+	var foreign []barleystep.Record
+	for i := range 50 {
+		foreign = append(foreign, barleystep.NewRecord(fmt.Sprint("f", i), []byte(`{"hall":"h","addr":7}`)))
+	}
+	other := barleystep.NewRecord("b1", []byte(`{"hall":"h","addr":"10.0.0.1:80"}`))
+	cases := map[string]struct {
+		records        []barleystep.Record
+		members, lines int
+		published      int
+	}{
+		"nobody":                 {nil, 0, 0, 1},
+		"another box":            {[]barleystep.Record{other}, 1, 0, 0},
+		"foreign records":        {foreign, 0, 1, 1},
+		"foreign ones and a box": {append(foreign, other), 1, 1, 0},
+		"this box under another's hand": {
+			[]barleystep.Record{barleystep.NewRecord("own", []byte(`{}`))}, 0, 1, 1,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var out bytes.Buffer
+			store := &shelf{records: tc.records}
+			n := &Node{
+				Clock: clock.NewManual(time.Unix(1000, 0)), Box: "own", Catalogue: store,
+				Log:     &log.Logger{Writer: log.IOWriter{Writer: &out}},
+				members: make(map[barleystep.BoxID]*member),
+			}
+			_, err := n.register(t.Context(), nil, false, true)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(n.members, quicktest.HasLen, tc.members)
+			c.Check(store.published, quicktest.Equals, tc.published)
+			c.Check(strings.Count(out.String(), "\n"), quicktest.Equals, tc.lines, quicktest.Commentf("%s", out.String()))
+		})
+	}
+}
