--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/strict"
 )
 
 // Configuration is the configuration that a box goes by. It never goes back to
@@ -27,8 +28,13 @@
 	// refused is set while the newest version cannot be used, so that nothing
 	// proves that keys are current.
 	refused bool
+	// refusals counts what cannot be used.
+	refusals refusals
 }
 
+// recordName stands for the one record of the configuration.
+const recordName = "configuration"
+
 // View returns the configuration in force, nil as long as there is none.
 func (c *Configuration) View() *fleet.View { return c.view.Load() }
 
@@ -75,10 +81,12 @@
 	defer c.mu.Unlock()
 	c.refused = err != nil
 	if err != nil {
-		c.Log.Error().Err(err).
-			Msg(logPrefix + "A configuration was refused. The last good one stays in force.")
+		if line := c.refusals.add(recordName, err, c.Clock.Now(), c.Log); line != nil {
+			line.Msg(logPrefix + "A configuration was refused. The last good one stays in force.")
+		}
 		return
 	}
+	c.refusals.drop(recordName)
 	old := c.view.Load()
 	if old != nil && old.Version() >= decoded.Version {
 		return
@@ -99,12 +107,31 @@
 // one that cannot be read proves nothing about keys.
 func (c *Configuration) Change(r barleystep.Record) {
 	if r.Removed() {
-		c.Log.Error().Msg(logPrefix + "The configuration was removed from the store. The last one stays in force.")
+		c.removed()
 		return
 	}
 	c.apply(r.Value())
 }
 
+// errRemoved is why there is no configuration to read.
+var errRemoved = strict.Errorf(strict.FlawMissing, "the record was removed")
+
+func (c *Configuration) removed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if line := c.refusals.add(recordName, errRemoved, c.Clock.Now(), c.Log); line != nil {
+		line.Msg(logPrefix + "The configuration was removed from the store. The last one stays in force.")
+	}
+}
+
+// Refused returns how many configurations could not be used since the start, by reason;
+// one that is read again counts again.
+func (c *Configuration) Refused() []Refused {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals.list()
+}
+
 // Proved is part of Handler.
 func (c *Configuration) Proved(asked time.Time, _ barleystep.Revision) {
 	if c.view.Load() != nil {
--- a/internal/follow/refusals_test.go
+++ b/internal/follow/refusals_test.go
@@ -121,3 +121,34 @@
 		quicktest.Check(t, target.Service, quicktest.Equals, "nobody's")
 	}
 }
+
+// TestConfigurationRefusalLines checks the same for the configuration, which nobody
+// removes either.
+func TestConfigurationRefusalLines(t *testing.T) {
+	const writes = 100
+	record := func(value string) barleystep.Record { return barleystep.NewRecord("config", []byte(value)) }
+	cases := map[string]struct {
+		write func(i int) barleystep.Record
+		lines int
+		count int64
+	}{
+		"once and for all": {func(int) barleystep.Record { return record("{") }, 1, writes},
+		"two reasons":      {func(i int) barleystep.Record { return record([]string{"{", "[]"}[i%2]) }, 20, writes},
+		"removed":          {func(int) barleystep.Record { return barleystep.NewRemoval("config") }, 1, writes},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var out bytes.Buffer
+			conf := &follow.Configuration{
+				Clock: clock.NewManual(time.Unix(1000, 0)), Decode: platform.DecodeConfiguration,
+				Log: &log.Logger{Writer: log.IOWriter{Writer: &out}},
+			}
+			for i := range writes {
+				conf.Change(tc.write(i))
+			}
+			c.Check(strings.Count(out.String(), "\n"), quicktest.Equals, tc.lines)
+			c.Check(sum(conf.Refused()), quicktest.Equals, tc.count)
+		})
+	}
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/follow"
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
@@ -52,9 +53,15 @@
 
 func (r *Router) recordsRefused() []metric.Sample {
 	var list []metric.Sample
-	for _, refused := range r.targets.Refused() {
-		label := barleystep.TopicTargets.String() + ", " + refused.Flaw.String()
-		list = append(list, metric.Sample{Label: label, Value: float64(refused.Count)})
+	refused := map[barleystep.Topic][]follow.Refused{
+		barleystep.TopicConfiguration: r.configuration.Refused(),
+		barleystep.TopicTargets:       r.targets.Refused(),
+	}
+	for topic, counts := range refused {
+		for _, c := range counts {
+			label := topic.String() + ", " + c.Flaw.String()
+			list = append(list, metric.Sample{Label: label, Value: float64(c.Count)})
+		}
 	}
 	return list
 }
