--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -108,4 +108,14 @@
 	Slots int
 	// Draining targets finish what they have and are about to end.
 	Draining bool
+	// Born is when the target started by its own clock, in Unix milliseconds; zero if it
+	// does not say. It tells the lifetimes under one id apart and does not order them: a
+	// clock may step.
+	Born int64
+}
+
+// Restarted reports whether the target lives anew under its id since it was known to be born
+// at the given time. Where either is zero, nothing says so.
+func (t Target) Restarted(born int64) bool {
+	return born != 0 && t.Born != 0 && t.Born != born
 }
