A new lifetime of a target owes nothing to the one before

Own parts, failures, back-off, marks and grants are kept by lifetime: they go when the target says another start. What boxes tell each other of a target has a key of its lifetime, so that sums and marks of an earlier one count nowhere, in whichever order they come. A try on a lifetime that is over is told so by Placement.Lost.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -117,8 +117,13 @@
 	others Snapshot
 }
 
-// state is what a box knows of a target by itself.
+// state is what a box knows of one lifetime of a target by itself.
 type state struct {
+	// key names the lifetime between boxes, as the target says now that it was born, zero if
+	// it does not. Born is what it said last.
+	key  Key
+	said int64
+	born int64
 	// parts are the own tries at the target that have not ended.
 	parts []*part
 	// failures counts tries in a row that could not reach the target.
@@ -221,9 +226,10 @@
 
 // book enters a placement in the books of its targets.
 func (b *Balancer) book(p *Placement) {
-	p.balancer = b
+	p.balancer, p.sent, p.lost = b, b.Clock.Now(), make(chan struct{})
 	for _, part := range p.parts {
 		s := b.state(part.target)
+		part.placement, part.at = p, s
 		b.expectRead(s, part)
 		s.parts = append(s.parts, part)
 	}
@@ -237,9 +243,9 @@
 	p.tellLead()
 }
 
+// strikePart takes a part out of the books of the lifetime that it was placed on.
 func (b *Balancer) strikePart(own *part) {
-	s := b.state(own.target)
-	s.parts = slices.DeleteFunc(s.parts, func(o *part) bool { return o == own })
+	own.at.parts = slices.DeleteFunc(own.at.parts, func(o *part) bool { return o == own })
 }
 
 // candidates returns the service's targets that may take the job: those that
@@ -252,6 +258,7 @@
 		if t.Service != j.Service || t.Draining || avoided(j, t.ID) {
 			continue
 		}
+		b.meet(t)
 		if b.leaves(t.ID, now) {
 			shunned = append(shunned, t)
 			continue
@@ -279,7 +286,7 @@
 	}
 	s, ok := b.states[id]
 	if !ok {
-		s = &state{}
+		s = &state{key: KeyOf(string(id))}
 		b.states[id] = s
 	}
 	return s
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -30,7 +30,7 @@
 	if s.down(now) {
 		return true
 	}
-	return b.others.Work[KeyOf(string(id))].Down > 0 && now.Sub(s.heard) > heardLife
+	return b.others.Work[s.key].Down > 0 && now.Sub(s.heard) > heardLife
 }
 
 // leaves reports whether the target is left alone while others can take the work,
@@ -54,6 +54,6 @@
 		e, text = b.Log.Warn(), "A target seems to be down. It is left alone."
 	}
 	e.Str("target", string(id)).Int("own_failures", s.failures).
-		Int("other_boxes", b.others.Work[KeyOf(string(id))].Down).
+		Int("other_boxes", b.others.Work[s.key].Down).
 		Dur("heard_ago", now.Sub(s.heard)).Msg(logPrefix + text)
 }
--- /dev/null
+++ b/internal/balance/lifetime.go
@@ -0,0 +1,118 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// newsWindow is how long before the news of a restart the new lifetime may have been given
+// work: it is told of some tens of milliseconds after its start, and the old one took none
+// while it was down. A try that was sent, or heard of, within it is taken to run on the new
+// lifetime; should it not, its silence ends it.
+const newsWindow = 250 * time.Millisecond
+
+// Renew drops what is known of earlier lifetimes of the targets. It is called whenever the
+// targets have changed.
+func (b *Balancer) Renew() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	renewed := false
+	for _, t := range b.Targets() {
+		if _, known := b.states[t.ID]; known && b.meet(t) {
+			renewed = true
+		}
+	}
+	if renewed {
+		clear(b.seen)
+		b.serveWaiting(true)
+	}
+}
+
+// meet takes note of the target's lifetime and reports whether it is a new one under a known
+// id: the books, failures and marks of the earlier one are dropped then.
+func (b *Balancer) meet(t fleet.Target) (renewed bool) {
+	s := b.state(t.ID)
+	renewed = t.Restarted(s.born)
+	if renewed {
+		s = b.restart(s, t.ID)
+	}
+	if t.Born != s.said {
+		s.key, s.said = KeyOfTarget(t), t.Born
+	}
+	if t.Born != 0 {
+		s.born = t.Born
+	}
+	return renewed
+}
+
+// restart begins the books of a new lifetime with the tries that run there already. The
+// others were on the earlier one and are lost.
+func (b *Balancer) restart(old *state, id barleystep.TargetID) *state {
+	now := b.Clock.Now()
+	s := &state{key: KeyOf(string(id))}
+	lost := 0
+	for _, p := range old.parts {
+		if p.placement.recent(now) {
+			p.at = s
+			s.parts = append(s.parts, p)
+			s.heard = p.placement.heard
+			continue
+		}
+		p.end()
+		lost++
+	}
+	old.parts = nil
+	b.states[id] = s
+	if b.Log != nil {
+		b.Log.Info().Str("target", string(id)).Int("lost", lost).Int("kept", len(s.parts)).
+			Msg(logPrefix + "A target has started anew. What was known of it before is dropped.")
+	}
+	return s
+}
+
+// recent reports whether the try was sent or heard of so lately that it runs on the lifetime
+// of which there is news now.
+func (p *Placement) recent(now time.Time) bool {
+	last := p.sent
+	if p.heard.After(last) {
+		last = p.heard
+	}
+	return now.Sub(last) < newsWindow
+}
+
+// end notes that the lifetime is over on which the part was placed. The try is lost with it,
+// unless the part was a helper's that was read and set no memory aside.
+func (p *part) end() {
+	p.over = true
+	own := p.placement
+	if p != own.parts[0] && own.first && p.work.Memory == 0 {
+		return
+	}
+	select {
+	case <-own.lost:
+	default:
+		close(own.lost)
+	}
+}
+
+// Lost is closed when a target that the try needs has started anew: nothing more will come.
+func (p *Placement) Lost() <-chan struct{} { return p.lost }
+
+// Over reports whether the target has started anew since the placement was made there.
+func (p *Placement) Over(id barleystep.TargetID) bool {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return p.over(id)
+}
+
+func (p *Placement) over(id barleystep.TargetID) bool {
+	for _, own := range p.parts {
+		if own.target == id {
+			return own.over
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/balance/lifetime_test.go
@@ -0,0 +1,264 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// settled is longer than news of a restart takes.
+const settled = time.Second
+
+// say has a target say when it started.
+func (f *fixture) say(i int, born int64) {
+	f.targets[i].Born = born
+	f.Renew()
+}
+
+// other returns what a box that takes a target to be of a lifetime tells of it.
+func other(t fleet.Target, born int64, w balance.Work) balance.Snapshot {
+	t.Born = born
+	s := balance.NewSnapshot()
+	s.Work[balance.KeyOfTarget(t)] = w
+	return s
+}
+
+// only returns a job that only the first target may take.
+func only(prompt int, f *fixture) balance.Job {
+	j := job(prompt)
+	if prompt == 0 {
+		j = plain()
+	}
+	for _, t := range f.targets[1:] {
+		j.Avoid = append(j.Avoid, t.ID)
+	}
+	return j
+}
+
+func lost(p *balance.Placement) bool {
+	select {
+	case <-p.Lost():
+		return true
+	default:
+		return false
+	}
+}
+
+// TestRestartDropsBooks checks what a box knows of a target after what it says of its start.
+func TestRestartDropsBooks(t *testing.T) {
+	cases := map[string]struct {
+		first, second int64
+		wait          time.Duration
+		dropped       bool
+	}{
+		"another lifetime":               {100, 200, settled, true},
+		"another one, by an older clock": {200, 100, settled, true},
+		"the same lifetime":              {100, 100, settled, false},
+		"it never says":                  {0, 0, settled, false},
+		"it begins to say":               {0, 100, settled, false},
+		"it says no longer":              {100, 0, settled, false},
+		"sent a moment before the news":  {100, 200, 50 * time.Millisecond, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(1)
+			f.targets[0].Born = tc.first
+			p := f.place(t, job(shortPrompt))
+			f.clock.Advance(tc.wait)
+			f.say(0, tc.second)
+			c.Check(lost(p), quicktest.Equals, tc.dropped)
+			c.Check(p.Over("i-00"), quicktest.Equals, tc.dropped)
+			want := balance.Work{Light: 1}
+			if tc.dropped {
+				want = balance.Work{}
+			}
+			got := f.Snapshot().Work[balance.KeyOfTarget(f.targets[0])]
+			c.Check(got.Light, quicktest.Equals, want.Light)
+			p.Done(balance.Report{})
+			c.Check(f.Snapshot().Work, quicktest.HasLen, 0)
+		})
+	}
+}
+
+// TestRestartOverSilence checks that a lifetime is told from the one before although an
+// entry between them did not say.
+func TestRestartOverSilence(t *testing.T) {
+	f := newFixture(1)
+	f.targets[0].Born = 100
+	p := f.place(t, job(shortPrompt))
+	f.clock.Advance(settled)
+	f.say(0, 0)
+	quicktest.Check(t, lost(p), quicktest.IsFalse)
+	f.say(0, 200)
+	quicktest.Check(t, lost(p), quicktest.IsTrue)
+}
+
+// TestRestartDropsMarks checks that a new lifetime is not left alone for failures of the one
+// before, found here or by others, early or late.
+func TestRestartDropsMarks(t *testing.T) {
+	unreachable := func(f *fixture, t *testing.T) {
+		f.place(t, only(0, f)).Done(balance.Report{Unreachable: true})
+	}
+	toldOf := func(born int64) func(*fixture, *testing.T) {
+		return func(f *fixture, _ *testing.T) { f.SetOthers(other(f.targets[0], born, balance.Work{Down: 1})) }
+	}
+	restart := func(f *fixture, _ *testing.T) { f.say(0, 200) }
+	type steps []func(*fixture, *testing.T)
+	cases := map[string]struct {
+		steps steps
+		down  bool
+	}{
+		"found here before":               {steps{unreachable, restart}, false},
+		"found here after":                {steps{restart, unreachable}, true},
+		"told of the old one before":      {steps{toldOf(100), restart}, false},
+		"told of the old one late":        {steps{restart, toldOf(100)}, false},
+		"told of the new one":             {steps{restart, toldOf(200)}, true},
+		"told of the new one before this": {steps{toldOf(200), restart}, true},
+		"told of the new one too early":   {steps{toldOf(200)}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(2)
+			f.targets[0].Born = 100
+			f.place(t, only(0, f)).Done(balance.Report{})
+			f.clock.Advance(settled)
+			for _, step := range tc.steps {
+				step(f, t)
+			}
+			quicktest.Check(t, f.Down("i-00"), quicktest.Equals, tc.down)
+		})
+	}
+}
+
+// TestRestartForgivesErrors checks that a new lifetime gets its share of the work at once.
+func TestRestartForgivesErrors(t *testing.T) {
+	f := newFixture(2)
+	f.targets[0].Born = 100
+	for range 20 {
+		f.place(t, only(0, f)).Done(balance.Report{Error: true})
+	}
+	f.clock.Advance(settled)
+	f.say(0, 200)
+	first := 0
+	for range 10 {
+		if f.place(t, plain()).Target.ID == "i-00" {
+			first++
+		}
+	}
+	quicktest.Check(t, first, quicktest.Equals, 5)
+}
+
+// TestLateAnswer checks that a try of an old lifetime that ends late teaches nothing of the
+// new one.
+func TestLateAnswer(t *testing.T) {
+	f := newFixture(2)
+	f.targets[0].Born = 100
+	p := f.place(t, only(0, f))
+	f.clock.Advance(settled)
+	f.say(0, 200)
+	p.Done(balance.Report{Unreachable: true})
+	quicktest.Check(t, f.Down("i-00"), quicktest.IsFalse)
+	quicktest.Check(t, f.Snapshot().Work, quicktest.HasLen, 0)
+}
+
+// TestRestartOfHelper checks which restarts end a long prompt: those of the targets that it
+// still needs.
+func TestRestartOfHelper(t *testing.T) {
+	const giantPrompt = 500_000
+	cases := map[string]struct {
+		prompt int
+		read   bool
+		lost   bool
+	}{
+		"while it reads":                  {longPrompt, false, true},
+		"after it has read":               {longPrompt, true, false},
+		"it holds memory of a giant":      {giantPrompt, true, true},
+		"it is to hold memory of a giant": {giantPrompt, false, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(12)
+			for i := range f.targets {
+				f.targets[i].Born = 100
+			}
+			j := job(tc.prompt)
+			j.Objective = 8 * time.Second
+			p := f.place(t, j)
+			c.Assert(len(p.Helpers) > 0, quicktest.IsTrue)
+			helper := p.Helpers[0].ID
+			if tc.read {
+				p.First()
+			}
+			f.clock.Advance(settled)
+			for i := range f.targets {
+				if f.targets[i].ID == helper {
+					f.say(i, 200)
+				}
+			}
+			c.Check(lost(p), quicktest.Equals, tc.lost)
+			c.Check(p.Over(helper), quicktest.IsTrue)
+			c.Check(p.Over(p.Target.ID), quicktest.IsFalse)
+		})
+	}
+}
+
+// TestRestartEndsGrants checks that the lead counts nothing of what it placed on a lifetime
+// that is over, and that the rest of the placement counts on.
+func TestRestartEndsGrants(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(12)
+	for i := range f.targets {
+		f.targets[i].Born = 100
+	}
+	j := job(longPrompt)
+	j.Objective = 8 * time.Second
+	plan, err := f.Grant(context.Background(), j, f.clock.Now().Add(time.Second))
+	c.Assert(err, quicktest.IsNil)
+	backlog := func(id barleystep.TargetID) time.Duration {
+		for _, t := range f.targets {
+			if t.ID == id {
+				return f.Snapshot().Work[balance.KeyOfTarget(t)].Backlog
+			}
+		}
+		return 0
+	}
+	f.clock.Advance(10 * time.Millisecond)
+	c.Assert(backlog(plan.Target) > 0, quicktest.IsTrue)
+	f.clock.Advance(300 * time.Millisecond) // It is late, and so still counts.
+	for i := range f.targets {
+		if f.targets[i].ID == plan.Target {
+			f.say(i, 200)
+		}
+	}
+	c.Check(backlog(plan.Target), quicktest.Equals, time.Duration(0))
+	f.EndRead(plan.Number)
+	f.clock.Advance(5 * time.Second)
+	f.SetOthers(balance.NewSnapshot())
+	c.Check(f.Snapshot().Work, quicktest.HasLen, 0)
+}
+
+// TestRestartFreesRoom checks that a job that waits for a place gets that of a lost try.
+func TestRestartFreesRoom(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(1)
+	f.targets[0].Born = 100
+	for range 4 {
+		f.place(t, job(shortPrompt))
+	}
+	f.clock.Advance(settled)
+	p, w, err := f.Ask(context.Background(), job(shortPrompt))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p, quicktest.IsNil)
+	f.say(0, 200)
+	p, err = f.Abandon(w)
+	c.Check(err, quicktest.IsNil)
+	c.Check(p, quicktest.Not(quicktest.IsNil))
+}
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -31,6 +31,12 @@
 	// prompt was read; zero if it was placed here.
 	plan     uint64
 	expected time.Duration
+	// sent is when the placement was made, and heard when its target last sent something
+	// of it.
+	sent  time.Time
+	heard time.Time
+	// lost is closed when a target that the try needs has started anew.
+	lost chan struct{}
 }
 
 // Expected returns after how long the first event is expected, zero if nothing
@@ -39,8 +45,13 @@
 
 // part is what a try costs one target.
 type part struct {
-	target barleystep.TargetID
-	work   Work
+	target    barleystep.TargetID
+	placement *Placement
+	// at is the lifetime of the target that the part was placed on; over is set once that
+	// has ended.
+	at   *state
+	over bool
+	work Work
 	// share is how long the target reads its part of a long prompt, zero once that is
 	// done, and until is when it is expected to be done. A pass with a writer takes so
 	// long there.
@@ -56,7 +67,7 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(p.Target.ID).heard = b.Clock.Now()
+	p.hear()
 	p.read()
 }
 
@@ -65,7 +76,12 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(p.Target.ID).heard = b.Clock.Now()
+	p.hear()
+}
+
+func (p *Placement) hear() {
+	p.heard = p.balancer.Clock.Now()
+	p.parts[0].at.heard = p.heard
 }
 
 // Gone tells that a helper has refused a connection.
@@ -121,8 +137,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.strike(p)
-	b.learn(p.Target.ID, r)
-	if r.Helper != "" {
+	if !p.over(p.Target.ID) {
+		b.learn(p.Target.ID, r)
+	}
+	if r.Helper != "" && !p.over(r.Helper) {
 		b.learn(r.Helper, Report{Unreachable: true})
 	}
 	b.serveWaiting(false)
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -1,11 +1,13 @@
 package balance
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fleet"
 )
 
 // Work is what a target has to do for one box, or for all.
@@ -39,12 +41,22 @@
 	w.Down += times * o.Down
 }
 
-// Key names a target or a service between boxes, in less room than its id.
+// Key names a lifetime of a target, or a service, between boxes, in less room than its id.
 type Key uint32
 
-// KeyOf returns the key of a target's id or of a service's name.
+// KeyOf returns the key of a service's name, or of the id of a target that does not say when
+// it started.
 func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
 
+// KeyOfTarget returns the key of a target's lifetime. What boxes tell each other of an earlier
+// one has another key: it counts nowhere, however late it comes.
+func KeyOfTarget(t fleet.Target) Key {
+	if t.Born == 0 {
+		return KeyOf(string(t.ID))
+	}
+	return KeyOf(string(t.ID) + "@" + strconv.FormatInt(t.Born, 10))
+}
+
 // Snapshot is the work and the demand of one box, or of many.
 type Snapshot struct {
 	Work    map[Key]Work
@@ -91,9 +103,9 @@
 	defer b.mu.Unlock()
 	s := NewSnapshot()
 	now := b.Clock.Now()
-	for id, state := range b.states {
+	for _, state := range b.states {
 		if len(state.parts) > 0 || state.down(now) {
-			s.Work[KeyOf(string(id))] = state.own(now)
+			s.Work[state.key] = state.own(now)
 		}
 	}
 	for service, d := range b.demands {
@@ -126,12 +138,10 @@
 	if w, ok := b.seen[id]; ok {
 		return w
 	}
-	var w Work
 	now := b.Clock.Now()
-	if s := b.states[id]; s != nil {
-		w = s.own(now)
-	}
-	others := b.others.Work[KeyOf(string(id))]
+	s := b.state(id)
+	w := s.own(now)
+	others := b.others.Work[s.key]
 	if now.Before(b.leadUntil) {
 		others.Led = 0 // This box knows better.
 	}
