No update goes back behind what a box has read, even after lost history

While a topic was to be read anew, a whole topic relayed late by another box, or an old answer of the store, took the place of newer entries: an old lifetime of a target came back. Revisions of the store order lifetimes now; the time that a target says does not.

Targets tells of changes of its list, for those that keep state of targets.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -98,6 +98,9 @@
 
 const logPrefix = "follow: "
 
+// errBehind means that the whole topic was read as it was before what this box knows.
+var errBehind = eris.New("follow: the store answers with less than was read before")
+
 // String names the follower in the supervisor's lines.
 func (f *Follower) String() string { return "follower of " + f.Topic.String() }
 
@@ -248,13 +251,16 @@
 	defer f.mu.Unlock()
 	if f.take(Update{Records: b.Records(), Whole: !known, Revision: b.Revision()}) {
 		f.prove(asked)
+	} else if !f.known {
+		return false, errBehind
 	}
 	return known && len(b.Records()) > 0, nil
 }
 
-// take applies an update, unless it is older than what is known.
+// take applies an update, unless it is older than what was read before, even if the topic is
+// to be read anew: another box may tell late of a target's lifetime that is over.
 func (f *Follower) take(u Update) bool {
-	if f.known && u.Revision < f.revision {
+	if u.Revision < f.revision {
 		return false
 	}
 	if !f.known && !u.Whole {
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -71,10 +71,11 @@
 		asked   []barleystep.Revision
 		version int64
 	}{
-		"follows changes":        {[]reply{batch(3, "1"), batch(5, "2"), batch(5)}, []barleystep.Revision{0, 3, 5, 5}, 2},
-		"reads anew after 410":   {[]reply{batch(3, "1"), forgot, batch(9, "4")}, []barleystep.Revision{0, 3, 0, 9}, 4},
-		"goes on after a fault":  {[]reply{failed, batch(3, "1"), failed, failed, batch(4, "2")}, []barleystep.Revision{0, 0, 3, 3, 3, 4}, 2},
-		"a stale page goes over": {[]reply{batch(5, "2"), batch(4, "1")}, []barleystep.Revision{0, 5, 5}, 2},
+		"follows changes":         {[]reply{batch(3, "1"), batch(5, "2"), batch(5)}, []barleystep.Revision{0, 3, 5, 5}, 2},
+		"reads anew after 410":    {[]reply{batch(3, "1"), forgot, batch(9, "4")}, []barleystep.Revision{0, 3, 0, 9}, 4},
+		"goes on after a fault":   {[]reply{failed, batch(3, "1"), failed, failed, batch(4, "2")}, []barleystep.Revision{0, 0, 3, 3, 3, 4}, 2},
+		"an old whole is refused": {[]reply{batch(5, "2"), forgot, batch(4, "1"), batch(6, "3")}, []barleystep.Revision{0, 5, 0, 0, 6}, 3},
+		"a stale page goes over":  {[]reply{batch(5, "2"), batch(4, "1")}, []barleystep.Revision{0, 5, 5}, 2},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -17,6 +17,9 @@
 	Clock  barleystep.Clock
 	Decode func(r barleystep.Record) (fleet.Target, error)
 	Log    *log.Logger
+	// Changed is called after each change of the list, in their order; it may be nil. It
+	// must not call the set, but for List.
+	Changed func()
 
 	mu      sync.Mutex
 	targets map[string]fleet.Target
@@ -105,9 +108,9 @@
 	if !t.known {
 		return // The first reading has one line for all.
 	}
-	if !had || old.Draining != target.Draining || old.Addr != target.Addr {
+	if !had || old.Draining != target.Draining || old.Addr != target.Addr || target.Restarted(old.Born) {
 		t.Log.Info().Str("target", r.Key()).Str("service", target.Service).Str("addr", target.Addr).
-			Bool("draining", target.Draining).Msg(logPrefix + "A target is announced.")
+			Bool("draining", target.Draining).Int64("born", target.Born).Msg(logPrefix + "A target is announced.")
 	}
 }
 
@@ -157,6 +160,9 @@
 		list = append(list, target)
 	}
 	t.list.Store(&list)
+	if t.Changed != nil {
+		t.Changed()
+	}
 }
 
 // Proved is part of Handler. A proof from before the loss, which another box may
--- a/internal/follow/targets_test.go
+++ b/internal/follow/targets_test.go
@@ -58,3 +58,21 @@
 		})
 	}
 }
+
+// TestChanged checks that each change of the list is told after it was made.
+func TestChanged(t *testing.T) {
+	c := quicktest.New(t)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	s := &follow.Targets{Clock: manual, Decode: announce, Log: quiet}
+	var lengths []int
+	s.Changed = func() { lengths = append(lengths, len(s.List())) }
+	s.Reset([]barleystep.Record{barleystep.NewRecord("i", nil)})
+	s.Change(barleystep.NewRecord("k", nil))
+	s.Change(barleystep.NewRemoval("i"))
+	s.Lost(manual.Now())
+	s.Change(barleystep.NewRemoval("k"))
+	manual.Advance(time.Hour)
+	s.Expire()
+	s.Expire()
+	c.Check(lengths, quicktest.DeepEquals, []int{1, 2, 1, 1, 0})
+}
