Kept connections end with the lifetime of the target that they were made to

A request written to a connection that outlived its target may be taken to have run: one that may run once is then lost. The pool is told who has which address; connections to an earlier owner or lifetime are closed, those in use once they are released.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -23,6 +23,7 @@
 type Conn struct {
 	pool   *Pool
 	addr   string
+	era    uint64 // era is that of the address when the connection was made.
 	raw    net.Conn
 	reader *bufio.Reader
 	idle   time.Time     // idle is since when the connection rests.
@@ -176,7 +177,7 @@
 		return
 	}
 	c.life = keepAlive(resp.Header.Get("Keep-Alive"))
-	c.pool.put(c)
+	c.pool.put(c, c.pool.Clock.Now())
 }
 
 // keepAlive reads the time after which a target closes a resting connection.
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -23,6 +23,11 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn
 	open map[string]int
+	// owners are the targets that the addresses belong to, as last told; eras count, over
+	// all addresses, when one got a new owner or its owner started anew.
+	owners map[string]owner
+	eras   map[string]uint64
+	era    uint64
 }
 
 const (
@@ -63,12 +68,11 @@
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.idle.IsZero() {
-		c.idle = p.Clock.Now()
+	since := c.idle
+	if since.IsZero() {
+		since = p.Clock.Now()
 	}
-	p.idle[addr] = append(p.idle[addr], c)
+	p.put(c, since)
 	return nil
 }
 
@@ -101,6 +105,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control:         boundUnacked,
 	}
+	era := p.eraOf(addr) // It may end while the connection is made.
 	raw, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
@@ -112,7 +117,13 @@
 		p.idle = make(map[string][]*Conn)
 	}
 	p.open[addr]++
-	return &Conn{pool: p, addr: addr, raw: raw, reader: bufio.NewReaderSize(raw, readerSize)}, nil
+	return &Conn{pool: p, addr: addr, era: era, raw: raw, reader: bufio.NewReaderSize(raw, readerSize)}, nil
+}
+
+func (p *Pool) eraOf(addr string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.eras[addr]
 }
 
 func boundUnacked(_, _ string, raw syscall.RawConn) error {
@@ -126,11 +137,22 @@
 	return set
 }
 
-func (p *Pool) put(c *Conn) {
-	c.idle = p.Clock.Now()
+// put keeps a connection that rests since then, unless its era is over.
+func (p *Pool) put(c *Conn, since time.Time) {
+	if !p.keep(c, since) {
+		p.discard(c)
+	}
+}
+
+func (p *Pool) keep(c *Conn, since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.era != p.eras[c.addr] {
+		return false
+	}
+	c.idle = since
 	p.idle[c.addr] = append(p.idle[c.addr], c)
+	return true
 }
 
 func (p *Pool) discard(c *Conn) {
