A request on a lifetime that is over leaves it at once

The router tells the balancer and the kept connections of each change of the targets.

Before: TestRestart hung in its first moving case (no second send), TestRestartOfHelper saw 3 orders for 2, and router.TestRestartedTarget never saw a second connection.

--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -16,7 +16,8 @@
 
 // reservation is memory that is set aside at one helper.
 type reservation struct {
-	addr string
+	target barleystep.TargetID
+	addr   string
 	barleystep.Reservation
 }
 
@@ -63,7 +64,7 @@
 	for _, h := range t.placement.Helpers {
 		if h.Memory > 0 {
 			r := barleystep.Reservation{ID: t.reservationID(), Tokens: h.Memory, Hold: holdTime}
-			t.reserved = append(t.reserved, reservation{h.Addr, r})
+			t.reserved = append(t.reserved, reservation{h.ID, h.Addr, r})
 		}
 	}
 	if len(t.reserved) == 0 {
@@ -127,7 +128,12 @@
 	return true
 }
 
+// reserveAt sets memory aside at a helper. One that has started anew holds nothing of the
+// prompt: setting memory aside there would keep it from others.
 func (t *try) reserveAt(ctx context.Context, r reservation) bool {
+	if t.placement.Over(r.target) {
+		return true
+	}
 	req, body := t.stage.protocol.Reserve(r.Reservation)
 	return t.order(ctx, r.addr, req, body) == http.StatusOK
 }
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -87,6 +87,9 @@
 	t.noteHelpers()
 	watch := t.newWatch(cancel)
 	defer watch.stop()
+	if t.movable() {
+		go t.leaveRestarted(ctx, cancel)
+	}
 	x.sends++
 	x.target = t.placement.Target.ID
 	x.helpers = len(t.placement.Helpers)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -121,6 +121,9 @@
 // mayMove reports whether another target can take the request from a silent one.
 // It pays for that from the retry budget.
 func (t *try) mayMove() bool {
+	if t.paid.Load() {
+		return true
+	}
 	job := t.stage.job(t.exchange)
 	job.Avoid = append(job.Avoid, t.placement.Target.ID)
 	if !t.stage.balancer.HasRoom(job) || !t.stage.budget.Retry(t.exchange.service) {
--- /dev/null
+++ b/internal/router/restart_test.go
@@ -0,0 +1,47 @@
+package router_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// TestRestartedTarget checks that a connection which was kept to a target is left once the
+// store says that the target has started anew, and not before.
+func TestRestartedTarget(t *testing.T) {
+	const (
+		firstBorn  = 1_000
+		secondBorn = 900 // Its clock was set back.
+	)
+	c := quicktest.New(t)
+	r := newRig(t, 1)
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(&platformtest.Server{ID: "i-2"})
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	addr := server.Listener.Addr().String()
+	r.store.StartServer("i-2", "app", addr, firstBorn)
+	r.store.Remove("servers", "i-1")
+	ask := func() bool {
+		status, _ := r.ask(t, 0, "/a/x", "k1")
+		return status == http.StatusOK
+	}
+	eventually(t, func() bool { return ask() && opened.Load() > 0 })
+	for range 20 {
+		c.Check(ask(), quicktest.IsTrue)
+	}
+	c.Check(opened.Load(), quicktest.Equals, int32(1))
+	r.store.StartServer("i-2", "app", addr, secondBorn)
+	eventually(t, func() bool { return ask() && opened.Load() == 2 })
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -130,6 +130,7 @@
 		Log:   r.Log,
 	}
 	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
+	r.targets.Changed = r.renew
 	r.budget = &budget.Budget{Clock: r.Clock, Window: s.Retries.Window.Or(defaultWindow), Boxes: r.plane.Node().Boxes}
 	r.front = &front.Server{
 		Clock:         r.Clock,
