--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -44,6 +44,7 @@
 	configuration *follow.Configuration
 	targets       *follow.Targets
 	handler       http.Handler
+	births        map[barleystep.TargetID]int // births are the lifetimes seen last, by number.
 	stop          context.CancelFunc
 	done          sync.WaitGroup
 }
@@ -212,6 +213,13 @@
 	return fleet.Configuration{Version: int64(binary.LittleEndian.Uint64(value))}, nil
 }
 
+// bornBytes is the length of the record of a target that says when it started.
+const bornBytes = 8
+
 func decodeTarget(r barleystep.Record) (fleet.Target, error) {
-	return fleet.Target{ID: barleystep.TargetID(r.Key())}, nil
+	t := fleet.Target{ID: barleystep.TargetID(r.Key())}
+	if len(r.Value()) == bornBytes {
+		t.Born = int64(binary.LittleEndian.Uint64(r.Value()))
+	}
+	return t, nil
 }
--- a/internal/plane/day_test.go
+++ b/internal/plane/day_test.go
@@ -52,7 +52,9 @@
 	seedless bool
 	// version is the last configuration's.
 	version int64
-	result  result
+	// births are the starts of targets that have started anew, in order.
+	births map[barleystep.TargetID][]int64
+	result result
 }
 
 // result is what was seen.
@@ -77,6 +79,9 @@
 	// newest when all of them had the last configuration.
 	served time.Duration
 	newest time.Duration
+	// backward counts how often a box went back to an earlier lifetime of a target, and
+	// outdated the boxes that go by one at the end.
+	backward, outdated int
 	// calls are those to the store until the end, early those before measured.
 	calls, early int
 	byKind       map[string]int
@@ -201,6 +206,7 @@
 		}
 		d.look()
 	}
+	d.result.outdated = d.outdated()
 	d.result.calls, d.result.byKind = d.store.count(), d.store.kinds()
 	d.result.datagrams, d.result.bytes, d.result.largest = d.network.counts()
 	for _, b := range d.boxes {
@@ -216,6 +222,7 @@
 	if d.result.newest == 0 && !slices.ContainsFunc(d.boxes, func(b *box) bool { return !b.has(d.version) }) {
 		d.result.newest = d.elapsed()
 	}
+	d.lookAtBirths()
 	if d.elapsed() <= d.scene.measured {
 		d.result.early = d.store.count()
 		return
--- a/internal/plane/store_test.go
+++ b/internal/plane/store_test.go
@@ -20,6 +20,9 @@
 	changed  chan struct{}
 	// away reports whether a box is turned away; nil turns none away.
 	away func(b *box) bool
+	// forgotten is the last revision of which the store does not know any more what
+	// changed after it.
+	forgotten barleystep.Revision
 	// calls counts calls by kind.
 	calls map[string]int
 	// failed counts those that were turned away.
@@ -58,6 +61,23 @@
 	s.away = away
 }
 
+// forget drops the history: who follows has to read anew.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.revision
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+func (s *store) forgot(since barleystep.Revision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return since < s.forgotten
+}
+
 // count returns the calls of all kinds so far.
 func (s *store) count() int {
 	s.mu.Lock()
@@ -131,6 +151,9 @@
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
+		if c.store.forgot(since) {
+			return barleystep.Batch{}, barleystep.ErrHistoryLost
+		}
 		list, revision, changed := c.store.since(topic, since)
 		if len(list) > 0 {
 			return barleystep.NewBatch(list, revision), nil
