Word of a box's earlier life that comes late changes nothing

Incarnations are random and tell lives apart without an order: a datagram of the old life, late or doubled, was taken for one of a new life and put old work in place of new. The last lives of each box are known now.

--- /dev/null
+++ b/internal/gossip/incarnation_internal_test.go
@@ -0,0 +1,53 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// TestLateIncarnation checks that a datagram of a box's earlier life that comes late, or twice,
+// does not take the place of what the box says now.
+func TestLateIncarnation(t *testing.T) {
+	const target = 3
+	said := func(incarnation, sequence uint64, light int) *datagram {
+		d := &datagram{Box: "other", Hall: "h", Incarnation: incarnation, Sequence: sequence}
+		s := balance.NewSnapshot()
+		s.Work[target] = balance.Work{Light: light}
+		fill(d, s)
+		return d
+	}
+	cases := map[string]struct {
+		datagrams []*datagram
+		want      int
+	}{
+		"in order":               {[]*datagram{said(7, 5, 1), said(7, 6, 2)}, 2},
+		"late within a life":     {[]*datagram{said(7, 6, 2), said(7, 5, 1)}, 2},
+		"a new life":             {[]*datagram{said(7, 5, 1), said(9, 1, 2)}, 2},
+		"late of the old life":   {[]*datagram{said(7, 5, 1), said(9, 1, 2), said(7, 6, 3)}, 2},
+		"the new one goes on":    {[]*datagram{said(7, 5, 1), said(9, 1, 2), said(7, 6, 3), said(9, 2, 4)}, 4},
+		"doubled after that":     {[]*datagram{said(7, 5, 1), said(9, 2, 2), said(7, 6, 3), said(9, 1, 4)}, 2},
+		"a third life":           {[]*datagram{said(7, 5, 1), said(9, 1, 2), said(4, 1, 5), said(9, 2, 3)}, 5},
+		"two lives before, late": {[]*datagram{said(7, 5, 1), said(9, 1, 2), said(4, 1, 5), said(7, 9, 3)}, 5},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{
+				Clock: clock.NewManual(time.Unix(1000, 0)), Box: "me", Hall: "h",
+				Log: &log.Logger{Level: log.PanicLevel}, members: make(map[barleystep.BoxID]*member),
+			}
+			for _, d := range tc.datagrams {
+				n.receive(context.Background(), d, netip.MustParseAddrPort("10.0.0.1:1"))
+			}
+			quicktest.Check(t, n.members["other"].own.Work[target].Light, quicktest.Equals, tc.want)
+		})
+	}
+}
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -18,6 +18,8 @@
 	addr        netip.AddrPort
 	strength    uint32
 	incarnation uint64
+	// former are the incarnations before, the last of which are kept.
+	former []uint64
 	// heard is when the last word of it came, named when a box that had heard it
 	// last said so, and added when it became known.
 	heard time.Time
@@ -52,6 +54,10 @@
 	summedHall time.Time
 }
 
+// formerKept is how many earlier lives of a box are known: datagrams come seconds late at most,
+// in which no box starts as often.
+const formerKept = 4
+
 // last returns when the box was last known to live.
 func (m *member) last() time.Time {
 	last := m.heard
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -42,7 +43,8 @@
 	}
 }
 
-// hear notes that a box lives and returns what is known of it, nil for this box.
+// hear notes that a box lives and returns what is known of it, nil for this box and for word
+// of a life that is over.
 func (n *Node) hear(box barleystep.BoxID, hall barleystep.HallID, addr netip.AddrPort, incarnation uint64, now time.Time) *member {
 	if box == n.Box {
 		return nil
@@ -52,8 +54,12 @@
 		m = &member{box: box, hall: hall, added: now}
 		n.members[box] = m
 	}
+	if slices.Contains(m.former, incarnation) {
+		return nil
+	}
 	if m.incarnation != incarnation {
 		// A new life counts its datagrams anew, on a clock of its own.
+		m.renounce()
 		m.incarnation, m.sequence, m.peerSent = incarnation, 0, 0
 	}
 	m.hall, m.addr = hall, addr
@@ -61,6 +67,18 @@
 	return m
 }
 
+// renounce notes that the life of the member is over that was heard last: what still comes of
+// it came late.
+func (m *member) renounce() {
+	if m.incarnation == 0 {
+		return
+	}
+	m.former = append(m.former, m.incarnation)
+	if len(m.former) > formerKept {
+		m.former = m.former[1:]
+	}
+}
+
 // revive notes that a box was heard of directly.
 func (n *Node) revive(m *member, now time.Time) {
 	m.heard, m.asked = now, time.Time{}
