The laboratory has engines that start anew under their ids

A pass that was under way ends with its engine's lifetime (TestRebirth: without that, old events come after the start).

--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -307,6 +307,8 @@
 		failed:   func() { a.again(balance.Report{Unreachable: true}, c.first.id()) },
 		unhelped: func() { a.again(balance.Report{}, c.dead()) },
 	}
+	a.run.news = a.leave
+	a.run.down = func(e *engine) bool { return b.balancer.Down(e.id()) }
 	r.run = a.run
 	r.abandon = func() { a.end(balance.Report{}) }
 	d.timeline.After(network, func() {
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -109,6 +109,11 @@
 		d.engines = append(d.engines, e)
 		d.byID[id] = e
 	}
+	if l.Births {
+		for _, e := range d.engines {
+			e.target.Born = 1
+		}
+	}
 	d.begin(seed)
 	d.timeline.Every(orElse(l.Told, told), d.gossip)
 	return d
@@ -182,6 +187,11 @@
 	for _, e := range d.engines[:int(d.load.Leave*float64(len(d.engines)))] {
 		d.timeline.After(d.load.Span/2, e.die)
 	}
+	for i := range d.load.Rebirths {
+		at := d.load.Span * time.Duration(i+1) / time.Duration(d.load.Rebirths+1)
+		e := d.engines[i%len(d.engines)]
+		d.timeline.After(at, func() { d.fallSilent(e) })
+	}
 	for i := range d.load.Slow {
 		d.engines[len(d.engines)-1-i].slowness = 2
 	}
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -19,6 +19,7 @@
 	// slowness multiplies the time of each pass.
 	slowness float64
 	dead     bool
+	lives    int // lives counts the deaths.
 
 	// parts are read before prompts, the one that came last first. The first engine's
 	// own part of a prompt is among the prompts.
@@ -54,10 +55,13 @@
 	running bool
 	over    bool
 	// event and failed tell the box what becomes of the run, unhelped that a helper
-	// is dead.
+	// is dead, and news that there is word of a restart.
 	event    func(p pass)
 	failed   func()
 	unhelped func()
+	news     func()
+	// down reports whether the box takes an engine to be down.
+	down func(e *engine) bool
 }
 
 // pass says what an engine did in one pass, to tell why streams paused.
@@ -105,12 +109,14 @@
 	}
 	e.busy = true
 	p, end := e.plan()
+	life := e.lives
 	e.timeline.After(p.took, func() {
-		e.busy = false
-		if !e.dead {
-			end(p)
-			e.wake()
+		if e.lives != life {
+			return
 		}
+		e.busy = false
+		end(p)
+		e.wake()
 	})
 }
 
@@ -269,7 +275,23 @@
 
 // die ends the engine; what depends on it fails after a stall.
 func (e *engine) die() {
-	e.dead = true
+	for _, r := range e.kill() {
+		e.timeline.After(deadStall, r.fails(e))
+	}
+}
+
+// fails returns what tells the run's box that an engine of it is dead.
+func (r *run) fails(e *engine) func() {
+	if r.first == e {
+		return r.failed
+	}
+	return r.unhelped
+}
+
+// kill ends the engine and returns the runs that depend on it.
+func (e *engine) kill() (lost []*run) {
+	e.dead, e.busy = true, false
+	e.lives++
 	runs := append(slices.Clone(e.waiting), e.writers...)
 	for _, r := range slices.Concat(e.parts, e.prompts) {
 		runs = append(runs, r.run)
@@ -279,13 +301,10 @@
 			continue
 		}
 		r.stop()
-		if r.first == e {
-			e.timeline.After(deadStall, r.failed)
-		} else {
-			e.timeline.After(deadStall, r.unhelped)
-		}
+		lost = append(lost, r)
 	}
 	e.memory = 0
+	return lost
 }
 
 // id returns the engine's name.
--- a/internal/lab/engine_internal_test.go
+++ b/internal/lab/engine_internal_test.go
@@ -123,3 +123,23 @@
 	c.Check(p.fit(0, 9, 3), quicktest.Equals, 3.0)
 	c.Check(p.fit(0, 9, 3), quicktest.Equals, 1.0)
 }
+
+// TestRebirth checks that an engine that starts anew has nothing of before, and that a pass
+// which was under way ends with the lifetime that began it.
+func TestRebirth(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(1)
+	e := b.engines[0]
+	old := b.run(2000, 100)
+	b.timeline.After(95*time.Millisecond, func() { // It is in the middle of a pass.
+		lost := e.kill()
+		c.Check(len(lost) == 1 && lost[0] == old, quicktest.IsTrue)
+		e.dead = false
+	})
+	var fresh *run
+	b.timeline.After(100*time.Millisecond, func() { fresh = b.run(2000, 2) })
+	b.timeline.Run(time.Second)
+	c.Check(b.events[old], quicktest.DeepEquals, ms(52, 92))
+	c.Check(b.events[fresh], quicktest.DeepEquals, ms(152, 192))
+	c.Check(e.memory, quicktest.Equals, 0)
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -119,3 +119,17 @@
 	worth := long.Earned / long.Owed
 	quicktest.Check(t, worth > 0.725, quicktest.IsTrue, quicktest.Commentf("%.3f", worth))
 }
+
+// TestEnginesStartAnew checks that what is known of an engine's earlier lifetime does not
+// stand in the way of the next: of the worth of prompts on days on which each of 18 engines
+// falls silent twice for 0.6 s, 66 of 100 are earned where engines say when they started, and
+// 58 where they do not.
+func TestEnginesStartAnew(t *testing.T) {
+	var said, unsaid lab.Result
+	for seed := range uint64(4) {
+		said.Add(lab.Run(family(t, "engines start anew"), lab.Balanced, seed))
+		unsaid.Add(lab.Run(family(t, "engines start anew, unsaid"), lab.Balanced, seed))
+	}
+	more := said.Worth() - unsaid.Worth()
+	quicktest.Check(t, more > 0.04, quicktest.IsTrue, quicktest.Commentf("%.3f and %.3f", said.Worth(), unsaid.Worth()))
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -47,6 +47,10 @@
 	Deaths int
 	// Slow is how many engines take twice their time.
 	Slow int
+	// Rebirths is how many times an engine falls silent and starts anew under its id, one
+	// after the other; Births is set if engines say when they started.
+	Rebirths int
+	Births   bool
 	// Leave is the part of the engines that ends all at once in the middle of the day,
 	// while boxes cannot read of it: the list goes on naming them.
 	Leave float64
@@ -85,6 +89,8 @@
 		l.Restart = span / 2
 		return l
 	}},
+	{"engines start anew", func(rng *rand.Rand) Load { return rebirths(rng, true) }},
+	{"engines start anew, unsaid", func(rng *rand.Rand) Load { return rebirths(rng, false) }},
 	{"three engines", func(rng *rand.Rand) Load { return draw(rng, 3) }},
 	{"one engine", func(rng *rand.Rand) Load { return draw(rng, 1) }},
 	{"sixty engines, turns", func(rng *rand.Rand) Load { return turns(rng, 60, 8, 11) }},
@@ -144,6 +150,13 @@
 	return l
 }
 
+// rebirths draws a day on which each engine starts anew twice.
+func rebirths(rng *rand.Rand, said bool) Load {
+	l := turns(rng, 18, 8, 11)
+	l.Rebirths, l.Births = 36, said
+	return l
+}
+
 // hundreds draws a day of many small boxes before engines of few slots, of which
 // callers ask for a quarter in the mean and for half in bursts: the largest
 // deployment met so far. Its boxes are told of the others every 100 ms, of work that
