Boxes tell each other of a target whose address is another's

Behind a cut, engines crash and start again at their addresses under new ids, while the store still names the old ids there, or names them once more.

Before: TestTellsDown failed (address is taken: nothing was told).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -126,7 +126,7 @@
 	born int64
 	// parts are the own tries at the target that have not ended.
 	parts []*part
-	// failures counts tries in a row that could not reach the target.
+	// failures counts tries in a row that could not reach the target at its address.
 	failures int
 	// heard is when the target last sent something here.
 	heard time.Time
@@ -316,6 +316,7 @@
 	switch {
 	case r.Moved:
 		s.shunned = now.Add(movedShun)
+		s.failures++ // The others are told: each of them would be refused once.
 	case r.Unreachable:
 		s.shunned = now.Add(min(firstShun<<min(s.failures, 8), longestShun))
 		s.failures++
--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -61,12 +61,27 @@
 	}
 }
 
-// TestTellsDown checks that other boxes are told of a target that was not reached,
-// for as long as it is left alone.
+// TestTellsDown checks that other boxes are told of a target that was not reached, or whose
+// address is another's now, for as long as it is left alone.
 func TestTellsDown(t *testing.T) {
-	f := newFixture(1)
-	f.place(t, plain()).Done(balance.Report{Unreachable: true})
-	quicktest.Check(t, f.Snapshot().Work[balance.KeyOf("i-00")].Down, quicktest.Equals, 1)
-	f.clock.Advance(time.Second)
-	quicktest.Check(t, f.Snapshot().Work, quicktest.HasLen, 0)
+	cases := map[string]struct {
+		report balance.Report
+		told   bool
+		length time.Duration
+	}{
+		"not reached":      {balance.Report{Unreachable: true}, true, time.Second},
+		"address is taken": {balance.Report{Full: true, Moved: true}, true, 11 * time.Second},
+		"full":             {balance.Report{Full: true}, false, time.Second},
+		"a failure":        {balance.Report{Error: true}, false, time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(1)
+			f.place(t, plain()).Done(tc.report)
+			told := f.Snapshot().Work[balance.KeyOf("i-00")].Down > 0
+			quicktest.Check(t, told, quicktest.Equals, tc.told)
+			f.clock.Advance(tc.length)
+			quicktest.Check(t, f.Snapshot().Work, quicktest.HasLen, 0)
+		})
+	}
 }
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -269,6 +269,6 @@
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun && t.blamed == "",
 		Helper:      t.blamed,
-		Moved:       t.head.Status() == http.StatusMisdirectedRequest,
+		Moved:       t.head.Status() == http.StatusMisdirectedRequest && t.blamed == "",
 	}
 }
