--- a/internal/front/restart_test.go
+++ b/internal/front/restart_test.go
@@ -150,3 +150,32 @@
 	close(over)
 	<-answer
 }
+
+// TestMoved checks which target is left alone after a refusal that says that an address is
+// another's: the one that was asked, unless a helper is to blame.
+func TestMoved(t *testing.T) {
+	cases := map[string]struct {
+		headers string
+		down    bool
+	}{
+		"the target":   {"Not-Run: 1\r\n", true},
+		"a helper has": {"Not-Run: 1\r\nBlamed: HELPER\r\n", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			view := newView()
+			view.Route("h", "/giant/").MaxSends = 1
+			var asked string
+			refuse := func(k net.Conn, r *http.Request) bool {
+				asked = r.Header.Get("Instance")
+				headers := strings.ReplaceAll(tc.headers, "HELPER", k.LocalAddr().String()) // All have it.
+				return whole(http.StatusMisdirectedRequest, headers, "")(k, r)
+			}
+			f := newFixture(t, state{view: view}, refuse)
+			f.target.orders = []step{whole(http.StatusOK, "", "")}
+			f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+			c.Check(f.front.Balancer.Down(barleystep.TargetID(asked)), quicktest.Equals, tc.down)
+		})
+	}
+}
