--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -113,3 +113,9 @@
 	// clock may step.
 	Born int64
 }
+
+// Restarted reports whether the target lives anew under its id since it was known to be born
+// at the given time. Where either is zero, nothing says so.
+func (t Target) Restarted(born int64) bool {
+	return born != 0 && t.Born != 0 && t.Born != born
+}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -122,6 +122,9 @@
 // It pays for that from the retry budget. Near the end of the box no other could give the
 // whole answer, and the silent one still may.
 func (t *try) mayMove() bool {
+	if t.paid.Load() {
+		return true
+	}
 	job := t.stage.job(t.exchange)
 	if t.stage.stop.before(job.LeastWhole()) {
 		return false
