--- /dev/null
+++ b/internal/router/foreign_test.go
@@ -0,0 +1,51 @@
+package router_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// TestForeignEntryRouted checks that a target gets no work while another writer's entry stands
+// under its id, on a box that the store turns away too, and again with its own.
+func TestForeignEntryRouted(t *testing.T) {
+	cases := map[string]func(entry map[string]any){
+		"unknown state":   func(entry map[string]any) { entry["state"] = "resting" },
+		"no slots":        func(entry map[string]any) { delete(entry, "slots") },
+		"zone is a list":  func(entry map[string]any) { entry["zone"] = []string{"h"} },
+		"unknown service": func(entry map[string]any) { entry["service"] = "nobody's" },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2)
+			server := httptest.NewServer(r.target)
+			t.Cleanup(server.Close)
+			r.store.TurnAway("b1")
+			for i := range r.callers {
+				status, _ := r.ask(t, i, "/a/x", "k1")
+				quicktest.Assert(t, status, quicktest.Equals, http.StatusOK)
+			}
+			addr := server.Listener.Addr().String()
+			entry := platformtest.Entry("app", addr, "h", 1, "ready")
+			spoil(entry)
+			r.store.Put("servers", "i-1", entry)
+			for i := range r.callers {
+				eventually(t, func() bool {
+					status, _ := r.ask(t, i, "/a/x", "k1")
+					return status == http.StatusServiceUnavailable
+				})
+			}
+			r.store.PutServer("i-1", "app", addr)
+			for i := range r.callers {
+				eventually(t, func() bool {
+					status, _ := r.ask(t, i, "/a/x", "k1")
+					return status == http.StatusOK
+				})
+			}
+		})
+	}
+}
