--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -42,7 +42,7 @@
 }
 
 func (t *slot) announce(state string) {
-	value := map[string]any{"service": t.service, "address": t.link.addr(), "zone": fmt.Sprintf("h%d", t.number%2), "slots": engineSlots, "state": state}
+	value := platformtest.Entry(t.service, t.link.addr(), fmt.Sprintf("h%d", t.number%2), engineSlots, state)
 	t.soak.store.give(order{Put: &record{"servers", t.id, value}})
 }
 
