The soak stops boxes in series while requests wait for places at engines

The profile crowded has few places, long streams and callers that wait longer than a stop lasts. A request that was sent more than a second before its connection closed counts as lost also if it was never passed on; that a box was killed or stood still excuses only what overlaps with it; a listener that was closed in a stop stays closed. Seeds that failed are kept and run by make regressions.

Targets start again under their ids as an action of its own generator; entries of another writer are an action of weight zero.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test soak lint model generate placement balance capacity
+.PHONY: run test soak regressions lint model generate placement balance capacity
 
 # run starts a small hall on loopback.
 run:
@@ -19,6 +19,12 @@
 	$(GO) build -o target/ ./cmd/barleystep-router ./cmd/barleystep-soak
 	target/barleystep-soak --seed $(SEED) --length $(LENGTH)
 
+# regressions runs the seeds of the soak that have failed once, with --ci those of CI.
+REGRESSIONS ?=
+regressions:
+	$(GO) build -o target/ ./cmd/barleystep-router ./cmd/barleystep-soak
+	target/barleystep-soak regressions $(REGRESSIONS)
+
 # lint checks formatting and the linter's rules with the pinned linter.
 lint:
 	cd tools/lint && $(GO) build -o ../../build/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
--- a/cmd/barleystep-soak/main.go
+++ b/cmd/barleystep-soak/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -16,6 +17,7 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/command"
 	"github.com/barleystep/barleystep/internal/soak"
+	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
 // Defaults of a short run.
@@ -36,6 +38,7 @@
 
 func newCommand() *cobra.Command {
 	s := &soak.Soak{Clock: clock.System{}, Out: os.Stdout}
+	s.Profile = soak.ProfileUsual
 	root := &cobra.Command{
 		Use:          "barleystep-soak",
 		Short:        "Run boxes under faults and check every promise",
@@ -48,8 +51,9 @@
 	root.Flags().IntVar(&s.Boxes, "boxes", defaultBoxes, "how many boxes")
 	root.Flags().IntVar(&s.Targets, "targets", defaultTargets, "how many engines; there are half as many plain targets")
 	root.Flags().IntVar(&s.Callers, "callers", defaultCallers, "how many callers")
-	root.Flags().StringVar(&s.Program, "router", "target/barleystep-router", "the box's program")
-	root.AddCommand(targetCommand(), storeCommand())
+	root.Flags().Var(&s.Profile, "profile", "the load on the boxes, usual or crowded")
+	root.PersistentFlags().StringVar(&s.Program, "router", "target/barleystep-router", "the box's program")
+	root.AddCommand(regressionsCommand(s), targetCommand(), storeCommand())
 	return root
 }
 
@@ -57,7 +61,7 @@
 	if s.Self, err = os.Executable(); err != nil {
 		return eris.Wrap(err, "soak: own program")
 	}
-	if s.Dir, err = soak.TempDir(s.Seed); err != nil {
+	if s.Dir, err = soak.TempDir(s.Setup); err != nil {
 		return err
 	}
 	found, err := s.Run(cmd.Context())
@@ -74,16 +78,38 @@
 	return nil
 }
 
+// regressionsCommand runs the seeds that have failed once. The root's flag for the box's
+// program holds for it too.
+func regressionsCommand(s *soak.Soak) *cobra.Command {
+	var ci bool
+	cmd := &cobra.Command{Use: "regressions", Short: "Run the seeds that have failed once", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		list, err := soak.Regressions()
+		if err != nil {
+			return err
+		}
+		for _, r := range list {
+			if ci && !r.CI {
+				continue
+			}
+			fmt.Fprintf(s.Out, "seed %d: %s\n", r.Seed, r.Cause)
+			again := &soak.Soak{Setup: r.Setup(), Clock: s.Clock, Program: s.Program, Out: s.Out}
+			err = errors.Join(err, run(cmd, again))
+		}
+		return err
+	}}
+	cmd.Flags().BoolVar(&ci, "ci", false, "run only those that are run in CI")
+	return cmd
+}
+
 func targetCommand() *cobra.Command {
-	var id string
-	var memory int
-	var seed uint64
+	t := &platformtest.Target{Clock: clock.System{}}
 	cmd := &cobra.Command{Use: "target", Short: "A stand-in for a target", Hidden: true, RunE: func(cmd *cobra.Command, _ []string) error {
-		return soak.RunTarget(cmd.Context(), clock.System{}, id, memory, seed)
+		return soak.RunTarget(cmd.Context(), t)
 	}}
-	cmd.Flags().StringVar(&id, "id", "t", "its instance")
-	cmd.Flags().IntVar(&memory, "memory", 0, "its memory in tokens")
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "what spoilt answers are drawn from")
+	cmd.Flags().StringVar(&t.ID, "id", "t", "its instance")
+	cmd.Flags().IntVar(&t.Memory, "memory", 0, "its memory in tokens")
+	cmd.Flags().Uint64Var(&t.Seed, "seed", 1, "what spoilt answers are drawn from")
+	cmd.Flags().DurationVar(&t.Pause, "pause", 0, "the time between events")
 	return cmd
 }
 
--- a/internal/soak/box.go
+++ b/internal/soak/box.go
@@ -37,22 +37,23 @@
 	done   chan struct{}
 }
 
-// restartPause is how long a box is down after its process has ended.
-const restartPause = 300 * time.Millisecond
+const (
+	// restartPause is how long a box is down after its process has ended.
+	restartPause = 300 * time.Millisecond
+	// grace is how long a planned stop lasts at the most.
+	grace = 8 * time.Second
+)
 
 // newBox writes the settings of a box, whose first seeds are the given addresses.
-func newBox(ctx context.Context, clk barleystep.Clock, h *History, program, dir string, number int, peers []string, store string) (b *box, err error) {
+func newBox(clk barleystep.Clock, h *History, program, dir string, number int, peers []string, store string) (b *box, err error) {
 	defer func() { err = eris.Wrap(err, "soak: box") }()
-	b = &box{id: fmt.Sprintf("b%d", number), program: program, clock: clk, history: h}
-	if b.callers, err = freeAddr(ctx); err != nil {
-		return nil, err
-	}
-	if b.ready, err = freeAddr(ctx); err != nil {
-		return nil, err
+	b = &box{
+		id: fmt.Sprintf("b%d", number), program: program, clock: clk, history: h,
+		callers: addr(portCallers, number), ready: addr(portReady, number),
 	}
 	text := fmt.Sprintf("[box]\nid = %q\nhall = \"h%d\"\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[peers]\ntrusted = true\nseeds = [\"%s\"]\n"+
-		"[platform]\nurl = \"http://%s\"\n[keys]\nfreshness = %q\n[retries]\nratio = %g\nextra = %d\nwindow = %q\n[limits]\ngrace = \"8s\"\n",
-		b.id, number%2, b.callers, b.ready, peers[number], strings.Join(peers[:min(3, len(peers))], `", "`), store, freshness, retryRatio, retryExtra, retryWindow)
+		"[platform]\nurl = \"http://%s\"\n[keys]\nfreshness = %q\n[retries]\nratio = %g\nextra = %d\nwindow = %q\n[limits]\ngrace = %q\n",
+		b.id, number%2, b.callers, b.ready, peers[number], strings.Join(peers[:min(3, len(peers))], `", "`), store, freshness, retryRatio, retryExtra, retryWindow, grace)
 	b.file = filepath.Join(dir, b.id+".toml")
 	if err = os.WriteFile(b.file, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -67,13 +68,19 @@
 	return c.Listen(ctx, "tcp", "127.0.0.1:0")
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr(ctx context.Context) (addr string, err error) {
-	l, err := listen(ctx)
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
+// The ports of a box: those of the first one, which stand side by side.
+const (
+	portCallers = 7000 + iota
+	portReady
+	portPeers
+	portsEach = iota
+)
+
+// addr returns the address of a box's port. The boxes of a run are at a loopback address
+// of its own, by its process, so that no other process can take a port of theirs.
+func addr(port, number int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, port+portsEach*number)
 }
 
 // start runs the program until stop.
@@ -146,9 +153,12 @@
 	case syscall.SIGTERM:
 		b.history.Stopping(b.id, b.life, b.clock.Now())
 	case syscall.SIGSTOP:
-		b.history.Frozen(b.id, b.life)
+		b.history.Frozen(b.id, b.life, b.clock.Now())
 	}
 	_ = b.cmd.Process.Signal(s) // It may have ended just now.
+	if s == syscall.SIGCONT {
+		b.history.Thawed(b.id, b.life, b.clock.Now())
+	}
 }
 
 // stop ends the box for good.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,6 +28,7 @@
 	// routes returns how many routes were added so far, keys the keys that may be used.
 	routes func() int
 	keys   []string
+	load   load
 	client *http.Client
 	number int
 }
@@ -41,10 +43,9 @@
 	longBody  = 96 << 10
 	longEvery = 20
 	// shortPrompt and giantPrompt are lengths in tokens; the second is over an engine's
-	// memory and comes once in giantEvery.
+	// memory.
 	shortPrompt = 500
 	giantPrompt = 60_000
-	giantEvery  = 25
 )
 
 func newCaller(number int, seed uint64) *caller {
@@ -87,13 +88,24 @@
 
 // call sends one request and takes in the answer.
 func (c *caller) call(b *box, x Call) Call {
-	x.Box, x.Life, x.Started = b.id, b.currentLife(), c.clock.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+	x.Box, x.Life, x.Limit, x.Started = b.id, b.currentLife(), c.load.timeLimit, c.clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), x.Limit)
 	defer cancel()
 	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		connected, x.Reused = true, i.Reused
-	}})
+	var sent atomic.Pointer[time.Time] // It is set by another goroutine, perhaps late.
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected, x.Reused = true, i.Reused
+			if !i.Reused {
+				x.Life = b.currentLife() // It may have started since.
+			}
+		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if now := c.clock.Now(); i.Err == nil {
+				sent.Store(&now)
+			}
+		},
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.callers+x.Path, strings.NewReader(x.Body))
 	if err != nil {
 		panic(err) // The address and path are this package's own.
@@ -102,10 +114,10 @@
 	req.GetBody = nil // The transport must not send it again.
 	platformtest.SetCaller(req.Header, x.ID, x.Key)
 	prompt := shortPrompt
-	if x.Kind == KindStream && c.rand.IntN(giantEvery) == 0 {
+	if x.Kind == KindStream && c.rand.IntN(c.load.giantEvery) == 0 {
 		prompt = giantPrompt
 	}
-	platformtest.SetPrompt(req.Header, prompt, timeLimit)
+	platformtest.SetPrompt(req.Header, prompt, x.Limit)
 	resp, err := c.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
@@ -115,6 +127,9 @@
 		x.Answer, x.Broken = string(data), err != nil
 	}
 	x.Ended = c.clock.Now()
+	if at := sent.Load(); at != nil {
+		x.Sent = *at
+	}
 	x.GaveUp = eris.Is(err, context.DeadlineExceeded)
 	x.Unsent = !connected
 	return x
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -12,13 +13,14 @@
 
 // The bounds that the boxes are given, and which their callers rely on.
 const (
-	// timeLimit is how long callers wait.
-	timeLimit = 4 * time.Second
 	// overtime is how much later than its limit a request may be answered; it is wide,
 	// since the machine may be busy, and finds what is never answered.
 	overtime = 10 * time.Second
 	// freshness is how long after it was taken away a key may still be served.
 	freshness = 5 * time.Second
+	// foreignBound is how long after another writer has overwritten its entry a target
+	// may still get work.
+	foreignBound = 5 * time.Second
 	// retryRatio, retryExtra and retryWindow are the retry budget of all boxes.
 	retryRatio  = 0.2
 	retryExtra  = 100
@@ -45,6 +47,7 @@
 	}
 	c.budget(calls)
 	c.routes()
+	c.reopened()
 	sort.Strings(c.found)
 	return c.found
 }
@@ -63,7 +66,7 @@
 // call checks what one caller got.
 func (c *check) call(x *Call) {
 	c.once(x)
-	if took := x.Ended.Sub(x.Started); took > timeLimit+overtime && !c.history.frozen[lifeOf(x.Box, x.Life)] {
+	if took := x.Ended.Sub(x.Started); took > x.Limit+overtime && !c.frozen(x) {
 		c.find("time limit", x.ID, "it took %s", took)
 	}
 	switch {
@@ -95,32 +98,14 @@
 	}
 }
 
-// unanswered checks a call that ended without any answer: only a box that was killed, or
-// one that has not taken the request, leaves one so.
-func (c *check) unanswered(x *Call) {
-	life := lifeOf(x.Box, x.Life)
-	_, killed := c.history.killed[life]
-	if x.Unsent || x.GaveUp || killed || c.history.frozen[life] {
-		return
-	}
-	if len(c.arrivals[x.ID]) > 0 {
-		c.find("no answer lost", x.ID, "%s was passed on by %s and its connection closed without an answer", x.Kind, life)
-		return
-	}
-	if _, stopping := c.history.stopping[life]; !x.Reused && !stopping {
-		c.find("no answer lost", x.ID, "%s closed a new connection without an answer", life)
-	}
-}
-
 // answer checks that an answer is the request's own, of one source, and whole.
 func (c *check) answer(x *Call) {
 	if got := platformtest.RequestOf(x.Header); got != x.ID {
 		c.find("own answer", x.ID, "the answer names %q", got)
 	}
 	seal, sealed := platformtest.ReadSeal(x.Header)
-	_, killed := c.history.killed[lifeOf(x.Box, x.Life)]
 	switch {
-	case killed && x.Broken: // It was cut in the midst, and looks it.
+	case x.Broken && c.killed(x): // It was cut in the midst, and looks it.
 	case !sealed && x.Status < http.StatusBadRequest:
 		c.find("own answer", x.ID, "a %d without a digest", x.Status)
 	case !sealed:
@@ -183,6 +168,18 @@
 	if gone && a.Run > 0 && x.Started.After(at.Add(freshness)) {
 		c.find("keys taken away", a.Request, "it ran, sent %s after its key went", x.Started.Sub(at))
 	}
+	c.foreign(a, x)
+}
+
+// foreign checks that no work goes to a target whose entry another writer has overwritten,
+// once boxes that run, and a store that serves, have had the time to learn it.
+func (c *check) foreign(a platformtest.Arrival, x *Call) {
+	for _, o := range c.history.overwritten[a.Target] {
+		late := x.Started.After(c.reachable(o.from, x).Add(foreignBound))
+		if a.Run > 0 && late && o.meets(a.At, a.At) {
+			c.find("foreign entries", a.Request, "run %d of %s, sent %s after its entry was overwritten", a.Run, a.Target, x.Started.Sub(o.from))
+		}
+	}
 }
 
 // budget checks the retries of all boxes together in every window.
@@ -229,6 +226,21 @@
 	}
 }
 
+// reachable returns since when, at the earliest from the given time, the store served and
+// the call's box ran without a break until the call was sent.
+func (c *check) reachable(since time.Time, x *Call) time.Time {
+	for _, t := range slices.Concat(c.history.away, c.history.frozen[lifeOf(x.Box, x.Life)]) {
+		switch {
+		case !t.meets(since, x.Started):
+		case t.to.IsZero():
+			return x.Started
+		default:
+			since = t.to
+		}
+	}
+	return since
+}
+
 // Summary tells how much was seen.
 func (h *History) Summary() string {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/soak/check_stop.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// crossTime is how long before its connection closes a request was sent that can't have
+// crossed the close: the box has read it.
+const crossTime = time.Second
+
+// unanswered checks a call that ended without any answer: only a box that was killed, or
+// one that has not taken the request, leaves one so. A box has taken what it passed on,
+// and what came long before the close.
+func (c *check) unanswered(x *Call) {
+	if x.Unsent || x.GaveUp || c.killed(x) || c.frozen(x) {
+		return
+	}
+	life := lifeOf(x.Box, x.Life)
+	_, stopping := c.history.stopping[life]
+	waited := x.Ended.Sub(x.Sent)
+	switch {
+	case len(c.arrivals[x.ID]) > 0:
+		c.find("no answer lost", x.ID, "%s was passed on by %s and its connection closed without an answer%s", x.Kind, life, c.sinceStop(x))
+	case !x.Sent.IsZero() && waited > crossTime:
+		c.find("no answer lost", x.ID, "%s waited %s at %s and its connection closed without an answer%s", x.Kind, waited, life, c.sinceStop(x))
+	case !x.Reused && !stopping:
+		c.find("no answer lost", x.ID, "%s closed a new connection without an answer", life)
+	}
+}
+
+// sinceStop tells how long after the box was told to stop the call began and ended.
+func (c *check) sinceStop(x *Call) string {
+	stopped, stopping := c.history.stopping[lifeOf(x.Box, x.Life)]
+	if !stopping {
+		return ""
+	}
+	return fmt.Sprintf(", sent %s and ended %s after SIGTERM", x.Started.Sub(stopped), x.Ended.Sub(stopped))
+}
+
+// killed reports whether the call's box was killed before the call ended.
+func (c *check) killed(x *Call) bool {
+	at, killed := c.history.killed[lifeOf(x.Box, x.Life)]
+	return killed && !at.After(x.Ended)
+}
+
+// frozen reports whether the call's box stood still during the call.
+func (c *check) frozen(x *Call) bool {
+	return slices.ContainsFunc(c.history.frozen[lifeOf(x.Box, x.Life)], func(f span) bool { return f.meets(x.Started, x.Ended) })
+}
+
+// reopened checks that no life of a box takes new connections again after it has refused
+// them in a planned stop.
+func (c *check) reopened() {
+	calls := slices.Clone(c.history.calls)
+	slices.SortFunc(calls, func(a, b Call) int { return a.Started.Compare(b.Started) })
+	accepted, closed := make(map[string]bool), make(map[string]time.Time)
+	for i := range calls {
+		x := &calls[i]
+		life := lifeOf(x.Box, x.Life)
+		at, refused := closed[life]
+		switch {
+		case x.Reused || x.GaveUp:
+		case x.Unsent && !refused && accepted[life] && c.stopping(x):
+			closed[life] = x.Ended
+		case x.Unsent:
+		case refused && x.Started.After(at):
+			c.find("closed stays closed", x.ID, "%s took a new connection%s, having refused one", life, c.sinceStop(x))
+			return
+		default:
+			accepted[life] = true
+		}
+	}
+}
+
+// stopping reports whether the call's box was told to stop before the call, and not killed
+// until its end.
+func (c *check) stopping(x *Call) bool {
+	at, stopping := c.history.stopping[lifeOf(x.Box, x.Life)]
+	return stopping && x.Started.After(at) && !c.killed(x)
+}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 func call(kind soak.Kind, sent time.Duration) soak.Call {
 	x := soak.Call{
 		ID: "r1", Kind: kind, Box: "b0", Life: 1, Key: "k", Path: "/" + string(kind) + "/", Body: "ask",
-		Started: at(sent), Ended: at(sent + time.Second), Status: http.StatusOK,
+		Limit: 4 * time.Second, Started: at(sent), Ended: at(sent + time.Second), Status: http.StatusOK,
 		Header: answered("r1", seal(http.StatusOK).String()),
 	}
 	x.Answer = strings.Join(platformtest.Parts(x.ID, seal(http.StatusOK), x.Path, ""), "")
@@ -59,6 +60,32 @@
 
 func unanswered(x *soak.Call) { x.Status, x.Answer, x.Header = 0, "", nil }
 
+// waited returns a call over a connection in use that was closed after the time without an
+// answer.
+func waited(d time.Duration) soak.Call {
+	return change(call(soak.KindStream, 0), func(x *soak.Call) {
+		unanswered(x)
+		x.Reused, x.Sent, x.Ended = true, at(time.Millisecond), at(d)
+	})
+}
+
+// another returns a call of a caller over a new connection, sent at the time.
+func another(id string, sent time.Duration, unsent bool) soak.Call {
+	x := refused(soak.KindOnce, http.StatusServiceUnavailable)
+	x.ID, x.Started, x.Ended = id, at(sent), at(sent+time.Millisecond)
+	x.Header = answered(id, "")
+	if x.Unsent = unsent; unsent {
+		unanswered(&x)
+	}
+	return x
+}
+
+// overwrite has another writer's entry stand in place of the target's for ten seconds.
+func overwrite(h *soak.History) {
+	h.Overwritten("t0", at(0))
+	h.Healed("t0", at(10*time.Second))
+}
+
 // TestCheck checks, for each promise, that a history that breaks it is found, and that
 // one that keeps it is not.
 func TestCheck(t *testing.T) {
@@ -101,6 +128,87 @@
 			call: change(once, unanswered), arrivals: []platformtest.Arrival{arrival(once, 1)},
 			prepare: func(h *soak.History) { h.Killed("b0", 1, at(0)) },
 		},
+		"closed while it waited": {
+			call: waited(5 * time.Second), prepare: func(h *soak.History) { h.Stopping("b0", 1, at(-time.Second)) }, found: "no answer lost",
+		},
+		"closed while it waited, new connection": {
+			call:    change(waited(5*time.Second), func(x *soak.Call) { x.Reused = false }),
+			prepare: func(h *soak.History) { h.Stopping("b0", 1, at(-time.Second)) }, found: "no answer lost",
+		},
+		"crossed the close": {
+			call: waited(time.Second / 2), prepare: func(h *soak.History) { h.Stopping("b0", 1, at(-time.Second)) },
+		},
+		"not sent whole": {
+			call:    change(waited(5*time.Second), func(x *soak.Call) { x.Sent = time.Time{} }),
+			prepare: func(h *soak.History) { h.Stopping("b0", 1, at(-time.Second)) },
+		},
+		"killed while it waited": {
+			call: waited(5 * time.Second), prepare: func(h *soak.History) {
+				h.Stopping("b0", 1, at(0))
+				h.Killed("b0", 1, at(4*time.Second))
+			},
+		},
+		"killed after the close": {
+			call: waited(5 * time.Second), prepare: func(h *soak.History) { h.Killed("b0", 1, at(6*time.Second)) }, found: "no answer lost",
+		},
+		"killed again after the close": {
+			call: waited(5 * time.Second), prepare: func(h *soak.History) {
+				h.Killed("b0", 1, at(4*time.Second))
+				h.Killed("b0", 1, at(6*time.Second))
+			},
+		},
+		"stood still while it waited": {
+			call: waited(5 * time.Second), prepare: func(h *soak.History) {
+				h.Frozen("b0", 1, at(time.Second))
+				h.Thawed("b0", 1, at(2*time.Second))
+			},
+		},
+		"stood still before": {
+			call: waited(5 * time.Second), prepare: func(h *soak.History) {
+				h.Frozen("b0", 1, at(-2*time.Second))
+				h.Thawed("b0", 1, at(-time.Second))
+			}, found: "no answer lost",
+		},
+		"refuses in a stop": {
+			call: another("r1", 0, false), prepare: func(h *soak.History) {
+				h.Stopping("b0", 1, at(time.Second))
+				h.Called(another("r2", 5*time.Second, true))
+			},
+		},
+		"opened again in a stop": {
+			call: another("r1", 0, false), prepare: func(h *soak.History) {
+				h.Stopping("b0", 1, at(time.Second))
+				h.Called(another("r2", 5*time.Second, true))
+				h.Called(another("r3", 6*time.Second, false))
+			}, found: "closed stays closed",
+		},
+		"work by a foreign entry": {
+			call: call(soak.KindOnce, 6*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 6*time.Second), 1)},
+			prepare: overwrite, found: "foreign entries",
+		},
+		"work by a foreign entry, in time": {
+			call: call(soak.KindOnce, 4*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 4*time.Second), 1)},
+			prepare: overwrite,
+		},
+		"work after it was healed": {
+			call: call(soak.KindOnce, 11*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 11*time.Second), 1)},
+			prepare: overwrite,
+		},
+		"work by a foreign entry, the store away": {
+			call: call(soak.KindOnce, 6*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 6*time.Second), 1)},
+			prepare: func(h *soak.History) {
+				overwrite(h)
+				h.StoreAway(at(time.Second))
+				h.StoreBack(at(2 * time.Second))
+			},
+		},
+		"work by a foreign entry, the store still away": {
+			call: call(soak.KindOnce, 6*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 6*time.Second), 1)},
+			prepare: func(h *soak.History) {
+				overwrite(h)
+				h.StoreAway(at(time.Second))
+			},
+		},
 		"closed while it rested": {call: change(once, func(x *soak.Call) { unanswered(x); x.Reused = true })},
 		"body changed": {
 			call: once, arrivals: []platformtest.Arrival{arrival(change(once, func(x *soak.Call) { x.Body = "?" }), 1)}, found: "unchanged",
@@ -166,9 +274,12 @@
 func TestSchedule(t *testing.T) {
 	c := quicktest.New(t)
 	const length = time.Minute
-	events := soak.Schedule(7, length, 3, 9)
-	c.Check(events, quicktest.DeepEquals, soak.Schedule(7, length, 3, 9))
-	c.Check(soak.Schedule(8, length, 3, 9), quicktest.Not(quicktest.DeepEquals), events)
+	run := soak.Setup{Seed: 7, Length: length, Boxes: 3, Targets: 6, Profile: soak.ProfileUsual}
+	events := soak.Schedule(run)
+	c.Check(events, quicktest.DeepEquals, soak.Schedule(run))
+	other := run
+	other.Seed++
+	c.Check(soak.Schedule(other), quicktest.Not(quicktest.DeepEquals), events)
 	overlaps := 0
 	for i, e := range events {
 		c.Check(e.At >= 2*time.Second && e.At+e.For <= length-3*time.Second, quicktest.IsTrue)
@@ -178,3 +289,43 @@
 	}
 	c.Check(overlaps > len(events)/2, quicktest.IsTrue)
 }
+
+// TestScheduleOfOldSeeds checks that a seed draws the faults that it drew before there were
+// other sources of events, by the first, the last and the number of them.
+func TestScheduleOfOldSeeds(t *testing.T) {
+	c := quicktest.New(t)
+	run := soak.Setup{Seed: 2, Length: 20 * time.Second, Boxes: 3, Targets: 6, Profile: soak.ProfileUsual}
+	events := slices.DeleteFunc(soak.Schedule(run), func(e soak.Event) bool {
+		return e.Action == soak.ActionRestart || e.Action == soak.ActionForeign
+	})
+	c.Assert(events, quicktest.HasLen, 43)
+	c.Check(events[0].String(), quicktest.Equals, "      2s spoil    3 for 2.822s hang 0.14")
+	c.Check(events[len(events)-1].String(), quicktest.Equals, " 16.013s crash    1 for 987ms  0.00")
+}
+
+// TestScheduleOfStops checks that boxes of crowded runs are told to stop in series, beside
+// what else happens.
+func TestScheduleOfStops(t *testing.T) {
+	c := quicktest.New(t)
+	run := soak.Setup{Seed: 2, Length: time.Minute, Boxes: 5, Targets: 6, Profile: soak.ProfileUsual}
+	stops := func() int {
+		events := slices.DeleteFunc(soak.Schedule(run), func(e soak.Event) bool { return e.Action != soak.ActionTerm })
+		return len(events)
+	}
+	before := stops()
+	run.Profile = soak.ProfileCrowded
+	c.Check(stops() > before+8, quicktest.IsTrue, quicktest.Commentf("%d stops after %d", stops(), before))
+}
+
+// TestRegressions checks that each run that has failed once tells why and can be run.
+func TestRegressions(t *testing.T) {
+	c := quicktest.New(t)
+	list, err := soak.Regressions()
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(len(list) > 0, quicktest.IsTrue)
+	for _, r := range list {
+		c.Check(r.Cause, quicktest.Not(quicktest.Equals), "")
+		c.Check(new(soak.Profile).Set(string(r.Profile)), quicktest.IsNil)
+		c.Check(len(soak.Schedule(r.Setup())) > 0, quicktest.IsTrue)
+	}
+}
--- a/internal/soak/child.go
+++ b/internal/soak/child.go
@@ -29,6 +29,8 @@
 	Table string `json:"table"`
 	Key   string `json:"key"`
 	Value any    `json:"value,omitempty"`
+	// Bytes stand in place of the value where that can't be read.
+	Bytes []byte `json:"bytes,omitempty"`
 }
 
 // report is a line from a stand-in's process.
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -23,15 +23,20 @@
 
 // Call is one request of a caller, and what it got.
 type Call struct {
-	ID      string
-	Kind    Kind
-	Box     string
-	Life    int // Life counts the starts of the box's process.
-	Key     string
-	Path    string
-	Body    string
+	ID   string
+	Kind Kind
+	Box  string
+	Life int // Life counts the starts of the box's process.
+	Key  string
+	Path string
+	Body string
+	// Limit is how long the caller waits.
+	Limit   time.Duration
 	Started time.Time
-	Ended   time.Time
+	// Sent is when the last byte of the request was given to the connection, zero if it
+	// was not.
+	Sent  time.Time
+	Ended time.Time
 	// Reused is set if the connection had served a request before.
 	Reused bool
 	// Unsent is set if no connection could be had.
@@ -50,11 +55,16 @@
 	mu       sync.Mutex
 	calls    []Call
 	arrivals []platformtest.Arrival
-	// killed lists when processes of boxes were killed, by box and life, and stopping
-	// those that were told to stop.
+	// killed lists when processes of boxes were first killed, by box and life, and
+	// stopping when they were first told to stop.
 	killed   map[string]time.Time
 	stopping map[string]time.Time
-	frozen   map[string]bool
+	// frozen lists when lives stood still.
+	frozen map[string][]span
+	// away lists when the store failed, and overwritten when another writer's entry stood
+	// in place of a target's.
+	away        []span
+	overwritten map[string][]span
 	// revoked is when the store had taken each key away.
 	revoked map[string]time.Time
 	// tenants are the client accounts by their keys.
@@ -62,14 +72,32 @@
 	found   []string
 }
 
+// span is a stretch of time, whose end is zero while it lasts.
+type span struct{ from, to time.Time }
+
+// meets reports whether the span and one that has ended have a moment in common.
+func (s span) meets(from, to time.Time) bool {
+	return !to.Before(s.from) && (s.to.IsZero() || !from.After(s.to))
+}
+
+// end ends the spans that last.
+func end(list []span, at time.Time) {
+	for i := range list {
+		if list[i].to.IsZero() {
+			list[i].to = at
+		}
+	}
+}
+
 // NewHistory returns an empty history.
 func NewHistory(tenants map[string]string) *History {
 	return &History{
-		killed:   make(map[string]time.Time),
-		stopping: make(map[string]time.Time),
-		frozen:   make(map[string]bool),
-		revoked:  make(map[string]time.Time),
-		tenants:  tenants,
+		killed:      make(map[string]time.Time),
+		stopping:    make(map[string]time.Time),
+		frozen:      make(map[string][]span),
+		overwritten: make(map[string][]span),
+		revoked:     make(map[string]time.Time),
+		tenants:     tenants,
 	}
 }
 
@@ -91,21 +119,61 @@
 func (h *History) Killed(box string, life int, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.killed[lifeOf(box, life)] = at
+	if _, known := h.killed[lifeOf(box, life)]; !known {
+		h.killed[lifeOf(box, life)] = at
+	}
 }
 
 // Stopping notes that a life of a box was told to stop.
 func (h *History) Stopping(box string, life int, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stopping[lifeOf(box, life)] = at
+	if _, known := h.stopping[lifeOf(box, life)]; !known {
+		h.stopping[lifeOf(box, life)] = at
+	}
+}
+
+// Frozen notes that a life of a box stands still from now on.
+func (h *History) Frozen(box string, life int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id := lifeOf(box, life)
+	h.frozen[id] = append(h.frozen[id], span{from: at})
+}
+
+// Thawed notes that a life of a box goes on.
+func (h *History) Thawed(box string, life int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	end(h.frozen[lifeOf(box, life)], at)
+}
+
+// StoreAway notes that the store fails from now on, and StoreBack that it serves again.
+func (h *History) StoreAway(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.away = append(h.away, span{from: at})
+}
+
+// StoreBack notes that the store serves again.
+func (h *History) StoreBack(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	end(h.away, at)
+}
+
+// Overwritten notes that the store has another writer's entry in place of a target's.
+func (h *History) Overwritten(target string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.overwritten[target] = append(h.overwritten[target], span{from: at})
 }
 
-// Frozen notes that a life of a box stood still for a time.
-func (h *History) Frozen(box string, life int) {
+// Healed notes that the target is about to write its entry again.
+func (h *History) Healed(target string, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.frozen[lifeOf(box, life)] = true
+	end(h.overwritten[target], at)
 }
 
 // Revoked notes that the store has taken a key away.
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -16,10 +16,9 @@
 type link struct {
 	clock    barleystep.Clock
 	listener net.Listener
-	to       string
-
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	to       string // to is the target's own address.
+	conns    map[net.Conn]struct{}
 	// silent counts the reasons for which nothing passes, slow those for which it
 	// passes late; moved is closed when silent changes.
 	silent int
@@ -30,16 +29,23 @@
 // slowness is how much later each piece passes on a slow link.
 const slowness = 60 * time.Millisecond
 
-func newLink(ctx context.Context, clk barleystep.Clock, to string) (l *link, err error) {
+func newLink(ctx context.Context, clk barleystep.Clock) (l *link, err error) {
 	listener, err := listen(ctx)
 	if err != nil {
 		return nil, eris.Wrap(err, "soak: link")
 	}
-	l = &link{clock: clk, listener: listener, to: to, conns: make(map[net.Conn]struct{}), moved: make(chan struct{})}
+	l = &link{clock: clk, listener: listener, conns: make(map[net.Conn]struct{}), moved: make(chan struct{})}
 	go l.accept(ctx)
 	return l, nil
 }
 
+// lead has new connections lead to the address.
+func (l *link) lead(to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.to = to
+}
+
 func (l *link) addr() string { return l.listener.Addr().String() }
 
 func (l *link) accept(ctx context.Context) {
@@ -55,7 +61,10 @@
 // join passes bytes both ways until one side ends.
 func (l *link) join(ctx context.Context, near net.Conn) {
 	var d net.Dialer
-	far, err := d.DialContext(ctx, "tcp", l.to)
+	l.mu.Lock()
+	to := l.to
+	l.mu.Unlock()
+	far, err := d.DialContext(ctx, "tcp", to)
 	if err != nil {
 		reset(near)
 		return
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -86,6 +86,7 @@
 	s.storeMu.Lock()
 	s.storeFaults = append(s.storeFaults, e.Detail)
 	s.store.give(order{Fault: e.Detail})
+	s.history.StoreAway(s.Clock.Now())
 	s.storeMu.Unlock()
 	s.sleep(ctx, e.For)
 	s.storeMu.Lock()
@@ -93,6 +94,7 @@
 	s.storeFaults = slices.Delete(s.storeFaults, 0, 1)
 	if len(s.storeFaults) == 0 {
 		s.store.give(order{Fault: "none"})
+		s.history.StoreBack(s.Clock.Now())
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +26,11 @@
 	ActionKillAll Action = "kill-all"
 	// ActionCrash kills a target; another with a new id takes its place in the end.
 	ActionCrash Action = "crash"
+	// ActionRestart kills a target; in the end it starts again under its id.
+	ActionRestart Action = "restart"
+	// ActionForeign has another writer overwrite a target's entry in the way that Detail
+	// names, until the target writes it again.
+	ActionForeign Action = "foreign"
 	// ActionDrain has a target say that it leaves, and end it in the end.
 	ActionDrain Action = "drain"
 	// ActionSpoil has targets spoil their answers.
@@ -68,6 +74,12 @@
 	quietEnd   = 3 * time.Second
 	// gap is the mean time between two events; they overlap, since most last longer.
 	gap = 350 * time.Millisecond
+	// restartGap and foreignGap are the same between targets that start again under their
+	// ids and between entries of another writer.
+	restartGap = 3 * time.Second
+	foreignGap = 5 * time.Second
+	// foreignWeight is zero while boxes take targets from entries of other writers.
+	foreignWeight = 0
 	// shortest and longest bound how long a fault lasts.
 	shortest = 300 * time.Millisecond
 	longest  = 4 * time.Second
@@ -76,7 +88,38 @@
 	mostShare  = 0.4
 )
 
-// weights say how often each action comes.
+// source draws events of its own, so that a new one leaves the events of others as they
+// are: a seed that is kept goes on to draw what it drew.
+type source struct {
+	stream uint64 // stream tells its generator from those of others.
+	gap    time.Duration
+	// weights say how often each action comes.
+	weights map[Action]int
+}
+
+// The generators of sources.
+const (
+	streamFaults uint64 = iota << 32
+	streamStops
+	streamRestarts
+	streamForeign
+)
+
+// sources returns what the events of a run are drawn from.
+func sources(s Setup) []source {
+	list := []source{
+		{streamFaults, gap, weights},
+		{streamRestarts, restartGap, map[Action]int{ActionRestart: 1}},
+		{streamForeign, foreignGap, map[Action]int{ActionForeign: foreignWeight}},
+	}
+	if n := s.load().stops; n > 0 {
+		between := grace * time.Duration(n) / time.Duration(s.Boxes)
+		list = append(list, source{streamStops, between, map[Action]int{ActionTerm: 1}})
+	}
+	return list
+}
+
+// weights are those of the faults that every run has.
 var weights = map[Action]int{
 	ActionTerm: 6, ActionKill: 4, ActionFreeze: 4, ActionReload: 4, ActionKillAll: 1,
 	ActionCrash: 5, ActionDrain: 4, ActionSpoil: 30, ActionReset: 6, ActionSilence: 4, ActionSlow: 4,
@@ -84,9 +127,9 @@
 }
 
 // actions returns the actions in a fixed order, each as often as its weight says.
-func actions() []Action {
+func (s source) actions() []Action {
 	var list []Action
-	for a, n := range weights {
+	for a, n := range s.weights {
 		for range n {
 			list = append(list, a)
 		}
@@ -96,18 +139,31 @@
 }
 
 // Schedule draws the events of a run; the same seed gives the same schedule.
-func Schedule(seed uint64, length time.Duration, boxes, targets int) []Event {
-	r := rand.New(rand.NewPCG(seed, 0))
-	list := actions()
+func Schedule(s Setup) []Event {
+	var events []Event
+	for _, from := range sources(s) {
+		events = append(events, from.draw(s)...)
+	}
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return events
+}
+
+// draw draws the events of one source.
+func (s source) draw(run Setup) []Event {
+	r := rand.New(rand.NewPCG(run.Seed, s.stream))
+	list := s.actions()
+	if len(list) == 0 {
+		return nil
+	}
 	var events []Event
-	for at := quietStart; at < length-quietEnd; at += time.Duration(r.ExpFloat64() * float64(gap)) {
+	for at := quietStart; at < run.Length-quietEnd; at += time.Duration(r.ExpFloat64() * float64(s.gap)) {
 		e := Event{
 			At:     at.Round(time.Millisecond),
 			For:    (shortest + time.Duration(r.Int64N(int64(longest-shortest)))).Round(time.Millisecond),
 			Action: list[r.IntN(len(list))],
 		}
-		e.For = min(e.For, (length - quietEnd - e.At).Round(time.Millisecond))
-		e.detail(r, boxes, targets)
+		e.For = min(e.For, (run.Length - quietEnd - e.At).Round(time.Millisecond))
+		e.detail(r, run.Boxes, run.allTargets())
 		events = append(events, e)
 	}
 	return events
@@ -122,6 +178,8 @@
 	case ActionSpoil:
 		e.Detail = string(platformtest.Spoils[r.IntN(len(platformtest.Spoils))])
 		e.Share = leastShare + (mostShare-leastShare)*r.Float64()
+	case ActionForeign:
+		e.Detail = foreignNames[r.IntN(len(foreignNames))]
 	case ActionStore:
 		e.Detail = storeFaults[r.IntN(len(storeFaults))]
 	}
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -19,6 +19,7 @@
 	mu     sync.Mutex
 	lives  int
 	id     string
+	born   time.Time // born is when the process started.
 	child  *child
 	link   *link
 	spoils map[platformtest.Spoil]float64
@@ -28,22 +29,42 @@
 func (t *slot) start(ctx context.Context) (err error) {
 	t.lives++
 	t.id = fmt.Sprintf("t%d-%d", t.number, t.lives)
-	seed := t.soak.Seed*1000 + uint64(t.number)
-	t.child, err = startChild(ctx, t.soak.Self, t.soak.history.Arrived, "target", "--id", t.id, "--memory", fmt.Sprint(engineMemory), "--seed", fmt.Sprint(seed))
-	if err != nil {
+	if t.link, err = newLink(ctx, t.soak.Clock); err != nil {
 		return err
 	}
-	if t.link, err = newLink(ctx, t.soak.Clock, t.child.addr); err != nil {
+	return t.begin(ctx)
+}
+
+// begin starts a process with the slot's id, which knows nothing of one before it.
+func (t *slot) begin(ctx context.Context) (err error) {
+	t.born = t.soak.Clock.Now()
+	seed := t.soak.Seed*1000 + uint64(t.number)
+	t.child, err = startChild(ctx, t.soak.Self, t.soak.history.Arrived, "target", "--id", t.id, "--memory", fmt.Sprint(engineMemory), "--seed", fmt.Sprint(seed), "--pause", t.soak.load().pause.String())
+	if err != nil {
 		return err
 	}
+	t.link.lead(t.child.addr)
 	t.child.give(order{Spoils: maps.Clone(t.spoils)})
-	t.announce("ready")
+	t.announce(stateReady)
 	return nil
 }
 
+// entry is what the target says of itself in the store.
+func (t *slot) entry(state string) map[string]any {
+	return map[string]any{
+		fieldService: t.service, fieldAddress: t.link.addr(), "zone": fmt.Sprintf("h%d", t.number%2),
+		fieldSlots: t.soak.load().slots, fieldState: state, "born": t.born.UnixMilli(),
+	}
+}
+
 func (t *slot) announce(state string) {
-	value := map[string]any{"service": t.service, "address": t.link.addr(), "zone": fmt.Sprintf("h%d", t.number%2), "slots": engineSlots, "state": state}
-	t.soak.store.give(order{Put: &record{"servers", t.id, value}})
+	t.write(record{Value: t.entry(state)})
+}
+
+// write writes the target's entry.
+func (t *slot) write(r record) {
+	r.Table, r.Key = tableTargets, t.id
+	t.soak.store.give(order{Put: &r})
 }
 
 func (t *slot) stop() {
@@ -65,6 +86,10 @@
 		t.replace(ctx, e.For, false)
 	case ActionDrain:
 		t.replace(ctx, max(e.For, drainTime), true)
+	case ActionRestart:
+		t.restart(ctx, e.For)
+	case ActionForeign:
+		t.foreign(ctx, e.Detail, max(e.For, foreignTime))
 	case ActionSpoil:
 		t.spoil(platformtest.Spoil(e.Detail), e.Share)
 		t.soak.sleep(ctx, e.For)
@@ -98,12 +123,37 @@
 	if !planned {
 		t.soak.sleep(ctx, wait)
 	}
-	t.soak.store.give(order{Remove: &record{Table: "servers", Key: t.id}})
-	if err := t.start(ctx); err != nil {
+	t.soak.store.give(order{Remove: &record{Table: tableTargets, Key: t.id}})
+	t.started(t.start(ctx))
+}
+
+func (t *slot) started(err error) {
+	if err != nil {
 		t.soak.history.Find("a target cannot be started: %v", err)
 	}
 }
 
+// restart kills the target's process and has another one follow it under its id.
+func (t *slot) restart(ctx context.Context, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.link.resetAll() // Before the end, since a stream without a length would look whole.
+	t.child.kill()
+	t.soak.sleep(ctx, wait)
+	t.started(t.begin(ctx))
+}
+
+// foreign has another writer overwrite the target's entry, until the target writes it again.
+func (t *slot) foreign(ctx context.Context, name string, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.write(foreignEntries[name](t.entry(stateReady)))
+	t.soak.history.Overwritten(t.id, t.soak.Clock.Now())
+	t.soak.sleep(ctx, wait)
+	t.soak.history.Healed(t.id, t.soak.Clock.Now())
+	t.announce(stateReady)
+}
+
 // spoil adds to the share of answers that are spoilt in one way.
 func (t *slot) spoil(way platformtest.Spoil, share float64) {
 	t.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -18,15 +17,8 @@
 
 // Soak is one run. Its exported fields are set before Run.
 type Soak struct {
+	Setup
 	Clock barleystep.Clock
-	Seed  uint64
-	// Length is how long callers send requests.
-	Length time.Duration
-	// Boxes, Targets and Callers count processes of boxes, targets that are engines,
-	// and callers. There are half as many targets of a plain service.
-	Boxes   int
-	Targets int
-	Callers int
 	// Program is the box's program, Self this program, which runs the stand-ins.
 	Program string
 	Self    string
@@ -53,8 +45,6 @@
 	engineService = "model"
 	plainService  = "app"
 	engineMemory  = 50_000
-	// engineSlots is how many requests an engine takes, by the configuration.
-	engineSlots = 16
 	// doomedKey is the key that may be taken away.
 	doomedKey = "key-doomed"
 )
@@ -68,7 +58,7 @@
 	if err = s.begin(ctx); err != nil {
 		return nil, err
 	}
-	events := Schedule(s.Seed, s.Length, s.Boxes, len(s.targets))
+	events := Schedule(s.Setup)
 	for _, e := range events {
 		fmt.Fprintln(s.Out, e)
 	}
@@ -93,7 +83,7 @@
 }
 
 func (s *Soak) startTargets(ctx context.Context) error {
-	for i := range s.Targets + s.Targets/2 {
+	for i := range s.allTargets() {
 		t := &slot{soak: s, number: i, service: engineService, spoils: make(map[platformtest.Spoil]float64)}
 		if i >= s.Targets {
 			t.service = plainService
@@ -109,12 +99,10 @@
 func (s *Soak) startBoxes(ctx context.Context) (err error) {
 	peers := make([]string, s.Boxes)
 	for i := range peers {
-		if peers[i], err = freeAddr(ctx); err != nil {
-			return err
-		}
+		peers[i] = addr(portPeers, i)
 	}
 	for i := range s.Boxes {
-		b, err := newBox(ctx, s.Clock, s.history, s.Program, s.Dir, i, peers, s.store.addr)
+		b, err := newBox(s.Clock, s.history, s.Program, s.Dir, i, peers, s.store.addr)
 		if err != nil {
 			return err
 		}
@@ -157,16 +145,17 @@
 	for _, key := range s.keys {
 		tenants = append(tenants, platformtest.Tenant{Name: s.history.tenants[key], Key: key})
 	}
+	l := s.load()
 	value := platformtest.Settings{
-		Version: s.version, Host: host, Routes: routes, Tenants: tenants, TimeLimit: timeLimit,
-		Engine: engineService, Plain: plainService, EngineSlots: engineSlots, EngineMemory: engineMemory,
+		Version: s.version, Host: host, Routes: routes, Tenants: tenants, TimeLimit: l.timeLimit, Objective: l.objective,
+		Engine: engineService, Plain: plainService, EngineSlots: l.slots, EngineMemory: engineMemory,
 	}.Value()
-	s.store.give(order{Put: &record{"op", "config", value}})
+	s.store.give(order{Put: &record{Table: "op", Key: "config", Value: value}})
 }
 
-// TempDir returns a directory for settings and logs.
-func TempDir(seed uint64) (dir string, err error) {
-	dir = filepath.Join(os.TempDir(), fmt.Sprintf("barleystep-soak-%d", seed))
+// TempDir returns a directory for settings and logs of a run.
+func TempDir(run Setup) (dir string, err error) {
+	dir = filepath.Join(os.TempDir(), fmt.Sprintf("barleystep-soak-%s-%d", run.Profile, run.Seed))
 	return dir, eris.Wrap(os.MkdirAll(dir, 0o700), "soak: directory")
 }
 
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -45,17 +45,16 @@
 	}
 }
 
-// RunTarget is the process of a stand-in for a target. It returns when its input ends.
-func RunTarget(ctx context.Context, clk barleystep.Clock, id string, memory int, seed uint64) (err error) {
+// RunTarget is the process of a stand-in for a target, which is set up but for its
+// reports. It returns when its input ends.
+func RunTarget(ctx context.Context, t *platformtest.Target) (err error) {
 	l, err := listen(ctx)
 	if err != nil {
 		return eris.Wrap(err, "soak: target")
 	}
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	out := newOutput()
-	t := &platformtest.Target{ID: id, Clock: clk, Pause: targetPause, Memory: memory, Seed: seed, Note: func(a platformtest.Arrival) {
-		out.tell(report{Arrival: &a})
-	}}
+	t.Note = func(a platformtest.Arrival) { out.tell(report{Arrival: &a}) }
 	out.tell(report{Addr: l.Addr().String()})
 	go func() { _ = t.Serve(l) }() // It ends with the process.
 	return serveOrders(out, func(o order) int {
@@ -66,8 +65,8 @@
 	})
 }
 
-// targetPause is the time between events of a target.
-const targetPause = 8 * time.Millisecond
+// headerTimeout bounds how long a box takes for the head of a call.
+const headerTimeout = 4 * time.Second
 
 // RunStore is the process of a stand-in for the platform's store.
 func RunStore(ctx context.Context, clk barleystep.Clock) (err error) {
@@ -79,7 +78,7 @@
 	s := &platformtest.Store{Clock: clk}
 	out := newOutput()
 	out.tell(report{Addr: l.Addr().String()})
-	server := &http.Server{Handler: s, ReadHeaderTimeout: timeLimit}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(l) }() // It ends with the process.
 	return serveOrders(out, func(o order) int {
 		carryStore(s, o)
@@ -89,6 +88,8 @@
 
 func carryStore(s *platformtest.Store, o order) {
 	switch {
+	case o.Put != nil && o.Put.Bytes != nil:
+		s.PutBytes(o.Put.Table, o.Put.Key, o.Put.Bytes)
 	case o.Put != nil:
 		s.Put(o.Put.Table, o.Put.Key, o.Put.Value)
 	case o.Remove != nil:
