Boxes learn of a foreign entry once the store has served them for long enough, and don't unlearn it

The check excused all that was sent within five seconds of any fault of the store; now it asks for one stretch of five seconds without a fault since the entry was written.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -175,7 +175,7 @@
 // once boxes that run, and a store that serves, have had the time to learn it.
 func (c *check) foreign(a platformtest.Arrival, x *Call) {
 	for _, o := range c.history.overwritten[a.Target] {
-		late := x.Started.After(c.reachable(o.from, x).Add(foreignBound))
+		late := x.Started.After(c.learnt(o.from, x))
 		if a.Run > 0 && late && o.meets(a.At, a.At) {
 			c.find("foreign entries", a.Request, "run %d of %s, sent %s after its entry was overwritten", a.Run, a.Target, x.Started.Sub(o.from))
 		}
@@ -226,19 +226,22 @@
 	}
 }
 
-// reachable returns since when, at the earliest from the given time, the store served and
-// the call's box ran without a break until the call was sent.
-func (c *check) reachable(since time.Time, x *Call) time.Time {
-	for _, t := range slices.Concat(c.history.away, c.history.frozen[lifeOf(x.Box, x.Life)]) {
+// learnt returns when, at the latest, the call's box knows what stands in the store since
+// the given time: when the store has served, and the box run, for foreignBound on end.
+func (c *check) learnt(since time.Time, x *Call) time.Time {
+	breaks := slices.Concat(c.history.away, c.history.frozen[lifeOf(x.Box, x.Life)])
+	slices.SortFunc(breaks, func(a, b span) int { return a.from.Compare(b.from) })
+	for _, s := range breaks {
 		switch {
-		case !t.meets(since, x.Started):
-		case t.to.IsZero():
-			return x.Started
-		default:
-			since = t.to
+		case s.from.After(since.Add(foreignBound)):
+			return since.Add(foreignBound)
+		case s.to.IsZero():
+			return x.Ended
+		case s.to.After(since):
+			since = s.to
 		}
 	}
-	return since
+	return since.Add(foreignBound)
 }
 
 // Summary tells how much was seen.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -202,6 +202,14 @@
 				h.StoreBack(at(2 * time.Second))
 			},
 		},
+		"work by a foreign entry, the store away again": {
+			call: call(soak.KindOnce, 8*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 8*time.Second), 1)},
+			prepare: func(h *soak.History) {
+				overwrite(h)
+				h.StoreAway(at(6 * time.Second))
+				h.StoreBack(at(7 * time.Second))
+			}, found: "foreign entries",
+		},
 		"work by a foreign entry, the store still away": {
 			call: call(soak.KindOnce, 6*time.Second), arrivals: []platformtest.Arrival{arrival(call(soak.KindOnce, 6*time.Second), 1)},
 			prepare: func(h *soak.History) {
--- a/internal/soak/foreign.go
+++ b/internal/soak/foreign.go
@@ -18,7 +18,7 @@
 
 // foreignTime is how long another writer's entry stands at the least: boxes have
 // foreignBound to learn of it, and what they do after that is to be seen.
-const foreignTime = foreignBound + 4*time.Second
+const foreignTime = foreignBound + 5*time.Second
 
 // foreignEntries are the ways in which another writer spoils a target's entry, by name.
 var foreignEntries = map[string]func(entry map[string]any) record{
