--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -229,16 +229,20 @@
 			route("/stream/", fleet.KindStream, true, true),
 			route("/plainstream/", fleet.KindStream, false, true),
 			route("/giant/", fleet.KindStream, true, true),
+			route("/lone/", fleet.KindRepeatable, false, true),
 			route("/keyed/", fleet.KindOnce, false, false),
 			short,
 		},
-		Services: []fleet.Service{{Name: "s"}, {Name: "engines", Cost: engineCost}},
+		Services: []fleet.Service{{Name: "s"}, {Name: "lone"}, {Name: "engines", Cost: engineCost}},
 		Accounts: []fleet.Account{{Name: "acme", Keys: []string{"k"}}},
 		Limits:   fleet.Limits{BodyBytes: 100},
 	}
 	for i := range c.Routes {
-		if c.Routes[i].Name == "/giant/" {
+		switch c.Routes[i].Name {
+		case "/giant/":
 			c.Routes[i].Split = giant
+		case "/lone/":
+			c.Routes[i].Split = []fleet.Share{{Service: "lone", Weight: 1}}
 		}
 	}
 	return fleet.NewView(c)
@@ -253,6 +257,7 @@
 	url    string
 	front  *front.Server
 	target *server
+	view   *fleet.View
 	// targets are the ones that the balancer knows.
 	targets []fleet.Target
 }
@@ -262,11 +267,12 @@
 }
 
 func newFixtureAt(t *testing.T, clk barleystep.Clock, s state, steps ...step) *fixture {
-	f := &fixture{target: &server{steps: steps}}
+	f := &fixture{target: &server{steps: steps}, view: s.view}
 	addr := f.target.start(t)
 	f.targets = []fleet.Target{
 		{ID: "a", Service: "s", Addr: addr, Slots: 4},
 		{ID: "b", Service: "s", Addr: addr, Slots: 4},
+		{ID: "c", Service: "lone", Addr: addr, Slots: 4},
 	}
 	for _, id := range []barleystep.TargetID{"x", "y", "z", "w"} {
 		f.targets = append(f.targets, fleet.Target{ID: id, Service: "engines", Addr: addr, Slots: 4})
@@ -302,7 +308,11 @@
 }
 
 func (f *fixture) ask(t *testing.T, method, path, body string, headers ...string) reply {
-	req, err := http.NewRequestWithContext(context.Background(), method, f.url+path, strings.NewReader(body))
+	return f.askIn(t, context.Background(), method, path, body, headers...)
+}
+
+func (f *fixture) askIn(t *testing.T, ctx context.Context, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader(body))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	req.Host = "h"
 	req.Header.Set("Id", "r1")
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,16 +37,18 @@
 
 	freshness atomic.Int64
 	pipeline  Pipeline
-	running   atomic.Int64
+	running   roster
 	// leaving answers with the end of the connection; closed refuses.
 	leaving atomic.Bool
 	closed  atomic.Bool
+	stop    *stop
 }
 
 const logPrefix = "front: "
 
 // Handler returns the handler for callers. It is called once.
 func (s *Server) Handler() http.Handler {
+	s.stop = newStop(s.Clock)
 	s.pipeline = Pipeline{
 		&route{configuration: s.Configuration},
 		&authenticate{freshness: &s.freshness},
@@ -59,6 +61,7 @@
 			budget:   s.Budget,
 			meter:    s.Meter,
 			log:      s.Log,
+			stop:     s.stop,
 		},
 	}
 	return s
@@ -68,31 +71,53 @@
 // none.
 func (s *Server) SetFreshness(d time.Duration) { s.freshness.Store(int64(d)) }
 
-// Leave begins a planned stop: answers end their connections, so that callers
-// go to other boxes.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// Leave begins a planned stop: answers end their connections, so that callers go to other
+// boxes. At the given time, which leaves some for answers on their way, all requests are
+// answered that are still being served; those whose answer could not be whole by then are
+// refused as soon as that is known, while their callers have time for another box.
+func (s *Server) Leave(end time.Time) {
+	s.leaving.Store(true)
+	s.stop.begin(end)
+}
 
 // Close refuses what still comes.
 func (s *Server) Close() { s.closed.Store(true) }
 
 // Running returns how many requests are being served.
-func (s *Server) Running() int64 { return s.running.Load() }
+func (s *Server) Running() int { return s.running.size() }
+
+// mostUnfinished bounds the lines that LogUnfinished writes: a box serves some dozens of
+// requests at a time, and a thousand lines may wait for their reader.
+const mostUnfinished = 100
+
+// LogUnfinished writes a line about each request that is being served: how far it has come
+// and since when. Requests that the process does not outlive write no other.
+func (s *Server) LogUnfinished() {
+	now := s.Clock.Now()
+	for _, x := range s.running.oldest(mostUnfinished) {
+		phase, since, target := x.progress.look()
+		s.Log.Warn().Str("request", x.call.ID).Str("phase", phase.String()).Str("target", string(target)).
+			Int("prompt", x.call.Prompt).Dur("in_phase", now.Sub(since)).Dur("took", now.Sub(x.started)).
+			Msg(logPrefix + "A request is not finished.")
+	}
+}
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.running.Add(1)
-	defer s.running.Add(-1)
 	x := &Exchange{
 		r:       r,
 		answer:  reply.NewWriter(w),
 		started: s.Clock.Now(),
 		call:    s.Protocol.Call(r.Header),
 	}
+	x.progress.enter(PhaseReading, x.started)
+	s.running.add(x)
+	defer s.running.remove(x)
 	if s.leaving.Load() {
 		x.answer.CloseAfter()
 	}
 	if s.closed.Load() {
-		s.end(x, notRun(barleystep.ReasonStopping, "The box is stopping.", restartPause))
+		s.end(x, stopping())
 		return
 	}
 	s.end(x, s.pipeline.Run(r.Context(), x))
