The soak looks at all boxes side by side whether they serve

One after the other they took seven seconds each in crowded runs, and a run of hundreds of processes could not begin. A box may hold a descriptor more for each other process; in runs of the usual size that is the bound of before.

--- a/internal/soak/examine.go
+++ b/internal/soak/examine.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,9 +16,9 @@
 	settleTime = 30 * time.Second
 	// pollEvery is how often it is looked whether all works.
 	pollEvery = 50 * time.Millisecond
-	// moreDescriptors and mostMegabytes bound what a box may hold in the end, when it
-	// has nothing to do.
-	moreDescriptors = 150
+	// moreDescriptors, besides one for each other process, and mostMegabytes bound what a
+	// box may hold in the end, when it has nothing to do.
+	moreDescriptors = 138
 	mostMegabytes   = 256
 	// holdTime is how long memory may stay set aside after the last request.
 	holdTime = 4 * time.Second
@@ -25,19 +27,31 @@
 // settled waits until every box serves a request of each service.
 func (s *Soak) settled(ctx context.Context) bool {
 	end := s.Clock.Now().Add(settleTime)
-	s.probes++
-	probe := newCaller(s.Callers+s.probes, s.Seed)
-	s.equip(probe)
-	defer probe.client.CloseIdleConnections()
+	var all sync.WaitGroup
+	var failed atomic.Bool
 	for _, b := range s.boxes {
-		for _, path := range []Kind{KindAgain, KindStream} {
-			for !s.serves(probe, b, path) {
-				if ctx.Err() != nil || s.Clock.Now().After(end) {
-					return false
-				}
-				timer := s.Clock.NewTimer(pollEvery)
-				<-timer.C()
+		s.probes++
+		probe := newCaller(s.Callers+s.probes, s.Seed)
+		s.equip(probe)
+		all.Go(func() {
+			if !s.boxSettled(ctx, probe, b, end) {
+				failed.Store(true)
+			}
+		})
+	}
+	all.Wait()
+	return !failed.Load()
+}
+
+// boxSettled waits until the box serves a request of each service.
+func (s *Soak) boxSettled(ctx context.Context, probe *caller, b *box, end time.Time) bool {
+	defer probe.client.CloseIdleConnections()
+	for _, path := range []Kind{KindAgain, KindStream} {
+		for !s.serves(probe, b, path) {
+			if ctx.Err() != nil || s.Clock.Now().After(end) {
+				return false
 			}
+			s.sleep(ctx, pollEvery)
 		}
 	}
 	return true
@@ -70,7 +84,7 @@
 		u, err := b.usage()
 		if err != nil {
 			s.history.Find("resources: %s: %v", b.id, err)
-		} else if u.descriptors > moreDescriptors || u.megabytes > mostMegabytes {
+		} else if u.descriptors > moreDescriptors+s.Boxes+s.allTargets() || u.megabytes > mostMegabytes {
 			s.history.Find("resources: %s holds %d descriptors and %d MB", b.id, u.descriptors, u.megabytes)
 		}
 	}
