--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -78,8 +78,6 @@
 	// ids and between entries of another writer.
 	restartGap = 3 * time.Second
 	foreignGap = 5 * time.Second
-	// foreignWeight is zero while boxes take targets from entries of other writers.
-	foreignWeight = 0
 	// shortest and longest bound how long a fault lasts.
 	shortest = 300 * time.Millisecond
 	longest  = 4 * time.Second
@@ -110,7 +108,7 @@
 	list := []source{
 		{streamFaults, gap, weights},
 		{streamRestarts, restartGap, map[Action]int{ActionRestart: 1}},
-		{streamForeign, foreignGap, map[Action]int{ActionForeign: foreignWeight}},
+		{streamForeign, foreignGap, map[Action]int{ActionForeign: 1}},
 	}
 	if n := s.load().stops; n > 0 {
 		between := grace * time.Duration(n) / time.Duration(s.Boxes)
@@ -152,9 +150,6 @@
 func (s source) draw(run Setup) []Event {
 	r := rand.New(rand.NewPCG(run.Seed, s.stream))
 	list := s.actions()
-	if len(list) == 0 {
-		return nil
-	}
 	var events []Event
 	for at := quietStart; at < run.Length-quietEnd; at += time.Duration(r.ExpFloat64() * float64(s.gap)) {
 		e := Event{
