A caller that sends its body too slowly for a planned stop is told so

Reading the body had no bound but the caller's patience: at the end of the box its connection was closed with no answer, though nothing had been sent to a target. Now the reading ends when the box does, and the caller gets the refusal that promises that the request has not run.

TestStopBody failed before: no answer came in 20 s, by the machine's clock, after the end.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -52,7 +52,7 @@
 	s.pipeline = Pipeline{
 		&route{configuration: s.Configuration},
 		&authenticate{freshness: &s.freshness},
-		&read{},
+		&read{stop: s.stop},
 		&deliver{
 			clock:    s.Clock,
 			protocol: s.Protocol,
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -88,14 +89,14 @@
 	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { close(came) }}
 	got := make(chan reply, 1)
 	go func() {
-		got <- f.askIn(t, httptrace.WithClientTrace(context.Background(), trace), http.MethodPost, "/giant/", "", "Prompt", "900")
+		got <- f.askIn(t, httptrace.WithClientTrace(context.Background(), trace), http.MethodPost, "/giant/", "body", "Prompt", "900")
 	}()
 	return came, got
 }
 
 // askLong sends a long prompt, which the engine reads in 0.9 s.
 func (f *fixture) askLong(t *testing.T) reply {
-	return f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "900")
+	return f.ask(t, http.MethodPost, "/giant/", "body", "Prompt", "900")
 }
 
 // untilRunning waits until so many requests are being served.
@@ -138,13 +139,17 @@
 }
 
 // beginBody sends half of a request's body.
-func beginBody(t *testing.T, f *fixture) {
+func beginBody(t *testing.T, f *fixture) { f.sendHalf(t) }
+
+// sendHalf is beginBody that returns the caller's connection.
+func (f *fixture) sendHalf(t *testing.T) net.Conn {
 	c, err := net.Dial("tcp", f.url[len("http://"):])
 	quicktest.Assert(t, err, quicktest.IsNil)
 	t.Cleanup(func() { c.Close() })
 	_, err = io.WriteString(c, "POST /giant/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nPrompt: 900\r\nContent-Length: 8\r\n\r\nhalf")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	f.untilRunning(1)
+	return c
 }
 
 // beginOne sends a request that reaches the engine.
@@ -292,3 +297,21 @@
 		})
 	}
 }
+
+// TestStopBody checks that a caller who has not sent its whole body by the end of the box is
+// told so: it knows that the request has not run.
+func TestStopBody(t *testing.T) {
+	const left = 10 * time.Second
+	c := quicktest.New(t)
+	f, manual, _ := newOneEngine(t)
+	caller := f.sendHalf(t)
+	f.front.Leave(manual.Now().Add(left))
+	manual.Advance(left)
+	c.Assert(caller.SetReadDeadline(time.Now().Add(20*time.Second)), quicktest.IsNil)
+	got, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	c.Assert(err, quicktest.IsNil)
+	defer got.Body.Close()
+	c.Check(got.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	c.Check(got.Close, quicktest.IsTrue)
+	c.Check(f.target.count(), quicktest.Equals, 0)
+}
--- a/internal/reply/writer.go
+++ b/internal/reply/writer.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -48,6 +49,12 @@
 	_, _ = w.w.Write(body) // The caller may have gone away.
 }
 
+// EndBody has the reading of the caller's body fail from now on; the answer can still be
+// sent. Other goroutines may call it.
+func (w *Writer) EndBody() {
+	_ = http.NewResponseController(w.w).SetReadDeadline(time.Unix(1, 0)) // Recorders in tests have none.
+}
+
 // Begin sends the head of an answer whose body follows in parts. Only the first head
 // is sent: a stream that another target goes on with keeps its own.
 func (w *Writer) Begin(h Head) {
