TestStopSilence waits for the silence to be looked at

It moved the clock on after a hundred yields of the processor, in which the goroutine that looks at the silence need not have run: then its next look came too late, and no other target was asked. Now the clock moves on once that goroutine waits again; what is checked is the same.

--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -284,11 +284,13 @@
 			f.view.Service("engines").Cost = &cost
 			head, answer := f.askOpen(t)
 			<-head
+			const timers = 3 // Those of the request's time, the box's end and the silence.
 			f.front.Leave(manual.Now().Add(tc.left))
+			untilTimers(manual, timers)
 			for range 30 { // Three seconds in all; a target is left after half of that.
 				manual.Advance(100 * time.Millisecond)
-				for i := 0; i < 100 && f.target.count() < tc.sends; i++ {
-					runtime.Gosched()
+				for manual.Timers() != timers && f.target.count() < 2 {
+					runtime.Gosched() // The silence is being looked at.
 				}
 			}
 			close(goOn)
