--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -26,6 +27,8 @@
 	log      *log.Logger
 	stop     *stop
 	habit    habit
+	// releasing counts the tries that have ended whose memory at helpers is being released.
+	releasing atomic.Int64
 }
 
 const (
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -96,7 +96,9 @@
 	if len(t.reserved) == 0 {
 		return
 	}
+	t.stage.releasing.Add(1)
 	go func() {
+		defer t.stage.releasing.Add(-1)
 		<-t.renewals
 		for range releaseTries {
 			if t.orderAll(ctx, t.releaseAt) {
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -57,6 +57,27 @@
 	}
 }
 
+// TestReleasing checks that the front tells that memory is still being released after the
+// request's answer: a box that ends before has it set aside for the rest of its hold.
+func TestReleasing(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()}, events(1, 2, false))
+	over := make(chan struct{})
+	f.target.orders = []step{func(k net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.RequestURI, "/release/") {
+			<-over
+		}
+		return whole(http.StatusOK, "", "")(k, r)
+	}}
+	c.Check(f.front.Releasing(), quicktest.Equals, 0)
+	c.Check(f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200").status, quicktest.Equals, http.StatusOK)
+	c.Check(f.front.Releasing(), quicktest.Equals, 1)
+	close(over)
+	for f.front.Releasing() > 0 {
+		runtime.Gosched()
+	}
+}
+
 // TestBlamed checks that a prompt whose helper is to blame gets others, and that
 // helpers are not asked for again where it is not known which one is.
 func TestBlamed(t *testing.T) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,6 +37,7 @@
 
 	freshness atomic.Int64
 	pipeline  Pipeline
+	deliver   *deliver
 	running   roster
 	// leaving answers with the end of the connection; closed refuses.
 	leaving atomic.Bool
@@ -49,20 +50,21 @@
 // Handler returns the handler for callers. It is called once.
 func (s *Server) Handler() http.Handler {
 	s.stop = newStop(s.Clock)
+	s.deliver = &deliver{
+		clock:    s.Clock,
+		protocol: s.Protocol,
+		balancer: s.Balancer,
+		pool:     s.Pool,
+		budget:   s.Budget,
+		meter:    s.Meter,
+		log:      s.Log,
+		stop:     s.stop,
+	}
 	s.pipeline = Pipeline{
 		&route{configuration: s.Configuration},
 		&authenticate{freshness: &s.freshness},
 		&read{stop: s.stop},
-		&deliver{
-			clock:    s.Clock,
-			protocol: s.Protocol,
-			balancer: s.Balancer,
-			pool:     s.Pool,
-			budget:   s.Budget,
-			meter:    s.Meter,
-			log:      s.Log,
-			stop:     s.stop,
-		},
+		s.deliver,
 	}
 	return s
 }
@@ -86,6 +88,10 @@
 // Running returns how many requests are being served.
 func (s *Server) Running() int { return s.running.size() }
 
+// Releasing returns how many tries have ended whose memory at helpers is still being
+// released. Their requests may have been answered.
+func (s *Server) Releasing() int { return int(s.deliver.releasing.Load()) }
+
 // mostUnfinished bounds the lines that LogUnfinished writes: a box serves some dozens of
 // requests at a time, and a thousand lines may wait for their reader.
 const mostUnfinished = 100
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -259,9 +259,10 @@
 	r.finish(ctx)
 }
 
-// finish waits until all answers have left the process, or ctx ends.
+// finish waits until all answers have left the process and all memory is released that was
+// set aside for them, or ctx ends.
 func (r *Router) finish(ctx context.Context) {
-	for r.front.Running() > 0 || r.callers.busy() {
+	for r.front.Running() > 0 || r.callers.busy() || r.front.Releasing() > 0 {
 		if !clock.Sleep(ctx, r.Clock, pollEvery) {
 			return
 		}
