The entry's planned stop answers what is left, and does not cut other halls' requests

At the end of the grace, the listener closed the connections of all requests that were still waiting or sent. And the listener for other boxes, which has no grace, was closed with everything else at the start of the stop: requests that boxes of other halls had forwarded were cut at once, as were the questions for places.

Now the listener for callers ends first, while all else goes on, and shortly before the grace ends what is left is answered: as not run where no target has run it (503), else as it is known (502).

TestStopEnds failed before: the caller's connection was closed (EOF), and the other hall had the box's connection cut (reason target_failed). TestEnd checks the answers without a box; it is new with End.

--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -42,8 +42,10 @@
 	endpoint *capacity.LocalEndpoint
 	server   *gate.Server
 	callers  *web.Server
-	admin    *web.Server
-	top      *suture.Supervisor
+	// accepting is the listener for callers in the tree.
+	accepting suture.ServiceToken
+	admin     *web.Server
+	top       *suture.Supervisor
 }
 
 const logPrefix = "box: "
@@ -51,6 +53,13 @@
 const (
 	defaultGrace  = time.Hour
 	defaultNotice = 5 * time.Second
+	// endMargin is how long before the end of the grace, at most, all requests are answered
+	// that are still being served, and endPart the part of a short grace, as a divisor. The
+	// listener looks twice a second whether answers are on their way.
+	endMargin = time.Second
+	endPart   = 4
+	// pollEvery is how often a stopping box looks whether requests still run.
+	pollEvery = 20 * time.Millisecond
 )
 
 // Run serves until ctx ends. Then it announces the stop, gives the balancer its
@@ -75,6 +84,25 @@
 	e.node.tracker.Leave()
 	e.server.Leave()
 	clock.Sleep(ctx, e.Clock, e.Settings.Limits.Notice.Or(defaultNotice))
+	e.finish(ctx)
+}
+
+// finish takes no more callers and lets requests finish for the grace, also those that boxes
+// of other halls have forwarded: what serves them goes on meanwhile. What could not be
+// answered within the grace is ended shortly before, so that its caller knows what became of
+// it.
+func (e *Entry) finish(ctx context.Context) {
+	grace := e.grace()
+	ending, cancel := clock.WithDeadline(ctx, e.Clock, e.Clock.Now().Add(grace-min(endMargin, grace/endPart)))
+	defer cancel()
+	defer context.AfterFunc(ending, e.server.End)()
+	ctx, cancel = clock.WithDeadline(ctx, e.Clock, e.Clock.Now().Add(grace))
+	defer cancel()
+	_ = e.top.RemoveAndWait(e.accepting, grace) // It has logged what it cut.
+	for e.Running() > 0 && ctx.Err() == nil {
+		clock.Sleep(ctx, e.Clock, pollEvery)
+	}
+	clock.Sleep(ctx, e.Clock, pollEvery) // Answers leave a moment after their handlers.
 }
 
 // Build makes the parts of the process. It is called once; ctx bounds their
@@ -131,9 +159,10 @@
 		Meter:         e.meter,
 	}
 	e.top = supervisor.New("entry", e.Log, e.grace())
-	for _, s := range []suture.Service{canceller, claims, limiter, e.endpoint, allocator, poller, e.callers} {
+	for _, s := range []suture.Service{canceller, claims, limiter, e.endpoint, allocator, poller} {
 		e.top.Add(s)
 	}
+	e.accepting = e.top.Add(e.callers)
 	for _, s := range e.node.services() {
 		e.top.Add(s)
 	}
--- a/internal/box/forward_test.go
+++ b/internal/box/forward_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/phuslu/log"
@@ -32,6 +33,7 @@
 	objects barleystep.ObjectStore
 	boxes   standin.BoxList
 	entries []*box.Entry
+	stops   []context.CancelFunc
 	peers   settings.Peers
 }
 
@@ -73,7 +75,7 @@
 			Box:    settings.Box{ID: string(b.ID()), Hall: string(b.Hall())},
 			Listen: settings.Listen{Callers: "127.0.0.1:0", Peers: b.Addr()},
 			Peers:  h.peers,
-			Limits: settings.Limits{Notice: 1},
+			Limits: settings.Limits{Notice: 1, Grace: settings.Duration(grace)},
 		},
 		Clock: clock.System{}, Table: h.table, Objects: h.objects, Boxes: &h.boxes,
 		Exporter: exporter, Log: &log.Logger{Level: log.PanicLevel},
@@ -90,8 +92,12 @@
 	<-e.Ready()
 	awaitListener(b.Addr())
 	h.entries = append(h.entries, e)
+	h.stops = append(h.stops, cancel)
 }
 
+// grace is that of the boxes' planned stops.
+const grace = 2 * time.Second
+
 // awaitListener waits until the address takes connections: a box is ready for
 // callers before it is for other boxes.
 func awaitListener(addr string) {
@@ -171,3 +177,24 @@
 	c.Check(resp.Header.Get("Barleystep-Outcome"), quicktest.Equals, "not-run")
 	c.Check(h.engine.Runs(), quicktest.HasLen, 0)
 }
+
+// TestStopEnds checks that a planned stop answers what is not done by the end of the grace,
+// for callers as for boxes of other halls, and that the latter are not cut before.
+func TestStopEnds(t *testing.T) {
+	for name, asked := range map[string]int{"caller": 1, "other hall": 0} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			h := newHalls(t, settings.Peers{Secret: "secret"})
+			h.engine.Fault = func(string) standin.Fault { return standin.FaultHang }
+			go func() {
+				for len(h.engine.Runs()) == 0 {
+					runtime.Gosched()
+				}
+				h.stops[1]()
+			}()
+			resp, text := h.ask(t, "http://"+h.entries[asked].CallersAddr(), "Barleystep-Time-Limit", "30s")
+			c.Check(resp.StatusCode, quicktest.Equals, http.StatusBadGateway)
+			c.Check(resp.Header.Get("Barleystep-Reason"), quicktest.Equals, string(barleystep.ReasonStopping), quicktest.Commentf("%s", text))
+		})
+	}
+}
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -207,8 +207,12 @@
 	barleystep.ReasonInternal:         http.StatusInternalServerError,
 }
 
-// statusOf returns the HTTP status for a refusal.
+// statusOf returns the HTTP status for a refusal. A box that stops does not say that it was
+// unable to serve what a target may have run.
 func statusOf(r *barleystep.Refusal) int {
+	if r.Reason() == barleystep.ReasonStopping && r.Outcome() != barleystep.OutcomeNotRun {
+		return http.StatusBadGateway
+	}
 	if s, ok := statuses[r.Reason()]; ok {
 		return s
 	}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -167,8 +167,15 @@
 
 // interrupted returns the refusal for a request whose context has ended.
 func interrupted(ctx context.Context, outcome barleystep.Outcome) error {
-	if eris.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case eris.Is(cause, errStopping):
+		return barleystep.NewRefusal(barleystep.ReasonStopping, outcome, "The box is stopping.").WithRetryAfter(stoppingPause)
+	case eris.Is(cause, context.DeadlineExceeded):
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
+	default:
+		return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
 	}
-	return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
 }
+
+// stoppingPause is when a caller may come back whose box ends; another one takes it.
+const stoppingPause = time.Second
--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -50,6 +50,12 @@
 
 // serve starts the path before a target and returns its address.
 func serve(b testing.TB, target string, allocator barleystep.Allocator) string {
+	url, _ := serveGate(b, target, allocator)
+	return url
+}
+
+// serveGate is serve that returns the server, too.
+func serveGate(b testing.TB, target string, allocator barleystep.Allocator) (url string, s *gate.Server) {
 	d, err := config.File{
 		Accounts: []config.Account{{Name: "a", Keys: []config.Key{{ID: "1", SHA256: config.HashKey("k")}}}},
 		Classes:  []config.Class{{Name: "normal"}},
@@ -60,7 +66,7 @@
 	view, err := config.NewView(1, d)
 	quicktest.Assert(b, err, quicktest.IsNil)
 	configuration := config.NewFixed(view)
-	s := &gate.Server{
+	s = &gate.Server{
 		Clock:         clock.System{},
 		Source:        identity.NewSource("b", 1),
 		Configuration: configuration,
@@ -73,7 +79,7 @@
 	}
 	server := httptest.NewServer(s.Handler())
 	b.Cleanup(server.Close)
-	return server.URL
+	return server.URL, s
 }
 
 func ask(b *testing.B, url string, body string) {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/claim"
@@ -44,6 +46,9 @@
 	pipeline  Pipeline
 	running   atomic.Int64
 	leaving   atomic.Bool
+	// ending ends, by end, when all requests are to be answered.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 const defaultStall = 20 * time.Second
@@ -53,6 +58,7 @@
 	if s.Stall == 0 {
 		s.Stall = defaultStall
 	}
+	s.ending, s.end = context.WithCancel(context.Background())
 	d := &dispatch{clock: s.Clock, targets: s.Targets, meter: s.Meter, stall: s.Stall}
 	s.pipeline = Pipeline{
 		&settle{clock: s.Clock, meter: s.Meter, log: s.Log},
@@ -86,6 +92,10 @@
 // answers that are under way, so that they connect elsewhere.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// End answers all requests that are still being served, and that still come: those that no
+// target has run are refused as such.
+func (s *Server) End() { s.end() }
+
 // Leaving reports whether Leave was called.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
@@ -107,8 +117,23 @@
 	if !s.begin(w, r, x) {
 		return
 	}
+	ctx, release := s.untilEnd(r.Context())
+	defer release()
 	// The settling stage has told the caller of any error.
-	_ = s.pipeline.Run(r.Context(), x)
+	_ = s.pipeline.Run(ctx, x)
+}
+
+// errStopping is the cause of contexts that end because the box does.
+var errStopping = eris.New("gate: the box is stopping")
+
+// untilEnd returns a context that ends at End. The cancel function must be called.
+func (s *Server) untilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	forget := context.AfterFunc(s.ending, func() { cancel(errStopping) })
+	return ctx, func() {
+		forget()
+		cancel(context.Canceled)
+	}
 }
 
 // begin fills in what every exchange has. It answers for itself when there is
--- /dev/null
+++ b/internal/gate/stop_test.go
@@ -0,0 +1,66 @@
+package gate_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/gate"
+)
+
+// fullAllocator has no place for anything, and tells of each question.
+type fullAllocator struct{ asked chan struct{} }
+
+// Acquire waits until the request is given up.
+func (a *fullAllocator) Acquire(ctx context.Context, _ barleystep.Demand) (barleystep.Allotment, error) {
+	a.asked <- struct{}{}
+	<-ctx.Done()
+	return barleystep.Allotment{}, ctx.Err()
+}
+
+// TestEnd checks that all requests are answered when the box ends, by what is known of them.
+func TestEnd(t *testing.T) {
+	begun := make(chan struct{}, 9)
+	hang := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // A server only notices that its caller left once the body was read.
+		begun <- struct{}{}
+		<-r.Context().Done()
+	})
+	cases := map[string]struct {
+		allocator barleystep.Allocator
+		status    int
+		outcome   string
+	}{
+		"waits for a place":   {&fullAllocator{begun}, http.StatusServiceUnavailable, "not-run"},
+		"sent, no answer yet": {&fixedAllocator{}, http.StatusBadGateway, "failed"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			target := httptest.NewServer(hang)
+			t.Cleanup(target.Close)
+			url, s := serveGate(t, target.URL, tc.allocator)
+			body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"word"}]}`
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+			c.Assert(err, quicktest.IsNil)
+			req.Header.Set("Authorization", "Bearer k")
+			req.Header.Set(gate.HeaderTimeLimit, "30s")
+			go func() {
+				<-begun
+				s.End()
+			}()
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, quicktest.IsNil)
+			defer resp.Body.Close()
+			c.Check(resp.StatusCode, quicktest.Equals, tc.status)
+			c.Check(resp.Header.Get(gate.HeaderOutcome), quicktest.Equals, tc.outcome)
+			c.Check(resp.Header.Get(gate.HeaderReason), quicktest.Equals, string(barleystep.ReasonStopping))
+		})
+	}
+}
