The lead places nothing for a box that no longer asks

A stop ends many questions at once. A place that came as its question ended was handed over all the same: the lead kept the engines of a prompt that nobody would send there for two seconds beyond the time to read it.

TestGrantGone failed before: it got a plan, and six engines with work on them where there are none.

--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -138,7 +138,8 @@
 }
 
 // Grant places a long prompt for another box. It waits until the given time and
-// then returns ErrWaiting.
+// then returns ErrWaiting. Where ctx has ended, it places nothing: the box asks no longer,
+// and nobody would carry it out.
 func (b *Balancer) Grant(ctx context.Context, j Job, until time.Time) (plan Plan, err error) {
 	if j.Cost == nil {
 		return Plan{}, ErrNoTarget
@@ -150,8 +151,12 @@
 			err = ErrWaiting
 		}
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		return Plan{}, err
+	case ctx.Err() != nil:
+		p.Return()
+		return Plan{}, context.Cause(ctx)
 	}
 	return b.HandOver(p), nil
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -208,6 +208,18 @@
 	}
 }
 
+// TestGrantGone checks that nothing is placed for a box that no longer asks: no engine is kept
+// for a prompt that nobody sends there.
+func TestGrantGone(t *testing.T) {
+	manual := clock.NewManual(time.Unix(1000, 0))
+	b := newBalancer(manual, engines...)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := b.Grant(ctx, job(210_000), manual.Now().Add(time.Second))
+	quicktest.Check(t, err, quicktest.ErrorIs, context.Canceled)
+	quicktest.Check(t, b.Snapshot().Work, quicktest.HasLen, 0)
+}
+
 // TestGrantEnds checks that what was placed for others is forgotten once they
 // tell of it themselves, and its reading when it is late.
 func TestGrantEnds(t *testing.T) {
