Bodies that do not come are ended in one place, when the box ends

The bound on each body made a context and two callbacks for every request, though only a stop needs any. Now the stop looks through the requests once, at the end of the box; those of which more than a body is missing are left alone. TestStopBody and the other tests of the stop check it as before; they count one timer more.

--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/rotisserie/eris"
 
@@ -12,9 +13,7 @@
 )
 
 // read takes in the whole body, so that it can be sent more than once.
-type read struct {
-	stop *stop
-}
+type read struct{}
 
 // Run refuses bodies over the configured size, and those that have not come when the box
 // ends.
@@ -22,15 +21,14 @@
 	if x.r.ContentLength == 0 {
 		return next(ctx, x)
 	}
-	if err := s.take(ctx, x); err != nil {
+	if err := s.take(x); err != nil {
 		return err
 	}
 	return next(ctx, x)
 }
 
-// take takes the body in. The end of the box bounds nothing but the reading here: once the
-// body is whole, the server reads on to notice that the caller goes away.
-func (s *read) take(ctx context.Context, x *Exchange) error {
+// take takes the body in.
+func (*read) take(x *Exchange) error {
 	limit := x.view.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
@@ -39,15 +37,12 @@
 	if n := x.r.ContentLength; n > 0 && n <= limit {
 		buffer.Grow(int(n) + bytes.MinRead)
 	}
-	ending, release := s.stop.bound(ctx, 0)
-	defer release()
-	defer context.AfterFunc(ending, x.answer.EndBody)()
 	_, err := buffer.ReadFrom(x.answer.LimitBody(x.r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
 	case eris.As(err, &large):
 		return barleystep.NewRefusal(barleystep.ReasonBodyTooLarge, barleystep.OutcomeNotRun, "The body is too large.")
-	case err != nil && eris.Is(context.Cause(ending), errStopping):
+	case eris.Is(err, os.ErrDeadlineExceeded): // The box ends.
 		return stopping()
 	case err != nil && !eris.Is(err, io.EOF):
 		return barleystep.NewRefusal(barleystep.ReasonCallerGone, barleystep.OutcomeNotRun, "The body did not come whole.")
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -63,7 +64,7 @@
 	s.pipeline = Pipeline{
 		&route{configuration: s.Configuration},
 		&authenticate{freshness: &s.freshness},
-		&read{stop: s.stop},
+		&read{},
 		s.deliver,
 	}
 	return s
@@ -80,6 +81,19 @@
 func (s *Server) Leave(end time.Time) {
 	s.leaving.Store(true)
 	s.stop.begin(end)
+	go s.endBodies(end)
+}
+
+// endBodies ends the reading of the bodies that have not come whole by the given time. It
+// leaves requests that have come further alone: their connections are read on to notice
+// that the caller goes away.
+func (s *Server) endBodies(end time.Time) {
+	clock.Sleep(context.Background(), s.Clock, end.Sub(s.Clock.Now()))
+	for _, x := range s.running.oldest(math.MaxInt) {
+		if phase, _, _ := x.progress.look(); phase == PhaseReading {
+			x.answer.EndBody()
+		}
+	}
 }
 
 // Close refuses what still comes.
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -190,7 +190,7 @@
 	cases := map[string]struct {
 		begin func(t *testing.T, f *fixture) <-chan reply
 		// timers is how many timers run: one for each request, and one for each that waits
-		// for a place. The stop starts as many.
+		// for a place. The stop starts as many, and one for bodies that do not come.
 		timers int
 		// early is how long before the end the answer comes.
 		early  time.Duration
@@ -217,7 +217,7 @@
 			answer := tc.begin(t, f)
 			untilTimers(manual, tc.timers)
 			f.front.Leave(manual.Now().Add(left))
-			untilTimers(manual, 2*tc.timers)
+			untilTimers(manual, 2*tc.timers+1)
 			manual.Advance(left - tc.early)
 			got := <-answer
 			c.Check(got.status, quicktest.Equals, tc.status)
@@ -284,7 +284,8 @@
 			f.view.Service("engines").Cost = &cost
 			head, answer := f.askOpen(t)
 			<-head
-			const timers = 3 // Those of the request's time, the box's end and the silence.
+			// Those of the request's time, the box's end, for it and for bodies, and the silence.
+			const timers = 4
 			f.front.Leave(manual.Now().Add(tc.left))
 			untilTimers(manual, timers)
 			for range 30 { // Three seconds in all; a target is left after half of that.
