--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -88,6 +88,9 @@
 	t.noteHelpers()
 	watch := t.newWatch(cancel)
 	defer watch.stop()
+	if t.movable() {
+		go t.leaveRestarted(ctx, cancel)
+	}
 	x.sends++
 	x.target = t.placement.Target.ID
 	x.helpers = len(t.placement.Helpers)
@@ -269,6 +272,6 @@
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun && t.blamed == "",
 		Helper:      t.blamed,
-		Moved:       t.head.Status() == http.StatusMisdirectedRequest,
+		Moved:       t.head.Status() == http.StatusMisdirectedRequest && t.blamed == "",
 	}
 }
