A stream that has begun waits for a place elsewhere while its caller is there

Cause: a stream is taken from a silent target where another has a free slot, which says nothing of its place: a long prompt that is asked for again is refused after an eighth of its objective, and the stream was cut that the silent target may have gone on with. The same befell streams whose targets broke off.

TestStreamWaitsForAPlace got a broken stream before.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -11,6 +11,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/budget"
+	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/metric"
 )
@@ -111,7 +112,7 @@
 // elsewhere for as long as the box serves: its caller could not have it otherwise.
 func (d *deliver) place(ctx context.Context, x *Exchange, job balance.Job) (*balance.Placement, error) {
 	if x.answer.Begun() {
-		return d.balancer.Place(ctx, job)
+		return d.ask(ctx, x, job)
 	}
 	least := job.LeastWhole()
 	if d.stop.before(least) {
@@ -119,7 +120,7 @@
 	}
 	ctx, release := d.stop.bound(ctx, least)
 	defer release()
-	p, err := d.balancer.Place(ctx, job)
+	p, err := d.ask(ctx, x, job)
 	switch {
 	case err != nil && eris.Is(context.Cause(ctx), errStopping):
 		return nil, errStopping
@@ -132,6 +133,20 @@
 	return p, nil
 }
 
+// ask asks for a place. A request that a target may have run cannot be refused as not run,
+// and one whose answer has begun would be cut: where all targets are full, it is asked for
+// again for as long as its caller, and its box, are there.
+func (d *deliver) ask(ctx context.Context, x *Exchange, job balance.Job) (p *balance.Placement, err error) {
+	since := d.clock.Now()
+	for {
+		p, err = d.balancer.Place(ctx, job)
+		if !x.ran || !eris.Is(err, balance.ErrFull) || !clock.Sleep(ctx, d.clock, moveRetry) {
+			return p, err
+		}
+		job.Since = since // It has waited, and is counted as demand, once.
+	}
+}
+
 // learn takes into account what the try taught for the next one: a helper that is to
 // blame is avoided, and the target otherwise. A helper in another hall that cannot be
 // reached is rarely the only one there. Where it is not known whom to blame, no helpers
--- a/internal/front/silence_test.go
+++ b/internal/front/silence_test.go
@@ -92,3 +92,48 @@
 	c.Check(got.broken, quicktest.IsFalse)
 	c.Check(strings.HasSuffix(got.body, stream(2, 3)), quicktest.IsTrue)
 }
+
+// TestStreamWaitsForAPlace checks that a stream which has begun, and whose target breaks off,
+// waits for a place elsewhere for longer than a request would that can be refused.
+func TestStreamWaitsForAPlace(t *testing.T) {
+	c := quicktest.New(t)
+	over := make(chan struct{})
+	busy := func(k net.Conn, r *http.Request) bool { <-over; return events(1, 1, false)(k, r) }
+	broken := func(k net.Conn, r *http.Request) bool { oneEvent(k, r); return false }
+	f, manual, _ := newOneEngine(t, busy, broken, events(2, 3, false))
+	f.targets[0].Slots = 1
+	f.targets = append(f.targets, f.targets[0])
+	f.targets[1].ID = "other"
+	route := f.view.Route("h", "/giant/")
+	route.Objective, route.Resumable = objective, true
+	f.view.Route("h", "/plainstream/").Split = route.Split // Such a stream stays where it is.
+	ask := func(path string) <-chan reply {
+		answer := make(chan reply, 1)
+		go func() { answer <- f.ask(t, http.MethodPost, path, "", "Prompt", "10") }()
+		return answer
+	}
+	first := ask("/plainstream/")
+	for f.target.count() < 1 {
+		runtime.Gosched()
+	}
+	second := ask("/giant/")
+	for f.target.count() < 2 {
+		runtime.Gosched()
+	}
+	for range 30 { // Three seconds: twice as long as a short prompt waits.
+		manual.Advance(100 * time.Millisecond)
+		for range 100 {
+			runtime.Gosched()
+		}
+	}
+	close(over)
+	c.Check((<-first).broken, quicktest.IsFalse)
+	for len(second) == 0 {
+		manual.Advance(100 * time.Millisecond)
+		runtime.Gosched()
+	}
+	got := <-second
+	c.Check(got.broken, quicktest.IsFalse)
+	c.Check(strings.HasSuffix(got.body, stream(2, 3)), quicktest.IsTrue)
+	c.Check(f.target.count(), quicktest.Equals, 3)
+}
