--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -185,38 +185,38 @@
 	if first {
 		b.noteHeavy(j)
 	}
-	p, err = b.try(j)
+	p, h, err := b.try(j)
 	if p != nil || err != nil {
 		return p, nil, err
 	}
-	return b.enqueue(j)
+	return b.enqueue(j, h)
 }
 
-// try chooses a target; it returns nothing if the job has to wait.
-func (b *Balancer) try(j Job) (p *Placement, err error) {
+// try chooses a target; it returns no placement, and why, if the job has to wait.
+func (b *Balancer) try(j Job) (p *Placement, h hold, err error) {
 	clear(b.seen)
 	candidates := b.candidates(j)
 	if len(candidates) == 0 {
-		return nil, ErrNoTarget
+		return nil, holdNone, ErrNoTarget
 	}
 	switch {
 	case j.Cost == nil:
 		p = b.placePlain(candidates)
 	case giant(j):
 		if !fits(j, len(candidates)) {
-			return nil, ErrFull // Waiting here would not help.
+			return nil, holdMemory, ErrFull // Waiting here would not help.
 		}
-		p = b.placeGiant(j, candidates)
+		p, h = b.placeGiant(j, candidates)
 	case heavy(j):
-		p = b.placeHeavy(j, candidates)
+		p, h = b.placeHeavy(j, candidates)
 	default:
-		p = b.placeLight(j, candidates)
+		p, h = b.placeLight(j, candidates), holdSlots
 	}
 	if p == nil {
-		return nil, nil
+		return nil, h, nil
 	}
 	b.book(p)
-	return p, nil
+	return p, holdNone, nil
 }
 
 // book enters a placement in the books of its targets.
--- a/internal/balance/giant.go
+++ b/internal/balance/giant.go
@@ -22,14 +22,19 @@
 // spread over its helpers. It returns nothing while these have other things to read, or
 // while their streams are worth more than the prompt: many of them would be held up for
 // long.
-func (b *Balancer) placeGiant(j Job, engines []fleet.Target) *Placement {
+func (b *Balancer) placeGiant(j Job, engines []fleet.Target) (p *Placement, h hold) {
 	g := b.bestAssignment(j, engines)
 	gain := worthOf(j)*(1+lateWorth) - lateLoss(j, g.expected)
-	if g.memory == 0 || g.wait > readAhead || g.harm > gain {
-		return nil
+	switch {
+	case g.memory == 0:
+		return nil, holdMemory
+	case g.wait > readAhead:
+		return nil, holdReading
+	case g.harm > gain:
+		return nil, holdStreams
 	}
 	b.note(j, j.Cost.Read(j.Prompt), true)
-	return b.assign(j, g)
+	return b.assign(j, g), holdNone
 }
 
 // memoryEach returns the memory that each of the helpers of a giant sets aside; ok is
--- a/internal/balance/giant_test.go
+++ b/internal/balance/giant_test.go
@@ -1,11 +1,14 @@
 package balance_test
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep/internal/balance"
 )
@@ -84,3 +87,49 @@
 		})
 	}
 }
+
+// TestInVain checks that a long prompt that has waited in vain leaves a line that says what
+// its engines lacked the last time that it was tried.
+func TestInVain(t *testing.T) {
+	cases := map[string]struct {
+		work   balance.Work
+		before int // before is the prompt of a job that waits before this one, if any.
+		prompt int
+		want   string
+	}{
+		"its engines read":       {work: balance.Work{Backlog: time.Minute}, prompt: overMemory, want: "engines read"},
+		"its helpers are full":   {work: balance.Work{Memory: 420_000}, prompt: overMemory, want: "memory is lacking"},
+		"another one is before":  {work: balance.Work{Backlog: time.Minute}, before: longPrompt, prompt: overMemory, want: "behind another"},
+		"not over memory":        {work: balance.Work{Backlog: time.Minute}, prompt: longPrompt, want: "engines read"},
+		"its streams are better": {work: balance.Work{Light: 500}, prompt: overMemory, want: "streams are worth more"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(6)
+			var lines bytes.Buffer
+			f.Log = &log.Logger{Writer: &log.IOWriter{Writer: &lines}}
+			busy := balance.NewSnapshot()
+			for _, target := range f.targets {
+				busy.Work[balance.KeyOf(string(target.ID))] = tc.work
+			}
+			f.SetOthers(busy)
+			ask := func(prompt int) *balance.Wait {
+				j := job(prompt)
+				j.Objective = 8 * time.Second
+				_, w, err := f.Ask(context.Background(), j)
+				c.Assert(err, quicktest.IsNil)
+				return w
+			}
+			if tc.before > 0 {
+				ask(tc.before)
+			}
+			w := ask(tc.prompt)
+			f.SetOthers(busy)
+			f.clock.Advance(w.Until().Sub(f.clock.Now()))
+			_, err := f.Abandon(w)
+			c.Assert(eris.Is(err, balance.ErrFull), quicktest.IsTrue)
+			c.Check(lines.String(), quicktest.Contains, `"held":"`+tc.want+`"`)
+		})
+	}
+}
--- a/internal/balance/heavy.go
+++ b/internal/balance/heavy.go
@@ -16,12 +16,15 @@
 // chooses how many others help to read it, and which: those where it holds up
 // the fewest streams. It returns nothing while these engines read something else:
 // a prompt that waits here can still go to others, or let a shorter one pass.
-func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) *Placement {
+func (b *Balancer) placeHeavy(j Job, engines []fleet.Target) (p *Placement, h hold) {
 	g := b.bestAssignment(j, engines)
-	if g.wait > readAhead || b.lull(j, g) {
-		return nil
+	switch {
+	case g.wait > readAhead:
+		return nil, holdReading
+	case b.lull(j, g):
+		return nil, holdStreams
 	}
-	return b.assign(j, g)
+	return b.assign(j, g), holdNone
 }
 
 const (
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -15,6 +15,8 @@
 	// ready gets the placement; it holds one, so that nobody waits to send.
 	ready chan *Placement
 	gone  bool
+	// held is why it was given no place the last time.
+	held hold
 }
 
 const (
@@ -50,9 +52,10 @@
 )
 
 // enqueue has the job wait for a place, unless its wait is over already.
-func (b *Balancer) enqueue(j Job) (p *Placement, w *Wait, err error) {
-	w = &Wait{job: j, until: b.waitUntil(j), ready: make(chan *Placement, 1)}
+func (b *Balancer) enqueue(j Job, h hold) (p *Placement, w *Wait, err error) {
+	w = &Wait{job: j, until: b.waitUntil(j), ready: make(chan *Placement, 1), held: h}
 	if !b.Clock.Now().Before(w.Until()) {
+		b.logInVain(w)
 		return nil, nil, ErrFull
 	}
 	q := b.queue(j)
@@ -145,10 +148,26 @@
 	case p = <-w.ready:
 		return p, nil
 	default:
+		if !b.Clock.Now().Before(w.until) {
+			b.logInVain(w)
+		}
 		return nil, ErrFull
 	}
 }
 
+// logInVain tells that a long prompt has waited for engines in vain, and what for.
+func (b *Balancer) logInVain(w *Wait) {
+	if b.Log == nil || !heavy(w.job) {
+		return
+	}
+	d := b.demand(w.job.Service)
+	b.Log.Info().Str("request", w.job.Request).Int("prompt", w.job.Prompt).Bool("over_memory", giant(w.job)).
+		Dur("waited", b.Clock.Now().Sub(w.job.Since)).Dur("since_first_try", b.waited(w.job)).
+		Str("held", w.held.String()).Int("waiting", len(b.heavyQueue)).
+		Float64("demand_short", d.Light).Float64("demand_long", d.Heavy).
+		Msg(logPrefix + "A long prompt has waited for engines in vain.")
+}
+
 // leastTime is about how long the job takes to its first event where all engines that
 // may help it are idle.
 func (j Job) leastTime() time.Duration {
@@ -191,6 +210,7 @@
 		}
 		over := giant(w.job)
 		if over && len(left) > 0 {
+			w.held = holdBehind
 			left = append(left, w) // The one before it found no place either.
 			continue
 		}
@@ -199,16 +219,25 @@
 		}
 		left = append(left, w)
 		if !over {
+			holdAll(*q, holdBehind)
 			break
 		}
 	}
 	*q = append(*q, left...)
 }
 
+// holdAll notes why none of the jobs was tried.
+func holdAll(q []*Wait, h hold) {
+	for _, w := range q {
+		w.held = h
+	}
+}
+
 // serve places a job that waits; it reports false if there is no place.
 func (b *Balancer) serve(w *Wait) bool {
-	p, err := b.try(w.job)
+	p, h, err := b.try(w.job)
 	if err != nil || p == nil {
+		w.held = h
 		return false
 	}
 	w.ready <- p
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -94,6 +94,7 @@
 		l.Leave = 0.25
 		return l
 	}},
+	{"engines go while long prompts come", engineLoss},
 	{"three hundred boxes", func(rng *rand.Rand) Load { return hundreds(rng, 100*time.Millisecond, 50*time.Millisecond) }},
 	{"three hundred boxes, old news", func(rng *rand.Rand) Load { return hundreds(rng, 250*time.Millisecond, 150*time.Millisecond) }},
 }
@@ -180,6 +181,26 @@
 	return l
 }
 
+// engineLoss draws a day of hundreds of boxes before engines of which a fifth goes while
+// long prompts, of which a fifth is over an engine's memory, come in bursts: callers then
+// ask for more than there is. It is the largest deployment on its worst days.
+func engineLoss(rng *rand.Rand) Load {
+	l := turns(rng, 150, 8, 11)
+	l.Boxes, l.Halls, l.Told, l.Delay = 295, 5, 100*time.Millisecond, 50*time.Millisecond
+	l.Cost = fleet.CostModel{
+		Slots: 10, Memory: 450_000, Step: millis(0.925), PerWriter: millis(0.00483), PerContext: millis(0.00254),
+		ReadRate: 256e3, PerPairs: millis(0.0917), Chunk: 2048, Stride: 73, UsualOutput: 1300,
+	}
+	l.Kinds = []Kind{
+		{Name: "short", Rate: 217, Prompt: 4960, Events: 24, Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(250), Deadline: 10 * time.Second, Worth: 1.4, Late: 0.34},
+		{Name: "middling", Rate: 23.2, Prompt: 45e3, Events: 15, Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(600), Deadline: 10 * time.Second, Worth: 2.3, Late: 0.58},
+		{Name: "long", Rate: 5.32, Prompt: 300e3, Events: 12, Spread: 0.55, Objective: 4 * time.Second, Pause: millis(1000), Deadline: 15 * time.Second, Worth: 26, Late: 6.6},
+	}
+	l.Deaths = 30
+	l.Cost.UsualPrompt = l.usualPrompt()
+	return l
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // need returns the engines that one prompt a second takes: the more of what its
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -25,10 +25,53 @@
 	Causes [causes]int
 	// Abroad counts those that an engine of another hall answered.
 	Abroad int
+	// Sizes has what became of its prompts by their length.
+	Sizes [sizes]SizeResult
 }
 
 const kinds = 3
 
+// The parts of a kind by the length of its prompts: the longest tenth, the fifth just below
+// it, and the rest.
+const (
+	SizeTenth = iota
+	SizeFifth
+	SizeRest
+	sizes
+)
+
+// SizeResult is what became of the prompts of one kind that are about as long.
+type SizeResult struct {
+	Count  int
+	Served int
+	InTime int
+}
+
+// ServedRate returns the part of the kind's prompts that got a whole answer.
+func (k KindResult) ServedRate() float64 {
+	var sum SizeResult
+	for _, s := range k.Sizes {
+		sum.Count += s.Count
+		sum.Served += s.Served
+	}
+	return sum.Rate()
+}
+
+// Rate returns the part of the prompts that got a whole answer.
+func (s SizeResult) Rate() float64 { return float64(s.Served) / float64(max(s.Count, 1)) }
+
+// add counts a prompt.
+func (s *SizeResult) add(r *request, k Kind) {
+	s.Count++
+	if r.got < r.events {
+		return
+	}
+	s.Served++
+	if r.pause <= k.Pause && r.first <= k.Objective {
+		s.InTime++
+	}
+}
+
 // Worth returns the part of what was owed that was earned.
 func (r Result) Worth() float64 { return r.Earned / max(r.Owed, 1) }
 
@@ -51,10 +94,31 @@
 		res.Owed += owed
 		res.Earned += earned
 	}
+	d.measureSizes(&res)
 	res.Bound = d.bound()
 	return res
 }
 
+// measureSizes counts the prompts of each kind by their length.
+func (d *day) measureSizes(res *Result) {
+	const tenth, fifth = 10, 5
+	longest := slices.Clone(d.list)
+	slices.SortStableFunc(longest, func(a, b *request) int { return cmp.Compare(b.prompt, a.prompt) })
+	var seen [kinds]int
+	for _, r := range longest {
+		k := &res.Kinds[r.kind]
+		size := SizeRest
+		switch at := seen[r.kind]; {
+		case at < k.Count/tenth:
+			size = SizeTenth
+		case at < k.Count/tenth+k.Count/fifth:
+			size = SizeFifth
+		}
+		seen[r.kind]++
+		k.Sizes[size].add(r, d.load.Kinds[r.kind])
+	}
+}
+
 // earned returns what the request was worth to its caller: all of it in time, the mean of
 // that and of late where the caller was soon told to come back, and then served in time.
 func (r *request) earned(k Kind) float64 {
@@ -87,6 +151,11 @@
 	k.Owed += o.Owed
 	k.Earned += o.Earned
 	k.Abroad += o.Abroad
+	for i, size := range o.Sizes {
+		k.Sizes[i].Count += size.Count
+		k.Sizes[i].Served += size.Served
+		k.Sizes[i].InTime += size.InTime
+	}
 	for c := range k.Causes {
 		k.Causes[c] += o.Causes[c]
 	}
