--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -102,7 +102,6 @@
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
-	turns   map[string]*turns
 	// lightQueue and heavyQueue hold the jobs that wait for a place.
 	lightQueue []*Wait
 	heavyQueue []*Wait
@@ -185,7 +184,6 @@
 	defer b.mu.Unlock()
 	if first {
 		b.noteHeavy(j)
-		b.noteAsked(j)
 	}
 	p, h, err := b.try(j)
 	if p != nil || err != nil {
@@ -217,7 +215,6 @@
 	if p == nil {
 		return nil, h, nil
 	}
-	b.notePlaced(j)
 	b.book(p)
 	return p, holdNone, nil
 }
--- a/internal/balance/giant_test.go
+++ b/internal/balance/giant_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -134,61 +133,3 @@
 		})
 	}
 }
-
-// TestOverMemoryHasItsTurn checks that a prompt over an engine's memory is tried beside a
-// shorter one that finds no place, while those over memory were placed less often.
-func TestOverMemoryHasItsTurn(t *testing.T) {
-	const before = 300_000
-	cases := map[string]struct {
-		placed []int // placed are prompts that were placed before.
-		want   bool
-	}{
-		"no other was placed":     {nil, false},
-		"shorter ones were":       {[]int{before}, true},
-		"much shorter ones were":  {[]int{60_000}, false},
-		"both kinds were, in all": {[]int{before, overMemory}, false},
-	}
-	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			c := quicktest.New(t)
-			f := newFixture(6)
-			for _, prompt := range tc.placed {
-				j := job(prompt)
-				j.Objective = 8 * time.Second
-				p := f.place(t, j)
-				p.First()
-				p.Done(balance.Report{})
-			}
-			c.Check(f.overHeld(c) == "engines read", quicktest.Equals, tc.want)
-		})
-	}
-}
-
-// overHeld has a long prompt and one over an engine's memory wait for engines that read until
-// the latter is refused, and returns why it was.
-func (f *fixture) overHeld(c *quicktest.C) string {
-	var lines bytes.Buffer
-	f.Log = &log.Logger{Writer: &log.IOWriter{Writer: &lines}}
-	busy := balance.NewSnapshot()
-	for _, target := range f.targets {
-		busy.Work[balance.KeyOf(string(target.ID))] = balance.Work{Backlog: time.Minute}
-	}
-	f.SetOthers(busy)
-	var last *balance.Wait
-	for _, prompt := range []int{longPrompt, overMemory} {
-		j := job(prompt)
-		j.Objective = 8 * time.Second
-		_, w, err := f.Ask(context.Background(), j)
-		c.Assert(err, quicktest.IsNil)
-		last = w
-	}
-	f.SetOthers(busy)
-	f.clock.Advance(last.Until().Sub(f.clock.Now()))
-	_, err := f.Abandon(last)
-	c.Assert(eris.Is(err, balance.ErrFull), quicktest.IsTrue)
-	var line struct {
-		Held string `json:"held"`
-	}
-	c.Assert(json.Unmarshal(lines.Bytes(), &line), quicktest.IsNil)
-	return line.Held
-}
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -200,41 +200,39 @@
 }
 
 // serveQueue places jobs that wait, in their order. If one finds no place, neither do those
-// behind it: all that are over an engine's memory, which need more than any other, and those
-// below it. What is over it is still tried beside the others while it was placed less often
-// than these: in bursts some shorter prompt waits at any time, so that its turn would not
-// come. In the laboratory, with a fifth of the engines gone, the fifth of the long prompts
-// below the longest tenth is served at TODO of the kind's rate in place of 0.44.
+// behind it, but for prompts over an engine's memory, which need more than any other.
 func (b *Balancer) serveQueue(q *[]*Wait, most int) {
 	var left []*Wait
-	var over, below bool // whether one found no place
 	for ; most > 0; most-- {
 		w := b.nextWaiter(q)
 		if w == nil {
 			break
 		}
-		behind := below
-		if giant(w.job) {
-			behind = over || below && !b.overIsBehind(w.job)
-		}
-		if behind {
+		over := giant(w.job)
+		if over && len(left) > 0 {
 			w.held = holdBehind
-			left = append(left, w)
+			left = append(left, w) // The one before it found no place either.
 			continue
 		}
 		if b.serve(w) {
 			continue
 		}
 		left = append(left, w)
-		over = over || giant(w.job)
-		below = below || !giant(w.job)
-		if !heavy(w.job) {
-			break // None in this queue is over memory.
+		if !over {
+			holdAll(*q, holdBehind)
+			break
 		}
 	}
 	*q = append(*q, left...)
 }
 
+// holdAll notes why none of the jobs was tried.
+func holdAll(q []*Wait, h hold) {
+	for _, w := range q {
+		w.held = h
+	}
+}
+
 // serve places a job that waits; it reports false if there is no place.
 func (b *Balancer) serve(w *Wait) bool {
 	p, h, err := b.try(w.job)
