--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -29,6 +29,13 @@
 	Late  float64
 }
 
+// The names of the kinds of streams.
+const (
+	kindShort    = "short"
+	kindMiddling = "middling"
+	kindLong     = "long"
+)
+
 // Load is a day: engines, boxes and what callers send.
 type Load struct {
 	Name    string
@@ -125,9 +132,9 @@
 	}
 	l.Cost.Stride = int(45 / (l.Cost.Step.Seconds() * perThousand))
 	l.Kinds = []Kind{
-		{Name: "short", Prompt: between(rng, 3e3, 6e3), Events: between(rng, 28, 42), Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(between(rng, 180, 280)), Deadline: 10 * time.Second, Worth: 1.3, Late: 0.33},
-		{Name: "middling", Prompt: between(rng, 30e3, 60e3), Events: between(rng, 18, 26), Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(between(rng, 450, 650)), Deadline: 10 * time.Second, Worth: 3.5, Late: 0.9},
-		{Name: "long", Prompt: between(rng, 150e3, 240e3), Events: between(rng, 15, 22), Spread: 0.55, Objective: 3 * time.Second, Pause: millis(between(rng, 750, 1050)), Deadline: 15 * time.Second, Worth: 23, Late: 5.7},
+		{Name: kindShort, Prompt: between(rng, 3e3, 6e3), Events: between(rng, 28, 42), Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(between(rng, 180, 280)), Deadline: 10 * time.Second, Worth: 1.3, Late: 0.33},
+		{Name: kindMiddling, Prompt: between(rng, 30e3, 60e3), Events: between(rng, 18, 26), Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(between(rng, 450, 650)), Deadline: 10 * time.Second, Worth: 3.5, Late: 0.9},
+		{Name: kindLong, Prompt: between(rng, 150e3, 240e3), Events: between(rng, 15, 22), Spread: 0.55, Objective: 3 * time.Second, Pause: millis(between(rng, 750, 1050)), Deadline: 15 * time.Second, Worth: 23, Late: 5.7},
 	}
 	// Each kind needs so much of the engines: short streams of the slots, the others
 	// of the time.
@@ -173,9 +180,9 @@
 		ReadRate: 154e3, PerPairs: millis(0.162), Chunk: 2048, Stride: 38, UsualOutput: 1200,
 	}
 	l.Kinds = []Kind{
-		{Name: "short", Rate: 71.2, Prompt: 5e3, Events: 36, Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(250), Deadline: 10 * time.Second, Worth: 1.3, Late: 0.34},
-		{Name: "middling", Rate: 8.67, Prompt: 45e3, Events: 21, Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(600), Deadline: 10 * time.Second, Worth: 3.3, Late: 0.82},
-		{Name: "long", Rate: 1.62, Prompt: 260e3, Events: 18, Spread: 0.55, Objective: 4 * time.Second, Pause: millis(1000), Deadline: 15 * time.Second, Worth: 34, Late: 8.6},
+		{Name: kindShort, Rate: 71.2, Prompt: 5e3, Events: 36, Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(250), Deadline: 10 * time.Second, Worth: 1.3, Late: 0.34},
+		{Name: kindMiddling, Rate: 8.67, Prompt: 45e3, Events: 21, Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(600), Deadline: 10 * time.Second, Worth: 3.3, Late: 0.82},
+		{Name: kindLong, Rate: 1.62, Prompt: 260e3, Events: 18, Spread: 0.55, Objective: 4 * time.Second, Pause: millis(1000), Deadline: 15 * time.Second, Worth: 34, Late: 8.6},
 	}
 	l.Cost.UsualPrompt = l.usualPrompt()
 	return l
@@ -192,9 +199,9 @@
 		ReadRate: 256e3, PerPairs: millis(0.0917), Chunk: 2048, Stride: 73, UsualOutput: 1300,
 	}
 	l.Kinds = []Kind{
-		{Name: "short", Rate: 217, Prompt: 4960, Events: 24, Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(250), Deadline: 10 * time.Second, Worth: 1.4, Late: 0.34},
-		{Name: "middling", Rate: 23.2, Prompt: 45e3, Events: 15, Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(600), Deadline: 10 * time.Second, Worth: 2.3, Late: 0.58},
-		{Name: "long", Rate: 5.32, Prompt: 300e3, Events: 12, Spread: 0.55, Objective: 4 * time.Second, Pause: millis(1000), Deadline: 15 * time.Second, Worth: 26, Late: 6.6},
+		{Name: kindShort, Rate: 217, Prompt: 4960, Events: 24, Spread: 0.8, Objective: 300 * time.Millisecond, Pause: millis(250), Deadline: 10 * time.Second, Worth: 1.4, Late: 0.34},
+		{Name: kindMiddling, Rate: 23.2, Prompt: 45e3, Events: 15, Spread: 0.5, Objective: 1500 * time.Millisecond, Pause: millis(600), Deadline: 10 * time.Second, Worth: 2.3, Late: 0.58},
+		{Name: kindLong, Rate: 5.32, Prompt: 300e3, Events: 12, Spread: 0.55, Objective: 4 * time.Second, Pause: millis(1000), Deadline: 15 * time.Second, Worth: 26, Late: 6.6},
 	}
 	l.Deaths = 30
 	l.Cost.UsualPrompt = l.usualPrompt()
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -122,7 +122,7 @@
 		fmt.Fprintf(&b, " %s |", c)
 	}
 	fmt.Fprintf(&b, "\n|---|---|%s\n", strings.Repeat("---|", int(causes)-1))
-	names := [kinds]string{"short", "middling", "long"}
+	names := [kinds]string{kindShort, kindMiddling, kindLong}
 	for _, r := range rows {
 		if r.policy.pick != nil {
 			continue
