--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -51,10 +51,9 @@
 
 // entry is what the target says of itself in the store.
 func (t *slot) entry(state string) map[string]any {
-	return map[string]any{
-		fieldService: t.service, fieldAddress: t.link.addr(), "zone": fmt.Sprintf("h%d", t.number%2),
-		fieldSlots: t.soak.load().slots, fieldState: state, "born": t.born.UnixMilli(),
-	}
+	e := platformtest.Entry(t.service, t.link.addr(), fmt.Sprintf("h%d", t.number%2), t.soak.load().slots, state)
+	e["born"] = t.born.UnixMilli()
+	return e
 }
 
 func (t *slot) announce(state string) {
