--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -126,9 +127,16 @@
 // saw them below it. In bursts some long prompt waits at any time, shorter than these, and
 // was given the next engines before any over memory was tried.
 func TestSizes(t *testing.T) {
+	load := family(t, "engines go while long prompts come")
+	var days [3]lab.KindResult
+	var wait sync.WaitGroup
+	for seed := range days {
+		wait.Go(func() { days[seed] = lab.Run(load, lab.Balanced, uint64(seed)).Kinds[2] })
+	}
+	wait.Wait()
 	var long lab.KindResult
-	for seed := range uint64(3) {
-		long.Add(lab.Run(family(t, "engines go while long prompts come"), lab.Balanced, seed).Kinds[2])
+	for _, day := range days {
+		long.Add(day)
 	}
 	kind := long.ServedRate()
 	for name, size := range map[string]int{"longest tenth": lab.SizeTenth, "fifth below": lab.SizeFifth} {
