The router's tests listen at a loopback IP of their own process

One way in which it can fail is that a port which was found free is taken by another process, or an outgoing connection, before the box listens there. That way is closed; whether it was this one is not known.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -33,8 +34,12 @@
 	done    []chan error
 }
 
+// freeAddr returns an address at which nobody listens. It is of a loopback IP of this
+// process's own: at a shared one, another process or an outgoing connection may take the port
+// before it is listened at.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 64+pid>>8&0x3f, pid&0xff))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer l.Close()
 	return l.Addr().String()
