A request that the end of the box overtakes is answered, whatever seems to have ended it first

When the box ends, the reading of bodies that have not come is ended, and with it the connection of a caller whose body comes whole in that moment; its request then seemed to have been left by its caller and got no answer if that was noticed first.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -210,7 +210,7 @@
 	if x.ran {
 		outcome = barleystep.OutcomeUnknown
 	}
-	end := endOf(ctx, err)
+	end := d.endOf(ctx, err)
 	switch {
 	case end == endCaller:
 		return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
@@ -243,14 +243,18 @@
 	endBox
 )
 
-// endOf returns what ended a request by its context and last error.
-func endOf(ctx context.Context, err error) end {
+// endOf returns what ended a request by its context and last error. Once the box has ended
+// all requests, a caller that seems to have gone may be one whose connection it has stopped
+// reading: it is answered.
+func (d *deliver) endOf(ctx context.Context, err error) end {
 	cause := context.Cause(ctx)
 	switch {
 	case eris.Is(err, errStopping), eris.Is(cause, errStopping):
 		return endBox
 	case eris.Is(cause, context.DeadlineExceeded):
 		return endTime
+	case cause != nil && d.stop.before(0):
+		return endBox
 	case cause != nil:
 		return endCaller
 	default:
