--- a/internal/soak/box.go
+++ b/internal/soak/box.go
@@ -62,10 +62,16 @@
 	return b, err
 }
 
-// listen listens on a loopback address.
-func listen(ctx context.Context) (net.Listener, error) {
+// hostOf returns the loopback address of a run's own, by its process: no other run can take
+// a port of its boxes, links and targets, nor be reached at one that a target has left.
+func hostOf(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
+}
+
+// listen listens at any port of the address of the run whose process is given.
+func listen(ctx context.Context, pid int) (net.Listener, error) {
 	var c net.ListenConfig
-	return c.Listen(ctx, "tcp", "127.0.0.1:0")
+	return c.Listen(ctx, "tcp", hostOf(pid)+":0")
 }
 
 // The ports of a box: those of the first one, which stand side by side.
@@ -76,11 +82,9 @@
 	portsEach = iota
 )
 
-// addr returns the address of a box's port. The boxes of a run are at a loopback address
-// of its own, by its process, so that no other process can take a port of theirs.
+// addr returns the address of a box's port.
 func addr(port, number int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, port+portsEach*number)
+	return fmt.Sprintf("%s:%d", hostOf(os.Getpid()), port+portsEach*number)
 }
 
 // start runs the program until stop.
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -30,7 +31,7 @@
 const slowness = 60 * time.Millisecond
 
 func newLink(ctx context.Context, clk barleystep.Clock) (l *link, err error) {
-	listener, err := listen(ctx)
+	listener, err := listen(ctx, os.Getpid())
 	if err != nil {
 		return nil, eris.Wrap(err, "soak: link")
 	}
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -48,7 +48,7 @@
 // RunTarget is the process of a stand-in for a target, which is set up but for its
 // reports. It returns when its input ends.
 func RunTarget(ctx context.Context, t *platformtest.Target) (err error) {
-	l, err := listen(ctx)
+	l, err := listen(ctx, os.Getppid())
 	if err != nil {
 		return eris.Wrap(err, "soak: target")
 	}
@@ -70,7 +70,7 @@
 
 // RunStore is the process of a stand-in for the platform's store.
 func RunStore(ctx context.Context, clk barleystep.Clock) (err error) {
-	l, err := listen(ctx)
+	l, err := listen(ctx, os.Getppid())
 	if err != nil {
 		return eris.Wrap(err, "soak: store")
 	}
