--- a/cmd/barleystep-soak/main.go
+++ b/cmd/barleystep-soak/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -87,15 +86,22 @@
 		if err != nil {
 			return err
 		}
+		failed := 0
 		for _, r := range list {
 			if ci && !r.CI {
 				continue
 			}
 			fmt.Fprintf(s.Out, "seed %d: %s\n", r.Seed, r.Cause)
 			again := &soak.Soak{Setup: r.Setup(), Clock: s.Clock, Program: s.Program, Out: s.Out}
-			err = errors.Join(err, run(cmd, again))
+			if err := run(cmd, again); err != nil {
+				fmt.Fprintln(s.Out, "Error:", err)
+				failed++
+			}
 		}
-		return err
+		if failed > 0 {
+			return eris.Errorf("%d regressions failed", failed)
+		}
+		return nil
 	}}
 	cmd.Flags().BoolVar(&ci, "ci", false, "run only those that are run in CI")
 	return cmd
