What is known of a target is looked up once for each choice; one condition for taking a request elsewhere

Read through: candidates looked the same state up three times for each target, and the watch over a try and the news of a restart had the same condition twice. Behaviour is the same.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -119,8 +119,8 @@
 
 // state is what a box knows of one lifetime of a target by itself.
 type state struct {
-	// key names the lifetime between boxes, as the target says now that it was born, zero if
-	// it does not. Born is what it said last.
+	// key names the lifetime between boxes. It is that of said, the start which the target's
+	// record says now, zero if it says none; born is the last start that one said.
 	key  Key
 	said int64
 	born int64
@@ -258,8 +258,8 @@
 		if t.Service != j.Service || t.Draining || avoided(j, t.ID) {
 			continue
 		}
-		b.meet(t)
-		if b.leaves(t.ID, now) {
+		s, _ := b.meet(t)
+		if b.leaves(t.ID, s, now) {
 			shunned = append(shunned, t)
 			continue
 		}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -22,11 +22,10 @@
 func (b *Balancer) Down(id barleystep.TargetID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.isDown(id, b.Clock.Now())
+	return b.isDown(b.state(id), b.Clock.Now())
 }
 
-func (b *Balancer) isDown(id barleystep.TargetID, now time.Time) bool {
-	s := b.state(id)
+func (b *Balancer) isDown(s *state, now time.Time) bool {
 	if s.down(now) {
 		return true
 	}
@@ -35,9 +34,8 @@
 
 // leaves reports whether the target is left alone while others can take the work,
 // and logs when it begins or ceases to seem down.
-func (b *Balancer) leaves(id barleystep.TargetID, now time.Time) bool {
-	s := b.state(id)
-	down := b.isDown(id, now)
+func (b *Balancer) leaves(id barleystep.TargetID, s *state, now time.Time) bool {
+	down := b.isDown(s, now)
 	if down != s.suspect {
 		s.suspect = down
 		b.logDown(id, s, now)
--- a/internal/balance/lifetime.go
+++ b/internal/balance/lifetime.go
@@ -20,7 +20,10 @@
 	defer b.mu.Unlock()
 	renewed := false
 	for _, t := range b.Targets() {
-		if _, known := b.states[t.ID]; known && b.meet(t) {
+		if _, known := b.states[t.ID]; !known {
+			continue
+		}
+		if _, anew := b.meet(t); anew {
 			renewed = true
 		}
 	}
@@ -30,10 +33,11 @@
 	}
 }
 
-// meet takes note of the target's lifetime and reports whether it is a new one under a known
-// id: the books, failures and marks of the earlier one are dropped then.
-func (b *Balancer) meet(t fleet.Target) (renewed bool) {
-	s := b.state(t.ID)
+// meet takes note of the target's lifetime. It returns what is known of it, and whether it is
+// a new one under a known id: the books, failures and marks of the earlier one are dropped
+// then.
+func (b *Balancer) meet(t fleet.Target) (s *state, renewed bool) {
+	s = b.state(t.ID)
 	renewed = t.Restarted(s.born)
 	if renewed {
 		s = b.restart(s, t.ID)
@@ -44,7 +48,7 @@
 	if t.Born != 0 {
 		s.born = t.Born
 	}
-	return renewed
+	return s, renewed
 }
 
 // restart begins the books of a new lifetime with the tries that run there already. The
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -54,7 +54,7 @@
 func (t *try) newWatch(cancel context.CancelCauseFunc) *watch {
 	x := t.exchange
 	w := &watch{clock: t.stage.clock, cancel: cancel, move: t.mayMove, down: t.targetDown, done: make(chan struct{})}
-	if x.route.Kind != fleet.KindStream || !x.route.Resumable || x.sends+1 >= x.route.MaxSends {
+	if x.route.Kind != fleet.KindStream || !t.movable() {
 		return w
 	}
 	w.pause = max(pauseFactor*x.route.MaxPause, leastSilence)
