Sight: what targets say of how much they take is read, logged and counted

Targets in need name in their answers how many requests a second they take from all boxes. No choice of a target changes.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -136,6 +136,8 @@
 	shunned time.Time
 	// errors is the recent part of answers that were failures, 0 to 1.
 	errors float64
+	// limit is what the target has last said here of how much it takes.
+	limit limitNews
 }
 
 const (
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -27,6 +27,7 @@
 	// number counts the request's tries, also those that reached no target.
 	number  int
 	started time.Time
+	sent    time.Time     // sent is when the target was sent the request.
 	head    reply.Head    // head is that of the target's answer.
 	skipped int           // skipped counts the answers to other requests that came before it.
 	first   time.Duration // first is the time to the first event or the answer.
@@ -95,7 +96,8 @@
 	x.target = t.placement.Target.ID
 	x.helpers = len(t.placement.Helpers)
 	x.expected = t.placement.Expected()
-	x.progress.sendTo(x.target, t.stage.clock.Now())
+	t.sent = t.stage.clock.Now()
+	x.progress.sendTo(x.target, t.sent)
 	resp, err := c.Send(ctx, t.request(left), x.body, t.mine)
 	t.skipped = c.Skipped()
 	if err != nil {
@@ -206,6 +208,7 @@
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
+	t.placement.Limited(verdict.Limit, t.sent)
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.Sealed)
 	if verdict.NotRun {
 		t.blamed = t.helperNamed(verdict.Blamed)
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -67,7 +67,7 @@
 }
 
 func (r *Router) targetStates() []metric.Sample {
-	known, draining, down, unnamed := 0, 0, 0, 0
+	known, draining, down, limited, unnamed := 0, 0, 0, 0, 0
 	view := r.configuration.View()
 	for _, t := range r.targets.List() {
 		known++
@@ -77,6 +77,9 @@
 		if r.balancer.Down(t.ID) {
 			down++
 		}
+		if r.balancer.Limit(t.ID).Named() {
+			limited++
+		}
 		if view != nil && view.Service(t.Service) == nil {
 			unnamed++
 		}
@@ -85,6 +88,7 @@
 		{Label: "known", Value: float64(known)},
 		{Label: "draining", Value: float64(draining)},
 		{Label: "down", Value: float64(down)},
+		{Label: "limited", Value: float64(limited)},
 		{Label: "no_service", Value: float64(unnamed)},
 		{Label: "foreign", Value: float64(r.targets.Foreign())},
 	}
