--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -281,6 +281,7 @@
 	avoid   []barleystep.TargetID
 	choice  *choice
 	run     *run
+	sent    time.Time
 }
 
 // send starts the request at its engines.
@@ -301,7 +302,7 @@
 		}
 		c.helpers = slices.DeleteFunc(c.helpers, func(e *engine) bool { return e.dead })
 	}
-	a := &attempt{day: d, box: b, request: r, avoid: avoid, choice: c}
+	a := &attempt{day: d, box: b, request: r, avoid: avoid, choice: c, sent: d.timeline.Now()}
 	a.run = &run{
 		request: r, first: c.first, helpers: c.helpers, tokens: tokens, events: r.events - r.got, event: a.event,
 		failed:   func() { a.again(balance.Report{Unreachable: true}, c.first.id()) },
@@ -313,6 +314,7 @@
 	r.abandon = func() { a.end(balance.Report{}) }
 	d.timeline.After(network, func() {
 		if r.run == a.run && !r.ended && !a.run.over {
+			c.first.count(b)
 			c.first.start(a.run)
 		}
 	})
@@ -321,6 +323,9 @@
 // event passes an event on; the last one ends the request.
 func (a *attempt) event(p pass) {
 	r := a.request
+	if a.run.written == 1 {
+		a.tell()
+	}
 	a.day.event(r, a.day.load.Kinds[r.kind], p)
 	if a.choice.placement != nil {
 		a.choice.placement.First()
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -71,6 +71,7 @@
 	boxes    []*box
 	list     []*request
 	policy   Policy
+	namings  []*naming
 	lives    int // lives counts the starts of the boxes.
 }
 
@@ -90,6 +91,7 @@
 		d.timeline.After(r.at, func() { d.arrive(r) })
 	}
 	d.faults()
+	d.limits()
 	d.timeline.Run(l.Span + after)
 	return d.measure()
 }
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -20,6 +20,8 @@
 	slowness float64
 	dead     bool
 	lives    int // lives counts the deaths.
+	// naming is set while it names how much it takes.
+	naming *naming
 
 	// parts are read before prompts, the one that came last first. The first engine's
 	// own part of a prompt is among the prompts.
--- /dev/null
+++ b/internal/lab/limit.go
@@ -0,0 +1,123 @@
+package lab
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Limit is a time in which an engine names how many requests a second it takes from all
+// boxes.
+type Limit struct {
+	Engine    int
+	PerSecond float64
+	From      time.Duration
+	Until     time.Duration
+}
+
+const (
+	// limitWindow is the time in which the requests to an engine are counted, and
+	// limitFactor and limitSlack are what it may get in it: so many times what its limit
+	// allows, and so many requests besides.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// limitContact is after how long from the first naming on it counts, and limitTold how
+	// long before it a box must have been told whose requests do.
+	limitContact = 3 * time.Second
+	limitTold    = 500 * time.Millisecond
+)
+
+// LimitResult is what an engine got while it named a limit.
+type LimitResult struct {
+	// Allowed is how many requests it may get in the window, Told the most that it got in
+	// one from boxes that it had told, and Most the most from any box.
+	Allowed float64
+	Told    int
+	Most    int
+	// Sent is how many it got in all from when it counts on, and Takes how many it would
+	// have taken.
+	Sent  int
+	Takes float64
+}
+
+// arrival is a request that reached an engine while it named a limit.
+type arrival struct {
+	at   time.Duration
+	told bool
+}
+
+// naming is a limit that an engine names, and what it has got meanwhile.
+type naming struct {
+	Limit
+	told     map[*box]time.Duration
+	arrivals []arrival
+}
+
+// limits plans the limits of the engines.
+func (d *day) limits() {
+	for _, l := range d.load.Limits {
+		n := &naming{Limit: l, told: make(map[*box]time.Duration)}
+		d.namings = append(d.namings, n)
+		e := d.engines[l.Engine]
+		d.timeline.After(l.From, func() { e.naming = n })
+		d.timeline.After(l.Until, func() { e.naming = nil })
+	}
+}
+
+// limit returns what the engine names now.
+func (e *engine) limit() barleystep.RateLimit {
+	if e.naming == nil {
+		return barleystep.RateLimit{}
+	}
+	return barleystep.NewRateLimit(e.naming.PerSecond)
+}
+
+// count notes a request of a box that reaches the engine.
+func (e *engine) count(b *box) {
+	n := e.naming
+	if n == nil {
+		return
+	}
+	now := e.timeline.Elapsed()
+	at, told := n.told[b]
+	n.arrivals = append(n.arrivals, arrival{at: now, told: told && now-at >= limitTold})
+}
+
+// tell has a box read the head of an answer.
+func (a *attempt) tell() {
+	e := a.choice.first
+	if n := e.naming; n != nil {
+		if _, told := n.told[a.box]; !told {
+			n.told[a.box] = e.timeline.Elapsed()
+		}
+	}
+	if a.choice.placement != nil {
+		a.choice.placement.Limited(e.limit(), a.sent)
+	}
+}
+
+// result counts what the engine got.
+func (n *naming) result() LimitResult {
+	r := LimitResult{Allowed: limitFactor*n.PerSecond*limitWindow.Seconds() + limitSlack}
+	from := n.From + limitContact
+	r.Takes = n.PerSecond * (n.Until - from).Seconds()
+	for i, last := range n.arrivals {
+		if last.at < from {
+			continue
+		}
+		r.Sent++
+		all, told := 0, 0
+		for _, a := range n.arrivals[:i+1] {
+			if a.at < from || last.at-a.at >= limitWindow {
+				continue
+			}
+			all++
+			if a.told {
+				told++
+			}
+		}
+		r.Most, r.Told = max(r.Most, all), max(r.Told, told)
+	}
+	return r
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -67,6 +67,8 @@
 	// old that is at least; zero is 50 ms each.
 	Told  time.Duration
 	Delay time.Duration
+	// Limits are the times in which engines name how much they take.
+	Limits []Limit
 }
 
 // Family is a way to draw loads.
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -15,6 +15,8 @@
 	Bound  float64
 	// Kinds has the same by kind, and the causes of late streams.
 	Kinds [kinds]KindResult
+	// Limits has what engines got while they named a limit, in the load's order.
+	Limits []LimitResult
 }
 
 // KindResult is what became of the prompts of one kind.
@@ -95,6 +97,9 @@
 		res.Earned += earned
 	}
 	d.measureSizes(&res)
+	for _, n := range d.namings {
+		res.Limits = append(res.Limits, n.result())
+	}
 	res.Bound = d.bound()
 	return res
 }
