--- /dev/null
+++ b/internal/balance/allowance.go
@@ -0,0 +1,174 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// A target's limit is kept over all boxes by having one of them, the lead, place all requests
+// of a service with limited targets: what it places there it takes from a bucket that fills
+// at the named rate. So nothing needs to be agreed, and callers' requests use up the limit
+// whichever box they come to. A part of a long prompt counts as a request to the target that
+// reads it, and so does each resend.
+//
+// In any window of w seconds, over all boxes that know a limit of l requests a second:
+//
+//   - The lead gives l*w and a full bucket, 1 + bucketSpan*l. One that takes over begins with
+//     an empty bucket, so that leads that follow each other give no more than one.
+//   - Where boxes are cut off from each other, each side has a lead, which gives the part of
+//     l that its side is of all boxes: the parts add up to l, for as long as the boxes of the
+//     other sides are remembered.
+//   - A box whose lead does not answer may send strayPart of its equal share of l, in whole
+//     requests in each limitWindow: all together strayPart*l*w at most.
+//
+// In four seconds that is 4.5*l + 1, and l from boxes without a lead; two leads at a time,
+// for as long as it takes boxes to hear of each other, add l a second. Boxes that were not
+// told, by the target or by others, keep to nothing: news take some tens of milliseconds, and
+// a box that starts hears of limits together with the lead.
+
+const (
+	// bucketSpan is the time whose rate the lead saves up while nobody asks, besides one
+	// request: with none, a limit of one a second was used up to three quarters, since a
+	// request comes some time after there is room for it.
+	bucketSpan = 500 * time.Millisecond
+	// limitWindow is the time over which targets count what they get.
+	limitWindow = 4 * time.Second
+	// strayPart is the part of a limit that boxes without a lead share.
+	strayPart = 0.25
+	// leastRate is the rate, in requests a second, at which targets are asked that take less,
+	// or nothing: only an answer says that a limit is over.
+	leastRate = 0.1
+)
+
+// Role is a box's part among the boxes that it knows.
+type Role struct {
+	// Leads is set if the box decides for all that it reaches.
+	Leads bool
+	// Boxes is how many boxes there are, with those that were silent for some time, and
+	// Reached how many of them the box hears of; both count the box itself.
+	Boxes   int
+	Reached int
+}
+
+// SetRole takes in the box's part among all boxes.
+func (b *Balancer) SetRole(r Role) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.role = r
+}
+
+// leads reports whether the box places what others ask for; one without a lead does so for
+// itself.
+func (b *Balancer) leads() bool { return b.Lead == nil || b.role.Leads }
+
+// allowance is what this box may send to a target that has named a limit.
+type allowance struct {
+	// tokens are the requests that the lead may place, as of filled, which is zero while the
+	// box does not lead.
+	tokens float64
+	filled time.Time
+	// strays are when the box placed requests there without a lead, in the last limitWindow.
+	strays []time.Time
+}
+
+// rate returns how many requests a second all boxes may send.
+func rate(l barleystep.RateLimit) float64 { return max(l.PerSecond(), leastRate) }
+
+// leadRate returns how many requests a second this box may place as the lead: its side's part
+// of the limit.
+func (b *Balancer) leadRate(l barleystep.RateLimit) float64 {
+	if b.role.Boxes == 0 {
+		return rate(l)
+	}
+	return rate(l) * min(float64(b.role.Reached)/float64(b.role.Boxes), 1)
+}
+
+// strayRequests returns how many requests this box may place without a lead in each
+// limitWindow.
+func (b *Balancer) strayRequests(l barleystep.RateLimit) int {
+	all := strayPart * rate(l) * limitWindow.Seconds()
+	return int(all / float64(max(b.role.Boxes, 1)))
+}
+
+// admits reports whether the target may get one more request from this box.
+func (b *Balancer) admits(s *state) bool {
+	if !s.limit.Limit.Named() {
+		return true
+	}
+	now := b.Clock.Now()
+	if b.leads() {
+		s.allowance.fill(b.leadRate(s.limit.Limit), now)
+		return s.allowance.tokens >= 1
+	}
+	s.allowance.filled = time.Time{}
+	s.allowance.expire(now)
+	return len(s.allowance.strays) < b.strayRequests(s.limit.Limit)
+}
+
+// fill adds what the rate has given since the last time.
+func (a *allowance) fill(rate float64, now time.Time) {
+	if a.filled.IsZero() {
+		a.tokens, a.filled = 0, now
+	}
+	most := 1 + rate*bucketSpan.Seconds()
+	a.tokens = min(a.tokens+rate*now.Sub(a.filled).Seconds(), most)
+	a.filled = now
+}
+
+// expire forgets the requests that count no longer.
+func (a *allowance) expire(now time.Time) {
+	a.strays = slices.DeleteFunc(a.strays, func(at time.Time) bool { return now.Sub(at) >= limitWindow })
+}
+
+// spend takes a placement that was made here from what its targets take.
+func (b *Balancer) spend(p *Placement) {
+	for _, part := range p.parts {
+		s := b.state(part.target)
+		switch {
+		case !s.limit.Limit.Named():
+		case b.leads():
+			s.allowance.tokens--
+		default:
+			s.allowance.strays = append(s.allowance.strays, b.Clock.Now())
+		}
+	}
+}
+
+// admitting returns the targets that may get one more request from this box.
+func (b *Balancer) admitting(targets []fleet.Target) []fleet.Target {
+	list := make([]fleet.Target, 0, len(targets))
+	for _, t := range targets {
+		if b.admits(b.state(t.ID)) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// limitDelay returns how long it takes until the limits of all targets of the job have room
+// for it and for those that wait before it, and whether they ever have. It is a bound from
+// below: buckets may be emptier than none.
+func (b *Balancer) limitDelay(j Job) (delay time.Duration, ever bool) {
+	perSecond := 0.0
+	for _, t := range b.candidates(j) {
+		l := b.state(t.ID).limit.Limit
+		if b.leads() {
+			perSecond += b.leadRate(l)
+		} else {
+			perSecond += float64(b.strayRequests(l)) / limitWindow.Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return 0, false
+	}
+	before := 0
+	for _, w := range b.limitQueue {
+		if !w.gone && w.job.Service == j.Service {
+			before++
+		}
+	}
+	return time.Duration(float64(before) / perSecond * float64(time.Second)), true
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -102,9 +102,13 @@
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
-	// lightQueue and heavyQueue hold the jobs that wait for a place.
+	// lightQueue and heavyQueue hold the jobs that wait for a place, limitQueue those whose
+	// targets have all named a limit that is used up.
 	lightQueue []*Wait
 	heavyQueue []*Wait
+	limitQueue []*Wait
+	// role is this box's part among all boxes.
+	role Role
 	// grants are the placements that were made for other boxes, by their numbers, of
 	// which granted is the last. This box is the lead until leadUntil, as far as it
 	// knows.
@@ -136,8 +140,11 @@
 	shunned time.Time
 	// errors is the recent part of answers that were failures, 0 to 1.
 	errors float64
-	// limit is what the target has last said here of how much it takes.
-	limit limitNews
+	// limit is what is believed of how much the target takes from all boxes, heardLimit what
+	// it has said here, and allowance what this box may send of it.
+	limit      LimitNews
+	heardLimit LimitNews
+	allowance  allowance
 }
 
 const (
@@ -206,15 +213,18 @@
 	if len(candidates) == 0 {
 		return nil, holdNone, ErrNoTarget
 	}
+	if giant(j) && !fits(j, len(candidates)) {
+		return nil, holdMemory, ErrFull // Waiting here would not help.
+	}
+	candidates = b.admitting(candidates)
 	switch {
+	case len(candidates) == 0:
+		return nil, holdLimit, nil
 	case j.Cost == nil:
-		p = b.placePlain(candidates)
+		p = b.placePlain(j, candidates)
 	case giant(j):
-		if !fits(j, len(candidates)) {
-			return nil, holdMemory, ErrFull // Waiting here would not help.
-		}
 		p, h = b.placeGiant(j, candidates)
-	case heavy(j):
+	case Heavy(j):
 		p, h = b.placeHeavy(j, candidates)
 	default:
 		p, h = b.placeLight(j, candidates), holdSlots
@@ -222,6 +232,7 @@
 	if p == nil {
 		return nil, h, nil
 	}
+	b.spend(p)
 	b.book(p)
 	return p, holdNone, nil
 }
@@ -290,25 +301,30 @@
 	if !ok {
 		s = &state{key: KeyOf(string(id))}
 		b.states[id] = s
+		b.hearLimit(id, s)
 	}
 	return s
 }
 
 // placePlain takes the target with the fewest requests in progress, one of the
-// own hall where there is little between them.
-func (b *Balancer) placePlain(candidates []fleet.Target) *Placement {
+// caller's hall where there is little between them.
+func (b *Balancer) placePlain(j Job, candidates []fleet.Target) *Placement {
 	best, least := 0, 0.0
 	for i, t := range candidates {
 		w := b.work(t.ID)
 		score := float64(w.Light) + errorPenalty*b.state(t.ID).errors + b.chance()
-		if t.Hall != b.Hall {
+		if t.Hall != j.Hall {
 			score++
 		}
 		if i == 0 || score < least {
 			best, least = i, score
 		}
 	}
-	t := candidates[best]
+	return plainPlacement(candidates[best])
+}
+
+// plainPlacement returns the placement of a request to a plain service at a target.
+func plainPlacement(t fleet.Target) *Placement {
 	return &Placement{Target: t, parts: []*part{{target: t.ID, work: Work{Light: 1}}}}
 }
 
--- a/internal/balance/giant.go
+++ b/internal/balance/giant.go
@@ -8,7 +8,7 @@
 
 // giant reports whether a long prompt is longer than an engine's memory.
 func giant(j Job) bool {
-	return heavy(j) && float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
+	return Heavy(j) && float64(j.Prompt+j.Output) > memoryPart*float64(j.Cost.Memory)
 }
 
 // fits reports whether so many engines have the memory for a giant: one writes, and the
--- a/internal/balance/hold.go
+++ b/internal/balance/hold.go
@@ -16,9 +16,11 @@
 	holdMemory
 	// holdStreams is that the streams that it would hold up are worth more, or end soon.
 	holdStreams
+	// holdLimit is that all its targets have named a limit, which is used up.
+	holdLimit
 )
 
 // String returns the cause in words.
 func (h hold) String() string {
-	return [...]string{"not tried", "slots are taken", "behind another", "engines read", "memory is lacking", "streams are worth more"}[h]
+	return [...]string{"not tried", "slots are taken", "behind another", "engines read", "memory is lacking", "streams are worth more", "limits are used up"}[h]
 }
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -11,7 +11,8 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-// Lead is the one box that places the prompts of all. Long ones take many engines at
+// Lead is the one box that places the prompts of all, and the requests to services with
+// targets that have named a limit. Long ones take many engines at
 // once; short ones are late where two of them are read in one pass. Boxes that decide
 // at the same moment, each without knowing of the other, would take the same engines:
 // in the laboratory 23 of 100 short prompts were late by their first event where 295
@@ -73,7 +74,7 @@
 // askLead has a prompt placed by the lead. It returns nothing if there is no
 // lead, or none that answers: the prompt is then placed here.
 func (b *Balancer) askLead(ctx context.Context, j Job) (p *Placement, err error) {
-	if b.Lead == nil || j.Cost == nil {
+	if b.Lead == nil || (j.Cost == nil && !b.limits(j.Service)) {
 		return nil, nil
 	}
 	plan, err := b.Lead.Place(ctx, j)
@@ -84,7 +85,7 @@
 	}
 	switch {
 	case err == nil:
-		if p = b.Adopt(j, plan); p == nil && heavy(j) {
+		if p = b.Adopt(j, plan); p == nil && Heavy(j) {
 			b.Lead.Read(plan.Number) // Nobody will read it there.
 		}
 		return p, nil
@@ -110,8 +111,11 @@
 	if !ok {
 		return nil
 	}
-	if !heavy(j) {
-		p := lightPlacement(j, first, plan.Expected)
+	if !Heavy(j) {
+		p := plainPlacement(first)
+		if j.Cost != nil {
+			p = lightPlacement(j, first, plan.Expected)
+		}
 		b.book(p)
 		return p
 	}
@@ -137,13 +141,10 @@
 	return p
 }
 
-// Grant places a long prompt for another box. It waits until the given time and
+// Grant places a request for another box. It waits until the given time and
 // then returns ErrWaiting. Where ctx has ended, it places nothing: the box asks no longer,
 // and nobody would carry it out.
 func (b *Balancer) Grant(ctx context.Context, j Job, until time.Time) (plan Plan, err error) {
-	if j.Cost == nil {
-		return Plan{}, ErrNoTarget
-	}
 	p, w, err := b.Ask(ctx, j)
 	if w != nil {
 		p, err = b.awaitUntil(ctx, w, until)
--- /dev/null
+++ b/internal/balance/limit_test.go
@@ -0,0 +1,273 @@
+package balance_test
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// window is the time over which targets count what they get.
+const window = 4 * time.Second
+
+// limited returns a balancer whose first target has named a limit.
+func limited(t *testing.T, targets int, perSecond float64) *fixture {
+	f := newFixture(targets)
+	f.name(t, perSecond)
+	return f
+}
+
+// name has the first target name a limit in an answer.
+func (f *fixture) name(t *testing.T, perSecond float64) {
+	p := f.place(t, f.only("i-00"))
+	p.Limited(barleystep.NewRateLimit(perSecond), f.clock.Now())
+	p.Done(balance.Report{})
+}
+
+// only returns a request to a plain service that one target alone can take.
+func (f *fixture) only(id barleystep.TargetID) balance.Job {
+	j := plain()
+	for _, t := range f.targets {
+		if t.ID != id {
+			j.Avoid = append(j.Avoid, t.ID)
+		}
+	}
+	return j
+}
+
+// takes reports whether the first target takes a request now.
+func (f *fixture) takes() bool {
+	p, w, err := f.Ask(context.Background(), f.only("i-00"))
+	switch {
+	case p != nil:
+		p.Done(balance.Report{})
+	case w != nil:
+		_, _ = f.Abandon(w)
+	}
+	return p != nil && err == nil
+}
+
+// count asks for a place at the first target every 50 ms and returns how many it was given.
+func (f *fixture) count(length time.Duration) int {
+	given := 0
+	for range length / (50 * time.Millisecond) {
+		f.clock.Advance(50 * time.Millisecond)
+		if f.takes() {
+			given++
+		}
+	}
+	return given
+}
+
+// asking is a lead that is never asked in these tests, since nobody waits for it.
+type asking struct{ err error }
+
+func (a asking) Place(context.Context, balance.Job) (balance.Plan, error) {
+	return balance.Plan{}, a.err
+}
+func (asking) Read(uint64) {}
+
+// TestAllowance checks what a box gives a target with a limit in 40 seconds, by its part
+// among the boxes.
+func TestAllowance(t *testing.T) {
+	stray := asking{eris.New("no answer")}
+	cases := map[string]struct {
+		lead      balance.Lead
+		role      balance.Role
+		perSecond float64
+		least     int
+		most      int
+	}{
+		"alone":                            {nil, balance.Role{}, 1, 39, 41},
+		"lead of all":                      {asking{balance.ErrHere}, balance.Role{Leads: true, Boxes: 9, Reached: 9}, 1, 39, 41},
+		"lead of all, one in four seconds": {asking{balance.ErrHere}, balance.Role{Leads: true, Boxes: 9, Reached: 9}, 0.25, 9, 11},
+		"lead of all, ten a second":        {asking{balance.ErrHere}, balance.Role{Leads: true, Boxes: 9, Reached: 9}, 10, 395, 405},
+		"lead of a side of three":          {asking{balance.ErrHere}, balance.Role{Leads: true, Boxes: 9, Reached: 3}, 1, 12, 14},
+		"lead of a side of six":            {asking{balance.ErrHere}, balance.Role{Leads: true, Boxes: 9, Reached: 6}, 1, 25, 27},
+		"lead, takes nothing":              {asking{balance.ErrHere}, balance.Role{Leads: true, Boxes: 9, Reached: 9}, 0, 3, 4},
+		"no lead, share below one":         {stray, balance.Role{Boxes: 9, Reached: 9}, 1, 0, 0},
+		"no lead, share of one":            {stray, balance.Role{Boxes: 9, Reached: 9}, 9, 10, 11},
+		"no lead, share of two":            {stray, balance.Role{Boxes: 9, Reached: 9}, 20, 20, 22},
+		"no lead is known":                 {asking{balance.ErrHere}, balance.Role{Boxes: 9, Reached: 9}, 1, 0, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := limited(t, 2, tc.perSecond)
+			f.Lead = tc.lead
+			f.SetRole(tc.role)
+			given := f.count(40 * time.Second)
+			quicktest.Check(t, given >= tc.least && given <= tc.most, quicktest.IsTrue, quicktest.Commentf("%d", given))
+		})
+	}
+}
+
+// TestAllowanceBound checks that no span of four seconds has more than four and a half times
+// the limit and one request, however the box takes the lead up and lays it down, and however
+// its callers come.
+func TestAllowanceBound(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		perSecond := rapid.SampledFrom([]float64{0.25, 0.5, 1, 2, 5}).Draw(r, "limit")
+		f := limited(t, 2, perSecond)
+		f.Lead = asking{balance.ErrHere}
+		leads := true
+		var given []time.Time
+		for range rapid.IntRange(50, 300).Draw(r, "steps") {
+			f.clock.Advance(time.Duration(rapid.SampledFrom([]int{0, 20, 50, 300, 900, 6000}).Draw(r, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(r, "turn") == 0 {
+				leads = !leads
+			}
+			f.SetRole(balance.Role{Leads: leads, Boxes: 9, Reached: 9})
+			for range rapid.IntRange(1, 4).Draw(r, "callers") {
+				if f.takes() {
+					given = append(given, f.clock.Now())
+				}
+			}
+		}
+		// Without the lead a box has its share of a quarter besides.
+		most := 4.5*perSecond + 1 + math.Floor(perSecond/9)
+		for i, last := range given {
+			count := 0
+			for _, at := range given[:i+1] {
+				if last.Sub(at) < window {
+					count++
+				}
+			}
+			if float64(count) > most {
+				r.Fatalf("%d in four seconds, %.1f allowed", count, most)
+			}
+		}
+	})
+}
+
+// TestLimitLifted checks what a box goes by after a target named a limit.
+func TestLimitLifted(t *testing.T) {
+	none := barleystep.RateLimit{}
+	cases := map[string]struct {
+		change func(f *fixture, p *balance.Placement)
+		named  bool
+	}{
+		"nothing else was said": {func(*fixture, *balance.Placement) {}, true},
+		"no limit in the answer to a later request": {func(f *fixture, p *balance.Placement) {
+			p.Limited(none, f.clock.Now())
+		}, false},
+		"no limit in the answer to an earlier request": {func(f *fixture, p *balance.Placement) {
+			p.Limited(none, f.clock.Now().Add(-3*time.Second))
+		}, true},
+		"lifted, as another box tells": {func(f *fixture, _ *balance.Placement) {
+			f.SetOthers(news(none, f.clock.Now().Add(-time.Second)))
+		}, false},
+		"lifted before, as another box tells late": {func(f *fixture, _ *balance.Placement) {
+			f.SetOthers(news(none, f.clock.Now().Add(-3*time.Second)))
+		}, true},
+		"named anew after it was lifted": {func(f *fixture, p *balance.Placement) {
+			p.Limited(none, f.clock.Now().Add(-time.Second))
+			f.SetOthers(news(barleystep.NewRateLimit(2), f.clock.Now()))
+		}, true},
+		"a new lifetime": {func(f *fixture, _ *balance.Placement) {
+			f.targets[0].Born = 7
+			f.Renew()
+		}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(2)
+			f.targets[0].Born = 1
+			p := f.place(t, f.only("i-00"))
+			p.Limited(barleystep.NewRateLimit(1), f.clock.Now())
+			f.clock.Advance(2 * time.Second)
+			tc.change(f, p)
+			c.Check(f.Limit("i-00").Named(), quicktest.Equals, tc.named)
+			p.Done(balance.Report{})
+		})
+	}
+}
+
+// news is what another box tells of the first target.
+func news(limit barleystep.RateLimit, at time.Time) balance.Snapshot {
+	s := balance.NewSnapshot()
+	for _, born := range []int64{1, 7} {
+		t := newFixture(1).targets[0]
+		t.Born = born
+		s.Limits[balance.KeyOfTarget(t)] = balance.LimitNews{Limit: limit, At: at}
+	}
+	return s
+}
+
+// TestLimitTold checks what a box tells the others of a limit: what the target has said to it
+// and what holds still. Whatever it has by hearsay is told by whom it comes from.
+func TestLimitTold(t *testing.T) {
+	c := quicktest.New(t)
+	f := limited(t, 2, 1)
+	key := balance.KeyOf("i-00")
+	c.Check(f.Snapshot().Limits[key].Limit.PerSecond(), quicktest.Equals, 1.0)
+	f.clock.Advance(time.Second)
+	others := balance.NewSnapshot()
+	others.Limits[key] = balance.LimitNews{At: f.clock.Now()}
+	f.SetOthers(others)
+	c.Check(f.Snapshot().Limits, quicktest.HasLen, 0)
+	c.Check(f.Limit("i-00").Named(), quicktest.IsFalse)
+}
+
+// TestAllLimited checks what becomes of requests whose targets have all used up their limits:
+// they wait while they can be in time, in the order in which they came, and are refused at
+// once otherwise.
+func TestAllLimited(t *testing.T) {
+	c := quicktest.New(t)
+	f := limited(t, 1, 2)
+	var waits []*balance.Wait
+	for range 3 {
+		p, w, err := f.Ask(context.Background(), plain())
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(p, quicktest.IsNil)
+		waits = append(waits, w)
+	}
+	_, _, err := f.Ask(context.Background(), plain())
+	c.Check(eris.Is(err, balance.ErrFull), quicktest.IsTrue) // Three before it take 1.5 s.
+	f.SetOthers(balance.NewSnapshot())                       // The bucket begins to fill.
+	for _, w := range waits {
+		f.clock.Advance(500 * time.Millisecond)
+		f.SetOthers(balance.NewSnapshot())
+		c.Check(len(w.Ready()), quicktest.Equals, 1)
+	}
+}
+
+// TestLimitedElsewhere checks that other services and other targets go on while a target has
+// used up its limit.
+func TestLimitedElsewhere(t *testing.T) {
+	c := quicktest.New(t)
+	f := limited(t, 3, 1)
+	for range 20 {
+		p := f.place(t, plain())
+		c.Check(p.Target.ID, quicktest.Not(quicktest.Equals), barleystep.TargetID("i-00"))
+		long := f.place(t, job(longPrompt))
+		c.Check(long.Target.ID, quicktest.Not(quicktest.Equals), barleystep.TargetID("i-00"))
+		for _, h := range long.Helpers {
+			c.Check(h.ID, quicktest.Not(quicktest.Equals), barleystep.TargetID("i-00"))
+		}
+		p.Done(balance.Report{})
+		long.Done(balance.Report{})
+	}
+}
+
+// TestLimitOfStranger checks that a box which has just started keeps to the limits that the
+// others tell it of, also of targets that it has had nothing to do with. In the model boxes
+// that were rolled sent each such target one request more than it took.
+func TestLimitOfStranger(t *testing.T) {
+	c := quicktest.New(t)
+	for name, born := range map[string]int64{"said when it started": 7, "never said": 0} {
+		f := newFixture(2)
+		f.targets[0].Born = born
+		others := balance.NewSnapshot()
+		others.Limits[balance.KeyOfTarget(f.targets[0])] = balance.LimitNews{Limit: barleystep.NewRateLimit(1), At: f.clock.Now()}
+		f.SetOthers(others)
+		c.Check(f.takes(), quicktest.IsFalse, quicktest.Commentf(name))
+	}
+}
--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -47,13 +47,10 @@
 // heavy returns all engines for long prompts.
 func (r regions) heavy() []fleet.Target { return slices.Concat(r.writers, r.readers) }
 
-// Heavy reports whether a prompt is placed by the lead.
-func Heavy(j Job) bool { return j.Cost != nil && heavy(j) }
-
-// heavy reports whether reading the prompt would hold up other streams for
+// Heavy reports whether reading the prompt would hold up other streams for
 // longer than they may pause.
-func heavy(j Job) bool {
-	if j.Tightest <= 0 {
+func Heavy(j Job) bool {
+	if j.Cost == nil || j.Tightest <= 0 {
 		return false
 	}
 	return float64(j.Cost.Read(j.Prompt)) > heavyPart*float64(j.Tightest)
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -54,22 +54,37 @@
 // enqueue has the job wait for a place, unless its wait is over already.
 func (b *Balancer) enqueue(j Job, h hold) (p *Placement, w *Wait, err error) {
 	w = &Wait{job: j, until: b.waitUntil(j), ready: make(chan *Placement, 1), held: h}
-	if !b.Clock.Now().Before(w.Until()) {
+	if !b.mayComeToPass(w) {
 		b.logInVain(w)
 		return nil, nil, ErrFull
 	}
-	q := b.queue(j)
+	q := b.queue(j, h)
 	*q = append(*q, w)
 	return nil, w, nil
 }
 
-// queue returns the queue for jobs like this one. Those of one queue need the
-// same kind of place: if the first finds none, neither do the others.
-func (b *Balancer) queue(j Job) *[]*Wait {
-	if heavy(j) {
+// mayComeToPass reports whether a wait has time left, and whether limits, where they are
+// what it waits for, have room in that time.
+func (b *Balancer) mayComeToPass(w *Wait) bool {
+	left := w.until.Sub(b.Clock.Now())
+	if left <= 0 || w.held != holdLimit {
+		return left > 0
+	}
+	delay, ever := b.limitDelay(w.job)
+	return ever && delay < left
+}
+
+// queue returns the queue for jobs like this one, which is held up by the given cause. Those
+// of one queue need the same kind of place: if the first finds none, neither do the others.
+func (b *Balancer) queue(j Job, h hold) *[]*Wait {
+	switch {
+	case h == holdLimit:
+		return &b.limitQueue
+	case Heavy(j):
 		return &b.heavyQueue
+	default:
+		return &b.lightQueue
 	}
-	return &b.lightQueue
 }
 
 // await waits for the placement.
@@ -101,7 +116,7 @@
 	switch {
 	case giant(j):
 		until = j.lullUntil()
-	case heavy(j) && !b.drains(j):
+	case Heavy(j) && !b.drains(j):
 		until = j.hopeUntil()
 	}
 	if j.Until.IsZero() {
@@ -157,7 +172,7 @@
 
 // logInVain tells that a long prompt has waited for engines in vain, and what for.
 func (b *Balancer) logInVain(w *Wait) {
-	if b.Log == nil || !heavy(w.job) {
+	if b.Log == nil || !Heavy(w.job) {
 		return
 	}
 	d := b.demand(w.job.Service)
@@ -174,7 +189,7 @@
 	switch {
 	case j.Cost == nil:
 		return 0
-	case !heavy(j):
+	case !Heavy(j):
 		return j.Cost.Read(j.Prompt) + j.Cost.Pass()
 	default:
 		return j.Cost.Read(j.Prompt)/(maxHelpers+1) + j.Cost.Pass()
@@ -210,6 +225,24 @@
 	}
 	b.serveQueue(&b.lightQueue, lights)
 	b.serveQueue(&b.heavyQueue, len(b.heavyQueue))
+	b.serveLimited()
+}
+
+// serveLimited places jobs that wait for a limit, of each service in the order in which they
+// came.
+func (b *Balancer) serveLimited() {
+	var left []*Wait
+	full := make(map[string]bool)
+	for _, w := range b.limitQueue {
+		if w.gone {
+			continue
+		}
+		if full[w.job.Service] || !b.serve(w) {
+			full[w.job.Service] = true
+			left = append(left, w)
+		}
+	}
+	b.limitQueue = left
 }
 
 // serveQueue places jobs that wait, in their order. If one finds no place, neither do those
@@ -293,10 +326,10 @@
 	if w.job.Rank != o.job.Rank {
 		return w.job.Rank < o.job.Rank
 	}
-	if heavy(w.job) && heavy(o.job) {
+	if Heavy(w.job) && Heavy(o.job) {
 		return w.shorter(o, now)
 	}
-	fresh, otherFresh := w.inTime(now) && !heavy(w.job), o.inTime(now) && !heavy(o.job)
+	fresh, otherFresh := w.inTime(now) && !Heavy(w.job), o.inTime(now) && !Heavy(o.job)
 	switch {
 	case fresh != otherFresh:
 		return fresh
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -61,17 +61,26 @@
 type Snapshot struct {
 	Work    map[Key]Work
 	Demands map[Key]Demand
+	// Limits is what targets have said of how much they take, to any of the boxes.
+	Limits map[Key]LimitNews
 }
 
 // NewSnapshot returns an empty snapshot.
 func NewSnapshot() Snapshot {
-	return Snapshot{Work: make(map[Key]Work), Demands: make(map[Key]Demand)}
+	return Snapshot{Work: make(map[Key]Work), Demands: make(map[Key]Demand), Limits: make(map[Key]LimitNews)}
 }
 
-// Add adds another snapshot.
-func (s Snapshot) Add(o Snapshot) { s.merge(o, 1) }
+// Add adds another snapshot. Of what a target said, the last word counts.
+func (s Snapshot) Add(o Snapshot) {
+	s.merge(o, 1)
+	for k, news := range o.Limits {
+		if news.replaces(s.Limits[k]) {
+			s.Limits[k] = news
+		}
+	}
+}
 
-// Remove takes away a snapshot that was added.
+// Remove takes away a snapshot that was added, but for what targets said.
 func (s Snapshot) Remove(o Snapshot) { s.merge(o, -1) }
 
 func (s Snapshot) merge(o Snapshot, times int) {
@@ -93,6 +102,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others = s
+	b.hearLimits()
 	b.endGrants()
 	b.serveWaiting(true)
 }
@@ -107,6 +117,9 @@
 		if len(state.parts) > 0 || state.down(now) {
 			s.Work[state.key] = state.own(now)
 		}
+		if state.tellsLimit(now) {
+			s.Limits[state.key] = state.heardLimit
+		}
 	}
 	for service, d := range b.demands {
 		if rate := d.rate(now); rate != (Demand{}) {
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -59,7 +59,12 @@
 }
 
 func (protocol) Verdict(_ int, h http.Header) barleystep.Verdict {
+	var limit barleystep.RateLimit
+	if perSecond, err := strconv.ParseFloat(h.Get("Takes"), 64); err == nil {
+		limit = barleystep.NewRateLimit(perSecond)
+	}
 	return barleystep.Verdict{
+		Limit:   limit,
 		ID:      h.Get("Id"),
 		Sealed:  h.Get("Seal") != "",
 		NotRun:  h.Get("Not-Run") != "",
--- /dev/null
+++ b/internal/front/limit_test.go
@@ -0,0 +1,44 @@
+package front_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestLimitRead checks that a limit counts which a target names in any answer, whatever became
+// of the request: the next requests go to the other target until it is lifted.
+func TestLimitRead(t *testing.T) {
+	const takes = "Takes: 1\r\n"
+	cases := map[string]struct {
+		path   string
+		first  step
+		status int
+	}{
+		"whole answer":       {"/once/", whole(200, sealed+takes, "good"), 200},
+		"its own failure":    {"/once/", whole(500, sealed+takes, "bad"), 500},
+		"not run":            {"/once/", whole(503, "Not-Run: 1\r\n"+takes, ""), 503},
+		"without digest":     {"/once/", whole(200, takes, "forged"), 502},
+		"stream that is cut": {"/plainstream/", raw("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n" + takes + "Transfer-Encoding: chunked\r\n\r\n1"), 502},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			steps := []step{tc.first}
+			for range 5 {
+				steps = append(steps, whole(200, sealed, "good"))
+			}
+			f := newFixture(t, state{view: newView()}, steps...)
+			f.view.Route("h", tc.path).MaxSends = 1
+			c.Check(f.ask(t, http.MethodPost, tc.path, "").status, quicktest.Equals, tc.status)
+			limited := f.target.requests[0].Header.Get("Instance")
+			for range 5 {
+				f.ask(t, http.MethodPost, "/once/", "")
+			}
+			for _, r := range f.target.requests[1:] {
+				c.Check(r.Header.Get("Instance"), quicktest.Not(quicktest.Equals), limited)
+			}
+		})
+	}
+}
--- a/internal/gossip/bench_internal_test.go
+++ b/internal/gossip/bench_internal_test.go
@@ -25,7 +25,7 @@
 			size := 0
 			for b.Loop() {
 				d := &gossipv1.Datagram{Box: "edge-cluj-hala1-1", Hall: "cluj-hala1", Incarnation: 1 << 60, Sequence: 5000, SentNs: 1 << 40, EchoNs: 1 << 40, HeldNs: 1 << 25, EchoIncarnation: 1 << 60, Topics: []*gossipv1.TopicState{{Changed: 300, ProofAgeNs: 1 << 30}, {Changed: 3000, ProofAgeNs: 1 << 30}}}
-				fill(d, s)
+				fill(d, s, time.Time{})
 				for i := range tc.members {
 					d.Members = append(d.Members, &gossipv1.Member{Box: fmt.Sprint("edge-cluj-hala1-", i), Addr: "10.1.0.40:8229", Sequence: 5000, Incarnation: 1 << 60})
 				}
@@ -37,7 +37,7 @@
 				if err := proto.Unmarshal(data, &back); err != nil {
 					b.Fatal(err)
 				}
-				snapshotOf(&back)
+				snapshotOf(&back, time.Time{})
 				size = len(data)
 			}
 			b.ReportMetric(float64(size), "B")
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -59,6 +59,9 @@
 
 func (b *books) Snapshot() balance.Snapshot { return b.own }
 
+// SetRole takes in what these tests have no use for.
+func (*books) SetRole(balance.Role) {}
+
 func (b *books) SetOthers(s balance.Snapshot) {
 	select {
 	case b.others <- s:
--- a/internal/gossip/incarnation_internal_test.go
+++ b/internal/gossip/incarnation_internal_test.go
@@ -22,7 +22,7 @@
 		d := &datagram{Box: "other", Hall: "h", Incarnation: incarnation, Sequence: sequence}
 		s := balance.NewSnapshot()
 		s.Work[target] = balance.Work{Light: light}
-		fill(d, s)
+		fill(d, s, time.Time{})
 		return d
 	}
 	cases := map[string]struct {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -38,10 +38,12 @@
 	Offer(ctx context.Context, addr string, changed barleystep.Revision)
 }
 
-// Balancer knows the work of the own box and learns that of all others.
+// Balancer knows the work of the own box and learns that of all others, and what part the box
+// has among them.
 type Balancer interface {
 	Snapshot() balance.Snapshot
 	SetOthers(s balance.Snapshot)
+	SetRole(r balance.Role)
 }
 
 // Node is one box's part in the gossip. Its exported fields are set before
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -95,7 +95,7 @@
 
 // takeWork keeps the work that the datagram tells of.
 func (n *Node) takeWork(m *member, d *datagram, now time.Time) {
-	s := snapshotOf(d)
+	s := snapshotOf(d, now)
 	switch d.GetScope() {
 	case gossipv1.Scope_SCOPE_HALL:
 		m.hallWork, m.hallAt, m.hallBoxes = s, now, int(d.GetBoxes())
--- a/internal/gossip/role.go
+++ b/internal/gossip/role.go
@@ -19,7 +19,35 @@
 func (n *Node) Leads() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.collecting && n.leadAddr(n.Clock.Now()) == n.Addr
+	return n.leads(n.Clock.Now())
+}
+
+func (n *Node) leads(now time.Time) bool { return n.collecting && n.leadAddr(now) == n.Addr }
+
+// role returns this box's part among the boxes that it knows.
+func (n *Node) role(now time.Time) balance.Role {
+	return balance.Role{
+		Leads:   n.leads(now),
+		Boxes:   n.count(now),
+		Reached: n.reached(now),
+	}
+}
+
+// reached returns how many boxes a collector hears of, by itself or from the collectors of
+// other halls; itself is one.
+func (n *Node) reached(now time.Time) int {
+	boxes := 1
+	for _, m := range n.members {
+		if m.hall == n.Hall && now.Sub(m.heard) <= aliveFor {
+			boxes++
+		}
+	}
+	for _, hall := range n.halls() {
+		if m := n.collectorOf(hall, now); m != nil {
+			boxes += m.hallBoxes
+		}
+	}
+	return boxes
 }
 
 // Lead returns the address of the one box that decides for all; ok is false if
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -35,6 +35,7 @@
 		n.probe(own, now)
 	}
 	n.Balancer.SetOthers(n.others(now))
+	n.Balancer.SetRole(n.role(now))
 }
 
 func (n *Node) remember(own balance.Snapshot) {
@@ -72,7 +73,7 @@
 
 func (n *Node) report(own balance.Snapshot, now time.Time) *datagram {
 	d := n.datagram(now)
-	fill(d, own)
+	fill(d, own, now)
 	return d
 }
 
@@ -86,14 +87,14 @@
 	d.Scope = gossipv1.Scope_SCOPE_HALL
 	members := n.hallMembers(now)
 	d.Boxes = int32(len(members) + 1)
-	fill(d, sum)
+	fill(d, sum, now)
 	n.tellHalls(d, now)
 	n.addHalls(sum, now)
 	d = n.datagram(now)
 	d.Scope = gossipv1.Scope_SCOPE_ALL
 	d.Boxes = int32(n.count(now))
 	d.LeadAddr = n.leadAddr(now)
-	fill(d, sum)
+	fill(d, sum, now)
 	n.tellHall(d, members, now)
 }
 
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barleystep/barleystep"
 	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
 	"github.com/barleystep/barleystep/internal/balance"
 )
@@ -14,7 +15,7 @@
 const perMilli = 1000
 
 // fill writes a snapshot into a datagram.
-func fill(d *datagram, s balance.Snapshot) {
+func fill(d *datagram, s balance.Snapshot, now time.Time) {
 	for key, w := range s.Work {
 		if w == (balance.Work{}) {
 			continue
@@ -37,10 +38,18 @@
 			HeavyMilli: int32(demand.Heavy * perMilli),
 		})
 	}
+	for key, news := range s.Limits {
+		d.Limits = append(d.Limits, &gossipv1.TargetLimit{
+			Target:    uint32(key),
+			Named:     news.Limit.Named(),
+			PerSecond: news.Limit.PerSecond(),
+			AgeUs:     now.Sub(news.At).Microseconds(),
+		})
+	}
 }
 
-// snapshotOf reads a snapshot out of a datagram.
-func snapshotOf(d *datagram) balance.Snapshot {
+// snapshotOf reads a snapshot out of a datagram that has come now.
+func snapshotOf(d *datagram, now time.Time) balance.Snapshot {
 	s := balance.NewSnapshot()
 	for _, w := range d.GetWork() {
 		s.Work[balance.Key(w.GetTarget())] = balance.Work{
@@ -59,5 +68,12 @@
 			Heavy: float64(demand.GetHeavyMilli()) / perMilli,
 		}
 	}
+	for _, l := range d.GetLimits() {
+		news := balance.LimitNews{At: now.Add(-time.Duration(l.GetAgeUs()) * time.Microsecond)}
+		if l.GetNamed() {
+			news.Limit = barleystep.NewRateLimit(l.GetPerSecond())
+		}
+		s.Limits[balance.Key(l.GetTarget())] = news
+	}
 	return s
 }
--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -314,7 +314,7 @@
 	r.abandon = func() { a.end(balance.Report{}) }
 	d.timeline.After(network, func() {
 		if r.run == a.run && !r.ended && !a.run.over {
-			c.first.count(b)
+			c.count(b)
 			c.first.start(a.run)
 		}
 	})
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -149,6 +149,7 @@
 		if i > 0 {
 			b.balancer.Lead = lead{d, d.boxes[0].balancer}
 		}
+		b.balancer.SetRole(balance.Role{Leads: i == 0, Boxes: d.load.Boxes, Reached: d.load.Boxes})
 		d.boxes = append(d.boxes, b)
 	}
 }
--- a/internal/lab/limit.go
+++ b/internal/lab/limit.go
@@ -30,7 +30,7 @@
 
 // LimitResult is what an engine got while it named a limit.
 type LimitResult struct {
-	// Allowed is how many requests it may get in the window, Told the most that it got in
+	// Allowed is how many requests, or parts of prompts, it may get in the window, Told the most that it got in
 	// one from boxes that it had told, and Most the most from any box.
 	Allowed float64
 	Told    int
@@ -52,6 +52,8 @@
 	Limit
 	told     map[*box]time.Duration
 	arrivals []arrival
+	// first is when it first told a box, zero if it has told none.
+	first time.Duration
 }
 
 // limits plans the limits of the engines.
@@ -84,12 +86,21 @@
 	n.arrivals = append(n.arrivals, arrival{at: now, told: told && now-at >= limitTold})
 }
 
+// count notes a request of a box that reaches its engines. A part of a prompt counts as one.
+func (c *choice) count(b *box) {
+	c.first.count(b)
+	for _, h := range c.helpers {
+		h.count(b)
+	}
+}
+
 // tell has a box read the head of an answer.
 func (a *attempt) tell() {
 	e := a.choice.first
 	if n := e.naming; n != nil {
 		if _, told := n.told[a.box]; !told {
 			n.told[a.box] = e.timeline.Elapsed()
+			n.first = orElse(n.first, n.told[a.box])
 		}
 	}
 	if a.choice.placement != nil {
@@ -100,7 +111,10 @@
 // result counts what the engine got.
 func (n *naming) result() LimitResult {
 	r := LimitResult{Allowed: limitFactor*n.PerSecond*limitWindow.Seconds() + limitSlack}
-	from := n.From + limitContact
+	if n.first == 0 {
+		return r
+	}
+	from := n.first + limitContact
 	r.Takes = n.PerSecond * (n.Until - from).Seconds()
 	for i, last := range n.arrivals {
 		if last.at < from {
@@ -119,5 +133,6 @@
 		}
 		r.Most, r.Told = max(r.Most, all), max(r.Told, told)
 	}
+	r.Takes = max(r.Takes, 0)
 	return r
 }
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -70,25 +70,19 @@
 	return shortHold
 }
 
-// Place chooses the engines of a prompt.
+// Place chooses the targets of a request.
 func (s *Server) Place(ctx context.Context, r *connect.Request[placementv1.PlaceRequest]) (*connect.Response[placementv1.PlaceResponse], error) {
 	view := s.View()
 	if view == nil {
 		return nil, connect.NewError(connect.CodeUnavailable, eris.New("no configuration is known"))
 	}
-	j := jobOf(view, r.Msg)
-	if !balance.Heavy(j) && s.busy() {
-		return nil, connect.NewError(connect.CodeUnavailable, eris.New("too many boxes ask"))
+	if view.Service(r.Msg.GetService()) == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, eris.New("the service is not known"))
 	}
 	now := s.Clock.Now()
-	if waited := r.Msg.GetWaitedMs(); waited > 0 {
-		j.Since = now.Add(-time.Duration(waited) * time.Millisecond)
-	}
-	if earlier := r.Msg.GetEarlierMs(); earlier > 0 {
-		j.First = now.Add(-time.Duration(r.Msg.GetWaitedMs()+earlier) * time.Millisecond)
-	}
-	if left := r.Msg.GetLeftMs(); left > 0 {
-		j.Until = now.Add(time.Duration(left) * time.Millisecond)
+	j := jobOf(view, r.Msg, now)
+	if !balance.Heavy(j) && s.busy() {
+		return nil, connect.NewError(connect.CodeUnavailable, eris.New("too many boxes ask"))
 	}
 	plan, err := s.Balancer.Grant(ctx, j, now.Add(holdTime(j)))
 	switch {
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -9,7 +9,8 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-func jobOf(view *fleet.View, m *placementv1.PlaceRequest) balance.Job {
+// jobOf reads a question that has come now.
+func jobOf(view *fleet.View, m *placementv1.PlaceRequest, now time.Time) balance.Job {
 	j := balance.Job{
 		Request:   m.GetRequest(),
 		Service:   m.GetService(),
@@ -28,6 +29,15 @@
 	for _, id := range m.GetAvoid() {
 		j.Avoid = append(j.Avoid, barleystep.TargetID(id))
 	}
+	if waited := m.GetWaitedMs(); waited > 0 {
+		j.Since = now.Add(-time.Duration(waited) * time.Millisecond)
+	}
+	if earlier := m.GetEarlierMs(); earlier > 0 {
+		j.First = now.Add(-time.Duration(m.GetWaitedMs()+earlier) * time.Millisecond)
+	}
+	if left := m.GetLeftMs(); left > 0 {
+		j.Until = now.Add(time.Duration(left) * time.Millisecond)
+	}
 	return j
 }
 
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -16,6 +16,8 @@
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/follow"
+	"github.com/barleystep/barleystep/internal/gossip"
+	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/plane"
 )
 
@@ -47,13 +49,24 @@
 	births        map[barleystep.TargetID]int // births are the lifetimes seen last, by number.
 	stop          context.CancelFunc
 	done          sync.WaitGroup
+	ctx           context.Context
+	started       time.Time
+	// balancer is a real one in scenes with traffic, else nil.
+	balancer *balance.Balancer
 }
 
 var quiet = &log.Logger{Level: log.PanicLevel}
 
 func (b *box) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &life{stop: cancel}
+	l := &life{stop: cancel, ctx: ctx, started: time.Now()}
+	mux := http.NewServeMux()
+	var told gossip.Balancer = b
+	if p := b.day.result.pool; p != nil {
+		asked, path := p.equip(b, l)
+		mux.Handle(path, asked)
+		told = l.balancer
+	}
 	l.configuration = &follow.Configuration{Clock: b, Decode: decodeConfiguration, Log: quiet}
 	l.targets = &follow.Targets{Clock: b, Decode: decodeTarget, Log: quiet}
 	l.plane = &plane.Plane{
@@ -69,11 +82,13 @@
 		HTTP:          &http.Client{Transport: b},
 		Configuration: l.configuration,
 		Targets:       l.targets,
-		Balancer:      b,
+		Balancer:      told,
 		Log:           quiet,
 	}
 	l.plane.Build()
-	mux := http.NewServeMux()
+	if l.balancer != nil {
+		l.balancer.Lead = &lead.Client{Clock: b, HTTP: &http.Client{Transport: b}, Addr: l.plane.Node().Lead, Log: quiet}
+	}
 	mux.Handle(l.plane.Handler())
 	l.handler = mux
 	l.done.Go(func() { _ = l.plane.Node().Serve(ctx) })
@@ -105,6 +120,13 @@
 	b.frozen = time.Now().Add(d)
 }
 
+// wakes returns until when the machine stands still.
+func (b *box) wakes() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.frozen
+}
+
 // stands reports whether the machine stands still.
 func (b *box) stands() bool {
 	b.mu.Lock()
@@ -197,6 +219,9 @@
 	b.last = s
 }
 
+// SetRole takes in what the balancer of these scenes has no use for.
+func (*box) SetRole(balance.Role) {}
+
 // age returns how old the news of another box is here; ok is false without any.
 func (b *box) age(of *box) (d time.Duration, ok bool) {
 	b.mu.Lock()
--- a/internal/plane/day_test.go
+++ b/internal/plane/day_test.go
@@ -34,6 +34,8 @@
 	events []event
 	// measured is from when on roles and ages are looked at.
 	measured time.Duration
+	// traffic, if set, is what callers ask meanwhile.
+	traffic *traffic
 }
 
 type event struct {
@@ -88,6 +90,8 @@
 	datagrams    int
 	bytes        int
 	largest      int
+	// pool is what targets got in scenes with traffic.
+	pool *pool
 }
 
 const (
@@ -136,6 +140,9 @@
 		d.boxes = append(d.boxes, b)
 		d.network.boxes[b.addr] = b
 	}
+	if s.traffic != nil {
+		d.result.pool = newPool(*s.traffic)
+	}
 	var list []barleystep.Record
 	for i := range targets {
 		list = append(list, barleystep.NewRecord(fmt.Sprint("target-", i), nil))
@@ -197,6 +204,10 @@
 		// Starts are spread over a tick, so that no two boxes act at one moment.
 		time.AfterFunc(time.Duration(i)*50*time.Millisecond/time.Duration(len(d.boxes)), b.start)
 	}
+	if p := d.result.pool; p != nil {
+		p.calls.Go(func() { p.call(d) })
+		defer p.calls.Wait()
+	}
 	events := d.scene.events
 	for d.elapsed() < d.scene.length {
 		pause(lookEvery)
--- /dev/null
+++ b/internal/plane/limit_test.go
@@ -0,0 +1,326 @@
+//go:build !race
+
+package plane_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/lead"
+)
+
+// traffic has callers ask at all boxes of a scene for targets that name limits.
+type traffic struct {
+	targets int
+	// perSecond is how many requests come in a second, in turns to a plain service and to
+	// engines, over the boxes by chance.
+	perSecond float64
+	// limit returns what a target names at a time of the scene.
+	limit func(target int, at time.Duration) barleystep.RateLimit
+}
+
+// The two services before which callers ask.
+const (
+	plainService  = "plain"
+	engineService = "engines"
+)
+
+var engineModel = &fleet.CostModel{
+	Slots: 64, Memory: 450_000, Stride: 46, Step: 925 * time.Microsecond,
+	ReadRate: 256_000, PerPairs: 92 * time.Microsecond, UsualPrompt: 5_000,
+}
+
+// limitedView is the configuration by which the lead places requests.
+var limitedView = fleet.NewView(fleet.Configuration{
+	Version:  1,
+	Services: []fleet.Service{{Name: plainService}, {Name: engineService, Cost: engineModel}},
+	Routes: []fleet.Route{{
+		Host: "h", Prefix: "/", Kind: fleet.KindStream, MaxPause: 200 * ms,
+		Split: []fleet.Share{{Service: engineService, Weight: 1}},
+	}},
+})
+
+const (
+	// runTime is how long a target takes for a request, and patience how long callers wait.
+	runTime  = 100 * ms
+	patience = 2 * time.Second
+	// countWindow, countFactor and countSlack are what a target may get: in any such window
+	// so many times what its limit allows, and so many requests besides. It counts from
+	// contact after the first box was told, for boxes told toldBefore earlier.
+	countWindow = 4 * time.Second
+	countFactor = 1.5
+	countSlack  = 5
+	contact     = 3 * time.Second
+	toldBefore  = 500 * ms
+	// startsUp is within what time a box that starts has heard of the others, and of limits.
+	startsUp = 500 * ms
+)
+
+// pool is the targets of a scene with traffic, and what they got.
+type pool struct {
+	traffic traffic
+	list    []fleet.Target
+
+	calls    sync.WaitGroup
+	mu       sync.Mutex
+	arrivals [][]arrival
+	first    []time.Duration // first is when each target first told a box of a limit.
+	told     []map[*box]time.Duration
+	asked    int
+	served   int
+}
+
+type arrival struct {
+	at   time.Duration
+	told bool
+	// young is set if the box had started within startsUp and had not been told: it has
+	// heard of no limit yet.
+	young bool
+}
+
+func newPool(t traffic) *pool {
+	p := &pool{traffic: t, arrivals: make([][]arrival, t.targets), first: make([]time.Duration, t.targets)}
+	for i := range t.targets {
+		service := plainService
+		if i%2 == 1 {
+			service = engineService
+		}
+		id := fmt.Sprint("target-", i)
+		p.list = append(p.list, fleet.Target{ID: barleystep.TargetID(id), Service: service, Addr: id, Slots: engineModel.Slots})
+		p.told = append(p.told, make(map[*box]time.Duration))
+	}
+	return p
+}
+
+// equip gives a box the balancer, and the way to the lead, that a real one has.
+func (p *pool) equip(b *box, l *life) (asked http.Handler, path string) {
+	l.balancer = &balance.Balancer{
+		Clock:   b,
+		Hall:    barleystep.HallID(b.hall),
+		Targets: func() []fleet.Target { return slices.Clone(p.list) },
+		Rand:    rand.New(rand.NewPCG(b.day.scene.seed, uint64(b.index))),
+	}
+	server := &lead.Server{Clock: b, Balancer: l.balancer, View: func() *fleet.View { return limitedView }}
+	path, asked = server.Handler()
+	return asked, path
+}
+
+// call has callers ask until the scene ends.
+func (p *pool) call(d *day) {
+	draw := rand.New(rand.NewPCG(d.scene.seed, 3))
+	for d.elapsed() < d.scene.length {
+		pause(time.Duration(draw.ExpFloat64() / p.traffic.perSecond * float64(time.Second)))
+		b, service := d.boxes[draw.IntN(len(d.boxes))], []string{plainService, engineService}[draw.IntN(2)]
+		if l := b.running(); l != nil {
+			p.calls.Go(func() { p.ask(b, l, service) })
+		}
+	}
+}
+
+// ask is one request of a caller.
+func (p *pool) ask(b *box, l *life, service string) {
+	p.mu.Lock()
+	p.asked++
+	p.mu.Unlock()
+	pause(time.Until(b.wakes()))
+	ctx, cancel := clock.WithDeadline(l.ctx, b, b.Now().Add(patience))
+	defer cancel()
+	j := balance.Job{Service: service, Objective: 300 * ms, Tightest: 200 * ms, Until: b.Now().Add(patience)}
+	if service == engineService {
+		j.Cost, j.Prompt, j.Output = engineModel, 5_000, 500
+	}
+	place, err := l.balancer.Place(ctx, j)
+	if err != nil {
+		return
+	}
+	sent := b.Now()
+	pause(hallDelay)
+	index := slices.IndexFunc(p.list, func(t fleet.Target) bool { return t.ID == place.Target.ID })
+	p.arrive(b, l, index)
+	pause(runTime)
+	place.Limited(p.answer(b, index), sent)
+	place.Done(balance.Report{})
+}
+
+// arrive notes a request that reaches a target.
+func (p *pool) arrive(b *box, l *life, target int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := b.day.elapsed()
+	p.served++
+	at, told := p.told[target][b]
+	p.arrivals[target] = append(p.arrivals[target], arrival{
+		at:    now,
+		told:  told && now-at >= toldBefore,
+		young: !told && time.Since(l.started) < startsUp,
+	})
+}
+
+// answer returns the limit that a target names in an answer to a box.
+func (p *pool) answer(b *box, target int) barleystep.RateLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := b.day.elapsed()
+	limit := p.traffic.limit(target, now)
+	if limit.Named() && p.first[target] == 0 {
+		p.first[target] = now
+	}
+	if _, told := p.told[target][b]; limit.Named() && !told {
+		p.told[target][b] = now
+	}
+	return limit
+}
+
+// limitResult is what a scene with limits has shown, over its targets.
+type limitResult struct {
+	// over is by how many requests the worst window exceeded what was allowed, from boxes
+	// that the target had told, and overAll the same from all boxes but young ones.
+	over    float64
+	overAll float64
+	// used is the part that was sent of what the targets took, from when it counted.
+	used float64
+}
+
+// count judges what the targets got; allowed returns how many requests the limits of a window
+// that ends then allow.
+func (p *pool) count(length time.Duration) (r limitResult) {
+	r.over, r.overAll = -countSlack, -countSlack
+	sent, takes := 0, 0.0
+	for target, list := range p.arrivals {
+		if p.first[target] == 0 {
+			continue
+		}
+		from := p.first[target] + contact
+		takes += p.allows(target, from, length)
+		for i, last := range list {
+			if last.at < from {
+				continue
+			}
+			sent++
+			begin := max(from, last.at-countWindow)
+			all, told := 0, 0
+			for _, a := range list[:i+1] {
+				if a.at <= begin || a.young {
+					continue
+				}
+				all++
+				if a.told {
+					told++
+				}
+			}
+			allowed := countFactor*p.allows(target, last.at-countWindow, last.at) + countSlack
+			r.over, r.overAll = max(r.over, float64(told)-allowed), max(r.overAll, float64(all)-allowed)
+		}
+	}
+	r.used = float64(sent) / max(takes, 1)
+	return r
+}
+
+// allows returns how many requests a target's limits allow in a span. Where it names none
+// there is no bound.
+func (p *pool) allows(target int, from, until time.Duration) float64 {
+	const step = 10 * ms
+	const boundless = 1000
+	sum := 0.0
+	for at := max(from, 0); at < until; at += step {
+		perSecond := float64(boundless)
+		if l := p.traffic.limit(target, at); l.Named() {
+			perSecond = l.PerSecond()
+		}
+		sum += perSecond * step.Seconds()
+	}
+	return sum
+}
+
+// steady has all targets name the same limit from a second after the start on.
+func steady(perSecond float64) func(int, time.Duration) barleystep.RateLimit {
+	return func(int, time.Duration) barleystep.RateLimit { return barleystep.NewRateLimit(perSecond) }
+}
+
+// flapping has targets name a limit for two seconds of three, each at times of its own.
+func flapping(perSecond float64) func(int, time.Duration) barleystep.RateLimit {
+	return func(target int, at time.Duration) barleystep.RateLimit {
+		if (at+time.Duration(target)*time.Second)%(3*time.Second) < time.Second {
+			return barleystep.RateLimit{}
+		}
+		return barleystep.NewRateLimit(perSecond)
+	}
+}
+
+// falling has targets name less and less.
+func falling(target int, at time.Duration) barleystep.RateLimit {
+	return barleystep.NewRateLimit(4 / (1 + at.Seconds()/4))
+}
+
+// TestLimitsOverBoxes plays real balancers, gossip and lead before targets that name limits,
+// and counts at the targets: in any four seconds none gets more than one and a half times
+// what it allows, and five requests, from all boxes together; and where callers ask for more
+// than that, what the targets take is used up. A box that stands still, starts or is cut off
+// has no share that another one has too; one that has just started knows of no limit until
+// it hears of the others.
+func TestLimitsOverBoxes(t *testing.T) {
+	small := func(length time.Duration, events ...event) scene {
+		return scene{halls: 3, boxes: 9, length: length, events: events}
+	}
+	one := &traffic{targets: 12, perSecond: 40, limit: steady(1)}
+	cases := map[string]struct {
+		scene   scene
+		traffic *traffic
+		used    float64 // used is the least part of what the targets take that is sent.
+	}{
+		"one a second":           {small(24 * time.Second), one, 0.8},
+		"one in four seconds":    {small(40 * time.Second), &traffic{12, 20, steady(0.25)}, 0.8},
+		"three a second":         {small(24 * time.Second), &traffic{6, 40, steady(3)}, 0.8},
+		"above all that is sent": {small(16 * time.Second), &traffic{6, 20, steady(50)}, 0},
+		"limits fall":            {small(24 * time.Second), &traffic{12, 60, falling}, 0.8},
+		"limits flap":            {small(24 * time.Second), &traffic{12, 60, flapping(1)}, 0},
+		"the lead is killed":     {small(24*time.Second, event{10 * time.Second, killCollector("")}), one, 0.7},
+		"the lead stands still":  {small(24*time.Second, event{10 * time.Second, freezeCollector("", 3*time.Second)}), one, 0.7},
+		"a hall is cut off":      {small(24*time.Second, event{8 * time.Second, cutHall("hall-2")}, event{16 * time.Second, heal}), one, 0.7},
+		"all are killed":         {small(24*time.Second, event{8 * time.Second, killAll}), one, 0.6},
+		"a hundred boxes":        {scene{halls: 5, boxes: 100, loss: 0.025, length: 16 * time.Second}, &traffic{40, 120, steady(1)}, 0.8},
+		"a hundred boxes, rolled": {
+			scene{halls: 5, boxes: 100, length: 16 * time.Second, events: roll(20, 600*ms)}, &traffic{40, 120, steady(1)}, 0.6,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playLimits(t, tc.scene, tc.traffic).check(t, tc.used)
+		})
+	}
+}
+
+// TestLimitsOverHundreds is TestLimitsOverBoxes over 300 boxes.
+func TestLimitsOverHundreds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes long")
+	}
+	s := scene{halls: 5, boxes: 300, length: 12 * time.Second}
+	playLimits(t, s, &traffic{100, 300, steady(0.5)}).check(t, 0.8)
+}
+
+func playLimits(t *testing.T, s scene, traffic *traffic) limitResult {
+	s.traffic, s.measured = traffic, s.length
+	played := play(t, s)
+	r := played.pool.count(s.length)
+	t.Logf("%+v, %d of %d served", r, played.pool.served, played.pool.asked)
+	return r
+}
+
+func (r limitResult) check(t *testing.T, used float64) {
+	quicktest.Check(t, r.over <= 0, quicktest.IsTrue, quicktest.Commentf("over by %.1f", r.over))
+	quicktest.Check(t, r.overAll <= 0, quicktest.IsTrue, quicktest.Commentf("over by %.1f from all boxes", r.overAll))
+	quicktest.Check(t, r.used >= used, quicktest.IsTrue, quicktest.Commentf("used %.2f", r.used))
+}
--- a/internal/plane/network_test.go
+++ b/internal/plane/network_test.go
@@ -202,5 +202,8 @@
 	handler.ServeHTTP(answer, r)
 	n.note(b.addr, answer.Body.Len())
 	pause(n.delay(to, b) + to.place().pass(answer.Body.Len()) + b.place().pass(answer.Body.Len()))
-	return answer.Result(), r.Context().Err()
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return answer.Result(), nil
 }
