--- a/internal/balance/allowance.go
+++ b/internal/balance/allowance.go
@@ -33,7 +33,7 @@
 	// bucketSpan is the time whose rate the lead saves up while nobody asks, besides one
 	// request: with none, a limit of one a second was used up to three quarters, since a
 	// request comes some time after there is room for it.
-	bucketSpan = 500 * time.Millisecond
+	bucketSpan = 100 * time.Millisecond
 	// limitWindow is the time over which targets count what they get.
 	limitWindow = 4 * time.Second
 	// strayPart is the part of a limit that boxes without a lead share.
--- a/internal/plane/limit_test.go
+++ b/internal/plane/limit_test.go
@@ -282,6 +282,7 @@
 		"one a second":           {small(24 * time.Second), one, 0.8},
 		"one in four seconds":    {small(40 * time.Second), &traffic{12, 20, steady(0.25)}, 0.8},
 		"three a second":         {small(24 * time.Second), &traffic{6, 40, steady(3)}, 0.8},
+		"twenty a second":        {small(16 * time.Second), &traffic{6, 240, steady(20)}, 0.8},
 		"above all that is sent": {small(16 * time.Second), &traffic{6, 20, steady(50)}, 0},
 		"limits fall":            {small(24 * time.Second), &traffic{12, 60, falling}, 0.8},
 		"limits flap":            {small(24 * time.Second), &traffic{12, 60, flapping(1)}, 0},
