--- a/internal/balance/allowance.go
+++ b/internal/balance/allowance.go
@@ -24,15 +24,16 @@
 //   - A box whose lead does not answer may send strayPart of its equal share of l, in whole
 //     requests in each limitWindow: all together strayPart*l*w at most.
 //
-// In four seconds that is 4.5*l + 1, and l from boxes without a lead; two leads at a time,
+// In four seconds that is 4.1*l + 1, and l from boxes without a lead; two leads at a time,
 // for as long as it takes boxes to hear of each other, add l a second. Boxes that were not
 // told, by the target or by others, keep to nothing: news take some tens of milliseconds, and
 // a box that starts hears of limits together with the lead.
 
 const (
-	// bucketSpan is the time whose rate the lead saves up while nobody asks, besides one
-	// request: with none, a limit of one a second was used up to three quarters, since a
-	// request comes some time after there is room for it.
+	// bucketSpan is the time whose rate the lead saves up, besides one request: what waits is
+	// placed at the news of the others, every 50 to 100 ms. Where callers ask for twice what
+	// targets of twenty a second take, 0.92 of it is used with it and 0.80 without; with
+	// limits of one a second it makes no difference.
 	bucketSpan = 100 * time.Millisecond
 	// limitWindow is the time over which targets count what they get.
 	limitWindow = 4 * time.Second
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// TestAllowanceBound checks that no span of four seconds has more than four and a half times
-// the limit and one request, however the box takes the lead up and lays it down, and however
+// TestAllowanceBound checks that no span of four seconds has more than 4.1 times the limit and
+// one request, however the box takes the lead up and lays it down, and however
 // its callers come.
 func TestAllowanceBound(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
@@ -131,7 +131,7 @@
 			}
 		}
 		// Without the lead a box has its share of a quarter besides.
-		most := 4.5*perSecond + 1 + math.Floor(perSecond/9)
+		most := 4.1*perSecond + 1 + math.Floor(perSecond/9)
 		for i, last := range given {
 			count := 0
 			for _, at := range given[:i+1] {
