A request under which targets end runs alone, and from the third on not at all

Cause: each attempt has an id of its own, and nothing knew that two attempts carry the same request, or that a target had ended under it. A broken try was like any other.

Now a request is known by a digest of what was asked. A target whose address refuses connections after it broke off counts against all that it had; the count is told in the gossip, joined without an order. A suspect runs alone, at a target that gets nothing else, one attempt at a time over all boxes, as the lead places it; from the third end on it is refused for a minute, and attempts under way are cut off. A whole run clears it. That holds since the count is of targets, whoever saw them end, and no attempt of a suspect runs beside another. Boxes hear at once that nobody listens at the address.

--- a/api/placement/v1/placementv1connect/placement.connect.go
+++ b/api/placement/v1/placementv1connect/placement.connect.go
@@ -43,7 +43,8 @@
 type PlacementServiceClient interface {
 	// Place chooses the engines of a long prompt. It waits for them for a while and
 	// then fails with the code Aborted: the box asks again. It fails with the code
-	// ResourceExhausted if the prompt should come back later.
+	// ResourceExhausted if the prompt should come back later, and with PermissionDenied if
+	// the request is known to end targets.
 	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
 	// Read tells that the prompt of a plan was read, or never will be.
 	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error)
@@ -95,7 +96,8 @@
 type PlacementServiceHandler interface {
 	// Place chooses the engines of a long prompt. It waits for them for a while and
 	// then fails with the code Aborted: the box asks again. It fails with the code
-	// ResourceExhausted if the prompt should come back later.
+	// ResourceExhausted if the prompt should come back later, and with PermissionDenied if
+	// the request is known to end targets.
 	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
 	// Read tells that the prompt of a plan was read, or never will be.
 	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error)
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -15,6 +15,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // ErrNoTarget is returned when no target of the service may take a request.
@@ -27,6 +28,10 @@
 // ErrInVain is returned when the caller would be gone before the first event could come.
 var ErrInVain = eris.New("balance: the caller would be gone before an answer")
 
+// ErrRefused is returned for a request under which so many targets have ended that it is sent
+// to no other.
+var ErrRefused = eris.New("balance: the request ends targets")
+
 // ErrWaiting is returned when a prompt has waited for its engines for as long as the
 // question was to be held. It is to be asked again.
 var ErrWaiting = eris.New("balance: no place yet")
@@ -65,6 +70,11 @@
 	// Hall is that of the box which serves the caller; empty is the balancer's own.
 	Hall barleystep.HallID
 
+	// Suspect is the digest of a request that is to run alone, since targets have ended under
+	// it; zero for any other. Ended is how many.
+	Suspect suspect.Digest
+	Ended   int
+
 	// spare is how many slots the job must leave free.
 	spare int
 }
@@ -97,7 +107,9 @@
 	// Rand is drawn from where a choice is left to chance; nil draws from the
 	// runtime's. It is used under the balancer's lock only.
 	Rand *rand.Rand
-	Log  *log.Logger
+	// Suspects is what is known of requests under which targets have ended; it may be nil.
+	Suspects *suspect.Book
+	Log      *log.Logger
 
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
@@ -109,6 +121,10 @@
 	limitQueue []*Wait
 	// role is this box's part among all boxes.
 	role Role
+	// trialQueue holds the suspects that wait for their trial, and trials has the last one of
+	// each.
+	trialQueue []*Wait
+	trials     map[suspect.Digest]trial
 	// grants are the placements that were made for other boxes, by their numbers, of
 	// which granted is the last. This box is the lead until leadUntil, as far as it
 	// knows.
@@ -191,6 +207,9 @@
 	if b.inVain(j) {
 		return nil, nil, ErrInVain
 	}
+	if b.endsTargets(j) {
+		return nil, nil, ErrRefused
+	}
 	if p, err = b.askLead(ctx, j); p != nil || err != nil {
 		return p, nil, err
 	}
@@ -218,6 +237,8 @@
 	}
 	candidates = b.admitting(candidates)
 	switch {
+	case len(candidates) > 0 && j.suspect():
+		p, h, err = b.tryAlone(j, candidates)
 	case len(candidates) == 0:
 		return nil, holdLimit, nil
 	case j.Cost == nil:
@@ -230,7 +251,7 @@
 		p, h = b.placeLight(j, candidates), holdSlots
 	}
 	if p == nil {
-		return nil, h, nil
+		return nil, h, err
 	}
 	b.spend(p)
 	b.book(p)
@@ -262,17 +283,17 @@
 }
 
 // candidates returns the service's targets that may take the job: those that
-// neither leave, nor have failed the request, nor are shunned. Shunned ones are
-// better than none.
+// neither leave, nor have failed the request, nor are shunned or run a suspect. Shunned ones
+// are better than none.
 func (b *Balancer) candidates(j Job) []fleet.Target {
-	now := b.Clock.Now()
+	now, tried := b.Clock.Now(), b.tried()
 	var good, shunned []fleet.Target
 	for _, t := range b.Targets() {
 		if t.Service != j.Service || t.Draining || avoided(j, t.ID) {
 			continue
 		}
 		s, _ := b.meet(t)
-		if b.leaves(t.ID, s, now) {
+		if b.leaves(t.ID, s, now) || slices.Contains(tried, t.ID) {
 			shunned = append(shunned, t)
 			continue
 		}
@@ -284,6 +305,17 @@
 	return good
 }
 
+// Staying returns those of the targets that are listed and not about to leave.
+func (b *Balancer) Staying(ids []barleystep.TargetID) []fleet.Target {
+	var list []fleet.Target
+	for _, t := range b.Targets() {
+		if !t.Draining && slices.Contains(ids, t.ID) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 func avoided(j Job, id barleystep.TargetID) bool {
 	for _, a := range j.Avoid {
 		if a == id {
@@ -367,4 +399,5 @@
 			delete(b.states, id)
 		}
 	}
+	b.forgetTrials()
 }
--- a/internal/balance/hold.go
+++ b/internal/balance/hold.go
@@ -18,9 +18,12 @@
 	holdStreams
 	// holdLimit is that all its targets have named a limit, which is used up.
 	holdLimit
+	// holdTrial is that it is a suspect, which runs alone, and that another one does, or no
+	// engine is left for it.
+	holdTrial
 )
 
 // String returns the cause in words.
 func (h hold) String() string {
-	return [...]string{"not tried", "slots are taken", "behind another", "engines read", "memory is lacking", "streams are worth more", "limits are used up"}[h]
+	return [...]string{"not tried", "slots are taken", "behind another", "engines read", "memory is lacking", "streams are worth more", "limits are used up", "a suspect runs"}[h]
 }
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -11,8 +11,8 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-// Lead is the one box that places the prompts of all, and the requests to services with
-// targets that have named a limit. Long ones take many engines at
+// Lead is the one box that places the prompts of all, the requests to services with targets
+// that have named a limit, and suspects. Long ones take many engines at
 // once; short ones are late where two of them are read in one pass. Boxes that decide
 // at the same moment, each without knowing of the other, would take the same engines:
 // in the laboratory 23 of 100 short prompts were late by their first event where 295
@@ -74,7 +74,7 @@
 // askLead has a prompt placed by the lead. It returns nothing if there is no
 // lead, or none that answers: the prompt is then placed here.
 func (b *Balancer) askLead(ctx context.Context, j Job) (p *Placement, err error) {
-	if b.Lead == nil || (j.Cost == nil && !b.limits(j.Service)) {
+	if b.Lead == nil || (j.Cost == nil && !j.suspect() && !b.limits(j.Service)) {
 		return nil, nil
 	}
 	plan, err := b.Lead.Place(ctx, j)
@@ -89,7 +89,7 @@
 			b.Lead.Read(plan.Number) // Nobody will read it there.
 		}
 		return p, nil
-	case eris.Is(err, ErrFull), eris.Is(err, ErrInVain):
+	case eris.Is(err, ErrFull), eris.Is(err, ErrInVain), eris.Is(err, ErrRefused):
 		return nil, err
 	case ctx.Err() != nil: // Nobody would carry out what is placed here.
 		return nil, context.Cause(ctx)
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -84,12 +84,12 @@
 	p.parts[0].at.heard = p.heard
 }
 
-// Gone tells that a helper has refused a connection.
-func (p *Placement) Gone(helper barleystep.TargetID) {
+// Gone tells that a target of the placement has refused a connection.
+func (p *Placement) Gone(id barleystep.TargetID) {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.learn(helper, Report{Unreachable: true})
+	b.learn(id, Report{Unreachable: true})
 }
 
 // LeaveOut takes helpers off the placement, so that the others read more. It reports false,
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // Wait is a job that waits for a place.
@@ -78,6 +79,8 @@
 // of one queue need the same kind of place: if the first finds none, neither do the others.
 func (b *Balancer) queue(j Job, h hold) *[]*Wait {
 	switch {
+	case j.suspect():
+		return &b.trialQueue
 	case h == holdLimit:
 		return &b.limitQueue
 	case Heavy(j):
@@ -225,24 +228,26 @@
 	}
 	b.serveQueue(&b.lightQueue, lights)
 	b.serveQueue(&b.heavyQueue, len(b.heavyQueue))
-	b.serveLimited()
+	serveInOrder(b, &b.limitQueue, func(j Job) string { return j.Service })
+	serveInOrder(b, &b.trialQueue, func(j Job) suspect.Digest { return j.Suspect })
 }
 
-// serveLimited places jobs that wait for a limit, of each service in the order in which they
-// came.
-func (b *Balancer) serveLimited() {
+// serveInOrder places jobs that wait for what those of the same group wait for too, in the
+// order in which they came.
+func serveInOrder[G comparable](b *Balancer, q *[]*Wait, group func(j Job) G) {
 	var left []*Wait
-	full := make(map[string]bool)
-	for _, w := range b.limitQueue {
+	full := make(map[G]bool)
+	for _, w := range *q {
 		if w.gone {
 			continue
 		}
-		if full[w.job.Service] || !b.serve(w) {
-			full[w.job.Service] = true
+		g := group(w.job)
+		if full[g] || !b.serve(w) {
+			full[g] = true
 			left = append(left, w)
 		}
 	}
-	b.limitQueue = left
+	*q = left
 }
 
 // serveQueue places jobs that wait, in their order. If one finds no place, neither do those
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // Work is what a target has to do for one box, or for all.
@@ -63,16 +64,24 @@
 	Demands map[Key]Demand
 	// Limits is what targets have said of how much they take, to any of the boxes.
 	Limits map[Key]LimitNews
+	// Suspects is what is known of requests under which targets have ended.
+	Suspects map[suspect.Digest]suspect.Evidence
 }
 
 // NewSnapshot returns an empty snapshot.
 func NewSnapshot() Snapshot {
-	return Snapshot{Work: make(map[Key]Work), Demands: make(map[Key]Demand), Limits: make(map[Key]LimitNews)}
+	return Snapshot{
+		Work:     make(map[Key]Work),
+		Demands:  make(map[Key]Demand),
+		Limits:   make(map[Key]LimitNews),
+		Suspects: make(map[suspect.Digest]suspect.Evidence),
+	}
 }
 
-// Add adds another snapshot. Of what a target said, the last word counts.
+// Add adds another snapshot. Of what a target said, the last word counts; evidence is joined.
 func (s Snapshot) Add(o Snapshot) {
 	s.merge(o, 1)
+	suspect.Join(s.Suspects, o.Suspects)
 	for k, news := range o.Limits {
 		if news.replaces(s.Limits[k]) {
 			s.Limits[k] = news
@@ -80,7 +89,7 @@
 	}
 }
 
-// Remove takes away a snapshot that was added, but for what targets said.
+// Remove takes away a snapshot that was added, but for what targets said and for evidence.
 func (s Snapshot) Remove(o Snapshot) { s.merge(o, -1) }
 
 func (s Snapshot) merge(o Snapshot, times int) {
@@ -103,6 +112,7 @@
 	defer b.mu.Unlock()
 	b.others = s
 	b.hearLimits()
+	b.Suspects.Hear(s.Suspects)
 	b.endGrants()
 	b.serveWaiting(true)
 }
@@ -121,6 +131,7 @@
 			s.Limits[state.key] = state.heardLimit
 		}
 	}
+	suspect.Join(s.Suspects, b.Suspects.Told())
 	for service, d := range b.demands {
 		if rate := d.rate(now); rate != (Demand{}) {
 			s.Demands[KeyOf(service)] = rate
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -99,14 +99,8 @@
 
 // Dial returns a new connection to the address. Its errors are those of Get.
 func (p *Pool) Dial(ctx context.Context, addr string) (c *Conn, err error) {
-	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
-	defer cancel()
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control:         boundUnacked,
-	}
 	era := p.eraOf(addr) // It may end while the connection is made.
-	raw, err := d.DialContext(ctx, "tcp4", addr)
+	raw, err := p.connect(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
 	}
@@ -120,6 +114,27 @@
 	return &Conn{pool: p, addr: addr, era: era, raw: raw, reader: bufio.NewReaderSize(raw, readerSize)}, nil
 }
 
+// connect makes a connection to the address.
+func (p *Pool) connect(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
+	defer cancel()
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control:         boundUnacked,
+	}
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
+// Refuses reports whether the machine with the address says that nobody listens there. A
+// machine that says nothing does not.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	raw, err := p.connect(ctx, addr)
+	if err == nil {
+		_ = raw.Close() // It has said what was asked.
+	}
+	return eris.Is(err, syscall.ECONNREFUSED)
+}
+
 func (p *Pool) eraOf(addr string) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/front/deadly_test.go
+++ b/internal/front/deadly_test.go
@@ -9,11 +9,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // mortal is a target that ends when it runs a request with the body deadly: nothing listens
@@ -23,7 +25,8 @@
 	mu       sync.Mutex
 	conns    []net.Conn
 	ended    bool
-	got      int // got counts the requests that reached it.
+	// instead, if set, is what it does with requests instead of answering them.
+	instead func(c net.Conn)
 }
 
 const deadly = "deadly"
@@ -54,9 +57,10 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
-		m.mu.Lock()
-		m.got++
-		m.mu.Unlock()
+		if m.instead != nil {
+			m.instead(c)
+			return
+		}
 		if string(body) == deadly {
 			m.end()
 			return
@@ -94,7 +98,10 @@
 // however often callers ask for it, and that all else is served meanwhile.
 //
 // Operators saw one body, which came fifty times under other ids, end 62 targets; 37 times it
-// was sent on after three had ended under it.
+// was sent on after three had ended under it. Each caller's attempt has an id of its own, and
+// nothing knew that two attempts carry the same request, or that a target had ended under it:
+// of fifty attempts at one body in the logs of such a day each began anew, and each send was
+// broken off by a target whose address then refused connections.
 func TestDeadlyRequest(t *testing.T) {
 	for name, path := range map[string]string{"repeatable": "/again/", "once": "/once/", "stream": "/stream/"} {
 		t.Run(name, func(t *testing.T) {
@@ -119,3 +126,131 @@
 		})
 	}
 }
+
+// TestEndedOrNot checks what is held against a request: that nobody listens any more at the
+// address of a target which had it. Whatever else breaks a try does not count.
+func TestEndedOrNot(t *testing.T) {
+	drain := func(targets []fleet.Target) []fleet.Target {
+		targets[0].Draining = true
+		return targets
+	}
+	none := func([]fleet.Target) []fleet.Target { return nil }
+	cases := map[string]struct {
+		act  func(f *fixture, m *mortal, c net.Conn) // act is what the target does instead of answering.
+		want suspect.Standing
+	}{
+		"it ends":                      {func(_ *fixture, m *mortal, _ net.Conn) { m.end() }, suspect.Alone},
+		"it closes the connection":     {func(_ *fixture, _ *mortal, c net.Conn) { c.Close() }, suspect.Free},
+		"it resets the connection":     {func(_ *fixture, _ *mortal, c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() }, suspect.Free},
+		"it was about to leave":        {func(f *fixture, m *mortal, _ net.Conn) { f.change(drain); m.end() }, suspect.Free},
+		"it has left":                  {func(f *fixture, m *mortal, _ net.Conn) { f.change(none); m.end() }, suspect.Free},
+		"it answers what is no answer": {func(_ *fixture, _ *mortal, c net.Conn) { _, _ = io.WriteString(c, "zzz\r\n\r\n"); c.Close() }, suspect.Free},
+		"it fails": {func(_ *fixture, _ *mortal, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 500 X\r\nId: r1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n")
+		}, suspect.Free},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, state{view: newView()})
+			m := f.mortals(t, 1)[0]
+			m.instead = func(c net.Conn) { tc.act(f, m, c) }
+			f.ask(t, http.MethodPost, "/once/", deadly)
+			quicktest.Check(t, f.standing("/once/", deadly), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// standing returns how a request of no account stands.
+func (f *fixture) standing(path, body string) suspect.Standing {
+	d := suspect.Request{Method: http.MethodPost, Host: "h", Target: path, Body: []byte(body)}.Digest()
+	s, _ := f.front.Balancer.Suspects.Standing(d)
+	return s
+}
+
+// TestRefusedAtOnce checks what callers of a request are told under which targets have ended,
+// and that nobody else's is refused.
+func TestRefusedAtOnce(t *testing.T) {
+	const times = 3
+	cases := map[string]struct {
+		path   string
+		body   string
+		key    string
+		status int
+	}{
+		"the request":               {"/keyed/", deadly, "k", http.StatusServiceUnavailable},
+		"another body":              {"/keyed/", "beadly", "k", http.StatusOK},
+		"another path":              {"/keyed/a", "beadly", "k", http.StatusOK},
+		"another account's":         {"/keyed/", deadly, "l", http.StatusOK},
+		"another route, no account": {"/once/", deadly, "", http.StatusOK},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(t, state{view: newView()}, whole(http.StatusOK, sealed, "good"))
+			d := suspect.Request{Account: "acme", Method: http.MethodPost, Host: "h", Target: "/keyed/", Body: []byte(deadly)}.Digest()
+			for key := range uint32(times) {
+				f.front.Balancer.Suspects.Ended(d, len(deadly), suspect.NewEnd(key, time.Now(), true))
+			}
+			got := f.ask(t, http.MethodPost, tc.path, tc.body, "Key", tc.key)
+			c.Check(got.status, quicktest.Equals, tc.status)
+			if tc.status == http.StatusOK {
+				return
+			}
+			c.Check(f.target.count(), quicktest.Equals, 0)
+			again, err := time.ParseDuration(got.header.Get("Again"))
+			c.Check(err, quicktest.IsNil)
+			c.Check(again > suspect.Memory/2, quicktest.IsTrue)
+		})
+	}
+}
+
+// TestHelperEnds checks that a helper which ends is held against the prompt that it read a
+// part of.
+func TestHelperEnds(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()})
+	targets := f.mortals(t, 4)
+	for i, m := range targets {
+		f.targets[i].Service = "engines"
+		m.instead = func(conn net.Conn) {
+			for k, o := range targets {
+				if k != i {
+					o.end()
+				}
+			}
+			conn.Close()
+		}
+	}
+	f.ask(t, http.MethodPost, "/giant/", deadly, "Prompt", "600")
+	c.Check(f.standing("/giant/", deadly), quicktest.Not(quicktest.Equals), suspect.Free)
+}
+
+// TestUnderWay checks that an attempt which is under way is ended once its request is refused,
+// and that its caller is told that it may have run; other requests go on.
+func TestUnderWay(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()})
+	m := f.mortals(t, 1)[0]
+	got := make(chan struct{}, 2)
+	over := make(chan struct{})
+	defer close(over)
+	m.instead = func(net.Conn) {
+		got <- struct{}{}
+		<-over
+	}
+	ask := func(body string) <-chan reply {
+		answer := make(chan reply, 1)
+		go func() { answer <- f.ask(t, http.MethodPost, "/once/", body) }()
+		<-got
+		return answer
+	}
+	refused, other := ask(deadly), ask("beadly")
+	d := suspect.Request{Method: http.MethodPost, Host: "h", Target: "/once/", Body: []byte(deadly)}.Digest()
+	told := suspect.NewEvidence(len(deadly), nil, time.Time{})
+	for key := range uint32(mostEnded) {
+		told = suspect.NewEvidence(len(deadly), append(told.Ends(), suspect.NewEnd(key, time.Now(), true)), time.Time{})
+	}
+	f.front.Balancer.Suspects.Hear(map[suspect.Digest]suspect.Evidence{d: told})
+	c.Check((<-refused).status, quicktest.Equals, http.StatusBadGateway)
+	c.Check(len(other), quicktest.Equals, 0)
+}
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -72,6 +72,8 @@
 	defer cancel()
 	ctx, release := d.stop.bound(ctx, 0)
 	defer release()
+	ctx, x.cut = context.WithCancelCause(ctx)
+	defer x.cut(nil)
 	d.budget.Request(x.service)
 	x.firstTry = d.habit.firstTry(d.clock, x)
 	job := d.job(x)
@@ -80,7 +82,7 @@
 		asked := d.clock.Now()
 		x.progress.enter(PhaseWaiting, asked)
 		job.Until = x.patience()
-		placement, err := d.place(ctx, x, job)
+		placement, err := d.place(ctx, x, &job)
 		x.queued += d.clock.Now().Sub(asked)
 		if err != nil {
 			return d.ended(ctx, x, failed, err)
@@ -90,9 +92,11 @@
 		res, err := t.run(ctx)
 		placement.Done(t.report(ctx, res))
 		if res == resultDone {
+			t.clear()
 			return next(ctx, x)
 		}
 		d.note(x, t, res, err)
+		t.accuse(ctx, res)
 		t.learn(&job, res)
 		if t.failure != nil {
 			failed = t
@@ -110,9 +114,12 @@
 // place finds a place for the request. Where the box ends before the answer could be whole,
 // it returns errStopping, as soon as that is known. A stream that has begun is taken up
 // elsewhere for as long as the box serves: its caller could not have it otherwise.
-func (d *deliver) place(ctx context.Context, x *Exchange, job balance.Job) (*balance.Placement, error) {
+func (d *deliver) place(ctx context.Context, x *Exchange, job *balance.Job) (*balance.Placement, error) {
+	if err := d.judge(x, job); err != nil {
+		return nil, err
+	}
 	if x.answer.Begun() {
-		return d.ask(ctx, x, job)
+		return d.ask(ctx, x, *job)
 	}
 	least := job.LeastWhole()
 	if d.stop.before(least) {
@@ -120,7 +127,7 @@
 	}
 	ctx, release := d.stop.bound(ctx, least)
 	defer release()
-	p, err := d.ask(ctx, x, job)
+	p, err := d.ask(ctx, x, *job)
 	switch {
 	case err != nil && eris.Is(context.Cause(ctx), errStopping):
 		return nil, errStopping
@@ -210,6 +217,9 @@
 	if x.ran {
 		outcome = barleystep.OutcomeUnknown
 	}
+	if eris.Is(err, balance.ErrRefused) || eris.Is(context.Cause(ctx), balance.ErrRefused) {
+		return d.endsTargets(x, outcome)
+	}
 	end := d.endOf(ctx, err)
 	switch {
 	case end == endCaller:
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -1,13 +1,16 @@
 package front
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/pipeline"
 	"github.com/barleystep/barleystep/internal/reply"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // Exchange is one request on its way through the stages.
@@ -29,6 +32,11 @@
 	// firstTry is when the caller first tried, as far as is known.
 	firstTry time.Time
 	body     []byte
+	// known is the digest, once it was asked for. It is asked for once the body has come, also
+	// by other goroutines.
+	known  suspect.Digest
+	digest sync.Once
+	cut    context.CancelCauseFunc // cut ends the request while it is being delivered.
 
 	sends   int
 	ran     bool // ran is set once a target may have run the request.
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,7 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/front"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // protocol is a plain form of barleystep.Protocol for these tests.
@@ -239,7 +241,7 @@
 			short,
 		},
 		Services: []fleet.Service{{Name: "s"}, {Name: "lone"}, {Name: "engines", Cost: engineCost}},
-		Accounts: []fleet.Account{{Name: "acme", Keys: []string{"k"}}},
+		Accounts: []fleet.Account{{Name: "acme", Keys: []string{"k"}}, {Name: "other", Keys: []string{"l"}}},
 		Limits:   fleet.Limits{BodyBytes: 100},
 	}
 	for i := range c.Routes {
@@ -263,10 +265,25 @@
 	front  *front.Server
 	target *server
 	view   *fleet.View
-	// targets are the ones that the balancer knows.
+	// targets are the ones that the balancer knows; mu is held where they change meanwhile.
+	mu      sync.Mutex
 	targets []fleet.Target
 }
 
+// list returns the targets that the balancer knows.
+func (f *fixture) list() []fleet.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.targets)
+}
+
+// change changes the targets while requests are served.
+func (f *fixture) change(do func(targets []fleet.Target) []fleet.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = do(slices.Clone(f.targets))
+}
+
 func newFixture(t *testing.T, s state, steps ...step) *fixture {
 	return newFixtureAt(t, clock.System{}, s, steps...)
 }
@@ -289,7 +306,7 @@
 		Clock:         clk,
 		Protocol:      protocol{},
 		Configuration: s,
-		Balancer:      &balance.Balancer{Clock: clk, Targets: func() []fleet.Target { return f.targets }},
+		Balancer:      &balance.Balancer{Clock: clk, Targets: f.list, Suspects: &suspect.Book{Clock: clk}},
 		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
 		Budget:        spent,
 		Meter:         metric.Discard(),
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -6,6 +6,7 @@
 	"github.com/barleystep/barleystep"
 	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
 	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // datagram is what boxes send each other.
@@ -38,6 +39,7 @@
 			HeavyMilli: int32(demand.Heavy * perMilli),
 		})
 	}
+	fillSuspects(d, s.Suspects, now)
 	for key, news := range s.Limits {
 		d.Limits = append(d.Limits, &gossipv1.TargetLimit{
 			Target:    uint32(key),
@@ -48,6 +50,46 @@
 	}
 }
 
+// fillSuspects writes what is known of suspects into a datagram.
+func fillSuspects(d *datagram, known map[suspect.Digest]suspect.Evidence, now time.Time) {
+	for digest, e := range known {
+		s := &gossipv1.Suspect{Digest: digest[:], Size: int64(e.Size())}
+		if !e.Cleared().IsZero() {
+			s.Cleared, s.ClearedAgeUs = true, now.Sub(e.Cleared()).Microseconds()
+		}
+		for _, end := range e.Ends() {
+			s.Ends = append(s.Ends, &gossipv1.TargetEnd{
+				Target: end.Key(),
+				AgeUs:  now.Sub(end.At()).Microseconds(),
+				Unread: end.Unread(),
+			})
+		}
+		d.Suspects = append(d.Suspects, s)
+	}
+}
+
+// suspectsOf reads what is known of suspects out of a datagram that has come now.
+func suspectsOf(d *datagram, now time.Time) map[suspect.Digest]suspect.Evidence {
+	known := make(map[suspect.Digest]suspect.Evidence)
+	ago := func(us int64) time.Time { return now.Add(-time.Duration(us) * time.Microsecond) }
+	for _, s := range d.GetSuspects() {
+		digest, ok := suspect.DigestFrom(s.GetDigest())
+		if !ok {
+			continue // The sender is of a later version.
+		}
+		var ends []suspect.End
+		for _, end := range s.GetEnds() {
+			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(end.GetAgeUs()), end.GetUnread()))
+		}
+		var cleared time.Time
+		if s.GetCleared() {
+			cleared = ago(s.GetClearedAgeUs())
+		}
+		known[digest] = suspect.NewEvidence(int(s.GetSize()), ends, cleared)
+	}
+	return known
+}
+
 // snapshotOf reads a snapshot out of a datagram that has come now.
 func snapshotOf(d *datagram, now time.Time) balance.Snapshot {
 	s := balance.NewSnapshot()
@@ -68,6 +110,7 @@
 			Heavy: float64(demand.GetHeavyMilli()) / perMilli,
 		}
 	}
+	s.Suspects = suspectsOf(d, now)
 	for _, l := range d.GetLimits() {
 		news := balance.LimitNews{At: now.Add(-time.Duration(l.GetAgeUs()) * time.Microsecond)}
 		if l.GetNamed() {
--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -97,6 +97,8 @@
 		return balance.Plan{}, balance.ErrFull
 	case connect.CodeOf(err) == connect.CodeDeadlineExceeded && asking.Err() == nil:
 		return balance.Plan{}, balance.ErrInVain
+	case connect.CodeOf(err) == connect.CodePermissionDenied:
+		return balance.Plan{}, balance.ErrRefused
 	case connect.CodeOf(err) == connect.CodeAborted:
 		return balance.Plan{}, balance.ErrWaiting
 	case ctx.Err() != nil: // The caller left, which says nothing of the lead.
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -90,6 +90,8 @@
 		return nil, connect.NewError(connect.CodeAborted, err)
 	case eris.Is(err, balance.ErrFull):
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	case eris.Is(err, balance.ErrRefused):
+		return nil, connect.NewError(connect.CodePermissionDenied, err)
 	case eris.Is(err, balance.ErrInVain):
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
 	case err != nil:
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -7,6 +7,7 @@
 	placementv1 "github.com/barleystep/barleystep/api/placement/v1"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // jobOf reads a question that has come now.
@@ -26,6 +27,8 @@
 	if s := view.Service(j.Service); s != nil {
 		j.Cost = s.Cost
 	}
+	j.Suspect, _ = suspect.DigestFrom(m.GetSuspect())
+	j.Ended = int(m.GetEnded())
 	for _, id := range m.GetAvoid() {
 		j.Avoid = append(j.Avoid, barleystep.TargetID(id))
 	}
@@ -53,6 +56,9 @@
 		Near:        j.Near,
 		Hall:        string(j.Hall),
 	}
+	if j.Suspect != (suspect.Digest{}) {
+		m.Suspect, m.Ended = j.Suspect[:], int32(j.Ended)
+	}
 	for _, id := range j.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
 	}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -12,6 +12,7 @@
 func (r *Router) observe() {
 	r.Exporter.Observe("barleystep_belief_age_seconds", "How long ago a change of the topic could last have been missed; below zero without any proof.", "topic", r.beliefAges)
 	r.Exporter.Observe("barleystep_targets_believed", "Targets by what the box believes of them.", "state", r.targetStates)
+	r.Exporter.Observe("barleystep_suspects", "Requests under which targets have ended, by how they may run.", "state", r.suspects)
 	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
 		return []metric.Sample{{Label: "counted", Value: float64(r.plane.Node().Boxes())}}
 	})
@@ -36,6 +37,14 @@
 	return list
 }
 
+func (r *Router) suspects() []metric.Sample {
+	var list []metric.Sample
+	for standing, count := range r.balancer.Suspects.Counts() {
+		list = append(list, metric.Sample{Label: standing.String(), Value: float64(count)})
+	}
+	return list
+}
+
 func (r *Router) storeCalls() []metric.Sample {
 	var list []metric.Sample
 	for topic, f := range r.plane.Followers() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/barleystep/barleystep/internal/plane"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/supervisor"
+	"github.com/barleystep/barleystep/internal/suspect"
 	"github.com/barleystep/barleystep/internal/web"
 )
 
@@ -102,10 +103,11 @@
 	r.configuration = &follow.Configuration{Clock: r.Clock, Decode: r.DecodeConfiguration, Log: r.Log}
 	r.targets = &follow.Targets{Clock: r.Clock, Decode: r.DecodeTarget, Log: r.Log}
 	r.balancer = &balance.Balancer{
-		Clock:   r.Clock,
-		Hall:    barleystep.HallID(s.Box.Hall),
-		Targets: r.targets.List,
-		Log:     r.Log,
+		Clock:    r.Clock,
+		Hall:     barleystep.HallID(s.Box.Hall),
+		Targets:  r.targets.List,
+		Log:      r.Log,
+		Suspects: &suspect.Book{Clock: r.Clock, Log: r.Log},
 	}
 	r.plane = &plane.Plane{
 		Clock:         r.Clock,
--- /dev/null
+++ b/internal/suspect/book_test.go
@@ -0,0 +1,167 @@
+package suspect_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/suspect"
+)
+
+const size = 100
+
+var digest = suspect.Request{Account: "acme", Method: "POST", Host: "h", Target: "/a", Body: make([]byte, size)}.Digest()
+
+// TestDigest checks what tells two requests apart, and that parts do not run into each other.
+func TestDigest(t *testing.T) {
+	base := suspect.Request{Account: "acme", Method: "POST", Host: "h", Target: "/a", Body: []byte("x")}
+	cases := map[string]func(r *suspect.Request){
+		"account": func(r *suspect.Request) { r.Account = "other" },
+		"method":  func(r *suspect.Request) { r.Method = "PUT" },
+		"host":    func(r *suspect.Request) { r.Host = "g" },
+		"path":    func(r *suspect.Request) { r.Target = "/b" },
+		"query":   func(r *suspect.Request) { r.Target = "/a?b" },
+		"body":    func(r *suspect.Request) { r.Body = []byte("y") },
+		"moved":   func(r *suspect.Request) { r.Host, r.Target = "h/", "a" },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			other := base
+			change(&other)
+			quicktest.Check(t, other.Digest() == base.Digest(), quicktest.IsFalse)
+			again := base
+			quicktest.Check(t, again.Digest(), quicktest.Equals, base.Digest())
+		})
+	}
+}
+
+// TestStanding checks how a request may run by what happened to targets that had it, a second
+// after the last of it.
+func TestStanding(t *testing.T) {
+	type step func(b *suspect.Book, clk *clock.Manual)
+	end := func(key uint32, unread bool) step {
+		return func(b *suspect.Book, clk *clock.Manual) {
+			b.Ended(digest, size, suspect.NewEnd(key, clk.Now(), unread))
+		}
+	}
+	whole := func(b *suspect.Book, _ *clock.Manual) { b.Clear(digest, size) }
+	wait := func(d time.Duration) step {
+		return func(_ *suspect.Book, clk *clock.Manual) { clk.Advance(d) }
+	}
+	cases := map[string]struct {
+		steps []step
+		want  suspect.Standing
+	}{
+		"nothing":                   {nil, suspect.Free},
+		"one end amid its stream":   {[]step{end(1, false)}, suspect.Free},
+		"one end before its stream": {[]step{end(1, true)}, suspect.Alone},
+		"the same end twice":        {[]step{end(1, false), end(1, false)}, suspect.Free},
+		"two ends amid its streams": {[]step{end(1, false), end(2, false)}, suspect.Alone},
+		"three ends":                {[]step{end(1, false), end(2, false), end(3, true)}, suspect.Refused},
+		"an end, then whole":        {[]step{end(1, true), whole}, suspect.Free},
+		"three ends, then whole":    {[]step{end(1, true), end(2, true), end(3, true), whole}, suspect.Free},
+		"whole, then an end":        {[]step{end(1, true), whole, end(2, true)}, suspect.Alone},
+		"whole between ends":        {[]step{end(1, true), end(2, true), whole, end(3, false)}, suspect.Free},
+		"refused for a minute":      {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory - 3*time.Second)}, suspect.Refused},
+		"alone after a minute":      {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory)}, suspect.Alone},
+		"again an end after that":   {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory), end(4, true)}, suspect.Refused},
+		"again an end, and a fifth": {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory), end(4, true), wait(suspect.Memory), end(5, true)}, suspect.Refused},
+		"forgotten":                 {[]step{end(1, true), end(2, true), end(3, true), wait(2 * suspect.Memory), func(b *suspect.Book, _ *clock.Manual) { b.Told() }}, suspect.Free},
+		"an end that is told after it was whole": {[]step{end(1, true), whole, func(b *suspect.Book, clk *clock.Manual) {
+			late := suspect.NewEvidence(size, []suspect.End{suspect.NewEnd(1, clk.Now().Add(-time.Second), true)}, time.Time{})
+			b.Hear(map[suspect.Digest]suspect.Evidence{digest: late})
+		}}, suspect.Free},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			clk := clock.NewManual(time.Unix(1000, 0))
+			b := &suspect.Book{Clock: clk}
+			for _, do := range tc.steps {
+				do(b, clk)
+				clk.Advance(time.Second)
+			}
+			got, _ := b.Standing(digest)
+			quicktest.Check(t, got, quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// TestJoin checks that boxes come to the same belief in whatever order, and however often, they
+// hear what each other knows. A lifetime ends once.
+func TestJoin(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		clk := clock.NewManual(time.Unix(1000, 0))
+		start := clk.Now()
+		moment := func(label string) time.Time {
+			return start.Add(time.Duration(rapid.IntRange(0, 20).Draw(r, label)) * time.Second)
+		}
+		ends := make([]time.Time, 6)
+		for key := range ends {
+			ends[key] = moment("end")
+		}
+		var told []suspect.Evidence
+		for range rapid.IntRange(1, 12).Draw(r, "words") {
+			if rapid.IntRange(0, 3).Draw(r, "cleared") == 0 {
+				told = append(told, suspect.NewEvidence(size, nil, moment("whole")))
+				continue
+			}
+			key := rapid.IntRange(0, len(ends)-1).Draw(r, "target")
+			end := suspect.NewEnd(uint32(key), ends[key], true)
+			told = append(told, suspect.NewEvidence(size, []suspect.End{end}, time.Time{}))
+		}
+		clk.Advance(30 * time.Second)
+		belief := func(words []suspect.Evidence) int {
+			sum := make(map[suspect.Digest]suspect.Evidence)
+			for _, e := range words {
+				suspect.Join(sum, map[suspect.Digest]suspect.Evidence{digest: e})
+			}
+			return len(sum[digest].Ends())
+		}
+		other := rapid.Permutation(told).Draw(r, "order")
+		twice := slices.Concat(other, told)
+		if belief(told) != belief(other) || belief(told) != belief(twice) {
+			r.Fatalf("%d, %d and %d ends", belief(told), belief(other), belief(twice))
+		}
+	})
+}
+
+// TestBounds checks that a book holds and tells no more than it may, and keeps those of which
+// most is known.
+func TestBounds(t *testing.T) {
+	c := quicktest.New(t)
+	clk := clock.NewManual(time.Unix(1000, 0))
+	b := &suspect.Book{Clock: clk}
+	for key := range uint32(3) {
+		b.Ended(digest, size, suspect.NewEnd(key, clk.Now(), true))
+	}
+	for i := range 1000 {
+		clk.Advance(time.Millisecond)
+		d := suspect.Request{Target: "/" + string(rune(i)), Method: "GET"}.Digest()
+		b.Ended(d, 0, suspect.NewEnd(9, clk.Now(), true))
+	}
+	held := 0
+	for _, n := range b.Counts() {
+		held += n
+	}
+	c.Check(held, quicktest.Equals, 80)
+	c.Check(len(b.Told()), quicktest.Equals, 32)
+	standing, left := b.Standing(digest)
+	c.Check(standing, quicktest.Equals, suspect.Refused)
+	c.Check(left > 50*time.Second, quicktest.IsTrue)
+}
+
+// TestNilBook checks that a box without a book suspects nobody.
+func TestNilBook(t *testing.T) {
+	c := quicktest.New(t)
+	var b *suspect.Book
+	b.Ended(digest, size, suspect.NewEnd(1, time.Time{}, true))
+	b.Clear(digest, size)
+	standing, _ := b.Standing(digest)
+	c.Check(standing, quicktest.Equals, suspect.Free)
+	c.Check(b.Concerns(size), quicktest.IsFalse)
+	c.Check(b.Told(), quicktest.HasLen, 0)
+}
--- /dev/null
+++ b/internal/suspect/evidence.go
@@ -0,0 +1,121 @@
+// Package suspect remembers under which requests targets have ended, so that a request which
+// ends whatever runs it is not sent to all of them.
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// End is a target's lifetime that ended while it had a request.
+type End struct {
+	// key names the lifetime between boxes.
+	key uint32
+	at  time.Time
+	// unread is set if the request had no event or answer of the target yet: what ends a
+	// target mostly does so at once.
+	unread bool
+}
+
+// NewEnd returns the end of the lifetime with the key.
+func NewEnd(key uint32, at time.Time, unread bool) End { return End{key: key, at: at, unread: unread} }
+
+// Key returns the key of the lifetime.
+func (e End) Key() uint32 { return e.key }
+
+// At returns when it was seen to have ended.
+func (e End) At() time.Time { return e.at }
+
+// Unread reports whether the request had nothing of the target yet.
+func (e End) Unread() bool { return e.unread }
+
+// Evidence is what is known of one request. Evidence of several boxes is joined in any order
+// and any number of times with the same outcome.
+type Evidence struct {
+	// size is the length of its body.
+	size int
+	// ends are the lifetimes that ended under it since it was last cleared, the last mostEnds.
+	ends []End
+	// cleared is when a run of it was last whole, zero if none was.
+	cleared time.Time
+}
+
+// NewEvidence returns the evidence against a request with a body of the size.
+func NewEvidence(size int, ends []End, cleared time.Time) Evidence {
+	return Evidence{size: size, ends: ends, cleared: cleared}
+}
+
+// Size returns the length of the request's body.
+func (e Evidence) Size() int { return e.size }
+
+// Ends returns the lifetimes that ended under the request since it was last cleared.
+func (e Evidence) Ends() []End { return e.ends }
+
+// Cleared returns when a run of the request was last whole, zero if none was.
+func (e Evidence) Cleared() time.Time { return e.cleared }
+
+// mostEnds is how many ends are kept of a request: one more than it takes to refuse it, as
+// some may come at the same time.
+const mostEnds = refusedFrom + 1
+
+// join returns both evidences in one.
+func (e Evidence) join(o Evidence) Evidence {
+	out := Evidence{size: max(e.size, o.size), cleared: e.cleared}
+	if o.cleared.After(out.cleared) {
+		out.cleared = o.cleared
+	}
+	for _, end := range slices.Concat(e.ends, o.ends) {
+		out.add(end)
+	}
+	out.ends = slices.DeleteFunc(out.ends, func(end End) bool { return !end.at.After(out.cleared) })
+	return out
+}
+
+// add enters an end; of one that is known the earlier time holds, since what was told by way
+// of others looks younger than it is.
+func (e *Evidence) add(end End) {
+	same := func(o End) bool { return o.key == end.key }
+	if i := slices.IndexFunc(e.ends, same); i >= 0 {
+		known := &e.ends[i]
+		known.unread = known.unread || end.unread
+		if end.at.Before(known.at) {
+			known.at = end.at
+		}
+		return
+	}
+	e.ends = append(slices.Clip(e.ends), end)
+	if len(e.ends) > mostEnds {
+		oldest := slices.MinFunc(e.ends, func(x, y End) int {
+			return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.key, y.key))
+		})
+		e.ends = slices.DeleteFunc(e.ends, func(o End) bool { return o.key == oldest.key })
+	}
+}
+
+// last returns when something was last learnt.
+func (e Evidence) last() time.Time {
+	last := e.cleared
+	for _, end := range e.ends {
+		if end.at.After(last) {
+			last = end.at
+		}
+	}
+	return last
+}
+
+// standing returns how the request stands.
+func (e Evidence) standing(now time.Time) Standing {
+	if len(e.ends) == 0 {
+		return Free
+	}
+	young := now.Sub(e.last()) < Memory
+	switch {
+	case len(e.ends) >= refusedFrom && young:
+		return Refused
+	case len(e.ends) >= aloneFrom, slices.ContainsFunc(e.ends, End.Unread):
+		return Alone
+	default:
+		return Free
+	}
+}
--- /dev/null
+++ b/internal/suspect/standing.go
@@ -0,0 +1,47 @@
+package suspect
+
+import "time"
+
+// Standing is how a request may run.
+type Standing uint8
+
+// The standings. What ended a target is not known at first: all that it had are suspects, and
+// targets end by themselves too.
+const (
+	// Free requests run as any other.
+	Free Standing = iota
+	// Alone means that the request runs on a target on which nothing else is lost with it,
+	// and on one at a time over all boxes.
+	Alone
+	// Refused requests are sent to no target.
+	Refused
+)
+
+const (
+	// refusedFrom is how many targets have ended under a request that is refused. Two end
+	// under a request by chance where many do at the same time; of a third one it runs on
+	// alone.
+	refusedFrom = 3
+	// aloneFrom is how many targets have ended, none of which had sent anything for it yet,
+	// under a request that runs alone. One that had not begun its answer does so from the
+	// first one on.
+	aloneFrom = 2
+	// Memory is for how long a request is refused after a target has last ended under it.
+	// Then one attempt shows, alone, whether it still does harm: a target less each minute.
+	Memory = time.Minute
+	// mostKnown bounds the requests of which something is known: those that four targets have
+	// at the same time, with some twenty requests each. Those of which least is known, and the
+	// oldest of these, are forgotten first.
+	mostKnown = 80
+	// clearTold is for how long the others are told that a request was cleared. What is told by
+	// way of others looks younger each time, and must not clear what came later.
+	clearTold = 5 * time.Second
+	// mostTold bounds those of which a box tells the others at a time, in some 1.3 kB; those
+	// that changed last go first.
+	mostTold = 32
+)
+
+var standingNames = [...]string{"free", "alone", "refused"}
+
+// String returns the standing's name for logs.
+func (s Standing) String() string { return standingNames[s] }
--- a/refusal.go
+++ b/refusal.go
@@ -33,6 +33,7 @@
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonNoTarget         Reason = "no_target"
 	ReasonTargetFailed     Reason = "target_failed"
+	ReasonEndsTargets      Reason = "ends_targets"
 	ReasonTargetRefused    Reason = "target_refused"
 	ReasonTorn             Reason = "torn_answer"
 	ReasonForeign          Reason = "foreign_answer"
