Suspects: what ends targets is told from what was there when many ended

A request that many callers repeat is at many targets: where four of these crash together by themselves, all its callers were refused for a minute, by a count of three alone. Now one of the three ends must be of a run alone, a first event elsewhere ends the suspicion of a prompt that was being read, and any whole run clears it. TestTargetsCrashTogether.

--- a/internal/balance/trial_test.go
+++ b/internal/balance/trial_test.go
@@ -35,7 +35,7 @@
 
 // ended notes a target that had the request.
 func (t *trials) ended(d suspect.Digest, key uint32) {
-	t.book.Ended(d, bodySize, suspect.NewEnd(key, t.clock.Now(), true))
+	t.book.Ended(d, bodySize, suspect.NewEnd(key, t.clock.Now(), suspect.Unread|suspect.Lone))
 }
 
 // ask asks for a place for a suspect.
--- a/internal/front/deadly_test.go
+++ b/internal/front/deadly_test.go
@@ -189,7 +189,7 @@
 			f := newFixture(t, state{view: newView()}, whole(http.StatusOK, sealed, "good"))
 			d := suspect.Request{Account: "acme", Method: http.MethodPost, Host: "h", Target: "/keyed/", Body: []byte(deadly)}.Digest()
 			for key := range uint32(times) {
-				f.front.Balancer.Suspects.Ended(d, len(deadly), suspect.NewEnd(key, time.Now(), true))
+				f.front.Balancer.Suspects.Ended(d, len(deadly), suspect.NewEnd(key, time.Now(), suspect.Lone))
 			}
 			got := f.ask(t, http.MethodPost, tc.path, tc.body, "Key", tc.key)
 			c.Check(got.status, quicktest.Equals, tc.status)
@@ -221,6 +221,7 @@
 			conn.Close()
 		}
 	}
+	f.view.Route("h", "/giant/").MaxSends = 1
 	f.ask(t, http.MethodPost, "/giant/", deadly, "Prompt", "600")
 	c.Check(f.standing("/giant/", deadly), quicktest.Not(quicktest.Equals), suspect.Free)
 }
@@ -246,9 +247,9 @@
 	}
 	refused, other := ask(deadly), ask("beadly")
 	d := suspect.Request{Method: http.MethodPost, Host: "h", Target: "/once/", Body: []byte(deadly)}.Digest()
-	told := suspect.NewEvidence(len(deadly), nil, time.Time{})
+	told := suspect.NewEvidence(len(deadly), nil, time.Time{}, time.Time{})
 	for key := range uint32(mostEnded) {
-		told = suspect.NewEvidence(len(deadly), append(told.Ends(), suspect.NewEnd(key, time.Now(), true)), time.Time{})
+		told = suspect.NewEvidence(len(deadly), append(told.Ends(), suspect.NewEnd(key, time.Now(), suspect.Lone)), time.Time{}, time.Time{})
 	}
 	f.front.Balancer.Suspects.Hear(map[suspect.Digest]suspect.Evidence{d: told})
 	c.Check((<-refused).status, quicktest.Equals, http.StatusBadGateway)
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -88,7 +88,7 @@
 			return d.ended(ctx, x, failed, err)
 		}
 		tries++
-		t := &try{stage: d, exchange: x, placement: placement, number: tries}
+		t := &try{stage: d, exchange: x, placement: placement, number: tries, alone: job.Ended > 0}
 		res, err := t.run(ctx)
 		placement.Done(t.report(ctx, res))
 		if res == resultDone {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -99,6 +99,7 @@
 	if t.first == 0 {
 		t.first = t.stage.clock.Now().Sub(t.started)
 		t.placement.First()
+		t.showBegun()
 	}
 	if x.answer.Begun() {
 		return
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// showBegun notes that a target has begun its answer to the request and lives.
+func (t *try) showBegun() {
+	x := t.exchange
+	if book := t.stage.balancer.Suspects; book.Concerns(len(x.body)) {
+		book.Begin(x.identity(), len(x.body))
+	}
+}
+
 // accuse holds against the request each target of a failed try that has ended.
 func (t *try) accuse(ctx context.Context, res result) {
 	book := t.stage.balancer.Suspects
@@ -76,15 +84,27 @@
 		return
 	}
 	x := t.exchange
+	marks := t.marks()
 	for _, target := range t.ended(ctx, res) {
-		unread := t.first == 0
 		t.stage.log.Warn().Str("request", x.call.ID).Str("digest", x.identity().String()).Str("account", x.account).
-			Str("target", string(target.ID)).Bool("unread", unread).Msg(logPrefix + "A target has ended while it had the request.")
-		end := suspect.NewEnd(uint32(balance.KeyOfTarget(target)), t.stage.clock.Now(), unread)
+			Str("target", string(target.ID)).Bool("unread", marks&suspect.Unread != 0).
+			Bool("alone", marks&suspect.Lone != 0).Msg(logPrefix + "A target has ended while it had the request.")
+		end := suspect.NewEnd(uint32(balance.KeyOfTarget(target)), t.stage.clock.Now(), marks)
 		book.Ended(x.identity(), len(x.body), end)
 	}
 }
 
+// marks tells how the request ran at the target.
+func (t *try) marks() (marks suspect.Mark) {
+	if t.first == 0 {
+		marks |= suspect.Unread
+	}
+	if t.alone {
+		marks |= suspect.Lone
+	}
+	return marks
+}
+
 // ended returns the targets of a failed try that have ended: they started anew, or nothing
 // listens at their address. One that closes or resets a connection, falls silent or is cut off
 // has not, nor has one that was about to leave. Other boxes hear that nobody listens there.
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -26,6 +26,7 @@
 
 	// number counts the request's tries, also those that reached no target.
 	number  int
+	alone   bool // alone is set for the try of a suspect, whose target gets nothing else.
 	started time.Time
 	sent    time.Time     // sent is when the target was sent the request.
 	head    reply.Head    // head is that of the target's answer.
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -57,11 +57,15 @@
 		if !e.Cleared().IsZero() {
 			s.Cleared, s.ClearedAgeUs = true, now.Sub(e.Cleared()).Microseconds()
 		}
+		if !e.Begun().IsZero() {
+			s.Begun, s.BegunAgeUs = true, now.Sub(e.Begun()).Microseconds()
+		}
 		for _, end := range e.Ends() {
 			s.Ends = append(s.Ends, &gossipv1.TargetEnd{
 				Target: end.Key(),
 				AgeUs:  now.Sub(end.At()).Microseconds(),
-				Unread: end.Unread(),
+				Unread: end.Has(suspect.Unread),
+				Lone:   end.Has(suspect.Lone),
 			})
 		}
 		d.Suspects = append(d.Suspects, s)
@@ -79,17 +83,31 @@
 		}
 		var ends []suspect.End
 		for _, end := range s.GetEnds() {
-			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(end.GetAgeUs()), end.GetUnread()))
+			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(end.GetAgeUs()), marksOf(end)))
 		}
-		var cleared time.Time
+		var cleared, begun time.Time
 		if s.GetCleared() {
 			cleared = ago(s.GetClearedAgeUs())
 		}
-		known[digest] = suspect.NewEvidence(int(s.GetSize()), ends, cleared)
+		if s.GetBegun() {
+			begun = ago(s.GetBegunAgeUs())
+		}
+		known[digest] = suspect.NewEvidence(int(s.GetSize()), ends, cleared, begun)
 	}
 	return known
 }
 
+// marksOf reads how a request ran at a target that ended.
+func marksOf(end *gossipv1.TargetEnd) (marks suspect.Mark) {
+	if end.GetUnread() {
+		marks |= suspect.Unread
+	}
+	if end.GetLone() {
+		marks |= suspect.Lone
+	}
+	return marks
+}
+
 // snapshotOf reads a snapshot out of a datagram that has come now.
 func snapshotOf(d *datagram, now time.Time) balance.Snapshot {
 	s := balance.NewSnapshot()
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/barleystep/barleystep/internal/gossip"
 	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/plane"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // box is a modelled machine that runs a real box's part in the control plane.
@@ -51,7 +53,7 @@
 	done          sync.WaitGroup
 	ctx           context.Context
 	started       time.Time
-	// balancer is a real one in scenes with traffic, else nil.
+	// balancer is a real one in scenes with a workload, else nil.
 	balancer *balance.Balancer
 }
 
@@ -62,9 +64,8 @@
 	l := &life{stop: cancel, ctx: ctx, started: time.Now()}
 	mux := http.NewServeMux()
 	var told gossip.Balancer = b
-	if p := b.day.result.pool; p != nil {
-		asked, path := p.equip(b, l)
-		mux.Handle(path, asked)
+	if b.day.scene.work != nil {
+		mux.Handle(b.equip(l))
 		told = l.balancer
 	}
 	l.configuration = &follow.Configuration{Clock: b, Decode: decodeConfiguration, Log: quiet}
@@ -100,6 +101,19 @@
 	b.life = l
 }
 
+// equip gives a box the balancer, and the answers as the lead, that a real one has.
+func (b *box) equip(l *life) (path string, asked http.Handler) {
+	l.balancer = &balance.Balancer{
+		Clock:    b,
+		Hall:     barleystep.HallID(b.hall),
+		Targets:  b.day.scene.work.targets,
+		Rand:     rand.New(rand.NewPCG(b.day.scene.seed, uint64(b.index))),
+		Suspects: &suspect.Book{Clock: b},
+	}
+	server := &lead.Server{Clock: b, Balancer: l.balancer, View: func() *fleet.View { return workView }}
+	return server.Handler()
+}
+
 // kill ends the box without a word.
 func (b *box) kill() {
 	b.mu.Lock()
--- a/internal/plane/day_test.go
+++ b/internal/plane/day_test.go
@@ -14,12 +14,14 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
 )
 
 // scene says what is played.
@@ -34,8 +36,16 @@
 	events []event
 	// measured is from when on roles and ages are looked at.
 	measured time.Duration
-	// traffic, if set, is what callers ask meanwhile.
-	traffic *traffic
+	// work, if set, is what callers ask meanwhile.
+	work workload
+}
+
+// workload is callers before modelled targets, behind boxes with real balancers.
+type workload interface {
+	// targets lists the targets as all boxes read them.
+	targets() []fleet.Target
+	// call has callers ask until the scene ends.
+	call(d *day)
 }
 
 type event struct {
@@ -90,8 +100,6 @@
 	datagrams    int
 	bytes        int
 	largest      int
-	// pool is what targets got in scenes with traffic.
-	pool *pool
 }
 
 const (
@@ -140,9 +148,6 @@
 		d.boxes = append(d.boxes, b)
 		d.network.boxes[b.addr] = b
 	}
-	if s.traffic != nil {
-		d.result.pool = newPool(*s.traffic)
-	}
 	var list []barleystep.Record
 	for i := range targets {
 		list = append(list, barleystep.NewRecord(fmt.Sprint("target-", i), nil))
@@ -204,9 +209,10 @@
 		// Starts are spread over a tick, so that no two boxes act at one moment.
 		time.AfterFunc(time.Duration(i)*50*time.Millisecond/time.Duration(len(d.boxes)), b.start)
 	}
-	if p := d.result.pool; p != nil {
-		p.calls.Go(func() { p.call(d) })
-		defer p.calls.Wait()
+	if d.scene.work != nil {
+		var calls sync.WaitGroup
+		calls.Go(func() { d.scene.work.call(d) })
+		defer calls.Wait()
 	}
 	events := d.scene.events
 	for d.elapsed() < d.scene.length {
--- a/internal/plane/limit_test.go
+++ b/internal/plane/limit_test.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -17,12 +16,11 @@
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/fleet"
-	"github.com/barleystep/barleystep/internal/lead"
 )
 
 // traffic has callers ask at all boxes of a scene for targets that name limits.
 type traffic struct {
-	targets int
+	count int // count is how many targets there are.
 	// perSecond is how many requests come in a second, in turns to a plain service and to
 	// engines, over the boxes by chance.
 	perSecond float64
@@ -41,8 +39,8 @@
 	ReadRate: 256_000, PerPairs: 92 * time.Microsecond, UsualPrompt: 5_000,
 }
 
-// limitedView is the configuration by which the lead places requests.
-var limitedView = fleet.NewView(fleet.Configuration{
+// workView is the configuration by which the lead places requests of workloads.
+var workView = fleet.NewView(fleet.Configuration{
 	Version:  1,
 	Services: []fleet.Service{{Name: plainService}, {Name: engineService, Cost: engineModel}},
 	Routes: []fleet.Route{{
@@ -72,7 +70,6 @@
 	traffic traffic
 	list    []fleet.Target
 
-	calls    sync.WaitGroup
 	mu       sync.Mutex
 	arrivals [][]arrival
 	first    []time.Duration // first is when each target first told a box of a limit.
@@ -90,8 +87,8 @@
 }
 
 func newPool(t traffic) *pool {
-	p := &pool{traffic: t, arrivals: make([][]arrival, t.targets), first: make([]time.Duration, t.targets)}
-	for i := range t.targets {
+	p := &pool{traffic: t, arrivals: make([][]arrival, t.count), first: make([]time.Duration, t.count)}
+	for i := range t.count {
 		service := plainService
 		if i%2 == 1 {
 			service = engineService
@@ -103,27 +100,19 @@
 	return p
 }
 
-// equip gives a box the balancer, and the way to the lead, that a real one has.
-func (p *pool) equip(b *box, l *life) (asked http.Handler, path string) {
-	l.balancer = &balance.Balancer{
-		Clock:   b,
-		Hall:    barleystep.HallID(b.hall),
-		Targets: func() []fleet.Target { return slices.Clone(p.list) },
-		Rand:    rand.New(rand.NewPCG(b.day.scene.seed, uint64(b.index))),
-	}
-	server := &lead.Server{Clock: b, Balancer: l.balancer, View: func() *fleet.View { return limitedView }}
-	path, asked = server.Handler()
-	return asked, path
-}
+// targets lists the targets as all boxes read them.
+func (p *pool) targets() []fleet.Target { return slices.Clone(p.list) }
 
 // call has callers ask until the scene ends.
 func (p *pool) call(d *day) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	draw := rand.New(rand.NewPCG(d.scene.seed, 3))
 	for d.elapsed() < d.scene.length {
 		pause(time.Duration(draw.ExpFloat64() / p.traffic.perSecond * float64(time.Second)))
 		b, service := d.boxes[draw.IntN(len(d.boxes))], []string{plainService, engineService}[draw.IntN(2)]
 		if l := b.running(); l != nil {
-			p.calls.Go(func() { p.ask(b, l, service) })
+			calls.Go(func() { p.ask(b, l, service) })
 		}
 	}
 }
@@ -273,7 +262,7 @@
 	small := func(length time.Duration, events ...event) scene {
 		return scene{halls: 3, boxes: 9, length: length, events: events}
 	}
-	one := &traffic{targets: 12, perSecond: 40, limit: steady(1)}
+	one := &traffic{count: 12, perSecond: 40, limit: steady(1)}
 	cases := map[string]struct {
 		scene   scene
 		traffic *traffic
@@ -313,10 +302,11 @@
 }
 
 func playLimits(t *testing.T, s scene, traffic *traffic) limitResult {
-	s.traffic, s.measured = traffic, s.length
-	played := play(t, s)
-	r := played.pool.count(s.length)
-	t.Logf("%+v, %d of %d served", r, played.pool.served, played.pool.asked)
+	p := newPool(*traffic)
+	s.work, s.measured = p, s.length
+	play(t, s)
+	r := p.count(s.length)
+	t.Logf("%+v, %d of %d served", r, p.served, p.asked)
 	return r
 }
 
--- a/internal/suspect/book.go
+++ b/internal/suspect/book.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// Begin notes that an answer to the request has begun.
+func (b *Book) Begin(d Digest, size int) {
+	if b != nil && b.Concerns(size) {
+		b.learn(d, Evidence{size: size, begun: b.Clock.Now()})
+	}
+}
+
 // Hear takes in what other boxes know.
 func (b *Book) Hear(told map[Digest]Evidence) {
 	for d, e := range told {
@@ -152,8 +159,10 @@
 	told := make(map[Digest]Evidence)
 	for _, d := range latest[:min(mostTold, len(latest))] {
 		e := b.known[d]
-		if now.Sub(e.cleared) >= clearTold {
-			e.cleared = time.Time{}
+		for _, word := range []*time.Time{&e.cleared, &e.begun} {
+			if now.Sub(*word) >= clearTold {
+				*word = time.Time{}
+			}
 		}
 		told[d] = e
 	}
--- a/internal/suspect/book_test.go
+++ b/internal/suspect/book_test.go
@@ -43,38 +43,53 @@
 // after the last of it.
 func TestStanding(t *testing.T) {
 	type step func(b *suspect.Book, clk *clock.Manual)
-	end := func(key uint32, unread bool) step {
+	end := func(key uint32, marks suspect.Mark) step {
 		return func(b *suspect.Book, clk *clock.Manual) {
-			b.Ended(digest, size, suspect.NewEnd(key, clk.Now(), unread))
+			b.Ended(digest, size, suspect.NewEnd(key, clk.Now(), marks))
 		}
 	}
+	const (
+		writing = suspect.Mark(0)
+		unread  = suspect.Unread
+		lone    = suspect.Unread | suspect.Lone
+	)
 	whole := func(b *suspect.Book, _ *clock.Manual) { b.Clear(digest, size) }
+	begins := func(b *suspect.Book, _ *clock.Manual) { b.Begin(digest, size) }
 	wait := func(d time.Duration) step {
 		return func(_ *suspect.Book, clk *clock.Manual) { clk.Advance(d) }
 	}
+	told := func(b *suspect.Book, clk *clock.Manual) {
+		late := suspect.NewEvidence(size, []suspect.End{suspect.NewEnd(1, clk.Now().Add(-2*time.Second), unread)}, time.Time{}, time.Time{})
+		b.Hear(map[suspect.Digest]suspect.Evidence{digest: late})
+	}
+	three := []step{end(1, unread), end(2, lone), end(3, lone)}
 	cases := map[string]struct {
 		steps []step
 		want  suspect.Standing
 	}{
-		"nothing":                   {nil, suspect.Free},
-		"one end amid its stream":   {[]step{end(1, false)}, suspect.Free},
-		"one end before its stream": {[]step{end(1, true)}, suspect.Alone},
-		"the same end twice":        {[]step{end(1, false), end(1, false)}, suspect.Free},
-		"two ends amid its streams": {[]step{end(1, false), end(2, false)}, suspect.Alone},
-		"three ends":                {[]step{end(1, false), end(2, false), end(3, true)}, suspect.Refused},
-		"an end, then whole":        {[]step{end(1, true), whole}, suspect.Free},
-		"three ends, then whole":    {[]step{end(1, true), end(2, true), end(3, true), whole}, suspect.Free},
-		"whole, then an end":        {[]step{end(1, true), whole, end(2, true)}, suspect.Alone},
-		"whole between ends":        {[]step{end(1, true), end(2, true), whole, end(3, false)}, suspect.Free},
-		"refused for a minute":      {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory - 3*time.Second)}, suspect.Refused},
-		"alone after a minute":      {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory)}, suspect.Alone},
-		"again an end after that":   {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory), end(4, true)}, suspect.Refused},
-		"again an end, and a fifth": {[]step{end(1, true), end(2, true), end(3, true), wait(suspect.Memory), end(4, true), wait(suspect.Memory), end(5, true)}, suspect.Refused},
-		"forgotten":                 {[]step{end(1, true), end(2, true), end(3, true), wait(2 * suspect.Memory), func(b *suspect.Book, _ *clock.Manual) { b.Told() }}, suspect.Free},
-		"an end that is told after it was whole": {[]step{end(1, true), whole, func(b *suspect.Book, clk *clock.Manual) {
-			late := suspect.NewEvidence(size, []suspect.End{suspect.NewEnd(1, clk.Now().Add(-time.Second), true)}, time.Time{})
-			b.Hear(map[suspect.Digest]suspect.Evidence{digest: late})
-		}}, suspect.Free},
+		"nothing":                              {nil, suspect.Free},
+		"one end amid its stream":              {[]step{end(1, writing)}, suspect.Free},
+		"one end before its stream":            {[]step{end(1, unread)}, suspect.Alone},
+		"the same end twice":                   {[]step{end(1, writing), end(1, writing)}, suspect.Free},
+		"two ends amid its streams":            {[]step{end(1, writing), end(2, writing)}, suspect.Alone},
+		"three ends beside others":             {[]step{end(1, unread), end(2, unread), end(3, unread)}, suspect.Alone},
+		"four ends beside others":              {[]step{end(1, unread), end(2, unread), end(3, unread), end(4, unread)}, suspect.Alone},
+		"three ends, one of them alone":        {[]step{end(1, unread), end(2, writing), end(3, lone)}, suspect.Refused},
+		"two ends alone":                       {[]step{end(1, lone), end(2, lone)}, suspect.Alone},
+		"an end, then whole":                   {[]step{end(1, unread), whole}, suspect.Free},
+		"an end, then begun elsewhere":         {[]step{end(1, unread), begins}, suspect.Free},
+		"begun elsewhere, then an end":         {[]step{end(1, unread), begins, end(2, unread)}, suspect.Alone},
+		"two ends, then begun elsewhere":       {[]step{end(1, unread), end(2, unread), begins}, suspect.Alone},
+		"refused, then whole":                  {append(three[:3:3], whole), suspect.Free},
+		"whole, then an end":                   {[]step{end(1, unread), whole, end(2, unread)}, suspect.Alone},
+		"whole between ends":                   {[]step{end(1, unread), end(2, unread), whole, end(3, writing)}, suspect.Free},
+		"refused for a minute":                 {append(three[:3:3], wait(suspect.Memory-3*time.Second)), suspect.Refused},
+		"alone after a minute":                 {append(three[:3:3], wait(suspect.Memory)), suspect.Alone},
+		"an end after a minute":                {append(three[:3:3], wait(suspect.Memory), end(4, lone)), suspect.Refused},
+		"again an end after a minute":          {append(three[:3:3], wait(suspect.Memory), end(4, lone), wait(suspect.Memory), end(5, lone)), suspect.Refused},
+		"forgotten":                            {append(three[:3:3], wait(2*suspect.Memory), func(b *suspect.Book, _ *clock.Manual) { b.Told() }), suspect.Free},
+		"an end is told after it was whole":    {[]step{end(1, unread), whole, told}, suspect.Free},
+		"an end that many saw, of some unread": {[]step{end(1, writing), end(1, unread)}, suspect.Alone},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -90,6 +105,30 @@
 	}
 }
 
+// TestTargetsCrashTogether checks that a request which many callers repeat is never refused
+// where many targets that have it end at the same time by themselves, and is free again as
+// soon as one of its other runs is whole.
+func TestTargetsCrashTogether(t *testing.T) {
+	c := quicktest.New(t)
+	clk := clock.NewManual(time.Unix(1000, 0))
+	b := &suspect.Book{Clock: clk}
+	refused := make(chan struct{}, 1)
+	b.Watch(func(suspect.Digest, int) { refused <- struct{}{} })
+	for wave := range uint32(5) {
+		for key := range uint32(6) {
+			b.Ended(digest, size, suspect.NewEnd(10*wave+key, clk.Now(), suspect.Unread))
+			s, _ := b.Standing(digest)
+			c.Check(s, quicktest.Not(quicktest.Equals), suspect.Refused)
+		}
+		clk.Advance(100 * time.Millisecond)
+		b.Clear(digest, size)
+		s, _ := b.Standing(digest)
+		c.Check(s, quicktest.Equals, suspect.Free)
+		clk.Advance(100 * time.Millisecond)
+	}
+	c.Check(len(refused), quicktest.Equals, 0)
+}
+
 // TestJoin checks that boxes come to the same belief in whatever order, and however often, they
 // hear what each other knows. A lifetime ends once.
 func TestJoin(t *testing.T) {
@@ -106,12 +145,12 @@
 		var told []suspect.Evidence
 		for range rapid.IntRange(1, 12).Draw(r, "words") {
 			if rapid.IntRange(0, 3).Draw(r, "cleared") == 0 {
-				told = append(told, suspect.NewEvidence(size, nil, moment("whole")))
+				told = append(told, suspect.NewEvidence(size, nil, moment("whole"), time.Time{}))
 				continue
 			}
 			key := rapid.IntRange(0, len(ends)-1).Draw(r, "target")
-			end := suspect.NewEnd(uint32(key), ends[key], true)
-			told = append(told, suspect.NewEvidence(size, []suspect.End{end}, time.Time{}))
+			end := suspect.NewEnd(uint32(key), ends[key], suspect.Unread)
+			told = append(told, suspect.NewEvidence(size, []suspect.End{end}, time.Time{}, time.Time{}))
 		}
 		clk.Advance(30 * time.Second)
 		belief := func(words []suspect.Evidence) int {
@@ -136,12 +175,12 @@
 	clk := clock.NewManual(time.Unix(1000, 0))
 	b := &suspect.Book{Clock: clk}
 	for key := range uint32(3) {
-		b.Ended(digest, size, suspect.NewEnd(key, clk.Now(), true))
+		b.Ended(digest, size, suspect.NewEnd(key, clk.Now(), suspect.Unread|suspect.Lone))
 	}
 	for i := range 1000 {
 		clk.Advance(time.Millisecond)
 		d := suspect.Request{Target: "/" + string(rune(i)), Method: "GET"}.Digest()
-		b.Ended(d, 0, suspect.NewEnd(9, clk.Now(), true))
+		b.Ended(d, 0, suspect.NewEnd(9, clk.Now(), suspect.Unread))
 	}
 	held := 0
 	for _, n := range b.Counts() {
@@ -158,7 +197,7 @@
 func TestNilBook(t *testing.T) {
 	c := quicktest.New(t)
 	var b *suspect.Book
-	b.Ended(digest, size, suspect.NewEnd(1, time.Time{}, true))
+	b.Ended(digest, size, suspect.NewEnd(1, time.Time{}, suspect.Unread))
 	b.Clear(digest, size)
 	standing, _ := b.Standing(digest)
 	c.Check(standing, quicktest.Equals, suspect.Free)
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -11,15 +11,24 @@
 // End is a target's lifetime that ended while it had a request.
 type End struct {
 	// key names the lifetime between boxes.
-	key uint32
-	at  time.Time
-	// unread is set if the request had no event or answer of the target yet: what ends a
-	// target mostly does so at once.
-	unread bool
+	key   uint32
+	at    time.Time
+	marks Mark
 }
 
+// Mark tells how a request ran at a target that ended. Marks are joined with |.
+type Mark uint8
+
+const (
+	// Unread means that the request had no event or answer of the target yet: what ends a
+	// target mostly does so at once.
+	Unread Mark = 1 << iota
+	// Lone means that the request ran alone there: hardly anything else can have ended it.
+	Lone
+)
+
 // NewEnd returns the end of the lifetime with the key.
-func NewEnd(key uint32, at time.Time, unread bool) End { return End{key: key, at: at, unread: unread} }
+func NewEnd(key uint32, at time.Time, marks Mark) End { return End{key: key, at: at, marks: marks} }
 
 // Key returns the key of the lifetime.
 func (e End) Key() uint32 { return e.key }
@@ -27,8 +36,11 @@
 // At returns when it was seen to have ended.
 func (e End) At() time.Time { return e.at }
 
-// Unread reports whether the request had nothing of the target yet.
-func (e End) Unread() bool { return e.unread }
+// Marks returns how the request ran there.
+func (e End) Marks() Mark { return e.marks }
+
+// Has reports whether the end has the mark.
+func (e End) Has(m Mark) bool { return e.marks&m != 0 }
 
 // Evidence is what is known of one request. Evidence of several boxes is joined in any order
 // and any number of times with the same outcome.
@@ -37,13 +49,15 @@
 	size int
 	// ends are the lifetimes that ended under it since it was last cleared, the last mostEnds.
 	ends []End
-	// cleared is when a run of it was last whole, zero if none was.
+	// cleared is when a run of it was last whole, and begun when an answer to it last began,
+	// zero if none did.
 	cleared time.Time
+	begun   time.Time
 }
 
 // NewEvidence returns the evidence against a request with a body of the size.
-func NewEvidence(size int, ends []End, cleared time.Time) Evidence {
-	return Evidence{size: size, ends: ends, cleared: cleared}
+func NewEvidence(size int, ends []End, cleared, begun time.Time) Evidence {
+	return Evidence{size: size, ends: ends, cleared: cleared, begun: begun}
 }
 
 // Size returns the length of the request's body.
@@ -55,16 +69,16 @@
 // Cleared returns when a run of the request was last whole, zero if none was.
 func (e Evidence) Cleared() time.Time { return e.cleared }
 
+// Begun returns when an answer to the request last began, zero if none did.
+func (e Evidence) Begun() time.Time { return e.begun }
+
 // mostEnds is how many ends are kept of a request: one more than it takes to refuse it, as
 // some may come at the same time.
 const mostEnds = refusedFrom + 1
 
 // join returns both evidences in one.
 func (e Evidence) join(o Evidence) Evidence {
-	out := Evidence{size: max(e.size, o.size), cleared: e.cleared}
-	if o.cleared.After(out.cleared) {
-		out.cleared = o.cleared
-	}
+	out := Evidence{size: max(e.size, o.size), cleared: later(e.cleared, o.cleared), begun: later(e.begun, o.begun)}
 	for _, end := range slices.Concat(e.ends, o.ends) {
 		out.add(end)
 	}
@@ -78,7 +92,7 @@
 	same := func(o End) bool { return o.key == end.key }
 	if i := slices.IndexFunc(e.ends, same); i >= 0 {
 		known := &e.ends[i]
-		known.unread = known.unread || end.unread
+		known.marks |= end.marks
 		if end.at.Before(known.at) {
 			known.at = end.at
 		}
@@ -93,6 +107,13 @@
 	}
 }
 
+func later(x, y time.Time) time.Time {
+	if y.After(x) {
+		return y
+	}
+	return x
+}
+
 // last returns when something was last learnt.
 func (e Evidence) last() time.Time {
 	last := e.cleared
@@ -109,11 +130,14 @@
 	if len(e.ends) == 0 {
 		return Free
 	}
+	lone := func(end End) bool { return end.Has(Lone) }
+	// Once it was read elsewhere without harm, reading it is not what ended the target.
+	unread := func(end End) bool { return end.Has(Unread) && end.at.After(e.begun) }
 	young := now.Sub(e.last()) < Memory
 	switch {
-	case len(e.ends) >= refusedFrom && young:
+	case len(e.ends) >= refusedFrom && slices.ContainsFunc(e.ends, lone) && young:
 		return Refused
-	case len(e.ends) >= aloneFrom, slices.ContainsFunc(e.ends, End.Unread):
+	case len(e.ends) >= aloneFrom, slices.ContainsFunc(e.ends, unread):
 		return Alone
 	default:
 		return Free
--- a/internal/suspect/standing.go
+++ b/internal/suspect/standing.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// refusedFrom is how many targets have ended under a request that is refused. Two end
-	// under a request by chance where many do at the same time; of a third one it runs on
-	// alone.
+	// refusedFrom is how many targets have ended under a request that is refused, one of them
+	// while it ran alone: targets that end by themselves, many at the same time, have requests
+	// in common that many callers repeat.
 	refusedFrom = 3
 	// aloneFrom is how many targets have ended, none of which had sent anything for it yet,
 	// under a request that runs alone. One that had not begun its answer does so from the
@@ -33,7 +33,8 @@
 	// at the same time, with some twenty requests each. Those of which least is known, and the
 	// oldest of these, are forgotten first.
 	mostKnown = 80
-	// clearTold is for how long the others are told that a request was cleared. What is told by
+	// clearTold is for how long the others are told that a request was cleared, or an answer
+	// to it begun. What is told by
 	// way of others looks younger each time, and must not clear what came later.
 	clearTold = 5 * time.Second
 	// mostTold bounds those of which a box tells the others at a time, in some 1.3 kB; those
