The soak has a body that ends its target processes, and a checker for it

Callers send it now and then, in times drawn from a source of their own, so that kept seeds draw what they drew (TestScheduleOfOldSeeds leaves the new source out, as those that came before it). The checker finds what is sent by boxes that lived on, two seconds after three targets have ended under it.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -28,9 +28,13 @@
 	// routes returns how many routes were added so far, keys the keys that may be used.
 	routes func() int
 	keys   []string
-	load   load
-	client *http.Client
-	number int
+	// deadly reports whether deadly requests are sent now. They are drawn apart, so that
+	// seeds go on to draw what they drew.
+	deadly     func() bool
+	deadlyRand *rand.Rand
+	load       load
+	client     *http.Client
+	number     int
 }
 
 const (
@@ -42,6 +46,9 @@
 	// longEvery how seldom it comes.
 	longBody  = 96 << 10
 	longEvery = 20
+	// deadlyEvery is how seldom a deadly request comes while there are such.
+	deadlyEvery = 20
+	deadlyKey   = "key-a"
 	// shortPrompt and giantPrompt are lengths in tokens; the second is over an engine's
 	// memory.
 	shortPrompt = 500
@@ -50,9 +57,11 @@
 
 func newCaller(number int, seed uint64) *caller {
 	return &caller{
-		name:   fmt.Sprintf("c%d", number),
-		rand:   rand.New(rand.NewPCG(seed, uint64(number)+1)),
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		name: fmt.Sprintf("c%d", number),
+		rand: rand.New(rand.NewPCG(seed, uint64(number)+1)),
+
+		deadlyRand: rand.New(rand.NewPCG(seed, streamDeadly+uint64(number))),
+		client:     &http.Client{Transport: &http.Transport{DisableCompression: true}},
 	}
 }
 
@@ -83,6 +92,9 @@
 	if c.rand.IntN(longEvery) == 0 {
 		x.Body = strings.Repeat("long body ", longBody/10)
 	}
+	if c.deadly() && c.deadlyRand.IntN(deadlyEvery) == 0 {
+		x.Kind, x.Path, x.Key, x.Body = KindAgain, "/again/", deadlyKey, platformtest.DeadlyBody
+	}
 	return x
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -48,6 +48,7 @@
 	c.budget(calls)
 	c.routes()
 	c.reopened()
+	c.deadly(calls)
 	sort.Strings(c.found)
 	return c.found
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -304,7 +304,7 @@
 	c := quicktest.New(t)
 	run := soak.Setup{Seed: 2, Length: 20 * time.Second, Boxes: 3, Targets: 6, Profile: soak.ProfileUsual}
 	events := slices.DeleteFunc(soak.Schedule(run), func(e soak.Event) bool {
-		return e.Action == soak.ActionRestart || e.Action == soak.ActionForeign
+		return slices.Contains([]soak.Action{soak.ActionRestart, soak.ActionForeign, soak.ActionDeadly}, e.Action)
 	})
 	c.Assert(events, quicktest.HasLen, 43)
 	c.Check(events[0].String(), quicktest.Equals, "      2s spoil    3 for 2.822s hang 0.14")
@@ -337,3 +337,54 @@
 		c.Check(len(soak.Schedule(r.Setup())) > 0, quicktest.IsTrue)
 	}
 }
+
+// TestDeadly checks which requests may still be sent after three targets have ended under them.
+func TestDeadly(t *testing.T) {
+	type sent struct {
+		box  string
+		life int
+		at   time.Duration
+	}
+	first := []sent{{"b0", 1, 0}, {"b1", 1, 100 * time.Millisecond}, {"b0", 1, 200 * time.Millisecond}}
+	cases := map[string]struct {
+		later  []sent
+		frozen bool // frozen is set if b1 stood still from 1 s to 6 s.
+		found  int
+	}{
+		"none":                          {nil, false, 0},
+		"one that shows it":             {[]sent{{"b0", 1, 4 * time.Second}}, false, 0},
+		"two, long after":               {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 1, 5 * time.Second}}, false, 1},
+		"many, under way":               {[]sent{{"b0", 1, 300 * time.Millisecond}, {"b1", 1, time.Second}, {"b1", 1, 2 * time.Second}}, false, 0},
+		"by a box that stood still":     {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 1, 7 * time.Second}}, true, 0},
+		"long after it stood still":     {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 1, 9 * time.Second}}, true, 1},
+		"by a box that started since":   {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 2, 5 * time.Second}}, false, 0},
+		"by a box that started earlier": {[]sent{{"b0", 1, 4 * time.Second}, {"b2", 2, 5 * time.Second}}, false, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := soak.NewHistory(map[string]string{"k": "tenant"})
+			h.Killed("b2", 1, at(-time.Second))
+			h.Killed("b1", 1, at(4500*time.Millisecond))
+			if tc.frozen {
+				h.Frozen("b1", 1, at(time.Second))
+				h.Thawed("b1", 1, at(6*time.Second))
+			}
+			for i, s := range append(slices.Clone(first), tc.later...) {
+				x := change(refused(soak.KindAgain, http.StatusBadGateway), func(x *soak.Call) {
+					x.ID, x.Box, x.Life, x.Body = string(rune('a'+i)), s.box, s.life, platformtest.DeadlyBody
+					x.Started, x.Ended = at(s.at), at(s.at+time.Second)
+					x.Header = answered(x.ID, "")
+				})
+				h.Called(x)
+				h.Arrived(arrival(x, 1))
+			}
+			found := 0
+			for _, line := range h.Check() {
+				if strings.HasPrefix(line, "deadly requests") {
+					found++
+				}
+			}
+			quicktest.Check(t, found, quicktest.Equals, tc.found)
+		})
+	}
+}
--- a/internal/soak/child.go
+++ b/internal/soak/child.go
@@ -7,6 +7,7 @@
 	"io"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -56,6 +57,8 @@
 	held   int
 	waits  map[int]chan struct{}
 	ended  chan struct{}
+	// killed is set once it is ended from here.
+	killed atomic.Bool
 }
 
 // startChild starts a stand-in's process and waits until it listens.
@@ -142,6 +145,7 @@
 
 // kill ends the process at once and takes in what it has told.
 func (c *child) kill() {
+	c.killed.Store(true)
 	_ = c.cmd.Process.Kill() // It may have ended.
 	_ = c.in.Close()
 	if c.addr != "" {
--- a/internal/soak/examine.go
+++ b/internal/soak/examine.go
@@ -67,6 +67,7 @@
 func (s *Soak) equip(c *caller) {
 	c.clock, c.boxes, c.history, c.keys, c.load = s.Clock, s.boxes, s.history, slices.Clone(s.keys), s.load()
 	c.routes = func() int { return int(s.routes.Load()) }
+	c.deadly = func() bool { return s.deadly.Load() > 0 }
 }
 
 // examine looks at what is left when all faults are over.
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -60,6 +60,10 @@
 		s.configure()
 	case ActionRevoke:
 		s.revoke()
+	case ActionDeadly:
+		s.deadly.Add(1)
+		s.sleep(ctx, e.For)
+		s.deadly.Add(-1)
 	default:
 		s.targets[e.Index].act(ctx, e)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -48,6 +48,9 @@
 	// taken away.
 	ActionRoute  Action = "route"
 	ActionRevoke Action = "revoke"
+	// ActionDeadly has callers send a request, now and then, that ends each target which
+	// runs it.
+	ActionDeadly Action = "deadly"
 )
 
 // Event is one entry of a schedule.
@@ -78,6 +81,8 @@
 	// ids and between entries of another writer.
 	restartGap = 3 * time.Second
 	foreignGap = 5 * time.Second
+	// deadlyGap is the same between times in which callers send a deadly request.
+	deadlyGap = 8 * time.Second
 	// shortest and longest bound how long a fault lasts.
 	shortest = 300 * time.Millisecond
 	longest  = 4 * time.Second
@@ -101,6 +106,7 @@
 	streamStops
 	streamRestarts
 	streamForeign
+	streamDeadly
 )
 
 // sources returns what the events of a run are drawn from.
@@ -109,6 +115,7 @@
 		{streamFaults, gap, weights},
 		{streamRestarts, restartGap, map[Action]int{ActionRestart: 1}},
 		{streamForeign, foreignGap, map[Action]int{ActionForeign: 1}},
+		{streamDeadly, deadlyGap, map[Action]int{ActionDeadly: 1}},
 	}
 	if n := s.load().stops; n > 0 {
 		between := grace * time.Duration(n) / time.Duration(s.Boxes)
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -44,11 +44,29 @@
 		return err
 	}
 	t.link.lead(t.child.addr)
+	go t.watch(ctx, t.child)
 	t.child.give(order{Spoils: maps.Clone(t.spoils)})
 	t.announce(stateReady)
 	return nil
 }
 
+// deadTime is how long a target is away that has ended by itself.
+const deadTime = time.Second
+
+// watch has another process follow one that ends by itself. It says nothing of its end.
+func (t *slot) watch(ctx context.Context, c *child) {
+	<-c.ended
+	if c.killed.Load() {
+		return
+	}
+	t.mu.Lock()
+	current := t.child == c
+	t.mu.Unlock()
+	if current && ctx.Err() == nil {
+		t.replace(ctx, deadTime, false)
+	}
+}
+
 // entry is what the target says of itself in the store.
 func (t *slot) entry(state string) map[string]any {
 	e := platformtest.Entry(t.service, t.link.addr(), fmt.Sprintf("h%d", t.number%2), t.soak.load().slots, state)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,7 +34,8 @@
 	routes  atomic.Int64
 	version int
 	keys    []string
-	probes  int // probes counts the callers that looked whether all works.
+	deadly  atomic.Int64 // deadly counts the times that last in which callers send a deadly request.
+	probes  int          // probes counts the callers that looked whether all works.
 	// configuring orders changes of the configuration, and storeMu faults of the store.
 	configuring sync.Mutex
 	storeMu     sync.Mutex
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -55,6 +55,7 @@
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	out := newOutput()
 	t.Note = func(a platformtest.Arrival) { out.tell(report{Arrival: &a}) }
+	t.End = func() { os.Exit(1) }
 	out.tell(report{Addr: l.Addr().String()})
 	go func() { _ = t.Serve(l) }() // It ends with the process.
 	return serveOrders(out, func(o order) int {
