--- a/internal/balance/allowance.go
+++ b/internal/balance/allowance.go
@@ -138,15 +138,10 @@
 	}
 }
 
-// admitting returns the targets that may get one more request from this box.
+// admitting returns those of the targets that may get one more request from this box, in the
+// room of the list that is given.
 func (b *Balancer) admitting(targets []fleet.Target) []fleet.Target {
-	list := make([]fleet.Target, 0, len(targets))
-	for _, t := range targets {
-		if b.admits(b.state(t.ID)) {
-			list = append(list, t)
-		}
-	}
-	return list
+	return slices.DeleteFunc(targets, func(t fleet.Target) bool { return !b.admits(b.state(t.ID)) })
 }
 
 // limitDelay returns how long it takes until the limits of all targets of the job have room
--- a/internal/gossip/bench_internal_test.go
+++ b/internal/gossip/bench_internal_test.go
@@ -7,8 +7,10 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/barleystep/barleystep"
 	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
 	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 // BenchmarkCapacityDatagram measures the size of a datagram with the work of some
@@ -44,3 +46,36 @@
 		})
 	}
 }
+
+// BenchmarkCapacitySuspects measures what a datagram grows by with as many suspects as it tells
+// of, and with limits of targets.
+func BenchmarkCapacitySuspects(b *testing.B) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct{ suspects, limits int }{{1, 0}, {32, 0}, {0, 1}, {0, 18}} {
+		b.Run(fmt.Sprintf("suspects=%d/limits=%d", tc.suspects, tc.limits), func(b *testing.B) {
+			s := balance.NewSnapshot()
+			for i := range tc.suspects {
+				digest := suspect.Request{Target: fmt.Sprint(i)}.Digest()
+				ends := []suspect.End{
+					suspect.NewEnd(1<<31, now.Add(-10*time.Second), suspect.Unread),
+					suspect.NewEnd(1<<30, now.Add(-9*time.Second), suspect.Unread|suspect.Lone),
+				}
+				s.Suspects[digest] = suspect.NewEvidence(20_000, ends, time.Time{}, now.Add(-time.Second))
+			}
+			for i := range tc.limits {
+				s.Limits[balance.Key(i+1)] = balance.LimitNews{Limit: barleystep.NewRateLimit(1.5), At: now.Add(-time.Second)}
+			}
+			size := 0
+			for b.Loop() {
+				d := &gossipv1.Datagram{}
+				fill(d, s, now)
+				data, err := proto.Marshal(d)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B")
+		})
+	}
+}
--- a/internal/suspect/standing.go
+++ b/internal/suspect/standing.go
@@ -37,7 +37,7 @@
 	// to it begun. What is told by
 	// way of others looks younger each time, and must not clear what came later.
 	clearTold = 5 * time.Second
-	// mostTold bounds those of which a box tells the others at a time, in some 1.3 kB; those
+	// mostTold bounds those of which a box tells the others at a time, in some 2 kB; those
 	// that changed last go first.
 	mostTold = 32
 )
