--- a/internal/balance/allowance.go
+++ b/internal/balance/allowance.go
@@ -26,8 +26,8 @@
 //
 // In four seconds that is 4.1*l + 1, and l from boxes without a lead; two leads at a time,
 // for as long as it takes boxes to hear of each other, add l a second. Boxes that were not
-// told, by the target or by others, keep to nothing: news take some tens of milliseconds, and
-// a box that starts hears of limits together with the lead.
+// told, by the target or by others, send what their callers ask for: news take some tens of
+// milliseconds, and a box that starts hears of limits with the first word of the others.
 
 const (
 	// bucketSpan is the time whose rate the lead saves up, besides one request: what waits is
@@ -146,7 +146,7 @@
 
 // limitDelay returns how long it takes until the limits of all targets of the job have room
 // for it and for those that wait before it, and whether they ever have. It is a bound from
-// below: buckets may be emptier than none.
+// below, as if each bucket were about to have room for the first of them.
 func (b *Balancer) limitDelay(j Job) (delay time.Duration, ever bool) {
 	perSecond := 0.0
 	for _, t := range b.candidates(j) {
--- a/internal/balance/trial.go
+++ b/internal/balance/trial.go
@@ -20,7 +20,7 @@
 
 const (
 	// trialSpan is for how long the target of a suspect gets nothing else: what ends a target
-	// does so while it reads the prompt, some tenths of a second.
+	// mostly does so while it reads the prompt, within some tenths of a second.
 	trialSpan = 600 * time.Millisecond
 	// trialLife is how long after a suspect was placed the next of its kind is, if nothing is
 	// heard of what became of it: its box may be gone.
