Sight of what targets say: leaving and rest are read, logged and counted

Nothing named a target's word of leaving, or its wish for rest, in logs or metrics, so that they could not tell whether it was unread or lost. No choice goes by it yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -161,6 +161,10 @@
 	limit      LimitNews
 	heardLimit LimitNews
 	allowance  allowance
+	// leaving is what the target has said here of whether it leaves, and restUntil until when
+	// it wants nothing from this box.
+	leaving   LeavingNews
+	restUntil time.Time
 }
 
 const (
--- /dev/null
+++ b/internal/balance/leaving.go
@@ -0,0 +1,54 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// LeavingNews is whether a target has said in an answer that it leaves.
+type LeavingNews struct {
+	Leaving bool
+	// At is as of when that counts.
+	At time.Time
+}
+
+// replaces reports whether the news are newer than others. Nothing is kept of targets that
+// never said that they leave.
+func (n LeavingNews) replaces(o LeavingNews) bool {
+	if !n.Leaving && !o.Leaving {
+		return false
+	}
+	return n.At.After(o.At)
+}
+
+// believeLeaving takes in news of whether a target leaves.
+func (b *Balancer) believeLeaving(id barleystep.TargetID, s *state, news LeavingNews) {
+	if !news.replaces(s.leaving) {
+		return
+	}
+	before := s.leaving.Leaving
+	s.leaving = news
+	if before != news.Leaving {
+		b.logLeaving(id, news)
+	}
+}
+
+// Leaving reports whether the target has said in an answer that it leaves.
+func (b *Balancer) Leaving(id barleystep.TargetID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(id).leaving.Leaving
+}
+
+// logLeaving tells of a change of belief.
+func (b *Balancer) logLeaving(id barleystep.TargetID, news LeavingNews) {
+	if b.Log == nil {
+		return
+	}
+	text := "A target says that it leaves."
+	if !news.Leaving {
+		text = "A target says no longer that it leaves."
+	}
+	b.Log.Info().Str("target", string(id)).Dur("age", b.Clock.Now().Sub(news.At)).Msg(logPrefix + text)
+}
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -9,8 +9,7 @@
 // LimitNews is what a target has said of how much it takes from all boxes.
 type LimitNews struct {
 	Limit barleystep.RateLimit
-	// At is when a limit was heard; of an answer that names none, when the request was sent:
-	// answers pass each other on their way, and one to an earlier request lifts nothing.
+	// At is as of when that counts.
 	At time.Time
 }
 
@@ -27,21 +26,14 @@
 	return n.At.After(o.At)
 }
 
-// Limited notes what the target says of how much it takes, in the answer to a request that
+// limited notes what the target says of how much it takes, in the answer to a request that
 // was sent at the given time.
-func (p *Placement) Limited(limit barleystep.RateLimit, sent time.Time) {
-	b := p.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := p.parts[0].at
-	news := LimitNews{Limit: limit, At: sent}
-	if limit.Named() {
-		news.At = b.Clock.Now()
-	}
+func (b *Balancer) limited(id barleystep.TargetID, s *state, limit barleystep.RateLimit, sent time.Time) {
+	news := LimitNews{Limit: limit, At: b.heardAt(limit.Named(), sent)}
 	if news.replaces(s.heardLimit) {
 		s.heardLimit = news
 	}
-	b.believe(p.Target.ID, s, news)
+	b.believe(id, s, news)
 }
 
 // hearLimits takes in what other boxes were told by targets.
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -27,7 +27,7 @@
 // name has the first target name a limit in an answer.
 func (f *fixture) name(t *testing.T, perSecond float64) {
 	p := f.place(t, f.only("i-00"))
-	p.Limited(barleystep.NewRateLimit(perSecond), f.clock.Now())
+	p.Says(barleystep.Statement{Limit: barleystep.NewRateLimit(perSecond)}, f.clock.Now())
 	p.Done(balance.Report{})
 }
 
@@ -155,10 +155,10 @@
 	}{
 		"nothing else was said": {func(*fixture, *balance.Placement) {}, true},
 		"no limit in the answer to a later request": {func(f *fixture, p *balance.Placement) {
-			p.Limited(none, f.clock.Now())
+			p.Says(barleystep.Statement{Limit: none}, f.clock.Now())
 		}, false},
 		"no limit in the answer to an earlier request": {func(f *fixture, p *balance.Placement) {
-			p.Limited(none, f.clock.Now().Add(-3*time.Second))
+			p.Says(barleystep.Statement{Limit: none}, f.clock.Now().Add(-3*time.Second))
 		}, true},
 		"lifted, as another box tells": {func(f *fixture, _ *balance.Placement) {
 			f.SetOthers(news(none, f.clock.Now().Add(-time.Second)))
@@ -167,7 +167,7 @@
 			f.SetOthers(news(none, f.clock.Now().Add(-3*time.Second)))
 		}, true},
 		"named anew after it was lifted": {func(f *fixture, p *balance.Placement) {
-			p.Limited(none, f.clock.Now().Add(-time.Second))
+			p.Says(barleystep.Statement{Limit: none}, f.clock.Now().Add(-time.Second))
 			f.SetOthers(news(barleystep.NewRateLimit(2), f.clock.Now()))
 		}, true},
 		"a new lifetime": {func(f *fixture, _ *balance.Placement) {
@@ -181,7 +181,7 @@
 			f := newFixture(2)
 			f.targets[0].Born = 1
 			p := f.place(t, f.only("i-00"))
-			p.Limited(barleystep.NewRateLimit(1), f.clock.Now())
+			p.Says(barleystep.Statement{Limit: barleystep.NewRateLimit(1)}, f.clock.Now())
 			f.clock.Advance(2 * time.Second)
 			tc.change(f, p)
 			c.Check(f.Limit("i-00").Named(), quicktest.Equals, tc.named)
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -61,12 +61,15 @@
 }
 
 func (protocol) Verdict(_ int, h http.Header) barleystep.Verdict {
-	var limit barleystep.RateLimit
+	statement := barleystep.Statement{Leaving: h.Get("Leaves") != ""}
 	if perSecond, err := strconv.ParseFloat(h.Get("Takes"), 64); err == nil {
-		limit = barleystep.NewRateLimit(perSecond)
+		statement.Limit = barleystep.NewRateLimit(perSecond)
+	}
+	if rest, err := time.ParseDuration(h.Get("Rest")); err == nil {
+		statement.Rest = rest
 	}
 	return barleystep.Verdict{
-		Limit:   limit,
+		Statement: statement,
 		ID:      h.Get("Id"),
 		Sealed:  h.Get("Seal") != "",
 		NotRun:  h.Get("Not-Run") != "",
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -209,7 +209,7 @@
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
-	t.placement.Limited(verdict.Limit, t.sent)
+	t.placement.Says(verdict.Statement, t.sent)
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.Sealed)
 	if verdict.NotRun {
 		t.blamed = t.helperNamed(verdict.Blamed)
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -76,7 +76,7 @@
 }
 
 func (r *Router) targetStates() []metric.Sample {
-	known, draining, down, limited, unnamed := 0, 0, 0, 0, 0
+	known, draining, down, limited, leaving, resting, unnamed := 0, 0, 0, 0, 0, 0, 0
 	view := r.configuration.View()
 	for _, t := range r.targets.List() {
 		known++
@@ -89,6 +89,12 @@
 		if r.balancer.Limit(t.ID).Named() {
 			limited++
 		}
+		if r.balancer.Leaving(t.ID) {
+			leaving++
+		}
+		if r.balancer.Resting(t.ID) {
+			resting++
+		}
 		if view != nil && view.Service(t.Service) == nil {
 			unnamed++
 		}
@@ -98,6 +104,8 @@
 		{Label: "draining", Value: float64(draining)},
 		{Label: "down", Value: float64(down)},
 		{Label: "limited", Value: float64(limited)},
+		{Label: "leaving", Value: float64(leaving)},
+		{Label: "resting", Value: float64(resting)},
 		{Label: "no_service", Value: float64(unnamed)},
 		{Label: "foreign", Value: float64(r.targets.Foreign())},
 	}
--- a/protocol.go
+++ b/protocol.go
@@ -68,8 +68,8 @@
 	// Blamed is the id or the address of the target that is the reason why the request
 	// was not run, if the target names one: itself, or a helper.
 	Blamed string
-	// Limit is how much the target says it takes from all boxes, none if it does not say.
-	Limit RateLimit
+	// Statement is what the target says of itself.
+	Statement Statement
 }
 
 // Protocol is how requests are written on the wire between callers, boxes and
