--- a/internal/plane/suspect_test.go
+++ b/internal/plane/suspect_test.go
@@ -326,3 +326,19 @@
 		})
 	}
 }
+
+// TestSuspectsOutliveBoxes checks that boxes which all end, time and again, while a request that
+// ends engines comes now and then, send it on three times at most after three have ended.
+//
+// On days of our own with such a body every four seconds, and all boxes killed at 20, 45 and
+// 70 s, operators would have seen it sent on four times more than allowed, and twelve engines
+// ended.
+func TestSuspectsOutliveBoxes(t *testing.T) {
+	w := &deadly{engines: 18, perSecond: 40, part: 0.01}
+	play(t, scene{
+		halls: 3, boxes: 9, length: 32 * time.Second, measured: 32 * time.Second, work: w,
+		events: []event{{11 * time.Second, killAll}, {18 * time.Second, killAll}, {25 * time.Second, killAll}},
+	})
+	t.Logf("%d ended, sent late %d", w.ended, w.late)
+	quicktest.Check(t, w.late <= mostEnded, quicktest.IsTrue, quicktest.Commentf("sent late %d", w.late))
+}
--- a/internal/suspect/book_test.go
+++ b/internal/suspect/book_test.go
@@ -168,6 +168,35 @@
 	})
 }
 
+// TestKeepsComing checks that a request which ends each target that runs it, and keeps coming,
+// is sent on three times at most after three have ended.
+//
+// On a day of our own on which one came again and again for four minutes, a target ended at
+// the third, and one in each minute from then on.
+func TestKeepsComing(t *testing.T) {
+	const (
+		length  = 50 * time.Minute
+		mostAll = 3 + 3
+	)
+	clk := clock.NewManual(time.Unix(1000, 0))
+	b := &suspect.Book{Clock: clk}
+	ended := uint32(0)
+	for range int(length / time.Second) {
+		clk.Advance(time.Second)
+		standing, _ := b.Standing(digest)
+		if standing == suspect.Refused {
+			continue
+		}
+		marks := suspect.Unread
+		if standing == suspect.Alone {
+			marks |= suspect.Lone
+		}
+		ended++
+		b.Ended(digest, size, suspect.NewEnd(ended, clk.Now(), marks))
+	}
+	quicktest.Check(t, ended <= mostAll, quicktest.IsTrue, quicktest.Commentf("%d ended", ended))
+}
+
 // TestBounds checks that a book holds and tells no more than it may, and keeps those of which
 // most is known.
 func TestBounds(t *testing.T) {
