Suspects: a request that ends targets beyond doubt is refused for an hour at a time

Cause: what was learnt from a trial did not lengthen the refusal. From six ends on, three of them while it ran alone, it is refused for an hour, so that three trials at most follow the first refusal in the first hour, whoever asks. A request amid which targets crash by themselves has not been alone with three of them.

TestKeepsComing: 6 ends in 50 minutes, 52 before. TestSuspectsOverBoxes as before.

--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -70,11 +70,11 @@
 	}
 	return barleystep.Verdict{
 		Statement: statement,
-		ID:      h.Get("Id"),
-		Sealed:  h.Get("Seal") != "",
-		NotRun:  h.Get("Not-Run") != "",
-		Encoded: h.Get("Content-Encoding") != "",
-		Blamed:  h.Get("Blamed"),
+		ID:        h.Get("Id"),
+		Sealed:    h.Get("Seal") != "",
+		NotRun:    h.Get("Not-Run") != "",
+		Encoded:   h.Get("Content-Encoding") != "",
+		Blamed:    h.Get("Blamed"),
 	}
 }
 
--- a/internal/gossip/bench_internal_test.go
+++ b/internal/gossip/bench_internal_test.go
@@ -51,14 +51,14 @@
 // of, and with limits of targets.
 func BenchmarkCapacitySuspects(b *testing.B) {
 	now := time.Unix(1000, 0)
-	for _, tc := range []struct{ suspects, limits int }{{1, 0}, {32, 0}, {0, 1}, {0, 18}} {
-		b.Run(fmt.Sprintf("suspects=%d/limits=%d", tc.suspects, tc.limits), func(b *testing.B) {
+	for _, tc := range []struct{ suspects, ends, limits int }{{1, 2, 0}, {32, 2, 0}, {32, 7, 0}, {0, 0, 1}, {0, 0, 18}} {
+		b.Run(fmt.Sprintf("suspects=%d/ends=%d/limits=%d", tc.suspects, tc.ends, tc.limits), func(b *testing.B) {
 			s := balance.NewSnapshot()
 			for i := range tc.suspects {
 				digest := suspect.Request{Target: fmt.Sprint(i)}.Digest()
-				ends := []suspect.End{
-					suspect.NewEnd(1<<31, now.Add(-10*time.Second), suspect.Unread),
-					suspect.NewEnd(1<<30, now.Add(-9*time.Second), suspect.Unread|suspect.Lone),
+				var ends []suspect.End
+				for k := range tc.ends {
+					ends = append(ends, suspect.NewEnd(1<<30+uint32(k), now.Add(-9*time.Second), suspect.Unread|suspect.Lone))
 				}
 				s.Suspects[digest] = suspect.NewEvidence(20_000, ends, time.Time{}, now.Add(-time.Second))
 			}
--- a/internal/suspect/book.go
+++ b/internal/suspect/book.go
@@ -24,6 +24,8 @@
 	known map[Digest]Evidence
 	// refused is told of each request that is refused from then on.
 	refused func(d Digest, size int)
+	// toldAll is when the others were last told of all, and not just of what is new.
+	toldAll time.Time
 }
 
 // Watch has f called, by a goroutine of its own, for each request that is refused from then on.
@@ -61,7 +63,7 @@
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
 	e := b.known[d]
-	return e.standing(now), max(e.last().Add(Memory).Sub(now), 0)
+	return e.standing(now), max(e.last().Add(e.memory()).Sub(now), 0)
 }
 
 // Known returns what is known of a request.
@@ -130,7 +132,7 @@
 // forget drops what is too old to count, and what exceeds the bound.
 func (b *Book) forget() {
 	now := b.Clock.Now()
-	maps.DeleteFunc(b.known, func(_ Digest, e Evidence) bool { return now.Sub(e.last()) > 2*Memory })
+	maps.DeleteFunc(b.known, func(_ Digest, e Evidence) bool { return now.Sub(e.last()) > 2*e.memory() })
 	for len(b.known) > mostKnown {
 		least := slices.MinFunc(slices.Collect(maps.Keys(b.known)), func(x, y Digest) int {
 			e, o := b.known[x], b.known[y]
@@ -140,8 +142,8 @@
 	}
 }
 
-// Told returns what is told to the other boxes: of the requests of which something was learnt
-// last.
+// Told returns what is told to the other boxes now: of the requests of which something was
+// learnt last. What is not new is told now and then, to those that have started since.
 func (b *Book) Told() map[Digest]Evidence {
 	if b == nil {
 		return nil
@@ -156,9 +158,16 @@
 		return b.known[y].last().Compare(b.known[x].last())
 	})
 	now := b.Clock.Now()
+	all := now.Sub(b.toldAll) >= tellAllEvery
+	if all {
+		b.toldAll = now
+	}
 	told := make(map[Digest]Evidence)
 	for _, d := range latest[:min(mostTold, len(latest))] {
 		e := b.known[d]
+		if !all && now.Sub(e.last()) >= newFor {
+			continue
+		}
 		for _, word := range []*time.Time{&e.cleared, &e.begun} {
 			if now.Sub(*word) >= clearTold {
 				*word = time.Time{}
--- a/internal/suspect/book_test.go
+++ b/internal/suspect/book_test.go
@@ -63,33 +63,38 @@
 		b.Hear(map[suspect.Digest]suspect.Evidence{digest: late})
 	}
 	three := []step{end(1, unread), end(2, lone), end(3, lone)}
+	certain := []step{end(1, unread), end(2, lone), end(3, lone), end(4, lone), end(5, lone), end(6, lone)}
 	cases := map[string]struct {
 		steps []step
 		want  suspect.Standing
 	}{
-		"nothing":                              {nil, suspect.Free},
-		"one end amid its stream":              {[]step{end(1, writing)}, suspect.Free},
-		"one end before its stream":            {[]step{end(1, unread)}, suspect.Alone},
-		"the same end twice":                   {[]step{end(1, writing), end(1, writing)}, suspect.Free},
-		"two ends amid its streams":            {[]step{end(1, writing), end(2, writing)}, suspect.Alone},
-		"three ends beside others":             {[]step{end(1, unread), end(2, unread), end(3, unread)}, suspect.Alone},
-		"four ends beside others":              {[]step{end(1, unread), end(2, unread), end(3, unread), end(4, unread)}, suspect.Alone},
-		"three ends, one of them alone":        {[]step{end(1, unread), end(2, writing), end(3, lone)}, suspect.Refused},
-		"two ends alone":                       {[]step{end(1, lone), end(2, lone)}, suspect.Alone},
-		"an end, then whole":                   {[]step{end(1, unread), whole}, suspect.Free},
-		"an end, then begun elsewhere":         {[]step{end(1, unread), begins}, suspect.Free},
-		"begun elsewhere, then an end":         {[]step{end(1, unread), begins, end(2, unread)}, suspect.Alone},
-		"two ends, then begun elsewhere":       {[]step{end(1, unread), end(2, unread), begins}, suspect.Alone},
-		"refused, then whole":                  {append(three[:3:3], whole), suspect.Free},
-		"whole, then an end":                   {[]step{end(1, unread), whole, end(2, unread)}, suspect.Alone},
-		"whole between ends":                   {[]step{end(1, unread), end(2, unread), whole, end(3, writing)}, suspect.Free},
-		"refused for a minute":                 {append(three[:3:3], wait(suspect.Memory-3*time.Second)), suspect.Refused},
-		"alone after a minute":                 {append(three[:3:3], wait(suspect.Memory)), suspect.Alone},
-		"an end after a minute":                {append(three[:3:3], wait(suspect.Memory), end(4, lone)), suspect.Refused},
-		"again an end after a minute":          {append(three[:3:3], wait(suspect.Memory), end(4, lone), wait(suspect.Memory), end(5, lone)), suspect.Refused},
-		"forgotten":                            {append(three[:3:3], wait(2*suspect.Memory), func(b *suspect.Book, _ *clock.Manual) { b.Told() }), suspect.Free},
-		"an end is told after it was whole":    {[]step{end(1, unread), whole, told}, suspect.Free},
-		"an end that many saw, of some unread": {[]step{end(1, writing), end(1, unread)}, suspect.Alone},
+		"nothing":                                     {nil, suspect.Free},
+		"one end amid its stream":                     {[]step{end(1, writing)}, suspect.Free},
+		"one end before its stream":                   {[]step{end(1, unread)}, suspect.Alone},
+		"the same end twice":                          {[]step{end(1, writing), end(1, writing)}, suspect.Free},
+		"two ends amid its streams":                   {[]step{end(1, writing), end(2, writing)}, suspect.Alone},
+		"three ends beside others":                    {[]step{end(1, unread), end(2, unread), end(3, unread)}, suspect.Alone},
+		"four ends beside others":                     {[]step{end(1, unread), end(2, unread), end(3, unread), end(4, unread)}, suspect.Alone},
+		"three ends, one of them alone":               {[]step{end(1, unread), end(2, writing), end(3, lone)}, suspect.Refused},
+		"two ends alone":                              {[]step{end(1, lone), end(2, lone)}, suspect.Alone},
+		"an end, then whole":                          {[]step{end(1, unread), whole}, suspect.Free},
+		"an end, then begun elsewhere":                {[]step{end(1, unread), begins}, suspect.Free},
+		"begun elsewhere, then an end":                {[]step{end(1, unread), begins, end(2, unread)}, suspect.Alone},
+		"two ends, then begun elsewhere":              {[]step{end(1, unread), end(2, unread), begins}, suspect.Alone},
+		"refused, then whole":                         {append(three[:3:3], whole), suspect.Free},
+		"whole, then an end":                          {[]step{end(1, unread), whole, end(2, unread)}, suspect.Alone},
+		"whole between ends":                          {[]step{end(1, unread), end(2, unread), whole, end(3, writing)}, suspect.Free},
+		"refused for a minute":                        {append(three[:3:3], wait(suspect.Memory-3*time.Second)), suspect.Refused},
+		"alone after a minute":                        {append(three[:3:3], wait(suspect.Memory)), suspect.Alone},
+		"an end after a minute":                       {append(three[:3:3], wait(suspect.Memory), end(4, lone)), suspect.Refused},
+		"again an end after a minute":                 {append(three[:3:3], wait(suspect.Memory), end(4, lone), wait(suspect.Memory), end(5, lone)), suspect.Refused},
+		"certain, after a minute":                     {append(certain[:6:6], wait(suspect.Memory)), suspect.Refused},
+		"certain, after an hour":                      {append(certain[:6:6], wait(suspect.CertainMemory)), suspect.Alone},
+		"certain, then whole":                         {append(certain[:6:6], whole), suspect.Free},
+		"six ends, two of them alone, after a minute": {[]step{end(1, unread), end(2, unread), end(3, unread), end(4, unread), end(5, lone), end(6, lone), wait(suspect.Memory)}, suspect.Alone},
+		"forgotten":                                   {append(three[:3:3], wait(2*suspect.Memory), func(b *suspect.Book, _ *clock.Manual) { b.Told() }), suspect.Free},
+		"an end is told after it was whole":           {[]step{end(1, unread), whole, told}, suspect.Free},
+		"an end that many saw, of some unread":        {[]step{end(1, writing), end(1, unread)}, suspect.Alone},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -172,7 +177,10 @@
 // is sent on three times at most after three have ended.
 //
 // On a day of our own on which one came again and again for four minutes, a target ended at
-// the third, and one in each minute from then on.
+// the third, and one in each minute from then on: after a minute's refusal one attempt showed
+// whether it still did harm, and whatever it showed, the next refusal was for a minute again.
+// The ends of that day, 60 s apart but for the first three, prove it, each under an attempt
+// that ran alone.
 func TestKeepsComing(t *testing.T) {
 	const (
 		length  = 50 * time.Minute
@@ -222,6 +230,24 @@
 	c.Check(left > 50*time.Second, quicktest.IsTrue)
 }
 
+// TestToldOf checks that what is new is told each time, and all else once a second.
+func TestToldOf(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	b := &suspect.Book{Clock: clk}
+	b.Ended(digest, size, suspect.NewEnd(1, clk.Now(), suspect.Unread))
+	count := func(span time.Duration) (told int) {
+		const tick = 50 * time.Millisecond
+		for range span / tick {
+			clk.Advance(tick)
+			told += len(b.Told())
+		}
+		return told
+	}
+	quicktest.Check(t, count(4*time.Second), quicktest.Equals, 80)
+	clk.Advance(2 * time.Second)
+	quicktest.Check(t, count(10*time.Second), quicktest.Equals, 10)
+}
+
 // TestNilBook checks that a box without a book suspects nobody.
 func TestNilBook(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -72,9 +72,9 @@
 // Begun returns when an answer to the request last began, zero if none did.
 func (e Evidence) Begun() time.Time { return e.begun }
 
-// mostEnds is how many ends are kept of a request: one more than it takes to refuse it, as
-// some may come at the same time.
-const mostEnds = refusedFrom + 1
+// mostEnds is how many ends are kept of a request: one more than it takes to refuse it beyond
+// doubt, as some may come at the same time.
+const mostEnds = certainFrom + 1
 
 // join returns both evidences in one.
 func (e Evidence) join(o Evidence) Evidence {
@@ -125,17 +125,35 @@
 	return last
 }
 
+// lone returns how many targets have ended while the request ran alone.
+func (e Evidence) lone() int {
+	n := 0
+	for _, end := range e.ends {
+		if end.Has(Lone) {
+			n++
+		}
+	}
+	return n
+}
+
+// memory returns for how long what was learnt last refuses the request.
+func (e Evidence) memory() time.Duration {
+	if len(e.ends) >= certainFrom && e.lone() >= certainLone {
+		return CertainMemory
+	}
+	return Memory
+}
+
 // standing returns how the request stands.
 func (e Evidence) standing(now time.Time) Standing {
 	if len(e.ends) == 0 {
 		return Free
 	}
-	lone := func(end End) bool { return end.Has(Lone) }
 	// Once it was read elsewhere without harm, reading it is not what ended the target.
 	unread := func(end End) bool { return end.Has(Unread) && end.at.After(e.begun) }
-	young := now.Sub(e.last()) < Memory
+	young := now.Sub(e.last()) < e.memory()
 	switch {
-	case len(e.ends) >= refusedFrom && slices.ContainsFunc(e.ends, lone) && young:
+	case len(e.ends) >= refusedFrom && e.lone() > 0 && young:
 		return Refused
 	case len(e.ends) >= aloneFrom, slices.ContainsFunc(e.ends, unread):
 		return Alone
--- a/internal/suspect/standing.go
+++ b/internal/suspect/standing.go
@@ -26,9 +26,16 @@
 	// under a request that runs alone. One that had not begun its answer does so from the
 	// first one on.
 	aloneFrom = 2
-	// Memory is for how long a request is refused after a target has last ended under it.
-	// Then one attempt shows, alone, whether it still does harm: a target less each minute.
-	Memory = time.Minute
+	// certainFrom is how many targets have ended under a request that ends targets beyond
+	// doubt, and certainLone how many of them while it ran alone.
+	certainFrom = 2 * refusedFrom
+	certainLone = 3
+	// Memory is for how long a request is refused after a target has last ended under it, and
+	// CertainMemory the same of one that ends targets beyond doubt. Then one attempt shows,
+	// alone, whether it still does harm. Were it tried each minute, a request that keeps
+	// coming would end all targets in their turn.
+	Memory        = time.Minute
+	CertainMemory = time.Hour
 	// mostKnown bounds the requests of which something is known: those that four targets have
 	// at the same time, with some twenty requests each. Those of which least is known, and the
 	// oldest of these, are forgotten first.
@@ -40,6 +47,10 @@
 	// mostTold bounds those of which a box tells the others at a time, in some 2 kB; those
 	// that changed last go first.
 	mostTold = 32
+	// newFor is for how long what was learnt is told as often as boxes tell each other
+	// anything, and tellAllEvery how often all else is.
+	newFor       = 5 * time.Second
+	tellAllEvery = time.Second
 )
 
 var standingNames = [...]string{"free", "alone", "refused"}
