Targets that say in their answers that they leave get nothing more

Cause: nothing read the word; boxes went by the target's record, which nobody can write or read while the store is away.

A target's own word now counts from the answer in which it is heard, whatever became of that request, until the target starts anew or answers a later request without it: its record may be older, lapse and come back. What runs there goes on.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -165,6 +165,8 @@
 	// it wants nothing from this box.
 	leaving   LeavingNews
 	restUntil time.Time
+	// absent is since when no record names the target, zero while one does.
+	absent time.Time
 }
 
 const (
@@ -287,7 +289,7 @@
 }
 
 // candidates returns the service's targets that may take the job: those that
-// neither leave, nor have failed the request, nor are shunned or run a suspect. Shunned ones
+// neither leave, by their record or their own word, nor have failed the request, nor are shunned or run a suspect. Shunned ones
 // are better than none.
 func (b *Balancer) candidates(j Job) []fleet.Target {
 	now, tried := b.Clock.Now(), b.tried()
@@ -297,6 +299,9 @@
 			continue
 		}
 		s, _ := b.meet(t)
+		if s.leaving.Leaving {
+			continue // Its word is newer than its record, which it may not be able to write.
+		}
 		if b.leaves(t.ID, s, now) || slices.Contains(tried, t.ID) {
 			shunned = append(shunned, t)
 			continue
@@ -311,9 +316,11 @@
 
 // Staying returns those of the targets that are listed and not about to leave.
 func (b *Balancer) Staying(ids []barleystep.TargetID) []fleet.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	var list []fleet.Target
 	for _, t := range b.Targets() {
-		if !t.Draining && slices.Contains(ids, t.ID) {
+		if !t.Draining && slices.Contains(ids, t.ID) && !b.state(t.ID).leaving.Leaving {
 			list = append(list, t)
 		}
 	}
@@ -398,8 +405,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.Clock.Now()
 	for id, s := range b.states {
-		if !present[id] && len(s.parts) == 0 {
+		s.note(present[id], now)
+		if !present[id] && len(s.parts) == 0 && !s.remembers(now) {
 			delete(b.states, id)
 		}
 	}
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -77,7 +78,9 @@
 	if b.Lead == nil || (j.Cost == nil && !j.suspect() && !b.limits(j.Service)) {
 		return nil, nil
 	}
-	plan, err := b.Lead.Place(ctx, j)
+	asked := j
+	asked.Avoid = slices.Concat(j.Avoid, b.leavers()) // The lead may not have heard of them.
+	plan, err := b.Lead.Place(ctx, asked)
 	if eris.Is(err, ErrHere) {
 		b.mu.Lock()
 		b.leadUntil = b.Clock.Now().Add(leadMemory)
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -22,6 +22,47 @@
 	return n.At.After(o.At)
 }
 
+// leavingMemory is for how long it is remembered that a target leaves whose record is gone.
+// Records lapse during an outage of the store and come back, of targets too that leave and
+// serve on for some seconds.
+const leavingMemory = time.Minute
+
+// note notes whether a record names the target.
+func (s *state) note(present bool, now time.Time) {
+	switch {
+	case present:
+		s.absent = time.Time{}
+	case s.absent.IsZero():
+		s.absent = now
+	}
+}
+
+// remembers reports whether what is known of a target is kept that no record names.
+func (s *state) remembers(now time.Time) bool {
+	return s.leaving.Leaving && now.Sub(s.absent) < leavingMemory
+}
+
+// leavers returns the targets that have said that they leave.
+func (b *Balancer) leavers() []barleystep.TargetID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []barleystep.TargetID
+	for id, s := range b.states {
+		if s.leaving.Leaving {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Stands reports whether the placement's target has not said since that it leaves.
+func (p *Placement) Stands() bool {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !p.parts[0].at.leaving.Leaving
+}
+
 // believeLeaving takes in news of whether a target leaves.
 func (b *Balancer) believeLeaving(id barleystep.TargetID, s *state, news LeavingNews) {
 	if !news.replaces(s.leaving) {
--- /dev/null
+++ b/internal/balance/leaving_test.go
@@ -0,0 +1,121 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// leave has the first target say in an answer that it leaves.
+func (f *fixture) leave(t *testing.T) {
+	p := f.place(t, f.only("i-00"))
+	p.Says(barleystep.Statement{Leaving: true}, f.clock.Now())
+	p.Done(balance.Report{})
+}
+
+// TestLeaving checks for how long a target gets nothing that has said that it leaves.
+func TestLeaving(t *testing.T) {
+	wait := func(d time.Duration) func(f *fixture) { return func(f *fixture) { f.clock.Advance(d) } }
+	gone := func(d time.Duration) func(f *fixture) {
+		return func(f *fixture) {
+			all := f.targets
+			f.targets = f.targets[1:]
+			for range d / time.Second {
+				f.Forget()
+				f.clock.Advance(time.Second)
+			}
+			f.targets = all
+		}
+	}
+	cases := map[string]struct {
+		then  func(f *fixture)
+		takes bool
+	}{
+		"at once":                    {wait(0), false},
+		"much later":                 {wait(time.Hour), false},
+		"its record lapses":          {gone(10 * time.Second), false},
+		"its record is gone at last": {gone(2 * time.Minute), true},
+		"it starts anew": {func(f *fixture) {
+			f.clock.Advance(settled)
+			f.say(0, 100)
+			f.say(0, 200)
+		}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(2)
+			f.leave(t)
+			tc.then(f)
+			quicktest.Check(t, f.takes(), quicktest.Equals, tc.takes)
+		})
+	}
+}
+
+// TestStaysAfterAll checks which answers take back that a target leaves: those to requests that
+// were sent after it had said so.
+func TestStaysAfterAll(t *testing.T) {
+	cases := map[string]struct {
+		sent time.Duration // sent is when the request was sent, from the word on.
+		want bool
+	}{
+		"to an earlier request": {-time.Second, true},
+		"to a later request":    {time.Second, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(1)
+			p := f.place(t, plain())
+			p.Says(barleystep.Statement{Leaving: true}, f.clock.Now())
+			said := f.clock.Now()
+			f.clock.Advance(2 * time.Second)
+			p.Says(barleystep.Statement{}, said.Add(tc.sent))
+			quicktest.Check(t, f.Leaving("i-00"), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// avoider is a lead that notes what it is asked to avoid.
+type avoider struct{ avoided []barleystep.TargetID }
+
+func (a *avoider) Place(_ context.Context, j balance.Job) (balance.Plan, error) {
+	a.avoided = j.Avoid
+	return balance.Plan{}, balance.ErrHere
+}
+
+func (*avoider) Read(uint64) {}
+
+// TestLeavingTold checks that the lead is told which targets leave, that a plan of one that
+// does is not taken over, and that helpers which leave are left out.
+func TestLeavingTold(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(4)
+	f.leave(t)
+	lead := &avoider{}
+	f.Lead = lead
+	f.place(t, job(5_000))
+	c.Check(lead.avoided, quicktest.DeepEquals, []barleystep.TargetID{"i-00"})
+	c.Check(f.Adopt(job(5_000), balance.Plan{Target: "i-00"}), quicktest.IsNil)
+	p := f.Adopt(job(200_000), balance.Plan{Target: "i-01", Helpers: []balance.PlannedHelper{{Target: "i-00"}, {Target: "i-02"}}})
+	c.Assert(p, quicktest.IsNotNil)
+	c.Check(p.Helpers, quicktest.HasLen, 1)
+}
+
+// TestWithdrawn checks that a placement stands until its target says that it leaves, and that a
+// service all of whose targets do has none.
+func TestWithdrawn(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(1)
+	first, second := f.place(t, plain()), f.place(t, plain())
+	c.Check(second.Stands(), quicktest.IsTrue)
+	first.Says(barleystep.Statement{Leaving: true}, f.clock.Now())
+	c.Check(second.Stands(), quicktest.IsFalse)
+	_, err := f.Place(context.Background(), plain())
+	c.Check(eris.Is(err, balance.ErrNoTarget), quicktest.IsTrue)
+	c.Check(f.Staying([]barleystep.TargetID{"i-00"}), quicktest.HasLen, 0)
+}
--- /dev/null
+++ b/internal/front/leaving_test.go
@@ -0,0 +1,53 @@
+package front_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+)
+
+// TestLeavingRead checks that a target which says in any answer that it leaves gets nothing
+// more, whatever became of the request, and that another one's answer at its address does not
+// speak for it.
+func TestLeavingRead(t *testing.T) {
+	const leaves = "Leaves: 1\r\n"
+	cases := map[string]struct {
+		path   string
+		first  step
+		status int
+		left   bool
+	}{
+		"whole answer":       {"/once/", whole(200, sealed+leaves, "good"), 200, true},
+		"its own failure":    {"/once/", whole(500, sealed+leaves, "bad"), 500, true},
+		"not run":            {"/once/", whole(503, "Not-Run: 1\r\n"+leaves, ""), 503, true},
+		"without digest":     {"/once/", whole(200, leaves, "forged"), 502, true},
+		"stream that is cut": {"/plainstream/", raw("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n" + leaves + "Transfer-Encoding: chunked\r\n\r\n1"), 502, true},
+		"another one's":      {"/once/", whole(421, "Not-Run: 1\r\n"+leaves, ""), 503, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			steps := []step{tc.first}
+			for range 5 {
+				steps = append(steps, whole(200, sealed, "good"))
+			}
+			f := newFixture(t, state{view: newView()}, steps...)
+			f.view.Route("h", tc.path).MaxSends = 1
+			c.Check(f.ask(t, http.MethodPost, tc.path, "").status, quicktest.Equals, tc.status)
+			first := f.target.requests[0].Header.Get("Instance")
+			c.Check(f.front.Balancer.Leaving(barleystep.TargetID(first)), quicktest.Equals, tc.left)
+			if !tc.left {
+				return
+			}
+			for range 5 {
+				f.ask(t, http.MethodPost, "/once/", "")
+			}
+			for _, r := range f.target.requests[1:] {
+				c.Check(r.Header.Get("Instance"), quicktest.Not(quicktest.Equals), first)
+			}
+		})
+	}
+}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -58,6 +58,10 @@
 	errStalled  = eris.New("front: the target sent nothing for too long")
 	errCaller   = eris.New("front: the caller does not read")
 
+	// errWithdrawn means that the target has said that it takes nothing more, after it was
+	// chosen and before it was sent the request.
+	errWithdrawn = eris.New("front: the target takes nothing more")
+
 	errLongAnswer = eris.New("front: the answer is too long")
 	// errPromise means that a status promises that the request has not run, which the
 	// target does not say besides. It may have run, so the status is not passed on.
@@ -82,6 +86,11 @@
 	if err != nil {
 		return resultNotSent, err
 	}
+	if !t.placement.Stands() {
+		c.Release(nil)
+		t.unplaced = true
+		return resultNotSent, eris.Wrap(barleystep.ErrNotStarted, errWithdrawn.Error())
+	}
 	left := x.until.Sub(t.stage.clock.Now())
 	if left <= 0 || ctx.Err() != nil {
 		c.Release(nil)
@@ -209,7 +218,9 @@
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
-	t.placement.Says(verdict.Statement, t.sent)
+	if !t.misdirected(resp.StatusCode, verdict) {
+		t.placement.Says(verdict.Statement, t.sent)
+	}
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.Sealed)
 	if verdict.NotRun {
 		t.blamed = t.helperNamed(verdict.Blamed)
@@ -228,6 +239,11 @@
 	return t.hold(resp)
 }
 
+// misdirected reports whether another target than the one that was meant has answered.
+func (t *try) misdirected(status int, v barleystep.Verdict) bool {
+	return status == http.StatusMisdirectedRequest && t.helperNamed(v.Blamed) == ""
+}
+
 func success(status int) bool { return status < http.StatusMultipleChoices }
 
 // hold takes in an answer that is no stream and passes it on once it is whole. A
--- a/internal/router/statement_test.go
+++ b/internal/router/statement_test.go
@@ -38,7 +38,10 @@
 // answer of it which says that it leaves, whatever the store says.
 //
 // Operators saw requests reach a plain target 2.2 to 6.6 s after its word, from boxes that had
-// passed it on, while the store was away.
+// passed it on, while the store was away. Boxes went by the target's record alone, which it
+// could not write; nothing read what it said in its answers. Its figures prove it, which are the
+// same before and after the word, and the logs, in which no line names the word; the record was
+// heeded at all other times.
 func TestLeavingTarget(t *testing.T) {
 	const times = 40
 	for name, others := range map[string]int{"beside another": 1, "alone": 0} {
