What targets say of themselves is one record, told to all boxes

What a target says in an answer (its limit, that it leaves) is now one typed statement, decoded once by the adapter, and one record in the balancer: each word with its age, of one lifetime, and whether it was heard here. The gossip tells what was heard; a new word is a field there. What stood twice for limits and leaving is one generic word: the later counts, and one taken back is told for ten seconds.

--- a/internal/balance/allowance.go
+++ b/internal/balance/allowance.go
@@ -102,17 +102,17 @@
 
 // withinLimit reports whether the target may get one more request from this box.
 func (b *Balancer) withinLimit(s *state) bool {
-	if !s.limit.Limit.Named() {
+	if !s.limit().Named() {
 		return true
 	}
 	now := b.Clock.Now()
 	if b.leads() {
-		s.allowance.fill(b.leadRate(s.limit.Limit), now)
+		s.allowance.fill(b.leadRate(s.limit()), now)
 		return s.allowance.tokens >= 1
 	}
 	s.allowance.filled = time.Time{}
 	s.allowance.expire(now)
-	return len(s.allowance.strays) < b.strayRequests(s.limit.Limit)
+	return len(s.allowance.strays) < b.strayRequests(s.limit())
 }
 
 // fill adds what the rate has given since the last time.
@@ -135,7 +135,7 @@
 	for _, part := range p.parts {
 		s := b.state(part.target)
 		switch {
-		case !s.limit.Limit.Named():
+		case !s.limit().Named():
 		case b.leads():
 			s.allowance.tokens--
 		default:
@@ -161,7 +161,7 @@
 		return rest, true
 	}
 	for _, t := range candidates {
-		l := b.state(t.ID).limit.Limit
+		l := b.state(t.ID).limit()
 		if b.leads() {
 			perSecond += b.leadRate(l)
 		} else {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -158,14 +158,13 @@
 	shunned time.Time
 	// errors is the recent part of answers that were failures, 0 to 1.
 	errors float64
-	// limit is what is believed of how much the target takes from all boxes, heardLimit what
-	// it has said here, and allowance what this box may send of it.
-	limit      LimitNews
-	heardLimit LimitNews
-	allowance  allowance
-	// leaving is what the target has said here of whether it leaves, and restUntil until when
-	// it wants nothing from this box.
-	leaving   LeavingNews
+	// believed is what the target says of itself, as far as is known, and heardHere what it has
+	// said to this box.
+	believed  Said
+	heardHere Said
+	// allowance is what this box may send of the target's limit.
+	allowance allowance
+	// restUntil is until when the target wants nothing from this box.
 	restUntil time.Time
 	// absent is since when no record names the target, zero while one does.
 	absent time.Time
@@ -301,7 +300,7 @@
 			continue
 		}
 		s, _ := b.meet(t)
-		if s.leaving.Leaving {
+		if s.leaving() {
 			continue // Its word is newer than its record, which it may not be able to write.
 		}
 		switch {
@@ -329,7 +328,7 @@
 	defer b.mu.Unlock()
 	var list []fleet.Target
 	for _, t := range b.Targets() {
-		if !t.Draining && slices.Contains(ids, t.ID) && !b.state(t.ID).leaving.Leaving {
+		if !t.Draining && slices.Contains(ids, t.ID) && !b.state(t.ID).leaving() {
 			list = append(list, t)
 		}
 	}
@@ -353,7 +352,7 @@
 	if !ok {
 		s = &state{key: KeyOf(string(id))}
 		b.states[id] = s
-		b.hearLimit(id, s)
+		b.hear(id, s)
 	}
 	return s
 }
--- a/internal/balance/leaving_test.go
+++ b/internal/balance/leaving_test.go
@@ -15,7 +15,7 @@
 // leave has the first target say in an answer that it leaves.
 func (f *fixture) leave(t *testing.T) {
 	p := f.place(t, f.only("i-00"))
-	p.Says(barleystep.Statement{Leaving: true}, f.clock.Now())
+	p.Says(p.Target.ID, barleystep.Statement{Leaving: true}, f.clock.Now())
 	p.Done(balance.Report{})
 }
 
@@ -71,11 +71,11 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(1)
 			p := f.place(t, plain())
-			p.Says(barleystep.Statement{Leaving: true}, f.clock.Now())
+			p.Says(p.Target.ID, barleystep.Statement{Leaving: true}, f.clock.Now())
 			said := f.clock.Now()
 			f.clock.Advance(2 * time.Second)
-			p.Says(barleystep.Statement{}, said.Add(tc.sent))
-			quicktest.Check(t, f.Leaving("i-00"), quicktest.Equals, tc.want)
+			p.Says(p.Target.ID, barleystep.Statement{}, said.Add(tc.sent))
+			quicktest.Check(t, f.Belief("i-00").Said.Leaving.Value, quicktest.Equals, tc.want)
 		})
 	}
 }
@@ -113,7 +113,7 @@
 	f := newFixture(1)
 	first, second := f.place(t, plain()), f.place(t, plain())
 	c.Check(second.Stands(), quicktest.IsTrue)
-	first.Says(barleystep.Statement{Leaving: true}, f.clock.Now())
+	first.Says(first.Target.ID, barleystep.Statement{Leaving: true}, f.clock.Now())
 	c.Check(second.Stands(), quicktest.IsFalse)
 	_, err := f.Place(context.Background(), plain())
 	c.Check(eris.Is(err, balance.ErrNoTarget), quicktest.IsTrue)
--- a/internal/balance/lifetime.go
+++ b/internal/balance/lifetime.go
@@ -44,7 +44,7 @@
 	}
 	if t.Born != s.said {
 		s.key, s.said = KeyOfTarget(t), t.Born
-		b.hearLimit(t.ID, s)
+		b.hear(t.ID, s)
 	}
 	if t.Born != 0 {
 		s.born = t.Born
--- a/internal/balance/limit_test.go
+++ b/internal/balance/limit_test.go
@@ -27,7 +27,7 @@
 // name has the first target name a limit in an answer.
 func (f *fixture) name(t *testing.T, perSecond float64) {
 	p := f.place(t, f.only("i-00"))
-	p.Says(barleystep.Statement{Limit: barleystep.NewRateLimit(perSecond)}, f.clock.Now())
+	p.Says(p.Target.ID, barleystep.Statement{Limit: barleystep.NewRateLimit(perSecond)}, f.clock.Now())
 	p.Done(balance.Report{})
 }
 
@@ -155,10 +155,10 @@
 	}{
 		"nothing else was said": {func(*fixture, *balance.Placement) {}, true},
 		"no limit in the answer to a later request": {func(f *fixture, p *balance.Placement) {
-			p.Says(barleystep.Statement{Limit: none}, f.clock.Now())
+			p.Says(p.Target.ID, barleystep.Statement{Limit: none}, f.clock.Now())
 		}, false},
 		"no limit in the answer to an earlier request": {func(f *fixture, p *balance.Placement) {
-			p.Says(barleystep.Statement{Limit: none}, f.clock.Now().Add(-3*time.Second))
+			p.Says(p.Target.ID, barleystep.Statement{Limit: none}, f.clock.Now().Add(-3*time.Second))
 		}, true},
 		"lifted, as another box tells": {func(f *fixture, _ *balance.Placement) {
 			f.SetOthers(news(none, f.clock.Now().Add(-time.Second)))
@@ -167,7 +167,7 @@
 			f.SetOthers(news(none, f.clock.Now().Add(-3*time.Second)))
 		}, true},
 		"named anew after it was lifted": {func(f *fixture, p *balance.Placement) {
-			p.Says(barleystep.Statement{Limit: none}, f.clock.Now().Add(-time.Second))
+			p.Says(p.Target.ID, barleystep.Statement{Limit: none}, f.clock.Now().Add(-time.Second))
 			f.SetOthers(news(barleystep.NewRateLimit(2), f.clock.Now()))
 		}, true},
 		"a new lifetime": {func(f *fixture, _ *balance.Placement) {
@@ -181,10 +181,10 @@
 			f := newFixture(2)
 			f.targets[0].Born = 1
 			p := f.place(t, f.only("i-00"))
-			p.Says(barleystep.Statement{Limit: barleystep.NewRateLimit(1)}, f.clock.Now())
+			p.Says(p.Target.ID, barleystep.Statement{Limit: barleystep.NewRateLimit(1)}, f.clock.Now())
 			f.clock.Advance(2 * time.Second)
 			tc.change(f, p)
-			c.Check(f.Limit("i-00").Named(), quicktest.Equals, tc.named)
+			c.Check(f.Belief("i-00").Said.Limit.Value.Named(), quicktest.Equals, tc.named)
 			p.Done(balance.Report{})
 		})
 	}
@@ -196,7 +196,7 @@
 	for _, born := range []int64{1, 7} {
 		t := newFixture(1).targets[0]
 		t.Born = born
-		s.Limits[balance.KeyOfTarget(t)] = balance.LimitNews{Limit: limit, At: at}
+		s.Said[balance.KeyOfTarget(t)] = balance.Said{Limit: balance.Word[barleystep.RateLimit]{Value: limit, At: at}}
 	}
 	return s
 }
@@ -207,13 +207,13 @@
 	c := quicktest.New(t)
 	f := limited(t, 2, 1)
 	key := balance.KeyOf("i-00")
-	c.Check(f.Snapshot().Limits[key].Limit.PerSecond(), quicktest.Equals, 1.0)
+	c.Check(f.Snapshot().Said[key].Limit.Value.PerSecond(), quicktest.Equals, 1.0)
 	f.clock.Advance(time.Second)
 	others := balance.NewSnapshot()
-	others.Limits[key] = balance.LimitNews{At: f.clock.Now()}
+	others.Said[key] = balance.Said{Limit: balance.Word[barleystep.RateLimit]{At: f.clock.Now()}}
 	f.SetOthers(others)
-	c.Check(f.Snapshot().Limits, quicktest.HasLen, 0)
-	c.Check(f.Limit("i-00").Named(), quicktest.IsFalse)
+	c.Check(f.Snapshot().Said, quicktest.HasLen, 0)
+	c.Check(f.Belief("i-00").Said.Limit.Value.Named(), quicktest.IsFalse)
 }
 
 // TestAllLimited checks what becomes of requests whose targets have all used up their limits:
@@ -266,7 +266,7 @@
 		f := newFixture(2)
 		f.targets[0].Born = born
 		others := balance.NewSnapshot()
-		others.Limits[balance.KeyOfTarget(f.targets[0])] = balance.LimitNews{Limit: barleystep.NewRateLimit(1), At: f.clock.Now()}
+		others.Said[balance.KeyOfTarget(f.targets[0])] = balance.Said{Limit: balance.Word[barleystep.RateLimit]{Value: barleystep.NewRateLimit(1), At: f.clock.Now()}}
 		f.SetOthers(others)
 		c.Check(f.takes(), quicktest.IsFalse, quicktest.Commentf(name))
 	}
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -47,13 +47,6 @@
 // resting reports whether the target has asked this box for rest that is not over.
 func (s *state) resting(now time.Time) bool { return now.Before(s.restUntil) }
 
-// Resting reports whether the target has asked this box for rest that is not over.
-func (b *Balancer) Resting(id barleystep.TargetID) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state(id).resting(b.Clock.Now())
-}
-
 // logRest tells that a target asks for rest, once until the rest is over.
 func (b *Balancer) logRest(id barleystep.TargetID, length time.Duration) {
 	if b.Log == nil {
--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -15,7 +15,7 @@
 // rest has the target turn a request away and ask for rest.
 func (f *fixture) rest(t *testing.T, id barleystep.TargetID, length time.Duration) {
 	p := f.place(t, f.only(id))
-	p.Says(barleystep.Statement{Rest: length}, f.clock.Now())
+	p.Says(p.Target.ID, barleystep.Statement{Rest: length}, f.clock.Now())
 	p.Done(balance.Report{Full: true})
 }
 
@@ -30,7 +30,7 @@
 		"before its end": {nil, length - time.Millisecond, false},
 		"after its end":  {nil, length, true},
 		"a later answer asks for none": {func(t *testing.T, f *fixture) {
-			f.place(t, plain()).Says(barleystep.Statement{}, f.clock.Now())
+			f.place(t, plain()).Says("i-01", barleystep.Statement{}, f.clock.Now())
 		}, length - time.Millisecond, false},
 		"it starts anew": {func(_ *testing.T, f *fixture) {
 			f.clock.Advance(settled)
@@ -49,7 +49,7 @@
 			p, err := f.Place(context.Background(), plain())
 			quicktest.Assert(t, err, quicktest.IsNil)
 			p.Done(balance.Report{})
-			quicktest.Check(t, f.Resting("i-00"), quicktest.Equals, !tc.takes)
+			quicktest.Check(t, f.Belief("i-00").Resting, quicktest.Equals, !tc.takes)
 		})
 	}
 }
@@ -58,10 +58,10 @@
 func TestShorterRest(t *testing.T) {
 	f := newFixture(1)
 	p := f.place(t, plain())
-	p.Says(barleystep.Statement{Rest: 3 * time.Second}, f.clock.Now())
-	p.Says(barleystep.Statement{Rest: time.Second}, f.clock.Now())
+	p.Says(p.Target.ID, barleystep.Statement{Rest: 3 * time.Second}, f.clock.Now())
+	p.Says(p.Target.ID, barleystep.Statement{Rest: time.Second}, f.clock.Now())
 	f.clock.Advance(2 * time.Second)
-	quicktest.Check(t, f.Resting("i-00"), quicktest.IsTrue)
+	quicktest.Check(t, f.Belief("i-00").Resting, quicktest.IsTrue)
 }
 
 // TestRestBesideOthers checks that a target which rests gets nothing while others are there, be
--- /dev/null
+++ b/internal/balance/said.go
@@ -0,0 +1,177 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
+
+// Said is what is believed of what a target's lifetime says of itself. Each word of it is as old
+// as it is: an answer without a word takes back what was said before its request was sent.
+type Said struct {
+	// Limit is how much it takes from all boxes.
+	Limit Word[barleystep.RateLimit]
+	// Leaving is whether it is about to end.
+	Leaving Word[bool]
+}
+
+// Word is one thing that a target says of itself. The value's zero is that it does not say it.
+type Word[T comparable] struct {
+	Value T
+	// At is as of when it counts.
+	At time.Time
+}
+
+// takenBackTold is for how long a box tells the others that a target has taken a word back. A
+// box that has missed it goes by the word until it has an answer of the target's itself.
+const takenBackTold = 10 * time.Second
+
+// wordOf returns what an answer says that is heard now, to a request that was sent at the given
+// time. Answers pass each other on their way: one to an earlier request takes nothing back.
+func wordOf[T comparable](value T, now, sent time.Time) Word[T] {
+	w := Word[T]{Value: value, At: sent}
+	if w.says() {
+		w.At = now
+	}
+	return w
+}
+
+// says reports whether the target says it.
+func (w Word[T]) says() bool {
+	var none T
+	return w.Value != none
+}
+
+// join returns the later word. Nothing is kept of a word that was never said.
+func (w Word[T]) join(o Word[T]) Word[T] {
+	if (w.says() || o.says()) && o.At.After(w.At) {
+		return o
+	}
+	return w
+}
+
+// told returns the word if the others are to be told that it was heard here: it is what is
+// believed, and was said, or taken back of late.
+func (w Word[T]) told(believed Word[T], now time.Time) Word[T] {
+	if w.Value == believed.Value && (w.says() || now.Sub(w.At) < takenBackTold) {
+		return w
+	}
+	return Word[T]{}
+}
+
+// join returns the later words of both. The order makes no difference.
+func (s Said) join(o Said) Said {
+	return Said{Limit: s.Limit.join(o.Limit), Leaving: s.Leaving.join(o.Leaving)}
+}
+
+// told returns what the others are to be told that was heard here.
+func (s Said) told(believed Said, now time.Time) Said {
+	return Said{Limit: s.Limit.told(believed.Limit, now), Leaving: s.Leaving.told(believed.Leaving, now)}
+}
+
+// Says takes in what the placement's target, or a helper, says of itself in the answer to a
+// request that was sent at the given time.
+func (p *Placement) Says(id barleystep.TargetID, said barleystep.Statement, sent time.Time) {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, part := range p.parts {
+		if part.target == id {
+			b.heardFrom(id, part.at, said, sent)
+		}
+	}
+}
+
+// heardFrom takes in what a lifetime of a target says here.
+func (b *Balancer) heardFrom(id barleystep.TargetID, s *state, said barleystep.Statement, sent time.Time) {
+	now := b.Clock.Now()
+	heard := Said{
+		Limit:   wordOf(said.Limit, now, sent),
+		Leaving: wordOf(said.Leaving, now, sent),
+	}
+	s.heardHere = s.heardHere.join(heard)
+	b.believe(id, s, heard)
+	b.rest(id, s, said.Rest)
+}
+
+// hearAll takes in what targets have told other boxes.
+func (b *Balancer) hearAll() {
+	if len(b.others.Said) == 0 {
+		return
+	}
+	for id, s := range b.states {
+		b.hear(id, s)
+	}
+}
+
+// hear takes in what a target has told other boxes. A box that has just started hears of
+// targets before it meets them.
+func (b *Balancer) hear(id barleystep.TargetID, s *state) {
+	if said, ok := b.others.Said[s.key]; ok {
+		b.believe(id, s, said)
+	}
+}
+
+// believe takes in what a lifetime of a target has said, here or to another box.
+func (b *Balancer) believe(id barleystep.TargetID, s *state, said Said) {
+	before := s.believed
+	s.believed = before.join(said)
+	if before.Limit.Value != s.believed.Limit.Value {
+		if !before.Limit.says() {
+			s.allowance = allowance{}
+		}
+		b.logLimit(id, s)
+	}
+	if before.Leaving.Value != s.believed.Leaving.Value {
+		b.logLeaving(id, s)
+	}
+}
+
+// limit returns how much the target takes from all boxes.
+func (s *state) limit() barleystep.RateLimit { return s.believed.Limit.Value }
+
+// leaving reports whether the target has said that it leaves.
+func (s *state) leaving() bool { return s.believed.Leaving.Value }
+
+// limits reports whether some target of the service names how much it takes.
+func (b *Balancer) limits(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.Targets() {
+		if t.Service != service {
+			continue
+		}
+		if s, _ := b.meet(t); s.limit().Named() {
+			return true
+		}
+	}
+	return false
+}
+
+// logLimit tells of a change of belief, and of what it goes by.
+func (b *Balancer) logLimit(id barleystep.TargetID, s *state) {
+	if b.Log == nil {
+		return
+	}
+	e, text := b.Log.Warn(), "A target names how many requests it takes from all boxes."
+	if !s.limit().Named() {
+		e, text = b.Log.Info(), "A target names no limit any more."
+	}
+	e.Str("target", string(id)).Float64("per_second", s.limit().PerSecond()).
+		Bool("told_here", s.believed.Limit == s.heardHere.Limit).Dur("age", b.Clock.Now().Sub(s.believed.Limit.At)).
+		Bool("leads", b.leads()).Int("boxes", b.role.Boxes).Int("reached", b.role.Reached).
+		Msg(logPrefix + text)
+}
+
+// logLeaving tells of a change of belief, and of what it goes by.
+func (b *Balancer) logLeaving(id barleystep.TargetID, s *state) {
+	if b.Log == nil {
+		return
+	}
+	text := "A target says that it leaves."
+	if !s.leaving() {
+		text = "A target says no longer that it leaves."
+	}
+	e := b.Log.Info().Str("target", string(id)).Bool("told_here", s.believed.Leaving == s.heardHere.Leaving)
+	e.Dur("age", b.Clock.Now().Sub(s.believed.Leaving.At)).Msg(logPrefix + text)
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -62,8 +62,8 @@
 type Snapshot struct {
 	Work    map[Key]Work
 	Demands map[Key]Demand
-	// Limits is what targets have said of how much they take, to any of the boxes.
-	Limits map[Key]LimitNews
+	// Said is what targets have said of themselves to any of the boxes.
+	Said map[Key]Said
 	// Suspects is what is known of requests under which targets have ended.
 	Suspects map[suspect.Digest]suspect.Evidence
 }
@@ -73,7 +73,7 @@
 	return Snapshot{
 		Work:     make(map[Key]Work),
 		Demands:  make(map[Key]Demand),
-		Limits:   make(map[Key]LimitNews),
+		Said:     make(map[Key]Said),
 		Suspects: make(map[suspect.Digest]suspect.Evidence),
 	}
 }
@@ -82,10 +82,8 @@
 func (s Snapshot) Add(o Snapshot) {
 	s.merge(o, 1)
 	suspect.Join(s.Suspects, o.Suspects)
-	for k, news := range o.Limits {
-		if news.replaces(s.Limits[k]) {
-			s.Limits[k] = news
-		}
+	for k, said := range o.Said {
+		s.Said[k] = s.Said[k].join(said)
 	}
 }
 
@@ -111,7 +109,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others = s
-	b.hearLimits()
+	b.hearAll()
 	b.Suspects.Hear(s.Suspects)
 	b.endGrants()
 	b.serveWaiting(true)
@@ -127,8 +125,8 @@
 		if len(state.parts) > 0 || state.down(now) {
 			s.Work[state.key] = state.own(now)
 		}
-		if state.tellsLimit(now) {
-			s.Limits[state.key] = state.heardLimit
+		if told := state.heardHere.told(state.believed, now); told != (Said{}) {
+			s.Said[state.key] = told
 		}
 	}
 	suspect.Join(s.Suspects, b.Suspects.Told())
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -38,7 +38,7 @@
 			f.view.Route("h", tc.path).MaxSends = 1
 			c.Check(f.ask(t, http.MethodPost, tc.path, "").status, quicktest.Equals, tc.status)
 			first := f.target.requests[0].Header.Get("Instance")
-			c.Check(f.front.Balancer.Leaving(barleystep.TargetID(first)), quicktest.Equals, tc.left)
+			c.Check(f.front.Balancer.Belief(barleystep.TargetID(first)).Said.Leaving.Value, quicktest.Equals, tc.left)
 			if !tc.left {
 				return
 			}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -219,7 +219,7 @@
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
 	if !t.misdirected(resp.StatusCode, verdict) {
-		t.placement.Says(verdict.Statement, t.sent)
+		t.placement.Says(t.placement.Target.ID, verdict.Statement, t.sent)
 	}
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.Sealed)
 	if verdict.NotRun {
--- a/internal/gossip/bench_internal_test.go
+++ b/internal/gossip/bench_internal_test.go
@@ -63,7 +63,7 @@
 				s.Suspects[digest] = suspect.NewEvidence(20_000, ends, time.Time{}, now.Add(-time.Second))
 			}
 			for i := range tc.limits {
-				s.Limits[balance.Key(i+1)] = balance.LimitNews{Limit: barleystep.NewRateLimit(1.5), At: now.Add(-time.Second)}
+				s.Said[balance.Key(i+1)] = balance.Said{Limit: balance.Word[barleystep.RateLimit]{Value: barleystep.NewRateLimit(1.5), At: now.Add(-time.Second)}}
 			}
 			size := 0
 			for b.Loop() {
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -40,16 +40,40 @@
 		})
 	}
 	fillSuspects(d, s.Suspects, now)
-	for key, news := range s.Limits {
-		d.Limits = append(d.Limits, &gossipv1.TargetLimit{
-			Target:    uint32(key),
-			Named:     news.Limit.Named(),
-			PerSecond: news.Limit.PerSecond(),
-			AgeUs:     now.Sub(news.At).Microseconds(),
-		})
+	for key, said := range s.Said {
+		d.Statements = append(d.Statements, statement(key, said, now))
+	}
+}
+
+// statement writes what a target has said of itself.
+func statement(key balance.Key, said balance.Said, now time.Time) *gossipv1.TargetStatement {
+	w := &gossipv1.TargetStatement{Target: uint32(key)}
+	if l := said.Limit; !l.At.IsZero() {
+		w.Limit = &gossipv1.LimitWord{Named: l.Value.Named(), PerSecond: l.Value.PerSecond(), AgeUs: now.Sub(l.At).Microseconds()}
+	}
+	if l := said.Leaving; !l.At.IsZero() {
+		w.Leaving = &gossipv1.LeavingWord{Leaving: l.Value, AgeUs: now.Sub(l.At).Microseconds()}
 	}
+	return w
 }
 
+// saidIn reads what a target has said of itself.
+func saidIn(w *gossipv1.TargetStatement, now time.Time) (said balance.Said) {
+	if l := w.GetLimit(); l != nil {
+		said.Limit.At = ago(now, l.GetAgeUs())
+		if l.GetNamed() {
+			said.Limit.Value = barleystep.NewRateLimit(l.GetPerSecond())
+		}
+	}
+	if l := w.GetLeaving(); l != nil {
+		said.Leaving = balance.Word[bool]{Value: l.GetLeaving(), At: ago(now, l.GetAgeUs())}
+	}
+	return said
+}
+
+// ago returns the time that lies so many microseconds back.
+func ago(now time.Time, us int64) time.Time { return now.Add(-time.Duration(us) * time.Microsecond) }
+
 // fillSuspects writes what is known of suspects into a datagram.
 func fillSuspects(d *datagram, known map[suspect.Digest]suspect.Evidence, now time.Time) {
 	for digest, e := range known {
@@ -75,7 +99,6 @@
 // suspectsOf reads what is known of suspects out of a datagram that has come now.
 func suspectsOf(d *datagram, now time.Time) map[suspect.Digest]suspect.Evidence {
 	known := make(map[suspect.Digest]suspect.Evidence)
-	ago := func(us int64) time.Time { return now.Add(-time.Duration(us) * time.Microsecond) }
 	for _, s := range d.GetSuspects() {
 		digest, ok := suspect.DigestFrom(s.GetDigest())
 		if !ok {
@@ -83,14 +106,14 @@
 		}
 		var ends []suspect.End
 		for _, end := range s.GetEnds() {
-			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(end.GetAgeUs()), marksOf(end)))
+			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(now, end.GetAgeUs()), marksOf(end)))
 		}
 		var cleared, begun time.Time
 		if s.GetCleared() {
-			cleared = ago(s.GetClearedAgeUs())
+			cleared = ago(now, s.GetClearedAgeUs())
 		}
 		if s.GetBegun() {
-			begun = ago(s.GetBegunAgeUs())
+			begun = ago(now, s.GetBegunAgeUs())
 		}
 		known[digest] = suspect.NewEvidence(int(s.GetSize()), ends, cleared, begun)
 	}
@@ -129,12 +152,8 @@
 		}
 	}
 	s.Suspects = suspectsOf(d, now)
-	for _, l := range d.GetLimits() {
-		news := balance.LimitNews{At: now.Add(-time.Duration(l.GetAgeUs()) * time.Microsecond)}
-		if l.GetNamed() {
-			news.Limit = barleystep.NewRateLimit(l.GetPerSecond())
-		}
-		s.Limits[balance.Key(l.GetTarget())] = news
+	for _, w := range d.GetStatements() {
+		s.Said[balance.Key(w.GetTarget())] = saidIn(w, now)
 	}
 	return s
 }
--- a/internal/plane/limit_test.go
+++ b/internal/plane/limit_test.go
@@ -138,7 +138,7 @@
 	index := slices.IndexFunc(p.list, func(t fleet.Target) bool { return t.ID == place.Target.ID })
 	p.arrive(b, l, index)
 	pause(runTime)
-	place.Says(barleystep.Statement{Limit: p.answer(b, index)}, sent)
+	place.Says(place.Target.ID, barleystep.Statement{Limit: p.answer(b, index)}, sent)
 	place.Done(balance.Report{})
 }
 
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -75,38 +75,55 @@
 	return list
 }
 
+// targetStates counts the targets by what is believed of them. What targets say of themselves
+// is counted by who was told: this box, or another one.
 func (r *Router) targetStates() []metric.Sample {
-	known, draining, down, limited, leaving, resting, unnamed := 0, 0, 0, 0, 0, 0, 0
+	counts := map[string]int{}
+	for _, state := range []string{"known", "draining", "down", "limited, heard", "limited, told", "leaving, heard", "leaving, told", "resting, heard", "no_service"} {
+		counts[state] = 0
+	}
 	view := r.configuration.View()
 	for _, t := range r.targets.List() {
-		known++
+		counts["known"]++
 		if t.Draining {
-			draining++
-		}
-		if r.balancer.Down(t.ID) {
-			down++
-		}
-		if r.balancer.Limit(t.ID).Named() {
-			limited++
-		}
-		if r.balancer.Leaving(t.ID) {
-			leaving++
-		}
-		if r.balancer.Resting(t.ID) {
-			resting++
+			counts["draining"]++
 		}
 		if view != nil && view.Service(t.Service) == nil {
-			unnamed++
+			counts["no_service"]++
+		}
+		for _, state := range r.believed(t.ID) {
+			counts[state]++
 		}
 	}
-	return []metric.Sample{
-		{Label: "known", Value: float64(known)},
-		{Label: "draining", Value: float64(draining)},
-		{Label: "down", Value: float64(down)},
-		{Label: "limited", Value: float64(limited)},
-		{Label: "leaving", Value: float64(leaving)},
-		{Label: "resting", Value: float64(resting)},
-		{Label: "no_service", Value: float64(unnamed)},
-		{Label: "foreign", Value: float64(r.targets.Foreign())},
+	list := []metric.Sample{{Label: "foreign", Value: float64(r.targets.Foreign())}}
+	for state, n := range counts {
+		list = append(list, metric.Sample{Label: state, Value: float64(n)})
+	}
+	return list
+}
+
+// believed returns what is believed of a target besides its record.
+func (r *Router) believed(id barleystep.TargetID) (states []string) {
+	belief := r.balancer.Belief(id)
+	if belief.Down {
+		states = append(states, "down")
+	}
+	if belief.Said.Limit.Value.Named() {
+		states = append(states, "limited, "+source(belief.Said.Limit == belief.HeardHere.Limit))
+	}
+	if belief.Said.Leaving.Value {
+		states = append(states, "leaving, "+source(belief.Said.Leaving == belief.HeardHere.Leaving))
+	}
+	if belief.Resting {
+		states = append(states, "resting, "+source(true))
+	}
+	return states
+}
+
+// source names who was told by a target.
+func source(here bool) string {
+	if here {
+		return "heard"
 	}
+	return "told"
 }
