The rest that a target asks one box for is a hint to the others

Boxes now tell each other which targets rest, and until when; a target that another box was asked by is taken where nothing better is there.

TestStatementsOverBoxes counts at the targets over 9, 100 and 300 boxes, with the lead killed or standing still, a hall cut off, all killed, boxes rolled: nothing after the word, no more in a rest than was under way. Without the two conditions on candidates it fails.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -304,9 +304,9 @@
 			continue // Its word is newer than its record, which it may not be able to write.
 		}
 		switch {
-		case s.resting(now):
+		case s.resting(now) && !j.Granted:
 			resting = append(resting, t)
-		case b.leaves(t.ID, s, now) || slices.Contains(tried, t.ID):
+		case b.leaves(t.ID, s, now) || s.restsElsewhere(now) || slices.Contains(tried, t.ID):
 			shunned = append(shunned, t)
 		default:
 			good = append(good, t)
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -7,12 +7,10 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-// rest notes that the target wants nothing from this box for so long. A shorter rest that it
-// asks for later does not end an earlier one: answers pass each other on their way.
-func (b *Balancer) rest(id barleystep.TargetID, s *state, length time.Duration) {
-	if length <= 0 {
-		return
-	}
+// rest notes that the target wants nothing from this box for so long, and returns until when
+// that is. A shorter rest that it asks for later does not end an earlier one: answers pass each
+// other on their way.
+func (b *Balancer) rest(id barleystep.TargetID, s *state, length time.Duration) (until time.Time) {
 	now := b.Clock.Now()
 	rested := s.resting(now)
 	if until := now.Add(length); until.After(s.restUntil) {
@@ -21,6 +19,7 @@
 	if !rested {
 		b.logRest(id, length)
 	}
+	return s.restUntil
 }
 
 // restLeft returns after how long the first of the targets has rested, zero if one does not
@@ -47,6 +46,9 @@
 // resting reports whether the target has asked this box for rest that is not over.
 func (s *state) resting(now time.Time) bool { return now.Before(s.restUntil) }
 
+// restsElsewhere reports whether the target has asked another box for rest that is not over.
+func (s *state) restsElsewhere(now time.Time) bool { return now.Before(s.believed.Rest.Value) }
+
 // logRest tells that a target asks for rest, once until the rest is over.
 func (b *Balancer) logRest(id barleystep.TargetID, length time.Duration) {
 	if b.Log == nil {
--- a/internal/balance/said.go
+++ b/internal/balance/said.go
@@ -13,6 +13,9 @@
 	Limit Word[barleystep.RateLimit]
 	// Leaving is whether it is about to end.
 	Leaving Word[bool]
+	// Rest is until when it wants nothing from the box that it has told so. To others it is a
+	// hint: a target that is full for one box is mostly full for all.
+	Rest Word[time.Time]
 }
 
 // Word is one thing that a target says of itself. The value's zero is that it does not say it.
@@ -61,12 +64,16 @@
 
 // join returns the later words of both. The order makes no difference.
 func (s Said) join(o Said) Said {
-	return Said{Limit: s.Limit.join(o.Limit), Leaving: s.Leaving.join(o.Leaving)}
+	return Said{Limit: s.Limit.join(o.Limit), Leaving: s.Leaving.join(o.Leaving), Rest: s.Rest.join(o.Rest)}
 }
 
 // told returns what the others are to be told that was heard here.
 func (s Said) told(believed Said, now time.Time) Said {
-	return Said{Limit: s.Limit.told(believed.Limit, now), Leaving: s.Leaving.told(believed.Leaving, now)}
+	told := Said{Limit: s.Limit.told(believed.Limit, now), Leaving: s.Leaving.told(believed.Leaving, now)}
+	if now.Before(s.Rest.Value) {
+		told.Rest = s.Rest
+	}
+	return told
 }
 
 // Says takes in what the placement's target, or a helper, says of itself in the answer to a
@@ -89,9 +96,11 @@
 		Limit:   wordOf(said.Limit, now, sent),
 		Leaving: wordOf(said.Leaving, now, sent),
 	}
+	if said.Rest > 0 {
+		heard.Rest = Word[time.Time]{Value: b.rest(id, s, said.Rest), At: now}
+	}
 	s.heardHere = s.heardHere.join(heard)
 	b.believe(id, s, heard)
-	b.rest(id, s, said.Rest)
 }
 
 // hearAll takes in what targets have told other boxes.
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -54,6 +54,9 @@
 	if l := said.Leaving; !l.At.IsZero() {
 		w.Leaving = &gossipv1.LeavingWord{Leaving: l.Value, AgeUs: now.Sub(l.At).Microseconds()}
 	}
+	if l := said.Rest; !l.At.IsZero() {
+		w.Rest = &gossipv1.RestWord{LeftUs: l.Value.Sub(now).Microseconds(), AgeUs: now.Sub(l.At).Microseconds()}
+	}
 	return w
 }
 
@@ -68,6 +71,9 @@
 	if l := w.GetLeaving(); l != nil {
 		said.Leaving = balance.Word[bool]{Value: l.GetLeaving(), At: ago(now, l.GetAgeUs())}
 	}
+	if l := w.GetRest(); l != nil {
+		said.Rest = balance.Word[time.Time]{Value: ago(now, -l.GetLeftUs()), At: ago(now, l.GetAgeUs())}
+	}
 	return said
 }
 
