The clock counts the time for which the machine was suspended

What boxes age by their clock (keys, leases, roles, configuration, rest, what they believe of targets) looked younger after a suspension by the length of it, so that keys that had been taken away could be served on, and connections that targets had closed were used: Go's steady time stands still meanwhile. System now adds what CLOCK_BOOTTIME has counted more. What boxes tell each other by the time of day goes by TimeOfDay, which follows its changes.

TestSuspension plays the three clocks, TestAlarms a suspension of two hours; before, neither had anything to ask.

--- /dev/null
+++ b/internal/clock/suspension_internal_test.go
@@ -0,0 +1,114 @@
+package clock
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+)
+
+// readings are what the operating system's clocks say in a test.
+type readings struct{ steady, day, boot time.Duration }
+
+// suspended returns a counter that goes by the readings.
+func (r *readings) suspended() *suspension {
+	return &suspension{
+		start: time.Unix(1000, 0),
+		read:  func() (steady, day time.Duration) { return r.steady, r.day },
+		boot:  func() time.Duration { return r.boot },
+	}
+}
+
+// TestSuspension checks which time passes by what the three clocks say.
+func TestSuspension(t *testing.T) {
+	const s = time.Second
+	cases := map[string]struct {
+		after readings
+		want  time.Duration
+	}{
+		"nothing happens":                     {readings{10 * s, 10 * s, 10 * s}, 10 * s},
+		"the machine is suspended":            {readings{10 * s, 15 * s, 15 * s}, 15 * s},
+		"the time of day is set on":           {readings{10 * s, 15 * s, 10 * s}, 10 * s},
+		"the time of day is set back":         {readings{10 * s, 5 * s, 10 * s}, 10 * s},
+		"suspended, and set on":               {readings{10 * s, 22 * s, 15 * s}, 15 * s},
+		"suspended, and set back":             {readings{10 * s, 12 * s, 15 * s}, 15 * s},
+		"no clock that counts suspensions":    {readings{10 * s, 15 * s, 0}, 10 * s},
+		"for longer than it has run":          {readings{1 * s, 3600 * s, 3600 * s}, 3600 * s},
+		"the process is held up between them": {readings{10 * s, 15 * s, 9 * s}, 10 * s},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var r readings
+			clk := r.suspended()
+			begin := clk.now()
+			r = tc.after
+			quicktest.Check(t, clk.now().Sub(begin), quicktest.Equals, tc.want)
+			quicktest.Check(t, clk.now().Sub(begin), quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// TestSuspensionsAddUp checks that time never goes back, and that a suspension which the time of
+// day hides is found by the watcher's look.
+func TestSuspensionsAddUp(t *testing.T) {
+	c := quicktest.New(t)
+	var r readings
+	clk := r.suspended()
+	begin := clk.now()
+	r = readings{1 * time.Second, 3 * time.Second, 3 * time.Second}
+	c.Check(clk.now().Sub(begin), quicktest.Equals, 3*time.Second)
+	r = readings{2 * time.Second, 8 * time.Second, 8 * time.Second}
+	c.Check(clk.now().Sub(begin), quicktest.Equals, 8*time.Second)
+	r = readings{3 * time.Second, 9 * time.Second, 19 * time.Second} // And set back by as much.
+	c.Check(clk.now().Sub(begin), quicktest.Equals, 9*time.Second)
+	c.Check(clk.look(), quicktest.Equals, 16*time.Second)
+	c.Check(clk.now().Sub(begin), quicktest.Equals, 19*time.Second)
+}
+
+// TestAlarms checks that a timer which came due while the machine was suspended fires on waking,
+// that one which is not due does not, and that a stopped one stays so.
+func TestAlarms(t *testing.T) {
+	c := quicktest.New(t)
+	pretend.Do(func() {
+		boot := process.boot
+		process.boot = func() time.Duration { return boot() + time.Duration(pretended.Load()) }
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = (&Watcher{Log: &log.Logger{Level: log.PanicLevel}}).Serve(ctx)
+	}()
+	defer func() { cancel(); <-done }()
+	for !alarms.watched() {
+		Sleep(ctx, System{}, time.Millisecond)
+	}
+	due, later, stopped := System{}.NewTimer(time.Hour), System{}.NewTimer(3*time.Hour), System{}.NewTimer(time.Hour)
+	c.Check(stopped.Stop(), quicktest.IsTrue)
+	begin := System{}.Now()
+	suspend(2 * time.Hour)
+	c.Check(System{}.Now().Sub(begin) >= 2*time.Hour, quicktest.IsTrue)
+	<-due.C()
+	c.Check(due.Stop(), quicktest.IsFalse)
+	c.Check(later.Stop(), quicktest.IsTrue)
+	c.Check(len(stopped.C()), quicktest.Equals, 0)
+	short := System{}.NewTimer(leastAlarm)
+	<-short.C()
+	c.Check(short.Stop(), quicktest.IsFalse)
+}
+
+// pretended is for how long the machine looks as if it had been suspended, once pretend was done.
+var (
+	pretend   sync.Once
+	pretended atomic.Int64
+)
+
+// suspend has the machine look as if it had been suspended.
+func suspend(d time.Duration) {
+	pretended.Add(int64(d))
+	process.look()
+}
--- a/internal/clock/system.go
+++ b/internal/clock/system.go
@@ -8,15 +8,31 @@
 	"github.com/barleystep/barleystep"
 )
 
-// System is the clock of the operating system. Its zero value is ready to use.
+// System is the clock of the operating system. Its zero value is ready to use. Its time goes on
+// while the machine is suspended, in which the runtime's steady time stands still: what a box
+// knows must not look younger than it is when it wakes.
 type System struct{}
 
-// Now returns the wall clock time with its monotonic reading.
-func (System) Now() time.Time { return time.Now() }
+// Now returns the time of day at the start of the process and what has passed since. It follows
+// no change of the time of day; TimeOfDay does.
+func (System) Now() time.Time { return process.now() }
 
-// NewTimer returns a timer of the runtime.
+// NewTimer returns a timer. While a Watcher runs, it fires on waking if it came due while the
+// machine was suspended.
 func (System) NewTimer(d time.Duration) barleystep.Timer {
-	return systemTimer{time.NewTimer(d)}
+	if d < leastAlarm || !alarms.watched() {
+		return systemTimer{time.NewTimer(d)}
+	}
+	return newAlarm(d)
+}
+
+// TimeOfDay returns the time of day, which other machines know too and which may be set while
+// the program runs. Of a clock that is not the operating system's it is its time.
+func TimeOfDay(clk barleystep.Clock) time.Time {
+	if _, ok := clk.(System); ok {
+		return time.Now().Round(0)
+	}
+	return clk.Now()
 }
 
 type systemTimer struct{ *time.Timer }
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 // Auth signs calls with the secret that all boxes share, and checks the
@@ -37,7 +38,7 @@
 
 // sign returns "box time signature" for a call of the procedure.
 func (a Auth) sign(procedure string) string {
-	at := strconv.FormatInt(a.Clock.Now().Unix(), 10)
+	at := strconv.FormatInt(clock.TimeOfDay(a.Clock).Unix(), 10)
 	return string(a.Box) + " " + at + " " + a.signature(string(a.Box), at, procedure)
 }
 
@@ -69,7 +70,7 @@
 	if err != nil {
 		return false
 	}
-	return a.Clock.Now().Sub(time.Unix(sec, 0)).Abs() <= skew
+	return clock.TimeOfDay(a.Clock).Sub(time.Unix(sec, 0)).Abs() <= skew
 }
 
 // WrapUnary signs or checks a call.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -183,6 +183,7 @@
 	r.top.Add(r.plane.Node())
 	r.top.Add(r.plane.Archive())
 	r.top.Add(tender{r})
+	r.top.Add(&clock.Watcher{Log: r.Log})
 	r.top.Add(&settings.Watcher{Clock: r.Clock, Current: s, Apply: r.apply, Log: r.Log})
 }
 
--- a/internal/suspect/archive.go
+++ b/internal/suspect/archive.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	now := a.Clock.Now()
+	now := a.moment()
 	kept := make(map[Digest]uint64)
 	known := make(map[Digest]Evidence)
 	for _, r := range batch.Records() {
@@ -95,6 +95,8 @@
 	return nil
 }
 
+func (a *Archive) moment() moment { return moment{now: a.Clock.Now(), day: clock.TimeOfDay(a.Clock)} }
+
 // write puts in the store what it lacks, and removes what counts no more.
 func (a *Archive) write(ctx context.Context) (err error) {
 	proven := a.Book.proven()
@@ -102,7 +104,7 @@
 		if a.kept[d] == e.sum() {
 			continue
 		}
-		r, err := encodeRecord(d, e)
+		r, err := encodeRecord(d, e, a.moment())
 		if err != nil {
 			return err
 		}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -38,11 +38,15 @@
 	fieldLone   = "lone"
 )
 
+// moment is one moment by a box's clock and by the time of day, which all boxes know.
+type moment struct{ now, day time.Time }
+
 // encodeRecord returns the record of a request.
-func encodeRecord(d Digest, e Evidence) (r barleystep.Record, err error) {
+func encodeRecord(d Digest, e Evidence, m moment) (r barleystep.Record, err error) {
 	w := record{Size: e.size}
 	for _, end := range e.ends {
-		w.Ends = append(w.Ends, recordEnd{Target: end.key, AtMS: end.at.UnixMilli(), Unread: end.Has(Unread), Lone: end.Has(Lone)})
+		at := m.day.Add(end.at.Sub(m.now))
+		w.Ends = append(w.Ends, recordEnd{Target: end.key, AtMS: at.UnixMilli(), Unread: end.Has(Unread), Lone: end.Has(Lone)})
 	}
 	value, err := json.Marshal(w)
 	if err != nil {
@@ -53,7 +57,7 @@
 
 // decodeRecord reads a record. An error says that no box wrote it. Times of day differ from box
 // to box: what lies ahead is now.
-func decodeRecord(r barleystep.Record, now time.Time) (d Digest, e Evidence, err error) {
+func decodeRecord(r barleystep.Record, m moment) (d Digest, e Evidence, err error) {
 	key, err := hex.DecodeString(r.Key())
 	d, ok := DigestFrom(key)
 	if err != nil || !ok {
@@ -62,7 +66,7 @@
 	o := strict.Parse(r.Value())
 	e.size = int(o.Whole(fieldSize))
 	for _, end := range o.List(fieldEnds) {
-		e.add(decodeEnd(end, now))
+		e.add(decodeEnd(end, m))
 		if err = end.Err(); err != nil {
 			return Digest{}, Evidence{}, err
 		}
@@ -71,12 +75,12 @@
 }
 
 // decodeEnd reads one end of a record.
-func decodeEnd(o *strict.Object, now time.Time) End {
+func decodeEnd(o *strict.Object, m moment) End {
 	target := o.Whole(fieldTarget)
 	if target < 0 || target > math.MaxUint32 {
 		target = 0 // No lifetime's key that a box has seen is likely to be it.
 	}
-	age := max(now.UnixMilli()-o.Whole(fieldAt), 0)
+	age := max(m.day.UnixMilli()-o.Whole(fieldAt), 0)
 	age = min(age, (2 * CertainMemory).Milliseconds())
 	var marks Mark
 	if o.Flag(fieldUnread) {
@@ -85,5 +89,5 @@
 	if o.Flag(fieldLone) {
 		marks |= Lone
 	}
-	return NewEnd(uint32(target), now.Add(-time.Duration(age)*time.Millisecond), marks)
+	return NewEnd(uint32(target), m.now.Add(-time.Duration(age)*time.Millisecond), marks)
 }
