After a rest a target gets one request first, boxes come back spread, and rests are bounded

All that waited for a target went there in the moment at which its rest ended, from all boxes that it had asked in the same moment, and a target that asked for hours got nothing for hours. Now a box sends one request after a rest, and more once that has shown that the target takes it; boxes come back over an eighth of the rest, half a second at most; and limits.rest, a minute by default, bounds what a target may ask for.

TestFirstAfterRest, TestRestSpread and TestLongestRest failed before, as there was nothing of the kind.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -104,6 +104,8 @@
 	Hall  barleystep.HallID
 	// Targets lists the targets that may get work.
 	Targets func() []fleet.Target
+	// LongestRest bounds the rest that a target may ask for; zero is a default.
+	LongestRest time.Duration
 	// Lead is asked for the engines of long prompts; nil places them here.
 	Lead Lead
 	// Rand is drawn from where a choice is left to chance; nil draws from the
@@ -166,6 +168,10 @@
 	allowance allowance
 	// restUntil is until when the target wants nothing from this box.
 	restUntil time.Time
+	// returning is set from a rest on until the target has run something, and probe is what it
+	// was sent since its end.
+	returning bool
+	probe     *part
 	// absent is since when no record names the target, zero while one does.
 	absent time.Time
 }
@@ -272,6 +278,7 @@
 		s := b.state(part.target)
 		part.placement, part.at = p, s
 		b.expectRead(s, part)
+		s.probeWith(part)
 		s.parts = append(s.parts, part)
 	}
 }
@@ -287,6 +294,9 @@
 // strikePart takes a part out of the books of the lifetime that it was placed on.
 func (b *Balancer) strikePart(own *part) {
 	own.at.parts = slices.DeleteFunc(own.at.parts, func(o *part) bool { return o == own })
+	if own.at.probe == own {
+		own.at.probe = nil
+	}
 }
 
 // candidates returns the service's targets that may take the job: those that
@@ -304,7 +314,7 @@
 			continue // Its word is newer than its record, which it may not be able to write.
 		}
 		switch {
-		case s.resting(now) && !j.Granted:
+		case (s.resting(now) || s.probing()) && !j.Granted:
 			resting = append(resting, t)
 		case b.leaves(t.ID, s, now) || s.restsElsewhere(now) || slices.Contains(tried, t.ID):
 			shunned = append(shunned, t)
@@ -394,7 +404,7 @@
 	default:
 		s.failures = 0
 		if !r.Failed {
-			s.heard = now
+			s.heard, s.returning = now, false
 		}
 	}
 	bad := 0.0
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -37,7 +37,7 @@
 	now := b.Clock.Now()
 	var list []barleystep.TargetID
 	for id, s := range b.states {
-		if s.closed(now) {
+		if s.closed(now) || s.probing() {
 			list = append(list, id)
 		}
 	}
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -81,7 +81,7 @@
 
 func (p *Placement) hear() {
 	p.heard = p.balancer.Clock.Now()
-	p.parts[0].at.heard = p.heard
+	p.parts[0].at.heard, p.parts[0].at.returning = p.heard, false
 }
 
 // Gone tells that a target of the placement has refused a connection.
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -13,15 +13,50 @@
 func (b *Balancer) rest(id barleystep.TargetID, s *state, length time.Duration) (until time.Time) {
 	now := b.Clock.Now()
 	rested := s.resting(now)
-	if until := now.Add(length); until.After(s.restUntil) {
+	length = min(length, b.longestRest())
+	if until := now.Add(length + b.restSpread(length)); until.After(s.restUntil) {
 		s.restUntil = until
 	}
+	s.returning = true
 	if !rested {
 		b.logRest(id, length)
 	}
 	return s.restUntil
 }
 
+// defaultLongestRest is the longest rest that a target may ask for if nothing else is set.
+const defaultLongestRest = time.Minute
+
+func (b *Balancer) longestRest() time.Duration {
+	if b.LongestRest > 0 {
+		return b.LongestRest
+	}
+	return defaultLongestRest
+}
+
+const (
+	// spreadPart is the part of a rest, as a divisor, over which boxes come back that were asked
+	// in the same moment, and longestSpread how long that is at the most.
+	spreadPart    = 8
+	longestSpread = 500 * time.Millisecond
+)
+
+// restSpread returns by how much later than asked this box comes back.
+func (b *Balancer) restSpread(length time.Duration) time.Duration {
+	return time.Duration(b.chance() * float64(min(length/spreadPart, longestSpread)))
+}
+
+// probing reports whether the target has one request after its rest, whose answer says whether
+// it takes more: what waited meanwhile would all come at once.
+func (s *state) probing() bool { return s.returning && s.probe != nil }
+
+// probeWith makes the part the first one after the target's rest, if it is that.
+func (s *state) probeWith(p *part) {
+	if s.returning && s.probe == nil {
+		s.probe = p
+	}
+}
+
 // restLeft returns after how long the first of the targets has rested, zero if one does not
 // rest.
 func (b *Balancer) restLeft(targets []fleet.Target) (left time.Duration) {
--- a/internal/clock/alarm.go
+++ b/internal/clock/alarm.go
@@ -8,7 +8,7 @@
 
 // leastAlarm is the shortest timer that is looked at again on waking; a shorter one is late by
 // its own length at the most.
-const leastAlarm = 200 * time.Millisecond
+const leastAlarm = 250 * time.Millisecond
 
 // alarms are the timers of this process that are looked at again on waking.
 var alarms alarmSet
--- a/internal/clock/watcher.go
+++ b/internal/clock/watcher.go
@@ -15,7 +15,7 @@
 
 const (
 	// watchEvery is how soon after waking it is noticed.
-	watchEvery = 100 * time.Millisecond
+	watchEvery = 250 * time.Millisecond
 	// leastGap is the shortest suspension of which there is a line.
 	leastGap  = 100 * time.Millisecond
 	logPrefix = "clock: "
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,6 +109,7 @@
 		Log:      r.Log,
 		Suspects: &suspect.Book{Clock: r.Clock, Log: r.Log},
 	}
+	r.balancer.LongestRest = time.Duration(s.Limits.Rest)
 	r.plane = &plane.Plane{
 		Clock:         r.Clock,
 		Box:           barleystep.BoxID(s.Box.ID),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -102,6 +102,7 @@
 	c.positive("limits.min_time", l.MinTime)
 	c.positive("limits.max_time", l.MaxTime)
 	c.positive("limits.stall", l.Stall)
+	c.positive("limits.rest", l.Rest)
 	c.positive("limits.grace", l.Grace)
 	c.positive("limits.notice", l.Notice)
 	if l.MaxTime != 0 && l.MinTime > l.MaxTime {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,6 +114,8 @@
 	// Grace is how long a planned stop waits for running requests; the default
 	// is one hour, the longest a request may take.
 	Grace Duration `toml:"grace"`
+	// Rest bounds for how long a target may ask to get nothing; the default is a minute.
+	Rest Duration `toml:"rest"`
 	// Notice is how long the balancer is given after readiness goes off; the
 	// default is 5 seconds.
 	Notice Duration `toml:"notice"`
--- a/internal/suspect/archive.go
+++ b/internal/suspect/archive.go
@@ -30,7 +30,7 @@
 const (
 	// archiveEvery is how often it is looked whether there is anything to be read or written:
 	// what is known and not yet written is lost if all boxes end.
-	archiveEvery = 100 * time.Millisecond
+	archiveEvery = 250 * time.Millisecond
 	// archivePause is the wait after a failed call.
 	archivePause = time.Second
 	// archiveTimeout bounds one call.
