Answers to orders speak for their targets; refused requests say whom they were not offered to

The line of a refused request names up to 16 targets that it was not offered to, and whose word that is; explain follows them.

--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -44,10 +45,12 @@
 	return list
 }
 
-// Stands reports whether the placement's target has not said since that it takes nothing more.
+// Stands reports whether neither the placement's target nor a helper has said since that it
+// takes nothing more.
 func (p *Placement) Stands() bool {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !p.parts[0].at.closed(b.Clock.Now())
+	now := b.Clock.Now()
+	return !slices.ContainsFunc(p.parts, func(own *part) bool { return own.at.closed(now) })
 }
--- a/internal/balance/sight.go
+++ b/internal/balance/sight.go
@@ -1,6 +1,11 @@
 package balance
 
-import "github.com/barleystep/barleystep"
+import (
+	"slices"
+	"time"
+
+	"github.com/barleystep/barleystep"
+)
 
 // Belief is what a box believes of one target.
 type Belief struct {
@@ -14,6 +19,43 @@
 	Resting bool
 }
 
+// mostPassed bounds the targets that are named as passed over.
+const mostPassed = 16
+
+// PassedOver names the targets of the service that take nothing from this box by their own word,
+// and whose word that is, for logs.
+func (b *Balancer) PassedOver(service string) (list []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	for _, t := range b.Targets() {
+		if t.Service != service {
+			continue
+		}
+		if why := b.state(t.ID).refusal(now); why != "" {
+			list = append(list, string(t.ID)+" "+why)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(len(list), mostPassed)]
+}
+
+// refusal tells in words why the target takes nothing from this box, empty if it does.
+func (s *state) refusal(now time.Time) string {
+	switch {
+	case s.leaving() && s.believed.Leaving == s.heardHere.Leaving:
+		return "leaves, heard"
+	case s.leaving():
+		return "leaves, told"
+	case s.resting(now):
+		return "rests, heard"
+	case s.probing():
+		return "rested, asked by one request"
+	default:
+		return ""
+	}
+}
+
 // Belief returns what this box believes of the target.
 func (b *Balancer) Belief(id barleystep.TargetID) Belief {
 	b.mu.Lock()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -61,10 +61,29 @@
 	fieldRequest = "request"
 	fieldTarget  = "target"
 
-	// beliefPrefix opens the lines that tell what a box believes of targets.
-	beliefPrefix = "follow: "
+	fieldPassed = "passed_over"
 )
 
+// beliefPrefixes open the lines that tell what a box believes of targets.
+var beliefPrefixes = []string{"follow: ", "balance: A target "}
+
+// tellsBelief reports whether the line tells what a box believes of targets.
+func (l Line) tellsBelief() bool {
+	return slices.ContainsFunc(beliefPrefixes, func(p string) bool { return strings.HasPrefix(l.message, p) })
+}
+
+// passedOver returns the targets that the line says a request was not offered to: the first
+// word of each entry.
+func (l Line) passedOver() (targets []any) {
+	list, _ := l.fields[fieldPassed].([]any)
+	for _, entry := range list {
+		text, _ := entry.(string)
+		id, _, _ := strings.Cut(text, " ")
+		targets = append(targets, id)
+	}
+	return targets
+}
+
 // Story reads log lines and returns those about the request, and those that tell
 // what its boxes believed of its targets, in order of time. Lines that are no JSON
 // are passed over. The error is that of the reader.
@@ -78,13 +97,16 @@
 	for _, l := range lines {
 		if l.fields[fieldRequest] == request {
 			targets[l.fields[fieldTarget]] = true
+			for _, id := range l.passedOver() {
+				targets[id] = true
+			}
 			boxes[box(l.source)] = true
 		}
 	}
 	delete(targets, "")
 	delete(targets, nil)
 	for _, l := range lines {
-		belief := strings.HasPrefix(l.message, beliefPrefix) && targets[l.fields[fieldTarget]] && boxes[box(l.source)]
+		belief := l.tellsBelief() && targets[l.fields[fieldTarget]] && boxes[box(l.source)]
 		if l.fields[fieldRequest] == request || belief {
 			story = append(story, l)
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -17,6 +17,9 @@
 box-a {"time":1000,"level":"info","target":"i-9","message":"follow: A target is announced."}
 box-a {"time":2000,"level":"warn","request":"r1","target":"i-1","status":0,"message":"front: A try failed."}
 box-a {"time":2000,"level":"info","request":"r2","target":"i-1","message":"front: A request ended."}
+box-a {"time":3000,"level":"info","target":"i-3","told_here":true,"message":"balance: A target says that it leaves."}
+box-a {"time":3000,"level":"info","target":"i-4","message":"balance: A target says that it leaves."}
+box-a {"time":4000,"level":"warn","request":"r4","target":"","passed_over":["i-3 leaves, heard"],"message":"front: A request ended."}
 {"message":"no time"}
 {"time":1,"torn
 `
@@ -31,6 +34,10 @@
 			"00:00:02.000 box-a front: A try failed. request=r1 target=i-1",
 			"00:00:03.000 box-b front: A try failed. request=r1 target=i-2",
 		}},
+		"by whose word targets were passed over": {"r4", []string{
+			"00:00:03.000 box-a balance: A target says that it leaves. target=i-3 told_here=true",
+			"00:00:04.000 box-a front: A request ended. passed_over=[i-3 leaves, heard] request=r4",
+		}},
 		"unknown": {"r3", nil},
 	}
 	for name, tc := range cases {
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -274,6 +274,7 @@
 
 // notTaken refuses a request that no target has run. It is in vain, or may come back.
 func (d *deliver) notTaken(x *Exchange, err error) *barleystep.Refusal {
+	x.passed = d.balancer.PassedOver(x.service)
 	switch {
 	case eris.Is(err, balance.ErrInVain):
 		return notRun(barleystep.ReasonCannotMeet, "No target could answer in the time that is left.", 0)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -46,6 +46,7 @@
 	// expected when the balancer expected the first event after the last send.
 	queued   time.Duration
 	expected time.Duration
+	passed   []string      // passed names the targets that a refused request was not offered to.
 	first    time.Duration // first is when the first event, or the answer, went out.
 	last     string        // last is the id of the last event that went out.
 	events   int
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
 
 	"github.com/barleystep/barleystep"
 )
@@ -51,3 +53,48 @@
 		})
 	}
 }
+
+// TestLeavingHelper checks that what helpers say in their answers to orders counts, and that a
+// prompt is not sent with helpers that leave.
+func TestLeavingHelper(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()}, events(1, 2, false))
+	f.target.orders = []step{whole(http.StatusOK, "Leaves: 1\r\n", "")}
+	got := f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+	c.Check(got.status, quicktest.Equals, http.StatusServiceUnavailable)
+	leaving := 0
+	for _, target := range f.targets {
+		if f.front.Balancer.Belief(target.ID).Said.Leaving.Value {
+			leaving++
+		}
+	}
+	c.Check(leaving >= 2, quicktest.IsTrue, quicktest.Commentf("%d leave", leaving))
+	f.target.mu.Lock()
+	defer f.target.mu.Unlock()
+	for _, r := range f.target.requests {
+		c.Check(isOrder(r), quicktest.IsTrue)
+	}
+}
+
+// TestPassedOver checks that the line of a refused request names the targets that it was not
+// offered to, and by whose word.
+func TestPassedOver(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()}, whole(http.StatusOK, sealed+"Leaves: 1\r\n", "good"))
+	lines := make(lineReader, 16)
+	f.front.Log.Writer, f.front.Log.Level = &log.IOWriter{Writer: lines}, log.InfoLevel
+	c.Check(f.ask(t, http.MethodPost, "/lone/", "").status, quicktest.Equals, http.StatusOK)
+	<-lines
+	c.Check(f.ask(t, http.MethodPost, "/lone/", "").status, quicktest.Equals, http.StatusServiceUnavailable)
+	line := <-lines
+	c.Check(strings.Contains(line, `"passed_over":["c leaves, heard"]`), quicktest.IsTrue, quicktest.Commentf("%s", line))
+}
+
+// lineReader is a log's output that passes its lines on.
+type lineReader chan string
+
+// Write passes a line on.
+func (l lineReader) Write(line []byte) (int, error) {
+	l <- string(line)
+	return len(line), nil
+}
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -137,31 +137,36 @@
 		return true
 	}
 	req, body := t.stage.protocol.Reserve(r.Reservation)
-	return t.order(ctx, r.addr, req, body) == http.StatusOK
+	return t.order(ctx, r, req, body) == http.StatusOK
 }
 
 func (t *try) releaseAt(ctx context.Context, r reservation) bool {
 	req, body := t.stage.protocol.Release(r.ID)
-	status := t.order(ctx, r.addr, req, body)
+	status := t.order(ctx, r, req, body)
 	return status > 0 && status < http.StatusInternalServerError
 }
 
-// order gives one order and returns the status of the answer, 0 if there was none.
+// order gives one order and returns the status of the answer, 0 if there was none. What the
+// target says of itself in it counts as in any other.
 //
 // Answers to orders name nothing that they belong to. So each order has a connection of
 // its own, on which no late answer to anything else can come.
-func (t *try) order(ctx context.Context, addr string, req *http.Request, body []byte) int {
-	c, err := t.stage.pool.Dial(ctx, addr)
+func (t *try) order(ctx context.Context, r reservation, req *http.Request, body []byte) int {
+	c, err := t.stage.pool.Dial(ctx, r.addr)
 	if err != nil {
 		return 0
 	}
 	defer c.Discard()
-	req.Host = addr
+	req.Host = r.addr
+	sent := t.stage.clock.Now()
 	resp, err := c.Send(ctx, req, body, t.answersOrder)
 	if err != nil {
 		return 0
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		t.placement.Says(r.target, t.stage.protocol.Verdict(resp.StatusCode, resp.Header).Statement, sent)
+	}
 	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes)); err != nil {
 		return 0
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -207,6 +207,9 @@
 		e.Str("route", x.route.Name).Str("account", x.account).
 			Dur("objective", x.route.Objective).Dur("max_pause", x.route.MaxPause)
 	}
+	if len(x.passed) > 0 {
+		e.Strs("passed_over", x.passed)
+	}
 	e.Dur("queued", x.queued).Dur("expected", x.expected).Dur("first", x.first).Dur("pause", x.pause).Dur("took", s.Clock.Now().Sub(x.started)).Msg(logPrefix + "A request ended.")
 }
 
