The soak has targets that leave and rest by their answers only, with checkers that count at the targets

Targets say in their answers, and nowhere else, that they leave, or turn requests away and ask for 2 s of rest. Found: a caller's request at a target more than 2 s after a life of a box has passed on its word; more than two from a life that it has asked, from 0.5 s on until the end. The checker of requests that end targets counts anew after all boxes were killed at once: what they know of fewer than three ends is in memory only.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,6 +49,7 @@
 	c.routes()
 	c.reopened()
 	c.deadly(calls)
+	c.statements(calls)
 	sort.Strings(c.found)
 	return c.found
 }
--- a/internal/soak/check_deadly.go
+++ b/internal/soak/check_deadly.go
@@ -28,10 +28,21 @@
 			ends = append(ends, a)
 		}
 	}
+	slices.SortFunc(ends, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+	for _, at := range c.wiped() {
+		from, _ := slices.BinarySearchFunc(ends, at.Add(atOnce), func(a platformtest.Arrival, t time.Time) int { return a.At.Compare(t) })
+		c.lateEnds(ends[:from], calls)
+		ends = ends[from:]
+	}
+	c.lateEnds(ends, calls)
+}
+
+// lateEnds checks ends of targets between which the boxes were not all killed at once: what they
+// know of fewer than three is in their memory only.
+func (c *check) lateEnds(ends []platformtest.Arrival, calls map[string]*Call) {
 	if len(ends) <= mostEnded {
 		return
 	}
-	slices.SortFunc(ends, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
 	third, late := ends[mostEnded-1].At, 0
 	for _, a := range ends[mostEnded:] {
 		x := calls[a.Request]
@@ -44,6 +55,40 @@
 	}
 }
 
+// atOnce is within what time all boxes end that are killed at once.
+const atOnce = 500 * time.Millisecond
+
+// wiped returns when all boxes were killed at once, in order.
+func (c *check) wiped() (list []time.Time) {
+	killed := make(map[string][]time.Time)
+	for _, x := range c.history.calls {
+		times := killed[x.Box]
+		if at, ok := c.history.killed[lifeOf(x.Box, x.Life)]; ok && !slices.Contains(times, at) {
+			times = append(times, at)
+		}
+		killed[x.Box] = times // A box that was never killed counts too.
+	}
+	for _, times := range killed {
+		for _, at := range times {
+			if c.allKilled(killed, at) {
+				list = append(list, at)
+			}
+		}
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	return list
+}
+
+// allKilled reports whether a life of each box was killed about then.
+func (c *check) allKilled(killed map[string][]time.Time, at time.Time) bool {
+	for _, times := range killed {
+		if !slices.ContainsFunc(times, func(t time.Time) bool { return t.Sub(at).Abs() <= atOnce }) {
+			return false
+		}
+	}
+	return true
+}
+
 // livedSince reports whether the box's life that took the call had begun by the given time.
 func (c *check) livedSince(x *Call, since time.Time) bool {
 	if x.Life <= 1 {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -304,7 +304,7 @@
 	c := quicktest.New(t)
 	run := soak.Setup{Seed: 2, Length: 20 * time.Second, Boxes: 3, Targets: 6, Profile: soak.ProfileUsual}
 	events := slices.DeleteFunc(soak.Schedule(run), func(e soak.Event) bool {
-		return slices.Contains([]soak.Action{soak.ActionRestart, soak.ActionForeign, soak.ActionDeadly}, e.Action)
+		return slices.Contains([]soak.Action{soak.ActionRestart, soak.ActionForeign, soak.ActionDeadly, soak.ActionLeave, soak.ActionRest}, e.Action)
 	})
 	c.Assert(events, quicktest.HasLen, 43)
 	c.Check(events[0].String(), quicktest.Equals, "      2s spoil    3 for 2.822s hang 0.14")
@@ -388,3 +388,99 @@
 		})
 	}
 }
+
+// TestStatements checks which requests may still reach a target that has said that it leaves, or
+// has asked for rest.
+func TestStatements(t *testing.T) {
+	const second = time.Second
+	type sent struct {
+		box  string
+		life int
+		at   time.Duration
+	}
+	cases := map[string]struct {
+		rest   time.Duration // rest is what the target asks for; without it, it leaves.
+		later  []sent
+		frozen bool // frozen is set if b0 stood still from 1 s to 6 s.
+		found  int
+	}{
+		"leaves, at once":             {0, []sent{{"b0", 1, second}}, false, 0},
+		"leaves, later":               {0, []sent{{"b0", 1, 5 * second}}, false, 1},
+		"leaves, from another box":    {0, []sent{{"b1", 1, 5 * second}}, false, 0},
+		"leaves, from a later life":   {0, []sent{{"b0", 2, 5 * second}}, false, 0},
+		"leaves, its box stood still": {0, []sent{{"b0", 1, 7 * second}}, true, 0},
+		"rests, one under way":        {4 * second, []sent{{"b0", 1, 300 * time.Millisecond}, {"b0", 1, second}}, false, 0},
+		"rests, three more":           {4 * second, []sent{{"b0", 1, second}, {"b0", 1, 2 * second}, {"b0", 1, 3 * second}}, false, 1},
+		"rests, after its end":        {second, []sent{{"b0", 1, 2 * second}, {"b0", 1, 3 * second}, {"b0", 1, 4 * second}}, false, 0},
+		"rests, from other boxes":     {4 * second, []sent{{"b1", 1, second}, {"b2", 1, 2 * second}, {"b3", 1, 3 * second}}, false, 0},
+		"rests, its box stood still":  {9 * second, []sent{{"b0", 1, 6 * second}, {"b0", 1, 7 * second}, {"b0", 1, 8 * second}}, true, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := soak.NewHistory(map[string]string{"k": "tenant"})
+			if tc.frozen {
+				h.Frozen("b0", 1, at(second))
+				h.Thawed("b0", 1, at(6*second))
+			}
+			for i, s := range append([]sent{{"b0", 1, 0}}, tc.later...) {
+				x := call(soak.KindAgain, s.at)
+				x.ID, x.Box, x.Life, x.Ended = string(rune('a'+i)), s.box, s.life, at(s.at+time.Millisecond)
+				x.Header = answered(x.ID, seal(http.StatusOK).String())
+				a := arrival(x, 1)
+				if i == 0 {
+					a.Leaving, a.Rest = tc.rest == 0, tc.rest
+				}
+				h.Called(x)
+				h.Arrived(a)
+			}
+			found := 0
+			for _, line := range h.Check() {
+				if strings.HasPrefix(line, "leaving targets") || strings.HasPrefix(line, "resting targets") {
+					found++
+				}
+			}
+			quicktest.Check(t, found, quicktest.Equals, tc.found)
+		})
+	}
+}
+
+// TestDeadlyForgotten checks that boxes which are all killed at once may forget what has ended
+// before, and that what ends since counts.
+func TestDeadlyForgotten(t *testing.T) {
+	const second = time.Second
+	cases := map[string]struct {
+		ends  []time.Duration // ends are when targets ended under attempts, and killed when boxes were.
+		found int
+	}{
+		"two before, three since": {[]time.Duration{18 * second, 19 * second, 21 * second, 22 * second, 23 * second}, 0},
+		"two before, five since":  {[]time.Duration{18 * second, 19 * second, 21 * second, 22 * second, 23 * second, 27 * second, 28 * second}, 1},
+		"five before":             {[]time.Duration{second, 2 * second, 3 * second, 8 * second, 9 * second}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := soak.NewHistory(map[string]string{"k": "tenant"})
+			for i, b := range []string{"b0", "b1"} {
+				h.Killed(b, 1, at(20*second+time.Duration(i)*time.Millisecond))
+			}
+			for i, when := range tc.ends {
+				x := change(refused(soak.KindAgain, http.StatusBadGateway), func(x *soak.Call) {
+					x.ID, x.Box, x.Life, x.Body = string(rune('a'+i)), []string{"b0", "b1"}[i%2], 1, platformtest.DeadlyBody
+					if when > 20*second {
+						x.Life = 2
+					}
+					x.Started, x.Ended = at(when), at(when+second)
+					x.Header = answered(x.ID, "")
+				})
+				h.Called(x)
+				h.Arrived(arrival(x, 1))
+			}
+			found := 0
+			for _, line := range h.Check() {
+				if strings.HasPrefix(line, "deadly requests") {
+					found++
+				}
+			}
+			quicktest.Check(t, found, quicktest.Equals, tc.found)
+		})
+	}
+}
--- a/internal/soak/child.go
+++ b/internal/soak/child.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -23,6 +24,14 @@
 	Remove *record                        `json:"remove,omitempty"`
 	Fault  string                         `json:"fault,omitempty"`
 	Forget bool                           `json:"forget,omitempty"`
+	// Says is what a target is to say of itself from now on.
+	Says *statement `json:"says,omitempty"`
+}
+
+// statement is what a target says of itself.
+type statement struct {
+	Leaving bool          `json:"leaving,omitempty"`
+	Rest    time.Duration `json:"rest,omitempty"`
 }
 
 // record is a row of the store as the operator or a target writes it.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -51,6 +51,10 @@
 	// ActionDeadly has callers send a request, now and then, that ends each target which
 	// runs it.
 	ActionDeadly Action = "deadly"
+	// ActionLeave has a target say in its answers, and nowhere else, that it leaves, and end it
+	// in the end. ActionRest has one turn all requests away and ask for rest.
+	ActionLeave Action = "leave"
+	ActionRest  Action = "rest"
 )
 
 // Event is one entry of a schedule.
@@ -83,6 +87,8 @@
 	foreignGap = 5 * time.Second
 	// deadlyGap is the same between times in which callers send a deadly request.
 	deadlyGap = 8 * time.Second
+	// statementGap is the same between targets that say something of themselves.
+	statementGap = 3 * time.Second
 	// shortest and longest bound how long a fault lasts.
 	shortest = 300 * time.Millisecond
 	longest  = 4 * time.Second
@@ -107,6 +113,7 @@
 	streamRestarts
 	streamForeign
 	streamDeadly
+	streamStatements
 )
 
 // sources returns what the events of a run are drawn from.
@@ -116,6 +123,7 @@
 		{streamRestarts, restartGap, map[Action]int{ActionRestart: 1}},
 		{streamForeign, foreignGap, map[Action]int{ActionForeign: 1}},
 		{streamDeadly, deadlyGap, map[Action]int{ActionDeadly: 1}},
+		{streamStatements, statementGap, map[Action]int{ActionLeave: 1, ActionRest: 1}},
 	}
 	if n := s.load().stops; n > 0 {
 		between := grace * time.Duration(n) / time.Duration(s.Boxes)
--- a/internal/soak/slot.go
+++ b/internal/soak/slot.go
@@ -105,6 +105,10 @@
 		t.replace(ctx, max(e.For, drainTime), true)
 	case ActionRestart:
 		t.restart(ctx, e.For)
+	case ActionLeave:
+		t.leave(ctx, max(e.For, drainTime))
+	case ActionRest:
+		t.rest(ctx, e.For)
 	case ActionForeign:
 		t.foreign(ctx, e.Detail, max(e.For, foreignTime))
 	case ActionSpoil:
@@ -144,6 +148,33 @@
 	t.started(t.start(ctx))
 }
 
+// leave ends the target's process after it has said in its answers, and nowhere else, that it
+// leaves, and starts another.
+func (t *slot) leave(ctx context.Context, wait time.Duration) {
+	t.mu.Lock()
+	t.child.give(order{Says: &statement{Leaving: true}})
+	t.mu.Unlock()
+	t.soak.sleep(ctx, wait)
+	t.replace(ctx, 0, false)
+}
+
+// restAsked is the rest that targets ask for.
+const restAsked = 2 * time.Second
+
+// rest has the target turn requests away and ask for rest for a time.
+func (t *slot) rest(ctx context.Context, wait time.Duration) {
+	t.mu.Lock()
+	c := t.child
+	c.give(order{Says: &statement{Rest: restAsked}})
+	t.mu.Unlock()
+	t.soak.sleep(ctx, wait)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.child == c {
+		c.give(order{Says: &statement{}})
+	}
+}
+
 func (t *slot) started(err error) {
 	if err != nil {
 		t.soak.history.Find("a target cannot be started: %v", err)
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -56,12 +56,16 @@
 	out := newOutput()
 	t.Note = func(a platformtest.Arrival) { out.tell(report{Arrival: &a}) }
 	t.End = func() { os.Exit(1) }
+	t.Born = t.Clock.Now().UnixNano()
 	out.tell(report{Addr: l.Addr().String()})
 	go func() { _ = t.Serve(l) }() // It ends with the process.
 	return serveOrders(out, func(o order) int {
 		if o.Spoils != nil {
 			t.SetSpoils(o.Spoils)
 		}
+		if o.Says != nil {
+			t.SetStatement(o.Says.Leaving, o.Says.Rest)
+		}
 		return t.Held()
 	})
 }
