--- a/internal/balance/lifetime.go
+++ b/internal/balance/lifetime.go
@@ -57,6 +57,9 @@
 func (b *Balancer) restart(old *state, id barleystep.TargetID) *state {
 	now := b.Clock.Now()
 	s := &state{key: KeyOf(string(id))}
+	// News of a restart may be a second late: the new lifetime may have asked for rest already.
+	// What the earlier one has asked for ends by itself.
+	s.restUntil, s.returning = old.restUntil, old.returning
 	lost := 0
 	for _, p := range old.parts {
 		if p.placement.recent(now) {
