--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -161,6 +161,10 @@
 	if giant(j) {
 		add(r.writers, 0) // Its memory may need all engines.
 	}
+	sound := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return b.blamed(c.target) })
+	if !giant(j) || fits(j, len(sound)+1) {
+		list = sound
+	}
 	b.shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	slices.SortStableFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	for _, c := range list {
--- /dev/null
+++ b/internal/balance/blame_test.go
@@ -0,0 +1,72 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// placeNow places a job that need not wait.
+func (f *fixture) placeNow(t *testing.T, j balance.Job) *balance.Placement {
+	p, _, err := f.Ask(context.Background(), j)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, p, quicktest.IsNotNil)
+	return p
+}
+
+// helpersOf returns the helpers that a long prompt gets now, over many choices.
+func (f *fixture) helpersOf(t *testing.T, j balance.Job) map[barleystep.TargetID]bool {
+	seen := make(map[barleystep.TargetID]bool)
+	for range 30 {
+		p := f.placeNow(t, j)
+		for _, h := range p.Helpers {
+			seen[h.ID] = true
+		}
+		p.Return()
+	}
+	return seen
+}
+
+// TestBlamedHelper checks that a helper because of which a target has refused a prompt is not
+// asked to help for a while, by this box and by those that it tells, and that it takes requests
+// of its own meanwhile.
+func TestBlamedHelper(t *testing.T) {
+	c := quicktest.New(t)
+	first, second := newFixture(8), newFixture(8)
+	p := first.placeNow(t, job(300_000))
+	c.Assert(len(p.Helpers) > 0, quicktest.IsTrue)
+	blamed := p.Helpers[0].ID
+	p.Done(balance.Report{Full: true, Helper: blamed})
+	second.SetOthers(first.Snapshot())
+	for _, f := range []*fixture{first, second} {
+		f.clock.Advance(time.Second)
+		c.Check(f.helpersOf(t, job(300_000))[blamed], quicktest.IsFalse)
+		own := f.placeNow(t, f.only(blamed))
+		c.Check(own.Target.ID, quicktest.Equals, blamed)
+		own.Done(balance.Report{})
+		f.clock.Advance(5 * time.Second)
+		f.SetOthers(balance.NewSnapshot())
+		c.Check(f.helpersOf(t, job(300_000))[blamed], quicktest.IsTrue)
+	}
+}
+
+// TestBlamedHelperNeeded checks that a prompt which needs the memory of all engines gets that of
+// the blamed one too.
+func TestBlamedHelperNeeded(t *testing.T) {
+	const engines = 4
+	f := newFixture(engines)
+	small := *cost
+	small.Memory = 20_000
+	all := job(int(0.89*float64((engines-1)*small.Memory)) - 100)
+	all.Cost = &small
+	p := f.placeNow(t, all)
+	blamed := p.Helpers[0].ID
+	p.Done(balance.Report{Full: true, Helper: blamed})
+	f.clock.Advance(time.Second)
+	quicktest.Check(t, f.helpersOf(t, all)[blamed], quicktest.IsTrue)
+}
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -152,6 +152,7 @@
 	}
 	if r.Helper != "" && !p.over(r.Helper) {
 		b.learn(r.Helper, Report{Unreachable: true})
+		b.blame(r.Helper)
 	}
 	b.serveWaiting(false)
 }
--- a/internal/balance/said.go
+++ b/internal/balance/said.go
@@ -16,6 +16,9 @@
 	// Rest is until when it wants nothing from the box that it has told so. To others it is a
 	// hint: a target that is full for one box is mostly full for all.
 	Rest Word[time.Time]
+	// Blamed is until when it is not asked to help, since a target has refused a prompt because
+	// of it: helpers that leave, or lack room, say nothing themselves.
+	Blamed Word[time.Time]
 }
 
 // Word is one thing that a target says of itself. The value's zero is that it does not say it.
@@ -64,7 +67,7 @@
 
 // join returns the later words of both. The order makes no difference.
 func (s Said) join(o Said) Said {
-	return Said{Limit: s.Limit.join(o.Limit), Leaving: s.Leaving.join(o.Leaving), Rest: s.Rest.join(o.Rest)}
+	return Said{Limit: s.Limit.join(o.Limit), Leaving: s.Leaving.join(o.Leaving), Rest: s.Rest.join(o.Rest), Blamed: s.Blamed.join(o.Blamed)}
 }
 
 // told returns what the others are to be told that was heard here.
@@ -73,6 +76,9 @@
 	if now.Before(s.Rest.Value) {
 		told.Rest = s.Rest
 	}
+	if now.Before(s.Blamed.Value) {
+		told.Blamed = s.Blamed
+	}
 	return told
 }
 
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -57,6 +57,9 @@
 	if l := said.Rest; !l.At.IsZero() {
 		w.Rest = &gossipv1.RestWord{LeftUs: l.Value.Sub(now).Microseconds(), AgeUs: now.Sub(l.At).Microseconds()}
 	}
+	if l := said.Blamed; !l.At.IsZero() {
+		w.Blamed = &gossipv1.RestWord{LeftUs: l.Value.Sub(now).Microseconds(), AgeUs: now.Sub(l.At).Microseconds()}
+	}
 	return w
 }
 
@@ -74,6 +77,9 @@
 	if l := w.GetRest(); l != nil {
 		said.Rest = balance.Word[time.Time]{Value: ago(now, -l.GetLeftUs()), At: ago(now, l.GetAgeUs())}
 	}
+	if l := w.GetBlamed(); l != nil {
+		said.Blamed = balance.Word[time.Time]{Value: ago(now, -l.GetLeftUs()), At: ago(now, l.GetAgeUs())}
+	}
 	return said
 }
 
