After a rest only a box's own requests show whether the target takes more

The lead booked what it placed for others as the first request after a rest that it had been asked for itself, heard nothing of its answer, and held up its own requests until that left its books (TestGrantsAreNoProbes failed before).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -268,6 +268,9 @@
 	}
 	b.spend(p)
 	b.book(p)
+	if !j.Granted {
+		p.probe()
+	}
 	return p, holdNone, nil
 }
 
@@ -278,7 +281,6 @@
 		s := b.state(part.target)
 		part.placement, part.at = p, s
 		b.expectRead(s, part)
-		s.probeWith(part)
 		s.parts = append(s.parts, part)
 	}
 }
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -120,6 +120,7 @@
 			p = lightPlacement(j, first, plan.Expected)
 		}
 		b.book(p)
+		p.probe()
 		return p
 	}
 	var helpers []fleet.Target
@@ -141,6 +142,7 @@
 		part.led = true
 	}
 	b.book(p)
+	p.probe()
 	return p
 }
 
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -54,10 +54,12 @@
 // is not over, or has one request after it.
 func (s *state) rests(now time.Time) bool { return s.resting(now) || s.probing() }
 
-// probeWith makes the part the first one after the target's rest, if it is that.
-func (s *state) probeWith(p *part) {
-	if s.returning && s.probe == nil {
-		s.probe = p
+// probe makes the placement's parts the first ones after their targets' rest, where they are.
+func (p *Placement) probe() {
+	for _, own := range p.parts {
+		if s := own.at; s.returning && s.probe == nil {
+			s.probe = own
+		}
 	}
 }
 
--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -164,6 +164,20 @@
 	quicktest.Check(t, len(lefts) > 10, quicktest.IsTrue)
 }
 
+// TestGrantsAreNoProbes checks that what the lead places for others does not hold up its own
+// requests after a rest: it does not hear how they are answered.
+func TestGrantsAreNoProbes(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(1)
+	f.rest(t, "i-00", 200*time.Millisecond)
+	f.clock.Advance(time.Second)
+	_, err := f.Grant(context.Background(), job(1_000), f.clock.Now())
+	c.Assert(err, quicktest.IsNil)
+	p, _, err := f.Ask(context.Background(), job(1_000))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(p, quicktest.IsNotNil)
+}
+
 // TestFirstAfterRest checks that after a rest a target gets one request, and no more before that
 // has shown that it takes them: what it says then counts, not the clock.
 func TestFirstAfterRest(t *testing.T) {
