--- /dev/null
+++ b/internal/soak/check_targets_test.go
@@ -0,0 +1,153 @@
+package soak_test
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/soak"
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// findings returns how many of what is wrong with a history is of a rule.
+func findings(h *soak.History, rule string) (n int) {
+	for _, line := range h.Check() {
+		if strings.HasPrefix(line, rule) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDeadly checks which requests may still be sent after three targets have ended under them.
+func TestDeadly(t *testing.T) {
+	type sent struct {
+		box  string
+		life int
+		at   time.Duration
+	}
+	first := []sent{{"b0", 1, 0}, {"b1", 1, 100 * time.Millisecond}, {"b0", 1, 200 * time.Millisecond}}
+	cases := map[string]struct {
+		later  []sent
+		frozen bool // frozen is set if b1 stood still from 1 s to 6 s.
+		found  int
+	}{
+		"none":                          {nil, false, 0},
+		"one that shows it":             {[]sent{{"b0", 1, 4 * time.Second}}, false, 0},
+		"two, long after":               {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 1, 5 * time.Second}}, false, 1},
+		"many, under way":               {[]sent{{"b0", 1, 300 * time.Millisecond}, {"b1", 1, time.Second}, {"b1", 1, 2 * time.Second}}, false, 0},
+		"by a box that stood still":     {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 1, 7 * time.Second}}, true, 0},
+		"long after it stood still":     {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 1, 9 * time.Second}}, true, 1},
+		"by a box that started since":   {[]sent{{"b0", 1, 4 * time.Second}, {"b1", 2, 5 * time.Second}}, false, 0},
+		"by a box that started earlier": {[]sent{{"b0", 1, 4 * time.Second}, {"b2", 2, 5 * time.Second}}, false, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := soak.NewHistory(map[string]string{"k": "tenant"})
+			h.Killed("b2", 1, at(-time.Second))
+			h.Killed("b1", 1, at(4500*time.Millisecond))
+			if tc.frozen {
+				h.Frozen("b1", 1, at(time.Second))
+				h.Thawed("b1", 1, at(6*time.Second))
+			}
+			for i, s := range append(slices.Clone(first), tc.later...) {
+				x := change(refused(soak.KindAgain, http.StatusBadGateway), func(x *soak.Call) {
+					x.ID, x.Box, x.Life, x.Body = string(rune('a'+i)), s.box, s.life, platformtest.DeadlyBody
+					x.Started, x.Ended = at(s.at), at(s.at+time.Second)
+					x.Header = answered(x.ID, "")
+				})
+				h.Called(x)
+				h.Arrived(arrival(x, 1))
+			}
+			quicktest.Check(t, findings(h, "deadly requests"), quicktest.Equals, tc.found)
+		})
+	}
+}
+
+// TestStatements checks which requests may still reach a target that has said that it leaves, or
+// has asked for rest.
+func TestStatements(t *testing.T) {
+	const second = time.Second
+	type sent struct {
+		box  string
+		life int
+		at   time.Duration
+	}
+	cases := map[string]struct {
+		rest   time.Duration // rest is what the target asks for; without it, it leaves.
+		later  []sent
+		frozen bool // frozen is set if b0 stood still from 1 s to 6 s.
+		found  int
+	}{
+		"leaves, at once":             {0, []sent{{"b0", 1, second}}, false, 0},
+		"leaves, later":               {0, []sent{{"b0", 1, 5 * second}}, false, 1},
+		"leaves, from another box":    {0, []sent{{"b1", 1, 5 * second}}, false, 0},
+		"leaves, from a later life":   {0, []sent{{"b0", 2, 5 * second}}, false, 0},
+		"leaves, its box stood still": {0, []sent{{"b0", 1, 7 * second}}, true, 0},
+		"rests, one under way":        {4 * second, []sent{{"b0", 1, 300 * time.Millisecond}, {"b0", 1, second}}, false, 0},
+		"rests, three more":           {4 * second, []sent{{"b0", 1, second}, {"b0", 1, 2 * second}, {"b0", 1, 3 * second}}, false, 1},
+		"rests, after its end":        {second, []sent{{"b0", 1, 2 * second}, {"b0", 1, 3 * second}, {"b0", 1, 4 * second}}, false, 0},
+		"rests, from other boxes":     {4 * second, []sent{{"b1", 1, second}, {"b2", 1, 2 * second}, {"b3", 1, 3 * second}}, false, 0},
+		"rests, its box stood still":  {9 * second, []sent{{"b0", 1, 6 * second}, {"b0", 1, 7 * second}, {"b0", 1, 8 * second}}, true, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := soak.NewHistory(map[string]string{"k": "tenant"})
+			if tc.frozen {
+				h.Frozen("b0", 1, at(second))
+				h.Thawed("b0", 1, at(6*second))
+			}
+			for i, s := range append([]sent{{"b0", 1, 0}}, tc.later...) {
+				x := call(soak.KindAgain, s.at)
+				x.ID, x.Box, x.Life, x.Ended = string(rune('a'+i)), s.box, s.life, at(s.at+time.Millisecond)
+				x.Header = answered(x.ID, seal(http.StatusOK).String())
+				a := arrival(x, 1)
+				if i == 0 {
+					a.Leaving, a.Rest = tc.rest == 0, tc.rest
+				}
+				h.Called(x)
+				h.Arrived(a)
+			}
+			quicktest.Check(t, findings(h, "leaving targets")+findings(h, "resting targets"), quicktest.Equals, tc.found)
+		})
+	}
+}
+
+// TestDeadlyForgotten checks that boxes which are all killed at once may forget what has ended
+// before, and that what ends since counts.
+func TestDeadlyForgotten(t *testing.T) {
+	const second = time.Second
+	cases := map[string]struct {
+		ends  []time.Duration // ends are when targets ended under attempts, and killed when boxes were.
+		found int
+	}{
+		"two before, three since": {[]time.Duration{18 * second, 19 * second, 21 * second, 22 * second, 23 * second}, 0},
+		"two before, five since":  {[]time.Duration{18 * second, 19 * second, 21 * second, 22 * second, 23 * second, 27 * second, 28 * second}, 1},
+		"five before":             {[]time.Duration{second, 2 * second, 3 * second, 8 * second, 9 * second}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := soak.NewHistory(map[string]string{"k": "tenant"})
+			for i, b := range []string{"b0", "b1"} {
+				h.Killed(b, 1, at(20*second+time.Duration(i)*time.Millisecond))
+			}
+			for i, when := range tc.ends {
+				x := change(refused(soak.KindAgain, http.StatusBadGateway), func(x *soak.Call) {
+					x.ID, x.Box, x.Life, x.Body = string(rune('a'+i)), []string{"b0", "b1"}[i%2], 1, platformtest.DeadlyBody
+					if when > 20*second {
+						x.Life = 2
+					}
+					x.Started, x.Ended = at(when), at(when+second)
+					x.Header = answered(x.ID, "")
+				})
+				h.Called(x)
+				h.Arrived(arrival(x, 1))
+			}
+			quicktest.Check(t, findings(h, "deadly requests"), quicktest.Equals, tc.found)
+		})
+	}
+}
