Long prompts take turns by how often their size is given engines

Callers saw, while engines are short, the longest prompts refused where shorter ones of the same kind were served: the queue gave the shortest prompt the next engines, tried one over an engine's memory only while nobody waited before it, and tried a newcomer at once whoever waited.

The box that places long prompts now counts, by size (doublings of the engine time), how many tries were asked for and given engines.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -118,6 +118,8 @@
 	mu      sync.Mutex
 	states  map[barleystep.TargetID]*state
 	demands map[string]*demand
+	// turns has how often long prompts of each size are given engines, by service.
+	turns map[string]*turns
 	// lightQueue and heavyQueue hold the jobs that wait for a place, limitQueue those whose
 	// targets have all named a limit that is used up.
 	lightQueue []*Wait
@@ -230,18 +232,40 @@
 	defer b.mu.Unlock()
 	if first {
 		b.noteHeavy(j)
+		b.noteTurn(j)
 	}
-	p, h, err := b.try(j)
+	p, h, err := b.tryNew(j)
 	if p != nil || err != nil {
 		return p, nil, err
 	}
 	return b.enqueue(j, h)
 }
 
+// tryNew is try for a job that has just come: a long prompt takes its turn among those that wait.
+func (b *Balancer) tryNew(j Job) (p *Placement, h hold, err error) {
+	candidates, h, err := b.usable(j)
+	switch {
+	case h != holdNone || err != nil:
+		return nil, h, err
+	case Heavy(j) && !j.suspect() && b.waitsBefore(j):
+		return nil, holdBehind, nil
+	}
+	return b.choose(j, candidates)
+}
+
 // try chooses a target; it returns no placement, and why, if the job has to wait.
 func (b *Balancer) try(j Job) (p *Placement, h hold, err error) {
+	candidates, h, err := b.usable(j)
+	if h != holdNone || err != nil {
+		return nil, h, err
+	}
+	return b.choose(j, candidates)
+}
+
+// usable returns the targets that may take the job now.
+func (b *Balancer) usable(j Job) (candidates []fleet.Target, h hold, err error) {
 	clear(b.seen)
-	candidates := b.candidates(j)
+	candidates = b.candidates(j)
 	if len(candidates) == 0 {
 		return nil, holdNone, ErrNoTarget
 	}
@@ -249,11 +273,17 @@
 		return nil, holdMemory, ErrFull // Waiting here would not help.
 	}
 	candidates = b.admitting(j, candidates)
+	if len(candidates) == 0 {
+		return nil, holdLimit, nil
+	}
+	return candidates, holdNone, nil
+}
+
+// choose chooses among the targets that may take the job.
+func (b *Balancer) choose(j Job, candidates []fleet.Target) (p *Placement, h hold, err error) {
 	switch {
-	case len(candidates) > 0 && j.suspect():
+	case j.suspect():
 		p, h, err = b.tryAlone(j, candidates)
-	case len(candidates) == 0:
-		return nil, holdLimit, nil
 	case j.Cost == nil:
 		p = b.placePlain(j, candidates)
 	case giant(j):
@@ -267,6 +297,7 @@
 		return nil, h, err
 	}
 	b.spend(p)
+	b.noteGiven(j)
 	b.book(p)
 	if !j.Granted {
 		p.probe()
--- /dev/null
+++ b/internal/balance/turn_test.go
@@ -0,0 +1,55 @@
+package balance_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/balance"
+)
+
+// TestLaggingSize checks that a long prompt goes before a shorter one that waits too once its size
+// is given engines less often: prompts that need the most engine time waited behind all others.
+func TestLaggingSize(t *testing.T) {
+	const small, large = 50_000, 200_000
+	cases := map[string]struct {
+		refused int // refused is how many large prompts have been given up before.
+		want    int
+	}{
+		"as often": {0, small},
+		"lagging":  {2, large},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(1)
+			place := func(prompt int) *balance.Placement {
+				p := f.place(t, job(prompt))
+				p.First()
+				return p
+			}
+			for range 3 {
+				place(small).Done(balance.Report{})
+				place(large).Done(balance.Report{})
+			}
+			busy := f.place(t, job(small))
+			ask := func(prompt int) *balance.Wait {
+				_, w, err := f.Ask(context.Background(), job(prompt))
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(w, quicktest.IsNotNil)
+				return w
+			}
+			for range tc.refused {
+				_, err := f.Abandon(ask(large))
+				c.Assert(err, quicktest.IsNotNil)
+			}
+			waits := map[int]*balance.Wait{large: ask(large), small: ask(small)}
+			busy.First()
+			busy.Done(balance.Report{})
+			for prompt, w := range waits {
+				c.Check(len(w.Ready()) == 1, quicktest.Equals, prompt == tc.want, quicktest.Commentf("%d", prompt))
+			}
+		})
+	}
+}
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -18,6 +18,8 @@
 	gone  bool
 	// held is why it was given no place the last time.
 	held hold
+	// lag is by how much prompts of its size are served less often than others.
+	lag float64
 }
 
 const (
@@ -251,7 +253,7 @@
 }
 
 // serveQueue places jobs that wait, in their order. If one finds no place, neither do those
-// behind it, but for prompts over an engine's memory, which need more than any other.
+// behind it, but for those of jobs that need more than others.
 func (b *Balancer) serveQueue(q *[]*Wait, most int) {
 	var left []*Wait
 	for ; most > 0; most-- {
@@ -259,17 +261,16 @@
 		if w == nil {
 			break
 		}
-		over := giant(w.job)
-		if over && len(left) > 0 {
+		if w.passedOver(len(left)) {
 			w.held = holdBehind
-			left = append(left, w) // The one before it found no place either.
+			left = append(left, w)
 			continue
 		}
 		if b.serve(w) {
 			continue
 		}
 		left = append(left, w)
-		if !over {
+		if !w.needsMore() {
 			holdAll(*q, holdBehind)
 			break
 		}
@@ -277,6 +278,31 @@
 	*q = append(*q, left...)
 }
 
+// needsMore reports whether a job behind this one may find a place where it finds none: it is
+// over an engine's memory, or goes first since its size lags.
+func (w *Wait) needsMore() bool { return w.lag > 0 || giant(w.job) }
+
+// passedOver reports whether the job is not tried once so many before it have found no place.
+func (w *Wait) passedOver(failed int) bool {
+	if w.lag > 0 {
+		return failed >= lagTries
+	}
+	return failed > 0 && giant(w.job)
+}
+
+// waitsBefore reports whether a long prompt of the same service waits that goes before the job.
+func (b *Balancer) waitsBefore(j Job) bool {
+	now := b.Clock.Now()
+	own := &Wait{job: j, lag: b.lag(j)}
+	for _, w := range b.heavyQueue {
+		w.lag = b.lag(w.job)
+		if !w.gone && w.job.Service == j.Service && w.before(own, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // holdAll notes why none of the jobs was tried.
 func holdAll(q []*Wait, h hold) {
 	for _, w := range q {
@@ -307,6 +333,9 @@
 		return nil
 	}
 	next := 0
+	for _, w := range kept {
+		w.lag = b.lag(w.job)
+	}
 	for i, w := range kept {
 		if w.before(kept[next], now) {
 			next = i
@@ -332,7 +361,7 @@
 		return w.job.Rank < o.job.Rank
 	}
 	if Heavy(w.job) && Heavy(o.job) {
-		return w.shorter(o, now)
+		return w.longBefore(o, now)
 	}
 	fresh, otherFresh := w.inTime(now) && !Heavy(w.job), o.inTime(now) && !Heavy(o.job)
 	switch {
@@ -345,9 +374,12 @@
 	}
 }
 
-// shorter reports whether a long prompt goes before another: those that can still
-// be in time go first, and of these the one that is read the soonest.
-func (w *Wait) shorter(o *Wait, now time.Time) bool {
+// longBefore reports whether a long prompt goes before another: those whose size lags the most
+// go first, then those that can still be in time, and of these the one that is read the soonest.
+func (w *Wait) longBefore(o *Wait, now time.Time) bool {
+	if w.lag != o.lag {
+		return w.lag > o.lag
+	}
 	hopeful, otherHopeful := w.hopeful(now), o.hopeful(now)
 	if hopeful != otherHopeful {
 		return hopeful
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,6 +1,7 @@
 package lab_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -80,10 +81,13 @@
 }
 
 // family draws a day of the family.
-func family(t *testing.T, name string) lab.Load {
+func family(t *testing.T, name string) lab.Load { return drawn(t, name, 1) }
+
+// drawn draws a day of the family by a seed.
+func drawn(t *testing.T, name string, seed uint64) lab.Load {
 	for _, f := range lab.Families {
 		if f.Name == name {
-			return f.Draw(rand.New(rand.NewPCG(1, 0)))
+			return f.Draw(rand.New(rand.NewPCG(seed, 0)))
 		}
 	}
 	t.Fatalf("no family %q", name)
@@ -158,3 +162,21 @@
 		quicktest.Check(t, rate >= kind/2, quicktest.IsTrue, quicktest.Commentf("%s: %.3f, kind: %.3f", name, rate, kind))
 	}
 }
+
+// TestSizesOnOtherDays checks on days of other turns and callers, one by one, that the longest
+// prompts are served at half the rate of their kind at least, as TestSizes does on three days.
+func TestSizesOnOtherDays(t *testing.T) {
+	for _, draw := range []uint64{11, 12, 13, 14} {
+		t.Run(fmt.Sprint(draw), func(t *testing.T) {
+			t.Parallel()
+			load := drawn(t, "engines go while long prompts come", draw)
+			load.Boxes = 40 // One of them places all prompts.
+			long := lab.Run(load, lab.Balanced, draw).Kinds[2]
+			kind := long.ServedRate()
+			for name, size := range map[string]int{"longest tenth": lab.SizeTenth, "fifth below": lab.SizeFifth} {
+				rate := long.Sizes[size].Rate()
+				quicktest.Check(t, rate >= kind/2, quicktest.IsTrue, quicktest.Commentf("%s: %.3f, kind: %.3f", name, rate, kind))
+			}
+		})
+	}
+}
