A prompt over an engine's memory waits as on a first try unless its caller has come back

Callers of such prompts waited for up to their objective less the fastest reading on their first try (3.28 s of 4 s seen) where a quarter of it was meant, and had too little time left to come back.

Cause: the first try was told from later ones by its moment being before the wait, which holds for each request: a box takes it some moments before it asks for a place, and a second target is asked later still. Whether the caller has come back is now said by whoever knows, the box that has the request, and told to the lead.

TestOverMemoryWait has two cases more, red before ('just taken', 'sent before'); its others set what they meant, with the bounds as they were. TestReturnedTold is new with its field.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -53,9 +53,10 @@
 	Tightest time.Duration
 	// Since is when the caller asked; zero is now.
 	Since time.Time
-	// First is when the caller first tried, by which its answer is late; zero is Since. A
-	// caller comes back after a refusal.
+	// First is when the caller first tried, by which its answer is late; zero is Since.
 	First time.Time
+	// Returned is set if the caller has come back after a refusal, so that it has no further try.
+	Returned bool
 	// Until is when the caller stops waiting for the first event; zero is not known.
 	Until time.Time
 	// Avoid lists targets that have already failed the request.
--- a/internal/balance/giant_test.go
+++ b/internal/balance/giant_test.go
@@ -55,15 +55,18 @@
 	const objective = 8 * time.Second
 	least := cost.Read(overMemory)/17 + cost.Pass()
 	cases := map[string]struct {
-		earlier time.Duration
+		earlier time.Duration // earlier is how long ago the first try was that was refused.
+		taken   time.Duration // taken is for how long the box has had the request.
 		left    time.Duration
 		want    time.Duration
 	}{
-		"first try":               {0, 30 * time.Second, objective / 4},
-		"came back":               {5 * time.Second, 30 * time.Second, objective - least},
-		"came back, has no time":  {5 * time.Second, 4 * time.Second, 4*time.Second - least},
-		"first try, has no time":  {0, least + time.Second, time.Second},
-		"first try, time unknown": {0, 0, objective / 4},
+		"first try":               {0, 0, 30 * time.Second, objective / 4},
+		"first try, just taken":   {0, 3 * time.Millisecond, 30 * time.Second, objective / 4},
+		"first try, sent before":  {0, time.Second, 30 * time.Second, objective / 4},
+		"came back":               {5 * time.Second, 0, 30 * time.Second, objective - least},
+		"came back, has no time":  {5 * time.Second, 0, 4 * time.Second, 4*time.Second - least},
+		"first try, has no time":  {0, 0, least + time.Second, time.Second},
+		"first try, time unknown": {0, 0, 0, objective / 4},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -77,7 +80,8 @@
 			j := job(overMemory)
 			j.Objective = objective
 			now := f.clock.Now()
-			j.First = now.Add(-tc.earlier)
+			j.First = now.Add(-tc.earlier - tc.taken)
+			j.Returned = tc.earlier > 0
 			if tc.left > 0 {
 				j.Until = now.Add(tc.left)
 			}
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -153,7 +153,7 @@
 // enough. Its caller is told soon to come back, and has no third try: the second one waits
 // for as long as it can be in time by itself.
 func (j Job) lullUntil() time.Time {
-	if j.first().Before(j.Since) {
+	if j.Returned {
 		return j.Since.Add(j.Objective - j.leastTime())
 	}
 	return j.Since.Add(j.Objective / soonPart)
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -181,6 +181,7 @@
 		Objective: x.route.Objective,
 		Rank:      x.rank,
 		First:     x.firstTry,
+		Returned:  x.firstTry.Before(x.started),
 	}
 	if s := x.view.Service(x.service); s != nil {
 		j.Cost = s.Cost
--- a/internal/lab/call.go
+++ b/internal/lab/call.go
@@ -110,6 +110,7 @@
 		Cost:      &d.load.Cost,
 		Tightest:  r.tightest,
 		First:     first,
+		Returned:  r.tries > 1,
 		Until:     first.Add(kind.Deadline),
 	}
 }
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -23,6 +23,7 @@
 		Alone:     m.GetAlone(),
 		Near:      m.GetNear(),
 		Hall:      barleystep.HallID(m.GetHall()),
+		Returned:  m.GetReturned(),
 	}
 	if s := view.Service(j.Service); s != nil {
 		j.Cost = s.Cost
@@ -55,6 +56,7 @@
 		Alone:       j.Alone,
 		Near:        j.Near,
 		Hall:        string(j.Hall),
+		Returned:    j.Returned,
 	}
 	if j.Suspect != (suspect.Digest{}) {
 		m.Suspect, m.Ended = j.Suspect[:], int32(j.Ended)
--- /dev/null
+++ b/internal/lead/wire_internal_test.go
@@ -0,0 +1,23 @@
+package lead
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// TestReturnedTold checks that the lead learns whether a caller has come back after a refusal: it
+// took each prompt for one that had.
+func TestReturnedTold(t *testing.T) {
+	for name, returned := range map[string]bool{"first try": false, "came back": true} {
+		t.Run(name, func(t *testing.T) {
+			j := balance.Job{Service: "s", Prompt: 1, Returned: returned}
+			got := jobOf(fleet.NewView(fleet.Configuration{}), requestOf(j), time.Unix(1000, 0))
+			quicktest.Check(t, got.Returned, quicktest.Equals, returned)
+		})
+	}
+}
