A question to the lead looks only at targets that may decline

Each question went through all that the box knows of targets, under the lock that every choice takes. Cause: the targets that leave or rest were looked for among all. Those that have said so are now kept in a set, from which they are dropped once they leave and rest no more.

The method is named withheld: it differed from state.closed by the one request after a rest, which its name did not tell.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -116,9 +116,12 @@
 	Suspects *suspect.Book
 	Log      *log.Logger
 
-	mu      sync.Mutex
-	states  map[barleystep.TargetID]*state
-	demands map[string]*demand
+	mu     sync.Mutex
+	states map[barleystep.TargetID]*state
+	// declined holds the targets that may leave or rest, so that a question to the lead does not
+	// go through all states.
+	declined map[barleystep.TargetID]bool
+	demands  map[string]*demand
 	// turns has how often long prompts of each size are given engines, by service.
 	turns map[string]*turns
 	// lightQueue and heavyQueue hold the jobs that wait for a place, limitQueue those whose
--- a/internal/balance/bench_test.go
+++ b/internal/balance/bench_test.go
@@ -43,3 +43,36 @@
 		})
 	}
 }
+
+// BenchmarkCapacityAskLead measures a question to the lead of a box that knows many targets, of
+// which a few leave.
+func BenchmarkCapacityAskLead(b *testing.B) {
+	for _, targets := range []int{100, 1000} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			f := newFixture(targets)
+			f.Lead = fullLead{}
+			f.Renew()
+			for i := range targets {
+				id := f.targets[i].ID
+				said := balance.NewSnapshot()
+				said.Said[balance.KeyOf(string(id))] = balance.Said{Leaving: balance.Word[bool]{Value: i < 3, At: f.clock.Now()}}
+				f.SetOthers(said)
+				f.Belief(id)
+			}
+			for b.Loop() {
+				_, _ = f.Place(context.Background(), job(shortPrompt))
+			}
+		})
+	}
+}
+
+// fullLead is a lead without a place.
+type fullLead struct{}
+
+// Place returns that there is none.
+func (fullLead) Place(context.Context, balance.Job) (balance.Plan, error) {
+	return balance.Plan{}, balance.ErrFull
+}
+
+// Read does nothing.
+func (fullLead) Read(uint64) {}
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -79,7 +79,7 @@
 		return nil, nil
 	}
 	asked := j
-	asked.Avoid = slices.Concat(j.Avoid, b.closed()) // The lead may not have heard of them.
+	asked.Avoid = slices.Concat(j.Avoid, b.withheld()) // The lead may not have heard of them.
 	plan, err := b.Lead.Place(ctx, asked)
 	if eris.Is(err, ErrHere) {
 		b.mu.Lock()
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -31,20 +31,33 @@
 // leaves, or rests.
 func (s *state) closed(now time.Time) bool { return s.leaving() || s.resting(now) }
 
-// closed returns the targets that take nothing from this box now.
-func (b *Balancer) closed() []barleystep.TargetID {
+// withheld returns the targets that are offered nothing by this box now: those that leave or
+// rest, and those that have been sent the one request after their rest.
+func (b *Balancer) withheld() []barleystep.TargetID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
 	var list []barleystep.TargetID
-	for id, s := range b.states {
-		if s.leaving() || s.rests(now) {
+	for id := range b.declined {
+		s, known := b.states[id]
+		switch {
+		case known && (s.leaving() || s.rests(now)):
 			list = append(list, id)
+		case !known || !s.returning:
+			delete(b.declined, id)
 		}
 	}
 	return list
 }
 
+// decline notes that the target has said that it leaves or rests.
+func (b *Balancer) decline(id barleystep.TargetID) {
+	if b.declined == nil {
+		b.declined = make(map[barleystep.TargetID]bool)
+	}
+	b.declined[id] = true
+}
+
 // Stands reports whether neither the placement's target nor a helper has said since that it
 // takes nothing more.
 func (p *Placement) Stands() bool {
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -18,6 +18,7 @@
 		s.restUntil = until
 	}
 	s.returning = true
+	b.decline(id)
 	if !rested {
 		b.logRest(id, length)
 	}
--- a/internal/balance/said.go
+++ b/internal/balance/said.go
@@ -137,6 +137,9 @@
 		}
 		b.logLimit(id, s)
 	}
+	if s.leaving() {
+		b.decline(id)
+	}
 	if before.Leaving.Value != s.believed.Leaving.Value {
 		b.logLeaving(id, s)
 	}
