A 421 is recognised in one place

Behaviour is as before: TestMoved and TestBlamed hold it. That another target has answered was worked out twice in a try, from the status that came and from the kept head, and a third time for orders.

--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -164,7 +164,7 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusMisdirectedRequest {
+	if !misdirected(resp) {
 		t.placement.Says(r.target, t.stage.protocol.Verdict(resp.StatusCode, resp.Header).Statement, sent)
 	}
 	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes)); err != nil {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -45,6 +45,8 @@
 	unplaced bool
 	// blamed is the helper that kept the target from running the request, if any.
 	blamed barleystep.TargetID
+	// moved is set if another target has answered than the one that was meant.
+	moved bool
 }
 
 // answerBytes bounds an answer that is held until it is whole; longer ones do
@@ -218,7 +220,8 @@
 // take judges the head of an answer and relays what may be relayed.
 func (t *try) take(resp *http.Response, w *watch) (result, error) {
 	verdict := t.stage.protocol.Verdict(resp.StatusCode, resp.Header)
-	if !t.misdirected(resp.StatusCode, verdict) {
+	t.moved = misdirected(resp) && t.helperNamed(verdict.Blamed) == ""
+	if !t.moved {
 		t.placement.Says(t.placement.Target.ID, verdict.Statement, t.sent)
 	}
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.Sealed)
@@ -239,9 +242,10 @@
 	return t.hold(resp)
 }
 
-// misdirected reports whether another target than the one that was meant has answered.
-func (t *try) misdirected(status int, v barleystep.Verdict) bool {
-	return status == http.StatusMisdirectedRequest && t.helperNamed(v.Blamed) == ""
+// misdirected reports whether somebody was asked for another than itself: the target that has
+// answered, unless it blames a helper.
+func misdirected(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusMisdirectedRequest
 }
 
 func success(status int) bool { return status < http.StatusMultipleChoices }
@@ -292,6 +296,6 @@
 		Error:       res == resultFailed,
 		Full:        res == resultNotRun && t.blamed == "",
 		Helper:      t.blamed,
-		Moved:       t.head.Status() == http.StatusMisdirectedRequest && t.blamed == "",
+		Moved:       t.moved,
 	}
 }
