The rest that a target asks a box for is kept once

restUntil and heardHere.Rest said the same, but over a restart of the target, where the first was kept and the second was not: the box left the new lifetime alone and told the others nothing of it. Now what the box keeps is what it tells. TestRest, TestShorterRest and TestLongestRest hold it, unchanged.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -172,8 +172,6 @@
 	heardHere Said
 	// allowance is what this box may send of the target's limit.
 	allowance allowance
-	// restUntil is until when the target wants nothing from this box.
-	restUntil time.Time
 	// returning is set from a rest on until the target has run something, and probe is what it
 	// was sent since its end.
 	returning bool
--- a/internal/balance/lifetime.go
+++ b/internal/balance/lifetime.go
@@ -59,7 +59,7 @@
 	s := &state{key: KeyOf(string(id))}
 	// News of a restart may be a second late: the new lifetime may have asked for rest already.
 	// What the earlier one has asked for ends by itself.
-	s.restUntil, s.returning = old.restUntil, old.returning
+	s.heardHere.Rest, s.returning = old.heardHere.Rest, old.returning
 	lost := 0
 	for _, p := range old.parts {
 		if p.placement.recent(now) {
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -7,22 +7,22 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-// rest notes that the target wants nothing from this box for so long, and returns until when
-// that is. A shorter rest that it asks for later does not end an earlier one: answers pass each
-// other on their way.
-func (b *Balancer) rest(id barleystep.TargetID, s *state, length time.Duration) (until time.Time) {
+// rest notes that the target wants nothing from this box for so long. A shorter rest that it asks
+// for later does not end an earlier one: answers pass each other on their way.
+func (b *Balancer) rest(id barleystep.TargetID, s *state, length time.Duration) {
 	now := b.Clock.Now()
 	rested := s.resting(now)
 	length = min(length, b.longestRest())
-	if until := now.Add(length + b.restSpread(length)); until.After(s.restUntil) {
-		s.restUntil = until
+	rest := &s.heardHere.Rest
+	rest.At = now
+	if until := now.Add(length + b.restSpread(length)); until.After(rest.Value) {
+		rest.Value = until
 	}
 	s.returning = true
 	b.decline(id)
 	if !rested {
 		b.logRest(id, length)
 	}
-	return s.restUntil
 }
 
 // defaultLongestRest is the longest rest that a target may ask for if nothing else is set.
@@ -69,7 +69,7 @@
 func (b *Balancer) restLeft(targets []fleet.Target) (left time.Duration) {
 	now := b.Clock.Now()
 	for i, t := range targets {
-		rest := max(b.state(t.ID).restUntil.Sub(now), 0)
+		rest := max(b.state(t.ID).heardHere.Rest.Value.Sub(now), 0)
 		if i == 0 || rest < left {
 			left = rest
 		}
@@ -86,7 +86,7 @@
 }
 
 // resting reports whether the target has asked this box for rest that is not over.
-func (s *state) resting(now time.Time) bool { return now.Before(s.restUntil) }
+func (s *state) resting(now time.Time) bool { return now.Before(s.heardHere.Rest.Value) }
 
 // restsElsewhere reports whether the target has asked another box for rest that is not over.
 func (s *state) restsElsewhere(now time.Time) bool { return now.Before(s.believed.Rest.Value) }
--- a/internal/balance/said.go
+++ b/internal/balance/said.go
@@ -103,7 +103,8 @@
 		Leaving: wordOf(said.Leaving, now, sent),
 	}
 	if said.Rest > 0 {
-		heard.Rest = Word[time.Time]{Value: b.rest(id, s, said.Rest), At: now}
+		b.rest(id, s, said.Rest)
+		heard.Rest = s.heardHere.Rest
 	}
 	s.heardHere = s.heardHere.join(heard)
 	b.believe(id, s, heard)
