--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -15,9 +15,7 @@
 // Lead is the one box that places the prompts of all, the requests to services with targets
 // that have named a limit, and suspects. Long ones take many engines at
 // once; short ones are late where two of them are read in one pass. Boxes that decide
-// at the same moment, each without knowing of the other, would take the same engines:
-// in the laboratory 23 of 100 short prompts were late by their first event where 295
-// boxes placed them, 4 where one did, and 7 and 1 of 100 with 9 boxes.
+// at the same moment, each without knowing of the other, would take the same engines.
 type Lead interface {
 	// Place returns the plan for a prompt, once its engines are ready for it. It
 	// returns ErrFull if the prompt should come back later, ErrInVain if its caller would
--- a/internal/balance/light.go
+++ b/internal/balance/light.go
@@ -18,10 +18,7 @@
 	// one may be read there soon.
 	outsideCost = 80 * time.Millisecond
 	// abroadCost is what it counts for that an engine is in another hall than the caller's
-	// box: a stream between halls stops when one of them is cut off. At half load 15 of 100
-	// short streams cross halls with it, 67 without; on days with a cut of six seconds 6.0
-	// in place of 8.0 of 100 are late. It is well below what an objective of 300 ms leaves
-	// of the 120 ms that an idle engine takes.
+	// box: a stream between halls stops when one of them is cut off.
 	abroadCost = 60 * time.Millisecond
 	// fullPart is the part of the slots, in hundredths, from which on each
 	// further stream counts for tightCost: counts of other boxes are a little
@@ -72,8 +69,7 @@
 // bestOfHalls returns the best of some engines drawn from the caller's hall, or one of
 // another hall that is better by abroadCost, and its score; and the least score of any,
 // by which a short prompt leaves the engines for short ones: by that of its own hall alone,
-// it would go among long prompts while another hall has room (1.1 more of 100 late, over
-// three deployments of nine boxes).
+// it would go among long prompts while another hall has room.
 func (b *Balancer) bestOfHalls(j Job, pool []fleet.Target) (best fleet.Target, score, least time.Duration) {
 	var near, far []fleet.Target
 	for _, t := range pool {
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -33,21 +33,17 @@
 	patience      = 3
 	leastPatience = 1500 * time.Millisecond
 	// waitPart is the part of its objective, from its caller's first try on, for which a
-	// long prompt waits for crowded engines: of those that wait for half of it, one in four
-	// is in time. Measured against 1.0 and 1.5, see docs/worth.md.
+	// long prompt waits for crowded engines: the rest is for reading it.
 	waitPart = 0.6
 	// leastWaitPart is the part of its objective, as a divisor, for which a long prompt waits
-	// at least, also one that comes back. Measured against 4 and 2.
+	// at least, also one that comes back.
 	leastWaitPart = 8
 	// soonPart is the part of the objective, as a divisor, within which a caller is told to
 	// come back whose prompt is over an engine's memory, while there is time for it to be
-	// served then. Where a fifth of the long prompts are so long, waiting this way serves
-	// 75 of 100 of the worth of long prompts, refusing at once 70, in the laboratory; a
-	// whole objective is no better (0.855 for 0.858 of all worth).
+	// served then.
 	soonPart = 4
 	// drainUse is the part of the engines' time that callers ask for up to which these are
-	// not crowded: what waits is rather served late than refused. Measured against 0, 0.4,
-	// 0.6 and 1.
+	// not crowded: what waits is rather served late than refused.
 	drainUse = 0.8
 	// shareDivisor is the part of the places seen free that a box takes at once:
 	// all boxes see the same places.
--- a/internal/front/helper.go
+++ b/internal/front/helper.go
@@ -21,9 +21,8 @@
 // reach leaves out the helpers to which no connection can be had. A target refuses a prompt
 // if one of its helpers is gone, and a route allows few sends: where a quarter of the
 // engines ends at once while nobody can read of it, hardly a choice of sixteen is without
-// one of them, and two such choices refuse the prompt: in the laboratory 66 of 100 of the
-// worth of middling prompts were served on such a day, and 96 are so. Each box asks for
-// itself, over the connections that it keeps.
+// one of them, and two such choices refuse the prompt. Each box asks for itself, over the
+// connections that it keeps.
 func (t *try) reach(ctx context.Context) error {
 	t.silent = t.silentHelpers(ctx)
 	if ctx.Err() != nil {
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -30,10 +30,9 @@
 	asked  int
 }
 
-// mostAsked is how many questions for short prompts the lead answers in a second. The
-// choice takes 0.09 ms among 150 engines and the call 0.35 on both ends together, by
-// CapacityPlaceShort and CapacityAsk: at most a fifth of a core. Boxes that are turned
-// away place their prompts themselves for a while.
+// mostAsked is how many questions for short prompts the lead answers in a second, for which it
+// spends a fifth of a core at most. Boxes that are turned away place their prompts themselves
+// for a while.
 const mostAsked = 700
 
 // busy counts a question for a short prompt and reports whether there are too many.
@@ -54,10 +53,8 @@
 
 // longHold and shortHold are for how long a question is held while a prompt waits for its
 // engines. A box that asks again has lost its lead the sooner, the shorter it is; the
-// longer, the fewer questions there are. A short prompt has an objective of some 300 ms and
-// takes 120 ms of it where it waits for nothing: with a question in vain of 310 ms each was
-// late while a lead was cut off or dead, with one of 120 ms it need not be: 5.5 of 100 short
-// prompts were late in place of 6.0 on days with a hall cut off and boxes that die.
+// longer, the fewer questions there are. A short prompt that has asked a dead lead in vain is
+// still to be in time.
 const (
 	longHold  = 250 * time.Millisecond
 	shortHold = 60 * time.Millisecond
