The soak keeps each body once, and an interrupted run ends without examining

The soak's memory grew from 3.7 to 7.6 GB over a run of 302 processes. A run of 61 child processes and 200 callers, sampled: the soak's own process had 9, 405 and 753 MB, 8 s apart; targets 36, 841 and 875 MB together, of which most came with their starts; the store 9 to 14 MB. Cause: the history keeps the body of each call and arrival, of which one in 20 has 96 kB, twice for each request. They are kept once.

That run was interrupted and ended in a nil dereference in examine: a target that was to start again had no process. An interrupted run now returns that it was.

TestBodiesKeptOnce failed before. The growth after the change is not measured in this commit.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -55,6 +55,8 @@
 	mu       sync.Mutex
 	calls    []Call
 	arrivals []platformtest.Arrival
+	// bodies has each body of the calls and arrivals once: they are few, and long.
+	bodies map[string]string
 	// killed lists when processes of boxes were first killed, by box and life, and
 	// stopping when they were first told to stop.
 	killed   map[string]time.Time
@@ -92,6 +94,7 @@
 // NewHistory returns an empty history.
 func NewHistory(tenants map[string]string) *History {
 	return &History{
+		bodies:      make(map[string]string),
 		killed:      make(map[string]time.Time),
 		stopping:    make(map[string]time.Time),
 		frozen:      make(map[string][]span),
@@ -105,6 +108,7 @@
 func (h *History) Called(c Call) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	c.Body = h.body(c.Body)
 	h.calls = append(h.calls, c)
 }
 
@@ -112,9 +116,20 @@
 func (h *History) Arrived(a platformtest.Arrival) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	a.Body = h.body(a.Body)
 	h.arrivals = append(h.arrivals, a)
 }
 
+// body returns the copy that is kept of a body.
+func (h *History) body(text string) string {
+	kept, ok := h.bodies[text]
+	if !ok {
+		h.bodies[text] = text
+		return text
+	}
+	return kept
+}
+
 // Killed notes that a life of a box was killed.
 func (h *History) Killed(box string, life int, at time.Time) {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/soak/history_internal_test.go
@@ -0,0 +1,28 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"unsafe"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/barleystep/barleystep/platform/platformtest"
+)
+
+// TestBodiesKeptOnce checks that a body which many calls have is kept once: runs of minutes took
+// gigabytes for them.
+func TestBodiesKeptOnce(t *testing.T) {
+	h := NewHistory(nil)
+	body := func() string { return strings.Repeat("x", 1000) }
+	for range 3 {
+		h.Called(Call{Body: body()})
+		h.Arrived(platformtest.Arrival{Body: body()})
+	}
+	first := unsafe.StringData(h.calls[0].Body)
+	for i := range h.calls {
+		quicktest.Check(t, unsafe.StringData(h.calls[i].Body) == first, quicktest.IsTrue)
+		quicktest.Check(t, unsafe.StringData(h.arrivals[i].Body) == first, quicktest.IsTrue)
+	}
+	quicktest.Check(t, h.calls[0].Body, quicktest.Equals, body())
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -67,6 +67,9 @@
 		return nil, eris.New("the boxes did not begin to serve")
 	}
 	s.play(ctx, events)
+	if err = ctx.Err(); err != nil {
+		return nil, err // Interrupted, with processes away that were to start again.
+	}
 	s.examine(ctx)
 	return s.history.Check(), nil
 }
