--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -179,7 +179,7 @@
 	d := b.demand(w.job.Service)
 	b.Log.Info().Str("request", w.job.Request).Int("prompt", w.job.Prompt).Bool("over_memory", giant(w.job)).
 		Dur("waited", b.Clock.Now().Sub(w.job.Since)).Dur("since_first_try", b.waited(w.job)).
-		Str("held", w.held.String()).Int("waiting", len(b.heavyQueue)).
+		Str("held", w.held.String()).Float64("lag", b.lag(w.job)).Int("waiting", len(b.heavyQueue)).
 		Float64("demand_short", d.Light).Float64("demand_long", d.Heavy).
 		Msg(logPrefix + "A long prompt has waited for engines in vain.")
 }
