--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -248,8 +248,8 @@
 	*q = left
 }
 
-// serveQueue places jobs that wait, in their order. If one finds no place, neither do those
-// behind it, but for those of jobs that need more than others.
+// serveQueue places jobs that wait, in their order. Where one finds no place, neither do those
+// behind it, unless it needs more than they do.
 func (b *Balancer) serveQueue(q *[]*Wait, most int) {
 	var left []*Wait
 	for ; most > 0; most-- {
@@ -274,8 +274,8 @@
 	*q = append(*q, left...)
 }
 
-// needsMore reports whether a job behind this one may find a place where it finds none: it is
-// over an engine's memory, or goes first since its size lags.
+// needsMore reports whether the job may need more than those behind it: it is over an engine's
+// memory, or goes first since its size lags.
 func (w *Wait) needsMore() bool { return w.lag > 0 || giant(w.job) }
 
 // passedOver reports whether the job is not tried once so many before it have found no place.
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -242,8 +242,8 @@
 	return t.hold(resp)
 }
 
-// misdirected reports whether somebody was asked for another than itself: the target that has
-// answered, unless it blames a helper.
+// misdirected reports whether the answer says that another target was meant: than the one that
+// answers, or than a helper that it blames.
 func misdirected(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusMisdirectedRequest
 }
