A size lags below 0.8 of all, with two tries at the rate of all added; newcomers pass what lags

On small deployments a size has a few tries in the time that counts, so that one refusal made it lag, and each newcomer waited for what found no place.

--- a/internal/balance/turn.go
+++ b/internal/balance/turn.go
@@ -25,8 +25,11 @@
 	leastSize = 125 * time.Millisecond
 	// turnLife is the mean age of the tries that count.
 	turnLife = 8 * time.Second
+	// turnPrior is how many tries at the rate of all count for a size besides its own, so that a
+	// few that were refused say little.
+	turnPrior = 2
 	// turnPart is the part of the rate of all long prompts below which a size lags.
-	turnPart = 0.9
+	turnPart = 0.8
 	// lagTries bounds how many lagging prompts are looked at in vain before others: each look
 	// compares assignments of many engines.
 	lagTries = 4
@@ -65,7 +68,10 @@
 		all.asked += c.asked
 		all.given += c.given
 	}
-	return max(turnPart*all.rate()-t.sizes[sizeOf(j)].rate(), 0)
+	own := t.sizes[sizeOf(j)]
+	own.asked += turnPrior
+	own.given += turnPrior * all.rate()
+	return max(turnPart*all.rate()-own.rate(), 0)
 }
 
 // turnsOf returns the turns of the job's service.
--- a/internal/balance/waiting.go
+++ b/internal/balance/waiting.go
@@ -286,17 +286,15 @@
 	return failed > 0 && giant(w.job)
 }
 
-// waitsBefore reports whether a long prompt of the same service waits that goes before the job.
+// waitsBefore reports whether a long prompt of the same service waits that goes before the job and
+// needs no more: where it has found no place, neither does the job.
 func (b *Balancer) waitsBefore(j Job) bool {
 	now := b.Clock.Now()
 	own := &Wait{job: j, lag: b.lag(j)}
-	for _, w := range b.heavyQueue {
+	return slices.ContainsFunc(b.heavyQueue, func(w *Wait) bool {
 		w.lag = b.lag(w.job)
-		if !w.gone && w.job.Service == j.Service && w.before(own, now) {
-			return true
-		}
-	}
-	return false
+		return !w.gone && w.lag == 0 && w.job.Service == j.Service && w.before(own, now)
+	})
 }
 
 // holdAll notes why none of the jobs was tried.
