An answer to an order takes back no word that it lacks

Callers' requests were sent to a target that had said that it leaves. The published protocol does not say that answers to orders carry what others do.

What such an answer says still counts; what it lacks is not taken back, limits included.

--- a/internal/balance/said.go
+++ b/internal/balance/said.go
@@ -83,7 +83,8 @@
 }
 
 // Says takes in what the placement's target, or a helper, says of itself in the answer to a
-// request that was sent at the given time.
+// request that was sent at the given time. With a zero time, words that it lacks are not taken
+// back.
 func (p *Placement) Says(id barleystep.TargetID, said barleystep.Statement, sent time.Time) {
 	b := p.balancer
 	b.mu.Lock()
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -1,7 +1,9 @@
 package front_test
 
 import (
+	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -62,6 +64,31 @@
 	}
 }
 
+// TestOrderTakesNothingBack checks that a helper which leaves is not taken to stay since its answer
+// to a later order lacks the word: it was asked on.
+func TestOrderTakesNothingBack(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()}, events(1, 2, false))
+	f.target.orders = []step{func(k net.Conn, r *http.Request) bool {
+		headers := ""
+		if strings.HasPrefix(r.RequestURI, "/reserve/") {
+			headers = "Leaves: 1\r\n"
+		}
+		return whole(http.StatusOK, headers, "")(k, r)
+	}}
+	f.ask(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+	for f.front.Releasing() > 0 {
+		runtime.Gosched()
+	}
+	leaving := 0
+	for _, target := range f.targets {
+		if f.front.Balancer.Belief(target.ID).Said.Leaving.Value {
+			leaving++
+		}
+	}
+	c.Check(leaving >= 2, quicktest.IsTrue, quicktest.Commentf("%d leave", leaving))
+}
+
 // TestPassedOver checks that the line of a refused request names the targets that it was not
 // offered to, and by whose word.
 func TestPassedOver(t *testing.T) {
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -158,14 +158,14 @@
 	}
 	defer c.Discard()
 	req.Host = r.addr
-	sent := t.stage.clock.Now()
 	resp, err := c.Send(ctx, req, body, t.answersOrder)
 	if err != nil {
 		return 0
 	}
 	defer resp.Body.Close()
 	if !misdirected(resp) {
-		t.placement.Says(r.target, t.stage.protocol.Verdict(resp.StatusCode, resp.Header).Statement, sent)
+		// Answers to orders may lack words that others carry: they take nothing back.
+		t.placement.Says(r.target, t.stage.protocol.Verdict(resp.StatusCode, resp.Header).Statement, time.Time{})
 	}
 	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, answerBytes)); err != nil {
 		return 0
