--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -169,14 +169,44 @@
 	for _, draw := range []uint64{11, 12, 13, 14} {
 		t.Run(fmt.Sprint(draw), func(t *testing.T) {
 			t.Parallel()
-			load := drawn(t, "engines go while long prompts come", draw)
-			load.Boxes = 40 // One of them places all prompts.
-			long := lab.Run(load, lab.Balanced, draw).Kinds[2]
-			kind := long.ServedRate()
-			for name, size := range map[string]int{"longest tenth": lab.SizeTenth, "fifth below": lab.SizeFifth} {
-				rate := long.Sizes[size].Rate()
-				quicktest.Check(t, rate >= kind/2, quicktest.IsTrue, quicktest.Commentf("%s: %.3f, kind: %.3f", name, rate, kind))
-			}
+			checkSizes(t, lossDay(t, draw, draw))
 		})
 	}
 }
+
+// TestSizesOnMoreDays checks the same over twelve days: a size that is given engines just often
+// enough by its tries may be served less often by its callers.
+func TestSizesOnMoreDays(t *testing.T) {
+	var long lab.KindResult
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	for draw := uint64(11); draw <= 14; draw++ {
+		for seed := uint64(10); seed <= 12; seed++ {
+			wait.Go(func() {
+				day := lossDay(t, draw, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				long.Add(day)
+			})
+		}
+	}
+	wait.Wait()
+	checkSizes(t, long)
+}
+
+// lossDay plays a day on which engines go while long prompts come, and returns what became of
+// these.
+func lossDay(t *testing.T, draw, seed uint64) lab.KindResult {
+	load := drawn(t, "engines go while long prompts come", draw)
+	load.Boxes = 40 // One of them places all prompts.
+	return lab.Run(load, lab.Balanced, seed).Kinds[2]
+}
+
+// checkSizes checks that the longest prompts are served at half the rate of their kind at least.
+func checkSizes(t *testing.T, long lab.KindResult) {
+	kind := long.ServedRate()
+	for name, size := range map[string]int{"longest tenth": lab.SizeTenth, "fifth below": lab.SizeFifth} {
+		rate := long.Sizes[size].Rate()
+		quicktest.Check(t, rate >= kind/2, quicktest.IsTrue, quicktest.Commentf("%s: %.3f, kind: %.3f", name, rate, kind))
+	}
+}
