--- a/internal/balance/turn.go
+++ b/internal/balance/turn.go
@@ -29,7 +29,7 @@
 	// few that were refused say little.
 	turnPrior = 2
 	// turnPart is the part of the rate of all long prompts below which a size lags.
-	turnPart = 0.65
+	turnPart = 0.7
 	// lagTries bounds how many lagging prompts are looked at in vain before others: each look
 	// compares assignments of many engines.
 	lagTries = 4
