--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -23,6 +23,7 @@
 
 // TestSameSeed checks that a day is determined by its seed.
 func TestSameSeed(t *testing.T) {
+	t.Parallel()
 	for _, f := range lab.Families {
 		t.Run(f.Name, func(t *testing.T) {
 			t.Parallel()
@@ -35,6 +36,7 @@
 
 // TestBound checks that no policy exceeds the bound, and that every prompt is counted once.
 func TestBound(t *testing.T) {
+	t.Parallel()
 	for _, f := range lab.Families {
 		t.Run(f.Name, func(t *testing.T) {
 			t.Parallel()
@@ -58,6 +60,7 @@
 
 // TestTables checks that the tables contain the selected family.
 func TestTables(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	var out strings.Builder
 	c.Assert(lab.WriteTables(&out, lab.Plan{Seeds: 1, Workers: 2, Family: "one"}), quicktest.IsNil)
@@ -69,6 +72,7 @@
 // and decode in passes of 70 ms, so that two prompts in one pass are late. When each box chose
 // engines by reports that were 100 to 150 ms old, only 76 of 100 of their worth were served.
 func TestHundredsOfBoxes(t *testing.T) {
+	t.Parallel()
 	for _, f := range lab.Families {
 		if f.Name != "three hundred boxes" {
 			continue
@@ -78,6 +82,17 @@
 	}
 }
 
+// runDays simulates the given number of days at the same time and returns their results in order.
+func runDays[R any](count int, run func(day int) R) []R {
+	results := make([]R, count)
+	var wait sync.WaitGroup
+	for day := range count {
+		wait.Go(func() { results[day] = run(day) })
+	}
+	wait.Wait()
+	return results
+}
+
 // drawFamily draws a scenario of the family.
 func drawFamily(t *testing.T, name string) lab.Scenario { return drawFamilySeed(t, name, 1) }
 
@@ -96,6 +111,7 @@
 // how many are served by an engine of another hall, with alternating bursts of short and of long
 // prompts over three halls. It was two of three when placement ignored halls.
 func TestHallCutAtFullLoad(t *testing.T) {
+	t.Parallel()
 	scenario := drawFamily(t, "a fifth over memory")
 	short := lab.Run(scenario, lab.Balancer, 3).Kinds[0]
 	otherHall := float64(short.OtherHall) / float64(short.Count)
@@ -107,6 +123,7 @@
 // first asking whether they respond, 29 of 100 middling prompts and 61 of 100 long ones were
 // refused or abandoned.
 func TestEnginesLeaveInOutage(t *testing.T) {
+	t.Parallel()
 	kinds := lab.Run(drawFamily(t, "engines leave in an outage"), lab.Balancer, 3).Kinds
 	quicktest.Check(t, kinds[1].UnservedRate() < 0.05, quicktest.IsTrue, quicktest.Commentf("middling: %.3f", kinds[1].UnservedRate()))
 	quicktest.Check(t, kinds[2].UnservedRate() < 0.4, quicktest.IsTrue, quicktest.Commentf("long: %.3f", kinds[2].UnservedRate()))
@@ -116,9 +133,11 @@
 // engine's KV cache, in alternation with short ones: 75 of 100. It was 70 when those were refused
 // immediately unless engines happened to be idle.
 func TestOverMemory(t *testing.T) {
+	t.Parallel()
+	scenario := drawFamily(t, "a fifth over memory")
 	var long lab.KindResult
-	for seed := range uint64(4) {
-		long.Add(lab.Run(drawFamily(t, "a fifth over memory"), lab.Balancer, seed).Kinds[2])
+	for _, day := range runDays(4, func(day int) lab.Result { return lab.Run(scenario, lab.Balancer, uint64(day)) }) {
+		long.Add(day.Kinds[2])
 	}
 	worth := long.ServedWorth / long.OfferedWorth
 	quicktest.Check(t, worth > 0.725, quicktest.IsTrue, quicktest.Commentf("%.3f", worth))
@@ -128,10 +147,16 @@
 // for the next one. On days on which each of 18 engines stops responding twice for 0.6 s, 66 of 100
 // of the worth are served if engines report their start time, and 58 if they do not.
 func TestRestartedEngines(t *testing.T) {
+	t.Parallel()
+	const days = 4
+	scenarios := [...]lab.Scenario{drawFamily(t, "engines start anew"), drawFamily(t, "engines start anew, unsaid")}
+	results := runDays(days*len(scenarios), func(day int) lab.Result {
+		return lab.Run(scenarios[day/days], lab.Balancer, uint64(day%days))
+	})
 	var reported, unreported lab.Result
-	for seed := range uint64(4) {
-		reported.Add(lab.Run(drawFamily(t, "engines start anew"), lab.Balancer, seed))
-		unreported.Add(lab.Run(drawFamily(t, "engines start anew, unsaid"), lab.Balancer, seed))
+	for day := range days {
+		reported.Add(results[day])
+		unreported.Add(results[days+day])
 	}
 	more := reported.WorthRatio() - unreported.WorthRatio()
 	quicktest.Check(t, more > 0.04, quicktest.IsTrue, quicktest.Commentf("%.3f and %.3f", reported.WorthRatio(), unreported.WorthRatio()))
@@ -143,27 +168,19 @@
 // prompt is waiting at any time, and it got the next free engines before any oversized prompt was
 // tried.
 func TestSizes(t *testing.T) {
+	t.Parallel()
 	scenario := drawFamily(t, "engines go while long prompts come")
-	var days [3]lab.KindResult
-	var wait sync.WaitGroup
-	for seed := range days {
-		wait.Go(func() { days[seed] = lab.Run(scenario, lab.Balancer, uint64(seed)).Kinds[2] })
-	}
-	wait.Wait()
 	var long lab.KindResult
-	for _, day := range days {
-		long.Add(day)
-	}
-	kind := long.ServedRate()
-	for name, size := range map[string]int{"longest tenth": lab.SizeLongestTenth, "fifth below": lab.SizeNextFifth} {
-		rate := long.Sizes[size].Rate()
-		quicktest.Check(t, rate >= kind/2, quicktest.IsTrue, quicktest.Commentf("%s: %.3f, kind: %.3f", name, rate, kind))
+	for _, day := range runDays(3, func(day int) lab.Result { return lab.Run(scenario, lab.Balancer, uint64(day)) }) {
+		long.Add(day.Kinds[2])
 	}
+	checkSizes(t, long)
 }
 
 // TestSizesOnOtherDays checks on single days with other bursts and callers that the longest prompts
 // are served at no less than half the rate of their kind, as TestSizes does over three days.
 func TestSizesOnOtherDays(t *testing.T) {
+	t.Parallel()
 	for _, draw := range []uint64{11, 12, 13, 14} {
 		t.Run(fmt.Sprint(draw), func(t *testing.T) {
 			t.Parallel()
@@ -175,20 +192,18 @@
 // TestSizesOnMoreDays checks the same over twelve days: a class of length that gets engines just
 // often enough by its tries may still be served too rarely by its callers.
 func TestSizesOnMoreDays(t *testing.T) {
+	t.Parallel()
+	const (
+		firstDraw, draws = 11, 4
+		firstSeed, seeds = 10, 3
+	)
+	days := runDays(draws*seeds, func(day int) lab.KindResult {
+		return lossDay(t, firstDraw+uint64(day/seeds), firstSeed+uint64(day%seeds))
+	})
 	var long lab.KindResult
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	for draw := uint64(11); draw <= 14; draw++ {
-		for seed := uint64(10); seed <= 12; seed++ {
-			wait.Go(func() {
-				day := lossDay(t, draw, seed)
-				mu.Lock()
-				defer mu.Unlock()
-				long.Add(day)
-			})
-		}
+	for _, day := range days {
+		long.Add(day)
 	}
-	wait.Wait()
 	checkSizes(t, long)
 }
 
--- a/internal/lab/limit_test.go
+++ b/internal/lab/limit_test.go
@@ -38,6 +38,7 @@
 // The figures of the day are the same for engines without a limit, and the logs show no retries and
 // no parts of long prompts, which rules these out.
 func TestLimits(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		family    string
 		each      int // each is n where each n-th engine has a limit.
