lead: a waiting prompt is held for longer once the lead has answered

Cause: a short prompt or plain request that waits at the lead asked again every 60 ms. With some hundred waiting for cold targets that is more than the 700 calls a second that the lead serves; the boxes then bypass it for 0.7 s and have no share of their own.

Change: after the first answer that it waits, the call asks to be held for 250 ms (hold_ms; an older lead holds it for its own time). A lead that has no target left for a job says so, and is not bypassed for it.

--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -62,23 +62,27 @@
 	if !balance.IsLongPrompt(j) && c.isBypassed() {
 		return balance.Plan{}, errBypassed
 	}
+	hold := holdTime(j)
 	for {
-		plan, err = c.placeOnce(ctx, j)
+		plan, err = c.placeOnce(ctx, j, hold)
 		if !eris.Is(err, balance.ErrStillWaiting) || ctx.Err() != nil {
 			return plan, err
 		}
+		hold = longPromptHold
 	}
 }
 
-func (c *Client) placeOnce(ctx context.Context, j balance.Job) (plan balance.Plan, err error) {
+// placeOnce makes one call, which the lead may hold for the given time.
+func (c *Client) placeOnce(ctx context.Context, j balance.Job, hold time.Duration) (plan balance.Plan, err error) {
 	addr, ok := c.Addr()
 	if !ok {
 		return balance.Plan{}, balance.ErrIsLead
 	}
 	now := c.Clock.Now()
-	callCtx, cancel := clock.WithDeadline(ctx, c.Clock, now.Add(holdTime(j)+answerTimeout))
+	callCtx, cancel := clock.WithDeadline(ctx, c.Clock, now.Add(hold+answerTimeout))
 	defer cancel()
 	m := encodeJob(j)
+	m.HoldMs = hold.Milliseconds()
 	m.WaitedMs = max(now.Sub(j.Arrival), 0).Milliseconds() // Zero on the first call.
 	if !j.FirstArrival.IsZero() {
 		m.EarlierMs = max(j.Arrival.Sub(j.FirstArrival), 0).Milliseconds()
@@ -96,6 +100,8 @@
 		return balance.Plan{}, balance.ErrCannotMeetDeadline
 	case connect.CodeOf(err) == connect.CodePermissionDenied:
 		return balance.Plan{}, balance.ErrSuspectRefused
+	case connect.CodeOf(err) == connect.CodeNotFound:
+		return balance.Plan{}, balance.ErrNoTarget
 	case connect.CodeOf(err) == connect.CodeAborted:
 		return balance.Plan{}, balance.ErrStillWaiting
 	case ctx.Err() != nil: // The caller disconnected, which says nothing about the lead.
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -52,7 +52,8 @@
 
 // longPromptHold and shortPromptHold are how long a call is held while its prompt waits for
 // engines. With a shorter hold, a box notices a lost lead sooner; with a longer one, there are
-// fewer calls. A short prompt must still meet its objective after a call to a dead lead.
+// fewer calls. A short prompt must still meet its objective after a call to a dead lead; once the
+// lead has answered that the prompt waits, it is held like a long one.
 const (
 	longPromptHold  = 250 * time.Millisecond
 	shortPromptHold = 60 * time.Millisecond
@@ -65,6 +66,14 @@
 	return shortPromptHold
 }
 
+// requestedHold returns how long to hold a call: as long as it asks for, within longPromptHold.
+func requestedHold(m *placementv1.PlaceRequest, j balance.Job) time.Duration {
+	if ms := m.GetHoldMs(); ms > 0 {
+		return min(time.Duration(ms)*time.Millisecond, longPromptHold)
+	}
+	return holdTime(j)
+}
+
 // Place chooses the targets of a request.
 func (s *Server) Place(ctx context.Context, r *connect.Request[placementv1.PlaceRequest]) (*connect.Response[placementv1.PlaceResponse], error) {
 	view := s.View()
@@ -79,7 +88,7 @@
 	if !balance.IsLongPrompt(j) && s.isOverLimit() {
 		return nil, connect.NewError(connect.CodeUnavailable, eris.New("too many calls for short prompts"))
 	}
-	plan, err := s.Balancer.PlaceForPeer(ctx, j, now.Add(holdTime(j)))
+	plan, err := s.Balancer.PlaceForPeer(ctx, j, now.Add(requestedHold(r.Msg, j)))
 	switch {
 	case eris.Is(err, balance.ErrStillWaiting):
 		return nil, connect.NewError(connect.CodeAborted, err)
@@ -87,6 +96,8 @@
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	case eris.Is(err, balance.ErrSuspectRefused):
 		return nil, connect.NewError(connect.CodePermissionDenied, err)
+	case eris.Is(err, balance.ErrNoTarget):
+		return nil, connect.NewError(connect.CodeNotFound, err)
 	case eris.Is(err, balance.ErrCannotMeetDeadline):
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
 	case err != nil:
