Boxes that start take their copy of the store's topics from other boxes

Cause: each box read all targets and the configuration from the store when it started, two calls a box, before it had heard of any other.

Change: a box that starts waits for a copy of others and its confirmation, 3 s times its jitter while nobody offers one, 6 s once somebody does. The seeds read at once, so that others hear of a copy with their first query. A request that arrives before makes its box read at once and is held until then, for 500 ms at most: it used to be refused. Boxes encode at most eight answers for others at a time, so that a collector can pass whole topics on to a hall that starts together.

With callers at every box, which the other scenarios of the model now say, each reads at once as before.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -59,6 +59,9 @@
 	Jitter float64
 	// Peers fetches changes from other boxes; nil if there are none.
 	Peers Peers
+	// AwaitsPeers is set if this box, when it starts, leaves the first read to other boxes for a
+	// while, unless Await is called.
+	AwaitsPeers bool
 
 	mu        sync.Mutex
 	loaded    bool
@@ -68,6 +71,8 @@
 	confirmedAt time.Time
 	pulling     bool // pulling is set while a change is fetched from another box.
 	relying     bool // relying is set while other boxes read the store for this one.
+	offered     bool // offered is set once another box has offered changes.
+	awaited     bool // awaited is set once callers wait for this box.
 
 	failingSince time.Time
 	failures     int
@@ -92,6 +97,13 @@
 	minPullInterval = 150 * time.Millisecond
 	// pullTimeout bounds the call to another box.
 	pullTimeout = time.Second
+	// startWait, times Jitter, is how long a box that starts waits for an offer of other boxes. Once
+	// it has one, it waits up to offeredStartWait for their copy of the topic: the boxes of a hall
+	// that start together get it from their collector, some after the others.
+	startWait        = 3 * time.Second
+	offeredStartWait = 6 * time.Second
+	// startPollInterval is how often a box that starts checks whether the wait is over.
+	startPollInterval = 20 * time.Millisecond
 	// defaultMaxDelay is MaxDelay if none is set.
 	defaultMaxDelay = 2 * time.Second
 )
@@ -107,6 +119,7 @@
 
 // Serve follows the topic until ctx ends.
 func (f *Follower) Serve(ctx context.Context) error {
+	f.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if f.reliesOnOthers() {
 			clock.Sleep(ctx, f.Clock, ageCheckInterval)
@@ -136,9 +149,41 @@
 	return ctx.Err()
 }
 
+// awaitPeers waits after the start until another box has passed on its copy of the topic and
+// confirmed it, or this box has to read the store: for its callers, for other boxes, or because
+// nobody has passed on a copy in time.
+func (f *Follower) awaitPeers(ctx context.Context) {
+	started := f.Clock.Now()
+	for f.mayAwaitPeers(f.Clock.Now().Sub(started)) {
+		if !clock.Sleep(ctx, f.Clock, startPollInterval) {
+			return
+		}
+	}
+}
+
+func (f *Follower) mayAwaitPeers(waited time.Duration) bool {
+	if !f.AwaitsPeers || f.Peers == nil || f.role() != RolePassive {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limit := time.Duration(f.Jitter * float64(startWait))
+	if f.offered {
+		limit = offeredStartWait
+	}
+	return !f.awaited && !(f.loaded && f.age() >= 0) && waited < limit
+}
+
+// Await reports that callers wait for this box, so that it reads the store at once if it has just
+// started.
+func (f *Follower) Await() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awaited = true
+}
+
 // reliesOnOthers reports whether this box leaves the reading to other boxes, and logs when that
-// changes. A box that starts reads at once: until it has, it refuses callers who waited for its
-// restart, which costs them a try. 300 boxes that start make 600 calls for this.
+// changes.
 func (f *Follower) reliesOnOthers() bool {
 	role := f.role()
 	age := f.Age()
@@ -197,6 +242,7 @@
 func (f *Follower) Offer(ctx context.Context, addr string, changed barleystep.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.offered = f.offered || changed != 0
 	if f.pulling || f.Peers == nil || changed == 0 || (f.loaded && changed <= f.revision) {
 		return
 	}
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 // unavailableRetryAfter is the Retry-After of a box that cannot serve yet or any more. It is short
@@ -15,11 +16,43 @@
 
 // route finds the route of the request and computes its deadline.
 type route struct {
+	clock         barleystep.Clock
 	configuration Configuration
+	loader        Loader
+}
+
+// Loader tells whether the box has read what it needs to serve callers.
+type Loader interface {
+	// Loaded reports whether it has.
+	Loaded() bool
+	// Await reports that a caller waits for it.
+	Await()
+}
+
+const (
+	// loadTimeout bounds the wait of a request at a box that has just started, which reads what it
+	// needs in some tens of milliseconds.
+	loadTimeout = 500 * time.Millisecond
+	// loadPollInterval is how often such a request checks whether the box has.
+	loadPollInterval = 10 * time.Millisecond
+)
+
+// awaitLoad waits until the box has read what it needs, for at most loadTimeout.
+func (s *route) awaitLoad(ctx context.Context, x *Exchange) {
+	if s.loader == nil || s.loader.Loaded() {
+		return
+	}
+	s.loader.Await()
+	for s.clock.Now().Sub(x.started) < loadTimeout && !s.loader.Loaded() {
+		if !clock.Sleep(ctx, s.clock, loadPollInterval) {
+			return
+		}
+	}
 }
 
 // Run refuses requests for which there is no route.
 func (s *route) Run(ctx context.Context, x *Exchange, next Next) error {
+	s.awaitLoad(ctx, x)
 	x.view = s.configuration.View()
 	if x.view == nil {
 		return notRunRefusal(barleystep.ReasonNoConfiguration, "No configuration is known yet.", unavailableRetryAfter)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -30,11 +30,13 @@
 	Clock         barleystep.Clock
 	Protocol      barleystep.Protocol
 	Configuration Configuration
-	Balancer      *balance.Balancer
-	Pool          *conn.Pool
-	Budget        *budget.Budget
-	Meter         *metric.Meter
-	Log           *log.Logger
+	// Loader tells whether the box has read what it needs; nil if it always has.
+	Loader   Loader
+	Balancer *balance.Balancer
+	Pool     *conn.Pool
+	Budget   *budget.Budget
+	Meter    *metric.Meter
+	Log      *log.Logger
 
 	freshness atomic.Int64
 	pipeline  Pipeline
@@ -63,7 +65,7 @@
 	}
 	s.Balancer.Suspects.NotifyRefused(s.cancelRefused)
 	s.pipeline = Pipeline{
-		&route{configuration: s.Configuration},
+		&route{clock: s.Clock, configuration: s.Configuration, loader: s.Loader},
 		&authenticate{freshness: &s.freshness},
 		&read{},
 		s.deliver,
--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
@@ -18,8 +19,28 @@
 type Server struct {
 	// Followers maps each topic to its follower.
 	Followers map[barleystep.Topic]*follow.Follower
+
+	once  sync.Once
+	slots chan struct{}
 }
 
+// maxConcurrentAnswers bounds the answers that are encoded at a time: a collector has to pass on
+// whole topics to all boxes of its hall when they start together.
+const maxConcurrentAnswers = 8
+
+// acquire waits for a slot to encode an answer; it returns an error if ctx ends first.
+func (s *Server) acquire(ctx context.Context) error {
+	s.once.Do(func() { s.slots = make(chan struct{}, maxConcurrentAnswers) })
+	select {
+	case s.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Server) release() { <-s.slots }
+
 // wireTopics maps each topic to its enum value on the wire.
 var wireTopics = map[barleystep.Topic]gossipv1.Topic{
 	barleystep.TopicConfiguration: gossipv1.Topic_TOPIC_CONFIGURATION,
@@ -50,7 +71,11 @@
 
 // GetChanges returns the changes of a topic after the requested revision. The error has the
 // code Unavailable if the topic has not been read or has no follower.
-func (s *Server) GetChanges(_ context.Context, r *connect.Request[gossipv1.GetChangesRequest]) (*connect.Response[gossipv1.GetChangesResponse], error) {
+func (s *Server) GetChanges(ctx context.Context, r *connect.Request[gossipv1.GetChangesRequest]) (*connect.Response[gossipv1.GetChangesResponse], error) {
+	if err := s.acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer s.release()
 	for topic, name := range wireTopics {
 		f := s.Followers[topic]
 		if name != r.Msg.GetTopic() || f == nil {
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -95,6 +95,9 @@
 		l.done.Go(func() { _ = l.plane.Archive().Serve(ctx) })
 		l.balancer.Lead = &lead.Client{Clock: b, HTTP: &http.Client{Transport: b}, Addr: l.plane.Node().Lead, Log: quiet}
 	}
+	if !b.simulation.scenario.idle {
+		l.plane.Await()
+	}
 	mux.Handle(l.plane.Handler())
 	l.handler = mux
 	l.done.Go(func() { _ = l.plane.Node().Serve(ctx) })
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -80,12 +81,22 @@
 		HallBoxes: p.node.HallBoxCount,
 		Jitter:    p.Box.Jitter(),
 		Peers:     &gossip.Client{HTTP: p.HTTP},
+		// The seeds read at once, so that the others hear of a copy with their first queries.
+		AwaitsPeers: len(p.Seeds) > 0 && !slices.Contains(p.Seeds, p.Addr),
 	}
 	p.followers[topic] = f
 	p.node.Topics = append(p.node.Topics, f)
 }
 
-// role returns this box's role in reading the store.
+// Await reports that callers wait for this box: if it has just started, it reads the store at once
+// instead of waiting for other boxes.
+func (p *Plane) Await() {
+	for _, f := range p.followers {
+		f.Await()
+	}
+}
+
+// duty returns this box's role in reading the store.
 func (p *Plane) duty() follow.ReaderRole {
 	switch {
 	case p.node.IsLead():
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -262,6 +262,52 @@
 	want{collectors: 1, leads: 1, complete: true, workAge: 300 * ms, confirmationAge: 1600 * ms, readyAt: 200 * ms, calls: 700}.check(t, r)
 }
 
+// TestStartWithoutCallers checks that boxes that start together while no callers wait, or some time
+// after the others, read the store only where they must, and are ready within some seconds. With
+// callers, each box reads at once (TestControlPlane).
+func TestStartWithoutCallers(t *testing.T) {
+	cases := map[string]struct {
+		scenario scenario
+		readyAt  time.Duration
+		reads    int // reads bounds the reads of whole topics.
+	}{
+		"one":             {scenario{halls: 1, boxes: 1}, 100 * ms, 2},
+		"nine":            {scenario{halls: 3, boxes: 9}, time.Second, 8},
+		"a hundred":       {scenario{halls: 5, boxes: 100, loss: 0.025}, 3 * time.Second, 30},
+		"three hundred":   {scenario{halls: 5, boxes: 295, loss: 0.025}, 3 * time.Second, 40},
+		"all are killed":  {scenario{halls: 5, boxes: 100, events: at4(killAll)}, 7 * time.Second, 60},
+		"half are killed": {scenario{halls: 5, boxes: 100, events: at4(restartHalf)}, 5 * time.Second, 40},
+		"no seeds":        {scenario{halls: 5, boxes: 100, events: at4(losePower)}, 5 * time.Second, 230},
+		"the store is away": {scenario{halls: 5, boxes: 100, events: []event{
+			{0, rejectCalls(all)}, {2 * time.Second, rejectCalls(nil)},
+		}}, 5 * time.Second, 40},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tc.scenario.idle, tc.scenario.duration, tc.scenario.measureFrom = true, 9*time.Second, 9*time.Second
+			r := simulate(t, tc.scenario)
+			t.Log(r)
+			c := quicktest.New(t)
+			c.Check(r.readyAt, quicktest.Not(quicktest.Equals), time.Duration(0))
+			c.Check(r.readyAt <= tc.readyAt, quicktest.IsTrue, quicktest.Commentf("ready after %s", r.readyAt))
+			reads := r.callsByKind["fetch configuration"] + r.callsByKind["fetch targets"]
+			c.Check(reads <= tc.reads, quicktest.IsTrue, quicktest.Commentf("%d reads: %v", reads, r.callsByKind))
+		})
+	}
+}
+
+// restartHalf kills every second box and starts it a moment later.
+func restartHalf(d *simulation) {
+	d.result.readyAt = 0
+	for i, b := range d.boxes {
+		if i/d.scenario.halls%2 == 0 {
+			b.kill()
+			time.AfterFunc(sampleInterval, b.start)
+		}
+	}
+}
+
 func (w want) check(t *testing.T, r result) {
 	c := quicktest.New(t)
 	c.Check(r.collectors <= w.collectors, quicktest.IsTrue, quicktest.Commentf("simultaneous collectors of a hall: %d", r.collectors))
--- a/internal/plane/simulation_test.go
+++ b/internal/plane/simulation_test.go
@@ -38,6 +38,8 @@
 	measureFrom time.Duration
 	// load, if set, generates requests during the simulation.
 	load workload
+	// idle is set if no callers wait for boxes that start.
+	idle bool
 }
 
 // workload sends requests to simulated targets through boxes with real balancers.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -151,6 +151,7 @@
 		Clock:         r.Clock,
 		Protocol:      r.Protocol,
 		Configuration: r.configuration,
+		Loader:        loader{r},
 		Balancer:      r.balancer,
 		Pool:          r.pool,
 		Budget:        r.budget,
@@ -290,6 +291,17 @@
 	}
 }
 
+// loader implements front.Loader.
+type loader struct{ router *Router }
+
+// Loaded reports whether the configuration and the targets are known, and were confirmed once.
+func (l loader) Loaded() bool {
+	return l.router.configuration.View() != nil && l.router.targets.Loaded() && l.router.configuration.Age() >= 0
+}
+
+// Await reports that a caller waits for the box.
+func (l loader) Await() { l.router.plane.Await() }
+
 // janitor drops expired connections and state about targets.
 type janitor struct{ router *Router }
 
