--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -92,7 +92,7 @@
 		if t.Evacuated {
 			counts["evacuated"]++
 		}
-		if t.ColdUntil.After(r.Clock.Now()) {
+		if !t.ColdUntil.IsZero() && r.Clock.Now().Before(t.ColdUntil) {
 			counts["cold"]++
 		}
 		if view != nil && view.Service(t.Service) == nil {
