gossip: a collector sends its sums in parts where a hall is large

Cause: a sum names every target with work and went whole to every box of the hall, encoded anew for each, since it names its receiver: boxes times targets. At 1,000 boxes and 1,000 targets in five halls that is 323 kB/s at an ordinary box and 12.5 MB/s from a collector.

Change: beyond 20,000 entries a tick a sum is divided into equal ranges of target hashes, of at most 100 entries, sent in turn every third tick. A box puts them together and subtracts its own work from the part that holds it. What is the same for all receivers is encoded once (protobuf encodings merge when joined). Successors get something at every tick, small parts between the others. A datagram that no socket takes is dropped, counted and logged once. Boxes that take no parts (takes_parts) get whole sums as before. Smaller halls are served as before.

Weighed: changes since the last acknowledged sum (state for each pair of boxes, and all that changes is what counts); a tree through strong boxes (one more hop of age and of failure for each sum).

--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -28,6 +28,7 @@
 	// unansweredSince is when the first query without an answer was sent, zero if there is
 	// none.
 	unansweredSince time.Time
+	takesParts      bool // takesParts is set if it takes sums in parts.
 	alive           bool // alive is set while its datagrams arrive.
 	leaving         bool
 	// peerSent is the send time of its last datagram on its clock, and receivedAt the arrival
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -89,6 +89,8 @@
 	fanout int
 	// rotation counts the sums that were sent to the own hall.
 	rotation int
+	// oversized counts the datagrams that were too large to be sent.
+	oversized int
 }
 
 const (
@@ -111,13 +113,6 @@
 	// seedTicks is the number of ticks between queries to the seeds while no collector is
 	// heard. 300 boxes that start together query each seed 1,500 times a second in total.
 	seedTicks = 4
-	// maxSumEntries bounds the target entries that a collector sends to its hall per tick, over
-	// all boxes, some 210 kB. With more boxes or targets it sends its sums less often, but at
-	// least every maxSumTicks ticks, so that neither its link nor its processor saturates. In
-	// simulation, reports in a hall of 59 boxes have a median age of 130 ms; with sums every
-	// five ticks it was 200 ms.
-	maxSumEntries = 10_000
-	maxSumTicks   = 5
 	// successors is how many of the next candidates a collector names in its sums. They receive
 	// the sums at every tick, so that they detect its failure quickly and reliably.
 	// namedInRotation is how many other boxes are named each time, so that all are named within
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -24,7 +24,7 @@
 	}
 	m.sequence = d.GetSequence()
 	m.peerSent, m.receivedAt = d.GetSentNs(), now
-	m.leaving, m.strength = d.GetLeaving(), d.GetStrength()
+	m.leaving, m.strength, m.takesParts = d.GetLeaving(), d.GetStrength(), d.GetTakesParts()
 	n.storeWork(m, d, now)
 	if d.GetAsks() {
 		n.answer(m, now)
@@ -105,8 +105,13 @@
 		m.hallSumAt = now
 		n.storeNamed(m, d, now)
 	case gossipv1.Scope_SCOPE_ALL:
-		n.subtractOwn(s, d)
-		m.allWork, m.allAt, m.sumAt = s, now, now
+		if d.GetParts() > 1 {
+			n.storePart(m, s, d, now)
+		} else {
+			n.subtractOwn(s, d)
+			m.allWork = s
+		}
+		m.allAt, m.sumAt = now, now
 		m.boxes = int(d.GetBoxes())
 		m.leadAddr = d.GetLeadAddr()
 		n.storeNamed(m, d, now)
@@ -151,7 +156,11 @@
 		if barleystep.BoxID(o.GetBox()) != n.Box || o.GetIncarnation() != n.incarnation {
 			continue
 		}
-		if own, ok := n.sent[o.GetSequence()]; ok {
+		own, ok := n.sent[o.GetSequence()]
+		if ok && d.GetParts() > 1 {
+			own = partOf(d).of(own)
+		}
+		if ok {
 			s.Remove(own)
 		}
 		return
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -119,30 +119,6 @@
 	}
 }
 
-// sendTotal sends the total of all halls to the own hall's boxes: to the successors at every
-// tick, to all others every sumIntervalTicks ticks.
-func (n *Node) sendTotal(d *datagram, members []*gossipv1.Member, now time.Time) {
-	rotation := n.ticks%sumIntervalTicks(len(members), len(d.GetWork())) == 0
-	if rotation {
-		n.rotation++
-	}
-	others := n.otherCollectors(now)
-	for _, m := range n.members {
-		if m.hall != n.Hall || !m.alive {
-			continue
-		}
-		isSuccessor := containsBox(members[:min(successors, len(members))], m.box)
-		if !rotation && !isSuccessor {
-			continue
-		}
-		d.Members = n.namedMembers(members, m.box)
-		if isSuccessor {
-			d.Members = append(d.Members, others...)
-		}
-		n.send(d, now, m)
-	}
-}
-
 // otherCollectors returns the collectors of the other halls.
 func (n *Node) otherCollectors(now time.Time) []*gossipv1.Member {
 	var list []*gossipv1.Member
@@ -198,21 +174,13 @@
 	return list[:min(successors, len(list))]
 }
 
-// sumIntervalTicks returns the number of ticks between sums over the given number of targets to
-// the given number of boxes.
-func sumIntervalTicks(boxes, targets int) int { return min(1+boxes*targets/maxSumEntries, maxSumTicks) }
-
-// namedMembers returns the members to name to a receiver: itself, so that it can subtract its
-// own work, the successors, and some others in rotation.
-func (n *Node) namedMembers(members []*gossipv1.Member, receiver barleystep.BoxID) []*gossipv1.Member {
+// namedMembers returns the members to name to all receivers: the successors, and some others in
+// rotation.
+func (n *Node) namedMembers(members []*gossipv1.Member) []*gossipv1.Member {
 	list := slices.Clone(members[:min(successors, len(members))])
 	rest := members[len(list):]
-	for i, m := range rest {
-		next := n.rotation * namedInRotation % len(rest)
-		inTurn := (i-next+len(rest))%len(rest) < namedInRotation
-		if inTurn || m.GetBox() == string(receiver) {
-			list = append(list, m)
-		}
+	for i := range min(namedInRotation, len(rest)) {
+		list = append(list, rest[(n.rotation*namedInRotation+i)%len(rest)])
 	}
 	return list
 }
@@ -285,6 +253,7 @@
 		Sequence:    n.sequence,
 		Leaving:     n.leaving,
 		Strength:    n.currentStrength(now),
+		TakesParts:  true,
 	}
 }
 
@@ -292,25 +261,50 @@
 // taken at the same time, so a process that stalls afterwards states nothing that was false
 // then.
 func (n *Node) send(d *datagram, now time.Time, m *member) {
-	d.SentNs = int64(now.Sub(n.origin))
-	d.Topics = d.Topics[:0]
+	d.SentNs, d.Topics = int64(now.Sub(n.origin)), n.topicStates()
+	n.setEcho(d, now, m)
+	n.write(d, m.addr)
+}
+
+// topicStates returns how far this box has read each topic. Ages are read after the time of the
+// datagram was taken, so they are at least the ages at that time.
+func (n *Node) topicStates() []*gossipv1.TopicState {
+	states := make([]*gossipv1.TopicState, 0, len(n.Topics))
 	for i, t := range n.Topics {
-		// The age is read after now was taken, so it is at least the age at now.
 		changed, age := t.State()
-		d.Topics = append(d.Topics, &gossipv1.TopicState{Changed: uint64(changed), ProofAgeNs: int64(age), Format: formats[topicAt(i)]})
+		states = append(states, &gossipv1.TopicState{Changed: uint64(changed), ProofAgeNs: int64(age), Format: formats[topicAt(i)]})
 	}
+	return states
+}
+
+// setEcho sets what a datagram echoes of the receiver's last one.
+func (n *Node) setEcho(d *datagram, now time.Time, m *member) {
 	d.EchoNs, d.HeldNs, d.EchoIncarnation = 0, 0, 0
 	if m.peerSent != 0 {
 		d.EchoNs, d.HeldNs, d.EchoIncarnation = m.peerSent, int64(now.Sub(m.receivedAt)), m.incarnation
 	}
-	n.write(d, m.addr)
 }
 
 func (n *Node) write(d *datagram, addr netip.AddrPort) {
 	data, err := proto.Marshal(d)
-	if err != nil {
+	n.writeEncoded(data, err, addr)
+}
+
+// maxSentBytes is the largest datagram that UDP over IPv4 carries.
+const maxSentBytes = 65_507
+
+// writeEncoded sends an encoded datagram. One that is too large is dropped, counted, and logged the
+// first time.
+func (n *Node) writeEncoded(data []byte, err error, addr netip.AddrPort) {
+	switch {
+	case err != nil:
 		n.Log.Error().Err(err).Msg(logPrefix + "Cannot encode a datagram.")
 		return
+	case len(data) > maxSentBytes:
+		if n.oversized++; n.oversized == 1 {
+			n.Log.Error().Str("to", addr.String()).Int("bytes", len(data)).Msg(logPrefix + "A datagram is too large to be sent.")
+		}
+		return
 	}
 	if err := n.socket.WriteTo(data, addr); err != nil {
 		n.Log.Debug().Str("to", addr.String()).Err(err).Msg(logPrefix + "Cannot send a datagram.")
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -33,6 +33,8 @@
 	addr       netip.AddrPort
 	linkBytes  float64 // linkBytes is the capacity of its link in bytes per second.
 	strength   uint32
+	// sent and received count bytes of datagrams and calls, guarded by the network's lock.
+	sent, received int
 
 	mu     sync.Mutex
 	socket *socket
@@ -233,7 +235,7 @@
 	return s
 }
 
-func (b *box) key() balance.Key { return balance.Key(b.index + 1) }
+func (b *box) key() balance.Key { return balance.KeyOf(b.name) }
 
 // SetOthers stores the snapshot of the other boxes.
 func (b *box) SetOthers(s balance.Snapshot) {
--- a/internal/plane/network_test.go
+++ b/internal/plane/network_test.go
@@ -86,7 +86,7 @@
 // WriteTo sends a datagram through the links of both boxes.
 func (s *socket) WriteTo(data []byte, addr netip.AddrPort) error {
 	n := s.box.simulation.network
-	to := n.count(addr, len(data))
+	to := n.count(s.box, addr, len(data))
 	if to == nil || n.isCut(s.box, to) || n.random(s, addr, 1) < n.loss {
 		return nil
 	}
@@ -131,9 +131,13 @@
 	})
 }
 
-func (n *network) count(addr netip.AddrPort, size int) *box {
+func (n *network) count(from *box, addr netip.AddrPort, size int) *box {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	from.sent += size
+	if to := n.boxes[addr]; to != nil {
+		to.received += size
+	}
 	n.datagrams++
 	n.bytes += size
 	n.largest = max(n.largest, size)
@@ -183,7 +187,7 @@
 // RoundTrip performs an HTTP call from this box to another one.
 func (b *box) RoundTrip(r *http.Request) (*http.Response, error) {
 	n := b.simulation.network
-	to := n.count(netip.MustParseAddrPort(r.URL.Host), 0)
+	to := n.count(b, netip.MustParseAddrPort(r.URL.Host), 0)
 	if to == nil || n.isCut(b, to) || n.isCut(to, b) {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
@@ -200,7 +204,7 @@
 	}
 	answer := httptest.NewRecorder()
 	handler.ServeHTTP(answer, r)
-	n.count(b.addr, answer.Body.Len())
+	n.count(to, b.addr, answer.Body.Len())
 	sleep(n.delay(to, b) + to.currentSocket().transmit(answer.Body.Len()) + b.currentSocket().transmit(answer.Body.Len()))
 	if err := r.Context().Err(); err != nil {
 		return nil, err
