budget: a share of less than one retry is rounded up at a part of the boxes

Cause: each box had 0.4/n of the additional retries and 0.16 for each of its own requests, rounded down. With 984 boxes and 1.7 requests a box in ten seconds that is 0.69, so that no box ever sent a request to a second target: what holds while the fleet is small.

Change: a box rounds up where a hash of its name is below the fraction, so that the shares of all boxes add up. It rounds alike in each window; rounding anew in each would allow two retries in a window between them.

Weighed: counting all boxes' retries through the gossip (news of 0.05 to 1 s, and what is known of a cut-off side); asking the lead, which does not place requests of plain services; saving up fractions over time (all boxes would have one saved up at the same moment, more than the budget).

Measured (TestSharesBelowOne): 1,000 and 2,000 boxes grant between 0.35 and 1 of the budget, none before. The sum over boxes varies by some 16 at 1,000 boxes; the reserve (0.2 of the ratio, 0.6 of the additional retries) covers it unless there are no additional retries and under some 500 requests in the window.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -3,6 +3,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	Window time.Duration
 	// BoxCount returns how many boxes share the budget.
 	BoxCount func() int
+	// Box is the name of this box. It decides which boxes round a fractional share up.
+	Box barleystep.BoxID
 
 	mu       sync.Mutex
 	start    time.Time
@@ -110,6 +113,18 @@
 	b.serviceCounts(service).requests.add(b.bucket())
 }
 
+// round rounds a share to whole retries. It rounds up at as many boxes, by a hash of their names, as
+// the fraction says, so that the shares of all boxes add up to what they are together: with many
+// boxes each share is below one. A box rounds alike in each window, since a retry late in one and
+// another early in the next would be two in a window between them.
+func (b *Budget) round(service string, share float64) float64 {
+	whole := math.Floor(share)
+	if barleystep.BoxID(string(b.Box)+"/"+service).Jitter() < share-whole {
+		whole++
+	}
+	return whole
+}
+
 // AllowRetry reports whether a request may be sent once more, and counts the retry if so.
 func (b *Budget) AllowRetry(service string) bool {
 	boxes := max(b.BoxCount(), 1)
@@ -117,8 +132,8 @@
 	defer b.mu.Unlock()
 	a := b.serviceCounts(service)
 	bucket := b.bucket()
-	allowed := ratioShare*b.ratio*a.requests.sum(bucket) + extraShare*b.extra/float64(boxes)
-	if a.retries.sum(bucket)+1 > allowed {
+	share := ratioShare*b.ratio*a.requests.sum(bucket) + extraShare*b.extra/float64(boxes)
+	if a.retries.sum(bucket)+1 > b.round(service, share) {
 		return false
 	}
 	a.retries.add(bucket)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,12 +1,14 @@
 package budget_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/budget"
 	"github.com/barleystep/barleystep/internal/clock"
 )
@@ -49,6 +51,49 @@
 	}
 }
 
+// TestSharesBelowOne checks that boxes whose share of the budget is below one retry together make use
+// of most of their shares, and never of more than the whole budget. With the share rounded down, none
+// of them ever sent a request twice.
+func TestSharesBelowOne(t *testing.T) {
+	cases := map[string]struct {
+		boxes    int
+		requests int // requests is the number of each box's requests in the window.
+		extra    float64
+	}{
+		"a thousand boxes":          {1000, 2, 1000},
+		"two thousand":              {2000, 2, 1000},
+		"no additional retries":     {1000, 2, 0},
+		"two thousand, only a few":  {2000, 1, 300},
+		"three hundred, many calls": {300, 50, 900},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			granted := 0
+			for i := range tc.boxes {
+				manual := clock.NewManual(time.Unix(1000, 0))
+				b := &budget.Budget{
+					Clock: manual, Window: window, Box: barleystep.BoxID(fmt.Sprint("box-", i)),
+					BoxCount: func() int { return tc.boxes },
+				}
+				b.SetLimits(0.2, tc.extra)
+				for range tc.requests {
+					b.CountRequest("s")
+				}
+				for range 2 * tc.requests {
+					manual.Advance(window / time.Duration(4*tc.requests))
+					if b.AllowRetry("s") {
+						granted++
+					}
+				}
+			}
+			limit := 0.2*float64(tc.boxes*tc.requests) + tc.extra
+			c.Check(float64(granted) <= limit, quicktest.IsTrue, quicktest.Commentf("%d of %.0f", granted, limit))
+			c.Check(float64(granted) >= 0.35*limit, quicktest.IsTrue, quicktest.Commentf("%d of %.0f", granted, limit))
+		})
+	}
+}
+
 // event is a request or a retry in TestFleetBound.
 type event struct {
 	at    time.Duration
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,7 +146,7 @@
 	}
 	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
 	r.targets.OnChange = r.dropRestarted
-	r.budget = &budget.Budget{Clock: r.Clock, Window: s.Retries.Window.Or(defaultWindow), BoxCount: r.plane.Node().BoxCount}
+	r.budget = &budget.Budget{Clock: r.Clock, Box: barleystep.BoxID(s.Box.ID), Window: s.Retries.Window.Or(defaultWindow), BoxCount: r.plane.Node().BoxCount}
 	r.front = &front.Server{
 		Clock:         r.Clock,
 		Protocol:      r.Protocol,
