gossip: a collector names as many boxes in a sum as its hall needs

Cause: three boxes besides the successors in each sum, which takes 10 s for a hall of 200 boxes and 20 s for one of 400; a box that is only named counts as alive for 15 s.

Change: as many as name all of them in half of that time.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -115,8 +115,7 @@
 	seedTicks = 4
 	// successors is how many of the next candidates a collector names in its sums. They receive
 	// the sums at every tick, so that they detect its failure quickly and reliably.
-	// namedInRotation is how many other boxes are named each time, so that all are named within
-	// seconds.
+	// namedInRotation is the least number of other boxes that are named each time.
 	successors      = 3
 	namedInRotation = 3
 	// namedTimeout is how long a box that others named counts as alive without a datagram of
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -174,13 +174,15 @@
 	return list[:min(successors, len(list))]
 }
 
-// namedMembers returns the members to name to all receivers: the successors, and some others in
-// rotation.
-func (n *Node) namedMembers(members []*gossipv1.Member) []*gossipv1.Member {
+// namedMembers returns the members to name to all receivers of sums that are sent every ticks ticks:
+// the successors, and some others in rotation, so many that each is named well within namedTimeout.
+func (n *Node) namedMembers(members []*gossipv1.Member, ticks int) []*gossipv1.Member {
 	list := slices.Clone(members[:min(successors, len(members))])
 	rest := members[len(list):]
-	for i := range min(namedInRotation, len(rest)) {
-		list = append(list, rest[(n.rotation*namedInRotation+i)%len(rest)])
+	sums := int(namedTimeout / 2 / (time.Duration(ticks) * tick))
+	named := max(namedInRotation, (len(rest)+sums-1)/sums)
+	for i := range min(named, len(rest)) {
+		list = append(list, rest[(n.rotation*named+i)%len(rest)])
 	}
 	return list
 }
--- a/internal/gossip/sum.go
+++ b/internal/gossip/sum.go
@@ -86,7 +86,7 @@
 	for _, m := range members {
 		s.members[barleystep.BoxID(m.GetBox())] = m
 	}
-	s.named = n.namedMembers(members)
+	s.named = n.namedMembers(members, plan.ticks)
 	d.SentNs, d.Topics = int64(now.Sub(n.origin)), n.topicStates()
 	others := n.otherCollectors(now)
 	for _, m := range n.members {
--- a/internal/gossip/sum_internal_test.go
+++ b/internal/gossip/sum_internal_test.go
@@ -147,6 +147,29 @@
 	c.Check(work[high].Short, quicktest.Equals, 8)
 }
 
+// TestAllNamedInTime checks that a collector names each box of a large hall to the others within half
+// of the time for which a box that is only named counts as alive.
+func TestAllNamedInTime(t *testing.T) {
+	for _, boxes := range []int{9, 59, 200, 400, 1000} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			var members []*gossipv1.Member
+			for i := range boxes {
+				members = append(members, &gossipv1.Member{Box: fmt.Sprint(i)})
+			}
+			ticks := planSums(boxes, 5*boxes).ticks
+			named := make(map[string]bool)
+			n := &Node{}
+			for range namedTimeout / 2 / (time.Duration(ticks) * tick) {
+				n.rotation++
+				for _, m := range n.namedMembers(members, ticks) {
+					named[m.GetBox()] = true
+				}
+			}
+			quicktest.Check(t, named, quicktest.HasLen, boxes)
+		})
+	}
+}
+
 // TestOversizedDatagram checks that a datagram that no socket takes is counted and not sent.
 func TestOversizedDatagram(t *testing.T) {
 	n, socket := newCollector(clock.NewManual(time.Unix(1000, 0)))
