--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -147,6 +147,7 @@
 	lead := &recordingLead{}
 	f.Lead = lead
 	j.Avoid = []barleystep.TargetID{"i-01"}
-	_, _, _ = f.TryPlace(context.Background(), j)
+	_, _, err := f.TryPlace(context.Background(), j)
+	c.Check(err, quicktest.IsNil)
 	c.Check(lead.avoided, quicktest.DeepEquals, j.Avoid)
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -171,7 +171,10 @@
 	if f.offered {
 		limit = offeredStartWait
 	}
-	return !f.awaited && !(f.loaded && f.age() >= 0) && waited < limit
+	if f.awaited || (f.loaded && f.age() >= 0) {
+		return false
+	}
+	return waited < limit
 }
 
 // Await reports that callers wait for this box, so that it reads the store at once if it has just
--- a/internal/gossip/sum.go
+++ b/internal/gossip/sum.go
@@ -78,16 +78,13 @@
 // sendTotal sends the total to the hall's boxes as planned. The successors get something at every
 // tick, so that they notice at once that the collector is silent: small parts between the others.
 func (n *Node) sendTotal(d *datagram, members []*gossipv1.Member, now time.Time) {
-	plan, oldPlan := planSums(len(members), len(d.GetWork())), planOldSums(len(members), len(d.GetWork()))
+	targets := len(d.GetWork())
+	plan, oldPlan := planSums(len(members), targets), planOldSums(len(members), targets)
 	if n.ticks%plan.ticks == 0 {
 		n.rotation++
 	}
-	s := &sumSender{node: n, now: now, total: d, members: make(map[barleystep.BoxID]*gossipv1.Member), encoded: make(map[part][]byte)}
-	for _, m := range members {
-		s.members[barleystep.BoxID(m.GetBox())] = m
-	}
-	s.named = n.namedMembers(members, plan.ticks)
-	d.SentNs, d.Topics = int64(now.Sub(n.origin)), n.topicStates()
+	s := n.newSumSender(d, members, plan, now)
+	next := members[:min(successors, len(members))]
 	others := n.otherCollectors(now)
 	for _, m := range n.members {
 		if m.hall != n.Hall || !m.alive {
@@ -97,21 +94,45 @@
 		if m.takesParts {
 			use = plan
 		}
-		isSuccessor := containsBox(members[:min(successors, len(members))], m.box)
+		isDue, isSuccessor := n.ticks%use.ticks == 0, containsBox(next, m.box)
 		switch {
-		case n.ticks%use.ticks == 0 && isSuccessor:
+		case isDue && isSuccessor:
 			s.send(m, part{n.rotation % use.parts, use.parts}, others)
-		case n.ticks%use.ticks == 0:
+		case isDue:
 			s.send(m, part{n.rotation % use.parts, use.parts}, nil)
-		case isSuccessor && m.takesParts:
-			count := partsOf(len(d.GetWork()), mostPartEntries)
-			s.send(m, part{n.ticks % count, count}, others)
 		case isSuccessor:
-			s.send(m, part{0, 1}, others)
+			s.send(m, n.smallPart(m, targets), others)
 		}
 	}
 }
 
+// newSumSender returns a sender of the total in d.
+func (n *Node) newSumSender(d *datagram, members []*gossipv1.Member, plan sumPlan, now time.Time) *sumSender {
+	s := &sumSender{
+		node:    n,
+		now:     now,
+		total:   d,
+		members: make(map[barleystep.BoxID]*gossipv1.Member),
+		named:   n.namedMembers(members, plan.ticks),
+		encoded: make(map[part][]byte),
+	}
+	for _, m := range members {
+		s.members[barleystep.BoxID(m.GetBox())] = m
+	}
+	d.SentNs, d.Topics = int64(now.Sub(n.origin)), n.topicStates()
+	return s
+}
+
+// smallPart returns the part of a sum that a successor gets between those that all get; the whole if
+// it takes no parts.
+func (n *Node) smallPart(m *member, targets int) part {
+	if !m.takesParts {
+		return part{0, 1}
+	}
+	count := partsOf(targets, mostPartEntries)
+	return part{n.ticks % count, count}
+}
+
 // partsOf returns the number of parts of at most the given number of entries.
 func partsOf(targets, entries int) int { return max((targets+entries-1)/entries, 1) }
 
