--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -68,7 +68,9 @@
 		if !eris.Is(err, balance.ErrStillWaiting) || ctx.Err() != nil {
 			return plan, err
 		}
-		hold = longPromptHold
+		if j.ColdLimit.IsSet() { // A new lead knows of cold targets, but may not have heard of stated limits.
+			hold = longPromptHold
+		}
 	}
 }
 
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -52,8 +52,8 @@
 
 // longPromptHold and shortPromptHold are how long a call is held while its prompt waits for
 // engines. With a shorter hold, a box notices a lost lead sooner; with a longer one, there are
-// fewer calls. A short prompt must still meet its objective after a call to a dead lead; once the
-// lead has answered that the prompt waits, it is held like a long one.
+// fewer calls. A short prompt must still meet its objective after a call to a dead lead; where
+// targets may be cold, it is held like a long one once the lead has answered that it waits.
 const (
 	longPromptHold  = 250 * time.Millisecond
 	shortPromptHold = 60 * time.Millisecond
