--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -8,10 +8,11 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
-// A target has a limit if it states one, or while it is cold. The limit holds over all boxes because one of them, the lead, places all requests of a
-// service with limited targets: what it places is taken from a token bucket that fills at the
-// limit's rate. Boxes need no agreement, and callers use up the limit whichever box they reach. A
-// part of a long prompt counts as a request to the target that prefills it, and so does each retry.
+// A target has a limit if it states one, or while it is cold. The limit holds over all boxes because
+// one of them, the lead, places all requests of a service with limited targets: what it places is
+// taken from a token bucket that fills at the limit's rate. Boxes need no agreement, and callers use
+// up the limit whichever box they reach. A part of a long prompt counts as a request to the target
+// that prefills it, and so does each retry.
 //
 // In any window of w seconds, over all boxes that know a limit of l requests a second:
 //
