--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -85,7 +85,7 @@
 	for _, r := range d.allRequests {
 		kind := d.scenario.Kinds[r.kind]
 		k := &res.Kinds[r.kind]
-		offeredWorth, servedWorth := kind.Worth*r.size, r.servedWorth(kind)
+		offeredWorth, servedWorth := kind.Worth*r.size, r.servedWorth(kind, d.scenario.FirstTryOnly)
 		k.Count++
 		k.OfferedWorth += offeredWorth
 		k.ServedWorth += servedWorth
@@ -127,7 +127,7 @@
 // servedWorth returns what the answer was worth to its caller: the full worth if it was in time,
 // the mean of full and late worth if the caller was refused early enough to retry and the retry was
 // in time, and the late worth otherwise.
-func (r *request) servedWorth(k Kind) float64 {
+func (r *request) servedWorth(k Kind, firstTryOnly bool) float64 {
 	switch {
 	case r.received < r.events:
 		return 0
@@ -135,7 +135,7 @@
 		return k.LateWorth * r.size
 	case r.first <= k.Objective:
 		return k.Worth * r.size
-	case r.refusedEarly && r.first-r.tryOffset <= k.Objective:
+	case r.refusedEarly && !firstTryOnly && r.first-r.tryOffset <= k.Objective:
 		return (k.Worth + k.LateWorth) / 2 * r.size
 	}
 	return k.LateWorth * r.size
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -67,6 +67,13 @@
 	// minimum age of a report. Zero means 50 ms for each.
 	GossipInterval time.Duration
 	GossipDelay    time.Duration
+	// Swing is the amplitude of a periodic change of all rates, as a fraction of their mean, and Period
+	// its period. Zero means none.
+	Swing  float64
+	Period time.Duration
+	// FirstTryOnly is set if a caller's objective counts from its first try also after an early
+	// refusal.
+	FirstTryOnly bool
 	// Limits are the periods in which engines state rate limits.
 	Limits []RateLimit
 }
@@ -104,6 +111,7 @@
 	{"one engine", func(rng *rand.Rand) Scenario { return draw(rng, 1) }},
 	{"sixty engines, turns", func(rng *rand.Rand) Scenario { return bursts(rng, 60, 8, 11) }},
 	{"a fifth over memory", overMemory},
+	{"half over memory", halfOverMemory},
 	{"engines leave in an outage", func(rng *rand.Rand) Scenario {
 		l := overMemory(rng)
 		l.OutageLoss = 0.25
@@ -202,6 +210,26 @@
 	return l
 }
 
+// halfOverMemory draws a scenario in which half of the long prompts need more than an engine's KV
+// cache, so that their prefill takes most of the engines' time. Bursts of short and of long prompts
+// alternate, on top of a periodic change of all rates.
+func halfOverMemory(rng *rand.Rand) Scenario {
+	l := bursts(rng, 78, 9, 10)
+	l.Boxes, l.Halls, l.FirstTryOnly = 66, 3, true
+	l.Swing, l.Period = 0.55, 17*time.Second
+	l.Cost = fleet.CostModel{
+		Slots: 12, KVTokens: 197_200, Step: millis(1.02), PerStream: millis(0.00226), PerContext: millis(0.00431),
+		PrefillRate: 206e3, PerMillionPairs: millis(0.138), PrefillChunk: 2048, Stride: 48, MeanOutputTokens: 1400,
+	}
+	l.Kinds = []Kind{
+		{Name: kindShort, Rate: 110, MeanPrompt: 4960, MeanEvents: 31, Spread: 0.8, Objective: 300 * time.Millisecond, MaxPause: millis(250), Deadline: 10 * time.Second, Worth: 1.3, LateWorth: 0.33},
+		{Name: kindMiddling, Rate: 7.5, MeanPrompt: 45e3, MeanEvents: 18, Spread: 0.5, Objective: 1500 * time.Millisecond, MaxPause: millis(600), Deadline: 10 * time.Second, Worth: 3.3, LateWorth: 0.83},
+		{Name: kindLong, Rate: 4.6, MeanPrompt: 190e3, MeanEvents: 15, Spread: 0.55, Objective: 3 * time.Second, MaxPause: millis(1000), Deadline: 15 * time.Second, Worth: 20, LateWorth: 5.1},
+	}
+	l.Cost.MeanPromptTokens = l.meanPrompt()
+	return l
+}
+
 // engineLoss draws a scenario of the largest known deployment on its worst days: hundreds of boxes
 // in front of engines of which a fifth crash while bursts of long prompts arrive. A fifth of the
 // long prompts exceed an engine's KV cache. Callers then ask for more than the capacity.
@@ -315,17 +343,21 @@
 }
 
 func (l Scenario) rateFactor(kind int, at time.Duration) float64 {
+	wave := 1.0
+	if l.Period > 0 {
+		wave += l.Swing * math.Sin(2*math.Pi*float64(at)/float64(l.Period))
+	}
 	if l.BurstLength == 0 {
-		return 1
+		return wave
 	}
-	return burstFactors[int(at/l.BurstLength)%len(burstFactors)][kind]
+	return wave * burstFactors[int(at/l.BurstLength)%len(burstFactors)][kind]
 }
 
 func (l Scenario) peakRateFactor(kind int) float64 {
 	if l.BurstLength == 0 {
-		return 1
+		return 1 + l.Swing
 	}
-	return max(burstFactors[0][kind], burstFactors[1][kind])
+	return (1 + l.Swing) * max(burstFactors[0][kind], burstFactors[1][kind])
 }
 
 // lognormal draws a factor of mean 1 with the given standard deviation.
