--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/schedule"
 )
 
 const (
@@ -23,9 +24,9 @@
 	helpers []fleet.Target
 	// kvTokens is the KV cache, in tokens, that each helper of an oversized prompt reserves.
 	kvTokens int
-	// wait is how long the engines still prefill other prompts, and expectedTTFT the expected time
-	// to the first event.
-	wait         time.Duration
+	// start is when all its engines have time for their parts, and expectedTTFT the expected time to
+	// the first event.
+	start        time.Duration
 	expectedTTFT time.Duration
 	// stallCost is the number of streams that are stalled for too long, weighted by their worth.
 	stallCost float64
@@ -77,14 +78,14 @@
 		decoders = engines
 	}
 	first := b.chooseDecoder(j, decoders)
-	others, risks := b.helperCandidates(j, first, r, prefill)
-	most := min(len(others), maxHelpers, int(prefill/minPart))
+	list := b.helperCandidates(j, first, r, prefill)
+	most := min(len(list), maxHelpers, int(prefill/minPart))
 	if j.NoHelpers {
 		most = 0
 	}
 	best, least := assignment{}, math.Inf(1)
 	for k := 0; k <= most; k++ {
-		g, ok := b.evaluate(j, first, others[:k], risks)
+		g, ok := b.evaluate(j, first, list, k)
 		if ok && g.cost < least {
 			best, least = g, g.cost
 		}
@@ -93,28 +94,36 @@
 	return best
 }
 
-// evaluate returns the assignment of the prompt to these engines with its cost. ok is false if the
-// helpers lack the KV cache for an oversized prompt.
-func (b *Balancer) evaluate(j Job, first fleet.Target, helpers []fleet.Target, risks []float64) (g assignment, ok bool) {
-	g = assignment{first: first, helpers: helpers, wait: b.totalWork(first.ID).Backlog}
+// evaluate returns the assignment of the prompt to the first engine and as many helpers of the list,
+// with its cost. ok is false if these lack the KV cache for an oversized prompt.
+func (b *Balancer) evaluate(j Job, first fleet.Target, list []helperCandidate, count int) (g assignment, ok bool) {
+	g.first = first
+	chosen := list[:count]
 	if isOversized(j) {
-		if g.kvTokens, ok = b.kvTokensPerHelper(j, helpers); !ok {
+		if g.kvTokens, chosen = b.withKVCache(j, list, count); len(chosen) < count || count == 0 {
 			return g, false
 		}
 	}
-	prefill := j.Cost.Prefill(j.PromptTokens) / time.Duration(len(helpers)+1)
+	prefill := j.Cost.Prefill(j.PromptTokens) / time.Duration(count+1)
 	g.transientStallCost = b.stallCost(j, first, prefill)
 	g.stallCost = g.transientStallCost
-	for i, t := range helpers {
-		stallCost := b.stallCost(j, t, prefill)
-		if risks[i] == 0 {
+	for _, c := range chosen {
+		g.helpers = append(g.helpers, c.target)
+		stallCost := b.stallCost(j, c.target, prefill)
+		if c.risk == 0 {
 			g.transientStallCost += stallCost
 		}
-		g.stallCost += stallCost + risks[i]
-		g.wait = max(g.wait, b.totalWork(t.ID).Backlog)
+		g.stallCost += stallCost + c.risk
 	}
-	g.expectedTTFT = g.wait + prefill + j.Cost.Pass()
-	g.cost = g.stallCost + latenessCost(j, b.waited(j)+g.expectedTTFT)
+	parts := b.scheduledParts(j, first, g.helpers)
+	g.start = schedule.Earliest(parts)
+	length, lost := time.Duration(0), time.Duration(0)
+	for _, p := range parts {
+		length = max(length, p.Length)
+		lost += g.start - p.Timeline.Free() + p.Length - prefill
+	}
+	g.expectedTTFT = g.start + length + j.Cost.Pass()
+	g.cost = g.stallCost + latenessCost(j, b.waited(j)+g.expectedTTFT) + b.lostTimePrice()*lost.Seconds()
 	return g, true
 }
 
@@ -137,21 +146,24 @@
 	return p
 }
 
-// helperCandidates returns the engines that may help, in ascending order of the cost of a part of
-// usual size, and the additional risk of each.
-func (b *Balancer) helperCandidates(j Job, first fleet.Target, r regions, prefill time.Duration) (targets []fleet.Target, risks []float64) {
+// helperCandidate is an engine that may prefill a part of a prompt.
+type helperCandidate struct {
+	target fleet.Target
+	// cost is the cost of a part of usual size there, and risk the part of it that stands for
+	// prompts that may still arrive.
+	cost float64
+	risk float64
+}
+
+// helperCandidates returns the engines that may help, in ascending order of their cost.
+func (b *Balancer) helperCandidates(j Job, first fleet.Target, r regions, prefill time.Duration) []helperCandidate {
 	usual := prefill / (maxHelpers / 2)
-	type candidate struct {
-		target fleet.Target
-		cost   float64
-		risk   float64
-	}
-	var list []candidate
+	var list []helperCandidate
 	add := func(pool []fleet.Target, risk float64) {
 		for _, t := range pool {
 			far := j.LocalHelpers && t.Hall != first.Hall
 			if t.ID != first.ID && !far && b.canHelp(t) {
-				list = append(list, candidate{t, b.partCost(j, t, usual) + risk, risk})
+				list = append(list, helperCandidate{t, b.partCost(j, t, usual) + risk, risk})
 			}
 		}
 	}
@@ -160,17 +172,13 @@
 	if isOversized(j) {
 		add(r.decoders, 0) // The KV cache of all engines may be needed.
 	}
-	available := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return b.inHelperBackoff(c.target) })
+	available := slices.DeleteFunc(slices.Clone(list), func(c helperCandidate) bool { return b.inHelperBackoff(c.target) })
 	if !isOversized(j) || fitsEngines(j, len(available)+1) {
 		list = available
 	}
 	b.shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
-	slices.SortStableFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
-	for _, c := range list {
-		targets = append(targets, c.target)
-		risks = append(risks, c.risk)
-	}
-	return targets, risks
+	slices.SortStableFunc(list, func(x, y helperCandidate) int { return cmp.Compare(x.cost, y.cost) })
+	return list
 }
 
 // canHelp reports whether an engine may be given a part of a prompt. An engine prefills parts
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -15,6 +15,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/schedule"
 	"github.com/barleystep/barleystep/internal/suspect"
 )
 
@@ -118,6 +119,9 @@
 	// Suspects records the requests under which targets have ended; it may be nil.
 	Suspects *suspect.Registry
 	Log      *log.Logger
+	// DispatchDelay is the time from the choice of the engines of a long prompt until these have
+	// it; zero means a default.
+	DispatchDelay time.Duration
 
 	mu     sync.Mutex
 	states map[barleystep.TargetID]*targetState
@@ -131,6 +135,11 @@
 	// those whose targets have all used up their rate limits.
 	shortQueue []*QueuedJob
 	longQueue  []*QueuedJob
+	// timelines are the engines' plans for the waiting long prompts, nextStart is when the earliest
+	// of these may be placed, and planned receives a value after the plan has changed.
+	timelines  map[barleystep.TargetID]*schedule.Timeline
+	nextStart  time.Time
+	planned    chan struct{}
 	limitQueue []*QueuedJob
 	// role is this box's role among all boxes.
 	role Role
@@ -241,26 +250,16 @@
 		b.noteLongDemand(j)
 		b.noteAsked(j)
 	}
-	p, h, err := b.placeNew(j)
+	if IsLongPrompt(j) && !j.isSuspect() {
+		return b.placeLong(j)
+	}
+	p, h, err := b.placeNow(j)
 	if p != nil || err != nil {
 		return p, nil, err
 	}
 	return b.enqueue(j, h)
 }
 
-// placeNew is placeNow for a job that has just arrived: a long prompt does not overtake those that
-// wait.
-func (b *Balancer) placeNew(j Job) (p *Placement, h holdReason, err error) {
-	candidates, h, err := b.usableTargets(j)
-	switch {
-	case h != holdNone || err != nil:
-		return nil, h, err
-	case IsLongPrompt(j) && !j.isSuspect() && b.hasWaiterBefore(j):
-		return nil, holdBehind, nil
-	}
-	return b.chooseTarget(j, candidates)
-}
-
 // placeNow chooses a target. If the job has to wait, it returns no placement and the reason.
 func (b *Balancer) placeNow(j Job) (p *Placement, h holdReason, err error) {
 	candidates, h, err := b.usableTargets(j)
@@ -294,23 +293,26 @@
 		p, h, err = b.placeSuspect(j, candidates)
 	case j.Cost == nil:
 		p = b.placePlain(j, candidates)
-	case isOversized(j):
-		p, h = b.placeOversized(j, candidates)
 	case IsLongPrompt(j):
-		p, h = b.placeLong(j, candidates)
+		p, h = b.placeLongNow(j, candidates)
 	default:
 		p, h = b.placeShort(j, candidates), holdSlots
 	}
 	if p == nil {
 		return nil, h, err
 	}
+	return b.placed(j, p), holdNone, nil
+}
+
+// placed counts a placement that was chosen and returns it.
+func (b *Balancer) placed(j Job, p *Placement) *Placement {
 	b.chargeLimits(j, p)
 	b.notePlaced(j)
 	b.record(p)
 	if !j.ForPeer {
 		p.probe()
 	}
-	return p, holdNone, nil
+	return p
 }
 
 // record adds a placement to the work of its targets.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -11,9 +11,10 @@
 	// longStreamMaxPause is the longest pause of a long prompt's own stream: its callers accept a
 	// few times what short streams may pause.
 	longStreamMaxPause = 350 * time.Millisecond
-	// longStreamStallCost is the cost of stalling the stream of a long prompt, where stalling a
-	// short one costs 1.
-	longStreamStallCost = 3.0
+	// shortStreamStallCost and longStreamStallCost are the costs of stalling the stream of a short
+	// and of a long prompt.
+	shortStreamStallCost = 2.0
+	longStreamStallCost  = 3.0
 	// shortRegionRisk is the cost of a prefill at an engine for short prompts that has none: one
 	// may be on its way.
 	shortRegionRisk = 2.0
@@ -44,7 +45,7 @@
 // partCost returns the cost of prefilling a part at the engine: the streams that it stalls, and the
 // lateness of the prompt.
 func (b *Balancer) partCost(j Job, t fleet.Target, prefill time.Duration) float64 {
-	return b.stallCost(j, t, prefill) + latenessCost(j, b.totalWork(t.ID).Backlog+prefill+j.Cost.Pass())
+	return b.stallCost(j, t, prefill) + latenessCost(j, b.timeline(t.ID).Earliest(0, prefill)+prefill+j.Cost.Pass())
 }
 
 // stallCost returns the number of the engine's streams that would pause for longer than they may if
@@ -54,7 +55,7 @@
 	pass := w.Backlog + prefill + j.Cost.Pass()
 	stallCost := 0.0
 	if float64(pass) > pauseBudgetPart*float64(j.MaxPause) {
-		stallCost += float64(w.Short)
+		stallCost += shortStreamStallCost * float64(w.Short)
 	}
 	if pass > longStreamMaxPause {
 		stallCost += longStreamStallCost * float64(w.Long)
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -66,10 +66,10 @@
 	d.add(b.Clock.Now(), prefill, long)
 }
 
-// noteLongDemand adds a long prompt to the demand when it first arrives. An oversized prompt counts
-// only once it is placed.
+// noteLongDemand adds a long prompt to the demand when it first arrives, whether it is placed or
+// not: if refused prompts did not count, refusals would lower the number of engines for the next.
 func (b *Balancer) noteLongDemand(j Job) {
-	if !IsLongPrompt(j) || isOversized(j) {
+	if !IsLongPrompt(j) {
 		return
 	}
 	b.noteDemand(j, j.Cost.Prefill(j.PromptTokens), true)
--- a/internal/balance/fairness.go
+++ b/internal/balance/fairness.go
@@ -30,9 +30,6 @@
 	sizePrior = 2
 	// lagThreshold is the part of the overall rate below which a class lags.
 	lagThreshold = 0.7
-	// maxLagTries bounds how many lagging prompts are tried in vain before others: each try
-	// compares assignments of many engines.
-	maxLagTries = 4
 )
 
 // sizeClass returns the size class of a long prompt.
--- a/internal/balance/holdreason.go
+++ b/internal/balance/holdreason.go
@@ -12,6 +12,8 @@
 	holdBehind
 	// holdPrefill means that its engines still prefill other prompts.
 	holdPrefill
+	// holdLate means that it can no longer be in time, and the engines are kept for others.
+	holdLate
 	// holdMemory means that its helpers lack KV cache.
 	holdMemory
 	// holdStreams means that the streams that it would stall are worth more, or end soon.
@@ -25,5 +27,5 @@
 
 // String returns the reason in words.
 func (h holdReason) String() string {
-	return [...]string{"not tried", "slots are taken", "behind another", "engines read", "memory is lacking", "streams are worth more", "limits are used up or targets rest", "a suspect runs"}[h]
+	return [...]string{"not tried", "slots are taken", "behind another", "engines read", "it would be late", "memory is lacking", "streams are worth more", "limits are used up or targets rest", "a suspect runs"}[h]
 }
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -200,7 +200,7 @@
 	g.placement.notePrefilled()
 	b.expirePeerPlacements()
 	clear(b.workCache)
-	b.serveQueue(&b.longQueue, len(b.longQueue))
+	b.planLongQueue()
 }
 
 // expirePeerPlacements releases the placements for peers that no longer count.
--- a/internal/balance/oversized.go
+++ b/internal/balance/oversized.go
@@ -1,7 +1,5 @@
 package balance
 
-import "github.com/barleystep/barleystep/internal/fleet"
-
 // maxKVPart is the part of an engine's KV cache that one prompt may take. A prompt that needs more
 // has its KV cache reserved at its helpers.
 const maxKVPart = 0.9
@@ -18,35 +16,20 @@
 	return float64(j.PromptTokens+j.OutputTokens) <= maxKVPart*float64(helpers*j.Cost.KVTokens)
 }
 
-// placeOversized places a prompt that exceeds an engine's KV cache and spreads the cache over its
-// helpers. It returns nothing while these prefill other prompts, or while the streams that it would
-// stall are worth more than the prompt.
-func (b *Balancer) placeOversized(j Job, engines []fleet.Target) (p *Placement, h holdReason) {
-	g := b.bestAssignment(j, engines)
-	gain := promptWorth(j)*(1+lateAnswerWorth) - latenessLoss(j, g.expectedTTFT)
-	switch {
-	case g.kvTokens == 0:
-		return nil, holdMemory
-	case g.wait > maxPrefillBacklog:
-		return nil, holdPrefill
-	case g.stallCost > gain:
-		return nil, holdStreams
+// withKVCache returns the KV cache that each of count helpers of an oversized prompt reserves, and the
+// first of the list that have as much free, at most count.
+func (b *Balancer) withKVCache(j Job, list []helperCandidate, count int) (tokens int, chosen []helperCandidate) {
+	if count == 0 {
+		return 0, nil
 	}
-	b.noteDemand(j, j.Cost.Prefill(j.PromptTokens), true)
-	return b.placeAssignment(j, g), holdNone
-}
-
-// kvTokensPerHelper returns the KV cache that each helper of an oversized prompt reserves; ok is
-// false if one of them has less free.
-func (b *Balancer) kvTokensPerHelper(j Job, helpers []fleet.Target) (tokens int, ok bool) {
-	if len(helpers) == 0 {
-		return 0, false
-	}
-	each := (j.PromptTokens+j.OutputTokens)/len(helpers) + 1
-	for _, t := range helpers {
-		if float64(b.totalWork(t.ID).KVTokens+each) > maxKVPart*float64(j.Cost.KVTokens) {
-			return 0, false
+	tokens = (j.PromptTokens+j.OutputTokens)/count + 1
+	for _, c := range list {
+		if len(chosen) == count {
+			break
+		}
+		if float64(b.totalWork(c.target.ID).KVTokens+tokens) <= maxKVPart*float64(j.Cost.KVTokens) {
+			chosen = append(chosen, c)
 		}
 	}
-	return each, true
+	return tokens, chosen
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -29,23 +29,13 @@
 	// shortTTFT is the approximate time to the first event of a short prompt on an engine with free
 	// slots.
 	shortTTFT = 110 * time.Millisecond
-	// maxWaitObjectives is how many objectives a prompt waits before it is refused; a long one
-	// waits that long only where the engines are not crowded. minWait is the least wait. Callers of
-	// streams give up after four objectives, and after two seconds at the earliest.
+	// maxWaitObjectives is how many objectives a prompt waits before it is refused, a long one only
+	// on its caller's last try. minWait is the least wait. Callers of streams give up after four
+	// objectives, and after two seconds at the earliest.
 	maxWaitObjectives = 3
 	minWait           = 1500 * time.Millisecond
-	// longWaitPart is the part of its objective, from its caller's first try, for which a long
-	// prompt waits for crowded engines: the rest is for its prefill.
-	longWaitPart = 0.6
-	// minLongWaitDivisor is the divisor of the objective that gives the least wait of a long
-	// prompt, also on a caller's retry.
+	// minLongWaitDivisor is the divisor of the objective that gives the least wait of a long prompt.
 	minLongWaitDivisor = 8
-	// oversizedWaitDivisor is the divisor of the objective that gives the wait of an oversized
-	// prompt before its caller is told to retry, while there is still time to serve it then.
-	oversizedWaitDivisor = 4
-	// uncrowdedUse is the demand, as a part of the engines' time, below which the engines are not
-	// crowded: jobs that wait are then served late rather than refused.
-	uncrowdedUse = 0.8
 	// newsShareDivisor is the divisor for the part of the waiting jobs that a box places at once on
 	// news of free slots: all boxes see the same slots.
 	newsShareDivisor = 4
@@ -124,11 +114,8 @@
 // or to be answered at all, and while the caller would still be there.
 func (b *Balancer) waitDeadline(j Job) time.Time {
 	until := j.Arrival.Add(max(maxWaitObjectives*j.Objective, minWait))
-	switch {
-	case isOversized(j):
-		until = j.oversizedDeadline()
-	case IsLongPrompt(j) && !b.isUncrowded(j):
-		until = j.crowdedDeadline()
+	if IsLongPrompt(j) && !j.CallerRetry {
+		until = j.firstTryDeadline()
 	}
 	if j.FirstEventDeadline.IsZero() {
 		return until
@@ -139,32 +126,16 @@
 	return until
 }
 
-// isUncrowded reports whether demand is so low that queued prompts are prefilled soon, if late.
-func (b *Balancer) isUncrowded(j Job) bool {
-	d := b.demand(j.Service)
-	return d.Short+d.Long < uncrowdedUse*float64(len(b.candidates(j)))
-}
-
-// crowdedDeadline returns until when a long prompt waits for crowded engines, given when its caller
-// first tried.
-func (j Job) crowdedDeadline() time.Time {
-	until := j.firstArrival().Add(time.Duration(longWaitPart * float64(j.Objective)))
+// firstTryDeadline returns until when a long prompt waits on its caller's first try: while it can be
+// in time. Its caller is then told to come back, and waits for longer on that last try.
+func (j Job) firstTryDeadline() time.Time {
+	until := j.firstArrival().Add(j.Objective - j.minTTFT())
 	if least := j.Arrival.Add(j.Objective / minLongWaitDivisor); until.Before(least) {
 		return least
 	}
 	return until
 }
 
-// oversizedDeadline returns until when an oversized prompt waits for engines that are idle enough.
-// Its caller is told early to retry and has no third try: the second one waits for as long as it
-// can still meet the objective by itself.
-func (j Job) oversizedDeadline() time.Time {
-	if j.CallerRetry {
-		return j.Arrival.Add(j.Objective - j.minTTFT())
-	}
-	return j.Arrival.Add(j.Objective / oversizedWaitDivisor)
-}
-
 // Abandon ends a wait. It returns ErrFull, or the result of the wait if that has just arrived.
 func (b *Balancer) Abandon(w *QueuedJob) (p *Placement, err error) {
 	b.mu.Lock()
@@ -235,7 +206,7 @@
 		shorts = (shorts + newsShareDivisor - 1) / newsShareDivisor
 	}
 	b.serveQueue(&b.shortQueue, shorts)
-	b.serveQueue(&b.longQueue, len(b.longQueue))
+	b.planLongQueue()
 	serveInOrder(b, &b.limitQueue, func(j Job) string { return j.Service })
 	serveInOrder(b, &b.trialQueue, func(j Job) suspect.Digest { return j.Suspect })
 }
@@ -258,53 +229,20 @@
 	*q = left
 }
 
-// serveQueue places queued jobs in order. Where one cannot be placed, neither can those behind it,
-// unless it needs more than they do.
+// serveQueue places at most the given number of queued jobs in order. Where one cannot be placed,
+// neither can those behind it.
 func (b *Balancer) serveQueue(q *[]*QueuedJob, most int) {
-	var left []*QueuedJob
 	for ; most > 0; most-- {
 		w := b.popNext(q)
 		if w == nil {
-			break
-		}
-		if w.isSkipped(len(left)) {
-			w.held = holdBehind
-			left = append(left, w)
-			continue
+			return
 		}
-		if b.serve(w) {
-			continue
-		}
-		left = append(left, w)
-		if !w.needsMore() {
+		if !b.serve(w) {
 			setHeld(*q, holdBehind)
-			break
+			*q = append(*q, w)
+			return
 		}
 	}
-	*q = append(*q, left...)
-}
-
-// needsMore reports whether the job may need more than those behind it: it is oversized, or goes
-// first because its size class lags.
-func (w *QueuedJob) needsMore() bool { return w.lag > 0 || isOversized(w.job) }
-
-// isSkipped reports whether the job is not tried after this many before it could not be placed.
-func (w *QueuedJob) isSkipped(failed int) bool {
-	if w.lag > 0 {
-		return failed >= maxLagTries
-	}
-	return failed > 0 && isOversized(w.job)
-}
-
-// hasWaiterBefore reports whether a long prompt of the same service waits that goes before the job
-// and needs no more: where it could not be placed, neither can the job.
-func (b *Balancer) hasWaiterBefore(j Job) bool {
-	now := b.Clock.Now()
-	own := &QueuedJob{job: j, lag: b.lag(j)}
-	return slices.ContainsFunc(b.longQueue, func(w *QueuedJob) bool {
-		w.lag = b.lag(w.job)
-		return !w.cancelled && w.lag == 0 && w.job.Service == j.Service && w.goesBefore(own, now)
-	})
 }
 
 // setHeld notes why none of the jobs was tried.
@@ -341,9 +279,6 @@
 		return nil
 	}
 	next := 0
-	for _, w := range kept {
-		w.lag = b.lag(w.job)
-	}
 	for i, w := range kept {
 		if w.goesBefore(kept[next], now) {
 			next = i
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -19,7 +19,7 @@
 	longUse  = 0.6
 	shortUse = 0.3
 	// streamUse is the part of an engine's slots that short streams are planned to take.
-	streamUse = 0.8
+	streamUse = 0.6
 	// minLong and minShort are the fewest engines planned for each.
 	minLong  = 1
 	minShort = 2
--- a/internal/balance/short.go
+++ b/internal/balance/short.go
@@ -28,6 +28,9 @@
 	// lateReservedSlots is how many slots of an engine are reserved for prompts that can still be
 	// in time: a late one would occupy a slot for seconds.
 	lateReservedSlots = 3
+	// plannedCost is the cost of using an engine for which a part of a long prompt is planned: it
+	// would stall the stream.
+	plannedCost = 100 * time.Millisecond
 	// streamCost is the cost of a stream in progress: it makes each pass slightly longer.
 	streamCost = time.Millisecond
 )
@@ -121,6 +124,9 @@
 func (b *Balancer) shortScore(t fleet.Target) time.Duration {
 	w := b.totalWork(t.ID)
 	score := w.Backlog + time.Duration(w.Short)*streamCost + b.errorWait(t)
+	if p := b.timelines[t.ID]; p != nil && p.HasPlanned() {
+		score += plannedCost
+	}
 	running := w.Short + w.Long
 	if over := running - t.Slots + 1; over > 0 {
 		score += time.Duration(over) * slotWait
--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -56,7 +56,8 @@
 		return nil, holdSuspect, nil
 	}
 	if isOversized(j) { // Its KV cache needs many engines.
-		p, h = b.placeOversized(j, candidates)
+		b.timelines = nil // Planned prompts give way to the trial.
+		p, h = b.placeLongNow(j, candidates)
 	} else {
 		p = b.placeLeastBusy(j, candidates)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -196,6 +196,7 @@
 	r.top.Add(r.webServer("peers", s.Listen.Peers, r.peers()))
 	r.top.Add(r.plane.Node())
 	r.top.Add(r.plane.Archive())
+	r.top.Add(&balance.Planner{Clock: r.Clock, Balancer: r.balancer})
 	r.top.Add(janitor{r})
 	r.top.Add(&clock.Watcher{Log: r.Log})
 	r.top.Add(&settings.Watcher{Clock: r.Clock, Current: s, Apply: r.apply, Log: r.Log})
