--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -137,9 +137,11 @@
 	longQueue  []*QueuedJob
 	// timelines are the engines' plans for the waiting long prompts, nextStart is when the earliest
 	// of these may be placed, and planned receives a value after the plan has changed.
-	timelines  map[barleystep.TargetID]*schedule.Timeline
-	nextStart  time.Time
-	planned    chan struct{}
+	timelines map[barleystep.TargetID]*schedule.Timeline
+	nextStart time.Time
+	planned   chan struct{}
+	// behind is the number of long prompts that wait behind the one that is being planned.
+	behind     int
 	limitQueue []*QueuedJob
 	// role is this box's role among all boxes.
 	role Role
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -42,10 +42,13 @@
 	waitCostPerSecond = 0.2
 )
 
-// partCost returns the cost of prefilling a part at the engine: the streams that it stalls, and the
-// lateness of the prompt.
+// partCost returns the cost of prefilling a part at the engine: the streams that it stalls, the
+// lateness of the prompt, and the engine time lost to passes.
 func (b *Balancer) partCost(j Job, t fleet.Target, prefill time.Duration) float64 {
-	return b.stallCost(j, t, prefill) + latenessCost(j, b.timeline(t.ID).Earliest(0, prefill)+prefill+j.Cost.Pass())
+	overhead := b.passOverhead(j, t)
+	length := prefill + overhead
+	end := b.timeline(t.ID).Earliest(0, length) + length
+	return b.stallCost(j, t, prefill) + latenessCost(j, end+j.Cost.Pass()) + b.lostTimePrice()*overhead.Seconds()
 }
 
 // stallCost returns the number of the engine's streams that would pause for longer than they may if
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -88,6 +88,7 @@
 			left = append(left, w)
 			continue
 		}
+		b.behind = len(b.longQueue) - i - 1
 		switch b.plan(w, false) {
 		case planWaits:
 			left = append(left, w)
@@ -95,6 +96,7 @@
 			late = append(late, w)
 		}
 	}
+	b.behind = 0
 	for _, w := range late {
 		if b.plan(w, true) != planDone {
 			left = append(left, w)
@@ -262,9 +264,9 @@
 }
 
 // lostTimePrice returns the cost of a second of engine time that is lost to gaps and passes: nothing
-// while no other prompt waits for it.
+// while no other prompt waits behind the one that is planned.
 func (b *Balancer) lostTimePrice() float64 {
-	return lostTimeCost * min(1, float64(len(b.longQueue))/crowdedQueue)
+	return lostTimeCost * min(1, float64(b.behind)/crowdedQueue)
 }
 
 // notifyPlanned wakes up the planner, which waits for the next start.
