lab: families of loads that compete for capacity, with the measures of the design page

Adds the families of docs/design/engine-schedule.md: an overload with a lull, three priorities, an evacuated hall beside a cold one, slow targets, an account with half of the bursts, and killed boxes.

A Result now has the use of the engines in windows of 2 s with refusals of long prompts, refusals at low demand, prompts that waited in vain, callers that came back, placements after a killed box, and the outcome by priority and by account. The tables print them.

The balancer has neither yet.

--- a/internal/lab/attempt.go
+++ b/internal/lab/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -37,15 +36,28 @@
 	r.sends, r.replans = 0, 0
 	r.last = d.timeline.Elapsed()
 	r.tryOffset = r.last - r.at
+	if d.boxes[r.box].killed {
+		r.box = d.pickBox() // The caller cannot connect to it.
+	}
 	b := d.boxes[r.box]
 	if !b.up {
 		d.retry(r, boxRestartTime, causeCut)
 		return
 	}
+	r.via = b
 	d.watchPatience(r, r.tries)
 	d.place(b, r, nil)
 }
 
+// pickBox returns the number of a random box that has not been killed.
+func (d *day) pickBox() int {
+	for {
+		if i := d.rng.IntN(len(d.boxes)); !d.boxes[i].killed {
+			return i
+		}
+	}
+}
+
 // watchPatience ends the request once its caller has waited too long for the next event.
 func (d *day) watchPatience(r *request, try int) {
 	kind := d.scenario.Kinds[r.kind]
@@ -63,6 +75,9 @@
 		})
 		return
 	}
+	if r.abandon != nil {
+		d.noteWait(r)
+	}
 	r.abandonTry()
 	r.end(causeGone)
 }
@@ -90,7 +105,7 @@
 		return
 	}
 	r.abandon = nil
-	r.box = d.rng.IntN(len(d.boxes))
+	r.box = d.pickBox()
 	r.received, r.first, r.pause, r.cause = 0, 0, 0, causeNone
 	try := r.tries
 	d.timeline.After(min(wait, left/3), func() {
@@ -104,6 +119,8 @@
 	kind := d.scenario.Kinds[r.kind]
 	first := d.timeline.Now().Add(r.at - d.timeline.Elapsed())
 	return balance.Job{
+		Priority:           kind.Priority,
+		ColdLimit:          d.scenario.coldLimit(),
 		Service:            service,
 		PromptTokens:       r.prompt,
 		OutputTokens:       r.events * d.scenario.Cost.Stride,
@@ -128,6 +145,7 @@
 	j.Hall = b.balancer.Hall
 	asked := d.boxes[0] // The first box is the lead.
 	p, w, err := asked.balancer.TryPlace(context.Background(), j)
+	defer d.schedulePlanned(asked)
 	switch {
 	case err != nil:
 		d.refuse(r, err)
@@ -155,8 +173,13 @@
 func (d *day) refuse(r *request, err error) {
 	wait := noTargetRetryDelay
 	kind := d.scenario.Kinds[r.kind]
+	d.noteRefused(r)
 	if eris.Is(err, balance.ErrFull) {
 		wait = kind.Deadline // retry shortens it to a third of the time left.
+		if after, ok := refusedUntil(err); ok {
+			wait = after
+		}
+		r.cameBack = r.cameBack || r.tries < maxTries
 	}
 	r.refusedEarly = r.sends == 0 && d.timeline.Elapsed()-r.at <= kind.Objective/earlyRefusalPart
 	d.retry(r, wait, causeRefused)
@@ -225,6 +248,7 @@
 		}
 	}
 	b.order = append(left, b.order...)
+	d.schedulePlanned(b)
 }
 
 // choice is the set of engines to which a request is sent.
@@ -310,7 +334,7 @@
 	}
 	a := &attempt{day: d, box: b, request: r, avoid: avoid, choice: c, sent: d.timeline.Now()}
 	a.run = &run{
-		request: r, first: c.first, helpers: c.helpers, tokens: tokens, events: r.events - r.received, event: a.event,
+		request: r, box: b, first: c.first, helpers: c.helpers, tokens: tokens, events: r.events - r.received, event: a.event,
 		failed:       func() { a.retry(balance.Report{Unreachable: true}, c.first.id()) },
 		helperFailed: func() { a.retry(balance.Report{}, c.dead()) },
 	}
@@ -321,6 +345,7 @@
 	d.timeline.After(networkDelay, func() {
 		if r.run == a.run && !r.ended && !a.run.over {
 			c.count(b)
+			d.noteSent(r, c)
 			c.first.start(a.run)
 		}
 	})
@@ -336,6 +361,9 @@
 	if a.choice.placement != nil {
 		a.choice.placement.NoteFirstEvent()
 	}
+	if a.run.emitted == 1 {
+		a.day.poll(a.box)
+	}
 	if r.received >= r.events {
 		r.end(causeNone)
 		r.abandon = nil
@@ -399,36 +427,3 @@
 		return causeShort
 	}
 }
-
-// Policy is a way of choosing engines.
-type Policy struct {
-	Name string
-	// pick chooses an engine immediately, with exact knowledge of all engines. Nil stands for the
-	// balancer.
-	pick func(d *day, r *request, avoid []barleystep.TargetID) *engine
-}
-
-// The measured policies.
-var (
-	Balancer    = Policy{Name: "balancer"}
-	Random      = Policy{Name: "random", pick: pickRandom}
-	LeastLoaded = Policy{Name: "least loaded", pick: pickLeastLoaded}
-)
-
-func pickRandom(d *day, _ *request, _ []barleystep.TargetID) *engine {
-	return d.engines[d.rng.IntN(len(d.engines))]
-}
-
-// pickLeastLoaded returns the live engine with the fewest running and waiting requests, at random
-// among equals.
-func pickLeastLoaded(d *day, _ *request, _ []barleystep.TargetID) *engine {
-	order := rand.New(rand.NewPCG(d.rng.Uint64(), 0)).Perm(len(d.engines))
-	best := d.engines[order[0]]
-	for _, i := range order[1:] {
-		e := d.engines[i]
-		if !e.dead && (best.dead || e.running()+len(e.waiting) < best.running()+len(best.waiting)) {
-			best = e
-		}
-	}
-	return best
-}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -72,6 +72,8 @@
 	allRequests  []*request
 	policy       Policy
 	statedLimits []*statedLimit
+	usage        usage
+	kills        []*kill
 	starts       int // starts counts the starts of the boxes.
 }
 
@@ -82,6 +84,11 @@
 	waits    map[*request]queuedRequest
 	order    []*request // order lists the queued requests in order, so that a day is deterministic.
 	up       bool
+	// killed is set once the box has been killed for good, and silent once gossip says so.
+	killed bool
+	silent bool
+	// plannedStarts are the planned starts for which a timer runs.
+	plannedStarts []time.Time
 }
 
 // Run simulates one day of the scenario under the policy and returns the outcome.
@@ -90,7 +97,11 @@
 	for _, r := range d.allRequests {
 		d.timeline.After(r.at, func() { d.sendTry(r) })
 	}
+	d.startUsage()
 	d.scheduleFaults()
+	d.scheduleHallPeriods()
+	d.scheduleSlowdowns()
+	d.scheduleKills()
 	d.scheduleLimits()
 	d.timeline.RunUntil(l.Length + drainTime)
 	return d.measure()
@@ -226,14 +237,22 @@
 func (d *day) gossip() {
 	sum := balance.NewSnapshot()
 	for _, b := range d.boxes {
-		sum.Add(b.snapshot)
+		if !b.silent {
+			sum.Add(b.snapshot)
+		}
 	}
 	for _, b := range d.boxes {
+		if b.killed {
+			continue // Its last report counts until it is silent.
+		}
 		others := balance.NewSnapshot()
 		others.Add(sum)
 		others.Remove(b.snapshot)
 		b.snapshot = b.balancer.Snapshot()
 		d.timeline.After(orDefault(d.scenario.GossipDelay, gossipDelay), func() {
+			if b.killed {
+				return
+			}
 			b.balancer.SetOthers(others)
 			d.poll(b)
 		})
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -20,6 +20,8 @@
 	slowness    float64
 	dead        bool
 	incarnation int // incarnation counts the deaths of the engine.
+	// coldArrivals are the times at which requests arrived while the engine was cold.
+	coldArrivals []time.Duration
 	// statedLimit is set while the engine states a rate limit.
 	statedLimit *statedLimit
 
@@ -47,6 +49,7 @@
 // run is one attempt of a request on an engine and its helpers.
 type run struct {
 	request *request
+	box     *box // box is the one that sent it.
 	first   *engine
 	helpers []*engine
 	// pendingParts counts the parts still to be prefilled.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -58,13 +58,14 @@
 	}
 }
 
-// TestTables checks that the tables contain the selected family.
+// TestTables checks that each table contains the selected family: three rows of policies, three of
+// causes, and one each of sizes and of use.
 func TestTables(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
 	var out strings.Builder
 	c.Assert(lab.WriteTables(&out, lab.Plan{Seeds: 1, Workers: 2, Family: "one"}), quicktest.IsNil)
-	c.Check(strings.Count(out.String(), "| one engine |"), quicktest.Equals, 6)
+	c.Check(strings.Count(out.String(), "| one engine |"), quicktest.Equals, 8)
 }
 
 // TestHundredsOfBoxes checks that short prompts are in time where hundreds of boxes share engines
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -17,6 +17,26 @@
 	Kinds [kinds]KindResult
 	// Limits has the results of the engines that stated limits, in the scenario's order.
 	Limits []LimitResult
+	// Priorities and Accounts have the results by priority and by the number of the account.
+	Priorities []GroupResult
+	Accounts   []GroupResult
+	// Windows has the use of the engines in windows of two seconds.
+	Windows []WindowResult
+	// RefusedInLull counts the refusals of long prompts while callers asked for less than 0.7 of
+	// what the engines could do, over four seconds.
+	RefusedInLull int
+	// Returned counts the callers that were told to come back and did, FoundCapacity those of them
+	// whose prompt was then sent to an engine.
+	Returned      int
+	FoundCapacity int
+	// Kills has the results of the boxes that were killed.
+	Kills []KillResult
+	// SentToEvacuated counts the requests that reached an evacuated engine. ColdPeak is the highest
+	// number that reached a cold one in a second.
+	SentToEvacuated int
+	ColdPeak        int
+	// Slow is what the slower engines received.
+	Slow SlowResult
 }
 
 // KindResult is the outcome of the prompts of one kind.
@@ -27,6 +47,9 @@
 	Causes       [causes]int
 	// OtherHall counts the prompts whose last engine is in another hall than their box.
 	OtherHall int
+	// WaitedInVain counts the prompts that waited in a try for more than a quarter of their
+	// objective and were then refused or given up.
+	WaitedInVain int
 	// Sizes has the results by the length of the prompts.
 	Sizes [sizes]SizeResult
 }
@@ -62,6 +85,12 @@
 // Rate returns the fraction of the prompts that got a complete answer.
 func (s SizeResult) Rate() float64 { return float64(s.Served) / float64(max(s.Count, 1)) }
 
+// InTimeRate returns the fraction of the prompts whose answer was complete and in time.
+func (s SizeResult) InTimeRate() float64 { return float64(s.InTime) / float64(max(s.Count, 1)) }
+
+// LateRate returns the fraction of the prompts whose answer was complete and late.
+func (s SizeResult) LateRate() float64 { return s.Rate() - s.InTimeRate() }
+
 // add counts a prompt.
 func (s *SizeResult) add(r *request, k Kind) {
 	s.Count++
@@ -81,7 +110,10 @@
 func (r Result) BoundRatio() float64 { return r.BoundWorth / max(r.OfferedWorth, 1) }
 
 func (d *day) measure() Result {
-	var res Result
+	res := Result{
+		RefusedInLull: d.usage.refusedInLull, SentToEvacuated: d.usage.sentToEvacuated, ColdPeak: d.usage.coldPeak,
+		Windows: d.usage.windows, Slow: d.slowResult(),
+	}
 	for _, r := range d.allRequests {
 		kind := d.scenario.Kinds[r.kind]
 		k := &res.Kinds[r.kind]
@@ -93,6 +125,10 @@
 		if r.otherHall {
 			k.OtherHall++
 		}
+		if r.waitedInVain {
+			k.WaitedInVain++
+		}
+		res.addGroups(r, kind, offeredWorth, servedWorth)
 		res.OfferedWorth += offeredWorth
 		res.ServedWorth += servedWorth
 	}
@@ -100,6 +136,9 @@
 	for _, n := range d.statedLimits {
 		res.Limits = append(res.Limits, n.result())
 	}
+	for _, k := range d.kills {
+		res.Kills = append(res.Kills, k.result(d.timeline.Elapsed()))
+	}
 	res.BoundWorth = d.bound()
 	return res
 }
@@ -149,6 +188,7 @@
 	for i := range r.Kinds {
 		r.Kinds[i].Add(o.Kinds[i])
 	}
+	r.addMeasures(o)
 }
 
 // Add adds the results of another day.
@@ -157,6 +197,7 @@
 	k.OfferedWorth += o.OfferedWorth
 	k.ServedWorth += o.ServedWorth
 	k.OtherHall += o.OtherHall
+	k.WaitedInVain += o.WaitedInVain
 	for i, size := range o.Sizes {
 		k.Sizes[i].Count += size.Count
 		k.Sizes[i].Served += size.Served
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/barleystep/barleystep/internal/fleet"
@@ -20,9 +19,13 @@
 	MeanPrompt float64
 	MeanEvents float64
 	Spread     float64
-	Objective  time.Duration
-	MaxPause   time.Duration
-	Deadline   time.Duration
+	// MaxPrompt bounds the prompt length in tokens. Zero means 4.5 times the mean.
+	MaxPrompt int
+	Objective time.Duration
+	MaxPause  time.Duration
+	Deadline  time.Duration
+	// Priority ranks the streams; 0 goes first.
+	Priority int
 	// Worth is the worth of a stream of mean size that is in time, LateWorth that of one that is
 	// late but complete.
 	Worth     float64
@@ -76,6 +79,26 @@
 	FirstTryOnly bool
 	// Limits are the periods in which engines state rate limits.
 	Limits []RateLimit
+	// Phases are a cycle of factors on all rates. None means a factor of 1.
+	Phases []Phase
+	// ColdLimit is the rate of requests per second that a cold engine accepts from all boxes.
+	ColdLimit float64
+	// Evacuations and ColdStarts are the periods in which a hall is evacuated, and in which the
+	// engines of a hall are cold.
+	Evacuations []HallPeriod
+	ColdStarts  []HallPeriod
+	// Slowdowns are the periods in which some of the engines are slower.
+	Slowdowns []Slowdown
+	// BoxKills are the times from which on a box is killed as soon as it has parts of long prompts
+	// on many engines.
+	BoxKills []time.Duration
+	// Accounts is the number of client accounts over which prompts are distributed. Zero means one.
+	Accounts int
+	// BurstShare is the fraction of the prompts in bursts that the first account sends.
+	BurstShare float64
+	// QuietAccount is set to drop the prompts of BurstShare, so that the first account sends as many
+	// as the others, whose prompts stay the same.
+	QuietAccount bool
 }
 
 // Family is a way of drawing scenarios.
@@ -118,6 +141,12 @@
 		return l
 	}},
 	{"engines go while long prompts come", engineLoss},
+	{"overload and lull", overloadAndLull},
+	{"three priorities", threePriorities},
+	{"evacuated and cold halls", evacuatedAndCold},
+	{"slow targets", slowTargets},
+	{"account with half of bursts", burstingAccount},
+	{"box killed with parts planned", killedBoxes},
 	{"three hundred boxes", func(rng *rand.Rand) Scenario { return manyBoxes(rng, 100*time.Millisecond, 50*time.Millisecond) }},
 	{"three hundred boxes, old news", func(rng *rand.Rand) Scenario { return manyBoxes(rng, 250*time.Millisecond, 150*time.Millisecond) }},
 }
@@ -210,26 +239,6 @@
 	return l
 }
 
-// halfOverMemory draws a scenario in which half of the long prompts need more than an engine's KV
-// cache, so that their prefill takes most of the engines' time. Bursts of short and of long prompts
-// alternate, on top of a periodic change of all rates.
-func halfOverMemory(rng *rand.Rand) Scenario {
-	l := bursts(rng, 78, 9, 10)
-	l.Boxes, l.Halls, l.FirstTryOnly = 66, 3, true
-	l.Swing, l.Period = 0.55, 17*time.Second
-	l.Cost = fleet.CostModel{
-		Slots: 12, KVTokens: 197_200, Step: millis(1.02), PerStream: millis(0.00226), PerContext: millis(0.00431),
-		PrefillRate: 206e3, PerMillionPairs: millis(0.138), PrefillChunk: 2048, Stride: 48, MeanOutputTokens: 1400,
-	}
-	l.Kinds = []Kind{
-		{Name: kindShort, Rate: 110, MeanPrompt: 4960, MeanEvents: 31, Spread: 0.8, Objective: 300 * time.Millisecond, MaxPause: millis(250), Deadline: 10 * time.Second, Worth: 1.3, LateWorth: 0.33},
-		{Name: kindMiddling, Rate: 7.5, MeanPrompt: 45e3, MeanEvents: 18, Spread: 0.5, Objective: 1500 * time.Millisecond, MaxPause: millis(600), Deadline: 10 * time.Second, Worth: 3.3, LateWorth: 0.83},
-		{Name: kindLong, Rate: 4.6, MeanPrompt: 190e3, MeanEvents: 15, Spread: 0.55, Objective: 3 * time.Second, MaxPause: millis(1000), Deadline: 15 * time.Second, Worth: 20, LateWorth: 5.1},
-	}
-	l.Cost.MeanPromptTokens = l.meanPrompt()
-	return l
-}
-
 // engineLoss draws a scenario of the largest known deployment on its worst days: hundreds of boxes
 // in front of engines of which a fifth crash while bursts of long prompts arrive. A fifth of the
 // long prompts exceed an engine's KV cache. Callers then ask for more than the capacity.
@@ -270,102 +279,6 @@
 	return int(tokens / rate)
 }
 
-// burstFactors are the rate factors of each kind in bursts of long prompts and of short ones.
-var burstFactors = [2][3]float64{{0.33, 1.3, 2.7}, {2.3, 0.5, 0.06}}
-
-// request is one prompt of a day.
-type request struct {
-	id            int
-	at            time.Duration
-	kind          int
-	prompt        int
-	events        int
-	tightestPause time.Duration
-	// size is the factor of its worth.
-	size float64
-	box  int
-
-	// tries counts the caller's tries, sends those of its box to engines.
-	tries    int
-	sends    int
-	replans  int           // replans counts the placements of this try whose engines were unreachable.
-	received int           // received counts the events that the caller received.
-	last     time.Duration // last is when the caller last received an event or started a try.
-	// refusedEarly is set if the last refusal came within a quarter of the objective, before any
-	// engine was tried. tryOffset is how long after the arrival the last try started.
-	refusedEarly bool
-	tryOffset    time.Duration
-	first        time.Duration
-	ended        bool
-	pause        time.Duration
-	cause        cause
-	run          *run
-	abandon      func() // abandon ends its try at the box.
-	moved        bool   // moved is set once another engine resumes its stream.
-	otherHall    bool   // otherHall is set if its engine is in another hall than its box.
-}
-
-// requests draws the day's prompts.
-func (l Scenario) requests(rng *rand.Rand) []*request {
-	var list []*request
-	tightestPause := l.Kinds[0].MaxPause
-	for k, kind := range l.Kinds {
-		for at := 0.0; ; {
-			at += rng.ExpFloat64() / (kind.Rate * l.peakRateFactor(k))
-			r := &request{at: millis(at * perThousand), kind: k, tightestPause: tightestPause, box: rng.IntN(l.Boxes)}
-			if r.at > l.Length {
-				break
-			}
-			prompt, events := lognormal(rng, kind.Spread), lognormal(rng, kind.Spread)
-			if rng.Float64() > l.rateFactor(k, r.at)/l.peakRateFactor(k) {
-				continue
-			}
-			r.prompt = int(kind.MeanPrompt * min(prompt, 4.5))
-			r.events = max(int(kind.MeanEvents*min(events, 2.5)), 1)
-			r.size = l.size(kind, r)
-			list = append(list, r)
-		}
-	}
-	slices.SortStableFunc(list, func(a, b *request) int { return int(a.at - b.at) })
-	for i, r := range list {
-		r.id = i
-	}
-	return list
-}
-
-// size returns the factor of a prompt's worth, which grows with its tokens.
-func (l Scenario) size(k Kind, r *request) float64 {
-	const outputWeight, base, most = 10, 0.3, 4.0
-	stride := float64(l.Cost.Stride)
-	mean := k.MeanPrompt + outputWeight*k.MeanEvents*stride
-	own := float64(r.prompt) + outputWeight*float64(r.events)*stride
-	return min(base+(1-base)*own/mean, most)
-}
-
-func (l Scenario) rateFactor(kind int, at time.Duration) float64 {
-	wave := 1.0
-	if l.Period > 0 {
-		wave += l.Swing * math.Sin(2*math.Pi*float64(at)/float64(l.Period))
-	}
-	if l.BurstLength == 0 {
-		return wave
-	}
-	return wave * burstFactors[int(at/l.BurstLength)%len(burstFactors)][kind]
-}
-
-func (l Scenario) peakRateFactor(kind int) float64 {
-	if l.BurstLength == 0 {
-		return 1 + l.Swing
-	}
-	return (1 + l.Swing) * max(burstFactors[0][kind], burstFactors[1][kind])
-}
-
-// lognormal draws a factor of mean 1 with the given standard deviation.
-func lognormal(rng *rand.Rand, spread float64) float64 {
-	variance := math.Log(1 + spread*spread)
-	return math.Exp(rng.NormFloat64()*math.Sqrt(variance) - variance/2)
-}
-
 // String returns a short description of the scenario.
 func (l Scenario) String() string {
 	return fmt.Sprintf("%d engines, %d boxes, turns %v", l.Engines, l.Boxes, l.BurstLength)
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -52,7 +52,12 @@
 	if err := writeWorth(w, rows); err != nil {
 		return err
 	}
-	return writeCauses(w, rows)
+	for _, write := range []func(io.Writer, []*row) error{writeCauses, writeSizes, writeUse, writeGroups} {
+		if err := write(w, rows); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (p Plan) run(rows []*row) {
