lab: callers that wait to come back are not counted as gone

A caller that was told to come back after a third of the time left was still watched by the patience of its last try. A short prompt, whose caller waits two seconds for an event, was counted as given up where it was refused after 1.5 s and told to come back after 2.8 s. TestReturn fails on the code before.

Planned starts are now served through a field of the box, so that a test can replace the balancer, and an arrival polls the box that was asked.

--- a/internal/lab/attempt.go
+++ b/internal/lab/attempt.go
@@ -33,6 +33,7 @@
 		return
 	}
 	r.tries++
+	r.away = false
 	r.sends, r.replans = 0, 0
 	r.last = d.timeline.Elapsed()
 	r.tryOffset = r.last - r.at
@@ -69,15 +70,13 @@
 	due := min(r.last+patience, r.at+kind.Deadline)
 	if now < due {
 		d.timeline.After(due-now, func() {
-			if !r.ended && r.tries == try {
+			if !r.ended && r.tries == try && !r.away {
 				d.watchPatience(r, try)
 			}
 		})
 		return
 	}
-	if r.abandon != nil {
-		d.noteWait(r)
-	}
+	d.noteWait(r)
 	r.abandonTry()
 	r.end(causeGone)
 }
@@ -105,6 +104,7 @@
 		return
 	}
 	r.abandon = nil
+	r.away = true
 	r.box = d.pickBox()
 	r.received, r.first, r.pause, r.cause = 0, 0, 0, causeNone
 	try := r.tries
@@ -145,7 +145,7 @@
 	j.Hall = b.balancer.Hall
 	asked := d.boxes[0] // The first box is the lead.
 	p, w, err := asked.balancer.TryPlace(context.Background(), j)
-	defer d.schedulePlanned(asked)
+	defer d.poll(asked) // An arrival may let others start.
 	switch {
 	case err != nil:
 		d.refuse(r, err)
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -80,6 +80,7 @@
 // box is one box with its balancer and the last report of its work.
 type box struct {
 	balancer *balance.Balancer
+	planner  planner // planner is the balancer if it plans starts, otherwise nil.
 	snapshot balance.Snapshot
 	waits    map[*request]queuedRequest
 	order    []*request // order lists the queued requests in order, so that a day is deterministic.
@@ -158,6 +159,7 @@
 			Targets: d.targets,
 			Rand:    rand.New(rand.NewPCG(seed, uint64(100*d.starts+i))),
 		}
+		b.planner = plannerOf(b.balancer)
 		if i > 0 {
 			b.balancer.Lead = lead{d, d.boxes[0].balancer}
 		}
--- a/internal/lab/planner.go
+++ b/internal/lab/planner.go
@@ -28,11 +28,10 @@
 // schedulePlanned runs the balancer of the box at the next planned start. It is called after each
 // change at the box, and sets no second timer for the same start.
 func (d *day) schedulePlanned(b *box) {
-	p := plannerOf(b.balancer)
-	if p == nil || !b.up {
+	if b.planner == nil || !b.up {
 		return
 	}
-	at := p.NextStart()
+	at := b.planner.NextStart()
 	if at.IsZero() || slices.Contains(b.plannedStarts, at) {
 		return
 	}
@@ -40,7 +39,7 @@
 	d.timeline.After(max(at.Sub(d.timeline.Now()), minPlannedDelay), func() {
 		b.plannedStarts = slices.DeleteFunc(b.plannedStarts, func(o time.Time) bool { return o.Equal(at) })
 		if b.up {
-			p.ServePlanned()
+			b.planner.ServePlanned()
 			d.poll(b)
 		}
 	})
--- a/internal/lab/requests.go
+++ b/internal/lab/requests.go
@@ -43,6 +43,7 @@
 	run          *run
 	abandon      func() // abandon ends its try at the box; nil while no box has it.
 	via          *box   // via is the box of its last try.
+	away         bool   // away is set while the caller waits to come back.
 	moved        bool   // moved is set once another engine resumes its stream.
 	otherHall    bool   // otherHall is set if its engine is in another hall than its box.
 	// waitedInVain is set once a try has waited for longer than it may and got no engine.
