lab: the overload asks for twice the prefill of the engines

It was twice their slots and prefill together, of which prefill was 1.3 times what they can do, so that the demand over four seconds stayed below the bound for refusals.

--- a/internal/lab/bounds_test.go
+++ b/internal/lab/bounds_test.go
@@ -54,7 +54,7 @@
 		quicktest.Check(t, windows == 0 || use >= leastUseWhenRefused, quicktest.IsTrue, quicktest.Commentf("%.3f in %d windows", use, windows))
 	})
 	t.Run("refused at low demand", func(t *testing.T) {
-		quicktest.Check(t, sum.RefusedInLull, quicktest.Equals, 0)
+		quicktest.Check(t, sum.RefusedAtLowDemand, quicktest.Equals, 0)
 	})
 	t.Run("waited in vain", func(t *testing.T) {
 		rate := sum.WaitedInVainRate()
@@ -87,11 +87,11 @@
 	checkBounds(t, sumOfDays(t, "half over memory", unchanged))
 }
 
-// TestOverloadAndLull guards against refusals during a short overload by prompts that the lull
-// after it has time for.
-func TestOverloadAndLull(t *testing.T) {
+// TestShortOverload guards against refusals during a short overload of prompts that the engines
+// have time for right after it.
+func TestShortOverload(t *testing.T) {
 	t.Parallel()
-	checkBounds(t, sumOfDays(t, "overload and lull", unchanged))
+	checkBounds(t, sumOfDays(t, "short overload", unchanged))
 }
 
 // TestThreePriorities guards against a priority that decides the order in a queue only, while the
--- a/internal/lab/caller_internal_test.go
+++ b/internal/lab/caller_internal_test.go
@@ -46,7 +46,7 @@
 	d.timeline.After(2500*time.Millisecond, func() { d.refuse(r, balance.ErrFull) })
 	d.timeline.RunUntil(3 * time.Second)
 	res := d.measure()
-	c.Check(res.RefusedInLull, quicktest.Equals, 1)
+	c.Check(res.RefusedAtLowDemand, quicktest.Equals, 1)
 	c.Check(res.Kinds[2].WaitedInVain, quicktest.Equals, 1)
 	c.Check(res.Windows[0].Refused, quicktest.Equals, 0)
 	c.Check(res.Windows[1].Refused, quicktest.Equals, 1)
@@ -55,7 +55,7 @@
 // TestLoadProfile checks the factor on all rates of a cycle of phases.
 func TestLoadProfile(t *testing.T) {
 	c := quicktest.New(t)
-	l := overloadAndLull(rand.New(rand.NewPCG(1, 0)))
+	l := shortOverload(rand.New(rand.NewPCG(1, 0)))
 	for at, want := range map[time.Duration]float64{0: 2, 1999 * time.Millisecond: 2, 2 * time.Second: 0.1, 9 * time.Second: 0.1, 11 * time.Second: 2} {
 		c.Check(l.phaseFactor(at), quicktest.Equals, want)
 	}
--- a/internal/lab/group.go
+++ b/internal/lab/group.go
@@ -53,7 +53,7 @@
 	}
 	r.Windows = append(r.Windows, o.Windows...)
 	r.Kills = append(r.Kills, o.Kills...)
-	r.RefusedInLull += o.RefusedInLull
+	r.RefusedAtLowDemand += o.RefusedAtLowDemand
 	r.Returned += o.Returned
 	r.FoundCapacity += o.FoundCapacity
 	r.SentToEvacuated += o.SentToEvacuated
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -86,20 +86,20 @@
 	return l
 }
 
-// overloadAndLull draws a scenario in which callers ask for twice of what the engines can do for
-// two seconds, and for a tenth of it for the next eight.
-func overloadAndLull(rng *rand.Rand) Scenario {
+// shortOverload draws a scenario in which callers ask for twice the prefill that the engines can
+// do for two seconds, and for a tenth of it for the next eight.
+func shortOverload(rng *rand.Rand) Scenario {
 	l := halfOverMemory(rng)
 	l.BurstLength, l.Swing, l.Period = 0, 0, 0
 	needed := 0.0
 	for _, k := range l.Kinds {
-		needed += k.Rate * k.need(&l.Cost)
+		needed += k.Rate * k.meanPrefill(&l.Cost)
 	}
 	for i := range l.Kinds {
 		l.Kinds[i].Rate *= float64(l.Engines) / needed
 	}
-	const overload, lull = 2, 0.1
-	l.Phases = []Phase{{2 * time.Second, overload}, {8 * time.Second, lull}}
+	const overload, low = 2, 0.1
+	l.Phases = []Phase{{2 * time.Second, overload}, {8 * time.Second, low}}
 	return l
 }
 
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -22,9 +22,9 @@
 	Accounts   []GroupResult
 	// Windows has the use of the engines in windows of two seconds.
 	Windows []WindowResult
-	// RefusedInLull counts the refusals of long prompts while callers asked for less than 0.7 of
+	// RefusedAtLowDemand counts the refusals of long prompts while callers asked for less than 0.7 of
 	// what the engines could do, over four seconds.
-	RefusedInLull int
+	RefusedAtLowDemand int
 	// Returned counts the callers that were told to come back and did, FoundCapacity those of them
 	// whose prompt was then sent to an engine.
 	Returned      int
@@ -111,7 +111,7 @@
 
 func (d *day) measure() Result {
 	res := Result{
-		RefusedInLull: d.usage.refusedInLull, SentToEvacuated: d.usage.sentToEvacuated, ColdPeak: d.usage.coldPeak,
+		RefusedAtLowDemand: d.usage.refusedAtLowDemand, SentToEvacuated: d.usage.sentToEvacuated, ColdPeak: d.usage.coldPeak,
 		Windows: d.usage.windows, Slow: d.slowResult(),
 	}
 	for _, r := range d.allRequests {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -141,7 +141,7 @@
 		return l
 	}},
 	{"engines go while long prompts come", engineLoss},
-	{"overload and lull", overloadAndLull},
+	{"short overload", shortOverload},
 	{"three priorities", threePriorities},
 	{"evacuated and cold halls", evacuatedAndCold},
 	{"slow targets", slowTargets},
@@ -265,9 +265,13 @@
 // slot and its prefill need.
 func (k Kind) need(c *fleet.CostModel) float64 {
 	stream := k.MeanEvents * 1.2 * c.Pass().Seconds() / float64(c.Slots)
-	// Prefill time grows with the square of the length, whose mean exceeds the square of the mean.
-	prefill := c.Prefill(int(k.MeanPrompt * math.Sqrt(1+k.Spread*k.Spread))).Seconds()
-	return max(stream, prefill)
+	return max(stream, k.meanPrefill(c))
+}
+
+// meanPrefill returns the mean prefill time of a prompt in seconds. It grows with the square of the
+// length, whose mean exceeds the square of the mean.
+func (k Kind) meanPrefill(c *fleet.CostModel) float64 {
+	return c.Prefill(int(k.MeanPrompt * math.Sqrt(1+k.Spread*k.Spread))).Seconds()
 }
 
 func (l Scenario) meanPrompt() int {
--- a/internal/lab/usage.go
+++ b/internal/lab/usage.go
@@ -35,11 +35,11 @@
 	windows []WindowResult
 	// arrived is the prefill time of all prompts up to and including each one, by arrival.
 	arrived []float64
-	// refusedInLull counts the refusals of long prompts while the demand was low.
-	refusedInLull   int
-	sentToEvacuated int
-	coldPeak        int
-	slow            SlowResult
+	// refusedAtLowDemand counts the refusals of long prompts while the demand was low.
+	refusedAtLowDemand int
+	sentToEvacuated    int
+	coldPeak           int
+	slow               SlowResult
 }
 
 // startUsage starts to measure the use of the engines.
@@ -102,7 +102,7 @@
 		w.Refused++
 	}
 	if d.recentDemand() < lowDemand*d.capacity() {
-		d.usage.refusedInLull++
+		d.usage.refusedAtLowDemand++
 	}
 }
 
--- a/internal/lab/usetable.go
+++ b/internal/lab/usetable.go
@@ -37,7 +37,7 @@
 	for _, r := range balancerRows(rows) {
 		use, windows := r.sum.UseWhenRefused()
 		fmt.Fprintf(&b, "| %s | %.2f | %d | %d | %d | %.2f | %.1f | %s |\n", r.family.Name, use, windows, r.sum.Refused(),
-			r.sum.RefusedInLull, 100*r.sum.WaitedInVainRate(), 100*r.sum.FoundCapacityRate(), r.sum.killTimes())
+			r.sum.RefusedAtLowDemand, 100*r.sum.WaitedInVainRate(), 100*r.sum.FoundCapacityRate(), r.sum.killTimes())
 	}
 	_, err := io.WriteString(w, b.String())
 	return err
