--- a/internal/lab/kill.go
+++ b/internal/lab/kill.go
@@ -116,7 +116,7 @@
 		return
 	}
 	for _, k := range d.kills {
-		if d.timeline.Elapsed()-networkDelay < k.at {
+		if d.timeline.Elapsed()-networkDelay <= k.at {
 			continue // It was placed before the kill.
 		}
 		for _, e := range append([]*engine{c.first}, c.helpers...) {
