--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -72,16 +72,24 @@
 	allRequests  []*request
 	policy       Policy
 	statedLimits []*statedLimit
+	usage        usage
+	kills        []*kill
 	starts       int // starts counts the starts of the boxes.
 }
 
 // box is one box with its balancer and the last report of its work.
 type box struct {
 	balancer *balance.Balancer
+	planner  planner // planner is the balancer if it plans starts, otherwise nil.
 	snapshot balance.Snapshot
 	waits    map[*request]queuedRequest
 	order    []*request // order lists the queued requests in order, so that a day is deterministic.
 	up       bool
+	// killed is set once the box has been killed for good, and silent once gossip says so.
+	killed bool
+	silent bool
+	// plannedStarts are the planned starts for which a timer runs.
+	plannedStarts []time.Time
 }
 
 // Run simulates one day of the scenario under the policy and returns the outcome.
@@ -90,7 +98,11 @@
 	for _, r := range d.allRequests {
 		d.timeline.After(r.at, func() { d.sendTry(r) })
 	}
+	d.startUsage()
 	d.scheduleFaults()
+	d.scheduleHallPeriods()
+	d.scheduleSlowdowns()
+	d.scheduleKills()
 	d.scheduleLimits()
 	d.timeline.RunUntil(l.Length + drainTime)
 	return d.measure()
@@ -147,6 +159,7 @@
 			Targets: d.targets,
 			Rand:    rand.New(rand.NewPCG(seed, uint64(100*d.starts+i))),
 		}
+		b.planner = plannerOf(b.balancer)
 		if i > 0 {
 			b.balancer.Lead = lead{d, d.boxes[0].balancer}
 		}
@@ -226,14 +239,22 @@
 func (d *day) gossip() {
 	sum := balance.NewSnapshot()
 	for _, b := range d.boxes {
-		sum.Add(b.snapshot)
+		if !b.silent {
+			sum.Add(b.snapshot)
+		}
 	}
 	for _, b := range d.boxes {
+		if b.killed {
+			continue // Its last report counts until it is silent.
+		}
 		others := balance.NewSnapshot()
 		others.Add(sum)
 		others.Remove(b.snapshot)
 		b.snapshot = b.balancer.Snapshot()
 		d.timeline.After(orDefault(d.scenario.GossipDelay, gossipDelay), func() {
+			if b.killed {
+				return
+			}
 			b.balancer.SetOthers(others)
 			d.poll(b)
 		})
