--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -22,7 +22,7 @@
 	// the part of it up to which prompts that can't be in time are placed: engines that are used
 	// more are kept for prompts that can.
 	planHorizon   = time.Second
-	maxUseForLate = 0.3
+	maxUseForLate = 0.6
 	// crowdedQueue is the number of waiting long prompts from which on lost engine time has its
 	// full cost, and lostTimeCost the cost of a second of one engine then, where the worth of a
 	// prompt of mean length is meanPromptWorth.
