balance: refusals because of load carry when capacity is expected

A caller that was refused was told to come back after a third of its time, whatever waited, and callers that were refused together came back together.

RefusedUntil reads the time from an error that wraps ErrFull. The time is the earliest at which the engines, at 0.7 of their time, have worked off the waiting prompts and those of callers that come back before, and have time for the prompt until the next caller comes back; at least 100 ms, at most a minute. The lead remembers up to 1,024 such callers until 3 s after their time, and starts without any. Refusals for rate limits, trials of suspects, plain services and prompts that no engines can hold carry no time.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -15,6 +15,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/suspect"
 )
 
@@ -22,7 +23,7 @@
 var ErrNoTarget = eris.New("balance: no target of the service is available")
 
 // ErrFull is returned when a request has waited for a target until its caller would no longer wait
-// for the answer, or when the caller should retry later.
+// for the answer, or when the caller should retry later. RefusedUntil tells when, if that is known.
 var ErrFull = eris.New("balance: all targets are full")
 
 // ErrCannotMeetDeadline is returned when the caller would give up before the first event.
@@ -118,6 +119,8 @@
 	// Suspects records the requests under which targets have ended; it may be nil.
 	Suspects *suspect.Registry
 	Log      *log.Logger
+	// Meter counts the callers that come back after a refusal; nil counts nothing.
+	Meter *metric.Meter
 
 	mu     sync.Mutex
 	states map[barleystep.TargetID]*targetState
@@ -132,6 +135,8 @@
 	shortQueue []*QueuedJob
 	longQueue  []*QueuedJob
 	limitQueue []*QueuedJob
+	// returns holds the callers that were refused and are expected back.
+	returns returnTracker
 	// role is this box's role among all boxes.
 	role Role
 	// trialQueue holds the suspects that wait for their trial, and trials the last trial of each.
@@ -240,6 +245,7 @@
 	if first {
 		b.noteLongDemand(j)
 		b.noteAsked(j)
+		b.noteReturned(j)
 	}
 	p, h, err := b.placeNew(j)
 	if p != nil || err != nil {
@@ -306,6 +312,7 @@
 	}
 	b.chargeLimits(j, p)
 	b.notePlaced(j)
+	b.noteReturnEnded(j, true)
 	b.record(p)
 	if !j.ForPeer {
 		p.probe()
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -56,7 +56,7 @@
 	w = &QueuedJob{job: j, deadline: b.waitDeadline(j), ready: make(chan *Placement, 1), held: h}
 	if !b.canBePlaced(w) {
 		b.logTimedOut(w)
-		return nil, nil, ErrFull
+		return nil, nil, b.refusal(w)
 	}
 	q := b.queueFor(j, h)
 	*q = append(*q, w)
@@ -165,7 +165,7 @@
 	return j.Arrival.Add(j.Objective / oversizedWaitDivisor)
 }
 
-// Abandon ends a wait. It returns ErrFull, or the result of the wait if that has just arrived.
+// Abandon ends a wait. It returns ErrFull, with a time if the job has timed out, or the result of the wait if that has just arrived.
 func (b *Balancer) Abandon(w *QueuedJob) (p *Placement, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -176,6 +176,7 @@
 	default:
 		if !b.Clock.Now().Before(w.deadline) {
 			b.logTimedOut(w)
+			return nil, b.refusal(w)
 		}
 		return nil, ErrFull
 	}
--- a/internal/balance/ratelimit.go
+++ b/internal/balance/ratelimit.go
@@ -63,6 +63,9 @@
 func (b *Balancer) SetRole(r Role) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r.IsLead && !b.role.IsLead {
+		b.resetReturns()
+	}
 	b.role = r
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -63,6 +63,8 @@
 	cancelled     metric.Int64Counter
 	storeFaults   metric.Int64Counter
 	configuration metric.Int64Counter
+	returned      metric.Int64Counter
+	refusedTimes  metric.Int64Counter
 	firstToken    metric.Float64Histogram
 }
 
@@ -76,6 +78,8 @@
 		cancelled:     counter(m, "barleystep_cleanups", "Attempts cancelled at targets, by reason."),
 		storeFaults:   counter(m, "barleystep_store_faults", "Failed calls to the platform's stores, by operation and fault."),
 		configuration: counter(m, "barleystep_configuration_events", "Changes of the configuration in force, by kind."),
+		returned:      counter(m, "barleystep_callers_returned", "Callers that were told when to come back, by when they came and whether there was capacity."),
+		refusedTimes:  counter(m, "barleystep_refused_times", "Times that the lead's refusals carried, by whether they could be used."),
 		firstToken:    histogram(m, "barleystep_first_token_seconds", "Time to first token, by band of prompt length."),
 	}
 }
@@ -124,6 +128,17 @@
 // AttemptCancelled counts an attempt that was cancelled at a target.
 func (m *Meter) AttemptCancelled(reason string) { add(m.cancelled, attribute.String("reason", reason)) }
 
+// CallerReturned counts a caller that was told when to come back, by when it came and whether it was
+// placed.
+func (m *Meter) CallerReturned(timing string, placed bool) {
+	add(m.returned, attribute.String("timing", timing), attribute.Bool("placed", placed))
+}
+
+// RefusedTimeReceived counts a refusal of the lead by whether the time that it carries can be used.
+func (m *Meter) RefusedTimeReceived(result string) {
+	add(m.refusedTimes, attribute.String("result", result))
+}
+
 // StoreFault counts a failed call to the platform's stores.
 func (m *Meter) StoreFault(op, fault string) {
 	add(m.storeFaults, attribute.String("operation", op), attribute.String("fault", fault))
