lead: refusals because of load carry their time between boxes

The lead adds a RefusedDetail to the code ResourceExhausted. Boxes that do not know the detail read the code only.

--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -15,6 +15,7 @@
 	"github.com/barleystep/barleystep/api/placement/v1/placementv1connect"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/metric"
 )
 
 const logPrefix = "lead: "
@@ -27,6 +28,8 @@
 	// Addr returns the lead's address; ok is false if this box is the lead itself or knows no lead.
 	Addr func() (addr string, ok bool)
 	Log  *log.Logger
+	// Meter counts the times that refusals carry; nil counts nothing.
+	Meter *metric.Meter
 
 	mu sync.Mutex
 	// bypassUntil is when short prompts may be sent to the lead again.
@@ -97,7 +100,7 @@
 	case err == nil:
 		return decodePlan(resp.Msg), nil
 	case connect.CodeOf(err) == connect.CodeResourceExhausted:
-		return balance.Plan{}, balance.ErrFull
+		return balance.Plan{}, c.refusal(err)
 	case connect.CodeOf(err) == connect.CodeDeadlineExceeded && callCtx.Err() == nil:
 		return balance.Plan{}, balance.ErrCannotMeetDeadline
 	case connect.CodeOf(err) == connect.CodePermissionDenied:
@@ -115,6 +118,15 @@
 	}
 }
 
+// refusal returns the lead's refusal because of load, with its time if that can be used.
+func (c *Client) refusal(err error) error {
+	refused, result := decodeRefusal(err)
+	if c.Meter != nil {
+		c.Meter.RefusedTimeReceived(string(result))
+	}
+	return refused
+}
+
 // PrefillDone tells the lead in the background that the prompt of a plan has been prefilled. If the
 // call is lost, the lead relies on its own estimate. PrefillDone is called under the balancer's
 // lock, and finding the lead takes the gossip's lock, which the gossip holds while it calls the
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -93,7 +93,7 @@
 	case eris.Is(err, balance.ErrStillWaiting):
 		return nil, connect.NewError(connect.CodeAborted, err)
 	case eris.Is(err, balance.ErrFull):
-		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+		return nil, encodeRefusal(err)
 	case eris.Is(err, balance.ErrSuspectRefused):
 		return nil, connect.NewError(connect.CodePermissionDenied, err)
 	case eris.Is(err, balance.ErrNoTarget):
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
 	"github.com/barleystep/barleystep"
 	placementv1 "github.com/barleystep/barleystep/api/placement/v1"
 	"github.com/barleystep/barleystep/internal/balance"
@@ -69,6 +72,64 @@
 	return m
 }
 
+// encodeRefusal encodes a refusal because of load, with its time if it carries one. Boxes that do
+// not know the detail read the code only.
+func encodeRefusal(err error) *connect.Error {
+	out := connect.NewError(connect.CodeResourceExhausted, err)
+	after, ok := balance.RefusedUntil(err)
+	if !ok {
+		return out
+	}
+	ms := (after + time.Millisecond - 1) / time.Millisecond // Rounded up: before, there is no capacity.
+	if detail, failure := connect.NewErrorDetail(&placementv1.RefusedDetail{RetryAfterMs: int64(ms)}); failure == nil {
+		out.AddDetail(detail)
+	}
+	return out
+}
+
+// refusedTime tells whether the time of a refusal can be used. Its values are metric attributes.
+type refusedTime string
+
+const (
+	refusedTimeUsed       refusedTime = "used"
+	refusedTimeAbsent     refusedTime = "absent"
+	refusedTimeUnreadable refusedTime = "unreadable"
+	refusedTimeOutOfRange refusedTime = "out_of_range"
+)
+
+// decodeRefusal decodes a refusal because of load. A time that cannot be used is ignored.
+func decodeRefusal(err error) (refused error, result refusedTime) {
+	var failure *connect.Error
+	if !eris.As(err, &failure) {
+		return balance.ErrFull, refusedTimeAbsent
+	}
+	name := string((&placementv1.RefusedDetail{}).ProtoReflect().Descriptor().FullName())
+	for _, d := range failure.Details() {
+		if d.Type() != name {
+			continue
+		}
+		value, err := d.Value()
+		detail, ok := value.(*placementv1.RefusedDetail)
+		if err != nil || !ok {
+			return balance.ErrFull, refusedTimeUnreadable
+		}
+		return decodeRefusedTime(detail.GetRetryAfterMs())
+	}
+	return balance.ErrFull, refusedTimeAbsent
+}
+
+// decodeRefusedTime decodes the time of a refusal in milliseconds.
+func decodeRefusedTime(ms int64) (refused error, result refusedTime) {
+	switch {
+	case ms == 0:
+		return balance.ErrFull, refusedTimeAbsent
+	case ms < 0 || ms > balance.MaxRefusedAfter.Milliseconds():
+		return balance.ErrFull, refusedTimeOutOfRange
+	default:
+		return balance.NewRefused(time.Duration(ms) * time.Millisecond), refusedTimeUsed
+	}
+}
+
 func decodePlan(m *placementv1.PlaceResponse) balance.Plan {
 	plan := balance.Plan{
 		ID:           m.GetNumber(),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -119,6 +119,7 @@
 		Targets:  r.targets.List,
 		Log:      r.Log,
 		Suspects: &suspect.Registry{Clock: r.Clock, Log: r.Log},
+		Meter:    meter,
 	}
 	r.balancer.MaxRest = time.Duration(s.Limits.MaxRest)
 	r.plane = &plane.Plane{
@@ -143,6 +144,7 @@
 		HTTP:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: leadConns}},
 		Addr:  r.plane.Node().Lead,
 		Log:   r.Log,
+		Meter: meter,
 	}
 	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
 	r.targets.OnChange = r.dropRestarted
