front: Retry-After is when capacity is expected

Where a refusal because of load carries a time, the caller is told that time with a jitter of up to a tenth, at most a third of the time that it has left. Where all targets rest, it is still at least until the first has rested, also over that third: before, they refuse everything. Without a time it is a third of the time left, as before. The end of a refused request is logged with both times.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -27,6 +27,7 @@
 	meter        *metric.Meter
 	log          *log.Logger
 	shutdown     *shutdown
+	rand         func() float64
 	limitHistory limitHistory
 	// pendingReleases counts the ended tries whose reserved helper memory is still being released.
 	pendingReleases atomic.Int64
@@ -39,9 +40,12 @@
 	// noTargetRetryAfter is the Retry-After of a request that no target took.
 	noTargetRetryAfter = 200 * time.Millisecond
 	// fullRetryDivisor divides the time left until the deadline; the result is the Retry-After when
-	// all targets are full. Callers ignore longer delays and retry only once, and a later retry is
-	// more likely to come after the burst.
+	// all targets are full and no time is known, and otherwise its upper bound. Callers ignore longer
+	// delays and retry only once, and a later retry is more likely to come after the burst.
 	fullRetryDivisor = 3
+	// retryJitterDivisor is the divisor of the time until capacity is expected that gives the jitter
+	// over which callers come back.
+	retryJitterDivisor = 10
 )
 
 // result is the outcome of one try of a request.
@@ -282,13 +286,25 @@
 	case eris.Is(err, balance.ErrCannotMeetDeadline):
 		return notRunRefusal(barleystep.ReasonDeadlineCannotBeMet, "No target could answer in the time that is left.", 0)
 	case eris.Is(err, balance.ErrFull):
-		after := max(x.retryAfter(d.clock.Now()), d.balancer.RestRemaining(d.job(x)))
-		return notRunRefusal(barleystep.ReasonQueueFull, "All targets are full.", after)
+		return notRunRefusal(barleystep.ReasonQueueFull, "All targets are full.", d.retryAfterFull(x, err))
 	default:
 		return notRunRefusal(barleystep.ReasonNoTarget, "No target took the request.", noTargetRetryAfter)
 	}
 }
 
+// retryAfterFull returns the Retry-After of a request that was refused because all targets are full.
+// Where they all rest, it is at least until the first of them has rested, since before they refuse
+// everything.
+func (d *deliver) retryAfterFull(x *Exchange, err error) time.Duration {
+	now := d.clock.Now()
+	after := x.retryAfter(now)
+	if capacityAfter, ok := balance.RefusedUntil(err); ok {
+		x.capacityAfter = capacityAfter
+		after = x.retryAfterCapacity(now, capacityAfter, d.rand())
+	}
+	return max(after, d.balancer.RestRemaining(d.job(x)))
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return "no target is left"
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -44,14 +44,18 @@
 	helpers    int
 	// queued is the time that the request spent waiting for placements. expected is the balancer's
 	// estimate of the time to the first event after the last send.
-	queued      time.Duration
-	expected    time.Duration
-	passedOver  []string      // passedOver lists the targets that a refused request was not offered to.
-	timeToFirst time.Duration // timeToFirst is the time from the start to the first event or the complete answer.
-	lastEvent   string        // lastEvent is the id of the last event that was sent.
-	events      int
-	lastWrite   time.Time     // lastWrite is when the last events were sent.
-	maxPause    time.Duration // maxPause is the longest pause between events so far.
+	queued   time.Duration
+	expected time.Duration
+	// capacityAfter is the time that a refusal because of load carried, zero if none, and told the
+	// Retry-After of the refusal.
+	capacityAfter time.Duration
+	told          time.Duration
+	passedOver    []string      // passedOver lists the targets that a refused request was not offered to.
+	timeToFirst   time.Duration // timeToFirst is the time from the start to the first event or the complete answer.
+	lastEvent     string        // lastEvent is the id of the last event that was sent.
+	events        int
+	lastWrite     time.Time     // lastWrite is when the last events were sent.
+	maxPause      time.Duration // maxPause is the longest pause between events so far.
 }
 
 // Aliases of the pipeline's types for exchanges.
@@ -64,11 +68,21 @@
 	Pipeline = pipeline.Pipeline[*Exchange]
 )
 
-// retryAfter returns the delay after which the caller may retry when all targets are full.
+// retryAfter returns the delay after which the caller may retry when all targets are full and it is
+// not known when capacity is expected.
 func (x *Exchange) retryAfter(now time.Time) time.Duration {
 	return max(x.route.Objective, x.deadline.Sub(now)/fullRetryDivisor)
 }
 
+// retryAfterCapacity returns the delay after which the caller may retry when capacity is expected
+// after the given time. random is in [0, 1) and spreads callers that are refused together, so that
+// they don't return together; the delay is still at most a third of the time left.
+func (x *Exchange) retryAfterCapacity(now time.Time, capacityAfter time.Duration, random float64) time.Duration {
+	most := max(x.deadline.Sub(now), 0) / fullRetryDivisor
+	after := min(capacityAfter, most*retryJitterDivisor/(retryJitterDivisor+1))
+	return after + time.Duration(random*float64(after/retryJitterDivisor))
+}
+
 const (
 	// Callers of streams wait for an event for the longest of three durations: minCallerWait (two
 	// seconds), callerWaitObjectives times the objective, and callerWaitPauses times the maximum
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -267,6 +267,8 @@
 	front  *front.Server
 	target *server
 	view   *fleet.View
+	// random is the random number of the jitter of Retry-After.
+	random float64
 	// targets are those that the balancer knows; mu is held when they change during a test.
 	mu      sync.Mutex
 	targets []fleet.Target
@@ -313,6 +315,7 @@
 		Budget:        retryBudget,
 		Meter:         metric.Discard(),
 		Log:           quiet,
+		Rand:          func() float64 { return f.random },
 	}
 	f.front.SetKeyFreshness(freshness)
 	server := &httptest.Server{Listener: listen(t), Config: &http.Server{Handler: f.front.Handler()}}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,9 @@
 	Budget   *budget.Budget
 	Meter    *metric.Meter
 	Log      *log.Logger
+	// Rand returns a random number in [0, 1) for the jitter of Retry-After; nil uses the runtime's.
+	// It is safe for concurrent use.
+	Rand func() float64
 
 	freshness atomic.Int64
 	pipeline  Pipeline
@@ -62,6 +66,10 @@
 		meter:    s.Meter,
 		log:      s.Log,
 		shutdown: s.shutdown,
+		rand:     s.Rand,
+	}
+	if s.deliver.rand == nil {
+		s.deliver.rand = rand.Float64
 	}
 	s.Balancer.Suspects.NotifyRefused(s.cancelRefused)
 	s.pipeline = Pipeline{
@@ -153,6 +161,7 @@
 		return
 	}
 	r := barleystep.AsRefusal(err)
+	x.told = r.RetryAfter()
 	s.Meter.RequestRefused(string(r.Reason()), r.Outcome().String())
 	headSent := x.answer.HeadSent()
 	if !headSent && r.Reason() != barleystep.ReasonCallerGone {
@@ -209,6 +218,9 @@
 		e.Str("route", x.route.Name).Str("account", x.account).
 			Dur("objective", x.route.Objective).Dur("max_pause", x.route.MaxPause)
 	}
+	if x.told > 0 {
+		e.Dur("retry_after", x.told).Dur("capacity_after", x.capacityAfter)
+	}
 	if len(x.passedOver) > 0 {
 		e.Strs("passed_over", x.passedOver)
 	}
