--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -15,6 +15,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/schedule"
 	"github.com/barleystep/barleystep/internal/suspect"
 )
@@ -23,7 +24,7 @@
 var ErrNoTarget = eris.New("balance: no target of the service is available")
 
 // ErrFull is returned when a request has waited for a target until its caller would no longer wait
-// for the answer, or when the caller should retry later.
+// for the answer, or when the caller should retry later. RefusedUntil tells when, if that is known.
 var ErrFull = eris.New("balance: all targets are full")
 
 // ErrCannotMeetDeadline is returned when the caller would give up before the first event.
@@ -122,6 +123,8 @@
 	// DispatchDelay is the time from the choice of the engines of a long prompt until these have
 	// it; zero means a default.
 	DispatchDelay time.Duration
+	// Meter counts the callers that come back after a refusal; nil counts nothing.
+	Meter *metric.Meter
 
 	mu     sync.Mutex
 	states map[barleystep.TargetID]*targetState
@@ -143,6 +146,8 @@
 	// behind is the number of long prompts that wait behind the one that is being planned.
 	behind     int
 	limitQueue []*QueuedJob
+	// returns holds the callers that were refused and are expected back.
+	returns returnTracker
 	// role is this box's role among all boxes.
 	role Role
 	// trialQueue holds the suspects that wait for their trial, and trials the last trial of each.
@@ -251,6 +256,7 @@
 	if first {
 		b.noteLongDemand(j)
 		b.noteAsked(j)
+		b.noteReturned(j)
 	}
 	if IsLongPrompt(j) && !j.isSuspect() {
 		return b.placeLong(j)
@@ -310,6 +316,7 @@
 func (b *Balancer) placed(j Job, p *Placement) *Placement {
 	b.chargeLimits(j, p)
 	b.notePlaced(j)
+	b.noteReturnEnded(j, true)
 	b.record(p)
 	if !j.ForPeer {
 		p.probe()
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -23,6 +23,9 @@
 	// more are kept for prompts that can.
 	planHorizon   = time.Second
 	maxUseForLate = 0.6
+	// lateGraceDivisor is the divisor of the objective that gives for how long each plan must have a
+	// prompt late before it is refused: plans change as other prompts end or are refused.
+	lateGraceDivisor = 8
 	// crowdedQueue is the number of waiting long prompts from which on lost engine time has its
 	// full cost, and lostTimeCost the cost of a second of one engine then, where the worth of a
 	// prompt of mean length is meanPromptWorth.
@@ -54,7 +57,7 @@
 	b.planLongQueue()
 	select {
 	case p = <-w.ready:
-		p, err = received(p)
+		p, err = w.received(p)
 		return p, nil, err
 	default:
 		return nil, w, nil
@@ -98,7 +101,7 @@
 	}
 	b.behind = 0
 	for _, w := range late {
-		if b.plan(w, true) != planDone {
+		if b.plan(w, true) != planDone && !b.refuseLate(w) {
 			left = append(left, w)
 		}
 	}
@@ -134,7 +137,7 @@
 	candidates, h, err := b.usableTargets(j)
 	switch {
 	case eris.Is(err, ErrNoTarget):
-		close(w.ready)
+		w.fail(ErrNoTarget)
 		return planDone
 	case err != nil || h != holdNone:
 		w.held = h
@@ -145,7 +148,9 @@
 		w.held = h
 		return planWaits
 	}
-	if b.waited(j)+g.expectedTTFT > j.Objective {
+	if b.waited(j)+g.expectedTTFT <= j.Objective {
+		w.lateSince = time.Time{}
+	} else {
 		w.held = holdLate
 		if !allowLate {
 			return planLate
@@ -163,6 +168,21 @@
 	return planDone
 }
 
+// refuseLate refuses a prompt on its caller's first try that can't be in time by any plan of the last
+// moments, rather than hold it in vain. Its caller is told when capacity is expected.
+func (b *Balancer) refuseLate(w *QueuedJob) bool {
+	now := b.Clock.Now()
+	if w.lateSince.IsZero() {
+		w.lateSince = now
+	}
+	if w.job.CallerRetry || w.held != holdLate || now.Sub(w.lateSince) < w.job.Objective/lateGraceDivisor {
+		return false
+	}
+	b.logTimedOut(w)
+	w.fail(b.refusal(w))
+	return true
+}
+
 // planAssignment returns the best assignment of a long prompt, or why there is none.
 func (b *Balancer) planAssignment(j Job, engines []fleet.Target) (g assignment, h holdReason) {
 	g = b.bestAssignment(j, engines)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -16,13 +16,16 @@
 	job      Job
 	deadline time.Time
 	// ready receives the placement; its buffer of one keeps the sender from blocking. It is closed
-	// if no target is left that may take the job.
+	// if the job fails, and err is then why.
 	ready     chan *Placement
+	err       error
 	cancelled bool
 	// held is why it could not be placed the last time.
 	held holdReason
 	// lag is by how much prompts of its size class are served less often than others.
 	lag float64
+	// lateSince is since when each plan has it late, zero if the last one had it in time.
+	lateSince time.Time
 }
 
 const (
@@ -46,7 +49,7 @@
 	w = &QueuedJob{job: j, deadline: b.waitDeadline(j), ready: make(chan *Placement, 1), held: h}
 	if !b.canBePlaced(w) {
 		b.logTimedOut(w)
-		return nil, nil, ErrFull
+		return nil, nil, b.refusal(w)
 	}
 	q := b.queueFor(j, h)
 	*q = append(*q, w)
@@ -89,20 +92,29 @@
 	defer cancel()
 	select {
 	case p = <-w.ready:
-		return received(p)
+		return w.received(p)
 	case <-ctx.Done():
 		return b.Abandon(w)
 	}
 }
 
-// Ready returns the channel that receives the placement. It is closed if no target is left that may
-// take the job.
+// Ready returns the channel that receives the placement. It is closed if the job fails.
 func (w *QueuedJob) Ready() <-chan *Placement { return w.ready }
 
-// received returns the result of a wait: the placement from Ready, or ErrNoTarget if it was closed.
-func received(p *Placement) (*Placement, error) {
+// Err returns why the job has failed: ErrNoTarget if no target is left that may take it, or an
+// ErrFull if it is refused. It is valid once Ready is closed.
+func (w *QueuedJob) Err() error { return w.err }
+
+// fail ends the wait of a job with an error.
+func (w *QueuedJob) fail(err error) {
+	w.err = err
+	close(w.ready)
+}
+
+// received returns the result of a wait: the placement from Ready, or why that was closed.
+func (w *QueuedJob) received(p *Placement) (*Placement, error) {
 	if p == nil {
-		return nil, ErrNoTarget
+		return nil, w.err
 	}
 	return p, nil
 }
@@ -136,17 +148,19 @@
 	return until
 }
 
-// Abandon ends a wait. It returns ErrFull, or the result of the wait if that has just arrived.
+// Abandon ends a wait. It returns ErrFull, with a time if the job has timed out, or the result of the
+// wait if that has just arrived.
 func (b *Balancer) Abandon(w *QueuedJob) (p *Placement, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w.cancelled = true
 	select {
 	case p = <-w.ready:
-		return received(p)
+		return w.received(p)
 	default:
 		if !b.Clock.Now().Before(w.deadline) {
 			b.logTimedOut(w)
+			return nil, b.refusal(w)
 		}
 		return nil, ErrFull
 	}
@@ -257,7 +271,7 @@
 func (b *Balancer) serve(w *QueuedJob) bool {
 	p, h, err := b.placeNow(w.job)
 	if eris.Is(err, ErrNoTarget) {
-		close(w.ready)
+		w.fail(ErrNoTarget)
 		return true
 	}
 	if err != nil || p == nil {
--- a/internal/lab/attempt.go
+++ b/internal/lab/attempt.go
@@ -239,7 +239,7 @@
 			delete(b.waits, r)
 			r.abandon = nil
 			if p == nil {
-				d.refuse(r, balance.ErrNoTarget)
+				d.refuse(r, w.wait.Err())
 				continue
 			}
 			d.dispatch(b, w.box, r, w.avoid, p)
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -49,6 +49,8 @@
 	gossipDelay    = 50 * time.Millisecond
 	// networkDelay is the time a request takes to reach an engine.
 	networkDelay = 2 * time.Millisecond
+	// dispatchDelay is the time from a choice of engines until these have the prompt.
+	dispatchDelay = 2*networkDelay + time.Millisecond
 	// drainTime is how long a day continues after the last prompt.
 	drainTime = 16 * time.Second
 	// boxRestartTime is how long the boxes are down during a restart.
@@ -154,10 +156,11 @@
 	for i := range d.scenario.Boxes {
 		b := &box{waits: make(map[*request]queuedRequest), snapshot: balance.NewSnapshot(), up: true}
 		b.balancer = &balance.Balancer{
-			Clock:   simClock{d.timeline},
-			Hall:    d.scenario.hall(i),
-			Targets: d.targets,
-			Rand:    rand.New(rand.NewPCG(seed, uint64(100*d.starts+i))),
+			Clock:         simClock{d.timeline},
+			Hall:          d.scenario.hall(i),
+			DispatchDelay: dispatchDelay,
+			Targets:       d.targets,
+			Rand:          rand.New(rand.NewPCG(seed, uint64(100*d.starts+i))),
 		}
 		b.planner = plannerOf(b.balancer)
 		if i > 0 {
--- a/internal/lab/planner.go
+++ b/internal/lab/planner.go
@@ -48,4 +48,4 @@
 // refusedUntil returns how long the balancer tells the caller of a refused request to wait. It
 // returns false while the balancer says nothing: callers then come back after a third of the time
 // that is left.
-func refusedUntil(error) (after time.Duration, ok bool) { return 0, false }
+func refusedUntil(err error) (after time.Duration, ok bool) { return balance.RefusedUntil(err) }
