--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -22,7 +22,7 @@
 	// the part of it up to which prompts that can't be in time are placed: engines that are used
 	// more are kept for prompts that can.
 	planHorizon   = time.Second
-	maxUseForLate = 0.6
+	maxUseForLate = 0.3
 	// lateGraceDivisor is the divisor of the objective that gives for how long each plan must have a
 	// prompt late before it is refused: plans change as other prompts end or are refused.
 	lateGraceDivisor = 8
