soak: slow, cold and evacuated targets, boxes killed with long prompts

Four sources of events join the soak, each with a generator of its own, so that stored seeds keep their other faults. A slow target takes four times as long for each part of an answer. A box is killed while an oversized prompt waits at it or is being prefilled, or the lead is. A hall is evacuated in the store for ten seconds; five seconds after that, not counting store failures, frozen boxes and stalled connections, no request may reach its targets. A target starts cold for five seconds at 8 requests a second and ends above 1.5 times that and five in any second; none may end so.

Two runs of one profile and seed overwrote each other's settings and logs. The second one now fails at its start: the directory of a run is locked.

--- a/cmd/barleystep-soak/main.go
+++ b/cmd/barleystep-soak/main.go
@@ -115,6 +115,8 @@
 	cmd.Flags().StringVar(&t.ID, "id", "t", "its instance")
 	cmd.Flags().IntVar(&t.MemoryTokens, "memory", 0, "its memory in tokens")
 	cmd.Flags().Uint64Var(&t.Seed, "seed", 1, "what spoilt answers are drawn from")
+	cmd.Flags().DurationVar(&t.ColdFor, "cold", 0, "how long it is cold")
+	cmd.Flags().Float64Var(&t.ColdRate, "cold-rate", 0, "the requests a second that it accepts while cold")
 	cmd.Flags().DurationVar(&t.EventInterval, "pause", 0, "the time between events")
 	return cmd
 }
--- a/internal/soak/box.go
+++ b/internal/soak/box.go
@@ -51,9 +51,9 @@
 		id: fmt.Sprintf("b%d", number), program: program, clock: clk, history: h,
 		callersAddr: addr(portCallers, number), readyAddr: addr(portReady, number),
 	}
-	text := fmt.Sprintf("[box]\nid = %q\nhall = \"h%d\"\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[peers]\ntrusted = true\nseeds = [\"%s\"]\n"+
+	text := fmt.Sprintf("[box]\nid = %q\nhall = %q\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[peers]\ntrusted = true\nseeds = [\"%s\"]\n"+
 		"[platform]\nurl = \"http://%s\"\n[keys]\nfreshness = %q\n[retries]\nratio = %g\nextra = %d\nwindow = %q\n[limits]\ngrace = %q\n",
-		b.id, number%2, b.callersAddr, b.readyAddr, peers[number], strings.Join(peers[:min(3, len(peers))], `", "`), store, freshness, retryRatio, retryExtra, retryWindow, gracePeriod)
+		b.id, hallOf(number), b.callersAddr, b.readyAddr, peers[number], strings.Join(peers[:min(3, len(peers))], `", "`), store, freshness, retryRatio, retryExtra, retryWindow, gracePeriod)
 	b.configFile = filepath.Join(dir, b.id+".toml")
 	if err = os.WriteFile(b.configFile, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -32,9 +32,13 @@
 	// own, so that the other draws of a seed do not change.
 	deadly     func() bool
 	deadlyRand *rand.Rand
-	load       load
-	client     *http.Client
-	number     int
+	// long reports whether additional oversized prompts are sent now, which are drawn from longRand.
+	long      func() bool
+	longRand  *rand.Rand
+	longCalls *longCalls
+	load      load
+	client    *http.Client
+	number    int
 }
 
 const (
@@ -48,7 +52,9 @@
 	longEvery = 20
 	// One in deadlyEvery requests is deadly while such requests are sent.
 	deadlyEvery = 20
-	deadlyKey   = "key-a"
+	// One in extraLongEvery requests has an oversized prompt while additional ones are sent.
+	extraLongEvery = 4
+	deadlyKey      = "key-a"
 	// shortPrompt and oversizedPrompt are lengths in tokens. oversizedPrompt exceeds the KV cache
 	// of an engine.
 	shortPrompt     = 500
@@ -61,6 +67,7 @@
 		rand: rand.New(rand.NewPCG(seed, uint64(number)+1)),
 
 		deadlyRand: rand.New(rand.NewPCG(seed, streamDeadly+uint64(number))),
+		longRand:   rand.New(rand.NewPCG(seed, streamLong+uint64(number))),
 		client:     &http.Client{Transport: &http.Transport{DisableCompression: true}},
 	}
 }
@@ -92,8 +99,12 @@
 	if c.rand.IntN(longEvery) == 0 {
 		x.Body = strings.Repeat("long body ", longBody/10)
 	}
+	if c.long() && c.longRand.IntN(extraLongEvery) == 0 {
+		x.Kind, x.Path, x.Oversized = KindResumableStream, "/"+string(KindResumableStream)+"/", true
+	}
 	if c.deadly() && c.deadlyRand.IntN(deadlyEvery) == 0 {
 		x.Kind, x.Path, x.Key, x.Body = KindIdempotent, "/again/", deadlyKey, platformtest.CrashBody
+		x.Oversized = false
 	}
 	return x
 }
@@ -125,12 +136,10 @@
 	req.Host = host
 	req.GetBody = nil // Keeps the transport from resending the request.
 	platformtest.SetCallerHeaders(req.Header, x.ID, x.Key)
-	prompt := shortPrompt
 	if x.Kind == KindResumableStream && c.rand.IntN(c.load.oversizedEvery) == 0 {
-		prompt = oversizedPrompt
+		x.Oversized = true
 	}
-	platformtest.SetPromptHeaders(req.Header, prompt, x.TimeLimit)
-	resp, err := c.client.Do(req)
+	resp, err := c.send(b, req, x)
 	if err == nil {
 		defer resp.Body.Close()
 		x.Status, x.Header = resp.StatusCode, resp.Header
@@ -146,3 +155,15 @@
 	x.ConnectFailed = !connected
 	return x
 }
+
+// send sends the request and returns the answer once its head has arrived.
+func (c *caller) send(b *box, req *http.Request, x Call) (*http.Response, error) {
+	if !x.Oversized {
+		platformtest.SetPromptHeaders(req.Header, shortPrompt, x.TimeLimit)
+		return c.client.Do(req)
+	}
+	platformtest.SetPromptHeaders(req.Header, oversizedPrompt, x.TimeLimit)
+	c.longCalls.add(b.id, 1)
+	defer c.longCalls.add(b.id, -1)
+	return c.client.Do(req)
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,6 +50,8 @@
 	c.checkReopened()
 	c.checkDeadly(calls)
 	c.checkStatements(calls)
+	c.checkEvacuations(calls)
+	c.checkCold(calls)
 	sort.Strings(c.violations)
 	return c.violations
 }
@@ -233,19 +235,25 @@
 // the given time: the end of the first period of foreignBound in which the store is available and
 // the box not frozen.
 func (c *check) entryKnownBy(since time.Time, x *Call) time.Time {
-	breaks := slices.Concat(c.history.storeDown, c.history.frozen[incarnationID(x.Box, x.Incarnation)])
+	return c.firstUndisturbed(since, foreignBound, x, nil)
+}
+
+// firstUndisturbed returns the end of the first period of the given length since the given time in
+// which the store is available, the call's box not frozen and none of the other faults active.
+func (c *check) firstUndisturbed(since time.Time, length time.Duration, x *Call, others []interval) time.Time {
+	breaks := slices.Concat(c.history.storeDown, c.history.frozen[incarnationID(x.Box, x.Incarnation)], others)
 	slices.SortFunc(breaks, func(a, b interval) int { return a.from.Compare(b.from) })
 	for _, s := range breaks {
 		switch {
-		case s.from.After(since.Add(foreignBound)):
-			return since.Add(foreignBound)
+		case s.from.After(since.Add(length)):
+			return since.Add(length)
 		case s.to.IsZero():
 			return x.Ended
 		case s.to.After(since):
 			since = s.to
 		}
 	}
-	return since.Add(foreignBound)
+	return since.Add(length)
 }
 
 // Summary returns the counts of calls and arrivals.
--- a/internal/soak/child.go
+++ b/internal/soak/child.go
@@ -26,6 +26,8 @@
 	Forget       bool                                 `json:"forget,omitempty"`
 	// Says replaces the statement that a target makes in its answers.
 	Says *statement `json:"says,omitempty"`
+	// Slowdown, if not zero, replaces the factor by which a target is slower.
+	Slowdown int `json:"slowdown,omitempty"`
 }
 
 // statement is what a target says of itself in its answers.
--- a/internal/soak/final_check.go
+++ b/internal/soak/final_check.go
@@ -69,6 +69,8 @@
 func (s *Runner) configureCaller(c *caller) {
 	c.clock, c.boxes, c.history, c.keys, c.load = s.Clock, s.boxes, s.history, slices.Clone(s.keys), s.load()
 	c.routes = func() int { return int(s.routes.Load()) }
+	c.long = func() bool { return s.long.Load() > 0 }
+	c.longCalls = s.longCalls
 	c.deadly = func() bool { return s.deadly.Load() > 0 }
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	Key         string
 	Path        string
 	Body        string
+	// Oversized is set if the prompt exceeds the KV cache of an engine.
+	Oversized bool
 	// TimeLimit is how long the caller waits.
 	TimeLimit time.Duration
 	Started   time.Time
@@ -68,6 +71,11 @@
 	// writer's record replaced that of a target, by the target's id.
 	storeDown   []interval
 	overwritten map[string][]interval
+	// silenced holds the intervals in which the connections to each target were stalled, and
+	// evacuated those in which each hall was evacuated in the store. halls maps targets to halls.
+	silenced  map[string][]interval
+	evacuated map[string][]interval
+	halls     map[string]string
 	// revoked holds the time at which each key was revoked in the store.
 	revoked map[string]time.Time
 	// accounts maps API keys to client accounts.
@@ -100,6 +108,9 @@
 		stopping:    make(map[string]time.Time),
 		frozen:      make(map[string][]interval),
 		overwritten: make(map[string][]interval),
+		silenced:    make(map[string][]interval),
+		evacuated:   make(map[string][]interval),
+		halls:       make(map[string]string),
 		revoked:     make(map[string]time.Time),
 		accounts:    accounts,
 	}
@@ -192,6 +203,45 @@
 	closeIntervals(h.overwritten[target], at)
 }
 
+// RecordTarget records the hall of a target.
+func (h *History) RecordTarget(target, hall string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.halls[target] = hall
+}
+
+// RecordSilence records that the connections to a target are stalled from now on.
+func (h *History) RecordSilence(target string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silenced[target] = append(h.silenced[target], interval{from: at})
+}
+
+// RecordSilenceEnd records the end of the earliest stall of a target's connections that has not
+// ended.
+func (h *History) RecordSilenceEnd(target string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.silenced[target]
+	if i := slices.IndexFunc(list, func(s interval) bool { return s.to.IsZero() }); i >= 0 {
+		list[i].to = at
+	}
+}
+
+// RecordEvacuation records that the store holds the evacuation of a hall.
+func (h *History) RecordEvacuation(hall string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evacuated[hall] = append(h.evacuated[hall], interval{from: at})
+}
+
+// RecordEvacuationEnd records that the evacuation of a hall is about to be removed from the store.
+func (h *History) RecordEvacuationEnd(hall string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	closeIntervals(h.evacuated[hall], at)
+}
+
 // RecordRevocation records that a key has been revoked in the store.
 func (h *History) RecordRevocation(key string, at time.Time) {
 	h.mu.Lock()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -65,6 +65,10 @@
 		s.deadly.Add(1)
 		s.sleep(ctx, e.Duration)
 		s.deadly.Add(-1)
+	case ActionKillLong:
+		s.killLong(ctx, e, max(e.Duration, killLongTime))
+	case ActionEvacuate:
+		s.evacuate(ctx, e.Detail, max(e.Duration, evacuationTime))
 	default:
 		s.targets[e.Index].inject(ctx, e)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -54,6 +54,16 @@
 	// rest.
 	ActionLeave Action = "leave"
 	ActionRest  Action = "rest"
+	// ActionSlowdown makes a target take slowdownFactor times as long for each part of an answer.
+	ActionSlowdown Action = "slowdown"
+	// ActionKillLong makes callers send more oversized prompts, and kills a box while one waits or
+	// is being prefilled: the box that Detail names. The duration bounds the wait for such a prompt.
+	ActionKillLong Action = "kill-long"
+	// ActionEvacuate evacuates the hall that Detail names and takes that back after the duration.
+	// It does nothing while a hall is evacuated already.
+	ActionEvacuate Action = "evacuate"
+	// ActionCold replaces a target, after the duration, by one that starts cold.
+	ActionCold Action = "cold"
 )
 
 // Event is one entry of a schedule.
@@ -63,8 +73,8 @@
 	Action   Action
 	// Index selects the box or target.
 	Index int
-	// Detail names the fault of the store, of a target's answers or of its record. Share is the
-	// share of a target's answers that are faulty.
+	// Detail names the fault of the store, of a target's answers or of its record, the box to kill,
+	// or the hall to evacuate. Share is the share of a target's answers that are faulty.
 	Detail string
 	Share  float64
 }
@@ -89,6 +99,12 @@
 	deadlyGap = 8 * time.Second
 	// statementGap is the mean time between statements of targets.
 	statementGap = 3 * time.Second
+	// slowdownGap, killLongGap, evacuationGap and coldGap are the mean times between slow targets,
+	// between kills of boxes that hold long prompts, between evacuations and between cold starts.
+	slowdownGap   = 4 * time.Second
+	killLongGap   = 5 * time.Second
+	evacuationGap = 12 * time.Second
+	coldGap       = 4 * time.Second
 	// minFault and maxFault bound the duration of a fault.
 	minFault = 300 * time.Millisecond
 	maxFault = 4 * time.Second
@@ -114,6 +130,11 @@
 	streamForeign
 	streamDeadly
 	streamStatements
+	streamSlowdowns
+	streamKillLong
+	streamEvacuations
+	streamCold
+	streamLong // streamLong draws the additional oversized prompts of callers.
 )
 
 // eventSources returns the sources of a run's events.
@@ -124,6 +145,10 @@
 		{streamForeign, foreignGap, map[Action]int{ActionForeign: 1}},
 		{streamDeadly, deadlyGap, map[Action]int{ActionDeadly: 1}},
 		{streamStatements, statementGap, map[Action]int{ActionLeave: 1, ActionRest: 1}},
+		{streamSlowdowns, slowdownGap, map[Action]int{ActionSlowdown: 1}},
+		{streamKillLong, killLongGap, map[Action]int{ActionKillLong: 1}},
+		{streamEvacuations, evacuationGap, map[Action]int{ActionEvacuate: 1}},
+		{streamCold, coldGap, map[Action]int{ActionCold: 1}},
 	}
 	if n := s.load().stops; n > 0 {
 		meanInterval := gracePeriod * time.Duration(n) / time.Duration(s.Boxes)
@@ -192,6 +217,10 @@
 		e.Detail = foreignNames[r.IntN(len(foreignNames))]
 	case ActionStore:
 		e.Detail = storeFaults[r.IntN(len(storeFaults))]
+	case ActionKillLong:
+		e.Detail = killLongBoxes[r.IntN(len(killLongBoxes))]
+	case ActionEvacuate:
+		e.Detail = hallOf(r.IntN(hallCount))
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,13 @@
 	configMu    sync.Mutex
 	storeMu     sync.Mutex
 	storeFaults []string
+	// long counts the current periods in which callers send additional oversized prompts, longKills
+	// the boxes killed while such a prompt waited or was being prefilled.
+	long      atomic.Int64
+	longKills atomic.Int64
+	longCalls *longCalls
+	// evacuating is set while a hall is evacuated.
+	evacuating atomic.Bool
 }
 
 const (
@@ -49,11 +56,19 @@
 	engineMemory  = 50_000
 	// revocableKey is the API key that ActionRevoke revokes.
 	revocableKey = "key-doomed"
+	// tableOperator is the table of the store in which the operator writes.
+	tableOperator = "op"
 )
 
 // Run starts all processes, injects the faults and returns the violations, one a line.
 func (s *Runner) Run(ctx context.Context) (violations []string, err error) {
 	defer func() { err = eris.Wrap(err, "soak") }()
+	unlock, err := LockDir(s.Dir)
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	s.longCalls = newLongCalls()
 	s.history = NewHistory(map[string]string{"key-a": "tenant-a", "key-b": "tenant-b", revocableKey: "tenant-c"})
 	s.keys = []string{"key-a", "key-b", revocableKey}
 	defer s.stopAll()
@@ -94,7 +109,7 @@
 			t.service = plainService
 		}
 		s.targets = append(s.targets, t)
-		if err := t.start(ctx); err != nil {
+		if err := t.start(ctx, false); err != nil {
 			return err
 		}
 	}
@@ -154,8 +169,9 @@
 	value := platformtest.ServicesConfiguration{
 		Version: s.version, Host: host, Routes: routes, Tenants: accounts, TimeLimit: l.timeLimit, Objective: l.objective,
 		EngineService: engineService, PlainService: plainService, EngineSlots: l.slots, EngineTokens: engineMemory,
+		ColdTime: coldTime, ColdRate: coldRate,
 	}.Value()
-	s.store.execute(command{Put: &record{Table: "op", Key: "config", Value: value}})
+	s.store.execute(command{Put: &record{Table: tableOperator, Key: "config", Value: value}})
 }
 
 // TempDir creates and returns the directory for settings and logs of a run.
@@ -165,4 +181,6 @@
 }
 
 // Summary returns the counts of calls and arrivals of the run.
-func (s *Runner) Summary() string { return s.history.Summary() }
+func (s *Runner) Summary() string {
+	return fmt.Sprintf("%s, %d boxes killed with long prompts", s.history.Summary(), s.longKills.Load())
+}
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -66,6 +66,9 @@
 		if o.Says != nil {
 			t.SetStatement(o.Says.Leaving, o.Says.Rest)
 		}
+		if o.Slowdown != 0 {
+			t.SetSlowdown(o.Slowdown)
+		}
 		return t.HeldTokens()
 	})
 }
--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -23,30 +23,52 @@
 	child      *child
 	proxy      *proxy
 	faults     map[platformtest.TargetFault]float64
+	// slowdowns counts the current periods in which the target is slow.
+	slowdowns int
+	// coldUntil is when the target ceases to be cold, zero if it did not start cold.
+	coldUntil time.Time
 }
 
+const (
+	// slowdownFactor is the factor by which a slow target is slower.
+	slowdownFactor = 4
+	// coldTime is how long a target is cold after a cold start, and coldRate the requests a second
+	// that it takes then. Two boxes that lead for a moment keep the bound at rates up to 9.
+	coldTime = 5 * time.Second
+	coldRate = 8
+)
+
 // start starts a process with a new id and announces it.
-func (t *targetSlot) start(ctx context.Context) (err error) {
+func (t *targetSlot) start(ctx context.Context, cold bool) (err error) {
 	t.generation++
 	t.id = fmt.Sprintf("t%d-%d", t.number, t.generation)
 	if t.proxy, err = newProxy(ctx, t.runner.Clock); err != nil {
 		return err
 	}
-	return t.startProcess(ctx)
+	t.runner.history.RecordTarget(t.id, hallOf(t.number))
+	return t.startProcess(ctx, cold)
 }
 
 // startProcess starts a process with the slot's current id. It has no state of an earlier process
 // with that id.
-func (t *targetSlot) startProcess(ctx context.Context) (err error) {
+func (t *targetSlot) startProcess(ctx context.Context, cold bool) (err error) {
 	t.born = t.runner.Clock.Now()
 	seed := t.runner.Seed*1000 + uint64(t.number)
-	t.child, err = startChild(ctx, t.runner.StandInProgram, t.runner.history.RecordArrival, "target", "--id", t.id, "--memory", fmt.Sprint(engineMemory), "--seed", fmt.Sprint(seed), "--pause", t.runner.load().pause.String())
+	args := []string{"target", "--id", t.id, "--memory", fmt.Sprint(engineMemory), "--seed", fmt.Sprint(seed), "--pause", t.runner.load().pause.String()}
+	if cold {
+		args = append(args, "--cold", coldTime.String(), "--cold-rate", fmt.Sprint(coldRate))
+	}
+	t.child, err = startChild(ctx, t.runner.StandInProgram, t.runner.history.RecordArrival, args...)
 	if err != nil {
 		return err
 	}
+	t.coldUntil = time.Time{}
+	if cold {
+		t.coldUntil = t.runner.Clock.Now().Add(coldTime) // After the process's own start, never too early.
+	}
 	t.proxy.setTarget(t.child.addr)
 	go t.watch(ctx, t.child)
-	t.child.execute(command{TargetFaults: maps.Clone(t.faults)})
+	t.child.execute(command{TargetFaults: maps.Clone(t.faults), Slowdown: t.slowdown()})
 	t.announce(stateReady)
 	return nil
 }
@@ -65,17 +87,32 @@
 	current := t.child == c
 	t.mu.Unlock()
 	if current && ctx.Err() == nil {
-		t.replace(ctx, crashRestartDelay, false)
+		t.replace(ctx, crashRestartDelay, false, false)
 	}
 }
 
 // entry returns the target's record for the store.
 func (t *targetSlot) entry(state string) map[string]any {
-	e := platformtest.ServerRecord(t.service, t.proxy.addr(), fmt.Sprintf("h%d", t.number%2), t.runner.load().slots, state)
+	e := platformtest.ServerRecord(t.service, t.proxy.addr(), hallOf(t.number), t.runner.load().slots, state)
 	e["born"] = t.born.UnixMilli()
+	e["cold_left_ms"] = t.coldLeft().Milliseconds()
 	return e
 }
 
+// coldLeft returns for how much longer the target is cold, in whole milliseconds, rounded up.
+func (t *targetSlot) coldLeft() time.Duration {
+	left := max(t.coldUntil.Sub(t.runner.Clock.Now()), 0)
+	return (left + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
+// slowdown returns the factor by which the target is slower now.
+func (t *targetSlot) slowdown() int {
+	if t.slowdowns > 0 {
+		return slowdownFactor
+	}
+	return 1
+}
+
 func (t *targetSlot) announce(state string) {
 	t.write(record{Value: t.entry(state)})
 }
@@ -98,13 +135,15 @@
 // inject injects a fault at the slot's target.
 func (t *targetSlot) inject(ctx context.Context, e Event) {
 	t.mu.Lock()
-	p := t.proxy
+	p, id, cold := t.proxy, t.id, t.coldLeft() > 0
 	t.mu.Unlock()
 	switch e.Action {
 	case ActionCrash:
-		t.replace(ctx, e.Duration, false)
+		t.replace(ctx, e.Duration, false, false)
+	case ActionCold:
+		t.replace(ctx, e.Duration, false, true)
 	case ActionDrain:
-		t.replace(ctx, max(e.Duration, drainTime), true)
+		t.replace(ctx, max(e.Duration, drainTime), true, false)
 	case ActionRestart:
 		t.restart(ctx, e.Duration)
 	case ActionLeave:
@@ -120,22 +159,31 @@
 	case ActionReset:
 		p.resetAll()
 	case ActionSilence:
+		if cold {
+			return // What boxes send in seconds would arrive at once, and no box could prevent that.
+		}
+		t.runner.history.RecordSilence(id, t.runner.Clock.Now())
 		p.adjust(1, 0)
 		t.runner.sleep(ctx, e.Duration)
 		p.adjust(-1, 0)
+		t.runner.history.RecordSilenceEnd(id, t.runner.Clock.Now())
 	case ActionSlow:
 		p.adjust(0, 1)
 		t.runner.sleep(ctx, e.Duration)
 		p.adjust(0, -1)
+	case ActionSlowdown:
+		t.addSlowdown(1)
+		t.runner.sleep(ctx, e.Duration)
+		t.addSlowdown(-1)
 	}
 }
 
 // drainTime is how long a leaving target continues to serve.
 const drainTime = 3 * time.Second
 
-// replace ends the target's process, after an announcement if it is planned, and starts another.
-// Boxes that cannot reach the store do not learn of it.
-func (t *targetSlot) replace(ctx context.Context, wait time.Duration, planned bool) {
+// replace ends the target's process, after an announcement if it is planned, and starts another,
+// which may be cold. Boxes that cannot reach the store do not learn of it.
+func (t *targetSlot) replace(ctx context.Context, wait time.Duration, planned, cold bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if planned {
@@ -147,7 +195,7 @@
 		t.runner.sleep(ctx, wait)
 	}
 	t.runner.store.execute(command{Remove: &record{Table: tableTargets, Key: t.id}})
-	t.recordStartError(t.start(ctx))
+	t.recordStartError(t.start(ctx, cold))
 }
 
 // leave makes the target state in its answers only that it is leaving, and replaces its process
@@ -157,7 +205,7 @@
 	t.child.execute(command{Says: &statement{Leaving: true}})
 	t.mu.Unlock()
 	t.runner.sleep(ctx, wait)
-	t.replace(ctx, 0, false)
+	t.replace(ctx, 0, false, false)
 }
 
 // requestedRest is the rest that targets ask for.
@@ -190,7 +238,7 @@
 	t.proxy.resetAll() // Before the kill: a stream without a length would look complete.
 	t.child.kill()
 	t.runner.sleep(ctx, wait)
-	t.recordStartError(t.startProcess(ctx))
+	t.recordStartError(t.startProcess(ctx, false))
 }
 
 // overwriteEntry makes another writer overwrite the target's record. After the wait the target
@@ -212,3 +260,11 @@
 	t.faults[fault] = max(t.faults[fault]+share, 0)
 	t.child.execute(command{TargetFaults: maps.Clone(t.faults)})
 }
+
+// addSlowdown adds to the count of periods in which the target is slow.
+func (t *targetSlot) addSlowdown(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slowdowns += n
+	t.child.execute(command{Slowdown: t.slowdown()})
+}
