--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -256,7 +256,8 @@
 	return since.Add(length)
 }
 
-// Summary returns the counts of calls and arrivals.
+// Summary returns the counts of calls and arrivals, and the most requests within a second at a cold
+// target.
 func (h *History) Summary() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -271,6 +272,10 @@
 			refused++
 		}
 	}
-	return fmt.Sprintf("%d requests (%d served, %d refused or failed, %d cut or unanswered), %d arrivals at targets",
-		len(h.calls), served, refused, cut, len(h.arrivals))
+	mostCold := 0
+	for _, a := range h.arrivals {
+		mostCold = max(mostCold, a.ColdCount)
+	}
+	return fmt.Sprintf("%d requests (%d served, %d refused or failed, %d cut or unanswered), %d arrivals at targets, at most %d a second at a cold one",
+		len(h.calls), served, refused, cut, len(h.arrivals), mostCold)
 }
--- a/internal/soak/check_cold.go
+++ b/internal/soak/check_cold.go
@@ -13,8 +13,8 @@
 // which the target fell over, with their boxes.
 func (c *check) checkCold(calls map[string]*Call) {
 	for _, a := range c.history.arrivals {
-		if a.Overload > 0 {
-			c.addViolation("cold targets", a.Request, "%s fell over at %s, at %d requests in a second:%s", a.Target, a.At.Format(clockFormat), a.Overload, c.describeSecond(a, calls))
+		if a.FellOver {
+			c.addViolation("cold targets", a.Request, "%s fell over at %s, at %d requests in a second:%s", a.Target, a.At.Format(clockFormat), a.ColdCount, c.describeSecond(a, calls))
 		}
 	}
 }
--- a/internal/soak/check_halls_test.go
+++ b/internal/soak/check_halls_test.go
@@ -91,7 +91,7 @@
 	h.RecordArrival(first)
 	h.RecordArrival(last)
 	c.Check(countViolations(h, "cold targets"), quicktest.Equals, 0)
-	last.Overload = 18
+	last.ColdCount, last.FellOver = 18, true
 	h.RecordArrival(last)
 	c.Check(countViolations(h, "cold targets"), quicktest.Equals, 1)
 	c.Check(h.Check()[0], quicktest.Matches, "cold targets: request r1: t0 fell over .* 18 requests in a second: -300ms r1 b0/1; .*")
