--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -134,9 +134,6 @@
 
 // inject injects a fault at the slot's target.
 func (t *targetSlot) inject(ctx context.Context, e Event) {
-	t.mu.Lock()
-	p, id, cold := t.proxy, t.id, t.coldLeft() > 0
-	t.mu.Unlock()
 	switch e.Action {
 	case ActionCrash:
 		t.replace(ctx, e.Duration, false, false)
@@ -156,6 +153,21 @@
 		t.addFault(platformtest.TargetFault(e.Detail), e.Share)
 		t.runner.sleep(ctx, e.Duration)
 		t.addFault(platformtest.TargetFault(e.Detail), -e.Share)
+	case ActionSlowdown:
+		t.addSlowdown(1)
+		t.runner.sleep(ctx, e.Duration)
+		t.addSlowdown(-1)
+	default:
+		t.injectConnFault(ctx, e)
+	}
+}
+
+// injectConnFault injects a fault at the connections to the slot's target.
+func (t *targetSlot) injectConnFault(ctx context.Context, e Event) {
+	t.mu.Lock()
+	p, id, cold := t.proxy, t.id, t.coldLeft() > 0
+	t.mu.Unlock()
+	switch e.Action {
 	case ActionReset:
 		p.resetAll()
 	case ActionSilence:
@@ -171,10 +183,6 @@
 		p.adjust(0, 1)
 		t.runner.sleep(ctx, e.Duration)
 		p.adjust(0, -1)
-	case ActionSlowdown:
-		t.addSlowdown(1)
-		t.runner.sleep(ctx, e.Duration)
-		t.addSlowdown(-1)
 	}
 }
 
