soak: a box that is killed while frozen never has time to learn

The check took a freeze that did not end, as the box was killed meanwhile, to let the box know by the end of the call. Checks that compare the start of a call see no difference. A case of TestEvacuations failed before and passes now.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -238,8 +238,12 @@
 	return c.firstUndisturbed(since, foreignBound, x, nil)
 }
 
+// never is later than any time in a history.
+var never = time.Unix(1<<40, 0)
+
 // firstUndisturbed returns the end of the first period of the given length since the given time in
-// which the store is available, the call's box not frozen and none of the other faults active.
+// which the store is available, the call's box not frozen and none of the other faults active. It
+// returns never if one of them did not end, such as a freeze of a box that was killed meanwhile.
 func (c *check) firstUndisturbed(since time.Time, length time.Duration, x *Call, others []interval) time.Time {
 	breaks := slices.Concat(c.history.storeDown, c.history.frozen[incarnationID(x.Box, x.Incarnation)], others)
 	slices.SortFunc(breaks, func(a, b interval) int { return a.from.Compare(b.from) })
@@ -248,7 +252,7 @@
 		case s.from.After(since.Add(length)):
 			return since.Add(length)
 		case s.to.IsZero():
-			return x.Ended
+			return never
 		case s.to.After(since):
 			since = s.to
 		}
--- a/internal/soak/check_halls_test.go
+++ b/internal/soak/check_halls_test.go
@@ -37,6 +37,9 @@
 			h.RecordFreeze("b0", 1, at(second))
 			h.RecordThaw("b0", 1, at(3*second))
 		}},
+		"box frozen until its end": {sent: 2 * second, arrived: 6 * second, prepare: func(h *soak.History) {
+			h.RecordFreeze("b0", 1, at(3500*time.Millisecond))
+		}},
 		"another box frozen": {sent: 6 * second, arrived: 6 * second, found: 1, prepare: func(h *soak.History) {
 			h.RecordFreeze("b1", 1, at(second))
 			h.RecordThaw("b1", 1, at(3*second))
