--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,6 +50,8 @@
 	c.checkReopened()
 	c.checkDeadly(calls)
 	c.checkStatements(calls)
+	c.checkEvacuations(calls)
+	c.checkCold(calls)
 	sort.Strings(c.violations)
 	return c.violations
 }
@@ -233,22 +235,33 @@
 // the given time: the end of the first period of foreignBound in which the store is available and
 // the box not frozen.
 func (c *check) entryKnownBy(since time.Time, x *Call) time.Time {
-	breaks := slices.Concat(c.history.storeDown, c.history.frozen[incarnationID(x.Box, x.Incarnation)])
+	return c.firstUndisturbed(since, foreignBound, x, nil)
+}
+
+// never is later than any time in a history.
+var never = time.Unix(1<<40, 0)
+
+// firstUndisturbed returns the end of the first period of the given length since the given time in
+// which the store is available, the call's box not frozen and none of the other faults active. It
+// returns never if one of them did not end, such as a freeze of a box that was killed meanwhile.
+func (c *check) firstUndisturbed(since time.Time, length time.Duration, x *Call, others []interval) time.Time {
+	breaks := slices.Concat(c.history.storeDown, c.history.frozen[incarnationID(x.Box, x.Incarnation)], others)
 	slices.SortFunc(breaks, func(a, b interval) int { return a.from.Compare(b.from) })
 	for _, s := range breaks {
 		switch {
-		case s.from.After(since.Add(foreignBound)):
-			return since.Add(foreignBound)
+		case s.from.After(since.Add(length)):
+			return since.Add(length)
 		case s.to.IsZero():
-			return x.Ended
+			return never
 		case s.to.After(since):
 			since = s.to
 		}
 	}
-	return since.Add(foreignBound)
+	return since.Add(length)
 }
 
-// Summary returns the counts of calls and arrivals.
+// Summary returns the counts of calls and arrivals, and the most requests within a second at a cold
+// target.
 func (h *History) Summary() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -263,6 +276,10 @@
 			refused++
 		}
 	}
-	return fmt.Sprintf("%d requests (%d served, %d refused or failed, %d cut or unanswered), %d arrivals at targets",
-		len(h.calls), served, refused, cut, len(h.arrivals))
+	mostCold := 0
+	for _, a := range h.arrivals {
+		mostCold = max(mostCold, a.ColdCount)
+	}
+	return fmt.Sprintf("%d requests (%d served, %d refused or failed, %d cut or unanswered), %d arrivals at targets, at most %d a second at a cold one",
+		len(h.calls), served, refused, cut, len(h.arrivals), mostCold)
 }
