--- a/internal/balance/long.go
+++ b/internal/balance/long.go
@@ -11,7 +11,7 @@
 	deferStep   = 250 * time.Millisecond
 	streamDecay = 900 * time.Millisecond
 	// idleCostPerSecond is the cost of a second in which the engines of a prompt wait for it.
-	idleCostPerSecond = 1.0
+	idleCostPerSecond = 2.0
 )
 
 // shouldDefer reports whether the prompt should wait until some of the streams that it would stall
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -18,6 +18,9 @@
 	// defaultDispatchDelay is the time from a choice by the lead until the engines have the
 	// request: the way to the caller's box, to the helpers, and to the target.
 	defaultDispatchDelay = 20 * time.Millisecond
+	// minReplanInterval bounds how often planned starts are served: backlog that does not shrink with
+	// time would otherwise make a start due again at once.
+	minReplanInterval = 5 * time.Millisecond
 	// planHorizon is the time ahead for which the use of the engines is planned, and maxUseForLate
 	// the part of it up to which prompts that can't be in time are placed: engines that are used
 	// more are kept for prompts that can.
@@ -217,7 +220,7 @@
 	if wait <= 0 {
 		return false
 	}
-	at := b.Clock.Now().Add(wait)
+	at := b.Clock.Now().Add(max(wait, minReplanInterval))
 	if b.nextStart.IsZero() || at.Before(b.nextStart) {
 		b.nextStart = at
 	}
