balance: observed speed of targets and their reported load

Nothing knew that a target was four times slower than the others, and the load header of answers was not read.

Boxes keep decaying sums of the observed and the expected time to the first event of short prompts per target incarnation, normalise them by the median of their own ratios and share them with the work in gossip. A target whose pooled ratio is 1.8 times the usual one counts as slow: its score and its expected times are multiplied by the ratio, long prompts avoid it, and a short prompt every 300 ms notices its recovery. Where none is slow no choice and no random draw changes.

Observations are therefore left out while the target prefills long prompts or has no free slot, and are bounded at four times the usual ratio and at a weight of 100 ms.

The load that a target states in its answers is a lower bound on its requests for 200 ms; invalid loads are counted.

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -113,7 +113,7 @@
 		g.stallCost += stallCost + risks[i]
 		g.wait = max(g.wait, b.totalWork(t.ID).Backlog)
 	}
-	g.expectedTTFT = g.wait + prefill + j.Cost.Pass()
+	g.expectedTTFT = b.slowed(g.wait+prefill+j.Cost.Pass(), first, helpers)
 	g.cost = g.stallCost + latenessCost(j, b.waited(j)+g.expectedTTFT)
 	return g, true
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -144,6 +144,9 @@
 	leadUntil      time.Time
 	// workCache holds the work totals by target during one choice.
 	workCache map[barleystep.TargetID]Work
+	// slow holds the targets that are much slower than others, with the factor. It is empty as long
+	// as none is, so that choices cost nothing more.
+	slow map[barleystep.TargetID]float64
 	// peers is the latest sum of the work and demand of all other boxes.
 	peers Snapshot
 }
@@ -184,6 +187,9 @@
 	// coldUntil is when the target is warm, and evacuated is set while its hall is evacuated.
 	coldUntil time.Time
 	evacuated bool
+	// speed is what this box has observed of its speed, and reported the load that it last stated.
+	speed    speed
+	reported reportedLoad
 }
 
 const (
@@ -413,6 +419,7 @@
 		s.notePresence(present[id], now)
 		if !present[id] && len(s.parts) == 0 && !s.isRetained(now) {
 			delete(b.states, id)
+			b.forgetSpeed(id)
 		}
 	}
 	b.pruneTrials()
--- a/internal/balance/incarnation.go
+++ b/internal/balance/incarnation.go
@@ -73,6 +73,7 @@
 	}
 	old.parts = nil
 	b.states[id] = s
+	b.forgetSpeed(id)
 	if b.Log != nil {
 		b.Log.Info().Str("target", string(id)).Int("lost", lost).Int("kept", len(s.parts)).
 			Msg(logPrefix + "A target has restarted. Its earlier state is dropped.")
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -114,7 +114,8 @@
 	if !IsLongPrompt(j) {
 		p := plainPlacement(first)
 		if j.Cost != nil {
-			p = shortPlacement(j, first, plan.ExpectedTTFT)
+			clear(b.workCache) // The lead chooses for this box, so nothing else clears it.
+			p = b.shortPlacement(j, first, plan.ExpectedTTFT)
 		}
 		b.record(p)
 		p.probe()
--- a/internal/balance/long.go
+++ b/internal/balance/long.go
@@ -15,7 +15,7 @@
 // stall the fewest streams. It returns nothing while these engines prefill other prompts: a prompt
 // that waits here can still go to other engines, or let a shorter one pass.
 func (b *Balancer) placeLong(j Job, engines []fleet.Target) (p *Placement, h holdReason) {
-	g := b.bestAssignment(j, engines)
+	g := b.bestAssignment(j, b.withoutSlow(j, engines))
 	switch {
 	case g.wait > maxPrefillBacklog:
 		return nil, holdPrefill
--- a/internal/balance/oversized.go
+++ b/internal/balance/oversized.go
@@ -22,7 +22,7 @@
 // helpers. It returns nothing while these prefill other prompts, or while the streams that it would
 // stall are worth more than the prompt.
 func (b *Balancer) placeOversized(j Job, engines []fleet.Target) (p *Placement, h holdReason) {
-	g := b.bestAssignment(j, engines)
+	g := b.bestAssignment(j, b.withoutSlow(j, engines))
 	gain := promptWorth(j)*(1+lateAnswerWorth) - latenessLoss(j, g.expectedTTFT)
 	switch {
 	case g.kvTokens == 0:
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -31,6 +31,9 @@
 	// zero if it was placed here.
 	plan         uint64
 	expectedTTFT time.Duration
+	// modelTTFT is the time to the first event that the cost model predicts for a short prompt,
+	// whatever the speed of its engine; zero if the request tells nothing of it.
+	modelTTFT time.Duration
 	// sent is when the placement was made, and lastEvent when its target last sent something.
 	sent      time.Time
 	lastEvent time.Time
@@ -64,6 +67,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.noteEvent()
+	p.noteSpeed()
 	p.notePrefilled()
 }
 
--- a/internal/balance/short.go
+++ b/internal/balance/short.go
@@ -37,6 +37,10 @@
 // demand of the last seconds. It returns nil if all engines that it sampled are full.
 func (b *Balancer) placeShort(j Job, engines []fleet.Target) *Placement {
 	prefill := j.Cost.Prefill(j.PromptTokens)
+	if t, due := b.dueProbe(j, engines); due {
+		b.noteDemand(j, prefill, false)
+		return b.shortPlacement(j, t, b.shortScore(j, t)+prefill+j.Cost.Pass())
+	}
 	r := b.divideRegions(j, engines)
 	best, score, least := b.bestOfHalls(j, r.short)
 	if others := r.long(); len(others) > 0 {
@@ -48,13 +52,13 @@
 		return nil
 	}
 	b.noteDemand(j, prefill, false)
-	return shortPlacement(j, best, score+prefill+j.Cost.Pass())
+	return b.shortPlacement(j, best, score+prefill+j.Cost.Pass())
 }
 
 // shortPlacement returns the placement of a short prompt at an engine.
-func shortPlacement(j Job, t fleet.Target, expectedTTFT time.Duration) *Placement {
+func (b *Balancer) shortPlacement(j Job, t fleet.Target, expectedTTFT time.Duration) *Placement {
 	work := Work{Short: 1, Backlog: j.Cost.Prefill(j.PromptTokens), KVTokens: j.PromptTokens + j.OutputTokens}
-	return &Placement{Target: t, expectedTTFT: expectedTTFT, parts: []*part{{target: t.ID, work: work}}}
+	return &Placement{Target: t, expectedTTFT: expectedTTFT, modelTTFT: b.modelTTFT(j, t), parts: []*part{{target: t.ID, work: work}}}
 }
 
 // isShort reports whether the placement is that of a short prompt or of a request to a plain
@@ -78,14 +82,14 @@
 	}
 	switch {
 	case len(near) == 0:
-		best, score = b.bestShort(far)
+		best, score = b.bestShort(j, far)
 		return best, score, score
 	case len(far) == 0:
-		best, score = b.bestShort(near)
+		best, score = b.bestShort(j, near)
 		return best, score, score
 	}
-	best, score = b.bestShort(near)
-	t, farScore := b.bestShort(far)
+	best, score = b.bestShort(j, near)
+	t, farScore := b.bestShort(j, far)
 	least = min(score, farScore)
 	if farScore+otherHallCost < score {
 		best, score = t, farScore
@@ -93,11 +97,20 @@
 	return best, score, least
 }
 
-// bestShort returns the best of some random engines, and its score.
-func (b *Balancer) bestShort(pool []fleet.Target) (best fleet.Target, least time.Duration) {
+// bestShort returns the best of some random engines, and its score. Where that is a slow one, it is
+// compared with the whole pool: in a small one, all samples are often the same engine.
+func (b *Balancer) bestShort(j Job, pool []fleet.Target) (best fleet.Target, least time.Duration) {
 	for i := range shortSamples {
 		t := pool[b.randIntN(len(pool))]
-		if s := b.shortScore(t); i == 0 || s < least {
+		if s := b.shortScore(j, t); i == 0 || s < least {
+			best, least = t, s
+		}
+	}
+	if !b.isSlow(best.ID) {
+		return best, least
+	}
+	for _, t := range pool {
+		if s := b.shortScore(j, t); s < least {
 			best, least = t, s
 		}
 	}
@@ -117,8 +130,9 @@
 	return false
 }
 
-// shortScore estimates how long a short prompt waits at the engine.
-func (b *Balancer) shortScore(t fleet.Target) time.Duration {
+// shortScore estimates how long a short prompt waits at the engine. At a slow one it also counts by
+// how much longer its own prefill takes.
+func (b *Balancer) shortScore(j Job, t fleet.Target) time.Duration {
 	w := b.totalWork(t.ID)
 	score := w.Backlog + time.Duration(w.Short)*streamCost + b.errorWait(t)
 	running := w.Short + w.Long
@@ -128,6 +142,10 @@
 	if tight := running - t.Slots*tightSlotsPercent/percent; tight > 0 {
 		score += time.Duration(tight) * tightCost
 	}
+	if factor := b.slowness(t.ID); factor > 1 {
+		own := j.Cost.Prefill(j.PromptTokens) + j.Cost.Pass()
+		score = time.Duration(factor*float64(score+own)) - own
+	}
 	return score
 }
 
--- a/internal/balance/statement.go
+++ b/internal/balance/statement.go
@@ -100,6 +100,7 @@
 // noteStatement takes in the statement that an incarnation of a target makes to this box.
 func (b *Balancer) noteStatement(id barleystep.TargetID, s *targetState, statement barleystep.Statement, sent time.Time) {
 	now := b.Clock.Now()
+	s.reported.note(statement.Load, now)
 	update := TimedStatement{
 		Limit:   timedFrom(statement.Limit, now, sent),
 		Leaving: timedFrom(statement.Leaving, now, sent),
--- a/internal/balance/status.go
+++ b/internal/balance/status.go
@@ -17,6 +17,8 @@
 	HeardLocally TimedStatement
 	// Resting is set while the target has asked this box for rest.
 	Resting bool
+	// Slowness is the factor by which the target is slower than others, 1 unless it counts as slow.
+	Slowness float64
 }
 
 // maxDeclining bounds the number of targets that are named as declining.
@@ -63,5 +65,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now, s := b.Clock.Now(), b.targetState(id)
-	return TargetStatus{Down: b.seemsDown(s, now), Statement: s.statement, HeardLocally: s.heardLocally, Resting: s.isResting(now)}
+	return TargetStatus{Down: b.seemsDown(s, now), Statement: s.statement, HeardLocally: s.heardLocally, Resting: s.isResting(now), Slowness: b.slowness(id)}
 }
--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -87,7 +87,7 @@
 	case IsLongPrompt(j):
 		return b.longPlacement(j, t, nil, 0, j.Cost.Prefill(j.PromptTokens)+j.Cost.Pass())
 	default:
-		return shortPlacement(j, t, j.Cost.Prefill(j.PromptTokens)+j.Cost.Pass())
+		return b.shortPlacement(j, t, j.Cost.Prefill(j.PromptTokens)+j.Cost.Pass())
 	}
 }
 
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -27,6 +27,11 @@
 	KVTokens int
 	// DownReports counts the boxes that have recently failed to reach the target.
 	DownReports int
+	// ObservedTTFT and ExpectedTTFT are decaying sums of the times to the first event of short
+	// prompts: as boxes have measured them, each normalised by its own median ratio, and as the
+	// cost model predicts them.
+	ObservedTTFT time.Duration
+	ExpectedTTFT time.Duration
 }
 
 func (w *Work) add(o Work) { w.merge(o, 1) }
@@ -40,6 +45,8 @@
 	w.LeadBacklog += time.Duration(factor) * o.LeadBacklog
 	w.KVTokens += factor * o.KVTokens
 	w.DownReports += factor * o.DownReports
+	w.ObservedTTFT += time.Duration(factor) * o.ObservedTTFT
+	w.ExpectedTTFT += time.Duration(factor) * o.ExpectedTTFT
 }
 
 // Key identifies an incarnation of a target, or a service, between boxes, in less space than its
@@ -121,9 +128,12 @@
 	defer b.mu.Unlock()
 	s := NewSnapshot()
 	now := b.Clock.Now()
+	b.updateSpeeds(now)
 	for _, state := range b.states {
-		if len(state.parts) > 0 || state.isUnreachable(now) {
-			s.Work[state.key] = state.ownWork(now)
+		if shared := state.speed.shared; len(state.parts) > 0 || state.isUnreachable(now) || shared.isSet() {
+			w := state.ownWork(now)
+			w.ObservedTTFT, w.ExpectedTTFT = shared.observed, shared.expected
+			s.Work[state.key] = w
 		}
 		if gossip := state.heardLocally.gossip(state.statement, now); gossip != (TimedStatement{}) {
 			s.Statements[state.key] = gossip
@@ -168,6 +178,7 @@
 		peers.LeadBacklog = 0 // This box's own accounting is newer.
 	}
 	w.add(peers)
+	w.Short += s.reported.excess(w, now)
 	w.Backlog, w.LeadBacklog = w.Backlog+w.LeadBacklog, 0
 	if b.workCache == nil {
 		b.workCache = make(map[barleystep.TargetID]Work)
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -162,7 +162,7 @@
 	defer resp.Body.Close()
 	if !misdirected(resp) {
 		// Answers to orders may omit statements that others carry, so an omission revokes nothing.
-		t.placement.NoteStatement(r.target, t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header).Statement, time.Time{})
+		t.noteStatement(r.target, t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header).Statement, time.Time{})
 	}
 	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
 		return 0
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -222,7 +222,7 @@
 	verdict := t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header)
 	t.wrongTarget = misdirected(resp) && t.findHelper(verdict.RefusedBy) == ""
 	if !t.wrongTarget {
-		t.placement.NoteStatement(t.placement.Target.ID, verdict.Statement, t.sent)
+		t.noteStatement(t.placement.Target.ID, verdict.Statement, t.sent)
 	}
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.HasDigest)
 	if verdict.NotRun {
@@ -242,6 +242,15 @@
 	return t.bufferAnswer(resp)
 }
 
+// noteStatement takes in what a target states in an answer to a request that was sent at the given
+// time.
+func (t *try) noteStatement(id barleystep.TargetID, statement barleystep.Statement, sent time.Time) {
+	if statement.InvalidLoad {
+		t.stage.meter.TargetLoadInvalid()
+	}
+	t.placement.NoteStatement(id, statement, sent)
+}
+
 // misdirected reports whether the answer says that the request was meant for another target than
 // the one that answers, or than a helper that it blames.
 func misdirected(resp *http.Response) bool {
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -30,6 +30,9 @@
 			Memory:    int64(w.KVTokens),
 			Unread:    int32(w.PendingPrefills),
 			Down:      int32(w.DownReports),
+
+			ObservedMs: w.ObservedTTFT.Milliseconds(),
+			ExpectedMs: w.ExpectedTTFT.Milliseconds(),
 		})
 	}
 	for key, demand := range s.Demands {
@@ -155,6 +158,8 @@
 			KVTokens:        int(w.GetMemory()),
 			PendingPrefills: int(w.GetUnread()),
 			DownReports:     int(w.GetDown()),
+			ObservedTTFT:    time.Duration(w.GetObservedMs()) * time.Millisecond,
+			ExpectedTTFT:    time.Duration(w.GetExpectedMs()) * time.Millisecond,
 		}
 	}
 	for _, demand := range d.GetDemands() {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -63,6 +63,7 @@
 	cancelled     metric.Int64Counter
 	storeFaults   metric.Int64Counter
 	configuration metric.Int64Counter
+	invalidLoads  metric.Int64Counter
 	firstToken    metric.Float64Histogram
 }
 
@@ -76,6 +77,7 @@
 		cancelled:     counter(m, "barleystep_cleanups", "Attempts cancelled at targets, by reason."),
 		storeFaults:   counter(m, "barleystep_store_faults", "Failed calls to the platform's stores, by operation and fault."),
 		configuration: counter(m, "barleystep_configuration_events", "Changes of the configuration in force, by kind."),
+		invalidLoads:  counter(m, "barleystep_target_loads_invalid", "Answers in which a target stated an unreadable, negative or absurd load of its own."),
 		firstToken:    histogram(m, "barleystep_first_token_seconds", "Time to first token, by band of prompt length."),
 	}
 }
@@ -134,6 +136,9 @@
 	add(m.configuration, attribute.String("kind", kind))
 }
 
+// TargetLoadInvalid counts an answer in which a target stated an invalid load.
+func (m *Meter) TargetLoadInvalid() { add(m.invalidLoads) }
+
 // FirstToken records the time to first token of a prompt in a band of prompt lengths.
 func (m *Meter) FirstToken(band string, d time.Duration) {
 	m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("band", band)))
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -80,7 +80,7 @@
 // this box or another one received them.
 func (r *Router) targetStates() []metric.Sample {
 	counts := map[string]int{}
-	for _, state := range []string{"known", "draining", "evacuated", "cold", "down", "limited, heard", "limited, told", "leaving, heard", "leaving, told", "resting, heard", "no_service"} {
+	for _, state := range []string{"known", "draining", "evacuated", "cold", "down", "slow", "limited, heard", "limited, told", "leaving, heard", "leaving, told", "resting, heard", "no_service"} {
 		counts[state] = 0
 	}
 	view := r.configuration.View()
@@ -115,6 +115,9 @@
 	if status.Down {
 		states = append(states, "down")
 	}
+	if status.Slowness > 1 {
+		states = append(states, "slow")
+	}
 	if status.Statement.Limit.Value.IsSet() {
 		states = append(states, "limited, "+origin(status.Statement.Limit == status.HeardLocally.Limit))
 	}
--- a/statement.go
+++ b/statement.go
@@ -13,4 +13,8 @@
 	// Rest is how long the target wants no requests from the box that it answers, zero if it
 	// does not say.
 	Rest time.Duration
+	// Load is the load that the target states, unset if it states none or an invalid one.
+	Load ReportedLoad
+	// InvalidLoad is set if it states a load that is unreadable, negative or absurdly large.
+	InvalidLoad bool
 }
