--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -244,6 +244,7 @@
 // each gossip tick, so that choices only look up the result.
 func (b *Balancer) updateSpeeds(now time.Time) {
 	services := make(map[string]*serviceSpeeds)
+	var ordered []*serviceSpeeds // Random draws come in the same order in each run of a simulation.
 	for _, t := range b.Targets() {
 		s, ok := b.states[t.ID]
 		if !ok {
@@ -263,10 +264,11 @@
 		if v == nil {
 			v = &serviceSpeeds{}
 			services[t.Service] = v
+			ordered = append(ordered, v)
 		}
 		v.ids, v.states = append(v.ids, t.ID), append(v.states, s)
 	}
-	for _, v := range services {
+	for _, v := range ordered {
 		v.normalise()
 		b.judgeSpeeds(v)
 	}
--- a/internal/router/observe_internal_test.go
+++ b/internal/router/observe_internal_test.go
@@ -54,3 +54,25 @@
 	}
 	return m
 }
+
+// TestSlowTargetMetric checks that a target that peers report as slow shows in the metric of targets.
+func TestSlowTargetMetric(t *testing.T) {
+	manual := clock.NewManual(time.Unix(1000, 0))
+	quiet := &log.Logger{Level: log.PanicLevel}
+	r := &Router{
+		Clock:         manual,
+		configuration: &follow.Configuration{Clock: manual, Decode: platform.DecodeConfiguration, Log: quiet},
+		targets:       &follow.Targets{Clock: manual, Decode: platform.DecodeTarget, Log: quiet},
+	}
+	r.balancer = &balance.Balancer{Clock: manual, Targets: r.targets.List, Log: quiet}
+	peers := balance.NewSnapshot()
+	for id, observed := range map[string]time.Duration{"a": 9 * time.Second, "b": 2 * time.Second, "c": 2 * time.Second} {
+		r.targets.Apply(barleystep.NewRecord(id, []byte(
+			`{"service":"app","address":"10.0.0.1:80","zone":"z","version":"v1","slots":1,"state":"ready","cold_left_ms":0,"call_seq":0}`)))
+		peers.Work[balance.KeyOf(id)] = balance.Work{ObservedTTFT: observed, ExpectedTTFT: 2 * time.Second}
+	}
+	quicktest.Check(t, values(r.targetStates())["slow"], quicktest.Equals, 0.0)
+	r.balancer.SetOthers(peers)
+	r.balancer.Snapshot()
+	quicktest.Check(t, values(r.targetStates())["slow"], quicktest.Equals, 1.0)
+}
