--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -61,7 +61,7 @@
 }
 
 func (protocol) ReadResponseHead(_ int, h http.Header) barleystep.ResponseHead {
-	statement := barleystep.Statement{Leaving: h.Get("Leaves") != ""}
+	statement := barleystep.Statement{Leaving: h.Get("Leaves") != "", InvalidLoad: h.Get("Bad-Load") != ""}
 	if perSecond, err := strconv.ParseFloat(h.Get("Takes"), 64); err == nil {
 		statement.Limit = barleystep.NewRateLimit(perSecond)
 	}
@@ -267,6 +267,8 @@
 	front  *front.Server
 	target *server
 	view   *fleet.View
+	// metrics exports the front's metrics.
+	metrics *metric.Exporter
 	// targets are those that the balancer knows; mu is held when they change during a test.
 	mu      sync.Mutex
 	targets []fleet.Target
@@ -304,6 +306,9 @@
 	retryBudget := &budget.Budget{Clock: clk, Window: 10 * time.Second, BoxCount: func() int { return 1 }}
 	retryBudget.SetLimits(1, 10)
 	quiet := &log.Logger{Level: log.PanicLevel}
+	exporter, err := metric.NewExporter()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	f.metrics = exporter
 	f.front = &front.Server{
 		Clock:         clk,
 		Protocol:      protocol{},
@@ -311,7 +316,7 @@
 		Balancer:      &balance.Balancer{Clock: clk, Targets: f.list, Suspects: &suspect.Registry{Clock: clk}},
 		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
 		Budget:        retryBudget,
-		Meter:         metric.Discard(),
+		Meter:         exporter.Meter(),
 		Log:           quiet,
 	}
 	f.front.SetKeyFreshness(freshness)
