--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -122,7 +122,7 @@
 		length = max(length, p.Length)
 		lost += g.start - p.Timeline.Free() + p.Length - prefill
 	}
-	g.expectedTTFT = g.start + length + j.Cost.Pass()
+	g.expectedTTFT = b.slowed(g.start+length+j.Cost.Pass(), first, g.helpers)
 	g.cost = g.stallCost + latenessCost(j, b.waited(j)+g.expectedTTFT) + b.lostTimePrice()*lost.Seconds()
 	return g, true
 }
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -188,7 +188,7 @@
 
 // planAssignment returns the best assignment of a long prompt, or why there is none.
 func (b *Balancer) planAssignment(j Job, engines []fleet.Target) (g assignment, h holdReason) {
-	g = b.bestAssignment(j, engines)
+	g = b.bestAssignment(j, b.withoutSlow(j, engines))
 	gain := promptWorth(j)*(1+lateAnswerWorth) - latenessLoss(j, g.expectedTTFT)
 	switch {
 	case g.first.ID == "":
--- a/internal/balance/refused_test.go
+++ b/internal/balance/refused_test.go
@@ -52,7 +52,7 @@
 				_, _, _ = f.TryPlace(context.Background(), long())
 			}
 			j := long()
-			j.Arrival = f.clock.Now().Add(-7 * time.Second)
+			j.Arrival = f.clock.Now().Add(-j.Objective)
 			_, err := f.PlaceForPeer(context.Background(), j, f.clock.Now())
 			return err
 		}, true},
@@ -94,7 +94,7 @@
 	refuse := func() time.Duration {
 		j := engineJob(60_000)
 		j.Objective = 10 * time.Second
-		j.Arrival = f.clock.Now().Add(-7 * time.Second)
+		j.Arrival = f.clock.Now().Add(-j.Objective)
 		_, _, err := f.TryPlace(context.Background(), j)
 		after, ok := balance.RefusedUntil(err)
 		c.Assert(ok, quicktest.IsTrue)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -65,6 +65,7 @@
 	configuration metric.Int64Counter
 	returned      metric.Int64Counter
 	refusedTimes  metric.Int64Counter
+	invalidLoads  metric.Int64Counter
 	firstToken    metric.Float64Histogram
 }
 
@@ -80,6 +81,7 @@
 		configuration: counter(m, "barleystep_configuration_events", "Changes of the configuration in force, by kind."),
 		returned:      counter(m, "barleystep_callers_returned", "Callers that were told when to come back, by when they came and whether there was capacity."),
 		refusedTimes:  counter(m, "barleystep_refused_times", "Times that the lead's refusals carried, by whether they could be used."),
+		invalidLoads:  counter(m, "barleystep_target_loads_invalid", "Answers in which a target stated an unreadable, negative or absurd load of its own."),
 		firstToken:    histogram(m, "barleystep_first_token_seconds", "Time to first token, by band of prompt length."),
 	}
 }
@@ -149,6 +151,9 @@
 	add(m.configuration, attribute.String("kind", kind))
 }
 
+// TargetLoadInvalid counts an answer in which a target stated an invalid load.
+func (m *Meter) TargetLoadInvalid() { add(m.invalidLoads) }
+
 // FirstToken records the time to first token of a prompt in a band of prompt lengths.
 func (m *Meter) FirstToken(band string, d time.Duration) {
 	m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("band", band)))
