balance, gossip: a killed box's planned prefill ends when it falls silent

Cause: the lead counts the prefill of a placement for a peer until two seconds past its expected end if the peer reports nothing, although the gossip reports the box as silent after 0.5 s. The last report of the box stays in the sums for 1.2 s as well, and with it its prefill.

Change: jobs name the box that asks (PlaceRequest.box). A silent box's report counts without prefill from then on; its streams count until the report expires, as before. If the box speaks again, its report counts beyond the lead's own accounting, so its engines are not given away. Boxes that send no id are treated as before. DropPeer is called under the gossip's lock, like SetOthers.

Not covered: boxes of other halls that are no collectors. No message tells the lead which of them are silent.

TestLateIncarnation gets a balancer, since a new incarnation now calls it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -74,6 +74,9 @@
 
 	// Hall is the hall of the box that serves the caller; empty means the balancer's own.
 	Hall barleystep.HallID
+	// Box is the box that asks; empty means the balancer's own, or an older box for which the job
+	// is placed.
+	Box barleystep.BoxID
 	// ForPeer is set while the job is placed for another box.
 	ForPeer bool
 
@@ -105,6 +108,7 @@
 // Balancer chooses targets. Its exported fields are set before use; it is safe for concurrent use.
 type Balancer struct {
 	Clock barleystep.Clock
+	Box   barleystep.BoxID
 	Hall  barleystep.HallID
 	// Targets lists the targets that may get work.
 	Targets func() []fleet.Target
@@ -184,6 +188,9 @@
 	// coldUntil is when the target is warm, and evacuated is set while its hall is evacuated.
 	coldUntil time.Time
 	evacuated bool
+	// droppedUntil is until when a part of a peer that fell silent might still be prefilled: until
+	// then the parts that peers report count beyond those that this box has placed.
+	droppedUntil time.Time
 }
 
 const (
@@ -226,6 +233,9 @@
 	if j.Hall == "" {
 		j.Hall = b.Hall
 	}
+	if j.Box == "" && !j.ForPeer {
+		j.Box = b.Box
+	}
 	if b.cannotMeetDeadline(j) {
 		return nil, nil, ErrCannotMeetDeadline
 	}
@@ -306,6 +316,7 @@
 	}
 	b.chargeLimits(j, p)
 	b.notePlaced(j)
+	p.box = j.Box
 	b.record(p)
 	if !j.ForPeer {
 		p.probe()
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -24,7 +24,9 @@
 	// Helpers are engines that prefill parts of the prompt.
 	Helpers []Helper
 
-	balancer  *Balancer
+	balancer *Balancer
+	// box is the box that asked for the placement, empty if unknown.
+	box       barleystep.BoxID
 	parts     []*part
 	prefilled bool
 	// plan is the lead's plan id while the lead must still be told that the prompt was prefilled;
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -90,6 +90,19 @@
 // Remove subtracts a snapshot that was added, but keeps its statements and evidence.
 func (s Snapshot) Remove(o Snapshot) { s.merge(o, -1) }
 
+// WithoutPrefill returns a copy of the snapshot without the prefill that is not done yet, and
+// without the long prompts that wait for it, which have no stream yet.
+func (s Snapshot) WithoutPrefill() Snapshot {
+	work := make(map[Key]Work, len(s.Work))
+	for k, w := range s.Work {
+		w.Long -= w.PendingPrefills
+		w.PendingPrefills, w.Backlog, w.LeadBacklog = 0, 0, 0
+		work[k] = w
+	}
+	s.Work = work
+	return s
+}
+
 func (s Snapshot) merge(o Snapshot, factor int) {
 	for k, w := range o.Work {
 		sum := s.Work[k]
@@ -165,7 +178,7 @@
 	w := s.ownWork(now)
 	peers := b.peers.Work[s.key]
 	if now.Before(b.leadUntil) {
-		peers.LeadBacklog = 0 // This box's own accounting is newer.
+		peers.LeadBacklog = s.unknownLeadBacklog(peers.LeadBacklog, w.Backlog, now)
 	}
 	w.add(peers)
 	w.Backlog, w.LeadBacklog = w.Backlog+w.LeadBacklog, 0
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -62,6 +62,9 @@
 // SetRole does nothing.
 func (*balancer) SetRole(balance.Role) {}
 
+// DropPeer does nothing.
+func (*balancer) DropPeer(barleystep.BoxID) {}
+
 func (b *balancer) SetOthers(s balance.Snapshot) {
 	select {
 	case b.others <- s:
--- a/internal/gossip/incarnation_internal_test.go
+++ b/internal/gossip/incarnation_internal_test.go
@@ -41,7 +41,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			n := &Node{
-				Clock: clock.NewManual(time.Unix(1000, 0)), Box: "me", Hall: "h",
+				Clock: clock.NewManual(time.Unix(1000, 0)), Box: "me", Hall: "h", Balancer: fixedBalancer{},
 				Log: &log.Logger{Level: log.PanicLevel}, members: make(map[barleystep.BoxID]*member),
 			}
 			for _, d := range tc.datagrams {
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -55,6 +55,8 @@
 	// sum for other halls did.
 	sumAt     time.Time
 	hallSumAt time.Time
+	// sumsSince is when the first of its latest uninterrupted sums for other halls arrived.
+	sumsSince time.Time
 }
 
 // maxPastIncarnations bounds the earlier incarnations that are remembered of a box. Datagrams
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -37,12 +37,14 @@
 	Offer(ctx context.Context, addr string, changed barleystep.Revision)
 }
 
-// Balancer provides the work of this box, and receives the work of all other boxes and this
-// box's role among them.
+// Balancer provides the work of this box, and receives the work of all other boxes, this box's
+// role among them, and which boxes have ended. It is called under the node's lock, so it must not
+// call the node synchronously.
 type Balancer interface {
 	Snapshot() balance.Snapshot
 	SetOthers(s balance.Snapshot)
 	SetRole(r balance.Role)
+	DropPeer(box barleystep.BoxID)
 }
 
 // Node runs the gossip protocol on one box. Its exported fields are set before Serve.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -62,6 +62,10 @@
 	}
 	if m.incarnation != incarnation {
 		// A new incarnation restarts its sequence numbers and its clock.
+		if m.incarnation != 0 {
+			m.own, m.ownAt, m.ownSequence = balance.Snapshot{}, time.Time{}, 0
+			n.Balancer.DropPeer(box)
+		}
 		m.retireIncarnation()
 		m.incarnation, m.sequence, m.peerSent = incarnation, 0, 0
 	}
@@ -102,6 +106,9 @@
 	switch d.GetScope() {
 	case gossipv1.Scope_SCOPE_HALL:
 		m.hallWork, m.hallAt, m.hallBoxes = s, now, int(d.GetBoxes())
+		if now.Sub(m.hallSumAt) > aliveTimeout {
+			m.sumsSince = now
+		}
 		m.hallSumAt = now
 		n.storeNamed(m, d, now)
 	case gossipv1.Scope_SCOPE_ALL:
@@ -229,10 +236,17 @@
 	}
 }
 
-// addReports adds the latest reports of the hall's other boxes to total.
+// addReports adds the latest reports of the hall's other boxes to total. A box that has fallen
+// silent has probably ended, and with it the prefill that it waited for. Its streams count until
+// the report expires, so that a box that is merely cut off does not lead to full targets.
 func (n *Node) addReports(total balance.Snapshot, now time.Time) {
 	for _, m := range n.members {
-		if m.hall == n.Hall && now.Sub(m.ownAt) <= snapshotTTL {
+		if m.hall != n.Hall || now.Sub(m.ownAt) > snapshotTTL {
+			continue
+		}
+		if now.Sub(m.lastHeard) > aliveTimeout {
+			total.Add(m.own.WithoutPrefill())
+		} else {
 			total.Add(m.own)
 		}
 	}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -22,7 +22,7 @@
 	defer n.mu.Unlock()
 	n.ticks++
 	n.detectStall(now)
-	n.detectSilent(now)
+	silent := n.detectSilent(now)
 	n.sequence++
 	n.recordSent(own)
 	n.updateRole(own, now)
@@ -36,6 +36,9 @@
 	}
 	n.Balancer.SetOthers(n.othersWork(now))
 	n.Balancer.SetRole(n.role(now))
+	for _, box := range silent {
+		n.Balancer.DropPeer(box) // After SetOthers, which no longer has the prefill that it reported.
+	}
 }
 
 func (n *Node) recordSent(own balance.Snapshot) {
@@ -43,13 +46,17 @@
 	delete(n.sent, n.sequence-maxSent)
 }
 
-// detectSilent marks members that have fallen silent, and removes those silent for forgetAfter.
-func (n *Node) detectSilent(now time.Time) {
+// detectSilent marks members that have fallen silent, and removes those silent for forgetAfter. It
+// returns those whose silence means that they have probably ended.
+func (n *Node) detectSilent(now time.Time) (ended []barleystep.BoxID) {
 	for box, m := range n.members {
 		silent := now.Sub(m.lastSeen())
 		if m.alive && now.Sub(m.lastHeard) > aliveTimeout {
 			m.alive = false
 			n.memberEvent(log.WarnLevel).Str("box", string(box)).Dur("silent", silent).Msg(logPrefix + "A box has fallen silent.")
+			if n.isHeardRegularly(m) {
+				ended = append(ended, box)
+			}
 		}
 		if silent <= forgetAfter {
 			continue
@@ -59,6 +66,26 @@
 			go n.removeRecord(box)
 		}
 	}
+	return ended
+}
+
+// isHeardRegularly reports whether the member was sending this box a datagram at every tick when it
+// was last heard: it is of this collector's hall, or the collector of another hall. Others send
+// only queries, and a collector that yielded its role stops sending sums: by then the box that it
+// yielded to was sending them.
+func (n *Node) isHeardRegularly(m *member) bool {
+	if !n.collecting {
+		return false
+	}
+	if m.hall == n.Hall {
+		return true
+	}
+	for _, o := range n.members {
+		if o != m && o.hall == m.hall && !o.sumsSince.IsZero() && !o.sumsSince.After(m.lastHeard) && !o.hallSumAt.Before(m.lastHeard) {
+			return false
+		}
+	}
+	return !m.hallSumAt.IsZero() && m.lastHeard.Sub(m.hallSumAt) <= aliveTimeout
 }
 
 // memberEvent returns a log entry about the state of another box. A collector, which hears its
--- a/internal/gossip/sum_internal_test.go
+++ b/internal/gossip/sum_internal_test.go
@@ -63,6 +63,7 @@
 func (b fixedBalancer) Snapshot() balance.Snapshot { return b.work }
 func (fixedBalancer) SetOthers(balance.Snapshot)   {}
 func (fixedBalancer) SetRole(balance.Role)         {}
+func (fixedBalancer) DropPeer(barleystep.BoxID)    {}
 
 const (
 	hallBoxes    = 200
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -24,6 +24,7 @@
 		NoHelpers:    m.GetAlone(),
 		LocalHelpers: m.GetNear(),
 		Hall:         barleystep.HallID(m.GetHall()),
+		Box:          barleystep.BoxID(m.GetBox()),
 		CallerRetry:  m.GetReturned(),
 	}
 	if s := view.Service(j.Service); s != nil {
@@ -58,6 +59,7 @@
 		Alone:       j.NoHelpers,
 		Near:        j.LocalHelpers,
 		Hall:        string(j.Hall),
+		Box:         string(j.Box),
 		Returned:    j.CallerRetry,
 	}
 	if j.Suspect != (suspect.Digest{}) {
--- a/internal/lead/wire_internal_test.go
+++ b/internal/lead/wire_internal_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
 )
@@ -21,3 +22,14 @@
 		})
 	}
 }
+
+// TestBoxEncoded checks that the lead learns which box asks, and that a request of an older box,
+// which sends no id, is not taken for one of the lead's own.
+func TestBoxEncoded(t *testing.T) {
+	for name, box := range map[string]barleystep.BoxID{"asking box": "hala1-e3", "older box": ""} {
+		t.Run(name, func(t *testing.T) {
+			got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(balance.Job{Service: "s", Box: box}), time.Unix(1000, 0))
+			quicktest.Check(t, got.Box, quicktest.Equals, box)
+		})
+	}
+}
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -247,6 +247,9 @@
 // SetRole does nothing.
 func (*box) SetRole(balance.Role) {}
 
+// DropPeer does nothing.
+func (*box) DropPeer(barleystep.BoxID) {}
+
 // age returns the age of another box's state on this box; ok is false without any.
 func (b *box) age(of *box) (d time.Duration, ok bool) {
 	b.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,6 +115,7 @@
 	}
 	r.balancer = &balance.Balancer{
 		Clock:    r.Clock,
+		Box:      barleystep.BoxID(s.Box.ID),
 		Hall:     barleystep.HallID(s.Box.Hall),
 		Targets:  r.targets.List,
 		Log:      r.Log,
