balance: waiting prompts go by the engine time that their accounts were granted

Cause: nothing shares capacity among client accounts. One account's burst fills the queues, and the usual order even prefers it if its prompts are shorter.

Change: jobs name the client account (PlaceRequest.account). Per service and account the balancer keeps the engine time granted lately (mean age 8 s; at most 2048 accounts, idle ones are forgotten after 24 s). Among waiting prompts of one priority that can be in time, and among those that cannot, prompts of accounts with more than twice the least share of those that wait go last. The order applies to the queue only. Where the first four in this order find no engines, the usual order is tried, so nothing is held back. Only grants are charged; a placement that is cancelled or whose box has ended is refunded, so a returning caller is charged once. Requests without an account, as from older boxes, have no share. barleystep_account_shares and a log line for long prompts tell which prompts waited behind their account's share and whether they were placed.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -44,6 +44,8 @@
 	PromptTokens int
 	OutputTokens int
 	Objective    time.Duration
+	// Account is the client account of the caller, empty if unknown.
+	Account string
 	// Priority ranks jobs; 0 goes first.
 	Priority int
 	// Cost is the cost model of the service's engines; nil for plain services.
@@ -148,6 +150,11 @@
 	leadUntil      time.Time
 	// workCache holds the work totals by target during one choice.
 	workCache map[barleystep.TargetID]Work
+	// shares holds the engine time granted to client accounts by service; shareWaited and
+	// shareRefused count the jobs that waited behind the share of their account.
+	shares       map[string]*accountShares
+	shareWaited  int
+	shareRefused int
 	// peers is the latest sum of the work and demand of all other boxes.
 	peers Snapshot
 }
@@ -316,6 +323,7 @@
 	}
 	b.chargeLimits(j, p)
 	b.notePlaced(j)
+	b.chargeShare(j, p)
 	p.box = j.Box
 	b.record(p)
 	if !j.ForPeer {
@@ -427,4 +435,5 @@
 		}
 	}
 	b.pruneTrials()
+	b.pruneShares()
 }
--- a/internal/balance/droppeer.go
+++ b/internal/balance/droppeer.go
@@ -26,6 +26,7 @@
 				part.state.droppedUntil = g.prefillUntil
 			}
 		}
+		b.refundShare(g.placement)
 		b.release(g.placement)
 		delete(b.peerPlacements, number)
 		plans++
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -29,6 +29,10 @@
 	box       barleystep.BoxID
 	parts     []*part
 	prefilled bool
+	// charged is the engine time that the account was charged for the placement at the service.
+	charged time.Duration
+	service string
+	account string
 	// plan is the lead's plan id while the lead must still be told that the prompt was prefilled;
 	// zero if it was placed here.
 	plan         uint64
@@ -135,6 +139,7 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.refundShare(p)
 	b.release(p)
 	b.serveQueues(false)
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -23,6 +24,14 @@
 	held holdReason
 	// lag is by how much prompts of its size class are served less often than others.
 	lag float64
+	// share is the share of its account and late is set if it cannot be in time, as of the last
+	// time that accounts were compared. Then overShare is set if it goes behind others by its share,
+	// and aheadByShare if others do. overSince is when it was first over its share.
+	share        float64
+	late         bool
+	overShare    bool
+	aheadByShare bool
+	overSince    time.Time
 }
 
 const (
@@ -58,6 +67,7 @@
 		b.logTimedOut(w)
 		return nil, nil, ErrFull
 	}
+	b.noteShareWait(j)
 	q := b.queueFor(j, h)
 	*q = append(*q, w)
 	return nil, w, nil
@@ -183,6 +193,7 @@
 
 // logTimedOut logs that a long prompt has timed out waiting for engines, and for what it waited.
 func (b *Balancer) logTimedOut(w *QueuedJob) {
+	b.noteShareOutcome(w, false)
 	if b.Log == nil || !IsLongPrompt(w.job) {
 		return
 	}
@@ -263,6 +274,7 @@
 func (b *Balancer) serveQueue(q *[]*QueuedJob, most int) {
 	var left []*QueuedJob
 	for ; most > 0; most-- {
+		b.markShares(*q, len(left))
 		w := b.popNext(q)
 		if w == nil {
 			break
@@ -285,8 +297,10 @@
 }
 
 // needsMore reports whether the job may need more than those behind it: it is oversized, or goes
-// first because its size class lags.
-func (w *QueuedJob) needsMore() bool { return w.lag > 0 || isOversized(w.job) }
+// first because its size class lags or its account was granted less.
+func (w *QueuedJob) needsMore() bool {
+	return w.lag > 0 || isOversized(w.job) || (w.aheadByShare && IsLongPrompt(w.job))
+}
 
 // isSkipped reports whether the job is not tried after this many before it could not be placed.
 func (w *QueuedJob) isSkipped(failed int) bool {
@@ -302,7 +316,7 @@
 	now := b.Clock.Now()
 	own := &QueuedJob{job: j, lag: b.lag(j)}
 	return slices.ContainsFunc(b.longQueue, func(w *QueuedJob) bool {
-		w.lag = b.lag(w.job)
+		w.lag, w.overShare = b.lag(w.job), false // The shares do not hold the job back if it can be placed.
 		return !w.cancelled && w.lag == 0 && w.job.Service == j.Service && w.goesBefore(own, now)
 	})
 }
@@ -327,6 +341,7 @@
 		return false
 	}
 	w.ready <- p
+	b.noteShareOutcome(w, true)
 	return true
 }
 
@@ -365,8 +380,8 @@
 
 // goesBefore reports whether the job goes before another one.
 func (w *QueuedJob) goesBefore(o *QueuedJob, now time.Time) bool {
-	if w.job.Priority != o.job.Priority {
-		return w.job.Priority < o.job.Priority
+	if order := cmp.Or(cmp.Compare(w.job.Priority, o.job.Priority), shareOrder(w, o)); order != 0 {
+		return order < 0
 	}
 	if IsLongPrompt(w.job) && IsLongPrompt(o.job) {
 		return w.longGoesBefore(o, now)
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -179,6 +179,7 @@
 		PromptTokens: x.call.PromptTokens,
 		OutputTokens: x.call.MaxOutputTokens,
 		Objective:    x.route.Objective,
+		Account:      x.account,
 		Priority:     x.priority,
 		FirstArrival: x.firstTry,
 		CallerRetry:  x.firstTry.Before(x.started),
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -25,6 +25,7 @@
 		LocalHelpers: m.GetNear(),
 		Hall:         barleystep.HallID(m.GetHall()),
 		Box:          barleystep.BoxID(m.GetBox()),
+		Account:      m.GetAccount(),
 		CallerRetry:  m.GetReturned(),
 	}
 	if s := view.Service(j.Service); s != nil {
@@ -60,6 +61,7 @@
 		Near:        j.LocalHelpers,
 		Hall:        string(j.Hall),
 		Box:         string(j.Box),
+		Account:     j.Account,
 		Returned:    j.CallerRetry,
 	}
 	if j.Suspect != (suspect.Digest{}) {
--- a/internal/lead/wire_internal_test.go
+++ b/internal/lead/wire_internal_test.go
@@ -33,3 +33,10 @@
 		})
 	}
 }
+
+// TestAccountEncoded checks that the lead learns the client account of the caller. Without it, the
+// lead could not share engines among accounts.
+func TestAccountEncoded(t *testing.T) {
+	got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(balance.Job{Service: "s", Account: "a"}), time.Unix(1000, 0))
+	quicktest.Check(t, got.Account, quicktest.Equals, "a")
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -14,6 +14,7 @@
 	r.Exporter.Observe("barleystep_belief_age_seconds", "How long ago a change of the topic could last have been missed; below zero without any proof.", "topic", r.beliefAges)
 	r.Exporter.Observe("barleystep_targets_believed", "Targets by what the box believes of them.", "state", r.targetStates)
 	r.Exporter.Observe("barleystep_suspects", "Requests under which targets have ended, by how they may run.", "state", r.suspects)
+	r.Exporter.Observe("barleystep_account_shares", "Client accounts that are active, the largest share of any in the mean, and prompts since the start that waited since their account had more than its share, by outcome.", "state", r.accountShares)
 	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
 		return []metric.Sample{{Label: "counted", Value: float64(r.plane.Node().BoxCount())}}
 	})
@@ -46,6 +47,16 @@
 	return list
 }
 
+func (r *Router) accountShares() []metric.Sample {
+	c := r.balancer.ShareCounts()
+	return []metric.Sample{
+		{Label: "active", Value: float64(c.Accounts)},
+		{Label: "largest", Value: c.Largest},
+		{Label: "waited, placed", Value: float64(c.Waited)},
+		{Label: "waited, refused", Value: float64(c.Refused)},
+	}
+}
+
 func (r *Router) storeCalls() []metric.Sample {
 	var list []metric.Sample
 	for topic, f := range r.plane.Followers() {
