--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -46,6 +46,8 @@
 	PromptTokens int
 	OutputTokens int
 	Objective    time.Duration
+	// Account is the client account of the caller, empty if unknown.
+	Account string
 	// Priority ranks jobs; 0 goes first.
 	Priority int
 	// Cost is the cost model of the service's engines; nil for plain services.
@@ -76,6 +78,9 @@
 
 	// Hall is the hall of the box that serves the caller; empty means the balancer's own.
 	Hall barleystep.HallID
+	// Box is the box that asks; empty means the balancer's own, or an older box for which the job
+	// is placed.
+	Box barleystep.BoxID
 	// ForPeer is set while the job is placed for another box.
 	ForPeer bool
 
@@ -107,6 +112,7 @@
 // Balancer chooses targets. Its exported fields are set before use; it is safe for concurrent use.
 type Balancer struct {
 	Clock barleystep.Clock
+	Box   barleystep.BoxID
 	Hall  barleystep.HallID
 	// Targets lists the targets that may get work.
 	Targets func() []fleet.Target
@@ -163,6 +169,11 @@
 	// slow holds the targets that are much slower than others, with the factor. It is empty as long
 	// as none is, so that choices cost nothing more.
 	slow map[barleystep.TargetID]float64
+	// shares holds the engine time granted to client accounts by service; shareWaited and
+	// shareRefused count the jobs that waited behind the share of their account.
+	shares       map[string]*accountShares
+	shareWaited  int
+	shareRefused int
 	// peers is the latest sum of the work and demand of all other boxes.
 	peers Snapshot
 }
@@ -206,6 +217,9 @@
 	// speed is what this box has observed of its speed, and reported the load that it last stated.
 	speed    speed
 	reported reportedLoad
+	// droppedUntil is until when a part of a peer that fell silent might still be prefilled: until
+	// then the parts that peers report count beyond those that this box has placed.
+	droppedUntil time.Time
 }
 
 const (
@@ -248,6 +262,9 @@
 	if j.Hall == "" {
 		j.Hall = b.Hall
 	}
+	if j.Box == "" && !j.ForPeer {
+		j.Box = b.Box
+	}
 	if b.cannotMeetDeadline(j) {
 		return nil, nil, ErrCannotMeetDeadline
 	}
@@ -323,6 +340,8 @@
 	b.chargeLimits(j, p)
 	b.notePlaced(j)
 	b.noteReturnEnded(j, true)
+	b.chargeShare(j, p)
+	p.box = j.Box
 	b.record(p)
 	if !j.ForPeer {
 		p.probe()
@@ -434,4 +453,5 @@
 		}
 	}
 	b.pruneTrials()
+	b.pruneShares()
 }
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -24,9 +24,15 @@
 	// Helpers are engines that prefill parts of the prompt.
 	Helpers []Helper
 
-	balancer  *Balancer
+	balancer *Balancer
+	// box is the box that asked for the placement, empty if unknown.
+	box       barleystep.BoxID
 	parts     []*part
 	prefilled bool
+	// charged is the engine time that the account was charged for the placement at the service.
+	charged time.Duration
+	service string
+	account string
 	// plan is the lead's plan id while the lead must still be told that the prompt was prefilled;
 	// zero if it was placed here.
 	plan         uint64
@@ -137,6 +143,7 @@
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.refundShare(p)
 	b.release(p)
 	b.serveQueues(false)
 }
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -121,6 +121,7 @@
 	for _, w := range b.longQueue {
 		w.lag = b.lag(w.job)
 	}
+	b.markShares(b.longQueue)
 	slices.SortStableFunc(b.longQueue, func(x, y *QueuedJob) int {
 		switch {
 		case x.goesBefore(y, now):
@@ -168,6 +169,7 @@
 		return planWaits
 	}
 	w.ready <- b.placed(j, b.placeAssignment(j, g))
+	b.noteShareOutcome(w, true)
 	return planDone
 }
 
@@ -182,6 +184,7 @@
 		return false
 	}
 	b.logTimedOut(w)
+	b.noteShareOutcome(w, false)
 	w.fail(b.refusal(w))
 	return true
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -26,6 +27,14 @@
 	lag float64
 	// lateSince is since when each plan has it late, zero if the last one had it in time.
 	lateSince time.Time
+	// share is the share of its account and late is set if it cannot be in time, as of the last
+	// time that accounts were compared. Then overShare is set if it goes behind others by its share,
+	// and aheadByShare if others do. overSince is when it was first over its share.
+	share        float64
+	late         bool
+	overShare    bool
+	aheadByShare bool
+	overSince    time.Time
 }
 
 const (
@@ -51,6 +60,7 @@
 		b.logTimedOut(w)
 		return nil, nil, b.refusal(w)
 	}
+	b.noteShareWait(j)
 	q := b.queueFor(j, h)
 	*q = append(*q, w)
 	return nil, w, nil
@@ -168,6 +178,7 @@
 
 // logTimedOut logs that a long prompt has timed out waiting for engines, and for what it waited.
 func (b *Balancer) logTimedOut(w *QueuedJob) {
+	b.noteShareOutcome(w, false)
 	if b.Log == nil || !IsLongPrompt(w.job) {
 		return
 	}
@@ -247,6 +258,7 @@
 // neither can those behind it.
 func (b *Balancer) serveQueue(q *[]*QueuedJob, most int) {
 	for ; most > 0; most-- {
+		b.markShares(*q)
 		w := b.popNext(q)
 		if w == nil {
 			return
@@ -279,6 +291,7 @@
 		return false
 	}
 	w.ready <- p
+	b.noteShareOutcome(w, true)
 	return true
 }
 
@@ -314,8 +327,8 @@
 
 // goesBefore reports whether the job goes before another one.
 func (w *QueuedJob) goesBefore(o *QueuedJob, now time.Time) bool {
-	if w.job.Priority != o.job.Priority {
-		return w.job.Priority < o.job.Priority
+	if order := cmp.Or(cmp.Compare(w.job.Priority, o.job.Priority), shareOrder(w, o)); order != 0 {
+		return order < 0
 	}
 	if IsLongPrompt(w.job) && IsLongPrompt(o.job) {
 		return w.longGoesBefore(o, now)
