--- a/internal/balance/refused.go
+++ b/internal/balance/refused.go
@@ -62,11 +62,11 @@
 // waiting prompts and that of the callers that come back before, and have time for the prompt's own
 // until the next caller comes back. Returning work is given in ascending order of its time. The
 // result is between minRefusedAfter and MaxRefusedAfter.
-func capacityAfter(own, waiting time.Duration, engines int, returning []returningWork) time.Duration {
-	if engines <= 0 {
+func capacityAfter(own, waiting time.Duration, engines float64, returning []returningWork) time.Duration {
+	rate := engines * usableEngineTime
+	if rate <= 0 {
 		return MaxRefusedAfter
 	}
-	rate := float64(engines) * usableEngineTime
 	need := time.Duration(float64(own) / rate)
 	idleAt := time.Duration(float64(waiting) / rate)
 	for _, r := range returning {
@@ -98,7 +98,7 @@
 // already: callers return once.
 func (b *Balancer) refuseForLoad(j Job, waiting time.Duration, engines int) error {
 	now := b.Clock.Now()
-	after := capacityAfter(j.Cost.Prefill(j.PromptTokens), waiting, engines, b.returns.upcoming(j.Service, now))
+	after := capacityAfter(j.Cost.Prefill(j.PromptTokens), waiting, b.spareEngines(j, engines), b.returns.upcoming(j.Service, now))
 	b.logRefused(j, waiting, engines, after)
 	if !j.CallerRetry {
 		b.countMissing(b.returns.note(j, now, after))
@@ -106,6 +106,14 @@
 	return NewRefused(after)
 }
 
+// spareEngines returns how many of the engines are left for work that has to wait, if callers go on
+// asking for as much as lately. During a burst it is none: a caller that came back within it, for its
+// last try, would be refused again.
+func (b *Balancer) spareEngines(j Job, engines int) float64 {
+	d := b.demand(j.Service)
+	return max(float64(engines)-(d.Short+d.Long)/usableEngineTime, 0)
+}
+
 // waitingEngineTime returns the engine time of the service's prompts that wait for engines.
 func (b *Balancer) waitingEngineTime(service string) (total time.Duration) {
 	for _, q := range [][]*QueuedJob{b.shortQueue, b.longQueue} {
