--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -18,6 +18,10 @@
 	minPart = 15 * time.Millisecond
 )
 
+// helperCounts are the numbers of helpers that are compared: the more helpers there are, the less one
+// more changes.
+var helperCounts = [...]int{0, 1, 2, 3, 4, 6, 8, 10, 12, 14, maxHelpers}
+
 // assignment is a choice of engines for the prefill of a long prompt.
 type assignment struct {
 	first   fleet.Target
@@ -72,7 +76,7 @@
 // bestAssignment returns the assignment with the lowest cost to callers.
 func (b *Balancer) bestAssignment(j Job, engines []fleet.Target) assignment {
 	prefill := j.Cost.Prefill(j.PromptTokens)
-	r := b.divideRegions(j, engines)
+	r := b.plannedRegions(j, engines)
 	decoders := r.decoders
 	if len(decoders) == 0 || isOversized(j) {
 		decoders = engines
@@ -84,7 +88,10 @@
 		most = 0
 	}
 	best, least := assignment{}, math.Inf(1)
-	for k := 0; k <= most; k++ {
+	for _, k := range helperCounts {
+		if k > most {
+			break
+		}
 		g, ok := b.evaluate(j, first, list, k)
 		if ok && g.cost < least {
 			best, least = g, g.cost
@@ -107,6 +114,7 @@
 	prefill := j.Cost.Prefill(j.PromptTokens) / time.Duration(count+1)
 	g.transientStallCost = b.stallCost(j, first, prefill)
 	g.stallCost = g.transientStallCost
+	g.helpers = make([]fleet.Target, 0, len(chosen))
 	for _, c := range chosen {
 		g.helpers = append(g.helpers, c.target)
 		stallCost := b.stallCost(j, c.target, prefill)
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -148,10 +148,10 @@
 	// of these may be placed, and planned receives a value after the plan has changed.
 	timelines map[barleystep.TargetID]*schedule.Timeline
 	nextStart time.Time
-	planned   chan struct{}
-	// behind is the number of long prompts that wait behind the one that is being planned.
-	behind     int
-	limitQueue []*QueuedJob
+	// regionsOfPlan holds the regions of the engines during one planning run.
+	regionsOfPlan map[regionsKey]regions
+	planned       chan struct{}
+	limitQueue    []*QueuedJob
 	// returns holds the callers that were refused and are expected back.
 	returns returnTracker
 	// role is this box's role among all boxes.
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -25,8 +25,6 @@
 	held holdReason
 	// lag is by how much prompts of its size class are served less often than others.
 	lag float64
-	// lateSince is since when each plan has it late, zero if the last one had it in time.
-	lateSince time.Time
 	// share is the share of its account and late is set if it cannot be in time, as of the last
 	// time that accounts were compared. Then overShare is set if it goes behind others by its share,
 	// and aheadByShare if others do. overSince is when it was first over its share.
--- a/internal/balance/refused.go
+++ b/internal/balance/refused.go
@@ -47,6 +47,9 @@
 	// usableEngineTime is the part of the engines' time that is expected to go to prefill of the
 	// work counted here. Under load, engines were given work for 0.73 of their time.
 	usableEngineTime = 0.7
+	// calmUse is the demand, as a part of the engines' time, up to which the next seconds are expected
+	// to be like the last: where it is higher, a swing of the rates by half leaves nothing free.
+	calmUse = 0.45
 	// minRefusedAfter is the shortest time that a refused caller is told to stay away. Within it,
 	// other boxes learn of the work placed meanwhile.
 	minRefusedAfter = 100 * time.Millisecond
@@ -111,7 +114,11 @@
 // last try, would be refused again.
 func (b *Balancer) spareEngines(j Job, engines int) float64 {
 	d := b.demand(j.Service)
-	return max(float64(engines)-(d.Short+d.Long)/usableEngineTime, 0)
+	use := (d.Short + d.Long) / float64(engines)
+	if use > calmUse {
+		return 0
+	}
+	return float64(engines) * (1 - use/usableEngineTime)
 }
 
 // waitingEngineTime returns the engine time of the service's prompts that wait for engines.
--- a/internal/lab/attempt.go
+++ b/internal/lab/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -115,10 +116,16 @@
 	})
 }
 
+// boxID returns the id of the box with this number.
+func boxID(number int) barleystep.BoxID { return barleystep.BoxID("b" + strconv.Itoa(number)) }
+
+// job describes a request to the balancer.
 func (d *day) job(r *request) balance.Job {
 	kind := d.scenario.Kinds[r.kind]
 	first := d.timeline.Now().Add(r.at - d.timeline.Elapsed())
 	return balance.Job{
+		Account:            strconv.Itoa(r.account),
+		Box:                boxID(r.box),
 		Priority:           kind.Priority,
 		ColdLimit:          d.scenario.coldLimit(),
 		Service:            service,
--- a/internal/lab/kill.go
+++ b/internal/lab/kill.go
@@ -103,9 +103,12 @@
 			reachable++
 		}
 	}
+	number := slices.Index(d.boxes, silent)
 	for i, b := range d.boxes {
 		if b.up {
 			b.balancer.SetRole(balance.Role{IsLead: i == 0, Boxes: len(d.boxes), Reachable: reachable})
+			b.balancer.DropPeer(boxID(number))
+			d.poll(b)
 		}
 	}
 }
