--- a/internal/lead/refusal_test.go
+++ b/internal/lead/refusal_test.go
@@ -96,11 +96,11 @@
 	p := newPair(t, view, engines[:1])
 	busy := balance.NewSnapshot()
 	busy.Work[balance.KeyOf(string(engines[0]))] = balance.Work{Backlog: time.Minute, Long: 1}
-	busy.Demands[balance.KeyOf("s")] = balance.Demand{Long: 1}
 	p.lead.SetOthers(busy)
 	_, w, err := p.lead.TryPlace(context.Background(), job(210_000))
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(w, quicktest.IsNotNil)
+	p.clock.Advance(10 * time.Second) // The demand of the prompt that waits is over.
 	late := job(210_000)
 	late.Arrival = p.clock.Now().Add(-time.Minute) // The call for it is answered at once.
 
@@ -108,7 +108,8 @@
 	c.Assert(eris.Is(err, balance.ErrFull), quicktest.IsTrue, quicktest.Commentf("%v", err))
 	after, ok := balance.RefusedUntil(err)
 	c.Assert(ok, quicktest.IsTrue)
-	want := cost.Prefill(210_000).Seconds() / 0.7 // The prompt that waits, on one engine.
+	spare := 0.7 - p.lead.Snapshot().Demands[balance.KeyOf("s")].Long // Of one engine.
+	want := cost.Prefill(210_000).Seconds() / spare                   // The prompt that waits.
 	c.Check(after-time.Duration(want*float64(time.Second)) >= 0, quicktest.IsTrue, quicktest.Commentf("%v", after))
 	c.Check(after-time.Duration(want*float64(time.Second)) <= time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", after))
 	c.Check(after%time.Millisecond, quicktest.Equals, time.Duration(0))
