--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -281,6 +281,11 @@
 		b.noteAsked(j)
 		b.noteReturned(j)
 	}
+	return b.placeArrived(j)
+}
+
+// placeArrived places a job that has just arrived, or queues it.
+func (b *Balancer) placeArrived(j Job) (p *Placement, w *QueuedJob, err error) {
 	if IsLongPrompt(j) && !j.isSuspect() {
 		return b.placeLong(j)
 	}
