balance: prompts without engines do not keep others from being planned

TestSharesHoldNothingBack found it: with twelve waiting prompts that no engine could take, the thirteenth was not tried although an engine was idle.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -13,8 +13,10 @@
 
 const (
 	// maxPlanned bounds the waiting prompts that are planned at one event. Those behind them start
-	// later than any prediction holds.
+	// later than any prediction holds. maxTried bounds those that are tried: prompts for which there
+	// are no engines at all do not keep others from theirs.
 	maxPlanned = 12
+	maxTried   = 2 * maxPlanned
 	// defaultDispatchDelay is the time from a choice by the lead until the engines have the
 	// request: the way to the caller's box, to the helpers, and to the target.
 	defaultDispatchDelay = 20 * time.Millisecond
@@ -37,8 +39,10 @@
 type planOutcome uint8
 
 const (
-	// planWaits means that the prompt starts later, or can't be planned now.
-	planWaits planOutcome = iota
+	// planHeld means that there are no engines for the prompt now, and planReserved that it starts
+	// later.
+	planHeld planOutcome = iota
+	planReserved
 	// planLate means that it can't be in time and was not planned.
 	planLate
 	// planDone means that it was placed or failed.
@@ -88,13 +92,18 @@
 	defer func() { b.regionsOfPlan = nil }()
 	b.sortLongQueue()
 	var left, late []*QueuedJob
+	planned := 0
 	for i, w := range b.longQueue {
-		if i >= maxPlanned {
+		if planned >= maxPlanned || i >= maxTried {
 			left = append(left, w)
 			continue
 		}
-		switch b.plan(w, false) {
-		case planWaits:
+		outcome := b.plan(w, false)
+		if outcome != planHeld {
+			planned++
+		}
+		switch outcome {
+		case planHeld, planReserved:
 			left = append(left, w)
 		case planLate:
 			late = append(late, w)
@@ -142,15 +151,15 @@
 		return planDone
 	case err != nil || h != holdNone:
 		w.held = h
-		return planWaits
+		return planHeld
 	}
 	if allowLate && b.plannedUse(candidates) > maxUseForLate {
-		return planWaits
+		return planHeld
 	}
 	g, h := b.planAssignment(j, candidates)
 	if h != holdNone {
 		w.held = h
-		return planWaits
+		return planHeld
 	}
 	if !allowLate && b.waited(j)+g.expectedTTFT > j.Objective {
 		w.held = holdLate
@@ -159,7 +168,7 @@
 	b.reserve(j, g)
 	if b.startsLater(g) {
 		w.held = holdPrefill
-		return planWaits
+		return planReserved
 	}
 	w.ready <- b.placed(j, b.placeAssignment(j, g))
 	b.noteShareOutcome(w, true)
