--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -88,12 +88,22 @@
 func (b *Balancer) planLongQueue() {
 	wasPlanned := !b.nextStart.IsZero()
 	b.timelines, b.nextStart = nil, time.Time{}
-	b.regionsOfPlan = make(map[regionsKey]regions)
-	defer func() { b.regionsOfPlan = nil }()
-	b.sortLongQueue()
-	var left, late []*QueuedJob
+	if len(b.longQueue) > 0 {
+		b.regionsOfPlan = make(map[regionsKey]regions)
+		b.sortLongQueue()
+		b.longQueue = b.planInOrder(b.longQueue)
+		b.regionsOfPlan = nil
+	}
+	if wasPlanned || !b.nextStart.IsZero() {
+		b.notifyPlanned()
+	}
+}
+
+// planInOrder plans the jobs of a queue and returns those that go on waiting.
+func (b *Balancer) planInOrder(queue []*QueuedJob) (left []*QueuedJob) {
+	var late []*QueuedJob
 	planned := 0
-	for i, w := range b.longQueue {
+	for i, w := range queue {
 		if planned >= maxPlanned || i >= maxTried {
 			left = append(left, w)
 			continue
@@ -114,10 +124,7 @@
 			left = append(left, w)
 		}
 	}
-	b.longQueue = left
-	if wasPlanned || !b.nextStart.IsZero() {
-		b.notifyPlanned()
-	}
+	return left
 }
 
 // sortLongQueue orders the waiting long prompts and drops those that were cancelled.
