router: failing test of a box without a way to targets

Callers of a box that has lost its links to all targets get 503 while the other boxes reach the same targets. The test takes the links of one of three boxes away (new connections refused and open ones reset, silence in both directions, silence in one) and asks for its callers to be served and for no request to run twice.

The connection to targets becomes an interface (barleystep.Dialer) so that a test can take it away; internal/fault has the link. No logic has changed.

--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -73,7 +73,7 @@
 
 func (s *target) addr() string { return s.listener.Addr().String() }
 
-func newPool() *conn.Pool { return &conn.Pool{Clock: clock.System{}, DialTimeout: 10 * time.Second} }
+func newPool() *conn.Pool { return &conn.Pool{Clock: clock.System{}, Dialer: conn.TCP{Timeout: 10 * time.Second}} }
 
 func answer(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
@@ -218,7 +218,7 @@
 			text := strings.Replace(answer("1", "a"), "Id", tc.header+"Id", 1)
 			s := newTarget(t, text, answer("1", "a"))
 			manual := clock.NewManual(time.Unix(1000, 0))
-			p := &conn.Pool{Clock: manual, DialTimeout: 10 * time.Second}
+			p := &conn.Pool{Clock: manual, Dialer: conn.TCP{Timeout: 10 * time.Second}}
 			_, err := exchange(t, p, s.addr(), http.MethodGet, "1", nil)
 			c.Assert(err, quicktest.IsNil)
 			manual.Advance(tc.rest)
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -17,8 +16,8 @@
 // safe for concurrent use.
 type Pool struct {
 	Clock barleystep.Clock
-	// DialTimeout bounds connecting.
-	DialTimeout time.Duration
+	// Dialer opens the connections.
+	Dialer barleystep.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -38,11 +37,6 @@
 	// idleMargin is how long before its target a connection is closed, so that a request does not
 	// cross the target's close.
 	idleMargin = 700 * time.Millisecond
-	// unackedTimeout bounds how long sent bytes may stay unacknowledged, so that a target that lost
-	// power is detected.
-	unackedTimeout = 2 * time.Second
-	// tcpUserTimeout is the Linux option TCP_USER_TIMEOUT, which package syscall lacks.
-	tcpUserTimeout = 0x12
 )
 
 // Get returns a connection to the address, preferably an idle one. If connecting fails, the request
@@ -100,7 +94,7 @@
 // Dial returns a new connection to the address. Its errors are those of Get.
 func (p *Pool) Dial(ctx context.Context, addr string) (c *Conn, err error) {
 	generation := p.generationOf(addr) // Read before connecting, since it may change meanwhile.
-	raw, err := p.connect(ctx, addr)
+	raw, err := p.Dialer.Dial(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
 	}
@@ -114,21 +108,10 @@
 	return &Conn{pool: p, addr: addr, generation: generation, raw: raw, reader: bufio.NewReaderSize(raw, readerSize)}, nil
 }
 
-// connect opens a TCP connection to the address.
-func (p *Pool) connect(ctx context.Context, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
-	defer cancel()
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control:         setUnackedTimeout,
-	}
-	return d.DialContext(ctx, "tcp4", addr)
-}
-
 // ConnRefused reports whether the machine at the address refuses connections to the port. No answer
 // does not count as a refusal.
 func (p *Pool) ConnRefused(ctx context.Context, addr string) bool {
-	raw, err := p.connect(ctx, addr)
+	raw, err := p.Dialer.Dial(ctx, addr)
 	if err == nil {
 		_ = raw.Close() // Only the result of connecting matters.
 	}
@@ -141,17 +124,6 @@
 	return p.generations[addr]
 }
 
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return set
-}
-
 // put pools a connection that is idle since the given time, unless its generation is over.
 func (p *Pool) put(c *Conn, since time.Time) {
 	if !p.addIdle(c, since) {
--- /dev/null
+++ b/internal/conn/tcp.go
@@ -0,0 +1,44 @@
+package conn
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+// TCP connects directly. It is safe for concurrent use.
+type TCP struct {
+	// Timeout bounds connecting.
+	Timeout time.Duration
+}
+
+const (
+	// unackedTimeout bounds how long sent bytes may stay unacknowledged, so that a target that lost
+	// power is detected.
+	unackedTimeout = 2 * time.Second
+	// tcpUserTimeout is the Linux option TCP_USER_TIMEOUT, which package syscall lacks.
+	tcpUserTimeout = 0x12
+)
+
+// keepAliveConfig detects that an idle connection is lost.
+var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// Dial opens a TCP connection to the address.
+func (d TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig, Control: setUnackedTimeout}
+	return dialer.DialContext(ctx, "tcp4", addr)
+}
+
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -316,7 +316,7 @@
 		Protocol:      protocol{},
 		Configuration: s,
 		Balancer:      &balance.Balancer{Clock: clk, Targets: f.list, Suspects: &suspect.Registry{Clock: clk}},
-		Pool:          &conn.Pool{Clock: clk, DialTimeout: 10 * time.Second},
+		Pool:          &conn.Pool{Clock: clk, Dialer: conn.TCP{Timeout: 10 * time.Second}},
 		Budget:        retryBudget,
 		Meter:         exporter.Meter(),
 		Log:           quiet,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,7 +42,9 @@
 	CheckEvacuation func(value []byte) error
 	// ReadyHandler returns the handler of the platform's readiness probe.
 	ReadyHandler func(ready func() bool) http.Handler
-	Exporter     *metric.Exporter
+	// Dialer connects directly to targets; nil uses TCP.
+	Dialer   barleystep.Dialer
+	Exporter *metric.Exporter
 	// DroppedLines returns how many log lines were dropped; it may be nil.
 	DroppedLines func() int64
 	Log          *log.Logger
@@ -105,6 +107,9 @@
 	meter := r.Exporter.Meter()
 	s := r.Settings
 	r.stopping = make(chan struct{})
+	if r.Dialer == nil {
+		r.Dialer = conn.TCP{Timeout: dialTimeout}
+	}
 	r.targets = &follow.Targets{Clock: r.Clock, Decode: r.DecodeTarget, Log: r.Log}
 	r.configuration = &follow.Configuration{
 		Clock:           r.Clock,
@@ -147,7 +152,7 @@
 		Log:   r.Log,
 		Meter: meter,
 	}
-	r.pool = &conn.Pool{Clock: r.Clock, DialTimeout: dialTimeout}
+	r.pool = &conn.Pool{Clock: r.Clock, Dialer: r.Dialer}
 	r.targets.OnChange = r.dropRestarted
 	r.budget = &budget.Budget{Clock: r.Clock, Box: barleystep.BoxID(s.Box.ID), Window: s.Retries.Window.Or(defaultWindow), BoxCount: r.plane.Node().BoxCount}
 	r.front = &front.Server{
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/fault"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/router"
 	"github.com/barleystep/barleystep/internal/settings"
@@ -29,6 +31,8 @@
 	store   *platformtest.Store
 	target  *platformtest.Server
 	addr    string // addr is the target's address.
+	// links are the boxes' paths to the target.
+	links   []*fault.Link
 	callers []string
 	ready   []string
 	stops   []context.CancelFunc
@@ -76,6 +80,7 @@
 		Keys:     settings.Keys{Freshness: settings.Duration(time.Minute)},
 		Limits:   settings.Limits{Grace: settings.Duration(grace)},
 	}
+	link := &fault.Link{Dialer: conn.TCP{Timeout: time.Second}}
 	node := &router.Router{
 		Settings:            s,
 		Clock:               clock.System{},
@@ -86,12 +91,14 @@
 		CheckEvacuation:     platform.CheckEvacuation,
 		ReadyHandler:        platform.ReadyHandler,
 		Exporter:            exporter,
+		Dialer:              link,
 		Log:                 &log.Logger{Level: log.PanicLevel},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
 	t.Cleanup(cancel)
+	r.links = append(r.links, link)
 	r.callers = append(r.callers, "http://"+s.Listen.Callers)
 	r.ready = append(r.ready, "http://"+s.Listen.Ready)
 	r.stops = append(r.stops, cancel)
