signature: the signing of calls between boxes as a package of its own

The router needs to prove to other boxes that it is one, as the older path's calls do. The key moves out of internal/peer unchanged; peer.Auth stays the interceptor around it.

--- a/internal/box/keeper.go
+++ b/internal/box/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/peer"
 	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/signature"
 	"github.com/barleystep/barleystep/internal/supervisor"
 	"github.com/barleystep/barleystep/internal/version"
 )
@@ -41,7 +42,7 @@
 		return err
 	}
 	client := &peer.Client{
-		Auth:        peer.Auth{Secret: k.Settings.Peers.Secret, Box: id, Clock: k.Clock},
+		Auth:        peer.Auth{Key: signature.Key{Secret: k.Settings.Peers.Secret, Box: id, Clock: k.Clock}},
 		Clock:       k.Clock,
 		Addr:        func(barleystep.BoxID) (string, bool) { return entry, true },
 		BaseContext: ctx,
--- a/internal/box/node.go
+++ b/internal/box/node.go
@@ -15,6 +15,7 @@
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/peer"
 	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/signature"
 	"github.com/barleystep/barleystep/internal/table"
 	"github.com/barleystep/barleystep/internal/version"
 	"github.com/barleystep/barleystep/internal/web"
@@ -48,7 +49,7 @@
 // boxes.
 func (n *node) build(ctx context.Context, endpoint *capacity.LocalEndpoint) {
 	n.follower = &version.Follower{Clock: n.clock, Meter: n.meter}
-	auth := peer.Auth{Secret: n.settings.Peers.Secret, Box: n.ids.Box(), Clock: n.clock}
+	auth := peer.Auth{Key: signature.Key{Secret: n.settings.Peers.Secret, Box: n.ids.Box(), Clock: n.clock}}
 	n.tracker = &member.Tracker{
 		Clock:  n.clock,
 		Hall:   barleystep.HallID(n.settings.Box.Hall),
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -62,7 +62,7 @@
 	req.Header = r.Header.Clone()
 	req.Header.Del("Connection")
 	req.ContentLength = int64(len(body))
-	req.Header.Set(headerPeer, c.Auth.sign(r.URL.Path))
+	c.Auth.Sign(req.Header, r.URL.Path)
 	resp, err := c.http.Do(req)
 	switch {
 	case err != nil && !connected:
@@ -72,15 +72,3 @@
 	}
 	return resp, nil
 }
-
-// RequireBox returns a handler that passes only requests signed by another box to next and answers
-// others with status 401.
-func (a Auth) RequireBox(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if a.check(r.Header, r.URL.Path) != nil {
-			http.Error(w, errUnauthenticated.Error(), http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"github.com/barleystep/barleystep/internal/member"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/peer"
+	"github.com/barleystep/barleystep/internal/signature"
 	"github.com/barleystep/barleystep/internal/table"
 	"github.com/barleystep/barleystep/internal/version"
 )
@@ -88,7 +89,7 @@
 	endpoint := &capacity.LocalEndpoint{Clock: clock.System{}, Hall: "h", Configuration: follower, Meter: metric.Discard()}
 	e := &testBox{endpoint: endpoint, follower: follower, receiver: receiver{make(chan member.Heartbeat, 100)}, table: &table.Faulty{Table: &table.Memory{}}}
 	server := &peer.Server{
-		Auth:  peer.Auth{Secret: serverSecret, Box: "b1", Clock: clock.System{}},
+		Auth:  peer.Auth{Key: signature.Key{Secret: serverSecret, Box: "b1", Clock: clock.System{}}},
 		Clock: clock.System{}, Endpoint: endpoint, Receiver: e.receiver, Follower: follower, Table: e.table,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -104,7 +105,7 @@
 		h.Close()
 	})
 	e.client = &peer.Client{
-		Auth:        peer.Auth{Secret: clientSecret, Box: "b2", Clock: clock.System{}},
+		Auth:        peer.Auth{Key: signature.Key{Secret: clientSecret, Box: "b2", Clock: clock.System{}}},
 		Clock:       clock.System{},
 		Addr:        func(barleystep.BoxID) (string, bool) { return l.Addr().String(), true },
 		BaseContext: ctx,
