relay: boxes that reach no target connect to them through other boxes

Cause: a box had one way to a target, its own connection.

A box that cannot connect to a target, or not within 50 ms, asks another one to connect for it (internal/relay). The bytes pass through unchanged, so placement, account limits, limits of targets, retries, streams and cancellations stay with the box that has the caller, and a relay connects directly only, so nothing goes in a circle. A connection attempt that fails has sent nothing, so requests that may run once take the other way too. What a target sends is framed between boxes: a relay that is killed closes its connections in good order, and an answer without a length would look complete.

A box counts as cut off once other boxes have reached two targets that it could not, with no direct connection between; from then on it asks others first, and probes until two direct connections in a row succeed. It tells the others by gossip, which then do not use it as a relay. A relay that is in doubt itself gives no verdict on a target.

--- a/errors.go
+++ b/errors.go
@@ -25,6 +25,9 @@
 	ErrUnavailable = eris.New("barleystep: unavailable")
 	// ErrUnknownEffect is returned when the response to a call was lost.
 	ErrUnknownEffect = eris.New("barleystep: effect unknown")
+	// ErrNoPath is returned by a Dialer when this box has no way to the target, which says nothing
+	// about the target itself.
+	ErrNoPath = eris.New("barleystep: no path to the target")
 	// ErrNotFound is returned by ObjectStore.Get for a missing object.
 	ErrNotFound = eris.New("barleystep: not found")
 )
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -97,6 +97,8 @@
 type Report struct {
 	// Unreachable is set when no connection to the target could be made.
 	Unreachable bool
+	// NoPath is set when this box has no way to the target, which says nothing about the target.
+	NoPath bool
 	// Failed is set when the answer was incomplete although nobody cancelled the request.
 	Failed bool
 	// Error is set when the target answered with an error of its own.
@@ -382,7 +384,7 @@
 	case r.Unreachable:
 		s.backoffUntil = now.Add(min(minBackoff<<min(s.unreachableTries, 8), maxBackoff))
 		s.unreachableTries++
-	case r.Full:
+	case r.Full, r.NoPath:
 		s.backoffUntil = now.Add(fullBackoff)
 	default:
 		s.unreachableTries = 0
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -65,6 +65,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "conn: read answer")
 		}
+		c.pool.noteHeard(c)
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -142,6 +143,9 @@
 // Read reads the body. It returns io.EOF only when the body is complete.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	if n > 0 {
+		b.conn.pool.noteHeard(b.conn)
+	}
 	if err == io.EOF {
 		b.sawEOF = true
 	}
@@ -223,5 +227,26 @@
 // answer.
 func (c *Conn) Skipped() int { return c.skipped }
 
+// IsStranded reports whether the connection takes a path on which new connections fail, and no such
+// connection has delivered anything for a while.
+func (c *Conn) IsStranded() bool {
+	p := c.pool
+	if p.Paths == nil || !p.Paths.IsStranded(c.raw, c.addr) {
+		return false
+	}
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.strandedHeard) > strandedSilence
+}
+
+// Relay returns the address of the box through which the connection goes, empty for a direct one.
+func (c *Conn) Relay() string {
+	if r, ok := c.raw.(interface{ Relay() string }); ok {
+		return r.Relay()
+	}
+	return ""
+}
+
 // Reused reports whether the connection has been idle in its pool.
 func (c *Conn) Reused() bool { return !c.idle.IsZero() }
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -73,7 +73,9 @@
 
 func (s *target) addr() string { return s.listener.Addr().String() }
 
-func newPool() *conn.Pool { return &conn.Pool{Clock: clock.System{}, Dialer: conn.TCP{Timeout: 10 * time.Second}} }
+func newPool() *conn.Pool {
+	return &conn.Pool{Clock: clock.System{}, Dialer: conn.TCP{Timeout: 10 * time.Second}}
+}
 
 func answer(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -18,6 +18,8 @@
 	Clock barleystep.Clock
 	// Dialer opens the connections.
 	Dialer barleystep.Dialer
+	// Paths tells which connections take a path that works; nil means all.
+	Paths barleystep.Paths
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -28,6 +30,9 @@
 	owners         map[string]owner
 	generations    map[string]uint64
 	lastGeneration uint64
+	// strandedHeard is when a connection that takes a path on which new ones fail last delivered
+	// something.
+	strandedHeard time.Time
 }
 
 const (
@@ -37,17 +42,26 @@
 	// idleMargin is how long before its target a connection is closed, so that a request does not
 	// cross the target's close.
 	idleMargin = 700 * time.Millisecond
+	// strandedSilence is how long no stranded connection may have delivered anything until none is
+	// expected to.
+	strandedSilence = 500 * time.Millisecond
 )
 
 // Get returns a connection to the address, preferably an idle one. If connecting fails, the request
-// cannot have reached the target, and the error is barleystep.ErrNotStarted.
+// cannot have reached the target, and the error is barleystep.ErrNotStarted; it also is
+// barleystep.ErrNoPath if it says nothing about the target.
 func (p *Pool) Get(ctx context.Context, addr string) (c *Conn, err error) {
+	return p.get(ctx, addr, maxIdle)
+}
+
+// get returns a connection that has not been idle for longer than the limit, or a new one.
+func (p *Pool) get(ctx context.Context, addr string, limit time.Duration) (c *Conn, err error) {
 	for {
 		c := p.takeIdle(addr)
 		if c == nil {
 			break
 		}
-		if p.usable(c) {
+		if p.usable(c, limit) {
 			return c, nil
 		}
 		p.discard(c)
@@ -70,13 +84,25 @@
 	return nil
 }
 
-func (p *Pool) usable(c *Conn) bool {
+func (p *Pool) usable(c *Conn, limit time.Duration) bool {
 	idleFor := p.Clock.Now().Sub(c.idle)
-	limit := maxIdle
 	if c.idleTimeout > 0 {
 		limit = min(limit, c.idleTimeout-idleMargin)
 	}
-	return idleFor < limit && c.isClean()
+	return idleFor < limit && p.isCurrent(c) && c.isClean()
+}
+
+func (p *Pool) isCurrent(c *Conn) bool { return p.Paths == nil || p.Paths.IsCurrent(c.raw, c.addr) }
+
+// noteHeard records that a connection has delivered something.
+func (p *Pool) noteHeard(c *Conn) {
+	if p.Paths == nil || !p.Paths.IsStranded(c.raw, c.addr) {
+		return
+	}
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.strandedHeard = now
 }
 
 func (p *Pool) takeIdle(addr string) *Conn {
@@ -96,7 +122,7 @@
 	generation := p.generationOf(addr) // Read before connecting, since it may change meanwhile.
 	raw, err := p.Dialer.Dial(ctx, addr)
 	if err != nil {
-		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
+		return nil, &dialError{cause: err}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,7 +135,7 @@
 }
 
 // ConnRefused reports whether the machine at the address refuses connections to the port. No answer
-// does not count as a refusal.
+// does not count as a refusal, and neither does a refusal that only this box gets.
 func (p *Pool) ConnRefused(ctx context.Context, addr string) bool {
 	raw, err := p.Dialer.Dial(ctx, addr)
 	if err == nil {
@@ -160,8 +186,8 @@
 	return p.open[addr]
 }
 
-// CloseExpired closes the connections that have been idle for too long. It must be called
-// periodically.
+// CloseExpired closes the connections that have been idle for too long, or whose path is not used any
+// more. It must be called periodically.
 func (p *Pool) CloseExpired() {
 	for _, c := range p.expired() {
 		p.discard(c)
@@ -176,7 +202,7 @@
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idle) < maxIdle {
+			if now.Sub(c.idle) < maxIdle && p.isCurrent(c) {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- a/internal/conn/tcp.go
+++ b/internal/conn/tcp.go
@@ -32,6 +32,15 @@
 	return dialer.DialContext(ctx, "tcp4", addr)
 }
 
+// DetectLoss makes a connection that was accepted end when its peer is silent, as those that Dial
+// opens do.
+func DetectLoss(c *net.TCPConn) {
+	_ = c.SetKeepAliveConfig(keepAliveConfig) // A connection without it ends later.
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = setUnackedTimeout("", "", raw)
+	}
+}
+
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
 	var set error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/fault/link.go
+++ b/internal/fault/link.go
@@ -65,7 +65,7 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	case ModeSilent, ModeDeaf, ModeSilentNew:
 		<-ctx.Done()
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	}
 	raw, err := l.Dialer.Dial(ctx, addr)
 	if err != nil {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -42,6 +42,7 @@
 	mayHaveRun bool // mayHaveRun is set once a target may have run the request.
 	target     barleystep.TargetID
 	helpers    int
+	relay      string // relay is the box through which the last send went, empty for a direct one.
 	// queued is the time that the request spent waiting for placements. expected is the balancer's
 	// estimate of the time to the first event after the last send.
 	queued   time.Duration
--- a/internal/front/helper.go
+++ b/internal/front/helper.go
@@ -44,7 +44,7 @@
 
 // unreachableHelpers returns the helpers that do not accept a connection within helperDialTimeout.
 // Helpers that refuse it are reported to the balancer; a timeout is not, since a packet lost by one
-// box says nothing about the others.
+// box says nothing about the others, and neither does a box that has no way to them.
 func (t *try) unreachableHelpers(ctx context.Context) []barleystep.TargetID {
 	helpers := t.placement.Helpers
 	dialCtx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(helperDialTimeout))
@@ -53,8 +53,9 @@
 	var wait sync.WaitGroup
 	for i, h := range helpers {
 		wait.Go(func() {
-			reached[i] = t.stage.pool.EnsureConn(dialCtx, h.Addr) == nil
-			if !reached[i] && dialCtx.Err() == nil {
+			err := t.stage.pool.EnsureConn(dialCtx, h.Addr)
+			reached[i] = err == nil
+			if err != nil && dialCtx.Err() == nil && !eris.Is(err, barleystep.ErrNoPath) {
 				t.placement.NoteUnreachable(h.ID)
 			}
 		})
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -209,7 +209,7 @@
 	head := x.answer.Head()
 	e.Str("request", x.call.RequestID).Str("outcome", outcome.String()).Int("status", head.Status()).
 		Int("sends", x.sends).Str("target", string(x.target)).Int("helpers", x.helpers).
-		Str("source", string(head.Source())).Bool("sealed", head.Sealed()).
+		Str("relay", x.relay).Str("source", string(head.Source())).Bool("sealed", head.Sealed()).
 		Int("prompt", x.call.PromptTokens).Int("events", x.events)
 	if x.view != nil {
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.viewAge)
--- a/internal/front/stall_watch.go
+++ b/internal/front/stall_watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
@@ -17,7 +18,7 @@
 	// claim reports whether another target can take the request, and charges the retry budget if
 	// so.
 	claim func() bool
-	// isTargetDown reports whether the target seems to be down.
+	// isTargetDown reports whether the target, or the path to it, seems to be down.
 	isTargetDown func() bool
 	maxPause     time.Duration
 
@@ -50,11 +51,20 @@
 )
 
 // newStallWatch starts watching a try. Requests that may not move to another target are not
-// watched, since they gain nothing from being cancelled.
-func (t *try) newStallWatch(cancel context.CancelCauseFunc) *stallWatch {
+// watched, since they gain nothing from being cancelled. Those that are not streams move only if the
+// path to their target is lost.
+func (t *try) newStallWatch(cancel context.CancelCauseFunc, c *conn.Conn) *stallWatch {
 	x := t.exchange
-	w := &stallWatch{clock: t.stage.clock, cancel: cancel, claim: t.claimRetry, isTargetDown: t.targetDown, done: make(chan struct{})}
-	if x.route.Kind != fleet.KindStream || !t.canResend() {
+	w := &stallWatch{clock: t.stage.clock, cancel: cancel, claim: t.claimRetry, done: make(chan struct{})}
+	w.isTargetDown = func() bool { return t.targetDown() || c.IsStranded() }
+	if !t.canResend() {
+		return w
+	}
+	if x.route.Kind != fleet.KindStream {
+		w.isTargetDown = c.IsStranded
+		w.lastHeard = w.clock.Now()
+		w.deadline = x.deadline
+		go w.run()
 		return w
 	}
 	w.maxPause = max(pauseFactor*x.route.MaxPause, minSilence)
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -46,6 +46,8 @@
 	needsPlacement bool
 	// blamed is the helper that kept the target from running the request, if any.
 	blamed barleystep.TargetID
+	// noPath is set if this box has no way to the target.
+	noPath bool
 	// wrongTarget is set if another target than the intended one answered.
 	wrongTarget bool
 }
@@ -87,6 +89,7 @@
 	}
 	c, err := t.stage.pool.Get(ctx, t.placement.Target.Addr)
 	if err != nil {
+		t.noPath = eris.Is(err, barleystep.ErrNoPath)
 		return resultNotSent, err
 	}
 	if !t.placement.IsValid() {
@@ -100,7 +103,7 @@
 		return resultNotSent, context.Cause(ctx)
 	}
 	t.logHelpers()
-	watch := t.newStallWatch(cancel)
+	watch := t.newStallWatch(cancel, c)
 	defer watch.stop()
 	if t.canResend() {
 		go t.abandonRestarted(ctx, cancel)
@@ -108,6 +111,7 @@
 	x.sends++
 	x.target = t.placement.Target.ID
 	x.helpers = len(t.placement.Helpers)
+	x.relay = c.Relay()
 	x.expected = t.placement.ExpectedTTFT()
 	t.sent = t.stage.clock.Now()
 	x.progress.enterSent(x.target, t.sent)
@@ -300,7 +304,8 @@
 // report returns what the balancer learns about the target from the try.
 func (t *try) report(ctx context.Context, res result) balance.Report {
 	return balance.Report{
-		Unreachable:       ctx.Err() == nil && res == resultNotSent && !t.noMemory && !t.needsPlacement,
+		Unreachable:       ctx.Err() == nil && res == resultNotSent && !t.noMemory && !t.needsPlacement && !t.noPath,
+		NoPath:            t.noPath,
 		Failed:            ctx.Err() == nil && res == resultBroken,
 		Error:             res == resultFailed,
 		Full:              res == resultNotRun && t.blamed == "",
--- a/internal/gossip/member.go
+++ b/internal/gossip/member.go
@@ -31,6 +31,10 @@
 	takesParts      bool // takesParts is set if it takes sums in parts.
 	alive           bool // alive is set while its datagrams arrive.
 	leaving         bool
+	// cutOff is set if it reaches no target itself. namedLeaving is set if another box has last
+	// named it as leaving.
+	cutOff       bool
+	namedLeaving bool
 	// peerSent is the send time of its last datagram on its clock, and receivedAt the arrival
 	// on ours.
 	peerSent   int64
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -60,6 +60,9 @@
 	// Topics are the topics whose state is exchanged, in the same order on all boxes.
 	Topics   []TopicFollower
 	Balancer Balancer
+	// CutOff reports whether this box reaches no target itself; nil means that it does. It is called
+	// under the node's lock.
+	CutOff func() bool
 	// Strength is this box's capacity to do work for others, in any unit that all boxes share;
 	// the strongest boxes become collectors.
 	Strength uint32
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -25,6 +25,7 @@
 	m.sequence = d.GetSequence()
 	m.peerSent, m.receivedAt = d.GetSentNs(), now
 	m.leaving, m.strength, m.takesParts = d.GetLeaving(), d.GetStrength(), d.GetTakesParts()
+	m.cutOff, m.namedLeaving = d.GetCutOff(), d.GetLeaving()
 	n.storeWork(m, d, now)
 	if d.GetAsks() {
 		n.answer(m, now)
@@ -151,6 +152,7 @@
 			m.hall = barleystep.HallID(o.GetHall())
 		}
 		m.addr, m.lastNamed = addr, now
+		m.cutOff, m.namedLeaving = o.GetCutOff(), o.GetLeaving()
 		if now.Sub(m.unansweredSince) > answerTimeout {
 			m.unansweredSince = time.Time{} // Another box has heard it since.
 		}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -170,6 +170,8 @@
 		Strength:    m.strength,
 		Sequence:    m.ownSequence,
 		Incarnation: m.incarnation,
+		CutOff:      m.cutOff,
+		Leaving:     m.leaving,
 	}
 }
 
@@ -283,6 +285,7 @@
 		Leaving:     n.leaving,
 		Strength:    n.currentStrength(now),
 		TakesParts:  true,
+		CutOff:      n.isCutOff(),
 	}
 }
 
--- a/internal/gossip/sum.go
+++ b/internal/gossip/sum.go
@@ -86,6 +86,10 @@
 	s := n.newSumSender(d, members, plan, now)
 	next := members[:min(successors, len(members))]
 	others := n.otherCollectors(now)
+	var othersForAll []*gossipv1.Member
+	if n.hasCutOffBox() {
+		othersForAll = others // Their halls may have the only boxes that reach targets.
+	}
 	for _, m := range n.members {
 		if m.hall != n.Hall || !m.alive {
 			continue
@@ -99,7 +103,7 @@
 		case isDue && isSuccessor:
 			s.send(m, part{n.rotation % use.parts, use.parts}, others)
 		case isDue:
-			s.send(m, part{n.rotation % use.parts, use.parts}, nil)
+			s.send(m, part{n.rotation % use.parts, use.parts}, othersForAll)
 		case isSuccessor:
 			s.send(m, n.smallPart(m, targets), others)
 		}
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -27,6 +27,8 @@
 	MaxDelay time.Duration
 	// Strength is this box's capacity to do work for others.
 	Strength uint32
+	// CutOff reports whether this box reaches no target itself; nil means that it does.
+	CutOff func() bool
 	// Network carries datagrams between boxes; nil uses the operating system's UDP.
 	Network barleystep.Network
 	// HTTP is the client for calls to other boxes.
@@ -55,6 +57,7 @@
 		Balancer:  p.Balancer,
 		Network:   p.Network,
 		Strength:  p.Strength,
+		CutOff:    p.CutOff,
 		Log:       p.Log,
 	}
 	p.followers = make(map[barleystep.Topic]*follow.Follower)
--- /dev/null
+++ b/internal/relay/dialer.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+)
+
+// Dialer connects to targets directly, or through another box where that does not work. Its
+// exported fields are set before use; it is safe for concurrent use.
+type Dialer struct {
+	Clock   barleystep.Clock
+	Monitor *Monitor
+	// Direct connects directly.
+	Direct barleystep.Dialer
+	// Timeout bounds a connection attempt over all paths.
+	Timeout time.Duration
+	// Relays returns the boxes that may be asked.
+	Relays func() Candidates
+	// Connect asks the box at relay to connect to the target, as Connector.Connect does.
+	Connect func(ctx context.Context, relay, target string) (conn net.Conn, others []string, err error)
+	Log     *log.Logger
+
+	memory memory
+}
+
+var (
+	_ barleystep.Dialer = (*Dialer)(nil)
+	_ barleystep.Paths  = (*Dialer)(nil)
+)
+
+const (
+	// headStart is how long a direct connection attempt may take until another box is asked, several
+	// times the latency between halls. It is at most half of the time that is left.
+	headStart = 50 * time.Millisecond
+	// relayTimeout bounds one call to a relay, relayAttempts the calls for one connection.
+	relayTimeout  = 80 * time.Millisecond
+	relayAttempts = 3
+)
+
+// outcome is the result of a connection attempt on one path.
+type outcome struct {
+	conn net.Conn
+	err  error
+}
+
+// Dial connects to the target. The error is barleystep.ErrNoPath if this box has no way to it.
+func (d *Dialer) Dial(ctx context.Context, addr string) (conn net.Conn, err error) {
+	ctx, cancel := clock.WithDeadline(ctx, d.Clock, d.Clock.Now().Add(d.Timeout))
+	defer cancel()
+	if !d.Monitor.UsesRelay(addr) {
+		return d.dialDirectFirst(ctx, addr)
+	}
+	conn, err = d.dialRelay(ctx, addr)
+	if err == nil || eris.Is(err, ErrUnreachable) || d.Monitor.IsCutOff() {
+		return conn, err
+	}
+	return d.dialDirectFirst(ctx, addr)
+}
+
+// dialDirectFirst connects directly and, if that fails or takes long, through another box.
+func (d *Dialer) dialDirectFirst(ctx context.Context, addr string) (net.Conn, error) {
+	direct := d.startDirect(ctx, addr)
+	wait := headStart
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, deadline.Sub(d.Clock.Now())/2)
+	}
+	timer := d.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case o := <-direct:
+		if o.err == nil {
+			return o.conn, nil
+		}
+		return d.resolve(ctx, addr, o, nil)
+	case <-timer.C():
+		return d.resolve(ctx, addr, outcome{}, direct)
+	case <-ctx.Done():
+		go closeLate(direct)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// resolve asks other boxes while a direct attempt is still under way, or has failed with the given
+// outcome if direct is nil. The first connection is used.
+func (d *Dialer) resolve(ctx context.Context, addr string, failed outcome, direct <-chan outcome) (net.Conn, error) {
+	relayed := make(chan outcome, 1)
+	go func() {
+		c, err := d.dialRelay(ctx, addr)
+		relayed <- outcome{c, err}
+	}()
+	var relayErr error
+	for waiting := relayed; waiting != nil || direct != nil; {
+		select {
+		case o := <-direct:
+			if o.err == nil {
+				go closeLate(relayed)
+				return o.conn, nil
+			}
+			failed, direct = o, nil
+		case o := <-waiting:
+			if o.err == nil {
+				go closeLate(direct)
+				return o.conn, nil
+			}
+			relayErr, waiting = o.err, nil
+		case <-ctx.Done():
+			go closeLate(relayed)
+			go closeLate(direct)
+			if failed.err == nil {
+				failed.err = context.Cause(ctx)
+			}
+			return nil, d.verdict(failed.err, relayErr)
+		}
+	}
+	return nil, d.verdict(failed.err, relayErr)
+}
+
+// verdict returns the error of an attempt that failed on both paths. The word of another box counts
+// more, and without one a box that may be cut off says nothing about the target.
+func (d *Dialer) verdict(direct, relayed error) error {
+	switch {
+	case eris.Is(relayed, ErrUnreachable):
+		return relayed
+	case d.Monitor.IsDoubtful():
+		return eris.Wrap(barleystep.ErrNoPath, direct.Error())
+	default:
+		return direct
+	}
+}
+
+// startDirect connects directly in the background. The attempt outlasts ctx, so that its outcome is
+// known even if another path was faster.
+func (d *Dialer) startDirect(ctx context.Context, addr string) <-chan outcome {
+	result := make(chan outcome, 1)
+	go func() {
+		ctx, cancel := clock.WithDeadline(context.WithoutCancel(ctx), d.Clock, d.Clock.Now().Add(d.Timeout))
+		defer cancel()
+		c, err := d.Direct.Dial(ctx, addr)
+		if err == nil {
+			d.Monitor.Connected(addr)
+		} else {
+			d.Monitor.Failed(addr)
+		}
+		result <- outcome{c, err}
+	}()
+	return result
+}
+
+// closeLate closes a connection that nobody uses any more.
+func closeLate(result <-chan outcome) {
+	if result == nil {
+		return
+	}
+	if o := <-result; o.err == nil {
+		_ = o.conn.Close() // Nothing was sent on it.
+	}
+}
+
+// dialRelay connects through another box. The error is ErrUnreachable if another box does not reach
+// the target either, and barleystep.ErrNoPath if no other box serves as a relay. While this box may
+// be cut off others may be too, so that several are asked.
+func (d *Dialer) dialRelay(ctx context.Context, addr string) (net.Conn, error) {
+	var verdict error
+	relays := d.memory.order(d.Relays(), d.Clock.Now())
+	for _, relay := range relays[:min(relayAttempts, len(relays))] {
+		c, err := d.askRelay(ctx, relay, addr)
+		switch {
+		case err == nil:
+			return c, nil
+		case ctx.Err() != nil:
+			return nil, context.Cause(ctx)
+		case eris.Is(err, ErrUnreachable):
+			verdict = err
+			if !d.Monitor.IsDoubtful() {
+				return nil, verdict
+			}
+		}
+	}
+	if verdict != nil {
+		return nil, verdict
+	}
+	return nil, eris.Wrapf(barleystep.ErrNoPath, "relay: %d boxes known", len(relays))
+}
+
+// askRelay asks one box to connect to the target.
+func (d *Dialer) askRelay(ctx context.Context, relay, addr string) (net.Conn, error) {
+	callCtx, cancel := clock.WithDeadline(ctx, d.Clock, d.Clock.Now().Add(relayTimeout))
+	defer cancel()
+	c, others, err := d.Connect(callCtx, relay, addr)
+	now := d.Clock.Now()
+	d.memory.hint(others, now)
+	switch {
+	case err == nil:
+		d.Monitor.Relayed(addr)
+	case !eris.Is(err, ErrUnreachable) && ctx.Err() == nil:
+		d.memory.fail(relay, now)
+		d.Log.Info().Str("relay", relay).Str("target", addr).Err(err).Msg(logPrefix + "A box did not serve as a relay.")
+	}
+	return c, err
+}
+
+// IsCurrent reports whether a new connection to the address would take the same path.
+func (d *Dialer) IsCurrent(c net.Conn, addr string) bool {
+	t, relayed := c.(*tunnel)
+	if relayed != d.Monitor.UsesRelay(addr) {
+		return false
+	}
+	return !relayed || d.isUsable(t.relay)
+}
+
+// isUsable reports whether the box at the address still serves as a relay, as far as is known.
+func (d *Dialer) isUsable(relay string) bool {
+	c := d.Relays()
+	return slices.Contains(c.Near, relay) || slices.Contains(c.Far, relay) || slices.Contains(c.Stale, relay) ||
+		d.memory.isHinted(relay, d.Clock.Now())
+}
+
+// IsStranded reports whether this is a direct connection to an address that this box reaches through
+// others only.
+func (d *Dialer) IsStranded(c net.Conn, addr string) bool {
+	_, relayed := c.(*tunnel)
+	return !relayed && d.Monitor.UsesRelay(addr)
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,186 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/signature"
+)
+
+// Server connects to targets for other boxes. It connects directly only, so that no connection goes
+// in a circle. Its exported fields are set before use; it is safe for concurrent use.
+type Server struct {
+	Clock   barleystep.Clock
+	Monitor *Monitor
+	// Direct connects directly.
+	Direct barleystep.Dialer
+	// Key verifies that calls come from other boxes.
+	Key signature.Key
+	// IsTarget reports whether a listed target has the address; no others are connected to.
+	IsTarget func(addr string) bool
+	// IsStopping reports whether this box stops.
+	IsStopping func() bool
+	// Relays returns the other boxes; those of the own hall are named to boxes that ask.
+	Relays func() Candidates
+	Log    *log.Logger
+
+	tunnels atomic.Int64
+	served  atomic.Int64
+}
+
+const (
+	// targetTimeout bounds connecting to a target for another box.
+	targetTimeout = 60 * time.Millisecond
+	// maxTunnels bounds the connections that are relayed at a time. Each takes two descriptors and
+	// up to 50 kB.
+	maxTunnels = 400
+	// maxNamed bounds the boxes that are named in one answer.
+	maxNamed = 8
+)
+
+// Tunnels returns the number of connections that are being relayed, and Served that of all so far.
+func (s *Server) Tunnels() int { return int(s.tunnels.Load()) }
+
+// Served returns the number of connections that were relayed since the start.
+func (s *Server) Served() int { return int(s.served.Load()) }
+
+// Handler returns the handler for other boxes, and its path.
+func (s *Server) Handler() (path string, h http.Handler) {
+	return Path, s.Key.RequireBox(http.HandlerFunc(s.serve))
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerRelays, s.namedRelays())
+	if status := s.refusal(r); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	defer s.tunnels.Add(-1)
+	target, err := s.dial(r.Context(), r.FormValue(queryTarget))
+	switch {
+	case err == nil:
+		s.relay(w, target)
+	case s.Monitor.IsDoubtful():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		if eris.Is(err, syscall.ECONNREFUSED) {
+			w.Header().Set(headerFailure, failureRefused)
+		}
+		w.WriteHeader(http.StatusBadGateway)
+	}
+}
+
+// refusal returns the status of a call that is refused, or counts a tunnel and returns zero.
+func (s *Server) refusal(r *http.Request) (status int) {
+	switch {
+	case r.Header.Get(headerUpgrade) != protocolName:
+		return http.StatusUpgradeRequired
+	case s.IsStopping() || s.Monitor.IsCutOff():
+		return http.StatusServiceUnavailable
+	case !s.IsTarget(r.FormValue(queryTarget)):
+		return http.StatusNotFound
+	case s.tunnels.Add(1) > maxTunnels:
+		s.tunnels.Add(-1)
+		return http.StatusServiceUnavailable
+	}
+	return 0
+}
+
+// namedRelays returns some boxes of this box's hall, so that a box that knows few of the hall does
+// not use those alone.
+func (s *Server) namedRelays() string {
+	list := s.Relays().Near
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	return strings.Join(list[:min(maxNamed, len(list))], ",")
+}
+
+// dial connects to a target.
+func (s *Server) dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := clock.WithDeadline(ctx, s.Clock, s.Clock.Now().Add(targetTimeout))
+	defer cancel()
+	c, err := s.Direct.Dial(ctx, addr)
+	switch {
+	case err == nil:
+		s.Monitor.Connected(addr)
+	case ctx.Err() == nil || eris.Is(context.Cause(ctx), context.DeadlineExceeded):
+		s.Monitor.Failed(addr)
+	}
+	return c, err
+}
+
+// relay takes the connection over from the HTTP server and copies in both directions until one of
+// them ends.
+func (s *Server) relay(w http.ResponseWriter, target net.Conn) {
+	s.served.Add(1)
+	defer target.Close()
+	header := w.Header().Clone()
+	box, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.Log.Error().Err(err).Msg(logPrefix + "Cannot take a connection over.")
+		return
+	}
+	defer box.Close()
+	if tcp, ok := box.(*net.TCPConn); ok {
+		conn.DetectLoss(tcp)
+	}
+	if err := writeSwitch(box, header); err != nil {
+		return
+	}
+	go s.copyToTarget(target, buffered.Reader, box)
+	err = sendFrames(box, target)
+	if err != nil {
+		reset(box) // An answer that was cut short must not look complete.
+	}
+}
+
+// writeSwitch answers that the protocol is switched.
+func writeSwitch(box net.Conn, header http.Header) error {
+	header.Set("Connection", headerUpgrade)
+	header.Set(headerUpgrade, protocolName)
+	w := bufio.NewWriter(box)
+	_, _ = w.WriteString("HTTP/1.1 101 Switching Protocols\r\n") // Errors are kept until Flush.
+	_ = header.Write(w)
+	_, _ = w.WriteString("\r\n")
+	return w.Flush()
+}
+
+// copyToTarget copies what the box sends. When the box closes the connection, the request is over
+// for the target too.
+func (s *Server) copyToTarget(target net.Conn, from io.Reader, box net.Conn) {
+	buffer := make([]byte, maxFrameBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if _, failed := target.Write(buffer[:n]); failed != nil {
+				return // The target's side ends the tunnel.
+			}
+		}
+		if err != nil {
+			_ = target.Close() // The other direction fails and ends the tunnel.
+			reset(box)
+			return
+		}
+	}
+}
+
+// reset closes a connection so that its peer does not take the end for a regular one.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // The connection is dropped either way.
+	}
+	_ = c.Close()
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +23,9 @@
 	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/plane"
+	"github.com/barleystep/barleystep/internal/relay"
 	"github.com/barleystep/barleystep/internal/settings"
+	"github.com/barleystep/barleystep/internal/signature"
 	"github.com/barleystep/barleystep/internal/supervisor"
 	"github.com/barleystep/barleystep/internal/suspect"
 	"github.com/barleystep/barleystep/internal/web"
@@ -53,6 +56,9 @@
 	targets       *follow.Targets
 	balancer      *balance.Balancer
 	pool          *conn.Pool
+	monitor       *relay.Monitor
+	dialer        *relay.Dialer
+	relay         *relay.Server
 	budget        *budget.Budget
 	plane         *plane.Plane
 	front         *front.Server
@@ -127,6 +133,7 @@
 		Suspects: &suspect.Registry{Clock: r.Clock, Log: r.Log},
 		Meter:    meter,
 	}
+	r.monitor = &relay.Monitor{Clock: r.Clock, Log: r.Log}
 	r.balancer.MaxRest = time.Duration(s.Limits.MaxRest)
 	r.plane = &plane.Plane{
 		Clock:         r.Clock,
@@ -137,6 +144,7 @@
 		Catalogue:     r.Catalogue,
 		MaxDelay:      time.Duration(s.Platform.MaxDelay),
 		Strength:      s.Box.Strength(),
+		CutOff:        r.monitor.IsCutOff,
 		HTTP:          &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerConns}},
 		Configuration: r.configuration,
 		Targets:       r.targets,
@@ -152,7 +160,8 @@
 		Log:   r.Log,
 		Meter: meter,
 	}
-	r.pool = &conn.Pool{Clock: r.Clock, Dialer: r.Dialer}
+	r.buildRelay()
+	r.pool = &conn.Pool{Clock: r.Clock, Dialer: r.dialer, Paths: r.dialer}
 	r.targets.OnChange = r.dropRestarted
 	r.budget = &budget.Budget{Clock: r.Clock, Box: barleystep.BoxID(s.Box.ID), Window: s.Retries.Window.Or(defaultWindow), BoxCount: r.plane.Node().BoxCount}
 	r.front = &front.Server{
@@ -178,6 +187,56 @@
 	r.supervise()
 }
 
+// buildRelay creates what connects to targets through other boxes, and for them.
+func (r *Router) buildRelay() {
+	key := signature.Key{Secret: r.Settings.Peers.Secret, Box: barleystep.BoxID(r.Settings.Box.ID), Clock: r.Clock}
+	r.dialer = &relay.Dialer{
+		Clock:   r.Clock,
+		Monitor: r.monitor,
+		Direct:  r.Dialer,
+		Timeout: dialTimeout,
+		Relays:  r.relays,
+		Connect: relay.Connector{Dialer: conn.TCP{Timeout: dialTimeout}, Key: key}.Connect,
+		Log:     r.Log,
+	}
+	r.relay = &relay.Server{
+		Clock:      r.Clock,
+		Monitor:    r.monitor,
+		Direct:     r.Dialer,
+		Key:        key,
+		IsTarget:   func(addr string) bool { return slices.Contains(r.targetAddrs(), addr) },
+		IsStopping: r.isStopping,
+		Relays:     r.relays,
+		Log:        r.Log,
+	}
+}
+
+// relays returns the boxes through which this one may connect to targets.
+func (r *Router) relays() (c relay.Candidates) {
+	c.Near, c.Far, c.Stale = r.plane.Node().Relays()
+	return c
+}
+
+// targetAddrs returns the addresses of the listed targets.
+func (r *Router) targetAddrs() []string {
+	targets := r.targets.List()
+	list := make([]string, len(targets))
+	for i, t := range targets {
+		list[i] = t.Addr
+	}
+	return list
+}
+
+// isStopping reports whether a planned stop has begun.
+func (r *Router) isStopping() bool {
+	select {
+	case <-r.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // apply applies the settings that may change while the program runs.
 func (r *Router) apply(s settings.Settings) {
 	r.freshness.Store(int64(s.Keys.Freshness))
@@ -205,6 +264,7 @@
 	r.top.Add(r.plane.Node())
 	r.top.Add(r.plane.Archive())
 	r.top.Add(&balance.Planner{Clock: r.Clock, Balancer: r.balancer})
+	r.top.Add(&relay.Prober{Clock: r.Clock, Monitor: r.monitor, Direct: r.Dialer, Targets: r.targetAddrs})
 	r.top.Add(janitor{r})
 	r.top.Add(&clock.Watcher{Log: r.Log})
 	r.top.Add(&settings.Watcher{Clock: r.Clock, Current: s, Apply: r.apply, Log: r.Log})
@@ -214,6 +274,7 @@
 func (r *Router) peers() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(r.plane.Handler())
+	mux.Handle(r.relay.Handler())
 	mux.Handle((&lead.Server{Clock: r.Clock, Balancer: r.balancer, View: r.configuration.View}).Handler())
 	return mux
 }
@@ -234,10 +295,8 @@
 // Ready reports whether the box accepts callers: they can connect, the configuration and the
 // targets are known, the keys are confirmed to be current, and the box is not stopping.
 func (r *Router) Ready() bool {
-	select {
-	case <-r.stopping:
+	if r.isStopping() {
 		return false
-	default:
 	}
 	if !r.callers.accepting.Load() || r.configuration.View() == nil || !r.targets.Loaded() {
 		return false
@@ -290,10 +349,10 @@
 	r.waitIdle(ctx)
 }
 
-// waitIdle waits until all answers have been sent and all memory reserved for them is released,
-// or ctx ends.
+// waitIdle waits until all answers have been sent, all memory reserved for them is released and no
+// box uses this one as a relay, or ctx ends.
 func (r *Router) waitIdle(ctx context.Context) {
-	for r.front.Running() > 0 || r.callers.busy() || r.front.PendingReleases() > 0 {
+	for r.front.Running() > 0 || r.callers.busy() || r.front.PendingReleases() > 0 || r.relay.Tunnels() > 0 {
 		if !clock.Sleep(ctx, r.Clock, pollInterval) {
 			return
 		}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -28,9 +28,9 @@
 
 // fixture is a set of routers with one target and a stand-in store.
 type fixture struct {
-	store   *platformtest.Store
-	target  *platformtest.Server
-	addr    string // addr is the target's address.
+	store  *platformtest.Store
+	target *platformtest.Server
+	addr   string // addr is the target's address.
 	// links are the boxes' paths to the target.
 	links   []*fault.Link
 	callers []string
