front: requests that may run once use connections that were heard a moment ago

Cause: a kept connection may be lost without a sign for up to two seconds, and what is written to it may or may not have arrived. A request that may be repeated goes elsewhere; one that may not ends there.

Such a request now gets a connection on which its target answered within 250 ms, or a new one, whose handshake shows that the target is reached.

--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -232,3 +232,31 @@
 		})
 	}
 }
+
+// TestGetRecent checks that a request that may be sent only once gets no connection that has been
+// idle for a while. It guards against a request that is written to a connection whose target has
+// fallen silent, of which nobody can tell whether it has run.
+func TestGetRecent(t *testing.T) {
+	cases := map[string]struct {
+		rest   time.Duration
+		reused bool
+	}{
+		"used a moment ago": {100 * time.Millisecond, true},
+		"idle for a while":  {300 * time.Millisecond, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newTarget(t, answer("1", "a"), answer("1", "a"))
+			manual := clock.NewManual(time.Unix(1000, 0))
+			p := &conn.Pool{Clock: manual, Dialer: conn.TCP{Timeout: 10 * time.Second}}
+			_, err := exchange(t, p, s.addr(), http.MethodGet, "1", nil)
+			c.Assert(err, quicktest.IsNil)
+			manual.Advance(tc.rest)
+			next, err := p.GetRecent(context.Background(), s.addr())
+			c.Assert(err, quicktest.IsNil)
+			c.Check(next.Reused(), quicktest.Equals, tc.reused)
+			next.Discard()
+		})
+	}
+}
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -42,6 +42,9 @@
 	// idleMargin is how long before its target a connection is closed, so that a request does not
 	// cross the target's close.
 	idleMargin = 700 * time.Millisecond
+	// recentIdle is the maximum idle time of a connection for requests that may not be repeated: one
+	// that has been idle for longer may have lost its target without a sign.
+	recentIdle = 250 * time.Millisecond
 	// strandedSilence is how long no stranded connection may have delivered anything until none is
 	// expected to.
 	strandedSilence = 500 * time.Millisecond
@@ -54,6 +57,12 @@
 	return p.get(ctx, addr, maxIdle)
 }
 
+// GetRecent is Get for a request that may be sent only once: the target has shown a moment ago that
+// it is reached over the connection.
+func (p *Pool) GetRecent(ctx context.Context, addr string) (c *Conn, err error) {
+	return p.get(ctx, addr, recentIdle)
+}
+
 // get returns a connection that has not been idle for longer than the limit, or a new one.
 func (p *Pool) get(ctx context.Context, addr string, limit time.Duration) (c *Conn, err error) {
 	for {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -14,6 +14,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/reply"
 )
@@ -87,7 +88,7 @@
 	if err := t.reserve(ctx); err != nil {
 		return resultNotSent, err
 	}
-	c, err := t.stage.pool.Get(ctx, t.placement.Target.Addr)
+	c, err := t.connect(ctx)
 	if err != nil {
 		t.noPath = eris.Is(err, barleystep.ErrNoPath)
 		return resultNotSent, err
@@ -132,6 +133,17 @@
 	return res, stallError(ctx, err)
 }
 
+// connect returns a connection to the target. A request that may not be repeated gets one on which
+// the target was heard a moment ago: if it were lost with the connection, nobody could tell whether
+// it has run.
+func (t *try) connect(ctx context.Context) (*conn.Conn, error) {
+	addr := t.placement.Target.Addr
+	if t.exchange.route.Repeatable() {
+		return t.stage.pool.Get(ctx, addr)
+	}
+	return t.stage.pool.GetRecent(ctx, addr)
+}
+
 // logHelpers logs that several targets prefill the prompt, which explains pauses in their other
 // streams.
 func (t *try) logHelpers() {
