balance: a box that finds itself cut off takes its word on targets back

Sound boxes passed over sound targets while others were cut off: 230 of 230 lines of targets that seem to be down, at the three boxes that were never cut, had own_failures 0.

Cause: a failed connection counts against its target and is told to all, whichever side it failed on. Since connections are tried through other boxes, most no longer fail; what is left is the time until a box knows that it is cut off.

--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -19,6 +19,19 @@
 	return s.unreachableTries > 0 && now.Before(s.backoffUntil)
 }
 
+// ForgetUnreachable drops what this box believes of targets that it could not reach, since the fault
+// was on its own side. Other boxes are no longer told of it either.
+func (b *Balancer) ForgetUnreachable() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		if s.unreachableTries > 0 {
+			s.unreachableTries, s.backoffUntil, s.errorRate = 0, time.Time{}, 0
+		}
+	}
+	b.serveQueues(false)
+}
+
 // IsDown reports whether the target seems to be down: this box has recently failed to reach it, or
 // a peer has and nothing has come from it here since.
 func (b *Balancer) IsDown(id barleystep.TargetID) bool {
--- a/internal/balance/health_test.go
+++ b/internal/balance/health_test.go
@@ -20,6 +20,12 @@
 		j.Avoid = append(j.Avoid, "i-01")
 		f.place(t, j).Done(balance.Report{Unreachable: true})
 	}
+	noPath := func(f *fixture, t *testing.T) {
+		j := plainJob()
+		j.Avoid = append(j.Avoid, "i-01")
+		f.place(t, j).Done(balance.Report{NoPath: true})
+	}
+	forget := func(f *fixture, _ *testing.T) { f.ForgetUnreachable() }
 	sendEvent := func(f *fixture, t *testing.T) {
 		j := plainJob()
 		j.Avoid = append(j.Avoid, "i-01")
@@ -40,6 +46,8 @@
 		"unreachable from a peer":               {steps{applyPeerReport}, true},
 		"unreachable from a peer, recent event": {steps{sendEvent, applyPeerReport}, false},
 		"unreachable from a peer, old event":    {steps{sendEvent, wait(time.Second), applyPeerReport}, true},
+		"no path from here":                     {steps{noPath}, false},
+		"unreachable, then found to be cut off": {steps{unreachable, forget}, false},
 		"peers reach it again":                  {steps{applyPeerReport, func(f *fixture, _ *testing.T) { f.SetOthers(balance.NewSnapshot()) }}, false},
 	}
 	for name, tc := range cases {
@@ -49,6 +57,9 @@
 				step(f, t)
 			}
 			quicktest.Check(t, f.IsDown("i-00"), quicktest.Equals, tc.want)
+			if !tc.want {
+				quicktest.Check(t, f.Snapshot().Work[balance.KeyOf("i-00")].DownReports, quicktest.Equals, 0)
+			}
 			for range 20 {
 				p, err := f.Place(context.Background(), plainJob())
 				quicktest.Assert(t, err, quicktest.IsNil)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -133,7 +133,7 @@
 		Suspects: &suspect.Registry{Clock: r.Clock, Log: r.Log},
 		Meter:    meter,
 	}
-	r.monitor = &relay.Monitor{Clock: r.Clock, Log: r.Log}
+	r.monitor = &relay.Monitor{Clock: r.Clock, Log: r.Log, OnCutOff: r.balancer.ForgetUnreachable}
 	r.balancer.MaxRest = time.Duration(s.Limits.MaxRest)
 	r.plane = &plane.Plane{
 		Clock:         r.Clock,
