relay: a target counts as unreachable only by the word of boxes of two halls

Cause: one box's word decided, and the boxes of a hall lose their links together. Relays of the own hall and of others now alternate, and two must fail before a target counts as unreachable; a box in doubt asks three.

TestRelayStops holds that a planned stop of a relay in use cuts off nothing.

--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -59,35 +60,61 @@
 	return now.Before(m.hintedUntil[addr])
 }
 
-// order returns the boxes to try, in order: each group of candidates in random order, so that the
-// boxes of a hall that is cut off share the others evenly. Boxes that failed a moment ago come last.
+// order returns the boxes to try, in order. Each group of candidates is in random order, so that the
+// boxes of a hall that is cut off share the others evenly. Those of the own hall and those of others
+// alternate, since a fault may be common to a hall. Boxes that failed a moment ago come last.
 func (m *memory) order(c Candidates, now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	far := m.withHints(c, now)
+	shuffle(c.Near)
+	shuffle(far)
+	shuffle(c.Stale)
+	var list, failed []string
+	for _, a := range append(alternate(c.Near, far), c.Stale...) {
+		if now.Before(m.failedUntil[a]) {
+			failed = append(failed, a)
+		} else {
+			list = append(list, a)
+		}
+	}
+	return append(list, failed...)
+}
+
+// withHints returns the far candidates with those that relays have named.
+func (m *memory) withHints(c Candidates, now time.Time) []string {
 	known := make(map[string]bool)
 	for _, list := range [][]string{c.Near, c.Far, c.Stale} {
 		for _, a := range list {
 			known[a] = true
 		}
 	}
-	far := c.Far
+	far := slices.Clone(c.Far)
 	for a, until := range m.hintedUntil {
 		switch {
 		case now.After(until):
 			delete(m.hintedUntil, a)
 		case !known[a]:
-			far = append(far[:len(far):len(far)], a)
+			far = append(far, a)
 		}
 	}
-	var list, failed []string
-	for _, group := range [][]string{c.Near, far, c.Stale} {
-		for _, i := range rand.Perm(len(group)) {
-			if now.Before(m.failedUntil[group[i]]) {
-				failed = append(failed, group[i])
-			} else {
-				list = append(list, group[i])
-			}
+	return far
+}
+
+func shuffle(list []string) {
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+}
+
+// alternate merges two lists, beginning with the first one.
+func alternate(a, b []string) []string {
+	list := make([]string, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		if i < len(a) {
+			list = append(list, a[i])
+		}
+		if i < len(b) {
+			list = append(list, b[i])
 		}
 	}
-	return append(list, failed...)
+	return list
 }
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -43,6 +43,9 @@
 	// relayTimeout bounds one call to a relay, relayAttempts the calls for one connection.
 	relayTimeout  = 80 * time.Millisecond
 	relayAttempts = 3
+	// minVerdicts is how many other boxes must not reach a target either, of two halls if there are,
+	// for it to count as unreachable. All boxes of a hall may be cut off at once.
+	minVerdicts = 2
 )
 
 // outcome is the result of a connection attempt on one path.
@@ -166,9 +169,10 @@
 
 // dialRelay connects through another box. The error is ErrUnreachable if another box does not reach
 // the target either, and barleystep.ErrNoPath if no other box serves as a relay. While this box may
-// be cut off others may be too, so that several are asked.
+// be cut off others may be too, so that more are asked.
 func (d *Dialer) dialRelay(ctx context.Context, addr string) (net.Conn, error) {
 	var verdict error
+	verdicts := 0
 	relays := d.memory.order(d.Relays(), d.Clock.Now())
 	for _, relay := range relays[:min(relayAttempts, len(relays))] {
 		c, err := d.askRelay(ctx, relay, addr)
@@ -179,7 +183,8 @@
 			return nil, context.Cause(ctx)
 		case eris.Is(err, ErrUnreachable):
 			verdict = err
-			if !d.Monitor.IsDoubtful() {
+			verdicts++
+			if verdicts >= minVerdicts && !d.Monitor.IsDoubtful() {
 				return nil, verdict
 			}
 		}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -104,7 +103,7 @@
 // not use those alone.
 func (s *Server) namedRelays() string {
 	list := s.Relays().Near
-	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	shuffle(list)
 	return strings.Join(list[:min(maxNamed, len(list))], ",")
 }
 
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -41,3 +41,58 @@
 		})
 	}
 }
+
+// TestHallWithoutWayToTargets checks that the boxes of a hall that all reach no target serve their
+// callers through boxes of another hall.
+func TestHallWithoutWayToTargets(t *testing.T) {
+	c := quicktest.New(t)
+	r := newFixtureOfHalls(t, "a", "a", "b", "b")
+	number := 0
+	post := func(i int) int {
+		number++
+		status, _ := r.postAs(t, i, "/a/x", "k1", fmt.Sprint("r", number))
+		return status
+	}
+	for i := range r.links {
+		c.Assert(post(i), quicktest.Equals, http.StatusOK)
+	}
+	for i := range 2 {
+		r.links[i].Set(fault.ModeReset)
+	}
+	for i := range 2 {
+		eventually(t, func() bool { return post(i) == http.StatusOK })
+	}
+	for n := range 20 {
+		c.Check(post(n%2), quicktest.Equals, http.StatusOK)
+	}
+	for id, runs := range r.target.Runs() {
+		c.Check(runs, quicktest.Equals, 1, quicktest.Commentf("%s", id))
+	}
+}
+
+// TestRelayStops checks that a planned stop of the box that others use as a relay cuts off nothing,
+// and that the others go on through the next one.
+func TestRelayStops(t *testing.T) {
+	c := quicktest.New(t)
+	r := newFixture(t, 3)
+	number := 0
+	post := func() int {
+		number++
+		status, _ := r.postAs(t, 0, "/a/x", "k1", fmt.Sprint("r", number))
+		return status
+	}
+	c.Assert(post(), quicktest.Equals, http.StatusOK)
+	r.links[0].Set(fault.ModeReset)
+	eventually(t, func() bool { return post() == http.StatusOK })
+	r.stops[1]()
+	for stopped := false; !stopped; {
+		c.Check(post(), quicktest.Equals, http.StatusOK)
+		select {
+		case err := <-r.done[1]:
+			c.Check(err, quicktest.IsNil)
+			stopped = true
+		default:
+		}
+	}
+	c.Check(post(), quicktest.Equals, http.StatusOK)
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -28,6 +28,7 @@
 
 // fixture is a set of routers with one target and a stand-in store.
 type fixture struct {
+	halls  []string // halls are the halls of the boxes.
 	store  *platformtest.Store
 	target *platformtest.Server
 	addr   string // addr is the target's address.
@@ -51,7 +52,16 @@
 }
 
 func newFixture(t *testing.T, boxes int) *fixture {
-	r := &fixture{store: &platformtest.Store{Clock: clock.System{}}, target: &platformtest.Server{ID: "i-1"}}
+	halls := make([]string, boxes)
+	for i := range halls {
+		halls[i] = "h"
+	}
+	return newFixtureOfHalls(t, halls...)
+}
+
+// newFixtureOfHalls returns a fixture with one box in each of the halls.
+func newFixtureOfHalls(t *testing.T, halls ...string) *fixture {
+	r := &fixture{halls: halls, store: &platformtest.Store{Clock: clock.System{}}, target: &platformtest.Server{ID: "i-1"}}
 	storeServer := httptest.NewServer(r.store)
 	t.Cleanup(storeServer.Close)
 	targetServer := httptest.NewServer(r.target)
@@ -59,7 +69,7 @@
 	r.addr = targetServer.Listener.Addr().String()
 	r.store.PutServer("i-1", "app", r.addr)
 	r.configure(1, "k1")
-	for i := range boxes {
+	for i := range halls {
 		r.start(t, i, storeServer.URL, 5*time.Second)
 	}
 	return r
@@ -74,7 +84,7 @@
 	exporter, err := metric.NewExporter()
 	quicktest.Assert(t, err, quicktest.IsNil)
 	s := settings.Settings{
-		Box:      settings.Box{ID: fmt.Sprint("b", i), Hall: "h"},
+		Box:      settings.Box{ID: fmt.Sprint("b", i), Hall: r.halls[i]},
 		Listen:   settings.Listen{Callers: freeAddr(t), Ready: freeAddr(t), Peers: freeAddr(t)},
 		Platform: settings.Platform{URL: storeURL},
 		Keys:     settings.Keys{Freshness: settings.Duration(time.Minute)},
