relay: relays vouch for their word, slow ones are passed, and all know a far one

A model with real balancers, gossip, lead and relays (plane.TestCutOverBoxes) found four faults of the change so far:

- Relays that were cut off themselves and did not know it yet said that a target cannot be reached; sound boxes held it for down (29 samples of 50 ms with six of nine boxes silent, 219 and 260 at 66 boxes).
A relay that cannot connect now tries two other targets and says nothing if it reaches neither.
- Where all boxes of a hall of 22 were cut off, 8 of 321 first tries were refused: ordinary boxes knew no box of another hall until a collector found itself cut off.
Collectors now name those of other halls once a second.
- Silent relays were waited for one after the other.
The next one is asked after 30 ms.
- A goroutine waited for ever where the direct connection came after the relay's answer, once for each such connection.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,6 +124,11 @@
 }
 
 func startBox(t *testing.T, r *registry, name, hall string, target int, fake *topic) *box {
+	return startCutBox(t, r, name, hall, target, fake, new(atomic.Bool))
+}
+
+// startCutBox starts a box that is cut off from the targets while cutOff is set.
+func startCutBox(t *testing.T, r *registry, name, hall string, target int, fake *topic, cutOff *atomic.Bool) *box {
 	own := balance.NewSnapshot()
 	own.Work[balance.Key(target)] = balance.Work{Short: 1, Backlog: time.Millisecond}
 	own.Demands[1] = balance.Demand{Short: 0.5}
@@ -135,6 +141,7 @@
 		Catalogue: r,
 		Topics:    []gossip.TopicFollower{fake},
 		Balancer:  b.balancer,
+		CutOff:    cutOff.Load,
 		Log:       &log.Logger{Level: log.PanicLevel},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gossip/sum.go
+++ b/internal/gossip/sum.go
@@ -87,7 +87,7 @@
 	next := members[:min(successors, len(members))]
 	others := n.otherCollectors(now)
 	var othersForAll []*gossipv1.Member
-	if n.hasCutOffBox() {
+	if n.hasCutOffBox() || n.rotation%(probeTicks/plan.ticks) == 0 {
 		othersForAll = others // Their halls may have the only boxes that reach targets.
 	}
 	for _, m := range n.members {
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -21,6 +21,7 @@
 	"github.com/barleystep/barleystep/internal/gossip"
 	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/plane"
+	"github.com/barleystep/barleystep/internal/relay"
 	"github.com/barleystep/barleystep/internal/suspect"
 )
 
@@ -58,6 +59,10 @@
 	started       time.Time
 	// balancer is a real balancer in scenarios with a workload, else nil.
 	balancer *balance.Balancer
+	// monitor, dialer and relay connect to targets in such scenarios.
+	monitor *relay.Monitor
+	dialer  *relay.Dialer
+	relay   *relay.Server
 }
 
 var quiet = &log.Logger{Level: log.PanicLevel}
@@ -70,6 +75,7 @@
 	if b.simulation.scenario.load != nil {
 		mux.Handle(b.addBalancer(l))
 		gossipBalancer = l.balancer
+		b.addRelay(l)
 	}
 	l.configuration = &follow.Configuration{Clock: b, Decode: decodeConfiguration, Log: quiet}
 	l.targets = &follow.Targets{Clock: b, Decode: decodeTarget, Log: quiet}
@@ -91,6 +97,7 @@
 	}
 	if l.balancer != nil {
 		l.plane.Suspects = l.balancer.Suspects
+		l.plane.CutOff = l.monitor.IsCutOff
 	}
 	l.plane.Build()
 	if l.balancer != nil {
--- a/internal/plane/simulation_test.go
+++ b/internal/plane/simulation_test.go
@@ -61,6 +61,7 @@
 	scenario scenario
 	started  time.Time
 	network  *network
+	links    links
 	store    *store
 	boxes    []*box
 	// seedless is set once boxes that start receive no seeds.
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -40,9 +40,11 @@
 	// headStart is how long a direct connection attempt may take until another box is asked, several
 	// times the latency between halls. It is at most half of the time that is left.
 	headStart = 50 * time.Millisecond
-	// relayTimeout bounds one call to a relay, relayAttempts the calls for one connection.
-	relayTimeout  = 80 * time.Millisecond
-	relayAttempts = 3
+	// relayHeadStart is how long a relay may take until the next one is asked too, relayTimeout bounds
+	// one call to a relay, and relayAttempts the calls for one connection.
+	relayHeadStart = 30 * time.Millisecond
+	relayTimeout   = 100 * time.Millisecond
+	relayAttempts  = 4
 	// minVerdicts is how many other boxes must not reach a target either, of two halls if there are,
 	// for it to count as unreachable. All boxes of a hall may be cut off at once.
 	minVerdicts = 2
@@ -94,13 +96,9 @@
 // resolve asks other boxes while a direct attempt is still under way, or has failed with the given
 // outcome if direct is nil. The first connection is used.
 func (d *Dialer) resolve(ctx context.Context, addr string, failed outcome, direct <-chan outcome) (net.Conn, error) {
-	relayed := make(chan outcome, 1)
-	go func() {
-		c, err := d.dialRelay(ctx, addr)
-		relayed <- outcome{c, err}
-	}()
+	relayed := d.startRelay(ctx, addr)
 	var relayErr error
-	for waiting := relayed; waiting != nil || direct != nil; {
+	for relayed != nil || direct != nil {
 		select {
 		case o := <-direct:
 			if o.err == nil {
@@ -108,12 +106,12 @@
 				return o.conn, nil
 			}
 			failed, direct = o, nil
-		case o := <-waiting:
+		case o := <-relayed:
 			if o.err == nil {
 				go closeLate(direct)
 				return o.conn, nil
 			}
-			relayErr, waiting = o.err, nil
+			relayErr, relayed = o.err, nil
 		case <-ctx.Done():
 			go closeLate(relayed)
 			go closeLate(direct)
@@ -157,6 +155,16 @@
 	return result
 }
 
+// startRelay connects through another box in the background.
+func (d *Dialer) startRelay(ctx context.Context, addr string) <-chan outcome {
+	result := make(chan outcome, 1)
+	go func() {
+		c, err := d.dialRelay(ctx, addr)
+		result <- outcome{c, err}
+	}()
+	return result
+}
+
 // closeLate closes a connection that nobody uses any more.
 func closeLate(result <-chan outcome) {
 	if result == nil {
@@ -167,32 +175,69 @@
 	}
 }
 
-// dialRelay connects through another box. The error is ErrUnreachable if another box does not reach
-// the target either, and barleystep.ErrNoPath if no other box serves as a relay. While this box may
-// be cut off others may be too, so that more are asked.
+// dialRelay connects through another box. The error is ErrUnreachable if other boxes do not reach the
+// target either, and barleystep.ErrNoPath if none serves as a relay. The next box is asked when one
+// has failed or is slow; the first connection is used.
 func (d *Dialer) dialRelay(ctx context.Context, addr string) (net.Conn, error) {
-	var verdict error
-	verdicts := 0
 	relays := d.memory.order(d.Relays(), d.Clock.Now())
-	for _, relay := range relays[:min(relayAttempts, len(relays))] {
-		c, err := d.askRelay(ctx, relay, addr)
+	relays = relays[:min(relayAttempts, len(relays))]
+	results := make(chan outcome, len(relays))
+	asked, answered, verdicts := 0, 0, 0
+	for answered < len(relays) {
+		if asked < len(relays) {
+			relay := relays[asked]
+			asked++
+			go func() {
+				c, err := d.askRelay(ctx, relay, addr)
+				results <- outcome{c, err}
+			}()
+		}
+		o, ok := d.nextAnswer(ctx, results, asked == len(relays))
+		if !ok {
+			continue
+		}
+		answered++
+		if eris.Is(o.err, ErrUnreachable) {
+			verdicts++
+		}
 		switch {
-		case err == nil:
-			return c, nil
-		case ctx.Err() != nil:
+		case ctx.Err() != nil && o.err != nil:
+			go closeAll(results, asked-answered)
 			return nil, context.Cause(ctx)
-		case eris.Is(err, ErrUnreachable):
-			verdict = err
-			verdicts++
-			if verdicts >= minVerdicts && !d.Monitor.IsDoubtful() {
-				return nil, verdict
-			}
+		case o.err == nil || (verdicts >= minVerdicts && !d.Monitor.IsDoubtful()):
+			go closeAll(results, asked-answered)
+			return o.conn, o.err
 		}
 	}
-	if verdict != nil {
-		return nil, verdict
+	if verdicts > 0 {
+		return nil, ErrUnreachable
+	}
+	return nil, eris.Wrapf(barleystep.ErrNoPath, "relay: %d boxes asked", len(relays))
+}
+
+// nextAnswer returns the next answer of a relay, or false if none has come when the next one is to be
+// asked.
+func (d *Dialer) nextAnswer(ctx context.Context, results <-chan outcome, isLast bool) (o outcome, ok bool) {
+	if isLast {
+		return <-results, true // All calls are bounded.
+	}
+	timer := d.Clock.NewTimer(relayHeadStart)
+	defer timer.Stop()
+	select {
+	case o = <-results:
+		return o, true
+	case <-timer.C():
+		return outcome{}, false
+	case <-ctx.Done():
+		return <-results, true
+	}
+}
+
+// closeAll closes the connections of calls that are still under way.
+func closeAll(results <-chan outcome, pending int) {
+	for range pending {
+		closeLate(results)
 	}
-	return nil, eris.Wrapf(barleystep.ErrNoPath, "relay: %d boxes known", len(relays))
 }
 
 // askRelay asks one box to connect to the target.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,8 +31,8 @@
 	Direct barleystep.Dialer
 	// Key verifies that calls come from other boxes.
 	Key signature.Key
-	// IsTarget reports whether a listed target has the address; no others are connected to.
-	IsTarget func(addr string) bool
+	// Targets returns the addresses of the listed targets; no others are connected to.
+	Targets func() []string
 	// IsStopping reports whether this box stops.
 	IsStopping func() bool
 	// Relays returns the other boxes; those of the own hall are named to boxes that ask.
@@ -42,8 +44,12 @@
 }
 
 const (
-	// targetTimeout bounds connecting to a target for another box.
-	targetTimeout = 60 * time.Millisecond
+	// targetTimeout bounds connecting to a target for another box, and vouchTimeout connecting to
+	// others when that fails. Together they are shorter than a call to a relay may take.
+	targetTimeout = 40 * time.Millisecond
+	vouchTimeout  = 30 * time.Millisecond
+	// vouchTargets is how many other targets are connected to.
+	vouchTargets = 2
 	// maxTunnels bounds the connections that are relayed at a time. Each takes two descriptors and
 	// up to 50 kB.
 	maxTunnels = 400
@@ -63,53 +69,83 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(headerRelays, s.namedRelays())
-	if status := s.refusal(r); status != 0 {
-		w.WriteHeader(status)
+	w.Header().Set(headerRelays, strings.Join(s.NamedRelays(), ","))
+	if r.Header.Get(headerUpgrade) != protocolName {
+		w.WriteHeader(http.StatusUpgradeRequired)
 		return
 	}
-	defer s.tunnels.Add(-1)
-	target, err := s.dial(r.Context(), r.FormValue(queryTarget))
+	target, err := s.Connect(r.Context(), r.FormValue(queryTarget))
 	switch {
 	case err == nil:
+		defer s.tunnels.Add(-1)
 		s.relay(w, target)
-	case s.Monitor.IsDoubtful():
-		w.WriteHeader(http.StatusServiceUnavailable)
-	default:
-		if eris.Is(err, syscall.ECONNREFUSED) {
-			w.Header().Set(headerFailure, failureRefused)
-		}
+	case eris.Is(err, syscall.ECONNREFUSED):
+		w.Header().Set(headerFailure, failureRefused)
+		w.WriteHeader(http.StatusBadGateway)
+	case eris.Is(err, ErrUnreachable):
 		w.WriteHeader(http.StatusBadGateway)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-// refusal returns the status of a call that is refused, or counts a tunnel and returns zero.
-func (s *Server) refusal(r *http.Request) (status int) {
-	switch {
-	case r.Header.Get(headerUpgrade) != protocolName:
-		return http.StatusUpgradeRequired
-	case s.IsStopping() || s.Monitor.IsCutOff():
-		return http.StatusServiceUnavailable
-	case !s.IsTarget(r.FormValue(queryTarget)):
-		return http.StatusNotFound
-	case s.tunnels.Add(1) > maxTunnels:
+// Connect connects to a target for another box and counts a tunnel. The error is ErrUnreachable if
+// the target cannot be reached though others can, and also syscall.ECONNREFUSED if it refuses
+// connections. Any other error says nothing about the target.
+func (s *Server) Connect(ctx context.Context, addr string) (target net.Conn, err error) {
+	targets := s.Targets()
+	if s.IsStopping() || s.Monitor.IsCutOff() || !slices.Contains(targets, addr) {
+		return nil, errUnavailable
+	}
+	if s.tunnels.Add(1) > maxTunnels {
 		s.tunnels.Add(-1)
-		return http.StatusServiceUnavailable
+		return nil, errUnavailable
+	}
+	target, err = s.dial(ctx, addr, targetTimeout)
+	if err == nil {
+		return target, nil
+	}
+	s.tunnels.Add(-1)
+	switch {
+	case !s.canVouch(ctx, targets, addr):
+		return nil, errUnavailable
+	case eris.Is(err, syscall.ECONNREFUSED):
+		return nil, &refusedError{}
+	default:
+		return nil, ErrUnreachable
+	}
+}
+
+// canVouch reports whether this box reaches another target than the one at the address, so that the
+// fault is not its own.
+func (s *Server) canVouch(ctx context.Context, targets []string, addr string) bool {
+	others := slices.DeleteFunc(slices.Clone(targets), func(o string) bool { return o == addr })
+	shuffle(others)
+	var reached atomic.Bool
+	var dials sync.WaitGroup
+	for _, other := range others[:min(vouchTargets, len(others))] {
+		dials.Go(func() {
+			if c, err := s.dial(ctx, other, vouchTimeout); err == nil {
+				_ = c.Close() // Only the result of connecting matters.
+				reached.Store(true)
+			}
+		})
 	}
-	return 0
+	dials.Wait()
+	return reached.Load()
 }
 
-// namedRelays returns some boxes of this box's hall, so that a box that knows few of the hall does
-// not use those alone.
-func (s *Server) namedRelays() string {
+// NamedRelays returns the addresses of some boxes of this box's hall, so that a box that knows few of
+// the hall does not use those alone.
+func (s *Server) NamedRelays() []string {
 	list := s.Relays().Near
 	shuffle(list)
-	return strings.Join(list[:min(maxNamed, len(list))], ",")
+	return list[:min(maxNamed, len(list))]
 }
 
 // dial connects to a target.
-func (s *Server) dial(ctx context.Context, addr string) (net.Conn, error) {
-	ctx, cancel := clock.WithDeadline(ctx, s.Clock, s.Clock.Now().Add(targetTimeout))
+func (s *Server) dial(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := clock.WithDeadline(ctx, s.Clock, s.Clock.Now().Add(timeout))
 	defer cancel()
 	c, err := s.Direct.Dial(ctx, addr)
 	switch {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -204,7 +203,7 @@
 		Monitor:    r.monitor,
 		Direct:     r.Dialer,
 		Key:        key,
-		IsTarget:   func(addr string) bool { return slices.Contains(r.targetAddrs(), addr) },
+		Targets:    r.targetAddrs,
 		IsStopping: r.isStopping,
 		Relays:     r.relays,
 		Log:        r.Log,
