soak: boxes lose their links to all targets

Boxes run in the soak's own program, with a link to targets that it can cut: new connections refused or hanging, open ones reset, silent in both directions or one, or going on. One event in three takes the links of all boxes of a hall. A check asks that callers of such boxes are served at two thirds of the rate of others from a second after the cut on.

--- a/Makefile
+++ b/Makefile
@@ -16,13 +16,13 @@
 SEED ?= 2
 LENGTH ?= 20s
 soak:
-	$(GO) build -o target/ ./cmd/barleystep-router ./cmd/barleystep-soak
+	$(GO) build -o target/ ./cmd/barleystep-soak
 	target/barleystep-soak --seed $(SEED) --length $(LENGTH)
 
 # regressions runs the seeds of the soak that have failed once, with --ci those of CI.
 REGRESSIONS ?=
 regressions:
-	$(GO) build -o target/ ./cmd/barleystep-router ./cmd/barleystep-soak
+	$(GO) build -o target/ ./cmd/barleystep-soak
 	target/barleystep-soak regressions $(REGRESSIONS)
 
 # lint checks formatting and the linter's rules with the pinned linter.
--- a/cmd/barleystep-router/main.go
+++ b/cmd/barleystep-router/main.go
@@ -9,12 +9,8 @@
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
-	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/command"
-	"github.com/barleystep/barleystep/internal/metric"
-	"github.com/barleystep/barleystep/internal/router"
 	"github.com/barleystep/barleystep/internal/settings"
-	"github.com/barleystep/barleystep/platform"
 )
 
 func main() {
@@ -42,22 +38,9 @@
 }
 
 func run(ctx context.Context, s settings.Settings, l *log.Logger) error {
-	exporter, err := metric.NewExporter()
+	r, err := command.NewRouter(s, l, nil)
 	if err != nil {
 		return err
 	}
-	r := &router.Router{
-		Settings:            s,
-		Clock:               clock.System{},
-		Catalogue:           command.NewStore(s, clock.System{}),
-		Protocol:            platform.Protocol{},
-		DecodeConfiguration: platform.DecodeConfiguration,
-		DecodeTarget:        platform.DecodeTarget,
-		CheckEvacuation:     platform.CheckEvacuation,
-		ReadyHandler:        platform.ReadyHandler,
-		Exporter:            exporter,
-		DroppedLines:        func() int64 { return command.DroppedLines(l) },
-		Log:                 l,
-	}
 	return r.Run(ctx)
 }
--- a/cmd/barleystep-soak/main.go
+++ b/cmd/barleystep-soak/main.go
@@ -10,11 +10,16 @@
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/command"
+	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/fault"
+	"github.com/barleystep/barleystep/internal/router"
+	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/soak"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
@@ -51,13 +56,12 @@
 	root.Flags().IntVar(&s.Targets, "targets", defaultTargets, "how many engines; there are half as many plain targets")
 	root.Flags().IntVar(&s.Callers, "callers", defaultCallers, "how many callers")
 	root.Flags().Var(&s.Profile, "profile", "the load on the boxes, usual or crowded")
-	root.PersistentFlags().StringVar(&s.BoxProgram, "router", "target/barleystep-router", "the box's program")
-	root.AddCommand(regressionsCommand(s), targetCommand(), storeCommand())
+	root.AddCommand(regressionsCommand(s), boxCommand(), targetCommand(), storeCommand())
 	return root
 }
 
 func run(cmd *cobra.Command, s *soak.Runner) (err error) {
-	if s.StandInProgram, err = os.Executable(); err != nil {
+	if s.Program, err = os.Executable(); err != nil {
 		return eris.Wrap(err, "soak: find own executable")
 	}
 	if s.Dir, err = soak.TempDir(s.Setup); err != nil {
@@ -77,8 +81,7 @@
 	return nil
 }
 
-// regressionsCommand returns the command that runs the seeds that have failed before. The root
-// command's flag for the box's program applies to it too.
+// regressionsCommand returns the command that runs the seeds that have failed before.
 func regressionsCommand(s *soak.Runner) *cobra.Command {
 	var ci bool
 	cmd := &cobra.Command{Use: "regressions", Short: "Run the seeds that have failed once", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
@@ -92,7 +95,7 @@
 				continue
 			}
 			fmt.Fprintf(s.Out, "seed %d: %s\n", r.Seed, r.Cause)
-			again := &soak.Runner{Setup: r.Setup(), Clock: s.Clock, BoxProgram: s.BoxProgram, Out: s.Out}
+			again := &soak.Runner{Setup: r.Setup(), Clock: s.Clock, Out: s.Out}
 			if err := run(cmd, again); err != nil {
 				fmt.Fprintln(s.Out, "Error:", err)
 				failed++
@@ -121,6 +124,25 @@
 	return cmd
 }
 
+// boxCommand returns the command of a box whose links to targets can be cut through its input.
+func boxCommand() *cobra.Command {
+	cmd := command.New(command.Program{
+		Name:  "box",
+		Short: "A box whose links to targets can be cut",
+		Run: func(ctx context.Context, s settings.Settings, l *log.Logger) error {
+			link := &fault.Link{Dialer: conn.TCP{Timeout: router.DialTimeout}}
+			go soak.FollowLinks(link, os.Stdin)
+			r, err := command.NewRouter(s, l, link)
+			if err != nil {
+				return err
+			}
+			return r.Run(ctx)
+		},
+	})
+	cmd.Hidden = true
+	return cmd
+}
+
 func storeCommand() *cobra.Command {
 	return &cobra.Command{Use: "store", Short: "A stand-in for the store", Hidden: true, RunE: func(cmd *cobra.Command, _ []string) error {
 		return soak.RunStore(cmd.Context(), clock.System{})
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -1,3 +1,5 @@
+// Package peer implements the RPCs between boxes over Connect: heartbeats, capacity, the
+// configuration and transactions, and forwards requests to boxes of other halls.
 package peer
 
 import (
--- a/internal/plane/cut_test.go
+++ b/internal/plane/cut_test.go
@@ -109,26 +109,30 @@
 
 // sampleBeliefs samples which boxes hold themselves for cut off, and targets for down.
 func (w *cutWorkload) sampleBeliefs(d *simulation, during bool) {
-	settled := d.elapsed() > cutAt+startupTime
 	for _, b := range d.boxes {
 		l := b.running()
-		if l == nil {
-			continue
-		}
-		known := l.monitor.IsCutOff()
 		switch {
-		case w.cut[b] && during && !known:
-			w.knownAt = d.elapsed() - cutAt
-		case w.cut[b] && !during && known:
-			w.knownAgainAt = d.elapsed() - cutEnds
-		case !w.cut[b] && known:
+		case l == nil:
+		case w.cut[b]:
+			w.sampleCutBox(d, l, during)
+		case l.monitor.IsCutOff():
 			w.wrong++
-		case !w.cut[b] && settled && w.anyDown(l):
+		case d.elapsed() > cutAt+startupTime && w.anyDown(l):
 			w.sick++
 		}
 	}
 }
 
+// sampleCutBox samples whether a cut box knows its state.
+func (w *cutWorkload) sampleCutBox(d *simulation, l *process, during bool) {
+	switch known := l.monitor.IsCutOff(); {
+	case during && !known:
+		w.knownAt = d.elapsed() - cutAt
+	case !during && known:
+		w.knownAgainAt = d.elapsed() - cutEnds
+	}
+}
+
 func (w *cutWorkload) anyDown(l *process) bool {
 	for _, t := range w.targets() {
 		if l.balancer.IsDown(t.ID) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -161,14 +161,14 @@
 // them ends.
 func (s *Server) relay(w http.ResponseWriter, target net.Conn) {
 	s.served.Add(1)
-	defer target.Close()
+	defer func() { _ = target.Close() }() // Both directions have ended.
 	header := w.Header().Clone()
 	box, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		s.Log.Error().Err(err).Msg(logPrefix + "Cannot take a connection over.")
 		return
 	}
-	defer box.Close()
+	defer func() { _ = box.Close() }()
 	if tcp, ok := box.(*net.TCPConn); ok {
 		conn.DetectLoss(tcp)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,10 +72,10 @@
 const logPrefix = "router: "
 
 const (
-	// dialTimeout bounds the time to connect to a target, which takes a few milliseconds if the
+	// DialTimeout bounds the time to connect to a target, which takes a few milliseconds if the
 	// target is alive. TCP resends a lost packet only after a second, and another target is
 	// tried before that.
-	dialTimeout = 250 * time.Millisecond
+	DialTimeout = 250 * time.Millisecond
 	// leadConns is how many idle connections to the lead are kept: long prompts arrive at a few
 	// per second.
 	leadConns = 2
@@ -113,7 +113,7 @@
 	s := r.Settings
 	r.stopping = make(chan struct{})
 	if r.Dialer == nil {
-		r.Dialer = conn.TCP{Timeout: dialTimeout}
+		r.Dialer = conn.TCP{Timeout: DialTimeout}
 	}
 	r.targets = &follow.Targets{Clock: r.Clock, Decode: r.DecodeTarget, Log: r.Log}
 	r.configuration = &follow.Configuration{
@@ -193,9 +193,9 @@
 		Clock:   r.Clock,
 		Monitor: r.monitor,
 		Direct:  r.Dialer,
-		Timeout: dialTimeout,
+		Timeout: DialTimeout,
 		Relays:  r.relays,
-		Connect: relay.Connector{Dialer: conn.TCP{Timeout: dialTimeout}, Key: key}.Connect,
+		Connect: relay.Connector{Dialer: conn.TCP{Timeout: DialTimeout}, Key: key}.Connect,
 		Log:     r.Log,
 	}
 	r.relay = &relay.Server{
--- a/internal/soak/box.go
+++ b/internal/soak/box.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -16,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/fault"
 )
 
 // box supervises the process of a box, which is restarted whenever it exits.
@@ -32,6 +34,11 @@
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	incarnation int
+	// links tells the current process the mode of its links to targets. cuts counts the current cuts,
+	// and mode is that of the newest.
+	links *json.Encoder
+	cuts  int
+	mode  fault.Mode
 	// shouldRun is set while the process is to be restarted.
 	shouldRun bool
 	done      chan struct{}
@@ -48,7 +55,7 @@
 func newBox(clk barleystep.Clock, h *History, program, dir string, number int, peers []string, store string) (b *box, err error) {
 	defer func() { err = eris.Wrap(err, "soak: write settings of box") }()
 	b = &box{
-		id: fmt.Sprintf("b%d", number), program: program, clock: clk, history: h,
+		id: fmt.Sprintf("b%d", number), mode: fault.ModeOpen, program: program, clock: clk, history: h,
 		callersAddr: addr(portCallers, number), readyAddr: addr(portReady, number),
 	}
 	text := fmt.Sprintf("[box]\nid = %q\nhall = %q\n[listen]\ncallers = %q\nready = %q\npeers = %q\n[peers]\ntrusted = true\nseeds = [\"%s\"]\n"+
@@ -101,7 +108,12 @@
 func (b *box) supervise(ctx context.Context, started chan struct{}) {
 	defer close(b.done)
 	for {
-		cmd := exec.CommandContext(ctx, b.program, "--config", b.configFile)
+		cmd := exec.CommandContext(ctx, b.program, "box", "--config", b.configFile)
+		in, err := cmd.StdinPipe()
+		if err != nil {
+			b.history.RecordFinding("%s cannot be started: %v", b.id, err)
+			return
+		}
 		cmd.Stdout, cmd.Stderr = b.logFile, b.logFile
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		b.mu.Lock()
@@ -109,10 +121,12 @@
 			b.mu.Unlock()
 			return
 		}
-		err := cmd.Start()
+		err = cmd.Start()
 		if err == nil {
 			b.cmd = cmd
 			b.incarnation++
+			b.links = json.NewEncoder(in)
+			b.sendMode()
 		}
 		b.mu.Unlock()
 		if started != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -52,6 +52,7 @@
 	c.checkStatements(calls)
 	c.checkEvacuations(calls)
 	c.checkCold(calls)
+	c.checkCuts()
 	sort.Strings(c.violations)
 	return c.violations
 }
--- /dev/null
+++ b/internal/soak/check_cut.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	// cutNotice is how long after the links of a box were taken away its callers may be refused.
+	cutNotice = time.Second
+	// minCutCalls is how many calls at cut boxes tell anything, and minCutShare the least share of them
+	// that is served, of that at other boxes meanwhile.
+	minCutCalls = 60
+	minCutShare = 2.0 / 3
+)
+
+// served counts calls and those that were answered whole.
+type served struct{ calls, whole int }
+
+func (s *served) add(x *Call) {
+	s.calls++
+	if x.Status == http.StatusOK && !x.Truncated {
+		s.whole++
+	}
+}
+
+func (s served) share() float64 { return float64(s.whole) / float64(max(s.calls, 1)) }
+
+// String returns both counts.
+func (s served) String() string { return fmt.Sprintf("%d of %d", s.whole, s.calls) }
+
+// checkCuts checks that callers of boxes that reach no target themselves are served nearly as often as
+// callers of other boxes.
+func (c *check) checkCuts() {
+	atCut, others := c.history.servedAtCutBoxes()
+	if atCut.calls < minCutCalls || others.calls < minCutCalls {
+		return
+	}
+	if atCut.share() < minCutShare*others.share() {
+		c.violations = append(c.violations, fmt.Sprintf("cut boxes: %s served at boxes without links to targets, %s at others", atCut, others))
+	}
+}
+
+// servedAtCutBoxes counts the calls at boxes that were cut from the targets, and those at other boxes
+// while any was. The lock is held.
+func (h *History) servedAtCutBoxes() (atCut, others served) {
+	cut := func(box string, x *Call) bool {
+		return slices.ContainsFunc(h.cut[box], func(i interval) bool {
+			return x.Started.After(i.from.Add(cutNotice)) && (i.to.IsZero() || x.Ended.Before(i.to))
+		})
+	}
+	for i := range h.calls {
+		x := &h.calls[i]
+		if x.ConnectFailed || h.isDisturbed(x) {
+			continue
+		}
+		switch {
+		case cut(x.Box, x):
+			atCut.add(x)
+		case h.isCut(x.Box, x):
+			// It began or ended during the call, or a moment before.
+		default:
+			for box := range h.cut {
+				if cut(box, x) {
+					others.add(x)
+					break
+				}
+			}
+		}
+	}
+	return atCut, others
+}
+
+// isCut reports whether the box was cut at any time during the call.
+func (h *History) isCut(box string, x *Call) bool {
+	return slices.ContainsFunc(h.cut[box], func(i interval) bool { return i.overlaps(x.Started, x.Ended) })
+}
+
+// isDisturbed reports whether the process of the call's box was killed or stopped, or frozen during
+// the call.
+func (h *History) isDisturbed(x *Call) bool {
+	id := incarnationID(x.Box, x.Incarnation)
+	_, killed := h.killed[id]
+	_, stopping := h.stopping[id]
+	return killed || stopping || slices.ContainsFunc(h.frozen[id], func(i interval) bool { return i.overlaps(x.Started, x.Ended) })
+}
+
+// RecordCut records that a box has lost its links to all targets.
+func (h *History) RecordCut(box string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cut[box] = append(h.cut[box], interval{from: at})
+}
+
+// RecordCutEnd records that a box has its links again.
+func (h *History) RecordCutEnd(box string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	closeIntervals(h.cut[box], at)
+}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -76,6 +76,8 @@
 	silenced  map[string][]interval
 	evacuated map[string][]interval
 	halls     map[string]string
+	// cut holds the intervals in which each box had no links to targets.
+	cut map[string][]interval
 	// revoked holds the time at which each key was revoked in the store.
 	revoked map[string]time.Time
 	// accounts maps API keys to client accounts.
@@ -111,6 +113,7 @@
 		silenced:    make(map[string][]interval),
 		evacuated:   make(map[string][]interval),
 		halls:       make(map[string]string),
+		cut:         make(map[string][]interval),
 		revoked:     make(map[string]time.Time),
 		accounts:    accounts,
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -67,6 +67,8 @@
 		s.deadly.Add(-1)
 	case ActionKillLong:
 		s.killLong(ctx, e, max(e.Duration, killLongTime))
+	case ActionCut:
+		s.cut(ctx, e)
 	case ActionEvacuate:
 		s.evacuate(ctx, e.Detail, max(e.Duration, evacuationTime))
 	default:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/barleystep/barleystep/internal/fault"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -62,6 +63,9 @@
 	// ActionEvacuate evacuates the hall that Detail names and takes that back after the duration.
 	// It does nothing while a hall is evacuated already.
 	ActionEvacuate Action = "evacuate"
+	// ActionCut takes away the links of a box, or of all boxes of its hall, to all targets in the way
+	// that Detail names.
+	ActionCut Action = "cut"
 	// ActionCold replaces a target, after the duration, by one that starts cold.
 	ActionCold Action = "cold"
 )
@@ -73,8 +77,9 @@
 	Action   Action
 	// Index selects the box or target.
 	Index int
-	// Detail names the fault of the store, of a target's answers or of its record, the box to kill,
-	// or the hall to evacuate. Share is the share of a target's answers that are faulty.
+	// Detail names the fault of the store, of a target's answers, of its record or of a box's links,
+	// the box to kill, or the hall to evacuate. Share is the share of a target's answers that are
+	// faulty; with ActionCut, a value below hallCutShare means all boxes of the hall.
 	Detail string
 	Share  float64
 }
@@ -105,6 +110,10 @@
 	killLongGap   = 5 * time.Second
 	evacuationGap = 12 * time.Second
 	coldGap       = 4 * time.Second
+	// cutGap is the mean time between cuts of boxes from the targets. A share of hallCutShare is of
+	// all boxes of a hall.
+	cutGap       = 4 * time.Second
+	hallCutShare = 0.3
 	// minFault and maxFault bound the duration of a fault.
 	minFault = 300 * time.Millisecond
 	maxFault = 4 * time.Second
@@ -135,6 +144,7 @@
 	streamEvacuations
 	streamCold
 	streamLong // streamLong draws the additional oversized prompts of callers.
+	streamCuts
 )
 
 // eventSources returns the sources of a run's events.
@@ -149,6 +159,7 @@
 		{streamKillLong, killLongGap, map[Action]int{ActionKillLong: 1}},
 		{streamEvacuations, evacuationGap, map[Action]int{ActionEvacuate: 1}},
 		{streamCold, coldGap, map[Action]int{ActionCold: 1}},
+		{streamCuts, cutGap, map[Action]int{ActionCut: 1}},
 	}
 	if n := s.load().stops; n > 0 {
 		meanInterval := gracePeriod * time.Duration(n) / time.Duration(s.Boxes)
@@ -210,6 +221,10 @@
 	switch e.Action {
 	case ActionTerm, ActionKill, ActionFreeze, ActionReload:
 		e.Index = r.IntN(boxes)
+	case ActionCut:
+		e.Index = r.IntN(boxes)
+		e.Detail = string(fault.Modes[r.IntN(len(fault.Modes))])
+		e.Share = r.Float64()
 	case ActionSpoil:
 		e.Detail = string(platformtest.TargetFaults[r.IntN(len(platformtest.TargetFaults))])
 		e.Share = minShare + (maxShare-minShare)*r.Float64()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,10 +19,8 @@
 type Runner struct {
 	Setup
 	Clock barleystep.Clock
-	// BoxProgram is the path of the box's program, StandInProgram that of the program that runs the
-	// stand-ins.
-	BoxProgram     string
-	StandInProgram string
+	// Program is the path of the program that runs the boxes and the stand-ins.
+	Program string
 	// Dir holds the settings and logs of the boxes.
 	Dir string
 	// Out receives the schedule and the violations.
@@ -92,7 +90,7 @@
 
 // startAll starts the processes.
 func (s *Runner) startAll(ctx context.Context) (err error) {
-	if s.store, err = startChild(ctx, s.StandInProgram, s.history.RecordArrival, "store"); err != nil {
+	if s.store, err = startChild(ctx, s.Program, s.history.RecordArrival, "store"); err != nil {
 		return err
 	}
 	s.writeConfig()
@@ -122,7 +120,7 @@
 		peers[i] = addr(portPeers, i)
 	}
 	for i := range s.Boxes {
-		b, err := newBox(s.Clock, s.history, s.BoxProgram, s.Dir, i, peers, s.store.addr)
+		b, err := newBox(s.Clock, s.history, s.Program, s.Dir, i, peers, s.store.addr)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -58,7 +58,7 @@
 	if cold {
 		args = append(args, "--cold", coldTime.String(), "--cold-rate", fmt.Sprint(coldRate))
 	}
-	t.child, err = startChild(ctx, t.runner.StandInProgram, t.runner.history.RecordArrival, args...)
+	t.child, err = startChild(ctx, t.runner.Program, t.runner.history.RecordArrival, args...)
 	if err != nil {
 		return err
 	}
