--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -13,6 +13,7 @@
 func (r *Router) registerMetrics() {
 	r.Exporter.Observe("barleystep_belief_age_seconds", "How long ago a change of the topic could last have been missed; below zero without any proof.", "topic", r.beliefAges)
 	r.Exporter.Observe("barleystep_targets_believed", "Targets by what the box believes of them.", "state", r.targetStates)
+	r.Exporter.Observe("barleystep_relay", "Whether this box reaches no target itself (cut off) or may not (in doubt), and the connections that it relays for other boxes, open and since the start.", "state", r.relayStates)
 	r.Exporter.Observe("barleystep_suspects", "Requests under which targets have ended, by how they may run.", "state", r.suspects)
 	r.Exporter.Observe("barleystep_account_shares", "Client accounts that are active, the largest share of any in the mean, and prompts since the start that waited since their account had more than its share, by outcome.", "state", r.accountShares)
 	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
@@ -39,6 +40,16 @@
 	return list
 }
 
+func (r *Router) relayStates() []metric.Sample {
+	number := map[bool]float64{true: 1}
+	return []metric.Sample{
+		{Label: "cut off", Value: number[r.monitor.IsCutOff()]},
+		{Label: "in doubt", Value: number[r.monitor.IsDoubtful()]},
+		{Label: "open", Value: float64(r.relay.Tunnels())},
+		{Label: "served", Value: float64(r.relay.Served())},
+	}
+}
+
 func (r *Router) suspects() []metric.Sample {
 	var list []metric.Sample
 	for status, count := range r.balancer.Suspects.Counts() {
