--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -260,3 +261,31 @@
 		})
 	}
 }
+
+// TestSilentPeerOptions checks that connections that are opened and those that are accepted from
+// other boxes end when their peer is silent, whether they are idle or not.
+func TestSilentPeerOptions(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer l.Close()
+	opened, err := conn.TCP{Timeout: 10 * time.Second}.Dial(context.Background(), l.Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	defer opened.Close()
+	accepted, err := l.Accept()
+	c.Assert(err, quicktest.IsNil)
+	defer accepted.Close()
+	conn.DetectLoss(accepted.(*net.TCPConn))
+	const userTimeout = 0x12
+	want := map[int]int{userTimeout: 2000, syscall.TCP_KEEPIDLE: 1, syscall.TCP_KEEPINTVL: 1, syscall.TCP_KEEPCNT: 2}
+	for _, each := range []net.Conn{opened, accepted} {
+		raw, err := each.(*net.TCPConn).SyscallConn()
+		c.Assert(err, quicktest.IsNil)
+		for option, value := range want {
+			got := 0
+			c.Assert(raw.Control(func(fd uintptr) { got, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option) }), quicktest.IsNil)
+			c.Check(err, quicktest.IsNil)
+			c.Check(got, quicktest.Equals, value, quicktest.Commentf("option %d", option))
+		}
+	}
+}
