--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -32,7 +32,7 @@
 	stopping  bool
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	t.Cleanup(func() { l.Close() })
@@ -60,7 +60,7 @@
 }
 
 // pair returns both ends of a connection through the relay.
-func (f *fixture) pair(t *testing.T) (box, target net.Conn) {
+func (f *fixture) pair(t testing.TB) (box, target net.Conn) {
 	box, _, err := f.connect()
 	quicktest.Assert(t, err, quicktest.IsNil)
 	target, err = f.target.Accept()
