relay: a target that refuses its only relay counts as refusing

The relay's own error is kept; TestDialer has the case.

soak: the check of cut boxes counts calls only while a sound box exists.

--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -183,6 +183,7 @@
 	relays = relays[:min(relayAttempts, len(relays))]
 	results := make(chan outcome, len(relays))
 	asked, answered, verdicts := 0, 0, 0
+	var verdict error
 	for answered < len(relays) {
 		if asked < len(relays) {
 			relay := relays[asked]
@@ -198,6 +199,7 @@
 		}
 		answered++
 		if eris.Is(o.err, ErrUnreachable) {
+			verdict = o.err
 			verdicts++
 		}
 		switch {
@@ -209,8 +211,8 @@
 			return o.conn, o.err
 		}
 	}
-	if verdicts > 0 {
-		return nil, ErrUnreachable
+	if verdict != nil {
+		return nil, verdict
 	}
 	return nil, eris.Wrapf(barleystep.ErrNoPath, "relay: %d boxes asked", len(relays))
 }
--- a/internal/relay/dialer_test.go
+++ b/internal/relay/dialer_test.go
@@ -47,6 +47,19 @@
 
 func unreachable(context.Context) (net.Conn, error) { return nil, relay.ErrUnreachable }
 
+// refusedError is the error of a target that refuses a relay's connections.
+type refusedError struct{}
+
+// Error returns the error's text.
+func (refusedError) Error() string { return "refused" }
+
+// Is reports whether the error is relay.ErrUnreachable or syscall.ECONNREFUSED.
+func (refusedError) Is(target error) bool {
+	return target == relay.ErrUnreachable || target == syscall.ECONNREFUSED
+}
+
+func refusedToRelay(context.Context) (net.Conn, error) { return nil, refusedError{} }
+
 // cutOff makes a monitor regard its box as cut off.
 func cutOff(m *relay.Monitor) {
 	for _, addr := range []string{"x", "y"} {
@@ -80,6 +93,7 @@
 		"dead":                              {nil, refuse, []dialFunc{unreachable, unreachable, connect("relay")}, "", relay.ErrUnreachable, false, 2},
 		"a relay is cut off too":            {nil, refuse, []dialFunc{unreachable, connect("relay")}, "relay", nil, false, 2},
 		"dead, and this box is in doubt":    {doubtful, refuse, []dialFunc{unreachable, connect("relay")}, "relay", nil, false, 2},
+		"refused to the only relay":         {nil, refuse, []dialFunc{refusedToRelay}, "", syscall.ECONNREFUSED, false, 1},
 		"dead for all":                      {doubtful, refuse, []dialFunc{unreachable, unreachable, unreachable, unreachable, connect("relay")}, "", relay.ErrUnreachable, false, 4},
 		"the only box":                      {nil, refuse, nil, "", syscall.ECONNREFUSED, false, 0},
 		"the only box, in doubt":            {doubtful, refuse, nil, "", barleystep.ErrNoPath, true, 0},
--- a/internal/soak/box.go
+++ b/internal/soak/box.go
@@ -125,6 +125,7 @@
 		if err == nil {
 			b.cmd = cmd
 			b.incarnation++
+			b.history.RecordStart(b.id, b.incarnation, b.clock.Now())
 			b.links = json.NewEncoder(in)
 			b.sendMode()
 		}
--- a/internal/soak/check_cut.go
+++ b/internal/soak/check_cut.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -32,7 +33,7 @@
 func (s served) String() string { return fmt.Sprintf("%d of %d", s.whole, s.calls) }
 
 // checkCuts checks that callers of boxes that reach no target themselves are served nearly as often as
-// callers of other boxes.
+// callers of other boxes, while there is a sound box that could serve as their relay.
 func (c *check) checkCuts() {
 	atCut, others := c.history.servedAtCutBoxes()
 	if atCut.calls < minCutCalls || others.calls < minCutCalls {
@@ -46,33 +47,64 @@
 // servedAtCutBoxes counts the calls at boxes that were cut from the targets, and those at other boxes
 // while any was. The lock is held.
 func (h *History) servedAtCutBoxes() (atCut, others served) {
-	cut := func(box string, x *Call) bool {
-		return slices.ContainsFunc(h.cut[box], func(i interval) bool {
-			return x.Started.After(i.from.Add(cutNotice)) && (i.to.IsZero() || x.Ended.Before(i.to))
-		})
-	}
 	for i := range h.calls {
 		x := &h.calls[i]
-		if x.ConnectFailed || h.isDisturbed(x) {
+		if x.ConnectFailed || h.isDisturbed(x) || !h.hasSoundBox(x) {
 			continue
 		}
 		switch {
-		case cut(x.Box, x):
+		case h.wasCut(x.Box, x):
 			atCut.add(x)
-		case h.isCut(x.Box, x):
-			// It began or ended during the call, or a moment before.
-		default:
-			for box := range h.cut {
-				if cut(box, x) {
-					others.add(x)
-					break
-				}
-			}
+		case !h.isCut(x.Box, x) && h.anyWasCut(x):
+			others.add(x)
 		}
 	}
 	return atCut, others
 }
 
+// wasCut reports whether the box was cut during the whole call and for cutNotice before.
+func (h *History) wasCut(box string, x *Call) bool {
+	return slices.ContainsFunc(h.cut[box], func(i interval) bool {
+		return x.Started.After(i.from.Add(cutNotice)) && (i.to.IsZero() || x.Ended.Before(i.to))
+	})
+}
+
+// anyWasCut reports whether any box was cut during the whole call and for cutNotice before.
+func (h *History) anyWasCut(x *Call) bool {
+	for box := range h.cut {
+		if h.wasCut(box, x) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSoundBox reports whether a box ran undisturbed and with its links during the call and for
+// cutNotice before.
+func (h *History) hasSoundBox(x *Call) bool {
+	for id, started := range h.started {
+		from := x.Started.Add(-cutNotice)
+		box, _, _ := strings.Cut(id, "/")
+		isCut := slices.ContainsFunc(h.cut[box], func(i interval) bool { return i.overlaps(from, x.Ended) })
+		ends := func(times map[string]time.Time) bool {
+			at, ok := times[id]
+			return ok && at.Before(x.Ended)
+		}
+		isFrozen := slices.ContainsFunc(h.frozen[id], func(i interval) bool { return i.overlaps(from, x.Ended) })
+		if started.Before(from) && !isCut && !isFrozen && !ends(h.killed) && !ends(h.stopping) {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordStart records that a box's process was started.
+func (h *History) RecordStart(box string, incarnation int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started[incarnationID(box, incarnation)] = at
+}
+
 // isCut reports whether the box was cut at any time during the call.
 func (h *History) isCut(box string, x *Call) bool {
 	return slices.ContainsFunc(h.cut[box], func(i interval) bool { return i.overlaps(x.Started, x.Ended) })
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -65,6 +65,8 @@
 	// which it was first told to stop, by incarnationID.
 	killed   map[string]time.Time
 	stopping map[string]time.Time
+	// started holds the time at which each process of a box was started.
+	started map[string]time.Time
 	// frozen holds the intervals in which each incarnation was frozen by SIGSTOP.
 	frozen map[string][]interval
 	// storeDown holds the intervals in which the store failed, overwritten those in which another
@@ -108,6 +110,7 @@
 		bodies:      make(map[string]string),
 		killed:      make(map[string]time.Time),
 		stopping:    make(map[string]time.Time),
+		started:     make(map[string]time.Time),
 		frozen:      make(map[string][]interval),
 		overwritten: make(map[string][]interval),
 		silenced:    make(map[string][]interval),
