--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -38,7 +38,7 @@
 
 const (
 	// headStart is how long a direct connection attempt may take until another box is asked, several
-	// times the latency between halls. It is at most half of the time that is left.
+	// times the latency between halls.
 	headStart = 50 * time.Millisecond
 	// relayHeadStart is how long a relay may take until the next one is asked too, relayTimeout bounds
 	// one call to a relay, and relayAttempts the calls for one connection.
@@ -73,11 +73,7 @@
 // dialDirectFirst connects directly and, if that fails or takes long, through another box.
 func (d *Dialer) dialDirectFirst(ctx context.Context, addr string) (net.Conn, error) {
 	direct := d.startDirect(ctx, addr)
-	wait := headStart
-	if deadline, ok := ctx.Deadline(); ok {
-		wait = min(wait, deadline.Sub(d.Clock.Now())/2)
-	}
-	timer := d.Clock.NewTimer(wait)
+	timer := d.Clock.NewTimer(headStart)
 	defer timer.Stop()
 	select {
 	case o := <-direct:
