router, relay, soak: fixtures without halls; one reset, one error for refused targets

TestStopAnswersAll fell over in its fixture, which names no halls since TestHallWithoutWayToTargets: the whole package had not been run since.

Reset stood in three places, the error of a refused target in three; both are one now (conn.Reset, relay.ErrRefused). Router.build is split, tests of the router use command.NewRouter, and the history's records stand together.

--- a/internal/conn/tcp.go
+++ b/internal/conn/tcp.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// Reset closes a connection so that its peer does not take the end for a regular one.
+func Reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // The connection is dropped either way.
+	}
+	_ = c.Close()
+}
+
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
 	var set error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/fault/link.go
+++ b/internal/fault/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/conn"
 )
 
 // Mode is the state of a link.
@@ -101,10 +102,7 @@
 	defer c.mu.Unlock()
 	switch m {
 	case ModeReset:
-		if t, ok := c.Conn.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // The connection is dropped either way.
-		}
-		_ = c.Conn.Close()
+		conn.Reset(c.Conn)
 	case ModeSilent:
 		c.mute, c.deaf = true, true
 	case ModeDeaf:
--- a/internal/front/link_test.go
+++ b/internal/front/link_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
@@ -50,7 +49,7 @@
 	}{
 		"another box reaches the target": {nil, 0},
 		"no other box reaches it":        {relay.ErrUnreachable, 0},
-		"it refuses another box too":     {errRefusedEverywhere{}, 1},
+		"it refuses another box too":     {relay.ErrRefused, 1},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -83,14 +82,3 @@
 		})
 	}
 }
-
-// errRefusedEverywhere is the error of a target that refuses connections from another box too.
-type errRefusedEverywhere struct{}
-
-// Error returns the error's text.
-func (errRefusedEverywhere) Error() string { return "refused" }
-
-// Is reports whether the error is relay.ErrUnreachable or syscall.ECONNREFUSED.
-func (errRefusedEverywhere) Is(target error) bool {
-	return target == relay.ErrUnreachable || target == syscall.ECONNREFUSED
-}
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -33,6 +33,10 @@
 // ErrUnreachable is returned when another box could not connect to the target either.
 var ErrUnreachable = eris.New("relay: another box does not reach the target either")
 
+// ErrRefused is ErrUnreachable where the target refuses connections from another box too. It also is
+// syscall.ECONNREFUSED.
+var ErrRefused error = refusedError{}
+
 // errUnavailable is returned when a relay connects to no target for others, or not now.
 var errUnavailable = eris.New("relay: the box does not serve as a relay")
 
@@ -46,7 +50,7 @@
 
 // Connect asks the box at the address relay to connect to the target. It returns the addresses of
 // other boxes that the relay names. The error is ErrUnreachable if the relay does not reach the
-// target; it also is syscall.ECONNREFUSED if the target refuses connections.
+// target, and ErrRefused if the target refuses connections.
 func (c Connector) Connect(ctx context.Context, relay, target string) (conn net.Conn, others []string, err error) {
 	raw, err := c.Dialer.Dial(ctx, relay)
 	if err != nil {
@@ -93,7 +97,7 @@
 	case resp.StatusCode == http.StatusSwitchingProtocols && reader.Buffered() == 0:
 		return &tunnel{TCPConn: tcp, relay: relay}, others, nil
 	case resp.StatusCode == http.StatusBadGateway && resp.Header.Get(headerFailure) == failureRefused:
-		return nil, others, eris.Wrap(&refusedError{}, "relay")
+		return nil, others, ErrRefused
 	case resp.StatusCode == http.StatusBadGateway:
 		return nil, others, ErrUnreachable
 	default:
@@ -101,13 +105,15 @@
 	}
 }
 
-// refusedError is the error of a target that refuses another box's connections.
+// refusedError is the type of ErrRefused.
 type refusedError struct{}
 
 // Error returns the error's text.
-func (*refusedError) Error() string { return "the target refuses connections from another box too" }
+func (refusedError) Error() string {
+	return "relay: the target refuses connections from another box too"
+}
 
 // Is reports whether the error is ErrUnreachable or syscall.ECONNREFUSED.
-func (*refusedError) Is(target error) bool {
+func (refusedError) Is(target error) bool {
 	return target == ErrUnreachable || target == syscall.ECONNREFUSED
 }
--- a/internal/relay/dialer_test.go
+++ b/internal/relay/dialer_test.go
@@ -47,18 +47,7 @@
 
 func unreachable(context.Context) (net.Conn, error) { return nil, relay.ErrUnreachable }
 
-// refusedError is the error of a target that refuses a relay's connections.
-type refusedError struct{}
-
-// Error returns the error's text.
-func (refusedError) Error() string { return "refused" }
-
-// Is reports whether the error is relay.ErrUnreachable or syscall.ECONNREFUSED.
-func (refusedError) Is(target error) bool {
-	return target == relay.ErrUnreachable || target == syscall.ECONNREFUSED
-}
-
-func refusedToRelay(context.Context) (net.Conn, error) { return nil, refusedError{} }
+func refusedToRelay(context.Context) (net.Conn, error) { return nil, relay.ErrRefused }
 
 // cutOff makes a monitor regard its box as cut off.
 func cutOff(m *relay.Monitor) {
--- a/internal/relay/monitor.go
+++ b/internal/relay/monitor.go
@@ -174,6 +174,7 @@
 	now := m.Clock.Now()
 	prune(m.failures, now)
 	prune(m.relayed, now)
+	m.updateActive()
 	_, failed := m.failures[addr]
 	_, relayed := m.relayed[addr]
 	return failed && relayed
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -79,7 +79,7 @@
 	case err == nil:
 		defer s.tunnels.Add(-1)
 		s.relay(w, target)
-	case eris.Is(err, syscall.ECONNREFUSED):
+	case eris.Is(err, ErrRefused):
 		w.Header().Set(headerFailure, failureRefused)
 		w.WriteHeader(http.StatusBadGateway)
 	case eris.Is(err, ErrUnreachable):
@@ -90,8 +90,7 @@
 }
 
 // Connect connects to a target for another box and counts a tunnel. The error is ErrUnreachable if
-// the target cannot be reached though others can, and also syscall.ECONNREFUSED if it refuses
-// connections. Any other error says nothing about the target.
+// the target cannot be reached though others can, and ErrRefused if it refuses connections. Any other error says nothing about the target.
 func (s *Server) Connect(ctx context.Context, addr string) (target net.Conn, err error) {
 	targets := s.Targets()
 	if s.IsStopping() || s.Monitor.IsCutOff() || !slices.Contains(targets, addr) {
@@ -110,7 +109,7 @@
 	case !s.canVouch(ctx, targets, addr):
 		return nil, errUnavailable
 	case eris.Is(err, syscall.ECONNREFUSED):
-		return nil, &refusedError{}
+		return nil, ErrRefused
 	default:
 		return nil, ErrUnreachable
 	}
@@ -178,7 +177,7 @@
 	go s.copyToTarget(target, buffered.Reader, box)
 	err = sendFrames(box, target)
 	if err != nil {
-		reset(box) // An answer that was cut short must not look complete.
+		conn.Reset(box) // An answer that was cut short must not look complete.
 	}
 }
 
@@ -206,16 +205,8 @@
 		}
 		if err != nil {
 			_ = target.Close() // The other direction fails and ends the tunnel.
-			reset(box)
+			conn.Reset(box)
 			return
 		}
 	}
 }
-
-// reset closes a connection so that its peer does not take the end for a regular one.
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // The connection is dropped either way.
-	}
-	_ = c.Close()
-}
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -10,6 +10,16 @@
 	"github.com/barleystep/barleystep/internal/fault"
 )
 
+// poster returns a function that sends a request with an id of its own to a box and returns the status.
+func (r *fixture) poster(t *testing.T) func(i int) int {
+	number := 0
+	return func(i int) int {
+		number++
+		status, _ := r.postAs(t, i, "/a/x", "k1", fmt.Sprint("r", number))
+		return status
+	}
+}
+
 // TestBoxWithoutWayToTargets checks that a box that reaches no target, while callers, the store and
 // the other boxes reach it, serves its callers' first tries through another box, and runs no
 // request twice.
@@ -19,21 +29,16 @@
 			t.Parallel()
 			c := quicktest.New(t)
 			r := newFixture(t, 3)
-			number := 0
-			post := func() int {
-				number++
-				status, _ := r.postAs(t, 0, "/a/x", "k1", fmt.Sprint("r", number))
-				return status
-			}
-			c.Assert(post(), quicktest.Equals, http.StatusOK)
+			post := r.poster(t)
+			c.Assert(post(0), quicktest.Equals, http.StatusOK)
 			r.links[0].Set(mode)
-			eventually(t, func() bool { return post() == http.StatusOK })
+			eventually(t, func() bool { return post(0) == http.StatusOK })
 			for range 10 {
-				c.Check(post(), quicktest.Equals, http.StatusOK)
+				c.Check(post(0), quicktest.Equals, http.StatusOK)
 			}
 			r.links[0].Set(fault.ModeOpen)
 			for range 10 {
-				c.Check(post(), quicktest.Equals, http.StatusOK)
+				c.Check(post(0), quicktest.Equals, http.StatusOK)
 			}
 			for id, runs := range r.target.Runs() {
 				c.Check(runs, quicktest.Equals, 1, quicktest.Commentf("%s", id))
@@ -47,12 +52,7 @@
 func TestHallWithoutWayToTargets(t *testing.T) {
 	c := quicktest.New(t)
 	r := newFixtureOfHalls(t, "a", "a", "b", "b")
-	number := 0
-	post := func(i int) int {
-		number++
-		status, _ := r.postAs(t, i, "/a/x", "k1", fmt.Sprint("r", number))
-		return status
-	}
+	post := r.poster(t)
 	for i := range r.links {
 		c.Assert(post(i), quicktest.Equals, http.StatusOK)
 	}
@@ -75,18 +75,13 @@
 func TestRelayStops(t *testing.T) {
 	c := quicktest.New(t)
 	r := newFixture(t, 3)
-	number := 0
-	post := func() int {
-		number++
-		status, _ := r.postAs(t, 0, "/a/x", "k1", fmt.Sprint("r", number))
-		return status
-	}
-	c.Assert(post(), quicktest.Equals, http.StatusOK)
+	post := r.poster(t)
+	c.Assert(post(0), quicktest.Equals, http.StatusOK)
 	r.links[0].Set(fault.ModeReset)
-	eventually(t, func() bool { return post() == http.StatusOK })
+	eventually(t, func() bool { return post(0) == http.StatusOK })
 	r.stops[1]()
 	for stopped := false; !stopped; {
-		c.Check(post(), quicktest.Equals, http.StatusOK)
+		c.Check(post(0), quicktest.Equals, http.StatusOK)
 		select {
 		case err := <-r.done[1]:
 			c.Check(err, quicktest.IsNil)
@@ -94,5 +89,5 @@
 		default:
 		}
 	}
-	c.Check(post(), quicktest.Equals, http.StatusOK)
+	c.Check(post(0), quicktest.Equals, http.StatusOK)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -160,6 +160,15 @@
 		Meter: meter,
 	}
 	r.buildRelay()
+	r.buildFront()
+	r.apply(s)
+	r.registerMetrics()
+	r.supervise()
+}
+
+// buildFront creates what serves callers.
+func (r *Router) buildFront() {
+	s := r.Settings
 	r.pool = &conn.Pool{Clock: r.Clock, Dialer: r.dialer, Paths: r.dialer}
 	r.targets.OnChange = r.dropRestarted
 	r.budget = &budget.Budget{Clock: r.Clock, Box: barleystep.BoxID(s.Box.ID), Window: s.Retries.Window.Or(defaultWindow), BoxCount: r.plane.Node().BoxCount}
@@ -171,7 +180,7 @@
 		Balancer:      r.balancer,
 		Pool:          r.pool,
 		Budget:        r.budget,
-		Meter:         meter,
+		Meter:         r.Exporter.Meter(),
 		Log:           r.Log,
 	}
 	r.callers = &listener{
@@ -181,9 +190,6 @@
 		log:         r.Log,
 		idleTimeout: r.idleTimeout,
 	}
-	r.apply(s)
-	r.registerMetrics()
-	r.supervise()
 }
 
 // buildRelay creates what connects to targets through other boxes, and for them.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -19,10 +19,7 @@
 	"github.com/barleystep/barleystep/internal/command"
 	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fault"
-	"github.com/barleystep/barleystep/internal/metric"
-	"github.com/barleystep/barleystep/internal/router"
 	"github.com/barleystep/barleystep/internal/settings"
-	"github.com/barleystep/barleystep/platform"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -81,29 +78,16 @@
 }
 
 func (r *fixture) start(t *testing.T, i int, storeURL string, grace time.Duration) {
-	exporter, err := metric.NewExporter()
-	quicktest.Assert(t, err, quicktest.IsNil)
 	s := settings.Settings{
-		Box:      settings.Box{ID: fmt.Sprint("b", i), Hall: r.halls[i]},
+		Box:      settings.Box{ID: fmt.Sprint("b", i), Hall: r.hall(i)},
 		Listen:   settings.Listen{Callers: freeAddr(t), Ready: freeAddr(t), Peers: freeAddr(t)},
 		Platform: settings.Platform{URL: storeURL},
 		Keys:     settings.Keys{Freshness: settings.Duration(time.Minute)},
 		Limits:   settings.Limits{Grace: settings.Duration(grace)},
 	}
 	link := &fault.Link{Dialer: conn.TCP{Timeout: time.Second}}
-	node := &router.Router{
-		Settings:            s,
-		Clock:               clock.System{},
-		Catalogue:           command.NewStore(s, clock.System{}),
-		Protocol:            platform.Protocol{},
-		DecodeConfiguration: platform.DecodeConfiguration,
-		DecodeTarget:        platform.DecodeTarget,
-		CheckEvacuation:     platform.CheckEvacuation,
-		ReadyHandler:        platform.ReadyHandler,
-		Exporter:            exporter,
-		Dialer:              link,
-		Log:                 &log.Logger{Level: log.PanicLevel},
-	}
+	node, err := command.NewRouter(s, &log.Logger{Level: log.PanicLevel}, link)
+	quicktest.Assert(t, err, quicktest.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
@@ -116,6 +100,14 @@
 	eventually(t, func() bool { return r.isReady(i) })
 }
 
+// hall returns the hall of a box. A fixture without halls has one.
+func (r *fixture) hall(i int) string {
+	if i < len(r.halls) {
+		return r.halls[i]
+	}
+	return "h"
+}
+
 func (r *fixture) isReady(i int) bool {
 	resp, err := http.Get(r.ready[i] + platformtest.ReadyPath)
 	if err != nil {
--- a/internal/soak/check_cut.go
+++ b/internal/soak/check_cut.go
@@ -98,13 +98,6 @@
 	return false
 }
 
-// RecordStart records that a box's process was started.
-func (h *History) RecordStart(box string, incarnation int, at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.started[incarnationID(box, incarnation)] = at
-}
-
 // isCut reports whether the box was cut at any time during the call.
 func (h *History) isCut(box string, x *Call) bool {
 	return slices.ContainsFunc(h.cut[box], func(i interval) bool { return i.overlaps(x.Started, x.Ended) })
@@ -118,17 +111,3 @@
 	_, stopping := h.stopping[id]
 	return killed || stopping || slices.ContainsFunc(h.frozen[id], func(i interval) bool { return i.overlaps(x.Started, x.Ended) })
 }
-
-// RecordCut records that a box has lost its links to all targets.
-func (h *History) RecordCut(box string, at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.cut[box] = append(h.cut[box], interval{from: at})
-}
-
-// RecordCutEnd records that a box has its links again.
-func (h *History) RecordCutEnd(box string, at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	closeIntervals(h.cut[box], at)
-}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -248,6 +248,27 @@
 	closeIntervals(h.evacuated[hall], at)
 }
 
+// RecordStart records that a box's process was started.
+func (h *History) RecordStart(box string, incarnation int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started[incarnationID(box, incarnation)] = at
+}
+
+// RecordCut records that a box has lost its links to all targets.
+func (h *History) RecordCut(box string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cut[box] = append(h.cut[box], interval{from: at})
+}
+
+// RecordCutEnd records that a box has its links again.
+func (h *History) RecordCutEnd(box string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	closeIntervals(h.cut[box], at)
+}
+
 // RecordRevocation records that a key has been revoked in the store.
 func (h *History) RecordRevocation(key string, at time.Time) {
 	h.mu.Lock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 )
 
 // proxy forwards connections from boxes to one target and can reset, stall or delay them.
@@ -67,7 +68,7 @@
 	l.mu.Unlock()
 	server, err := d.DialContext(ctx, "tcp", target)
 	if err != nil {
-		reset(client)
+		conn.Reset(client)
 		return
 	}
 	l.mu.Lock()
@@ -93,7 +94,7 @@
 		n, err := from.Read(buffer)
 		l.waitToForward()
 		if _, failed := to.Write(buffer[:n]); failed != nil {
-			reset(from)
+			conn.Reset(from)
 			return
 		}
 		switch {
@@ -103,7 +104,7 @@
 			}
 			return
 		case err != nil:
-			reset(to)
+			conn.Reset(to)
 			return
 		}
 	}
@@ -142,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		reset(c)
+		conn.Reset(c)
 	}
 }
 
@@ -150,10 +151,3 @@
 	_ = l.listener.Close()
 	l.resetAll()
 }
-
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
