fault: connections over a link show what has arrived on them

Boxes of the soak run over a link since it can be cut, and a link's connections hid the socket, so that the pool took each idle one for clean: one that its target had closed, or on which surplus bytes lay, was used again.

--- a/internal/fault/link.go
+++ b/internal/fault/link.go
@@ -134,6 +134,15 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn returns the raw connection, so that a pool sees what has arrived on an idle one.
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return raw.SyscallConn()
+}
+
 // SetDeadline sets the deadline of the connection. One in the past ends blocked reads.
 func (c *linkConn) SetDeadline(t time.Time) error {
 	if !t.IsZero() && !t.After(clock.System{}.Now()) {
