plane: failing model of configurations under two or more faults

Invariants: no undisturbed box is late, none goes back, none takes a version that was not written, none lacks the route that a version has added.

--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -3,8 +3,10 @@
 package plane_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +15,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
@@ -44,6 +47,10 @@
 	process *process
 	// others is the last snapshot of other boxes that the balancer received.
 	others balance.Snapshot
+	// silent counts the kept connections to each peer that have fallen silent, silentStore those to
+	// the store.
+	silent      map[string]int
+	silentStore int
 }
 
 // process is what runs between a start and a kill.
@@ -88,7 +95,7 @@
 		Catalogue:     &client{store: b.simulation.store, box: b},
 		Network:       b,
 		Strength:      b.strength,
-		MaxDelay:      maxDelay,
+		MaxDelay:      cmp.Or(b.simulation.scenario.bound, maxDelay),
 		HTTP:          &http.Client{Transport: b},
 		Configuration: l.configuration,
 		Targets:       l.targets,
@@ -152,6 +159,38 @@
 	b.frozen = time.Now().Add(d)
 }
 
+// silence makes the box's open connections fall silent.
+func (b *box) silence() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent, b.silentStore = make(map[string]int), storeConns
+	for _, o := range b.simulation.boxes {
+		b.silent[o.addr.String()] = peerConns
+	}
+}
+
+// takesSilent reports whether the next call to a peer takes a silent connection.
+func (b *box) takesSilent(to string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silent[to] == 0 {
+		return false
+	}
+	b.silent[to]--
+	return true
+}
+
+// takesSilentStore reports whether the next call to the store takes a silent connection.
+func (b *box) takesSilentStore() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.silentStore == 0 {
+		return false
+	}
+	b.silentStore--
+	return true
+}
+
 // wakeTime returns until when the machine is frozen.
 func (b *box) wakeTime() time.Time {
 	b.mu.Lock()
@@ -268,9 +307,23 @@
 	return b.simulation.elapsed() - w.Backlog, true
 }
 
-// decodeConfiguration decodes the version of a configuration from its first 8 bytes.
+const (
+	// versionBytes is the length of the version at the start of a configuration.
+	versionBytes = 8
+	// addedHost is the host of the routes; each version adds one with its number as its path.
+	addedHost = "added"
+)
+
+// decodeConfiguration decodes the version of a configuration.
 func decodeConfiguration(value []byte) (fleet.Configuration, error) {
-	return fleet.Configuration{Version: int64(binary.LittleEndian.Uint64(value))}, nil
+	if len(value) < versionBytes {
+		return fleet.Configuration{}, eris.New("the configuration has no version")
+	}
+	c := fleet.Configuration{Version: int64(binary.LittleEndian.Uint64(value))}
+	for version := range c.Version + 1 {
+		c.Routes = append(c.Routes, fleet.Route{Host: addedHost, Prefix: fmt.Sprintf("/%d/", version)})
+	}
+	return c, nil
 }
 
 // bornBytes is the length of a target record that holds a start time.
--- a/internal/plane/network_test.go
+++ b/internal/plane/network_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	boxes map[netip.AddrPort]*box
 	// cut reports whether datagrams from one box to another are dropped; nil drops none.
 	cut func(from, to *box) bool
+	// stuck reports whether calls from one box to another get no answer; nil means none.
+	stuck func(from, to *box) bool
 	// datagrams and bytes count what was sent.
 	datagrams int
 	bytes     int
@@ -43,6 +46,9 @@
 	hallDelay = 300 * time.Microsecond
 	farDelay  = 900 * time.Microsecond
 	jitter    = 200 * time.Microsecond
+	// peerConns and storeConns are how many open connections a box keeps to a peer and to the store.
+	peerConns  = 2
+	storeConns = 4
 	// socketQueue bounds the datagrams that wait at a socket, as operating systems do.
 	socketQueue = 1024
 )
@@ -164,6 +170,18 @@
 	n.cut = cut
 }
 
+func (n *network) isStuck(from, to *box) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stuck != nil && n.stuck(from, to)
+}
+
+func (n *network) setStuck(stuck func(from, to *box) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stuck = stuck
+}
+
 func (n *network) delay(from, to *box) time.Duration {
 	if from.hall == to.hall {
 		return hallDelay
@@ -185,11 +203,27 @@
 	return float64(xxhash.Sum64(b)>>11) / (1 << 53)
 }
 
+// traceConn reports to the caller whether its call takes a kept connection.
+func traceConn(ctx context.Context, kept bool) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Reused: kept})
+	}
+}
+
+// CloseIdleConnections closes the box's kept connections to other boxes.
+func (b *box) CloseIdleConnections() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent = nil
+}
+
 // RoundTrip performs an HTTP call from this box to another one.
 func (b *box) RoundTrip(r *http.Request) (*http.Response, error) {
 	n := b.simulation.network
 	to := n.count(b, netip.MustParseAddrPort(r.URL.Host), 0)
-	if to == nil || n.isCut(b, to) || n.isCut(to, b) {
+	silent := b.takesSilent(r.URL.Host)
+	traceConn(r.Context(), silent)
+	if to == nil || n.isCut(b, to) || n.isCut(to, b) || n.isStuck(b, to) || silent {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
--- a/internal/plane/simulation_test.go
+++ b/internal/plane/simulation_test.go
@@ -40,6 +40,8 @@
 	load workload
 	// idle is set if no callers wait for boxes that start.
 	idle bool
+	// bound is how soon a change must be in force; zero means maxDelay.
+	bound time.Duration
 }
 
 // workload sends requests to simulated targets through boxes with real balancers.
@@ -229,12 +231,12 @@
 		calls.Go(func() { d.scenario.load.generate(d) })
 		defer calls.Wait()
 	}
-	events := d.scenario.events
 	for d.elapsed() < d.scenario.duration {
 		sleep(sampleInterval)
-		for len(events) > 0 && events[0].at <= d.elapsed() {
-			events[0].do(d)
-			events = events[1:]
+		for len(d.scenario.events) > 0 && d.scenario.events[0].at <= d.elapsed() {
+			next := d.scenario.events[0]
+			d.scenario.events = d.scenario.events[1:]
+			next.do(d) // It may add events.
 		}
 		d.sample()
 	}
--- a/internal/plane/store_test.go
+++ b/internal/plane/store_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 // store simulates the platform's store. Its zero value is empty and serves all boxes.
@@ -19,6 +20,8 @@
 	changed  chan struct{}
 	// rejects reports whether the calls of a box are rejected; nil rejects none.
 	rejects func(b *box) bool
+	// hangs reports whether the calls of a box get no answer; nil means none.
+	hangs func(b *box) bool
 	// historyStart is the revision before which the store no longer knows the changes.
 	historyStart barleystep.Revision
 	// calls counts calls by kind.
@@ -32,8 +35,12 @@
 	revision barleystep.Revision
 }
 
-// storeDelay is the duration of a call, apart from waiting for changes.
-const storeDelay = 4 * time.Millisecond
+const (
+	// storeDelay is the duration of a call, apart from waiting for changes.
+	storeDelay = 4 * time.Millisecond
+	// callTimeout bounds a call that gets no answer.
+	callTimeout = time.Second
+)
 
 // put writes records in one revision.
 func (s *store) put(topic barleystep.Topic, records ...barleystep.Record) barleystep.Revision {
@@ -59,6 +66,12 @@
 	s.rejects = rejects
 }
 
+func (s *store) setHangs(hangs func(b *box) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangs = hangs
+}
+
 // dropHistory drops the history: followers have to read the whole topic again.
 func (s *store) dropHistory() {
 	s.mu.Lock()
@@ -113,7 +126,12 @@
 	if rejects {
 		s.rejected++
 	}
+	hangs := s.hangs != nil && s.hangs(c.box)
 	s.mu.Unlock()
+	if hangs || c.box.takesSilentStore() {
+		clock.Sleep(ctx, c.box, callTimeout)
+		return barleystep.ErrUnknownEffect
+	}
 	sleep(storeDelay)
 	if rejects || ctx.Err() != nil {
 		return barleystep.ErrUnavailable
