--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -11,6 +11,7 @@
 	"github.com/barleystep/barleystep"
 	gossipv1 "github.com/barleystep/barleystep/api/gossip/v1"
 	"github.com/barleystep/barleystep/api/gossip/v1/gossipv1connect"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/follow"
 )
 
@@ -104,14 +105,19 @@
 
 // Client implements follow.Peers over Connect.
 type Client struct {
-	HTTP *http.Client
+	Clock barleystep.Clock
+	HTTP  *http.Client
 }
 
 // Changes fetches the changes of a topic after the revision since from the box at addr.
 func (c *Client) Changes(ctx context.Context, addr string, topic barleystep.Topic, since barleystep.Revision) (u follow.Update, err error) {
 	client := gossipv1connect.NewChangeServiceClient(c.HTTP, "http://"+addr)
 	name := wireTopics[topic]
-	resp, err := client.GetChanges(ctx, connect.NewRequest(&gossipv1.GetChangesRequest{Topic: name, Since: uint64(since), Format: formats[name]}))
+	var resp *connect.Response[gossipv1.GetChangesResponse]
+	err = conn.Repeat(ctx, c.Clock, c.HTTP, conn.SilentTimeout, func(ctx context.Context) (err error) {
+		resp, err = client.GetChanges(ctx, connect.NewRequest(&gossipv1.GetChangesRequest{Topic: name, Since: uint64(since), Format: formats[name]}))
+		return err
+	})
 	if err != nil {
 		return follow.Update{}, err
 	}
--- a/internal/plane/box_test.go
+++ b/internal/plane/box_test.go
@@ -180,6 +180,13 @@
 	return true
 }
 
+// renewStoreConns closes the box's kept connections to the store.
+func (b *box) renewStoreConns() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silentStore = 0
+}
+
 // takesSilentStore reports whether the next call to the store takes a silent connection.
 func (b *box) takesSilentStore() bool {
 	b.mu.Lock()
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -83,7 +83,7 @@
 		Role:      p.duty,
 		HallBoxes: p.node.HallBoxCount,
 		Jitter:    p.Box.Jitter(),
-		Peers:     &gossip.Client{HTTP: p.HTTP},
+		Peers:     &gossip.Client{Clock: p.Clock, HTTP: p.HTTP},
 		// The seeds read at once, so that the others hear of a copy with their first queries.
 		AwaitsPeers: len(p.Seeds) > 0 && !slices.Contains(p.Seeds, p.Addr),
 	}
