front: a configuration is never taken for newer than it is

A request took the configuration first and the age of its confirmation afterwards. Where an update and its confirmation fell between the two, an old configuration passed for confirmed, so that a key could run a request long after it had been revoked. The age is now read first. TestViewIsAsOldAsItsAge failed before: version 1 passed for 0 s old.

--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -53,11 +53,11 @@
 // Run refuses requests for which there is no route.
 func (s *route) Run(ctx context.Context, x *Exchange, next Next) error {
 	s.awaitLoad(ctx, x)
+	x.viewAge = s.configuration.Age() // Read first: a change in between only makes the view newer than its age.
 	x.view = s.configuration.View()
 	if x.view == nil {
 		return notRunRefusal(barleystep.ReasonNoConfiguration, "No configuration is known yet.", unavailableRetryAfter)
 	}
-	x.viewAge = s.configuration.Age()
 	x.route = x.view.Route(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return barleystep.NewRefusal(barleystep.ReasonUnknownService, barleystep.OutcomeNotRun, "There is no such route.")
