front: a box that may be outdated does not refuse routes and keys for good

Callers of an added route got 404, of an added key 401, at a box that had not learnt of them; they do not ask another box after these. A box whose last confirmation is older than the time in which a change must be in force cannot know that the route or key does not exist. It now answers 503 with a short Retry-After (configuration_not_confirmed), and the caller finds it at another box. A request without any key is still told so.

Without the bound, three of the five new cases of TestRefusals fail.

--- a/internal/front/authenticate.go
+++ b/internal/front/authenticate.go
@@ -24,6 +24,9 @@
 		return next(ctx, x)
 	}
 	account := x.view.Account(x.call.APIKey)
+	if account == nil && x.call.APIKey != "" && x.outdated {
+		return outdatedRefusal("The box cannot tell whether the key is valid.")
+	}
 	if account == nil {
 		return barleystep.NewRefusal(barleystep.ReasonInvalidKey, barleystep.OutcomeNotRun, "The key is not valid.")
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -24,6 +24,7 @@
 
 	view     *fleet.View
 	viewAge  time.Duration // viewAge is the age of the view's confirmation when the request was routed.
+	outdated bool          // outdated is set if a newer configuration may be in force elsewhere.
 	route    *fleet.Route
 	service  string
 	account  string
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -216,7 +216,9 @@
 
 const (
 	freshness = 5 * time.Second
-	objective = 300 * time.Millisecond
+	// maxConfigurationAge is the age up to which the configuration is the newest one.
+	maxConfigurationAge = 2 * time.Second
+	objective           = 300 * time.Millisecond
 )
 
 func newView() *fleet.View {
@@ -321,6 +323,8 @@
 		Meter:         exporter.Meter(),
 		Log:           quiet,
 		Rand:          func() float64 { return f.random },
+
+		MaxConfigurationAge: maxConfigurationAge,
 	}
 	f.front.SetKeyFreshness(freshness)
 	server := &httptest.Server{Listener: listen(t), Config: &http.Server{Handler: f.front.Handler()}}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -95,7 +95,9 @@
 	c.Check(f.target.requests[0].Header.Get("Instance"), quicktest.Not(quicktest.Equals), f.target.requests[1].Header.Get("Instance"))
 }
 
-// TestRefusals checks which requests are refused before any target is asked.
+// TestRefusals checks which requests are refused before any target is asked. A route or key that a
+// box lacks is refused for good only if the box has the newest configuration: an older one may lack
+// what was added, and its caller is to try another box.
 func TestRefusals(t *testing.T) {
 	known := newView()
 	cases := map[string]struct {
@@ -111,6 +113,11 @@
 		"unknown key":                        {state{view: known}, "/keyed/", "", []string{"Key", "z"}, 401},
 		"key confirmation too old":           {state{view: known, age: freshness + 1}, "/keyed/", "", []string{"Key", "k"}, 503},
 		"keys never confirmed":               {state{view: known, age: -1}, "/keyed/", "", []string{"Key", "k"}, 503},
+		"no route, not confirmed":            {state{view: known, age: maxConfigurationAge + 1}, "/none/", "", nil, 503},
+		"no route, never confirmed":          {state{view: known, age: -1}, "/none/", "", nil, 503},
+		"no route, just confirmed":           {state{view: known, age: maxConfigurationAge}, "/none/", "", nil, 404},
+		"unknown key, not confirmed":         {state{view: known, age: maxConfigurationAge + 1}, "/keyed/", "", []string{"Key", "z"}, 503},
+		"no key, not confirmed":              {state{view: known, age: maxConfigurationAge + 1}, "/keyed/", "", nil, 401},
 		"body too large":                     {state{view: known}, "/once/", strings.Repeat("x", 101), nil, 413},
 		"public route needs no confirmation": {state{view: known, age: -1}, "/once/", "", nil, 200},
 		"confirmation just recent enough":    {state{view: known, age: freshness}, "/keyed/", "", []string{"Key", "k"}, 200},
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -19,6 +19,9 @@
 	clock         barleystep.Clock
 	configuration Configuration
 	loader        Loader
+	// maxAge is the age of the last confirmation up to which the configuration is the newest one;
+	// zero means that it always is.
+	maxAge time.Duration
 }
 
 // Loader tells whether the box has read what it needs to serve callers.
@@ -50,6 +53,12 @@
 	}
 }
 
+// outdatedRefusal returns the refusal of a request that a newer configuration may allow. Its caller
+// tries another box.
+func outdatedRefusal(message string) *barleystep.Refusal {
+	return notRunRefusal(barleystep.ReasonOutdatedConfiguration, message, unavailableRetryAfter)
+}
+
 // Run refuses requests for which there is no route.
 func (s *route) Run(ctx context.Context, x *Exchange, next Next) error {
 	s.awaitLoad(ctx, x)
@@ -58,7 +67,11 @@
 	if x.view == nil {
 		return notRunRefusal(barleystep.ReasonNoConfiguration, "No configuration is known yet.", unavailableRetryAfter)
 	}
+	x.outdated = s.maxAge > 0 && (x.viewAge < 0 || x.viewAge > s.maxAge)
 	x.route = x.view.Route(x.r.Host, x.r.URL.Path)
+	if x.route == nil && x.outdated {
+		return outdatedRefusal("The box cannot tell whether there is such a route.")
+	}
 	if x.route == nil {
 		return barleystep.NewRefusal(barleystep.ReasonUnknownService, barleystep.OutcomeNotRun, "There is no such route.")
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -31,6 +31,9 @@
 	Clock         barleystep.Clock
 	Protocol      barleystep.Protocol
 	Configuration Configuration
+	// MaxConfigurationAge is the age of the configuration's last confirmation up to which a route or
+	// key that it lacks does not exist; zero means that it never does.
+	MaxConfigurationAge time.Duration
 	// Loader tells whether the box has read what it needs; nil if it always has.
 	Loader   Loader
 	Balancer *balance.Balancer
@@ -73,7 +76,7 @@
 	}
 	s.Balancer.Suspects.NotifyRefused(s.cancelRefused)
 	s.pipeline = Pipeline{
-		&route{clock: s.Clock, configuration: s.Configuration, loader: s.Loader},
+		&route{clock: s.Clock, configuration: s.Configuration, loader: s.Loader, maxAge: s.MaxConfigurationAge},
 		&authenticate{freshness: &s.freshness},
 		&read{},
 		s.deliver,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,6 +182,8 @@
 		Budget:        r.budget,
 		Meter:         r.Exporter.Meter(),
 		Log:           r.Log,
+
+		MaxConfigurationAge: time.Duration(s.Platform.MaxDelay),
 	}
 	r.callers = &listener{
 		addr:        s.Listen.Callers,
--- a/refusal.go
+++ b/refusal.go
@@ -40,6 +40,7 @@
 	ReasonStopping              Reason = "stopping"
 	ReasonNoConfiguration       Reason = "no_configuration"
 	ReasonKeysNotConfirmed      Reason = "keys_not_proved_current"
+	ReasonOutdatedConfiguration Reason = "configuration_not_confirmed"
 	ReasonInternal              Reason = "internal"
 )
 
