--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -89,7 +89,7 @@
 	for _, target := range t.endedTargets(ctx, res) {
 		t.stage.log.Warn().Str("request", x.call.RequestID).Str("digest", x.suspectDigest().String()).Str("account", x.account).
 			Str("target", string(target.ID)).Bool("unread", endFlags&suspect.BeforeFirstEvent != 0).
-			Bool("alone", endFlags&suspect.RanAlone != 0).Msg(logPrefix + "A target terminated while it had the request.")
+			Strs("parts", x.call.SharedParts).Bool("alone", endFlags&suspect.RanAlone != 0).Msg(logPrefix + "A target terminated while it had the request.")
 		end := suspect.NewEnd(uint32(balance.KeyOfTarget(target)), t.stage.clock.Now(), endFlags)
 		registry.RecordEnd(x.suspectDigest(), len(x.body), end)
 	}
--- a/protocol.go
+++ b/protocol.go
@@ -19,8 +19,15 @@
 	MaxOutputTokens int
 	// LastEventID is the id of the last event of a stream that the caller has received.
 	LastEventID string
+	// SharedParts are the ids, in order, of the parts of the prompt that other requests may share;
+	// there are at most MaxSharedParts. Equal ids mean equal parts.
+	SharedParts []string
 }
 
+// MaxSharedParts bounds the parts of one prompt that are told apart; the last ones are kept, since
+// the first are shared by most requests.
+const MaxSharedParts = 32
+
 // TargetHeaders holds what a box tells a target about a request in addition to the caller's
 // headers.
 type TargetHeaders struct {
