--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,7 +30,11 @@
 	instead func(c net.Conn)
 }
 
-const crashBody = "deadly"
+const (
+	crashBody = "deadly"
+	// crashPart is a part of a prompt at which a target crashes, whatever else the request holds.
+	crashPart = "deadly"
+)
 
 func newCrashingTarget(t *testing.T) *crashingTarget {
 	m := &crashingTarget{listener: listen(t)}
@@ -57,6 +62,10 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
+		if slices.Contains(r.Header["Part"], crashPart) {
+			m.crash()
+			return
+		}
 		if m.instead != nil {
 			m.instead(c)
 			return
@@ -114,19 +123,55 @@
 				got = f.do(t, http.MethodPost, "/again/", strings.Repeat("x", i))
 				c.Check(got.status, quicktest.Equals, http.StatusOK)
 			}
-			crashed := 0
-			for _, m := range targets {
-				m.mu.Lock()
-				if m.crashed {
-					crashed++
-				}
-				m.mu.Unlock()
-			}
+			crashed := countCrashed(targets)
 			c.Check(crashed <= maxCrashes, quicktest.IsTrue, quicktest.Commentf("%d ended", crashed))
 		})
 	}
 }
 
+// TestCrashingPartBounded guards against requests no two alike that make targets crash by one part
+// of their prompts: each body was taken for a request of its own, and each ended one or two targets.
+// Requests that share their account, route and other parts are served meanwhile.
+func TestCrashingPartBounded(t *testing.T) {
+	const maxPartCrashes = 5
+	cases := map[string]struct {
+		path  string
+		first func(i int) string // first returns the first part of the i-th request.
+	}{
+		"stream":                  {"/stream/", func(int) string { return "first" }},
+		"plain":                   {"/again/", func(int) string { return "first" }},
+		"once":                    {"/once/", func(int) string { return "first" }},
+		"under other first parts": {"/stream/", func(i int) string { return fmt.Sprint("first ", i%3) }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(t, state{view: newView()})
+			targets := f.useCrashingTargets(t, 12)
+			for i := range 12 {
+				first := tc.first(i)
+				got := f.do(t, http.MethodPost, tc.path, fmt.Sprint("a", i), "Part", first, "Part", crashPart)
+				c.Check(got.status >= http.StatusInternalServerError, quicktest.IsTrue)
+				got = f.do(t, http.MethodPost, "/again/", fmt.Sprint("b", i), "Part", first, "Part", "sound")
+				c.Check(got.status, quicktest.Equals, http.StatusOK)
+			}
+			c.Check(countCrashed(targets) <= maxPartCrashes, quicktest.IsTrue, quicktest.Commentf("%d ended", countCrashed(targets)))
+		})
+	}
+}
+
+// countCrashed returns how many targets have crashed.
+func countCrashed(targets []*crashingTarget) (n int) {
+	for _, m := range targets {
+		m.mu.Lock()
+		if m.crashed {
+			n++
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
+
 // TestCrashDetection checks what counts as evidence against a request: only that the address of a
 // target that had it refuses connections. Other failures of a try do not count.
 func TestCrashDetection(t *testing.T) {
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		prompt = 0
 	}
-	return barleystep.CallerHeaders{RequestID: h.Get("Id"), APIKey: h.Get("Key"), TimeLimit: limit, PromptTokens: prompt}
+	return barleystep.CallerHeaders{RequestID: h.Get("Id"), APIKey: h.Get("Key"), TimeLimit: limit, PromptTokens: prompt, SharedParts: h["Part"]}
 }
 
 func (protocol) SetTargetHeaders(h http.Header, d barleystep.TargetHeaders) {
@@ -353,7 +353,7 @@
 	req.Host = "h"
 	req.Header.Set("Id", "r1")
 	for i := 0; i+1 < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
+		req.Header.Add(headers[i], headers[i+1])
 	}
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
 	resp, err := client.Do(req)
