suspect, front: parts of prompts are suspected as whole requests are

Callers lost answers on 73 and 92 engines: requests no two alike, with one part in their prompts, ended each engine that began to answer them. A request was known by its body, so that each began without any evidence: of 64 digests in the record 52 had one end, none more than three.

The registry of suspects now holds evidence against the shared parts of prompts beside that against whole requests; both have the same ends, statuses, gossip and archive. What tells the part to blame from the others that ran there: - only ends before the first event count, and an answer that begins clears all parts of its prompt, so that parts of many sound requests are cleared within some tens of milliseconds; - one end beside others is not enough: a second one, or one alone, is; - a part is refused only if no other part, which the request lacks, is proven and explains all its ends; such a request runs alone, which tells the two; - ends name the client account: those of one account do not get the requests of another refused, only run alone, and no account can have the evidence of others forgotten. What waits when its part becomes suspect is placed anew, what runs when it is refused is cut off.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -84,8 +84,9 @@
 	// ForPeer is set while the job is placed for another box.
 	ForPeer bool
 
-	// Suspect is the digest of a request that must run alone because targets have ended under it;
-	// zero for any other. EndedTargets is how many have.
+	// Suspect is the digest of a request that must run alone because targets have ended under it, or
+	// of the part of its prompt under which they have; zero for any other. EndedTargets is how many
+	// have.
 	Suspect      suspect.Digest
 	EndedTargets int
 
--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -38,8 +38,8 @@
 	if !j.isSuspect() {
 		return false
 	}
-	status, _ := b.Suspects.Status(j.Suspect)
-	return status == suspect.Refused
+	subject := suspect.Subject{Account: suspect.AccountKey(j.Account), Request: j.Suspect}
+	return b.Suspects.Assess(subject).Status == suspect.Refused
 }
 
 // placeSuspect places a suspect where as little as possible is lost with it: at the target with the
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -86,7 +86,7 @@
 		queuedAt := d.clock.Now()
 		x.progress.enter(PhaseWaiting, queuedAt)
 		job.FirstEventDeadline = x.giveUpAt()
-		placement, err := d.place(ctx, x, &job)
+		placement, err := d.placeUnsuspected(ctx, x, &job)
 		x.queued += d.clock.Now().Sub(queuedAt)
 		if err != nil {
 			return d.finish(ctx, x, failed, err)
@@ -115,6 +115,18 @@
 	}
 }
 
+// placeUnsuspected obtains a placement for the request, another one if it became a suspect while it
+// waited for the first.
+func (d *deliver) placeUnsuspected(ctx context.Context, x *Exchange, job *balance.Job) (*balance.Placement, error) {
+	for {
+		p, err := d.place(ctx, x, job)
+		if err != nil || !d.becameSuspect(x, job) {
+			return p, err
+		}
+		p.Cancel()
+	}
+}
+
 // place obtains a placement for the request. It returns errStopping as soon as it is known that the
 // answer cannot be complete before the box shuts down. A stream that has begun is instead resumed
 // for as long as the box serves, because its caller cannot start it again on another box.
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -37,6 +37,9 @@
 	// is computed only after the body has been read, possibly by another goroutine.
 	digestValue suspect.Digest
 	digestOnce  sync.Once
+	// partDigests are the digests of the shared parts of the prompt, computed once by suspectParts.
+	partDigests []suspect.Digest
+	partsOnce   sync.Once
 	abort       context.CancelCauseFunc // abort ends the delivery of the request.
 
 	sends      int
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -26,55 +26,86 @@
 	return x.digestValue
 }
 
-// cancelRefused cancels all running tries of a request that has just become refused. A target that
-// has not prefilled it yet may then survive.
-func (s *Server) cancelRefused(d suspect.Digest, size int) {
+// suspectParts returns the digests of the parts of the prompt that other requests may share.
+func (x *Exchange) suspectParts() []suspect.Digest {
+	x.partsOnce.Do(func() {
+		for _, id := range x.call.SharedParts {
+			x.partDigests = append(x.partDigests, suspect.Part{Service: x.service, ID: id}.Digest())
+		}
+	})
+	return x.partDigests
+}
+
+// subject returns what there may be evidence against in the request. Digests that nobody suspects
+// are not computed.
+func (x *Exchange) subject(registry *suspect.Registry) (s suspect.Subject) {
+	s.Account, s.BodySize = suspect.AccountKey(x.account), len(x.body)
+	if registry.HasBodySize(len(x.body)) {
+		s.Request = x.suspectDigest()
+	}
+	if registry.SuspectsParts() {
+		s.Parts = x.suspectParts()
+	}
+	return s
+}
+
+// verdict returns how the request may run.
+func (x *Exchange) verdict(registry *suspect.Registry) suspect.Verdict {
+	return registry.Assess(x.subject(registry))
+}
+
+// cancelRefused cancels all running tries of requests that have just become refused. A target that
+// has not prefilled them yet may then survive.
+func (s *Server) cancelRefused() {
 	for _, x := range s.active.oldest(math.MaxInt) {
-		if phase, _, _ := x.progress.snapshot(); phase != PhaseReading && len(x.body) == size && x.suspectDigest() == d {
+		if phase, _, _ := x.progress.snapshot(); phase != PhaseReading && x.verdict(s.Balancer.Suspects).Status == suspect.Refused {
 			x.abort(balance.ErrSuspectRefused)
 		}
 	}
 }
 
 // checkSuspect marks the job to run in isolation if targets have terminated while they ran the
-// request, and returns balance.ErrSuspectRefused if it must not run any more.
+// request, or others with a part of its prompt, and returns balance.ErrSuspectRefused if it must
+// not run any more.
 func (d *deliver) checkSuspect(x *Exchange, job *balance.Job) error {
-	registry := d.balancer.Suspects
-	if !registry.HasBodySize(len(x.body)) {
-		return nil
+	v := x.verdict(d.balancer.Suspects)
+	if v.Status == suspect.Refused {
+		return balance.ErrSuspectRefused
 	}
-	job.Suspect, job.EndedTargets = suspect.Digest{}, 0
-	switch status, _ := registry.Status(x.suspectDigest()); status {
+	job.Suspect, job.EndedTargets = v.Digest, v.Ended
+	return nil
+}
+
+// becameSuspect reports whether a request must not run as it was placed, because of what has become
+// known since.
+func (d *deliver) becameSuspect(x *Exchange, job *balance.Job) bool {
+	switch x.verdict(d.balancer.Suspects).Status {
 	case suspect.Refused:
-		return balance.ErrSuspectRefused
+		return true
 	case suspect.Isolated:
-		job.Suspect, job.EndedTargets = x.suspectDigest(), len(registry.Evidence(x.suspectDigest()).Ends())
+		return job.Suspect == (suspect.Digest{})
+	default:
+		return false
 	}
-	return nil
 }
 
 // suspectRefusal returns the refusal of a request that targets terminated under. Its Retry-After is
 // the time for which the request stays refused.
 func (d *deliver) suspectRefusal(x *Exchange, outcome barleystep.Outcome) *barleystep.Refusal {
-	_, left := d.balancer.Suspects.Status(x.suspectDigest())
-	const message = "Targets have ended each time that they ran this request. It is not sent to others for now."
-	return barleystep.NewRefusal(barleystep.ReasonEndsTargets, outcome, message).WithRetryAfter(left)
+	const message = "Targets have ended each time that they ran this request, or others with a part of its prompt. It is not sent to others for now."
+	return barleystep.NewRefusal(barleystep.ReasonEndsTargets, outcome, message).WithRetryAfter(x.verdict(d.balancer.Suspects).Left)
 }
 
 // clear records that a target has run the request and survived.
 func (t *try) clear() {
-	x := t.exchange
-	if registry := t.stage.balancer.Suspects; registry.HasBodySize(len(x.body)) {
-		registry.RecordSuccess(x.suspectDigest(), len(x.body))
-	}
+	registry := t.stage.balancer.Suspects
+	registry.RecordSuccessOf(t.exchange.subject(registry))
 }
 
 // recordBegun records that a target has begun its answer to the request and is alive.
 func (t *try) recordBegun() {
-	x := t.exchange
-	if registry := t.stage.balancer.Suspects; registry.HasBodySize(len(x.body)) {
-		registry.RecordAnswerStart(x.suspectDigest(), len(x.body))
-	}
+	registry := t.stage.balancer.Suspects
+	registry.RecordAnswerStartOf(t.exchange.subject(registry))
 }
 
 // recordEnds records each target of a failed try that has terminated as evidence against the
@@ -85,22 +116,23 @@
 		return
 	}
 	x := t.exchange
-	endFlags := t.endFlags()
+	subject := suspect.Subject{Account: suspect.AccountKey(x.account), Request: x.suspectDigest(), BodySize: len(x.body), Parts: x.suspectParts()}
 	for _, target := range t.endedTargets(ctx, res) {
+		endFlags := t.endFlags(target.ID)
 		t.stage.log.Warn().Str("request", x.call.RequestID).Str("digest", x.suspectDigest().String()).Str("account", x.account).
 			Str("target", string(target.ID)).Bool("unread", endFlags&suspect.BeforeFirstEvent != 0).
 			Strs("parts", x.call.SharedParts).Bool("alone", endFlags&suspect.RanAlone != 0).Msg(logPrefix + "A target terminated while it had the request.")
-		end := suspect.NewEnd(uint32(balance.KeyOfTarget(target)), t.stage.clock.Now(), endFlags)
-		registry.RecordEnd(x.suspectDigest(), len(x.body), end)
+		registry.RecordEndOf(subject, suspect.NewEnd(uint32(balance.KeyOfTarget(target)), t.stage.clock.Now(), endFlags))
 	}
 }
 
-// endFlags returns the circumstances of the try for the evidence against its request.
-func (t *try) endFlags() (endFlags suspect.EndFlags) {
+// endFlags returns the circumstances of the try for the evidence against its request, where the
+// target has ended. Helpers of a request that runs alone have other requests.
+func (t *try) endFlags(target barleystep.TargetID) (endFlags suspect.EndFlags) {
 	if t.timeToFirst == 0 {
 		endFlags |= suspect.BeforeFirstEvent
 	}
-	if t.isolated {
+	if t.isolated && target == t.placement.Target.ID {
 		endFlags |= suspect.RanAlone
 	}
 	return endFlags
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -105,6 +105,8 @@
 				AgeUs:  now.Sub(end.At()).Microseconds(),
 				Unread: end.Has(suspect.BeforeFirstEvent),
 				Lone:   end.Has(suspect.RanAlone),
+
+				Account: end.Account(),
 			})
 		}
 		d.Suspects = append(d.Suspects, s)
@@ -121,7 +123,7 @@
 		}
 		var ends []suspect.End
 		for _, end := range s.GetEnds() {
-			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(now, end.GetAgeUs()), decodeMarks(end)))
+			ends = append(ends, suspect.NewEnd(end.GetTarget(), ago(now, end.GetAgeUs()), decodeMarks(end)).WithAccount(end.GetAccount()))
 		}
 		var cleared, begun time.Time
 		if s.GetCleared() {
--- a/internal/plane/suspect_test.go
+++ b/internal/plane/suspect_test.go
@@ -30,6 +30,10 @@
 	sharedShare float64
 	// crashes maps times to the number of engines that crash by themselves.
 	crashes map[time.Duration]int
+	// prompts, if set, draws the prompts in place of these shares. The crashes under each deadly part
+	// are counted in deadlyParts.
+	prompts     func(draw *rand.Rand, number int) prompt
+	deadlyParts map[string]*partCount
 
 	mu      sync.Mutex
 	list    []*engine
@@ -47,6 +51,29 @@
 	refused int
 }
 
+// prompt is what a caller asks.
+type prompt struct {
+	account, body string
+	parts         []string // parts are those that other prompts may share.
+	// deadly is set if it ends each engine that runs it, by deadlyPart if that is not empty.
+	deadly     bool
+	deadlyPart string
+}
+
+func (p prompt) subject() suspect.Subject {
+	s := suspect.Subject{Account: suspect.AccountKey(p.account), Request: suspect.Request{Account: p.account, Body: []byte(p.body)}.Digest(), BodySize: len(p.body)}
+	for _, id := range p.parts {
+		s.Parts = append(s.Parts, suspect.Part{Service: engineService, ID: id}.Digest())
+	}
+	return s
+}
+
+// partCount counts what one deadly part does.
+type partCount struct {
+	ends  []time.Duration // ends are the times at which it ended engines.
+	sends []time.Duration // sends are the times at which requests with it were sent.
+}
+
 // engine is one incarnation of an engine.
 type engine struct {
 	target     fleet.Target
@@ -140,49 +167,58 @@
 	draw := rand.New(rand.NewPCG(d.scenario.seed, 5))
 	for number := 0; d.elapsed() < d.scenario.duration; number++ {
 		sleep(time.Duration(draw.ExpFloat64() / w.perSecond * float64(time.Second)))
-		b, body := d.boxes[draw.IntN(len(d.boxes))], fmt.Sprint("body ", number)
-		x := draw.Float64()
-		switch {
-		case x < w.deadlyShare:
-			body = deadlyBody
-		case x < w.deadlyShare+w.sharedShare:
-			body = "shared"
-		}
+		b, ask := d.boxes[draw.IntN(len(d.boxes))], w.drawPrompt(draw, number)
 		if l := b.running(); l != nil {
-			calls.Go(func() { w.request(d, b, l, fmt.Sprint(number), body) })
+			calls.Go(func() { w.request(d, b, l, fmt.Sprint(number), ask) })
 		}
 	}
 }
 
+func (w *deadlyWorkload) drawPrompt(draw *rand.Rand, number int) prompt {
+	if w.prompts != nil {
+		return w.prompts(draw, number)
+	}
+	x := draw.Float64()
+	switch {
+	case x < w.deadlyShare:
+		return prompt{body: deadlyBody, deadly: true}
+	case x < w.deadlyShare+w.sharedShare:
+		return prompt{body: "shared"}
+	default:
+		return prompt{body: fmt.Sprint("body ", number)}
+	}
+}
+
 const deadlyBody = "deadly"
 
 // request sends one request of a caller at a box, which sends it to at most maxSends engines.
-func (w *deadlyWorkload) request(d *simulation, b *box, l *process, id, body string) {
+func (w *deadlyWorkload) request(d *simulation, b *box, l *process, id string, ask prompt) {
 	sleep(time.Until(b.wakeTime()))
-	digest := suspect.Request{Body: []byte(body)}.Digest()
+	subject := ask.subject()
 	ctx, cancel := clock.WithDeadline(l.ctx, b, b.Now().Add(callerTimeout))
 	defer cancel()
 	j := balance.Job{
-		RequestID: id, Service: engineService, Objective: 300 * ms, MaxPause: 200 * ms,
+		RequestID: id, Service: engineService, Account: ask.account, Objective: 300 * ms, MaxPause: 200 * ms,
 		Cost: engineModel, PromptTokens: 5_000, OutputTokens: 500, FirstEventDeadline: b.Now().Add(callerTimeout),
 	}
 	whole, counts := false, d.elapsed() < d.scenario.duration-callerTimeout-streamTime // Later ones may be cut off by the scenario's end.
 	for sends, dials := 0, 0; sends < maxSends && dials < maxDials; {
-		standing, _ := l.balancer.Suspects.Status(digest)
-		if standing == suspect.Refused {
-			w.count(body, &w.refused)
+		verdict := l.balancer.Suspects.Assess(subject)
+		if verdict.Status == suspect.Refused {
+			w.count(ask, &w.refused)
 			break
 		}
-		j.Suspect, j.EndedTargets = suspect.Digest{}, 0
-		if standing == suspect.Isolated {
-			j.Suspect, j.EndedTargets = digest, len(l.balancer.Suspects.Evidence(digest).Ends())
-		}
+		j.Suspect, j.EndedTargets = verdict.Digest, verdict.Ended
 		p, err := l.balancer.Place(ctx, j)
 		if err != nil {
 			break
 		}
+		if now := l.balancer.Suspects.Assess(subject).Status; now == suspect.Refused || (now == suspect.Isolated && j.EndedTargets == 0) {
+			p.Cancel()
+			continue
+		}
 		var reached bool
-		reached, whole = w.send(d, l, p, digest, body, j.EndedTargets > 0)
+		reached, whole = w.send(d, l, p, ask, j.EndedTargets > 0)
 		p.Done(balance.Report{Unreachable: !reached})
 		if reached {
 			sends++
@@ -197,31 +233,31 @@
 	if !counts {
 		return
 	}
-	w.count(body, &w.requests)
+	w.count(ask, &w.requests)
 	if whole {
-		w.count(body, &w.answered)
+		w.count(ask, &w.answered)
 	}
 }
 
 // count increments n for a harmless request.
-func (w *deadlyWorkload) count(body string, n *int) {
+func (w *deadlyWorkload) count(ask prompt, n *int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if body != deadlyBody {
+	if !ask.deadly {
 		*n++
 	}
 }
 
 // send runs a request on an engine, and reports whether the engine was reached and the answer
 // whole.
-func (w *deadlyWorkload) send(d *simulation, l *process, p *balance.Placement, digest suspect.Digest, body string, alone bool) (reached, whole bool) {
-	m := w.find(p.Target.ID)
+func (w *deadlyWorkload) send(d *simulation, l *process, p *balance.Placement, ask prompt, alone bool) (reached, whole bool) {
+	m, subject := w.find(p.Target.ID), ask.subject()
 	if m == nil {
 		return false, false
 	}
-	if body == deadlyBody {
-		w.recordSend(d)
-		time.AfterFunc(crashDelay, func() { w.kill(d, m) })
+	if ask.deadly {
+		w.recordSend(d, ask)
+		time.AfterFunc(crashDelay, func() { w.kill(d, m, ask) })
 	}
 	first := time.NewTimer(firstEvent)
 	done := time.NewTimer(streamTime)
@@ -235,15 +271,15 @@
 				marks |= suspect.RanAlone
 			}
 			end := suspect.NewEnd(uint32(balance.KeyOfTarget(m.target)), time.Now(), marks)
-			l.balancer.Suspects.RecordEnd(digest, len(body), end)
+			l.balancer.Suspects.RecordEndOf(subject, end)
 			return true, false
 		case <-first.C:
-			if body != deadlyBody {
+			if !ask.deadly {
 				unread = 0
-				l.balancer.Suspects.RecordAnswerStart(digest, len(body))
+				l.balancer.Suspects.RecordAnswerStartOf(subject)
 			}
 		case <-done.C:
-			l.balancer.Suspects.RecordSuccess(digest, len(body))
+			l.balancer.Suspects.RecordSuccessOf(subject)
 			return true, true
 		case <-l.ctx.Done():
 			return true, false
@@ -252,10 +288,13 @@
 }
 
 // recordSend records that the deadly request is sent.
-func (w *deadlyWorkload) recordSend(d *simulation) {
+func (w *deadlyWorkload) recordSend(d *simulation, ask prompt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := d.elapsed()
+	if c := w.deadlyParts[ask.deadlyPart]; c != nil {
+		c.sends = append(c.sends, now)
+	}
 	if w.firstEnd == 0 || now <= w.firstEnd+suspectGossipTime {
 		w.earlySends++
 	}
@@ -265,13 +304,16 @@
 }
 
 // kill ends an engine that runs the deadly request.
-func (w *deadlyWorkload) kill(d *simulation, m *engine) {
+func (w *deadlyWorkload) kill(d *simulation, m *engine, ask prompt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.end(m) {
 		return
 	}
 	w.ended++
+	if c := w.deadlyParts[ask.deadlyPart]; c != nil {
+		c.ends = append(c.ends, d.elapsed())
+	}
 	if w.ended == 1 {
 		w.firstEnd = d.elapsed()
 	}
--- a/internal/suspect/digest.go
+++ b/internal/suspect/digest.go
@@ -11,12 +11,13 @@
 // digestBytes is the length of a digest: at 128 bits, collisions cannot be found.
 const digestBytes = 16
 
-// Digest identifies a request by its content: attempts with equal digests carry the same request.
-// What is specific to an attempt, such as its id and time, is left out. The client account is part
-// of it, so that nobody can get another account's request refused. The zero value means none.
+// Digest identifies a request by its content, or a part of prompts: attempts with equal digests
+// carry the same request, or have the part in common. The zero value means none.
 type Digest [digestBytes]byte
 
-// Request holds the digested parts of a request.
+// Request holds what is digested of a request. What is specific to an attempt, such as its id and
+// time, is left out. The client account is included, so that nobody can get another account's
+// request refused.
 type Request struct {
 	// Account is the name of the client account, empty on public routes.
 	Account string
@@ -40,6 +41,24 @@
 	return d
 }
 
+// Part is a part of the prompts of a service that requests may share, by the id that callers give
+// it. Requests of all client accounts may have it, so that the ends under it name theirs.
+type Part struct {
+	Service string
+	ID      string
+}
+
+// Digest returns the part's digest.
+func (p Part) Digest() (d Digest) {
+	h := sha256.New()
+	writeLength(h, partSize) // No request begins like this.
+	writeLength(h, len(p.Service))
+	_, _ = io.WriteString(h, p.Service)
+	_, _ = io.WriteString(h, p.ID)
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
 // writeLength separates parts that would be ambiguous when concatenated.
 func writeLength(h hash.Hash, n int) {
 	var length [8]byte
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // End is the end of a target's incarnation while it had a request.
@@ -14,6 +16,8 @@
 	key   uint32
 	at    time.Time
 	flags EndFlags
+	// account identifies the client account of the request between boxes.
+	account uint32
 }
 
 // EndFlags tells how a request ran at a target that ended. Flags are combined with |.
@@ -31,6 +35,18 @@
 // NewEnd returns the end of the incarnation with the key.
 func NewEnd(key uint32, at time.Time, flags EndFlags) End { return End{key: key, at: at, flags: flags} }
 
+// WithAccount returns the end with the key of the client account whose request the target had.
+func (e End) WithAccount(account uint32) End {
+	e.account = account
+	return e
+}
+
+// Account returns the key of the client account whose request the target had.
+func (e End) Account() uint32 { return e.account }
+
+// AccountKey returns the key of a client account in ends.
+func AccountKey(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 // Key returns the key of the incarnation.
 func (e End) Key() uint32 { return e.key }
 
@@ -43,10 +59,10 @@
 // Has reports whether the end has the flag.
 func (e End) Has(m EndFlags) bool { return e.flags&m != 0 }
 
-// Evidence is what is known of one request. Merging evidence is commutative and idempotent, so
-// boxes may exchange it in any order and any number of times.
+// Evidence is what is known of one request, or of one part of prompts. Merging evidence is
+// commutative and idempotent, so boxes may exchange it in any order and any number of times.
 type Evidence struct {
-	// bodySize is the length of the request's body in bytes.
+	// bodySize is the length of the request's body in bytes, or partSize.
 	bodySize int
 	// ends are the last maxEnds ends of incarnations under the request since its last success.
 	ends []End
@@ -56,6 +72,12 @@
 	lastAnswerStart time.Time
 }
 
+// partSize stands in the place of the length of a body in the evidence against a part.
+const partSize = -1
+
+// isPart reports whether the evidence is against a part of prompts.
+func (e Evidence) isPart() bool { return e.bodySize == partSize }
+
 // NewEvidence returns the evidence against a request with a body of the given size.
 func NewEvidence(bodySize int, ends []End, lastSuccess, lastAnswerStart time.Time) Evidence {
 	return Evidence{bodySize: bodySize, ends: ends, lastSuccess: lastSuccess, lastAnswerStart: lastAnswerStart}
@@ -79,7 +101,7 @@
 
 // merge returns the union of both.
 func (e Evidence) merge(o Evidence) Evidence {
-	out := Evidence{bodySize: max(e.bodySize, o.bodySize), lastSuccess: later(e.lastSuccess, o.lastSuccess), lastAnswerStart: later(e.lastAnswerStart, o.lastAnswerStart)}
+	out := Evidence{bodySize: o.bodySize, lastSuccess: later(e.lastSuccess, o.lastSuccess), lastAnswerStart: later(e.lastAnswerStart, o.lastAnswerStart)}
 	for _, end := range slices.Concat(e.ends, o.ends) {
 		out.add(end)
 	}
@@ -167,9 +189,35 @@
 	switch {
 	case e.proven() && young:
 		return Refused
-	case len(e.ends) >= isolatedEnds, slices.ContainsFunc(e.ends, unread):
+	case len(e.ends) >= isolatedEnds:
 		return Isolated
+	case e.isPart() && e.ranAlone() > 0, !e.isPart() && slices.ContainsFunc(e.ends, unread):
+		return Isolated // Many sound requests may share a part, so that one end beside others is not enough.
 	default:
 		return Allowed
 	}
 }
+
+// covers reports whether each target that ended under the other evidence also ended under this.
+func (e Evidence) covers(o Evidence) bool {
+	return !slices.ContainsFunc(o.ends, func(end End) bool {
+		return !slices.ContainsFunc(e.ends, func(own End) bool { return own.key == end.key })
+	})
+}
+
+// concerns reports whether the evidence counts in full against requests of an account: targets have
+// ended under such a request, or under those of two accounts. What one account causes does not get
+// the requests of others refused.
+func (e Evidence) concerns(account uint32) bool {
+	return slices.ContainsFunc(e.ends, func(end End) bool {
+		return end.account == account || end.account != e.ends[0].account
+	})
+}
+
+// owner returns the account whose request the latest end was under.
+func (e Evidence) owner() uint32 {
+	if len(e.ends) == 0 {
+		return 0
+	}
+	return slices.MaxFunc(e.ends, func(x, y End) int { return x.at.Compare(y.at) }).account
+}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -26,6 +26,8 @@
 	AtMS   int64 `json:"at_ms"`
 	Unread bool  `json:"unread"`
 	Lone   bool  `json:"lone"`
+	// Account is the key of the client account; 0 in records of older versions.
+	Account uint32 `json:"account,omitempty"`
 }
 
 // The fields of a record.
@@ -36,6 +38,7 @@
 	fieldAt     = "at_ms"
 	fieldUnread = "unread"
 	fieldLone   = "lone"
+	fieldOwner  = "account"
 )
 
 // clockReading is one moment by a box's clock and by the time of day, which all boxes share.
@@ -46,7 +49,7 @@
 	w := record{Size: e.bodySize}
 	for _, end := range e.ends {
 		at := m.day.Add(end.at.Sub(m.now))
-		w.Ends = append(w.Ends, recordEnd{Target: end.key, AtMS: at.UnixMilli(), Unread: end.Has(BeforeFirstEvent), Lone: end.Has(RanAlone)})
+		w.Ends = append(w.Ends, recordEnd{Target: end.key, AtMS: at.UnixMilli(), Unread: end.Has(BeforeFirstEvent), Lone: end.Has(RanAlone), Account: end.account})
 	}
 	value, err := json.Marshal(w)
 	if err != nil {
@@ -89,5 +92,9 @@
 	if o.Bool(fieldLone) {
 		flags |= RanAlone
 	}
-	return NewEnd(uint32(target), m.now.Add(-time.Duration(age)*time.Millisecond), flags)
+	end := NewEnd(uint32(target), m.now.Add(-time.Duration(age)*time.Millisecond), flags)
+	if o.Has(fieldOwner) {
+		end.account = uint32(o.Int(fieldOwner))
+	}
+	return end
 }
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -22,15 +22,15 @@
 
 	mu    sync.Mutex
 	known map[Digest]Evidence
-	// onRefused is called for each request whose status becomes Refused.
-	onRefused func(d Digest, size int)
+	// onRefused is called after the status of a request or part becomes Refused.
+	onRefused func()
 	// lastFullUpdate is when all evidence was last gossiped, not only what is recent.
 	lastFullUpdate time.Time
 }
 
-// NotifyRefused has f called, in a goroutine of its own, for each request whose status becomes
-// Refused. It is called once.
-func (b *Registry) NotifyRefused(f func(d Digest, size int)) {
+// NotifyRefused has f called, in a goroutine of its own, each time that the status of a request or
+// part becomes Refused. It is called once.
+func (b *Registry) NotifyRefused(f func()) {
 	if b == nil {
 		return
 	}
@@ -109,7 +109,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before, known := b.known[d]
-	if !known && len(e.ends) == 0 {
+	if len(e.ends) == 0 && (!known || len(before.ends) == 0) {
 		return // There is no evidence against it here.
 	}
 	after := before.merge(e)
@@ -125,19 +125,27 @@
 	}
 	b.logStatusChange(d, after, from, to)
 	if to == Refused && b.onRefused != nil {
-		go b.onRefused(d, after.bodySize)
+		go b.onRefused()
 	}
 }
 
-// prune drops evidence that is too old to count or exceeds maxRequests.
+// prune drops evidence that is too old to count or exceeds maxSubjects.
 func (b *Registry) prune() {
 	now := b.Clock.Now()
 	maps.DeleteFunc(b.known, func(_ Digest, e Evidence) bool { return now.Sub(e.lastUpdate()) > 2*e.refusalPeriod() })
-	for len(b.known) > maxRequests {
+	if len(b.known) <= maxSubjects {
+		return
+	}
+	owned := make(map[uint32]int)
+	for _, e := range b.known {
+		owned[e.owner()]++
+	}
+	for len(b.known) > maxSubjects {
 		least := slices.MinFunc(slices.Collect(maps.Keys(b.known)), func(x, y Digest) int {
 			e, o := b.known[x], b.known[y]
-			return cmp.Or(cmp.Compare(len(e.ends), len(o.ends)), e.lastUpdate().Compare(o.lastUpdate()))
+			return cmp.Or(cmp.Compare(len(e.ends), len(o.ends)), cmp.Compare(owned[o.owner()], owned[e.owner()]), e.lastUpdate().Compare(o.lastUpdate()))
 		})
+		owned[b.known[least].owner()]--
 		delete(b.known, least)
 	}
 }
@@ -155,10 +163,15 @@
 		return nil
 	}
 	b.prune()
+	now := b.Clock.Now()
+	isRecent := func(e Evidence) bool { return now.Sub(e.lastUpdate()) < recentPeriod }
 	latest := slices.SortedFunc(maps.Keys(b.known), func(x, y Digest) int {
-		return b.known[y].lastUpdate().Compare(b.known[x].lastUpdate())
+		e, o := b.known[x], b.known[y]
+		if isRecent(e) && isRecent(o) && len(e.ends) != len(o.ends) {
+			return cmp.Compare(len(o.ends), len(e.ends)) // What ends many targets is told before what may have been beside it.
+		}
+		return o.lastUpdate().Compare(e.lastUpdate())
 	})
-	now := b.Clock.Now()
 	all := now.Sub(b.lastFullUpdate) >= fullUpdateInterval
 	if all {
 		b.lastFullUpdate = now
@@ -166,7 +179,7 @@
 	update := make(map[Digest]Evidence)
 	for _, d := range latest[:min(maxGossiped, len(latest))] {
 		e := b.known[d]
-		if !all && now.Sub(e.lastUpdate()) >= recentPeriod {
+		if !all && !isRecent(e) {
 			continue
 		}
 		for _, t := range []*time.Time{&e.lastSuccess, &e.lastAnswerStart} {
@@ -221,7 +234,7 @@
 		line = b.Log.Warn()
 	}
 	line.Str("digest", d.String()).Str("from", from.String()).Str("to", to.String()).
-		Int("ended", len(e.ends)).Int("size", e.bodySize).Dur("age", b.Clock.Now().Sub(e.lastUpdate())).
+		Int("ended", len(e.ends)).Bool("part", e.isPart()).Int("size", e.bodySize).Dur("age", b.Clock.Now().Sub(e.lastUpdate())).
 		Msg(logPrefix + "The status of a suspected request has changed.")
 }
 
--- a/internal/suspect/registry_test.go
+++ b/internal/suspect/registry_test.go
@@ -119,7 +119,7 @@
 	clk := clock.NewManual(time.Unix(1000, 0))
 	b := &suspect.Registry{Clock: clk}
 	refused := make(chan struct{}, 1)
-	b.NotifyRefused(func(suspect.Digest, int) { refused <- struct{}{} })
+	b.NotifyRefused(func() { refused <- struct{}{} })
 	for wave := range uint32(5) {
 		for key := range uint32(6) {
 			b.RecordEnd(digest, size, suspect.NewEnd(10*wave+key, clk.Now(), suspect.BeforeFirstEvent))
--- a/internal/suspect/status.go
+++ b/internal/suspect/status.go
@@ -36,10 +36,10 @@
 	// CertainRefusalPeriod is the same for a request that certainly ends targets. Tried once a
 	// minute, a request that keeps coming would end all targets in turn.
 	CertainRefusalPeriod = time.Hour
-	// maxRequests bounds the requests with evidence: those that four targets have at the same time,
-	// with some twenty requests each. Those with the fewest ends, and the oldest of these, are
-	// dropped first.
-	maxRequests = 80
+	// maxSubjects bounds the requests and parts with evidence: those that four targets have at the
+	// same time, with some twenty requests each. Those with the fewest ends are dropped first, among
+	// these those of the account that has the most, and then the oldest.
+	maxSubjects = 80
 	// successGossipTime is how long a success, or the start of an answer, is gossiped. What is
 	// relayed by peers looks more recent each time, and must not clear later ends.
 	successGossipTime = 5 * time.Second
--- /dev/null
+++ b/internal/suspect/subject.go
@@ -0,0 +1,129 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+)
+
+// Subject is what there may be evidence against in one request: the request itself and the parts
+// of its prompt that others may share.
+type Subject struct {
+	// Account is the key of the client account.
+	Account uint32
+	// Request is the digest of the request; zero if nobody suspects a request with such a body.
+	Request  Digest
+	BodySize int
+	// Parts are the digests of the shared parts, in their order.
+	Parts []Digest
+}
+
+// Verdict is how a request may run.
+type Verdict struct {
+	Status Status
+	// Digest is what the request is suspected for, zero if it is Allowed, and Ended how many targets
+	// have ended under that.
+	Digest Digest
+	Ended  int
+	// Left is for how long a refused request stays so.
+	Left time.Duration
+}
+
+// Assess returns how a request may run: as the worst of the request itself and its parts may. Of
+// parts that are alike, the last one counts: the first are shared by most requests, whose runs are
+// not to wait for those of a part behind it.
+func (b *Registry) Assess(s Subject) (v Verdict) {
+	if b == nil {
+		return Verdict{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.known) == 0 {
+		return Verdict{}
+	}
+	now := b.Clock.Now()
+	for _, d := range append([]Digest{s.Request}, s.Parts...) {
+		e, known := b.known[d]
+		if !known {
+			continue
+		}
+		status := b.statusIn(s, d, e, now)
+		if status < max(v.Status, Isolated) || (status == v.Status && len(e.ends) < v.Ended) {
+			continue
+		}
+		v = Verdict{Status: status, Digest: d, Ended: len(e.ends), Left: max(e.lastUpdate().Add(e.refusalPeriod()).Sub(now), 0)}
+	}
+	return v
+}
+
+// statusIn returns the status of a request by the evidence e, which is against it or a part of it.
+// The lock is held.
+func (b *Registry) statusIn(s Subject, d Digest, e Evidence, now time.Time) Status {
+	status := e.status(now)
+	if status == Refused && e.isPart() && !e.concerns(s.Account) {
+		status = Isolated
+	}
+	if status == Allowed || !b.isExplained(s, d, e) {
+		return status
+	}
+	if e.proven() {
+		return Isolated // A run of it alone tells it from the part that explains its ends.
+	}
+	return Allowed
+}
+
+// isExplained reports whether another part, which the request does not have, is proven to end
+// targets and did end all those that ended under the evidence. The lock is held.
+func (b *Registry) isExplained(s Subject, d Digest, e Evidence) bool {
+	for other, o := range b.known {
+		if other != d && o.isPart() && o.proven() && !slices.Contains(s.Parts, other) && o.covers(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordEndOf records that an incarnation of a target has ended while it had the request. Parts of
+// a prompt to which the answer had begun are not to blame.
+func (b *Registry) RecordEndOf(s Subject, end End) {
+	end = end.WithAccount(s.Account)
+	b.add(s.Request, Evidence{bodySize: s.BodySize, ends: []End{end}})
+	if !end.Has(BeforeFirstEvent) {
+		return
+	}
+	for _, d := range s.Parts {
+		b.add(d, Evidence{bodySize: partSize, ends: []End{end}})
+	}
+}
+
+// RecordSuccessOf records that a run of the request has completed.
+func (b *Registry) RecordSuccessOf(s Subject) {
+	if b == nil {
+		return
+	}
+	if s.Request != (Digest{}) {
+		b.RecordSuccess(s.Request, s.BodySize)
+	}
+	b.recordPartSuccess(s)
+}
+
+// RecordAnswerStartOf records that an answer to the request has begun. No part of its prompt ends
+// targets then.
+func (b *Registry) RecordAnswerStartOf(s Subject) {
+	if b == nil {
+		return
+	}
+	if s.Request != (Digest{}) {
+		b.RecordAnswerStart(s.Request, s.BodySize)
+	}
+	b.recordPartSuccess(s)
+}
+
+func (b *Registry) recordPartSuccess(s Subject) {
+	now := b.Clock.Now()
+	for _, d := range s.Parts {
+		b.add(d, Evidence{bodySize: partSize, lastSuccess: now})
+	}
+}
+
+// SuspectsParts reports whether there is evidence against parts of prompts.
+func (b *Registry) SuspectsParts() bool { return b.HasBodySize(partSize) }
