front: a target that broke off a request is looked at again

The end of a target counted only if its address refused connections at the moment after the break. A process that ends may accept connections for a little longer, and one that is back at once, or another at its address, always does: such ends were never told, and a request went on ending targets.

A target that has given nothing of the answer is now looked at again after 50 ms, 0.3 s and 2 s: whether its address refuses connections, or the catalogue lists a later incarnation or another target there. The end counts from the break.

TestLateCrashDetection fails in three cases without it.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -75,6 +75,23 @@
 	return list
 }
 
+// IsLeaving reports whether the target is listed as leaving, or has stated that it is.
+func (b *Balancer) IsLeaving(id barleystep.TargetID) bool {
+	isListed := slices.ContainsFunc(b.Targets(), func(t fleet.Target) bool { return t.ID == id })
+	return isListed && len(b.NotLeaving([]barleystep.TargetID{id})) == 0
+}
+
+// HasSuccessor reports whether a later incarnation of the target, or another target at its address,
+// is listed.
+func (b *Balancer) HasSuccessor(old fleet.Target) bool {
+	return slices.ContainsFunc(b.Targets(), func(t fleet.Target) bool {
+		if t.ID == old.ID {
+			return t.Restarted(old.StartMS)
+		}
+		return t.Addr == old.Addr
+	})
+}
+
 func isAvoided(j Job, id barleystep.TargetID) bool {
 	for _, a := range j.Avoid {
 		if a == id {
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -205,6 +206,51 @@
 	}
 }
 
+// TestLateCrashDetection guards against ends of targets that are never told: a target that breaks
+// off a request may still accept connections for a moment, or be back at its address, when the box
+// looks.
+func TestLateCrashDetection(t *testing.T) {
+	restart := func(targets []fleet.Target) []fleet.Target {
+		targets[0].StartMS++
+		return targets
+	}
+	replace := func(targets []fleet.Target) []fleet.Target {
+		targets[0].ID = "another"
+		return targets
+	}
+	drain := func(targets []fleet.Target) []fleet.Target {
+		targets[0].Draining = true
+		return targets
+	}
+	cases := map[string]struct {
+		after func(f *fixture, m *crashingTarget) // after is what happens once the box has looked.
+		want  suspect.Status
+	}{
+		"it refuses connections":         {func(_ *fixture, m *crashingTarget) { m.crash() }, suspect.Isolated},
+		"it has started anew":            {func(f *fixture, _ *crashingTarget) { f.change(restart) }, suspect.Isolated},
+		"another one has its address":    {func(f *fixture, _ *crashingTarget) { f.change(replace) }, suspect.Isolated},
+		"it goes on":                     {func(*fixture, *crashingTarget) {}, suspect.Allowed},
+		"it says that it is leaving":     {func(f *fixture, _ *crashingTarget) { f.change(drain) }, suspect.Allowed},
+		"it was leaving, and terminates": {func(f *fixture, m *crashingTarget) { f.change(drain); m.crash() }, suspect.Allowed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, state{view: newView()})
+			m := f.useCrashingTargets(t, 1)[0]
+			f.change(func(targets []fleet.Target) []fleet.Target { targets[0].StartMS = 1; return targets })
+			m.instead = func(c net.Conn) { c.Close() }
+			f.do(t, http.MethodPost, "/once/", crashBody)
+			quicktest.Check(t, f.suspectStatus("/once/", crashBody), quicktest.Equals, suspect.Allowed)
+			tc.after(f, m)
+			for f.front.PendingChecks() > 0 {
+				runtime.Gosched()
+			}
+			quicktest.Check(t, f.suspectStatus("/once/", crashBody), quicktest.Equals, tc.want)
+		})
+	}
+}
+
 // suspectStatus returns the suspect status of a request without a client account.
 func (f *fixture) suspectStatus(path, body string) suspect.Status {
 	d := suspect.Request{Method: http.MethodPost, Host: "h", RequestURI: path, Body: []byte(body)}.Digest()
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -31,6 +31,8 @@
 	limitHistory limitHistory
 	// pendingReleases counts the ended tries whose reserved helper memory is still being released.
 	pendingReleases atomic.Int64
+	// pendingChecks counts the targets that broke off a request and are looked at again.
+	pendingChecks atomic.Int64
 }
 
 const (
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -120,6 +120,10 @@
 // released. Their requests may already have been answered.
 func (s *Server) PendingReleases() int { return int(s.deliver.pendingReleases.Load()) }
 
+// PendingChecks returns the number of targets that have broken off a request and are looked at again,
+// since they may have terminated.
+func (s *Server) PendingChecks() int { return int(s.deliver.pendingChecks.Load()) }
+
 // maxUnfinishedLines bounds the lines that LogUnfinished writes. A box serves some dozens of
 // requests at a time, and up to a thousand log lines can wait to be written.
 const maxUnfinishedLines = 100
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
@@ -109,21 +111,54 @@
 }
 
 // recordEnds records each target of a failed try that has terminated as evidence against the
-// request.
+// request. A target that seems to be alive, but has given nothing of the answer, is looked at again.
 func (t *try) recordEnds(ctx context.Context, res result) {
-	registry := t.stage.balancer.Suspects
-	if registry == nil || ctx.Err() != nil {
+	if t.stage.balancer.Suspects == nil || ctx.Err() != nil {
 		return
 	}
+	brokenAt := t.stage.clock.Now()
+	candidates := t.possiblyEnded(res)
+	ended := t.endedTargets(ctx, candidates)
+	for _, target := range ended {
+		t.recordEnd(target, brokenAt)
+	}
+	own := t.placement.Target.ID
+	isOwn := func(target fleet.Target) bool { return target.ID == own }
+	if res == resultBroken && t.timeToFirst == 0 && slices.ContainsFunc(candidates, isOwn) && !slices.ContainsFunc(ended, isOwn) {
+		t.stage.pendingChecks.Add(1)
+		go t.recordLateEnd(context.WithoutCancel(ctx), brokenAt)
+	}
+}
+
+// lateEndChecks are the pauses before a target that seemed to be alive is looked at again: a process
+// that ends may accept connections for a moment longer, and the news of one that is back at once
+// comes with the catalogue.
+var lateEndChecks = [...]time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second}
+
+// recordLateEnd looks at the target again and records its end, unless it goes on or was leaving.
+func (t *try) recordLateEnd(ctx context.Context, brokenAt time.Time) {
+	defer t.stage.pendingChecks.Add(-1)
+	target := t.placement.Target
+	for _, pause := range lateEndChecks {
+		if !clock.Sleep(ctx, t.stage.clock, pause) || t.stage.balancer.IsLeaving(target.ID) {
+			return
+		}
+		if t.stage.balancer.HasSuccessor(target) || len(t.endedTargets(ctx, []fleet.Target{target})) > 0 {
+			t.recordEnd(target, brokenAt)
+			return
+		}
+	}
+}
+
+// recordEnd records that a target has terminated while it had the request.
+func (t *try) recordEnd(target fleet.Target, at time.Time) {
 	x := t.exchange
+	endFlags := t.endFlags(target.ID)
+	t.stage.log.Warn().Str("request", x.call.RequestID).Str("digest", x.suspectDigest().String()).Str("account", x.account).
+		Str("target", string(target.ID)).Bool("unread", endFlags&suspect.BeforeFirstEvent != 0).
+		Strs("parts", x.call.SharedParts).Bool("alone", endFlags&suspect.RanAlone != 0).Msg(logPrefix + "A target terminated while it had the request.")
 	subject := suspect.Subject{Account: suspect.AccountKey(x.account), Request: x.suspectDigest(), BodySize: len(x.body), Parts: x.suspectParts()}
-	for _, target := range t.endedTargets(ctx, res) {
-		endFlags := t.endFlags(target.ID)
-		t.stage.log.Warn().Str("request", x.call.RequestID).Str("digest", x.suspectDigest().String()).Str("account", x.account).
-			Str("target", string(target.ID)).Bool("unread", endFlags&suspect.BeforeFirstEvent != 0).
-			Strs("parts", x.call.SharedParts).Bool("alone", endFlags&suspect.RanAlone != 0).Msg(logPrefix + "A target terminated while it had the request.")
-		registry.RecordEndOf(subject, suspect.NewEnd(uint32(balance.KeyOfTarget(target)), t.stage.clock.Now(), endFlags))
-	}
+	t.stage.balancer.Suspects.RecordEndOf(subject, suspect.NewEnd(uint32(balance.KeyOfTarget(target)), at, endFlags))
 }
 
 // endFlags returns the circumstances of the try for the evidence against its request, where the
@@ -140,10 +175,8 @@
 
 // endedTargets returns the targets of a failed try that have terminated: they restarted, or their
 // address refuses connections. A closed or reset connection, silence and a lost connection are not
-// evidence, and neither is the end of a target that was leaving. A refused connection is reported
-// to other boxes.
-func (t *try) endedTargets(ctx context.Context, res result) []fleet.Target {
-	candidates := t.possiblyEnded(res)
+// evidence. A refused connection is reported to other boxes.
+func (t *try) endedTargets(ctx context.Context, candidates []fleet.Target) []fleet.Target {
 	dialCtx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(helperDialTimeout))
 	defer cancel()
 	ended := make([]bool, len(candidates))
