front, plane: tests of unframed streams cut inside an event, and of most callers at one box

A stream with neither length nor chunks is resumed, or broken off, wherever it ends inside an event. Nothing had to be changed for either.

--- a/internal/front/source_test.go
+++ b/internal/front/source_test.go
@@ -268,6 +268,22 @@
 	}
 }
 
+// TestUnframedStreamCutInsideEvent guards against streams that have neither a length nor chunks, end
+// inside an event, and pass for complete: wherever in the event, the stream is resumed or broken off.
+func TestUnframedStreamCutInsideEvent(t *testing.T) {
+	const size = len("id: 1\ndata: mark-1;\n\n")
+	for _, path := range []string{"/stream/", "/plainstream/"} {
+		for _, event := range []int{0, 1, lastEvent / 2, lastEvent - 1} {
+			for inside := 1; inside < size; inside++ {
+				t.Run(fmt.Sprint(strings.Trim(path, "/"), "/", event, "/", inside), func(t *testing.T) {
+					cut := (float64(event*size+inside) + 0.5) / float64(lastEvent*size)
+					checkSource(t, path, truncated(200, cut, framedByClose, closeConn), followUps["another serves"])
+				})
+			}
+		}
+	}
+}
+
 func checkSource(t *testing.T, path string, first answerFunc, then followUp) {
 	c := quicktest.New(t)
 	s := &script{stalled: make(chan struct{}, 8), ended: make(chan struct{})}
--- a/internal/plane/cut_test.go
+++ b/internal/plane/cut_test.go
@@ -26,6 +26,8 @@
 	// isCut selects the boxes that are cut, and mode is how.
 	isCut func(d *simulation, b *box) bool
 	mode  linkMode
+	// crowded is set if most callers come to one box, one that is cut.
+	crowded bool
 
 	mu   sync.Mutex
 	list []fleet.Target
@@ -78,6 +80,9 @@
 	for number := 0; d.elapsed() < d.scenario.duration; number++ {
 		sleep(time.Duration(draw.ExpFloat64() / w.perSecond * float64(time.Second)))
 		b := d.boxes[draw.IntN(len(d.boxes))]
+		if w.crowded && draw.IntN(crowdEvery) > 0 {
+			b = d.boxes[0]
+		}
 		if l := b.running(); l != nil {
 			calls.Go(func() { w.request(d, b, l, fmt.Sprint(number)) })
 		}
@@ -287,6 +292,9 @@
 		"the lead, silent":        {nine, &cutWorkload{engines: 18, perSecond: 40, isCut: isLead, mode: linkSilent}, 2, 0},
 		"the collectors, refused": {nine, &cutWorkload{engines: 18, perSecond: 40, isCut: collectors, mode: linkRefuses}, 2, 0},
 		"half of a large hall":    {many, &cutWorkload{engines: 78, perSecond: 200, isCut: firstOfHall("hall-1", 11), mode: linkSilent}, 2, 0},
+		"one box, crowded":        {nine, &cutWorkload{engines: 18, perSecond: 40, isCut: firstOfHall("hall-1", 1), mode: linkRefuses, crowded: true}, 2, 0},
+		"half a hall, crowded":    {many, &cutWorkload{engines: 78, perSecond: 200, isCut: firstOfHall("hall-1", 11), mode: linkSilent, crowded: true}, 2, 0},
+		"a hall, crowded":         {many, &cutWorkload{engines: 78, perSecond: 200, isCut: firstOfHall("hall-1", 22), mode: linkRefuses, crowded: true}, 2, 22},
 		"a large hall":            {many, &cutWorkload{engines: 78, perSecond: 200, isCut: firstOfHall("hall-1", 22), mode: linkRefuses}, 2, 22},
 	}
 	for name, tc := range cases {
--- a/internal/plane/limit_test.go
+++ b/internal/plane/limit_test.go
@@ -29,6 +29,8 @@
 	// cold targets accept coldRate requests a second from coldFrom until coldUntil.
 	coldRate            barleystep.RateLimit
 	coldFrom, coldUntil time.Duration
+	// crowdFrom is since when most callers come to one box at a time; zero means never.
+	crowdFrom time.Duration
 }
 
 // The two services that callers request.
@@ -71,6 +73,9 @@
 	countSlack   = 5
 	limitGrace   = 3 * time.Second
 	reactionTime = 500 * ms
+	// crowdTime is how long one box has most callers, all but one in crowdEvery.
+	crowdTime  = 4 * time.Second
+	crowdEvery = 20
 	// startupTime is the time within which a starting box has heard of the others, and of
 	// limits.
 	startupTime = 500 * ms
@@ -138,13 +143,23 @@
 	draw := rand.New(rand.NewPCG(d.scenario.seed, 3))
 	for d.elapsed() < d.scenario.duration {
 		sleep(time.Duration(draw.ExpFloat64() / p.traffic.perSecond * float64(time.Second)))
-		b, service := d.boxes[draw.IntN(len(d.boxes))], []string{plainService, engineService}[draw.IntN(2)]
+		b, service := p.drawBox(d, draw), []string{plainService, engineService}[draw.IntN(2)]
 		if l := b.running(); l != nil {
 			calls.Go(func() { p.request(b, l, service) })
 		}
 	}
 }
 
+// drawBox returns the box at which a caller arrives. From crowdFrom on most callers come to one box,
+// to another one every crowdTime.
+func (p *pool) drawBox(d *simulation, draw *rand.Rand) *box {
+	b := d.boxes[draw.IntN(len(d.boxes))]
+	if since := d.elapsed() - p.traffic.crowdFrom; p.traffic.crowdFrom > 0 && since >= 0 && draw.IntN(crowdEvery) > 0 {
+		return d.boxes[int(since/crowdTime)%len(d.boxes)]
+	}
+	return b
+}
+
 // request sends one request of a caller.
 func (p *pool) request(b *box, l *process, service string) {
 	p.mu.Lock()
@@ -297,18 +312,21 @@
 		traffic     *traffic
 		utilization float64 // minimum utilization
 	}{
-		"one a second":           {small(24 * time.Second), one, 0.8},
-		"one in four seconds":    {small(40 * time.Second), &traffic{count: 12, perSecond: 20, limit: constant(0.25)}, 0.8},
-		"three a second":         {small(24 * time.Second), &traffic{count: 6, perSecond: 40, limit: constant(3)}, 0.8},
-		"twenty a second":        {small(16 * time.Second), &traffic{count: 6, perSecond: 240, limit: constant(20)}, 0.8},
-		"above all that is sent": {small(16 * time.Second), &traffic{count: 6, perSecond: 20, limit: constant(50)}, 0},
-		"limits fall":            {small(24 * time.Second), &traffic{count: 12, perSecond: 60, limit: falling}, 0.8},
-		"limits flap":            {small(24 * time.Second), &traffic{count: 12, perSecond: 60, limit: flapping(1)}, 0},
-		"the lead is killed":     {small(24*time.Second, event{10 * time.Second, killCollector("")}), one, 0.7},
-		"the lead stands still":  {small(24*time.Second, event{10 * time.Second, freezeCollector("", 3*time.Second)}), one, 0.7},
-		"a hall is cut off":      {small(24*time.Second, event{8 * time.Second, cutHall("hall-2")}, event{16 * time.Second, heal}), one, 0.7},
-		"all are killed":         {small(24*time.Second, event{8 * time.Second, killAll}), one, 0.6},
-		"a hundred boxes":        {scenario{halls: 5, boxes: 100, loss: 0.025, duration: 16 * time.Second}, &traffic{count: 40, perSecond: 120, limit: constant(1)}, 0.8},
+		"one a second":            {small(24 * time.Second), one, 0.8},
+		"one in four seconds":     {small(40 * time.Second), &traffic{count: 12, perSecond: 20, limit: constant(0.25)}, 0.8},
+		"three a second":          {small(24 * time.Second), &traffic{count: 6, perSecond: 40, limit: constant(3)}, 0.8},
+		"twenty a second":         {small(16 * time.Second), &traffic{count: 6, perSecond: 240, limit: constant(20)}, 0.8},
+		"above all that is sent":  {small(16 * time.Second), &traffic{count: 6, perSecond: 20, limit: constant(50)}, 0},
+		"limits fall":             {small(24 * time.Second), &traffic{count: 12, perSecond: 60, limit: falling}, 0.8},
+		"limits flap":             {small(24 * time.Second), &traffic{count: 12, perSecond: 60, limit: flapping(1)}, 0},
+		"the lead is killed":      {small(24*time.Second, event{10 * time.Second, killCollector("")}), one, 0.7},
+		"the lead stands still":   {small(24*time.Second, event{10 * time.Second, freezeCollector("", 3*time.Second)}), one, 0.7},
+		"a hall is cut off":       {small(24*time.Second, event{8 * time.Second, cutHall("hall-2")}, event{16 * time.Second, heal}), one, 0.7},
+		"all are killed":          {small(24*time.Second, event{8 * time.Second, killAll}), one, 0.6},
+		"most callers at one box": {small(24 * time.Second), &traffic{count: 12, perSecond: 40, limit: constant(1), crowdFrom: 6 * time.Second}, 0.7},
+		"three a second, crowd":   {small(24 * time.Second), &traffic{count: 6, perSecond: 40, limit: constant(3), crowdFrom: 6 * time.Second}, 0.7},
+		"a hundred boxes, crowd":  {scenario{halls: 5, boxes: 100, loss: 0.025, duration: 24 * time.Second}, &traffic{count: 40, perSecond: 120, limit: constant(1), crowdFrom: 6 * time.Second}, 0.7},
+		"a hundred boxes":         {scenario{halls: 5, boxes: 100, loss: 0.025, duration: 16 * time.Second}, &traffic{count: 40, perSecond: 120, limit: constant(1)}, 0.8},
 		"a hundred boxes, rolled": {
 			scenario{halls: 5, boxes: 100, duration: 16 * time.Second, events: rollingRestart(20, 600*ms)}, &traffic{count: 40, perSecond: 120, limit: constant(1)}, 0.6,
 		},
