soak: deadly parts of prompts, crowds at one box, silent connections to the store, unframed streams

A target that crashes now resets its connections: a plain close ended unframed streams between two events, which nobody can tell from their end.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
@@ -32,6 +33,11 @@
 	// own, so that the other draws of a seed do not change.
 	deadly     func() bool
 	deadlyRand *rand.Rand
+	// deadlyPart reports whether requests with a deadly part are sent now, which are drawn from
+	// partRand. crowded returns the box to which most requests go, on new connections, nil if none.
+	deadlyPart func() bool
+	crowded    func() *box
+	partRand   *rand.Rand
 	// long reports whether additional oversized prompts are sent now, which are drawn from longRand.
 	long      func() bool
 	longRand  *rand.Rand
@@ -55,6 +61,10 @@
 	// One in extraLongEvery requests has an oversized prompt while additional ones are sent.
 	extraLongEvery = 4
 	deadlyKey      = "key-a"
+	// firstParts is the number of first parts that prompts share. One in crowdEvery requests goes to
+	// any box while most go to one.
+	firstParts = 5
+	crowdEvery = 10
 	// shortPrompt and oversizedPrompt are lengths in tokens. oversizedPrompt exceeds the KV cache
 	// of an engine.
 	shortPrompt     = 500
@@ -68,6 +78,7 @@
 
 		deadlyRand: rand.New(rand.NewPCG(seed, streamDeadly+uint64(number))),
 		longRand:   rand.New(rand.NewPCG(seed, streamLong+uint64(number))),
+		partRand:   rand.New(rand.NewPCG(seed, streamDeadlyParts+uint64(number))),
 		client:     &http.Client{Transport: &http.Transport{DisableCompression: true}},
 	}
 }
@@ -76,6 +87,9 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		b := c.boxes[c.rand.IntN(len(c.boxes))]
+		if crowded := c.crowded(); crowded != nil && c.partRand.IntN(crowdEvery) > 0 {
+			b = crowded
+		}
 		c.history.RecordCall(c.call(b, c.randomCall()))
 		timer := c.clock.NewTimer(time.Duration(c.rand.ExpFloat64() * float64(thinkTime)))
 		select {
@@ -106,9 +120,22 @@
 		x.Kind, x.Path, x.Key, x.Body = KindIdempotent, "/again/", deadlyKey, platformtest.CrashBody
 		x.Oversized = false
 	}
+	if c.deadlyPart() && c.partRand.IntN(deadlyEvery) == 0 {
+		x.Key, x.Body, x.DeadlyPart = deadlyKey, "body of "+x.ID, true
+	}
 	return x
 }
 
+// parts returns the ids of the parts of the prompt. Deadly ones share the first part with others.
+func (x Call) parts() []string {
+	own := fmt.Sprintf("%x", xxhash.Sum64String(x.ID))
+	first := fmt.Sprintf("f%d", len(x.ID)%firstParts)
+	if x.DeadlyPart {
+		return []string{first, platformtest.CrashPart, own}
+	}
+	return []string{first, own}
+}
+
 // call sends one request and records the answer in the returned Call.
 func (c *caller) call(b *box, x Call) Call {
 	x.Box, x.Incarnation, x.TimeLimit, x.Started = b.id, b.currentIncarnation(), c.load.timeLimit, c.clock.Now()
@@ -135,7 +162,9 @@
 	}
 	req.Host = host
 	req.GetBody = nil // Keeps the transport from resending the request.
+	req.Close = c.crowded() != nil
 	platformtest.SetCallerHeaders(req.Header, x.ID, x.Key)
+	platformtest.SetPromptParts(req.Header, x.parts()...)
 	if x.Kind == KindResumableStream && c.rand.IntN(c.load.oversizedEvery) == 0 {
 		x.Oversized = true
 	}
--- a/internal/soak/check_deadly.go
+++ b/internal/soak/check_deadly.go
@@ -14,44 +14,65 @@
 	// maxLateExits is how many more may exit after that: if all three ran other requests too, one
 	// target that runs it alone is needed to identify the request.
 	maxLateExits = 1
+	// maxPartExits is how many targets may exit under requests no two alike that share a deadly part
+	// before they are sent to no other target, and maxLatePartExits how many more after that.
+	maxPartExits     = 5
+	maxLatePartExits = 3
 	// deadlyBound is how long a running box may take to learn of targets that exited during a
 	// request and of the resulting verdict. It is large, since the machine may be busy.
 	deadlyBound = 2 * time.Second
 )
 
-// checkDeadly checks that a request during which targets have exited is sent to no other target by
-// boxes whose process has run since the third exit. Boxes are given deadlyBound to learn of it, from
-// the end of a freeze if they were frozen.
+// deadlyRule bounds the targets that exit while executing requests of one kind.
+type deadlyRule struct {
+	name    string
+	matches func(a platformtest.Arrival) bool
+	// most is how many targets may exit before no other gets such a request, and late how many more
+	// may exit after that.
+	most, late int
+}
+
+var deadlyRules = []deadlyRule{
+	{"deadly requests", func(a platformtest.Arrival) bool { return a.Body == platformtest.CrashBody }, maxTargetExits, maxLateExits},
+	{"deadly parts", platformtest.Arrival.HasCrashPart, maxPartExits, maxLatePartExits},
+}
+
+// checkDeadly checks that a request during which targets have exited, or that has a part with which
+// they have, is sent to no other target by boxes whose process has run since the last of the exits
+// that are allowed. Boxes are given deadlyBound to learn of it, from the end of a freeze if they were
+// frozen.
 func (c *check) checkDeadly(calls map[string]*Call) {
-	var exits []platformtest.Arrival
-	for _, a := range c.history.arrivals {
-		if a.Body == platformtest.CrashBody && a.Run > 0 {
-			exits = append(exits, a)
+	for _, rule := range deadlyRules {
+		var exits []platformtest.Arrival
+		for _, a := range c.history.arrivals {
+			if rule.matches(a) && a.Run > 0 {
+				exits = append(exits, a)
+			}
 		}
+		slices.SortFunc(exits, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+		for _, at := range c.massKills() {
+			from, _ := slices.BinarySearchFunc(exits, at.Add(massKillWindow), func(a platformtest.Arrival, t time.Time) int { return a.At.Compare(t) })
+			c.checkLateExits(rule, exits[:from], calls)
+			exits = exits[from:]
+		}
+		c.checkLateExits(rule, exits, calls)
 	}
-	slices.SortFunc(exits, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
-	for _, at := range c.massKills() {
-		from, _ := slices.BinarySearchFunc(exits, at.Add(massKillWindow), func(a platformtest.Arrival, t time.Time) int { return a.At.Compare(t) })
-		c.checkLateExits(exits[:from], calls)
-		exits = exits[from:]
-	}
-	c.checkLateExits(exits, calls)
 }
 
 // checkLateExits checks exits of targets between which the boxes were not all killed at once. Boxes
 // keep what they know of fewer than three exits in memory only.
-func (c *check) checkLateExits(exits []platformtest.Arrival, calls map[string]*Call) {
-	if len(exits) <= maxTargetExits {
+func (c *check) checkLateExits(rule deadlyRule, exits []platformtest.Arrival, calls map[string]*Call) {
+	if len(exits) <= rule.most {
 		return
 	}
-	third, late := exits[maxTargetExits-1].At, 0
-	for _, a := range exits[maxTargetExits:] {
+	last, late := exits[rule.most-1].At, 0
+	for _, a := range exits[rule.most:] {
 		x := calls[a.Request]
-		if x == nil || !c.startedBefore(x, third) || !x.Started.After(c.informedBy(third, x)) {
+		if x == nil || !c.startedBefore(x, last) || !x.Started.After(c.informedBy(last, x)) {
 			continue
 		}
-		if late++; late > maxLateExits {
-			c.addViolation("deadly requests", a.Request, "%s ended, sent %s after three had", a.Target, x.Started.Sub(third))
+		if late++; late > rule.late {
+			c.addViolation(rule.name, a.Request, "%s ended, sent %s after %d had", a.Target, x.Started.Sub(last), rule.most)
 		}
 	}
 }
--- a/internal/soak/child.go
+++ b/internal/soak/child.go
@@ -24,6 +24,8 @@
 	Remove       *record                              `json:"remove,omitempty"`
 	StoreFault   string                               `json:"fault,omitempty"`
 	Forget       bool                                 `json:"forget,omitempty"`
+	// Mute makes the open connections to the store fall silent.
+	Mute bool `json:"mute,omitempty"`
 	// Says replaces the statement that a target makes in its answers.
 	Says *statement `json:"says,omitempty"`
 	// Slowdown, if not zero, replaces the factor by which a target is slower.
--- a/internal/soak/final_check.go
+++ b/internal/soak/final_check.go
@@ -72,6 +72,8 @@
 	c.long = func() bool { return s.long.Load() > 0 }
 	c.longCalls = s.longCalls
 	c.deadly = func() bool { return s.deadly.Load() > 0 }
+	c.deadlyPart = func() bool { return s.deadlyParts.Load() > 0 }
+	c.crowded = s.crowded.Load
 }
 
 // checkFinalState waits until all boxes serve again after the last fault and records reserved
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -31,6 +31,8 @@
 	Key         string
 	Path        string
 	Body        string
+	// DeadlyPart is set if the prompt has a part that crashes each target which begins to answer it.
+	DeadlyPart bool
 	// Oversized is set if the prompt exceeds the KV cache of an engine.
 	Oversized bool
 	// TimeLimit is how long the caller waits.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -65,6 +65,17 @@
 		s.deadly.Add(1)
 		s.sleep(ctx, e.Duration)
 		s.deadly.Add(-1)
+	case ActionDeadlyPart:
+		s.deadlyParts.Add(1)
+		s.sleep(ctx, e.Duration)
+		s.deadlyParts.Add(-1)
+	case ActionCrowd:
+		b := s.boxes[e.Index]
+		s.crowded.Store(b)
+		s.sleep(ctx, e.Duration)
+		s.crowded.CompareAndSwap(b, nil) // A later crowd may have taken its place.
+	case ActionMute:
+		s.muteStore(ctx)
 	case ActionKillLong:
 		s.killLong(ctx, e, max(e.Duration, killLongTime))
 	case ActionCut:
@@ -101,6 +112,11 @@
 	s.history.RecordStoreDown(s.Clock.Now())
 	s.storeMu.Unlock()
 	s.sleep(ctx, e.Duration)
+	s.endStoreFault()
+}
+
+// endStoreFault ends the oldest fault of the store.
+func (s *Runner) endStoreFault() {
 	s.storeMu.Lock()
 	defer s.storeMu.Unlock()
 	s.storeFaults = slices.Delete(s.storeFaults, 0, 1)
@@ -121,3 +137,17 @@
 		s.history.RecordRevocation(revocableKey, s.Clock.Now())
 	}
 }
+
+// muteTime is how long boxes may take to replace connections that have fallen silent.
+const muteTime = 3 * time.Second
+
+// muteStore makes the open connections to the store fall silent.
+func (s *Runner) muteStore(ctx context.Context) {
+	s.store.execute(command{Mute: true})
+	s.storeMu.Lock()
+	s.storeFaults = append(s.storeFaults, "none")
+	s.history.RecordStoreDown(s.Clock.Now())
+	s.storeMu.Unlock()
+	s.sleep(ctx, muteTime)
+	s.endStoreFault()
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,6 +66,14 @@
 	// ActionCut takes away the links of a box, or of all boxes of its hall, to all targets in the way
 	// that Detail names.
 	ActionCut Action = "cut"
+	// ActionDeadlyPart makes callers send requests no two alike, with one part that crashes each target.
+	ActionDeadlyPart Action = "deadly-part"
+	// ActionCrowd makes all callers open new connections, most of them to one box.
+	ActionCrowd Action = "crowd"
+	// ActionMute makes the open connections to the store fall silent, while new ones work.
+	ActionMute Action = "mute"
+	// ActionUnframed makes a target end streams without framing inside an event.
+	ActionUnframed Action = "unframed"
 	// ActionCold replaces a target, after the duration, by one that starts cold.
 	ActionCold Action = "cold"
 )
@@ -114,6 +122,12 @@
 	// all boxes of a hall.
 	cutGap       = 4 * time.Second
 	hallCutShare = 0.3
+	// deadlyPartGap, crowdGap, muteGap and unframedGap are the mean times between the faults that
+	// their names tell.
+	deadlyPartGap = 9 * time.Second
+	crowdGap      = 7 * time.Second
+	muteGap       = 8 * time.Second
+	unframedGap   = 4 * time.Second
 	// minFault and maxFault bound the duration of a fault.
 	minFault = 300 * time.Millisecond
 	maxFault = 4 * time.Second
@@ -145,6 +159,10 @@
 	streamCold
 	streamLong // streamLong draws the additional oversized prompts of callers.
 	streamCuts
+	streamDeadlyParts
+	streamCrowds
+	streamMutes
+	streamUnframed
 )
 
 // eventSources returns the sources of a run's events.
@@ -160,6 +178,10 @@
 		{streamEvacuations, evacuationGap, map[Action]int{ActionEvacuate: 1}},
 		{streamCold, coldGap, map[Action]int{ActionCold: 1}},
 		{streamCuts, cutGap, map[Action]int{ActionCut: 1}},
+		{streamDeadlyParts, deadlyPartGap, map[Action]int{ActionDeadlyPart: 1}},
+		{streamCrowds, crowdGap, map[Action]int{ActionCrowd: 1}},
+		{streamMutes, muteGap, map[Action]int{ActionMute: 1}},
+		{streamUnframed, unframedGap, map[Action]int{ActionUnframed: 1}},
 	}
 	if n := s.load().stops; n > 0 {
 		meanInterval := gracePeriod * time.Duration(n) / time.Duration(s.Boxes)
@@ -219,8 +241,10 @@
 func (e *Event) detail(r *rand.Rand, boxes, targets int) {
 	e.Index = r.IntN(targets)
 	switch e.Action {
-	case ActionTerm, ActionKill, ActionFreeze, ActionReload:
+	case ActionTerm, ActionKill, ActionFreeze, ActionReload, ActionCrowd:
 		e.Index = r.IntN(boxes)
+	case ActionUnframed:
+		e.Share = minShare + (maxShare-minShare)*r.Float64()
 	case ActionCut:
 		e.Index = r.IntN(boxes)
 		e.Detail = string(fault.Modes[r.IntN(len(fault.Modes))])
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,7 +34,11 @@
 	version int
 	keys    []string
 	deadly  atomic.Int64 // deadly counts the current periods in which callers send deadly requests.
-	probes  int          // probes counts the callers made to probe boxes.
+	// deadlyParts counts those in which they send requests with a deadly part, and crowded is the box
+	// to which most of them go.
+	deadlyParts atomic.Int64
+	crowded     atomic.Pointer[box]
+	probes      int // probes counts the callers made to probe boxes.
 	// configMu serializes changes of the configuration, storeMu faults of the store.
 	configMu    sync.Mutex
 	storeMu     sync.Mutex
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -55,10 +58,14 @@
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	out := newOutput()
 	t.OnArrival = func(a platformtest.Arrival) { out.send(report{Arrival: &a}) }
-	t.Crash = func() { os.Exit(1) }
+	conns := &resettableListener{Listener: l}
+	t.Crash = func() {
+		conns.reset() // A stream without framing whose connection is closed would look complete.
+		os.Exit(1)
+	}
 	t.Born = t.Clock.Now().UnixNano()
 	out.send(report{Addr: l.Addr().String()})
-	go func() { _ = t.Serve(l) }() // It runs until the process exits.
+	go func() { _ = t.Serve(conns) }() // It runs until the process exits.
 	return serveCommands(out, func(o command) int {
 		if o.TargetFaults != nil {
 			t.SetFaults(o.TargetFaults)
@@ -73,6 +80,34 @@
 	})
 }
 
+// resettableListener resets the connections that it has accepted.
+type resettableListener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept waits for a connection.
+func (l *resettableListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+// reset resets all connections; none is accepted any more.
+func (l *resettableListener) reset() {
+	l.mu.Lock() // Held until the process exits.
+	for _, c := range l.conns {
+		conn.Reset(c)
+	}
+}
+
 // headerTimeout is the time limit for reading the header of a request from a box.
 const headerTimeout = 4 * time.Second
 
@@ -86,14 +121,43 @@
 	s := &platformtest.Store{Clock: clk}
 	out := newOutput()
 	out.send(report{Addr: l.Addr().String()})
-	server := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	conns := &muteConns{handler: s}
+	server := &http.Server{Handler: conns, ReadHeaderTimeout: headerTimeout, ConnContext: conns.number}
 	go func() { _ = server.Serve(l) }() // It runs until the process exits.
 	return serveCommands(out, func(o command) int {
+		if o.Mute {
+			conns.mute()
+		}
 		executeOnStore(s, o)
 		return 0
 	})
 }
 
+// muteConns serves calls, except on connections that have been muted.
+type muteConns struct {
+	handler http.Handler
+	// accepted numbers the connections; those up to muted get no answers.
+	accepted, muted atomic.Int64
+}
+
+type connNumber struct{}
+
+func (m *muteConns) number(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connNumber{}, m.accepted.Add(1))
+}
+
+// mute makes the connections that are open fall silent.
+func (m *muteConns) mute() { m.muted.Store(m.accepted.Load()) }
+
+// ServeHTTP serves a call. One that was in progress when its connection was muted is answered.
+func (m *muteConns) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if number, ok := r.Context().Value(connNumber{}).(int64); ok && number <= m.muted.Load() {
+		<-r.Context().Done()
+		return
+	}
+	m.handler.ServeHTTP(w, r)
+}
+
 func executeOnStore(s *platformtest.Store, o command) {
 	switch {
 	case o.Put != nil && o.Put.Bytes != nil:
--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -153,6 +153,10 @@
 		t.addFault(platformtest.TargetFault(e.Detail), e.Share)
 		t.runner.sleep(ctx, e.Duration)
 		t.addFault(platformtest.TargetFault(e.Detail), -e.Share)
+	case ActionUnframed:
+		t.addFault(platformtest.TargetFaultTruncateUnframed, e.Share)
+		t.runner.sleep(ctx, e.Duration)
+		t.addFault(platformtest.TargetFaultTruncateUnframed, -e.Share)
 	case ActionSlowdown:
 		t.addSlowdown(1)
 		t.runner.sleep(ctx, e.Duration)
