front: the targets of one try count as one end against the parts of its prompt

Where several ended at once, for any reason, one request made each of its parts suspect, and all other prompts with them ran alone until one of them began. TestHelperCrashRecorded fails without the change.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -296,7 +296,8 @@
 }
 
 // TestHelperCrashRecorded checks that the crash of a helper counts as evidence against the prompt
-// that it prefilled a part of.
+// that it prefilled a part of, and that all targets of one try count as one end against the parts of
+// the prompt, which others share.
 func TestHelperCrashRecorded(t *testing.T) {
 	c := quicktest.New(t)
 	f := newFixture(t, state{view: newView()})
@@ -313,8 +314,10 @@
 		}
 	}
 	f.view.Route("h", "/giant/").MaxTries = 1
-	f.do(t, http.MethodPost, "/giant/", crashBody, "Prompt", "600")
+	f.do(t, http.MethodPost, "/giant/", crashBody, "Prompt", "600", "Part", "shared")
 	c.Check(f.suspectStatus("/giant/", crashBody), quicktest.Not(quicktest.Equals), suspect.Allowed)
+	shared := suspect.Subject{Parts: []suspect.Digest{suspect.Part{Service: "engines", ID: "shared"}.Digest()}}
+	c.Check(f.front.Balancer.Suspects.Assess(shared).Status, quicktest.Equals, suspect.Allowed)
 }
 
 // TestRunningTryCancelledOnRefusal checks that a running try is cancelled once its request is
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -119,11 +119,11 @@
 	brokenAt := t.stage.clock.Now()
 	candidates := t.possiblyEnded(res)
 	ended := t.endedTargets(ctx, candidates)
-	for _, target := range ended {
-		t.recordEnd(target, brokenAt)
+	isOwn := func(target fleet.Target) bool { return target.ID == t.placement.Target.ID }
+	own := max(slices.IndexFunc(ended, isOwn), 0)
+	for i, target := range ended {
+		t.recordEnd(target, brokenAt, i == own)
 	}
-	own := t.placement.Target.ID
-	isOwn := func(target fleet.Target) bool { return target.ID == own }
 	if res == resultBroken && t.timeToFirst == 0 && slices.ContainsFunc(candidates, isOwn) && !slices.ContainsFunc(ended, isOwn) {
 		t.stage.pendingChecks.Add(1)
 		go t.recordLateEnd(context.WithoutCancel(ctx), brokenAt)
@@ -144,20 +144,24 @@
 			return
 		}
 		if t.stage.balancer.HasSuccessor(target) || len(t.endedTargets(ctx, []fleet.Target{target})) > 0 {
-			t.recordEnd(target, brokenAt)
+			t.recordEnd(target, brokenAt, true)
 			return
 		}
 	}
 }
 
-// recordEnd records that a target has terminated while it had the request.
-func (t *try) recordEnd(target fleet.Target, at time.Time) {
+// recordEnd records that a target has terminated while it had the request. Of several that did, one
+// counts against the parts of the prompt: one request alone is not to make its parts suspect.
+func (t *try) recordEnd(target fleet.Target, at time.Time, countsForParts bool) {
 	x := t.exchange
 	endFlags := t.endFlags(target.ID)
 	t.stage.log.Warn().Str("request", x.call.RequestID).Str("digest", x.suspectDigest().String()).Str("account", x.account).
 		Str("target", string(target.ID)).Bool("unread", endFlags&suspect.BeforeFirstEvent != 0).
 		Strs("parts", x.call.SharedParts).Bool("alone", endFlags&suspect.RanAlone != 0).Msg(logPrefix + "A target terminated while it had the request.")
-	subject := suspect.Subject{Account: suspect.AccountKey(x.account), Request: x.suspectDigest(), BodySize: len(x.body), Parts: x.suspectParts()}
+	subject := suspect.Subject{Account: suspect.AccountKey(x.account), Request: x.suspectDigest(), BodySize: len(x.body)}
+	if countsForParts {
+		subject.Parts = x.suspectParts()
+	}
 	t.stage.balancer.Suspects.RecordEndOf(subject, suspect.NewEnd(uint32(balance.KeyOfTarget(target)), at, endFlags))
 }
 
