soak: cut boxes owe whole calls, not a share of one

For those five seconds no box had a target: one hall was evacuated, the targets of the other restarted, left or ended by deadly requests (logs of the boxes; no_target and queue_full at all of them). The bound of two thirds stands; what it asks for is counted in whole calls. The old check fails the new case of TestCheckCuts that shows it; a new one shows that a single missing call still counts.

--- a/internal/soak/check_cut.go
+++ b/internal/soak/check_cut.go
@@ -39,7 +39,7 @@
 	if atCut.calls < minCutCalls || others.calls < minCutCalls {
 		return
 	}
-	if atCut.share() < minCutShare*others.share() {
+	if owed := int(minCutShare * others.share() * float64(atCut.calls)); atCut.whole < owed {
 		c.violations = append(c.violations, fmt.Sprintf("cut boxes: %s served at boxes without links to targets, %s at others", atCut, others))
 	}
 }
