--- a/internal/soak/check_cut_test.go
+++ b/internal/soak/check_cut_test.go
@@ -31,7 +31,7 @@
 		"refused without a relay":    {2 * time.Second, 50, 5, true, false},
 		"refused everywhere":         {2 * time.Second, 50, 50, false, false},
 		"refused nearly everywhere":  {2 * time.Second, 100, 99, false, false},
-		"two calls are owed":          {2 * time.Second, 100, 97, false, true},
+		"two calls are owed":         {2 * time.Second, 100, 97, false, true},
 		"refused at the beginning":   {500 * time.Millisecond, 100, 5, false, false},
 		"refused after it has ended": {8 * time.Second, 100, 5, false, false},
 	}
