front: refusals that close the connection read the body first

Callers that open a connection for each request, or ask a box that stops, lost the answer to a refused request with a long body: the refusal came before the body had been read, and net/http drains a body only on connections that stay open. The connection was closed half a second later, and reset a caller that still wrote.

What is left of the body, up to 256 kB, is now read for at most 0.2 s before the answer. TestRefusalReadsBody reads nothing in its second and third case without the change.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -138,6 +140,35 @@
 	}
 }
 
+// TestRefusalReadsBody guards against refusals that callers lose since the connection is closed while
+// they still write the body.
+func TestRefusalReadsBody(t *testing.T) {
+	const size = 96 << 10
+	cases := map[string]struct {
+		close, stops bool
+		want         int64 // want is how much of the body is read.
+	}{
+		"connection stays open":        {false, false, 0},
+		"caller closes the connection": {true, false, size},
+		"box stops":                    {false, true, size},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, state{view: newView()})
+			if tc.stops {
+				f.front.BeginShutdown(time.Now().Add(time.Minute))
+			}
+			body := strings.NewReader(strings.Repeat("x", size))
+			r := httptest.NewRequest(http.MethodPost, "http://h/none/", io.NopCloser(body))
+			r.Close, r.ContentLength = tc.close, size
+			answer := httptest.NewRecorder()
+			f.front.ServeHTTP(answer, r)
+			quicktest.Check(t, answer.Code, quicktest.Equals, http.StatusNotFound)
+			quicktest.Check(t, size-int64(body.Len()), quicktest.Equals, tc.want)
+		})
+	}
+}
+
 // TestForwarded checks that method, path, query and body reach the target unchanged, and that
 // hop-by-hop headers do not.
 func TestForwarded(t *testing.T) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -182,12 +183,37 @@
 }
 
 func (s *Server) refuse(x *Exchange, r *barleystep.Refusal) {
+	s.drainBody(x)
 	h := make(http.Header)
 	s.Protocol.SetResponseHeaders(h, x.call.RequestID, r.RetryAfter())
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	x.answer.WriteFull(reply.FromBox(statusOf(r), h), []byte(r.Error()+"\n"))
 }
 
+const (
+	// maxDrainedBody bounds what is read of a body whose request is refused, in bytes, and
+	// drainTimeout for how long.
+	maxDrainedBody = 256 << 10
+	drainTimeout   = 200 * time.Millisecond
+)
+
+// drainBody reads what is left of the body before an answer that closes the connection. A caller that
+// still writes it would find the connection reset, and lose the answer; net/http does the same on
+// connections that stay open.
+func (s *Server) drainBody(x *Exchange) {
+	if x.r.ContentLength == 0 || (!x.r.Close && !s.shuttingDown.Load()) {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		if clock.Sleep(ctx, s.Clock, drainTimeout) {
+			x.answer.AbortRequestBody()
+		}
+	}()
+	_, _ = io.CopyN(io.Discard, x.r.Body, maxDrainedBody) // The refusal is sent in any case.
+}
+
 // statusOf returns the HTTP status for a refusal. Statuses that guarantee that a request has not
 // run are only used where that is true.
 func statusOf(r *barleystep.Refusal) int {
