clock: suspensions are not measured too short by the time between two reads at the start

The time and the boot clock were read one after the other; what passed between the two, longer on a busy machine, was missing from each suspension. The reading with the least time between them is taken of eight, with the later time.

--- a/internal/clock/suspension.go
+++ b/internal/clock/suspension.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -30,9 +31,12 @@
 // processClock measures for this process.
 var processClock = newSuspension()
 
+// startReadings is how often the clocks are read at the start: the reading in which the least time
+// passed between them is the most exact.
+const startReadings = 8
+
 func newSuspension() *suspension {
-	start := time.Now()
-	first := bootTime()
+	start, first := readStart()
 	return &suspension{
 		start: start.Round(0),
 		readClocks: func() (steady, day time.Duration) {
@@ -43,6 +47,21 @@
 	}
 }
 
+// readStart returns the time and the boot clock at one moment. The time is never the earlier one, so
+// that a suspension is not measured too short by what passed between the two.
+func readStart() (start time.Time, boot time.Duration) {
+	least := time.Duration(math.MaxInt64)
+	for range startReadings {
+		before := time.Now()
+		b := bootTime()
+		after := time.Now()
+		if gap := after.Sub(before); gap < least {
+			least, start, boot = gap, after, b
+		}
+	}
+	return start, boot
+}
+
 // bootTime returns the time since the machine was booted, suspensions included, or zero on a system
 // that does not provide it.
 func bootTime() time.Duration {
