suspect: a sound part beside two deadly ones is not refused

Refused, it could not be cleared, since an answer that begins is what clears it.

All proven parts together now explain ends, as do others that share two or more; of a part with as many ends as are kept, earlier ones count as its own. What is left open by that runs alone. A deadly part is refused all the same as soon as it ends a target alone without the others, or three that no other one explains.

--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -198,11 +198,20 @@
 	}
 }
 
-// covers reports whether each target that ended under the other evidence also ended under this.
-func (e Evidence) covers(o Evidence) bool {
-	return !slices.ContainsFunc(o.ends, func(end End) bool {
-		return !slices.ContainsFunc(e.ends, func(own End) bool { return own.key == end.key })
-	})
+// without returns the ends under this evidence that were not under the other. Of the other, only the
+// last maxEnds are known: earlier ones count as its own.
+func (e Evidence) without(o Evidence) (ends []End) {
+	var earliest time.Time
+	if len(o.ends) >= maxEnds {
+		earliest = slices.MinFunc(o.ends, func(x, y End) int { return x.at.Compare(y.at) }).at
+	}
+	for _, end := range e.ends {
+		isShared := slices.ContainsFunc(o.ends, func(other End) bool { return other.key == end.key })
+		if !isShared && !end.at.Before(earliest) {
+			ends = append(ends, end)
+		}
+	}
+	return ends
 }
 
 // concerns reports whether the evidence counts in full against requests of an account: targets have
--- a/internal/suspect/subject.go
+++ b/internal/suspect/subject.go
@@ -62,24 +62,47 @@
 	if status == Refused && e.isPart() && !e.concerns(s.Account) {
 		status = Isolated
 	}
-	if status == Allowed || !b.isExplained(s, d, e) {
+	if status == Allowed {
 		return status
 	}
-	if e.proven() {
-		return Isolated // A run of it alone tells it from the part that explains its ends.
+	left, certain := b.unexplained(s, d, e)
+	switch {
+	case !e.proven() && left == 0:
+		return Allowed
+	case status == Refused && !certain:
+		return Isolated // A run of it alone tells it from the parts that explain its ends.
+	default:
+		return status
 	}
-	return Allowed
 }
 
-// isExplained reports whether another part, which the request does not have, is proven to end
-// targets and did end all those that ended under the evidence. The lock is held.
-func (b *Registry) isExplained(s Subject, d Digest, e Evidence) bool {
+// minSharedEnds is how many ends a part that is not proven must share with another one to explain
+// them: one is shared by chance.
+const minSharedEnds = 2
+
+// unexplained returns how many of the ends of e, which is against d, are left unexplained by those
+// parts that the request does not have and that are proven to end targets. certain is set if other
+// suspected parts cannot explain these either: not all together one while it ran alone, or no single
+// one of them all but two. The lock is held.
+func (b *Registry) unexplained(s Subject, d Digest, e Evidence) (left int, certain bool) {
+	var others []Evidence
 	for other, o := range b.known {
-		if other != d && o.isPart() && o.proven() && !slices.Contains(s.Parts, other) && o.covers(e) {
-			return true
+		switch {
+		case other == d || !o.isPart() || slices.Contains(s.Parts, other):
+		case o.proven():
+			e.ends = e.without(o)
+		default:
+			others = append(others, o)
+		}
+	}
+	byNone, most := e, 0
+	for _, o := range others {
+		if shared := len(e.ends) - len(e.without(o)); shared >= minSharedEnds {
+			most = max(most, shared)
+			byNone.ends = byNone.without(o)
 		}
 	}
-	return false
+	return len(e.ends), byNone.ranAlone() > 0 || len(e.ends)-most >= refusedEnds
 }
 
 // RecordEndOf records that an incarnation of a target has ended while it had the request. Parts of
--- a/internal/suspect/subject_test.go
+++ b/internal/suspect/subject_test.go
@@ -43,6 +43,17 @@
 	three := func(account string, parts ...string) []step {
 		return []step{end(1, beside, account, parts...), end(2, alone, account, parts...), end(3, alone, account, parts...)}
 	}
+	// many returns ends under bad, the first three of them also under another part.
+	many := func(account string, n uint32, other string) (steps []step) {
+		for key := range n {
+			parts := []string{"bad"}
+			if key < 3 {
+				parts = []string{other, "bad"}
+			}
+			steps = append(steps, end(key, alone, account, parts...))
+		}
+		return steps
+	}
 	join := func(steps []step, more ...step) []step { return append(steps[:len(steps):len(steps)], more...) }
 	cases := map[string]struct {
 		steps   []step
@@ -69,6 +80,11 @@
 		"explained by a part that ends more":       {join(three("acme", "bad"), end(2, beside, "acme", "rare"), end(3, beside, "acme", "rare")), "acme", []string{"rare"}, suspect.Allowed},
 		"explained, one of its ends alone":         {join(three("acme", "bad"), end(1, beside, "acme", "rare"), end(2, beside, "acme", "rare"), end(3, alone, "acme", "rare")), "acme", []string{"rare"}, suspect.Isolated},
 		"not explained":                            {join(three("acme", "bad"), end(4, beside, "acme", "rare"), end(5, beside, "acme", "rare")), "acme", []string{"rare"}, suspect.Isolated},
+		"a part beside two deadly ones":            {[]step{end(1, beside, "acme", "first", "bad"), end(2, alone, "acme", "first", "bad"), end(3, beside, "acme", "first", "worse"), end(4, alone, "acme", "first", "worse")}, "acme", []string{"first"}, suspect.Isolated},
+		"a part beside two proven ones":            {[]step{end(1, beside, "acme", "first", "bad"), end(2, alone, "acme", "first", "bad"), end(3, alone, "acme", "first", "bad"), end(4, beside, "acme", "first", "worse"), end(5, alone, "acme", "first", "worse"), end(6, alone, "acme", "first", "worse")}, "acme", []string{"first"}, suspect.Isolated},
+		"beside a part with more ends than kept":   {many("acme", 12, "first"), "acme", []string{"first"}, suspect.Isolated},
+		"that part":                                {many("acme", 12, "first"), "acme", []string{"other", "bad"}, suspect.Refused},
+		"other parts in each request":              {[]step{end(1, beside, "acme", "a", "bad"), end(2, alone, "acme", "a", "bad"), end(3, alone, "acme", "b", "bad"), end(4, alone, "acme", "c", "bad"), end(5, alone, "acme", "d", "bad")}, "acme", []string{"e", "bad"}, suspect.Refused},
 		"two deadly parts, the second":             {join(three("acme", "bad"), end(4, beside, "acme", "worse"), end(5, alone, "acme", "worse"), end(6, alone, "acme", "worse")), "acme", []string{"worse"}, suspect.Refused},
 		"two deadly parts, the first":              {join(three("acme", "bad"), end(4, beside, "acme", "worse"), end(5, alone, "acme", "worse"), end(6, alone, "acme", "worse")), "acme", []string{"bad"}, suspect.Refused},
 		"another account":                          {three("acme", "bad"), "other", []string{"bad"}, suspect.Isolated},
