--- a/internal/plane/suspect_test.go
+++ b/internal/plane/suspect_test.go
@@ -3,6 +3,7 @@
 package plane_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
@@ -206,20 +208,13 @@
 	}
 	whole, counts := false, d.elapsed() < d.scenario.duration-callerTimeout-streamTime // Later ones may be cut off by the scenario's end.
 	for sends, dials := 0, 0; sends < maxSends && dials < maxDials; {
-		verdict := l.balancer.Suspects.Assess(subject)
-		if verdict.Status == suspect.Refused {
+		p, err := placeUnsuspected(ctx, l, &j, subject)
+		if eris.Is(err, balance.ErrSuspectRefused) {
 			w.count(ask, &w.refused)
-			break
 		}
-		j.Suspect, j.EndedTargets = verdict.Digest, verdict.Ended
-		p, err := l.balancer.Place(ctx, j)
 		if err != nil {
 			break
 		}
-		if now := l.balancer.Suspects.Assess(subject).Status; now == suspect.Refused || (now == suspect.Isolated && j.EndedTargets == 0) {
-			p.Cancel()
-			continue
-		}
 		var reached bool
 		reached, whole = w.send(d, l, p, ask, j.EndedTargets > 0)
 		p.Done(balance.Report{Unreachable: !reached})
@@ -242,6 +237,27 @@
 	}
 }
 
+// placeUnsuspected obtains a placement, another one if the request became a suspect while it waited
+// for the first.
+func placeUnsuspected(ctx context.Context, l *process, j *balance.Job, subject suspect.Subject) (*balance.Placement, error) {
+	for {
+		verdict := l.balancer.Suspects.Assess(subject)
+		if verdict.Status == suspect.Refused {
+			return nil, balance.ErrSuspectRefused
+		}
+		j.Suspect, j.EndedTargets = verdict.Digest, verdict.Ended
+		p, err := l.balancer.Place(ctx, *j)
+		if err != nil {
+			return nil, err
+		}
+		now := l.balancer.Suspects.Assess(subject).Status
+		if now == suspect.Allowed || (now == suspect.Isolated && j.EndedTargets > 0) {
+			return p, nil
+		}
+		p.Cancel()
+	}
+}
+
 // count increments n for a harmless request.
 func (w *deadlyWorkload) count(ask prompt, n *int) {
 	w.mu.Lock()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -52,15 +52,29 @@
 		for _, b := range s.boxes {
 			b.signal(syscall.SIGKILL)
 		}
-	case ActionStore:
+	case ActionStore, ActionForget, ActionMute:
 		s.injectStoreFault(ctx, e)
-	case ActionForget:
-		s.store.execute(command{Forget: true})
 	case ActionRoute:
 		s.routes.Add(1)
 		s.writeConfig()
 	case ActionRevoke:
 		s.revokeKey()
+	case ActionDeadly, ActionDeadlyPart, ActionCrowd:
+		s.injectCallerFault(ctx, e)
+	case ActionKillLong:
+		s.killLong(ctx, e, max(e.Duration, killLongTime))
+	case ActionCut:
+		s.cut(ctx, e)
+	case ActionEvacuate:
+		s.evacuate(ctx, e.Detail, max(e.Duration, evacuationTime))
+	default:
+		s.targets[e.Index].inject(ctx, e)
+	}
+}
+
+// injectCallerFault changes what callers send, or where.
+func (s *Runner) injectCallerFault(ctx context.Context, e Event) {
+	switch e.Action {
 	case ActionDeadly:
 		s.deadly.Add(1)
 		s.sleep(ctx, e.Duration)
@@ -69,21 +83,11 @@
 		s.deadlyParts.Add(1)
 		s.sleep(ctx, e.Duration)
 		s.deadlyParts.Add(-1)
-	case ActionCrowd:
+	default:
 		b := s.boxes[e.Index]
 		s.crowded.Store(b)
 		s.sleep(ctx, e.Duration)
 		s.crowded.CompareAndSwap(b, nil) // A later crowd may have taken its place.
-	case ActionMute:
-		s.muteStore(ctx)
-	case ActionKillLong:
-		s.killLong(ctx, e, max(e.Duration, killLongTime))
-	case ActionCut:
-		s.cut(ctx, e)
-	case ActionEvacuate:
-		s.evacuate(ctx, e.Detail, max(e.Duration, evacuationTime))
-	default:
-		s.targets[e.Index].inject(ctx, e)
 	}
 }
 
@@ -103,9 +107,18 @@
 	}
 }
 
-// injectStoreFault makes the store fail for the event's duration. If several faults overlap, the
+// injectStoreFault makes the store forget its history, makes its connections fall silent, or makes it
+// fail for the event's duration. If several faults overlap, the
 // newest stays active until the last of them has ended.
 func (s *Runner) injectStoreFault(ctx context.Context, e Event) {
+	switch e.Action {
+	case ActionForget:
+		s.store.execute(command{Forget: true})
+		return
+	case ActionMute:
+		s.muteStore(ctx)
+		return
+	}
 	s.storeMu.Lock()
 	s.storeFaults = append(s.storeFaults, e.Detail)
 	s.store.execute(command{StoreFault: e.Detail})
--- a/internal/suspect/subject.go
+++ b/internal/suspect/subject.go
@@ -119,29 +119,21 @@
 }
 
 // RecordSuccessOf records that a run of the request has completed.
-func (b *Registry) RecordSuccessOf(s Subject) {
-	if b == nil {
-		return
-	}
-	if s.Request != (Digest{}) {
-		b.RecordSuccess(s.Request, s.BodySize)
-	}
-	b.recordPartSuccess(s)
-}
+func (b *Registry) RecordSuccessOf(s Subject) { b.recordSurvival(s, b.RecordSuccess) }
 
 // RecordAnswerStartOf records that an answer to the request has begun. No part of its prompt ends
 // targets then.
-func (b *Registry) RecordAnswerStartOf(s Subject) {
+func (b *Registry) RecordAnswerStartOf(s Subject) { b.recordSurvival(s, b.RecordAnswerStart) }
+
+// recordSurvival clears the parts of the request, and records for the request itself what has
+// happened.
+func (b *Registry) recordSurvival(s Subject, record func(d Digest, bodySize int)) {
 	if b == nil {
 		return
 	}
 	if s.Request != (Digest{}) {
-		b.RecordAnswerStart(s.Request, s.BodySize)
+		record(s.Request, s.BodySize)
 	}
-	b.recordPartSuccess(s)
-}
-
-func (b *Registry) recordPartSuccess(s Subject) {
 	now := b.Clock.Now()
 	for _, d := range s.Parts {
 		b.add(d, Evidence{bodySize: partSize, lastSuccess: now})
