--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -191,8 +191,10 @@
 		return Refused
 	case len(e.ends) >= isolatedEnds:
 		return Isolated
-	case e.isPart() && e.ranAlone() > 0, !e.isPart() && slices.ContainsFunc(e.ends, unread):
-		return Isolated // Many sound requests may share a part, so that one end beside others is not enough.
+	case e.isPart() && e.ranAlone() > 0: // One end beside others is not enough: sound requests share parts.
+		return Isolated
+	case !e.isPart() && slices.ContainsFunc(e.ends, unread):
+		return Isolated
 	default:
 		return Allowed
 	}
--- a/internal/suspect/subject.go
+++ b/internal/suspect/subject.go
@@ -80,10 +80,10 @@
 // them: one is shared by chance.
 const minSharedEnds = 2
 
-// unexplained returns how many of the ends of e, which is against d, are left unexplained by those
-// parts that the request does not have and that are proven to end targets. certain is set if other
-// suspected parts cannot explain these either: not all together one while it ran alone, or no single
-// one of them all but two. The lock is held.
+// unexplained returns how many of the ends of e, which is against d, are not also ends of a part that
+// the request lacks and that is proven to end targets. certain is set if these are evidence enough
+// beside the other suspected parts that it lacks: one came while the request ran alone and none of
+// them shares it, or no single one of them leaves fewer than refusedEnds. The lock is held.
 func (b *Registry) unexplained(s Subject, d Digest, e Evidence) (left int, certain bool) {
 	var others []Evidence
 	for other, o := range b.known {
