--- a/internal/plane/part_test.go
+++ b/internal/plane/part_test.go
@@ -102,14 +102,14 @@
 		relearned int
 		served    float64
 	}{
-		"one first part":       {nine(), usual, nil, 0, 0.9},
-		"many first parts":     {nine(), with(func(f *partTraffic) { f.deadlyFirsts = 20 }), nil, 0, 0.9},
-		"a rare first part":    {nine(), with(func(f *partTraffic) { f.rare = true }), nil, 0, 0.9},
+		"one first part":       {nine(), usual, nil, 0, 0.95},
+		"many first parts":     {nine(), with(func(f *partTraffic) { f.deadlyFirsts = 20 }), nil, 0, 0.95},
+		"a rare first part":    {nine(), with(func(f *partTraffic) { f.rare = true }), nil, 0, 0.95},
 		"often":                {nine(), with(func(f *partTraffic) { f.share = 0.5 }), nil, 0, 0.9},
-		"seldom":               {nine(), with(func(f *partTraffic) { f.share = 0.02 }), nil, 0, 0.9},
-		"two parts":            {nine(), two, nil, 0, 0.9},
-		"behind sound parts":   {nine(), with(func(f *partTraffic) { f.behind = 6 }), nil, 0, 0.9},
-		"all accounts":         {nine(), with(func(f *partTraffic) { f.deadlyAccounts = 10 }), nil, 0, 0.9},
+		"seldom":               {nine(), with(func(f *partTraffic) { f.share = 0.02 }), nil, 0, 0.95},
+		"two parts":            {nine(), two, nil, 0, 0.93},
+		"behind sound parts":   {nine(), with(func(f *partTraffic) { f.behind = 6 }), nil, 0, 0.95},
+		"all accounts":         {nine(), with(func(f *partTraffic) { f.deadlyAccounts = 10 }), nil, 0, 0.93},
 		"engines crash":        {nine(), usual, crashes, 0, 0.85},
 		"only engines crash":   {nine(), with(func(f *partTraffic) { f.share = 0 }), crashes, 0, 0.9},
 		"the lead is killed":   {nine(event{3300 * ms, killCollector("")}), usual, nil, 0, 0.9},
@@ -117,8 +117,8 @@
 		"a hall is cut off":    {nine(event{2 * time.Second, cutHall("hall-2")}, event{12 * time.Second, heal}), usual, nil, 1, 0.9},
 		"all are killed":       {nine(event{8 * time.Second, killAll}), usual, nil, 0, 0.85},
 		"all are killed early": {nine(event{3500 * ms, killAll}), usual, nil, 1, 0.85},
-		"sixty-six boxes":      {large(66), usual, nil, 0, 0.9},
-		"one by hand":          {large(*partBoxes), usual, nil, 0, 0.9},
+		"sixty-six boxes":      {large(66), usual, nil, 0, 0.95},
+		"one by hand":          {large(*partBoxes), usual, nil, 0, 0.95},
 	}
 	for name, tc := range cases {
 		if tc.scenario.boxes == 0 {
