front: whether an answer has begun is recorded as such

A try took a time to the first event of zero for an answer that had not begun. On a clock that stands the time of an answer that has begun is zero too, so the late look at a target that broke off was started for a stream that had been moved away, and its timer was counted by the test's loop, which then advanced the clock past the next placement.

Conclusion: a fact of its own instead of a duration that is zero.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -95,8 +95,8 @@
 // startAnswer sends the head of the answer, unless an earlier try has sent one.
 func (t *try) startAnswer() {
 	x := t.exchange
-	if t.timeToFirst == 0 {
-		t.timeToFirst = t.stage.clock.Now().Sub(t.started)
+	if !t.begun {
+		t.begun = true
 		t.placement.NoteFirstEvent()
 		t.recordBegun()
 	}
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -124,7 +124,7 @@
 	for i, target := range ended {
 		t.recordEnd(target, brokenAt, i == own)
 	}
-	if res == resultBroken && t.timeToFirst == 0 && slices.ContainsFunc(candidates, isOwn) && !slices.ContainsFunc(ended, isOwn) {
+	if res == resultBroken && !t.begun && slices.ContainsFunc(candidates, isOwn) && !slices.ContainsFunc(ended, isOwn) {
 		t.stage.pendingChecks.Add(1)
 		go t.recordLateEnd(context.WithoutCancel(ctx), brokenAt)
 	}
@@ -168,7 +168,7 @@
 // endFlags returns the circumstances of the try for the evidence against its request, where the
 // target has ended. Helpers of a request that runs alone have other requests.
 func (t *try) endFlags(target barleystep.TargetID) (endFlags suspect.EndFlags) {
-	if t.timeToFirst == 0 {
+	if !t.begun {
 		endFlags |= suspect.BeforeFirstEvent
 	}
 	if t.isolated && target == t.placement.Target.ID {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -30,11 +30,11 @@
 	number         int
 	isolated       bool // isolated is set for a suspect, whose target gets no other requests.
 	started        time.Time
-	sent           time.Time     // sent is when the request was sent to the target.
-	head           reply.Head    // head is the head of the target's answer.
-	skippedAnswers int           // skippedAnswers counts the answers to other requests that came before it.
-	timeToFirst    time.Duration // timeToFirst is the time to the first event or the complete answer.
-	failure        []byte        // failure is the body of the target's own failure, kept to be relayed later.
+	sent           time.Time  // sent is when the request was sent to the target.
+	head           reply.Head // head is the head of the target's answer.
+	skippedAnswers int        // skippedAnswers counts the answers to other requests that came before it.
+	begun          bool       // begun is set once the first event or the complete answer has arrived.
+	failure        []byte     // failure is the body of the target's own failure, kept to be relayed later.
 	// reserved holds the reservations at helpers.
 	reserved []reservation
 	// renewalsDone is closed when no renewal is in flight any more.
@@ -285,7 +285,7 @@
 	if err != nil {
 		return resultBroken, err
 	}
-	t.timeToFirst = t.stage.clock.Now().Sub(t.started)
+	t.begun = true
 	switch {
 	case impliesNotRun(resp.StatusCode):
 		return resultFailed, errUnconfirmedStatus
