front: TestShutdownIncompleteBody waits for the shutdown's timer

The goroutine that aborts incomplete bodies computes its pause from the clock and starts its timer afterwards. Where the test advanced its clock in between, the timer was due ten seconds too late, and the caller's read timed out.

--- a/internal/front/shutdown_test.go
+++ b/internal/front/shutdown_test.go
@@ -319,6 +319,7 @@
 	f, manual, _ := newSingleEngineFixture(t)
 	caller := f.startPartialBody(t)
 	f.front.BeginShutdown(manual.Now().Add(left))
+	waitTimers(manual, 1)
 	manual.Advance(left)
 	c.Assert(caller.SetReadDeadline(time.Now().Add(20*time.Second)), quicktest.IsNil)
 	got, err := http.ReadResponse(bufio.NewReader(caller), nil)
