balance: a long prompt asked for again is placed where engines are free

A stream that has begun and breaks off asks for another engine until its caller leaves, every 0.2 s. Each time after the first was refused at once: a long prompt's time to wait counts from its first arrival, is an eighth of its objective then, and was over, whether or not engines had become free. Found as the second cause of TestShutdownStalledStream's hang, whose request asked eight times in 1.5 s beside an idle engine.

Conclusion: such a prompt is placed if engines are free now, and does not queue.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -54,10 +54,15 @@
 
 // placeLong plans a long prompt that has just arrived, with all that wait.
 func (b *Balancer) placeLong(j Job) (p *Placement, w *QueuedJob, err error) {
-	_, h, err := b.usableTargets(j)
+	candidates, h, err := b.usableTargets(j)
 	if err != nil {
 		return nil, nil, err
 	}
+	if h == holdNone && b.isAskedAgain(j) {
+		if p, _ = b.placeLongNow(j, candidates); p != nil {
+			return b.placed(j, p), nil, nil
+		}
+	}
 	if p, w, err = b.enqueue(j, h); err != nil || h != holdNone {
 		return p, w, err
 	}
@@ -71,6 +76,13 @@
 	}
 }
 
+// isAskedAgain reports whether a job has waited for as long as it may and is asked for again by a
+// caller that has not left.
+func (b *Balancer) isAskedAgain(j Job) bool {
+	now := b.Clock.Now()
+	return !now.Before(b.waitDeadline(j)) && now.Add(j.minTTFT()).Before(j.FirstEventDeadline)
+}
+
 // NextStart returns when the earliest planned prompt may be placed, zero if none is planned.
 func (b *Balancer) NextStart() time.Time {
 	b.mu.Lock()
--- a/internal/balance/queue_test.go
+++ b/internal/balance/queue_test.go
@@ -230,3 +230,44 @@
 		})
 	}
 }
+
+// TestAskedAgain checks that a long prompt that is asked for again after it has waited its time is
+// placed if engines are free by then. It guards against streams that cannot be resumed for as long as
+// they last because no engine was free when they broke off.
+func TestAskedAgain(t *testing.T) {
+	cases := map[string]struct {
+		stillBusy bool
+		patience  time.Duration
+		placed    bool
+	}{
+		"engines are free":      {false, time.Minute, true},
+		"engines are busy":      {true, time.Minute, false},
+		"the caller has left":   {false, time.Second, false},
+		"the caller will leave": {false, 2*time.Second + 50*time.Millisecond, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(1)
+			busy := balance.NewSnapshot()
+			busy.Work[balance.KeyOf("i-00")] = balance.Work{Backlog: 10 * time.Second}
+			f.SetOthers(busy)
+			j := engineJob(longPrompt)
+			j.Arrival = f.clock.Now()
+			j.FirstEventDeadline = j.Arrival.Add(tc.patience)
+			p, w, err := f.TryPlace(context.Background(), j)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(p, quicktest.IsNil)
+			f.clock.Advance(2 * time.Second)
+			_, err = f.Abandon(w)
+			c.Assert(eris.Is(err, balance.ErrFull), quicktest.IsTrue)
+			if !tc.stillBusy {
+				f.SetOthers(balance.NewSnapshot())
+			}
+			p, w, err = f.TryPlace(context.Background(), j)
+			c.Check(w, quicktest.IsNil)
+			c.Check(p != nil, quicktest.Equals, tc.placed)
+			c.Check(err == nil, quicktest.Equals, tc.placed)
+		})
+	}
+}
