balance: suspects that are cleared while they wait for a trial run as others do

Sound requests that share a part with deadly ones queue for the trial of that part. The first trial clears it, but all that were queued still ran one after the other, each on a target of its own for up to 0.6 s, and many were not served in time. They now stop waiting (ErrSuspectCleared) and are placed anew; a box that has not heard of it yet waits 50 ms. Over the wire it is FAILED_PRECONDITION; an older box takes that for a failed call and places the request itself.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -34,6 +34,10 @@
 // sent to no other one.
 var ErrSuspectRefused = eris.New("balance: the request is refused since targets have ended under it")
 
+// ErrSuspectCleared is returned for a suspect that was cleared while it waited for its trial. It may
+// be placed as any other request, unless another part of its prompt is suspected.
+var ErrSuspectCleared = eris.New("balance: the request is no longer suspected of ending targets")
+
 // ErrStillWaiting is returned when a job has waited for its engines for as long as one call to the
 // lead may take. The caller should ask again.
 var ErrStillWaiting = eris.New("balance: still waiting for engines")
--- a/internal/balance/lead.go
+++ b/internal/balance/lead.go
@@ -89,7 +89,7 @@
 			b.Lead.PrefillDone(plan.ID) // It will not be prefilled there.
 		}
 		return p, nil
-	case eris.Is(err, ErrFull), eris.Is(err, ErrCannotMeetDeadline), eris.Is(err, ErrSuspectRefused):
+	case eris.Is(err, ErrFull), eris.Is(err, ErrCannotMeetDeadline), eris.Is(err, ErrSuspectRefused), eris.Is(err, ErrSuspectCleared):
 		return nil, err
 	case ctx.Err() != nil: // Nobody would carry out a placement made here.
 		return nil, context.Cause(ctx)
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -231,6 +231,7 @@
 	b.serveQueue(&b.shortQueue, shorts)
 	b.planLongQueue()
 	serveInOrder(b, &b.limitQueue, func(j Job) string { return j.Service })
+	b.releaseCleared()
 	serveInOrder(b, &b.trialQueue, func(j Job) suspect.Digest { return j.Suspect })
 }
 
--- a/internal/balance/suspect.go
+++ b/internal/balance/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -72,6 +73,21 @@
 	return p, holdNone, nil
 }
 
+// releaseCleared ends the wait of queued suspects that have been cleared. One trial clears a part of
+// many prompts, which need no trials of their own.
+func (b *Balancer) releaseCleared() {
+	b.trialQueue = slices.DeleteFunc(b.trialQueue, func(w *QueuedJob) bool {
+		if w.cancelled {
+			return true
+		}
+		if status, _ := b.Suspects.Status(w.job.Suspect); status != suspect.Allowed {
+			return false
+		}
+		w.fail(ErrSuspectCleared)
+		return true
+	})
+}
+
 // placeLeastBusy takes the target with the fewest requests.
 func (b *Balancer) placeLeastBusy(j Job, candidates []fleet.Target) *Placement {
 	best, least := 0, 0.0
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -96,9 +96,11 @@
 		tries++
 		t := &try{stage: d, exchange: x, placement: placement, number: tries, isolated: job.EndedTargets > 0}
 		res, err := t.run(ctx)
+		if res == resultDone {
+			t.clear() // Comes first, since requests may wait for this trial.
+		}
 		placement.Done(t.report(ctx, res))
 		if res == resultDone {
-			t.clear()
 			return next(ctx, x)
 		}
 		d.logFailedTry(x, t, res, err)
@@ -118,14 +120,18 @@
 }
 
 // placeUnsuspected obtains a placement for the request, another one if it became a suspect while it
-// waited for the first.
+// waited for the first, or was one and has been cleared.
 func (d *deliver) placeUnsuspected(ctx context.Context, x *Exchange, job *balance.Job) (*balance.Placement, error) {
 	for {
 		p, err := d.place(ctx, x, job)
-		if err != nil || !d.becameSuspect(x, job) {
+		switch {
+		case eris.Is(err, balance.ErrSuspectCleared):
+			d.awaitCleared(ctx, x, job)
+		case err != nil || !d.becameSuspect(x, job):
 			return p, err
+		default:
+			p.Cancel()
 		}
-		p.Cancel()
 	}
 }
 
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -351,10 +351,12 @@
 	req, err := http.NewRequestWithContext(ctx, method, f.url+path, strings.NewReader(body))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	req.Host = "h"
-	req.Header.Set("Id", "r1")
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Add(headers[i], headers[i+1])
 	}
+	if req.Header.Get("Id") == "" {
+		req.Header.Set("Id", "r1")
+	}
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// clearedTime is the time within which all boxes know that a suspect is cleared.
+const clearedTime = 50 * time.Millisecond
+
+// awaitCleared waits until this box knows too that the suspect is cleared, for which the lead has not
+// placed it.
+func (d *deliver) awaitCleared(ctx context.Context, x *Exchange, job *balance.Job) {
+	if x.verdict(d.balancer.Suspects).Digest == job.Suspect {
+		clock.Sleep(ctx, d.clock, clearedTime)
+	}
+}
+
 // suspectRefusal returns the refusal of a request that targets terminated under. Its Retry-After is
 // the time for which the request stays refused.
 func (d *deliver) suspectRefusal(x *Exchange, outcome barleystep.Outcome) *barleystep.Refusal {
--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -105,6 +105,8 @@
 		return balance.Plan{}, balance.ErrCannotMeetDeadline
 	case connect.CodeOf(err) == connect.CodePermissionDenied:
 		return balance.Plan{}, balance.ErrSuspectRefused
+	case connect.CodeOf(err) == connect.CodeFailedPrecondition:
+		return balance.Plan{}, balance.ErrSuspectCleared
 	case connect.CodeOf(err) == connect.CodeNotFound:
 		return balance.Plan{}, balance.ErrNoTarget
 	case connect.CodeOf(err) == connect.CodeAborted:
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -18,6 +18,7 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/lead"
+	"github.com/barleystep/barleystep/internal/suspect"
 )
 
 var cost = &fleet.CostModel{
@@ -130,6 +131,44 @@
 	return work
 }
 
+// TestClearedSuspectOfPeer guards against requests of other boxes that wait for a trial which they no
+// longer need.
+func TestClearedSuspectOfPeer(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPair(t, view, engines)
+	d := suspect.Request{RequestURI: "/"}.Digest()
+	for _, b := range []*balance.Balancer{p.box, p.lead} {
+		b.Suspects = &suspect.Registry{Clock: p.clock}
+		b.Suspects.RecordEnd(d, 1, suspect.NewEnd(1, p.clock.Now(), suspect.BeforeFirstEvent|suspect.RanAlone))
+	}
+	trial := job(1_000)
+	trial.RequestID, trial.Suspect = "first", d
+	_, err := p.lead.Place(context.Background(), trial)
+	c.Assert(err, quicktest.IsNil)
+	waiting := trial
+	waiting.RequestID = "second"
+	failed := make(chan error, 1)
+	go func() {
+		_, err := p.box.Place(context.Background(), waiting)
+		failed <- err
+	}()
+	for p.clock.PendingTimers() < 2 { // The call's, and that of the wait at the lead.
+		runtime.Gosched()
+	}
+	p.clock.Advance(time.Millisecond)
+	p.lead.Suspects.RecordSuccess(d, 1)
+	for {
+		p.lead.SetOthers(balance.NewSnapshot())
+		select {
+		case err := <-failed:
+			c.Check(err, quicktest.ErrorIs, balance.ErrSuspectCleared)
+			return
+		default:
+			runtime.Gosched()
+		}
+	}
+}
+
 // TestSeparateTargets checks that two boxes that ask one after the other get different engines to
 // decode on.
 func TestSeparateTargets(t *testing.T) {
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -96,6 +96,8 @@
 		return nil, encodeRefusal(err)
 	case eris.Is(err, balance.ErrSuspectRefused):
 		return nil, connect.NewError(connect.CodePermissionDenied, err)
+	case eris.Is(err, balance.ErrSuspectCleared):
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	case eris.Is(err, balance.ErrNoTarget):
 		return nil, connect.NewError(connect.CodeNotFound, err)
 	case eris.Is(err, balance.ErrCannotMeetDeadline):
--- a/internal/plane/suspect_test.go
+++ b/internal/plane/suspect_test.go
@@ -93,6 +93,8 @@
 	firstEvent = 100 * ms
 	// suspectGossipTime is the time within which all boxes know what one has seen.
 	suspectGossipTime = 200 * ms
+	// clearedTime is how long a box waits to hear that a suspect is cleared.
+	clearedTime = 50 * ms
 	// contactTime is how long a box that has started may lack what the others knew.
 	contactTime = 3 * time.Second
 	// maxEnded is how many engines may end with a request before it is sent to no other.
@@ -247,6 +249,12 @@
 		}
 		j.Suspect, j.EndedTargets = verdict.Digest, verdict.Ended
 		p, err := l.balancer.Place(ctx, *j)
+		if eris.Is(err, balance.ErrSuspectCleared) {
+			if l.balancer.Suspects.Assess(subject).Digest == j.Suspect {
+				clock.Sleep(ctx, l.balancer.Clock, clearedTime)
+			}
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
