--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -54,6 +55,23 @@
 	}
 }
 
+// TestReservedMemoryOfSilentTarget guards against memory that is held at helpers, renewed each second, for
+// a target that never begins the prompt.
+func TestReservedMemoryOfSilentTarget(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	view := newView()
+	view.Route("h", "/giant/").Objective = time.Hour // The route's time limit is 20 s.
+	release := make(chan struct{})
+	silent := func(net.Conn, *http.Request) bool { <-release; return false }
+	f := newFixture(t, state{view: view}, silent, eventStream(1, 2, false))
+	f.target.orders = []step{completeAnswer(http.StatusOK, "", "")}
+	got := f.do(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+	close(release)
+	c.Check(got.status, quicktest.Equals, http.StatusOK)
+	c.Check(strings.Count(f.target.kinds(), "S"), quicktest.Equals, 2)
+}
+
 // TestPendingReleases checks that the server reports that memory is still being released after the
 // request has been answered. If the box terminates before that, the memory stays reserved until the
 // reservation expires.
--- a/internal/front/stall_watch.go
+++ b/internal/front/stall_watch.go
@@ -36,6 +36,9 @@
 	minSilence = 1500 * time.Millisecond
 	// minSilenceDown is the minimum silence if the target seems to be down.
 	minSilenceDown = 500 * time.Millisecond
+	// maxReservedSilence is the silence allowed to a target for whose prompt other targets hold memory,
+	// unless its answer is expected later than half of that: memory may stay unused for 9 s.
+	maxReservedSilence = 7 * time.Second
 	// claimRetryInterval is the interval for trying again to move a request that no other target
 	// can take. A silent target is better than none.
 	claimRetryInterval = 200 * time.Millisecond
@@ -69,6 +72,9 @@
 	}
 	w.maxPause = max(pauseFactor*x.route.MaxPause, minSilence)
 	first := max(firstEventFactor*x.route.Objective, minSilence) + expectedWaitFactor*t.placement.ExpectedTTFT()
+	if len(t.reserved) > 0 {
+		first = min(first, max(maxReservedSilence, expectedWaitFactor*t.placement.ExpectedTTFT()))
+	}
 	w.lastHeard = w.clock.Now()
 	w.deadline = w.lastHeard.Add(first)
 	go w.run()
