--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -103,14 +103,8 @@
 		return balance.Plan{}, c.refusal(err)
 	case connect.CodeOf(err) == connect.CodeDeadlineExceeded && callCtx.Err() == nil:
 		return balance.Plan{}, balance.ErrCannotMeetDeadline
-	case connect.CodeOf(err) == connect.CodePermissionDenied:
-		return balance.Plan{}, balance.ErrSuspectRefused
-	case connect.CodeOf(err) == connect.CodeFailedPrecondition:
-		return balance.Plan{}, balance.ErrSuspectCleared
-	case connect.CodeOf(err) == connect.CodeNotFound:
-		return balance.Plan{}, balance.ErrNoTarget
-	case connect.CodeOf(err) == connect.CodeAborted:
-		return balance.Plan{}, balance.ErrStillWaiting
+	case codes[connect.CodeOf(err)] != nil:
+		return balance.Plan{}, codes[connect.CodeOf(err)]
 	case ctx.Err() != nil: // The caller disconnected, which says nothing about the lead.
 		return balance.Plan{}, eris.Wrap(context.Cause(ctx), "lead: place")
 	default:
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -90,20 +90,10 @@
 	}
 	plan, err := s.Balancer.PlaceForPeer(ctx, j, now.Add(requestedHold(r.Msg, j)))
 	switch {
-	case eris.Is(err, balance.ErrStillWaiting):
-		return nil, connect.NewError(connect.CodeAborted, err)
 	case eris.Is(err, balance.ErrFull):
 		return nil, encodeRefusal(err)
-	case eris.Is(err, balance.ErrSuspectRefused):
-		return nil, connect.NewError(connect.CodePermissionDenied, err)
-	case eris.Is(err, balance.ErrSuspectCleared):
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
-	case eris.Is(err, balance.ErrNoTarget):
-		return nil, connect.NewError(connect.CodeNotFound, err)
-	case eris.Is(err, balance.ErrCannotMeetDeadline):
-		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
 	case err != nil:
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, connect.NewError(codeOf(err), err)
 	}
 	out := &placementv1.PlaceResponse{Number: plan.ID, Target: string(plan.Target), ExpectedUs: plan.ExpectedTTFT.Microseconds()}
 	for _, h := range plan.Helpers {
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -145,3 +145,24 @@
 	}
 	return plan
 }
+
+// codes are the codes of errors that say all there is to say of a placement.
+var codes = map[connect.Code]error{
+	connect.CodeAborted:            balance.ErrStillWaiting,
+	connect.CodePermissionDenied:   balance.ErrSuspectRefused,
+	connect.CodeFailedPrecondition: balance.ErrSuspectCleared,
+	connect.CodeNotFound:           balance.ErrNoTarget,
+}
+
+// codeOf returns the code of a placement's error other than balance.ErrFull.
+func codeOf(err error) connect.Code {
+	for code, known := range codes {
+		if eris.Is(err, known) {
+			return code
+		}
+	}
+	if eris.Is(err, balance.ErrCannotMeetDeadline) {
+		return connect.CodeDeadlineExceeded // Also the code of calls that time out, so not among codes.
+	}
+	return connect.CodeUnavailable
+}
