--- a/internal/plane/part_test.go
+++ b/internal/plane/part_test.go
@@ -56,14 +56,13 @@
 	maxLateSends = 3
 )
 
-// lateSends returns how many requests with the part were sent after the fifth engine had ended and
-// that was known.
+// lateSends returns how many requests with the part were sent after the fifth engine had ended.
 func (c *partCount) lateSends() (n int) {
 	if len(c.ends) < maxPartEnds {
 		return 0
 	}
 	for _, at := range c.sends {
-		if at > c.ends[maxPartEnds-1]+suspectGossipTime {
+		if at > c.ends[maxPartEnds-1] {
 			n++
 		}
 	}
--- a/internal/plane/suspect_test.go
+++ b/internal/plane/suspect_test.go
@@ -73,7 +73,7 @@
 // partCount counts what one deadly part does.
 type partCount struct {
 	ends []time.Duration // ends are the times at which it ended engines.
-	// sends are the times at which requests with it were sent by boxes that had run for contactTime.
+	// sends are the times at which requests with it were sent.
 	sends []time.Duration
 }
 
@@ -95,8 +95,6 @@
 	suspectGossipTime = 200 * ms
 	// clearedTime is how long a box waits to hear that a suspect is cleared.
 	clearedTime = 50 * ms
-	// contactTime is how long a box that has started may lack what the others knew.
-	contactTime = 3 * time.Second
 	// maxEnded is how many engines may end with a request before it is sent to no other.
 	maxEnded = 3
 	// maxSends is to how many engines a request is sent, and maxDials how many unreachable
@@ -283,7 +281,7 @@
 		return false, false
 	}
 	if ask.deadly {
-		w.recordSend(d, l, ask)
+		w.recordSend(d, ask)
 		time.AfterFunc(crashDelay, func() { w.kill(d, m, ask) })
 	}
 	first := time.NewTimer(firstEvent)
@@ -315,11 +313,11 @@
 }
 
 // recordSend records that the deadly request is sent.
-func (w *deadlyWorkload) recordSend(d *simulation, l *process, ask prompt) {
+func (w *deadlyWorkload) recordSend(d *simulation, ask prompt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := d.elapsed()
-	if c := w.deadlyParts[ask.deadlyPart]; c != nil && time.Since(l.started) >= contactTime {
+	if c := w.deadlyParts[ask.deadlyPart]; c != nil {
 		c.sends = append(c.sends, now)
 	}
 	if w.firstEnd == 0 || now <= w.firstEnd+suspectGossipTime {
