--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// clearedTime is the time within which all boxes know that a suspect is cleared.
+// clearedTime is how long a box waits to hear that a suspect is cleared before it asks again.
 const clearedTime = 50 * time.Millisecond
 
 // awaitCleared waits until this box knows too that the suspect is cleared, for which the lead has not
