--- /dev/null
+++ b/review/standin/reload.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// reloadBoxes is 0.3 of the nine boxes, rounded down, and reloadRounds how often each is stopped as
+	// planned, started again, and told of new settings.
+	reloadBoxes  = 2
+	reloadRounds = 3
+	restartDelay = 500 * time.Millisecond
+)
+
+// waitReady waits until the box takes callers; it reports false if it ends before or takes too long.
+func (b *box) waitReady(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-b.exited:
+			return false
+		default:
+		}
+		if b.isReady() {
+			return true
+		}
+	}
+	return false
+}
+
+// runReload changes the settings of boxes just as they are started after a planned stop.
+func runReload(root string, rec *record) int {
+	trouble := os.Getenv("TROUBLE") != "0"
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return exitCannot
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f := &fleetOf{store: newStore(), rec: rec}
+	f.store.put("op", "config", configuration(3))
+	for range 3 {
+		if _, err := f.addTarget(); err != nil {
+			return exitCannot
+		}
+	}
+	zones := []string{"cluj-hala1", "cluj-hala2", "dej-hala"}
+	if code := f.startBoxes(root, dir, boxCount, zones, func(int) string { return "" }, "1"); code != exitHeld {
+		return code
+	}
+	defer f.endBoxes()
+	rec.line("all boxes are ready; trouble %v", trouble)
+	counts := newCounts()
+	work, endWork := context.WithCancel(ctx)
+	defer endWork()
+	var busy sync.WaitGroup
+	for _, b := range f.boxes {
+		busy.Add(1)
+		go func() {
+			defer busy.Done()
+			c := &client{box: b, host: "portal.example", path: "/status/7", key: "key-coop", limit: routeLimit, extra: time.Second}
+			for work.Err() == nil {
+				counts.add(c.send(work, "POST"))
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
+	program := filepath.Join(root, "target/barleystep-router")
+	ends := make(map[string]int)
+	for round := range reloadRounds {
+		for _, b := range f.boxes[:reloadBoxes] {
+			if b.end(9 * time.Second) {
+				rec.line("%s did not end within 9 s of SIGTERM", b.id)
+			}
+			rec.line("%s has ended after a planned stop and is started again", b.id)
+			time.Sleep(restartDelay)
+			if err := b.start(program, b.file, "1"); err != nil {
+				return exitCannot
+			}
+			if trouble {
+				// The settings change: the platform writes the file and tells the process.
+				if err := setRetries(b.file, 107+round); err != nil {
+					return exitCannot
+				}
+				b.signal(syscall.SIGHUP)
+				rec.line("%s: the settings file has changed, SIGHUP", b.id)
+			}
+			if b.waitReady(5 * time.Second) {
+				rec.line("%s is ready", b.id)
+				continue
+			}
+			select {
+			case <-b.exited:
+				ends[b.id]++
+				rec.line("%s has ended by itself: %v", b.id, b.cmd.ProcessState)
+			default:
+				rec.line("%s runs and is not ready", b.id)
+				return exitCannot
+			}
+			time.Sleep(restartDelay) // The platform starts a process that has ended again.
+			if err := b.start(program, b.file, "1"); err != nil || !b.waitReady(5*time.Second) {
+				return exitCannot
+			}
+			rec.line("%s is started again and ready", b.id)
+		}
+	}
+	endWork()
+	busy.Wait()
+	counts.write(rec)
+	machines := 0
+	for _, n := range ends {
+		if n >= 3 {
+			machines++
+		}
+	}
+	text := fmt.Sprintf("processes that ended by themselves, by machine: %v; three times or more on %d of %d machines", ends, machines, boxCount)
+	rec.line("%s", text)
+	fmt.Println(text)
+	if machines >= 2 {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// setRetries writes the settings file anew with another number of retries.
+func setRetries(file string, extra int) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	text := extraSetting.ReplaceAllString(string(data), fmt.Sprintf("extra = %d", extra))
+	if err := os.WriteFile(file+".next", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(file+".next", file)
+}
+
+var extraSetting = regexp.MustCompile(`extra = \d+`)
