--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -32,6 +31,7 @@
 	key    string
 	limit  time.Duration // limit is sent as X-Barleystep-Deadline-Ms.
 	extra  time.Duration // extra is how much longer than that the client waits for an answer.
+	rec    *record
 	mu     sync.Mutex
 	conn   net.Conn
 	reader *bufio.Reader
@@ -44,10 +44,13 @@
 }
 
 // send makes one attempt.
-func (c *client) send(ctx context.Context, method string) (a attempt) {
+func (c *client) send(method string) (a attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a = attempt{id: newID(), box: c.box.id}
+	defer func() {
+		c.rec.line("client: %s %s%s with %s to %s: status %d after %.3f s, %s", a.id, c.host, c.path, c.key, a.box, a.status, a.took.Seconds(), a.outcome)
+	}()
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp4", c.box.front, time.Second)
 		if err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -27,7 +27,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	zones := []string{"cluj-hala1", "cluj-hala2", "dej-hala"}
-	t := &target{id: "i-" + newID(), service: "portal", zone: zones[f.next%len(zones)], slots: 6, work: 20 * time.Millisecond}
+	t := &target{id: "i-" + newID(), service: "portal", zone: zones[f.next%len(zones)], slots: 6, work: 20 * time.Millisecond, rec: f.rec}
 	f.next++
 	if err := t.start(); err != nil {
 		return nil, err
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,7 +36,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		os.Exit(exitCannot)
 	}
-	cases := map[string]func(root string, r *record) int{"stuck": runStuck, "reload": runReload, "revoke": runRevoke}
+	cases := map[string]func(root, dir string, r *record) int{"stuck": runStuck, "reload": runReload, "revoke": runRevoke}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -45,5 +47,22 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannot)
 	}
-	os.Exit(run(os.Args[2], &record{file: file, started: time.Now()}))
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCannot)
+	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		_ = os.RemoveAll(dir)
+		os.Exit(exitCannot) // The processes that were started end with this one.
+	}()
+	// Where SIGHUP is ignored, as under nohup, the processes that are started would ignore it too. One
+	// that is handled here has its default action there.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	code := run(os.Args[2], dir, &record{file: file, started: time.Now()})
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
 }
--- a/review/standin/reload.go
+++ b/review/standin/reload.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"regexp"
 	"sync"
@@ -14,9 +13,9 @@
 
 const (
 	// reloadBoxes is 0.3 of the nine boxes, rounded down, and reloadRounds how often each is stopped as
-	// planned, started again, and told of new settings.
+	// planned, started again, and told of new settings. It ends sooner once the rule is broken.
 	reloadBoxes  = 2
-	reloadRounds = 3
+	reloadRounds = 8
 	restartDelay = 500 * time.Millisecond
 )
 
@@ -36,15 +35,9 @@
 }
 
 // runReload changes the settings of boxes just as they are started after a planned stop.
-func runReload(root string, rec *record) int {
+func runReload(root, dir string, rec *record) int {
 	trouble := os.Getenv("TROUBLE") != "0"
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	dir, err := os.MkdirTemp("", "review")
-	if err != nil {
-		return exitCannot
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	ctx := context.Background()
 	f := &fleetOf{store: newStore(), rec: rec}
 	f.store.put("op", "config", configuration(3))
 	for range 3 {
@@ -66,9 +59,9 @@
 		busy.Add(1)
 		go func() {
 			defer busy.Done()
-			c := &client{box: b, host: "portal.example", path: "/status/7", key: "key-coop", limit: routeLimit, extra: time.Second}
+			c := &client{box: b, host: "portal.example", path: "/status/7", key: "key-coop", limit: routeLimit, extra: time.Second, rec: rec}
 			for work.Err() == nil {
-				counts.add(c.send(work, "POST"))
+				counts.add(c.send("POST"))
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
@@ -76,20 +69,26 @@
 	program := filepath.Join(root, "target/barleystep-router")
 	ends := make(map[string]int)
 	for round := range reloadRounds {
+		if machinesOf(ends) >= 2 || (!trouble && round == 3) {
+			break
+		}
 		for _, b := range f.boxes[:reloadBoxes] {
 			if b.end(9 * time.Second) {
 				rec.line("%s did not end within 9 s of SIGTERM", b.id)
 			}
 			rec.line("%s has ended after a planned stop and is started again", b.id)
 			time.Sleep(restartDelay)
-			if err := b.start(program, b.file, "1"); err != nil {
-				return exitCannot
-			}
+			// New settings come as the machine starts: the platform writes the file, starts the process and
+			// tells it that the file has changed.
 			if trouble {
-				// The settings change: the platform writes the file and tells the process.
 				if err := setRetries(b.file, 107+round); err != nil {
 					return exitCannot
 				}
+			}
+			if err := b.start(program, b.file, "1"); err != nil {
+				return exitCannot
+			}
+			if trouble {
 				b.signal(syscall.SIGHUP)
 				rec.line("%s: the settings file has changed, SIGHUP", b.id)
 			}
@@ -115,12 +114,7 @@
 	endWork()
 	busy.Wait()
 	counts.write(rec)
-	machines := 0
-	for _, n := range ends {
-		if n >= 3 {
-			machines++
-		}
-	}
+	machines := machinesOf(ends)
 	text := fmt.Sprintf("processes that ended by themselves, by machine: %v; three times or more on %d of %d machines", ends, machines, boxCount)
 	rec.line("%s", text)
 	fmt.Println(text)
@@ -130,6 +124,16 @@
 	return exitHeld
 }
 
+// machinesOf returns on how many machines processes ended by themselves three times.
+func machinesOf(ends map[string]int) (machines int) {
+	for _, n := range ends {
+		if n >= 3 {
+			machines++
+		}
+	}
+	return machines
+}
+
 // setRetries writes the settings file anew with another number of retries.
 func setRetries(file string, extra int) error {
 	data, err := os.ReadFile(file)
--- a/review/standin/revoke.go
+++ b/review/standin/revoke.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -29,15 +27,9 @@
 }
 
 // runRevoke takes the keys of two customers away, one after the other.
-func runRevoke(root string, rec *record) int {
+func runRevoke(root, dir string, rec *record) int {
 	trouble := os.Getenv("TROUBLE") != "0"
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	dir, err := os.MkdirTemp("", "review")
-	if err != nil {
-		return exitCannot
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	ctx := context.Background()
 	f := &fleetOf{store: newStore(), rec: rec}
 	first, second := tenant{"coop", "key-coop"}, tenant{"desk", "key-desk"}
 	stranger := tenant{"nobody", "key-that-no-config-held"}
@@ -66,9 +58,9 @@
 			busy.Add(1)
 			go func() {
 				defer busy.Done()
-				c := &client{box: b, host: "portal.example", path: "/status/7", key: t.key, limit: routeLimit, extra: time.Second}
+				c := &client{box: b, host: "portal.example", path: "/status/7", key: t.key, limit: routeLimit, extra: time.Second, rec: rec}
 				for work.Err() == nil {
-					a := c.send(work, "POST")
+					a := c.send("POST")
 					counts.add(attempt{box: b.id + ", key of " + t.name, status: a.status, outcome: a.outcome})
 					mu.Lock()
 					at, taken := acked[t.key]
--- a/review/standin/stuck.go
+++ b/review/standin/stuck.go
@@ -9,10 +9,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -96,19 +94,9 @@
 
 // runStuck lets servers leave a part of their requests unanswered while prompts over an engine's memory
 // come on a streaming route that is not resumable.
-func runStuck(root string, rec *record) int {
+func runStuck(root, dir string, rec *record) int {
 	trouble := os.Getenv("TROUBLE") != "0"
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	dir, err := os.MkdirTemp("", "review")
-	if err != nil {
-		return exitCannot
-	}
-	if os.Getenv("KEEP") == "" {
-		defer func() { _ = os.RemoveAll(dir) }()
-	} else {
-		fmt.Println(dir)
-	}
+	ctx := context.Background()
 	f := &fleetOf{store: newStore(), rec: rec}
 	f.store.put("op", "config", streamConfiguration(env("RESUMABLE", "0") == "1"))
 	var mu sync.Mutex
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -17,7 +17,7 @@
 	id, service, zone, addr string
 	slots                   int
 	work                    time.Duration
-	log                     func(format string, args ...any)
+	rec                     *record
 
 	listener net.Listener
 	server   *http.Server
@@ -96,6 +96,7 @@
 	t.runs[id]++
 	run := t.runs[id]
 	t.mu.Unlock()
+	t.rec.line("server: %s runs %s, tenant %q", t.id, id, r.Header.Get("X-Barleystep-Tenant"))
 	time.Sleep(t.work)
 	t.running.Add(-1)
 	<-t.sem
