front: log whether an answer had a length and how many events were dropped

No line told whether a stream ended by its framing or with its connection, nor that a target had repeated events, so that the hypotheses on the reported ORDER violations could not be told apart. The lines of failed tries and of ended requests have both now.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -337,7 +337,8 @@
 func (d *deliver) logFailedTry(x *Exchange, t *try, res result, err error) {
 	e := d.log.Warn().Str("request", x.call.RequestID).Str("target", string(t.placement.Target.ID)).
 		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.head.Status()).
-		Bool("sealed", t.head.Sealed()).Int("skipped", t.skippedAnswers).Bool("begun", x.answer.HeadSent()).Str("last_event", x.lastEvent)
+		Bool("sealed", t.head.Sealed()).Int("skipped", t.skippedAnswers).Bool("begun", x.answer.HeadSent()).Str("last_event", x.lastEvent).
+		Bool("unframed", x.unframed).Int("dropped_events", x.droppedEvents)
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -61,6 +61,10 @@
 	timeToFirst   time.Duration // timeToFirst is the time from the start to the first event or the complete answer.
 	lastEvent     string        // lastEvent is the id of the last event that was sent.
 	events        int
+	// droppedEvents counts the events of targets that the caller already had.
+	droppedEvents int
+	// unframed is set if the last answer of a target had neither a length nor chunks.
+	unframed bool
 	lastWrite     time.Time     // lastWrite is when the last events were sent.
 	maxPause      time.Duration // maxPause is the longest pause between events so far.
 }
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -53,9 +53,13 @@
 // unframed answer that the target broke off after the head looks the same as one without events. It
 // counts as complete only if the caller already has events, since there may be none after those.
 func (t *try) mayBeComplete(resp *http.Response) bool {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	x := t.exchange
-	return framed || x.answer.HeadSent() || x.call.LastEventID != ""
+	return !isUnframed(resp) || x.answer.HeadSent() || x.call.LastEventID != ""
+}
+
+// isUnframed reports whether the end of the answer is that of its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // forward sends the complete events of data and returns the remaining bytes.
@@ -76,6 +80,7 @@
 			break
 		}
 		fresh = fresh[first:]
+		x.droppedEvents++
 	}
 	if len(fresh) == 0 {
 		return data[end:], nil
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -243,7 +243,8 @@
 	e.Str("request", x.call.RequestID).Str("outcome", outcome.String()).Int("status", head.Status()).
 		Int("sends", x.sends).Str("target", string(x.target)).Int("helpers", x.helpers).
 		Str("relay", x.relay).Str("source", string(head.Source())).Bool("sealed", head.Sealed()).
-		Int("prompt", x.call.PromptTokens).Int("events", x.events)
+		Int("prompt", x.call.PromptTokens).Int("events", x.events).
+		Bool("unframed", x.unframed).Int("dropped_events", x.droppedEvents)
 	if x.view != nil {
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.viewAge)
 	}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -123,6 +123,7 @@
 		c.Release(nil)
 		return t.sendFailed(ctx, err)
 	}
+	x.unframed = isUnframed(resp)
 	x.progress.enter(PhaseAnswering, t.stage.clock.Now())
 	res, err := t.handleAnswer(resp, watch)
 	resp.Body.Close()
