event, front: one rule for what is an event of an answer

Callers got bytes that belong to no request: a second answer, another request's answer or bytes that are none, behind a stream without a length; events twice where a target repeats them in one chunk or behind a comment; a stream with a gap where a resumption begins too late; and events that they have by their own Last-Event-Id. A target that sends blank lines or comments without end kept the box reading and writing.

The front took whatever ended in a blank line for events and compared ids only for the first events of a read, so that the outcome also depended on where reads end. event.Scanner now reads line by line, and an event is a block with an id above the last that the caller has. What is no event ends the answer; on a route that resumes, another target is asked from the last event. An answer that another one follows has ended whole, if no other target can be asked. Without a length, ids that go back are another answer's; within one they are repetitions.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -113,6 +113,9 @@
 			dials++
 		}
 		if !d.shouldRetry(ctx, t, res, dials) {
+			if x.endedWhole && ctx.Err() == nil {
+				return next(ctx, x)
+			}
 			return d.finish(ctx, x, failed, err)
 		}
 		d.meter.AttemptRetried(res.String())
@@ -231,7 +234,7 @@
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return false
 	}
-	if x.answer.HeadSent() && (x.lastEvent == "" || !x.route.Resumable) {
+	if x.answer.HeadSent() && (!x.cursor.IsSet() || !x.route.Resumable) {
 		return false
 	}
 	return t.retryPaid.Load() || d.budget.AllowRetry(x.service)
@@ -337,7 +340,7 @@
 func (d *deliver) logFailedTry(x *Exchange, t *try, res result, err error) {
 	e := d.log.Warn().Str("request", x.call.RequestID).Str("target", string(t.placement.Target.ID)).
 		Str("result", res.String()).Str("blamed", string(t.blamed)).Int("send", x.sends).Int("status", t.head.Status()).
-		Bool("sealed", t.head.Sealed()).Int("skipped", t.skippedAnswers).Bool("begun", x.answer.HeadSent()).Str("last_event", x.lastEvent).
+		Bool("sealed", t.head.Sealed()).Int("skipped", t.skippedAnswers).Bool("begun", x.answer.HeadSent()).Str("last_event", x.cursor.ID()).
 		Bool("unframed", x.unframed).Int("dropped_events", x.droppedEvents)
 	if err != nil {
 		e.Str("error", err.Error())
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/event"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/pipeline"
 	"github.com/barleystep/barleystep/internal/reply"
@@ -59,14 +60,17 @@
 	told          time.Duration
 	passedOver    []string      // passedOver lists the targets that a refused request was not offered to.
 	timeToFirst   time.Duration // timeToFirst is the time from the start to the first event or the complete answer.
-	lastEvent     string        // lastEvent is the id of the last event that was sent.
-	events        int
+	cursor        event.Cursor  // cursor is the position of the caller in the stream.
+	// endedWhole is set if the stream has ended as far as its target tells, though not with the end of
+	// its connection.
+	endedWhole bool
+	events     int
 	// droppedEvents counts the events of targets that the caller already had.
 	droppedEvents int
 	// unframed is set if the last answer of a target had neither a length nor chunks.
-	unframed bool
-	lastWrite     time.Time     // lastWrite is when the last events were sent.
-	maxPause      time.Duration // maxPause is the longest pause between events so far.
+	unframed  bool
+	lastWrite time.Time     // lastWrite is when the last events were sent.
+	maxPause  time.Duration // maxPause is the longest pause between events so far.
 }
 
 // Aliases of the pipeline's types for exchanges.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -1,60 +1,60 @@
 package front
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
-)
 
-const (
-	// initialEventBuffer is the initial size of the event buffer in bytes; it grows for longer
-	// events.
-	initialEventBuffer = 4 << 10
-	// maxEventBytes bounds one event in bytes, against a target that never ends one.
-	maxEventBytes = 1 << 20
+	"github.com/barleystep/barleystep/internal/event"
 )
 
-var errEventTooLong = eris.New("front: an event is too long")
+// streamReadBytes is how much of a stream is read at a time, in bytes.
+const streamReadBytes = 4 << 10
 
-// relay forwards a stream in whole events, so that a broken stream can be resumed at an event
-// boundary.
+// relay forwards the events of an answer that the caller lacks, so that a broken stream can be resumed
+// at an event boundary.
 func (t *try) relay(resp *http.Response, w *stallWatch) (result, error) {
-	buffer := make([]byte, 0, initialEventBuffer)
+	buffer := make([]byte, streamReadBytes)
+	scanner := &event.Scanner{Cursor: &t.exchange.cursor, Framed: !isUnframed(resp)}
+	defer func() { t.exchange.droppedEvents += scanner.Dropped() }()
 	for {
-		if len(buffer) == cap(buffer) {
-			if len(buffer) >= maxEventBytes {
-				return resultBroken, errEventTooLong
-			}
-			buffer = append(buffer, 0)[:len(buffer)]
+		n, err := resp.Body.Read(buffer)
+		dropped := scanner.Dropped()
+		events, count, scanErr := scanner.Scan(buffer[:n])
+		if count > 0 || scanner.Dropped() > dropped {
+			w.recordActivity()
+			t.placement.NoteEvent()
 		}
-		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		rest, writeErr := t.forward(buffer, w)
-		if writeErr != nil {
+		if writeErr := t.forward(events, count); writeErr != nil {
 			return resultBroken, writeErr
 		}
-		buffer = append(buffer[:0], rest...)
 		switch {
-		case eris.Is(err, io.EOF) && len(buffer) == 0 && t.mayBeComplete(resp):
-			t.startAnswer()
-			return resultDone, nil
+		case scanErr != nil:
+			t.exchange.endedWhole = scanner.HasEvents() && isUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
+			return resultBroken, scanErr
 		case eris.Is(err, io.EOF):
-			return resultBroken, errTruncatedEvent
+			return t.endStream(resp, scanner)
 		case err != nil:
 			return resultBroken, err
 		}
 	}
 }
 
-// mayBeComplete reports whether a stream that ends without a pending event may be complete. An
-// unframed answer that the target broke off after the head looks the same as one without events. It
-// counts as complete only if the caller already has events, since there may be none after those.
-func (t *try) mayBeComplete(resp *http.Response) bool {
+// endStream decides whether a stream that has ended is complete. The end of a connection tells less
+// than a length: the target may have broken off the answer after its head.
+func (t *try) endStream(resp *http.Response, scanner *event.Scanner) (result, error) {
 	x := t.exchange
-	return !isUnframed(resp) || x.answer.HeadSent() || x.call.LastEventID != ""
+	switch {
+	case scanner.IsInside():
+		return resultBroken, errTruncatedEvent
+	case !isUnframed(resp):
+	case !scanner.HasEvents() && (x.answer.HeadSent() || x.call.LastEventID == ""):
+		return resultBroken, errTruncatedEvent
+	}
+	t.startAnswer()
+	return resultDone, nil
 }
 
 // isUnframed reports whether the end of the answer is that of its connection.
@@ -62,39 +62,20 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// forward sends the complete events of data and returns the remaining bytes.
-func (t *try) forward(data []byte, w *stallWatch) (rest []byte, err error) {
-	end := lastEventEnd(data)
-	if end == 0 {
-		return data, nil
+// forward sends events that the caller lacks.
+func (t *try) forward(events []byte, count int) error {
+	if count == 0 {
+		return nil
 	}
-	w.recordActivity()
-	t.placement.NoteEvent()
 	x := t.exchange
-	fresh := data[:end]
-	for x.lastEvent != "" && len(fresh) > 0 {
-		// Drop an event that the caller already has.
-		first := firstEventEnd(fresh)
-		id := lastEventID(fresh[:first])
-		if id == "" || !isAtOrBefore(id, x.lastEvent) {
-			break
-		}
-		fresh = fresh[first:]
-		x.droppedEvents++
-	}
-	if len(fresh) == 0 {
-		return data[end:], nil
-	}
 	t.startAnswer()
-	if id := lastEventID(fresh); id != "" {
-		x.lastEvent = id
-	}
-	x.events += bytes.Count(fresh, eventDelimiter)
+	x.endedWhole = false
+	x.events += count
 	x.recordPause(t.stage.clock.Now())
-	if err := x.answer.Write(fresh); err != nil {
-		return nil, eris.Wrap(errCallerWrite, err.Error())
+	if err := x.answer.Write(events); err != nil {
+		return eris.Wrap(errCallerWrite, err.Error())
 	}
-	return data[end:], nil
+	return nil
 }
 
 // startAnswer sends the head of the answer, unless an earlier try has sent one.
--- a/internal/front/route.go
+++ b/internal/front/route.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/event"
 )
 
 // unavailableRetryAfter is the Retry-After of a box that cannot serve yet or any more. It is short
@@ -77,6 +78,9 @@
 	}
 	x.service = x.route.Pick(xxhash.Sum64String(x.call.RequestID))
 	x.priority = x.route.Priority
+	if x.route.Resumable {
+		x.cursor = event.ParseCursor(x.call.LastEventID)
+	}
 	x.deadline = x.started.Add(x.route.Timeout)
 	if limit := x.call.TimeLimit; limit > 0 && limit < x.route.Timeout {
 		x.deadline = x.started.Add(limit)
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -199,7 +199,7 @@
 		Target:      t.placement.Target.ID,
 		Account:     x.account,
 		TimeLeft:    left,
-		LastEventID: x.lastEvent,
+		LastEventID: x.cursor.ID(),
 		Helpers:     t.helperList(),
 	})
 	r := &http.Request{
