front: a stream that breaks off resets the connection of an HTTP/1.0 caller

To such a caller the end of a connection is the end of the answer, so that an aborted stream looked complete. net/http closes the connection in good order; it is taken over and reset instead. TestAbortedStreamToOldCaller failed before.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -178,6 +178,9 @@
 	s.logEnd(x, r.Reason(), r.Outcome())
 	if headSent || r.Reason() == barleystep.ReasonCallerGone {
 		// Abort the connection, so that an incomplete answer does not look complete.
+		if !x.r.ProtoAtLeast(1, 1) {
+			x.answer.Reset()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/reply/writer.go
+++ b/internal/reply/writer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/conn"
 )
 
 // Writer sends one answer to one caller. Use NewWriter to create one. It must be used by one
@@ -54,6 +56,16 @@
 	_ = http.NewResponseController(w.w).SetReadDeadline(time.Unix(1, 0)) // Test recorders do not support deadlines.
 }
 
+// Reset resets the caller's connection. To callers of HTTP/1.0, the end of a connection that is closed is
+// the end of the answer.
+func (w *Writer) Reset() {
+	c, _, err := http.NewResponseController(w.w).Hijack()
+	if err != nil {
+		return // The connection is closed otherwise.
+	}
+	conn.Reset(c)
+}
+
 // WriteHead sends the head of an answer whose body follows in parts. Only the first head is sent: a
 // stream that is resumed on another target keeps the head of the first one.
 func (w *Writer) WriteHead(h Head) {
