front: a stream is only resumed by an answer of its own kind

Callers of a stream that was cut off took it for complete when the target that was to resume it answered with 204, 307, 404, 422 or a body of another type: the answer was buffered, counted as done, and dropped since the head had been sent. An answer whose status or type differs from what the caller has begun to receive fails the try now.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -2,12 +2,14 @@
 
 import (
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep/internal/event"
+	"github.com/barleystep/barleystep/internal/reply"
 )
 
 // streamReadBytes is how much of a stream is read at a time, in bytes.
@@ -62,6 +64,29 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// continuesStream reports whether an answer is of the same kind as the one that the caller has begun to
+// receive, if any.
+func (t *try) continuesStream(resp *http.Response) bool {
+	answer := t.exchange.answer
+	if !answer.HeadSent() {
+		return true
+	}
+	if resp.StatusCode != answer.Head().Status() {
+		return false
+	}
+	begun, own := mediaType(answer.Head()), mediaType(t.head)
+	return begun == own || begun == "" || own == ""
+}
+
+// mediaType returns the type of an answer's body without parameters, empty if it is not stated.
+func mediaType(h reply.Head) string {
+	name, _, err := mime.ParseMediaType(h.ContentType())
+	if err != nil {
+		return h.ContentType()
+	}
+	return name
+}
+
 // forward sends events that the caller lacks.
 func (t *try) forward(events []byte, count int) error {
 	if count == 0 {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -61,6 +61,7 @@
 	errUnsealed       = eris.New("front: the answer lacks the target's digest")
 	errEncoded        = eris.New("front: the answer was encoded on its way")
 	errTruncatedEvent = eris.New("front: the stream ended inside an event")
+	errAnotherKind    = eris.New("front: the target did not resume the stream")
 	errStalled        = eris.New("front: the target sent nothing for too long")
 	errCallerWrite    = eris.New("front: the caller does not read")
 
@@ -254,6 +255,8 @@
 		return resultBroken, errEncoded
 	case !verdict.HasDigest:
 		return resultBroken, errUnsealed
+	case !t.continuesStream(resp):
+		return resultFailed, errAnotherKind
 	case success(resp.StatusCode) && t.exchange.route.Kind == fleet.KindStream:
 		return t.relay(resp, w)
 	}
--- a/internal/reply/head.go
+++ b/internal/reply/head.go
@@ -46,6 +46,9 @@
 // Sealed reports whether the head carries its target's digest.
 func (h Head) Sealed() bool { return h.sealed }
 
+// ContentType returns the type of the body, empty if it is not stated.
+func (h Head) ContentType() string { return h.header.Get("Content-Type") }
+
 // hopByHopHeaders are the header fields that belong to one connection only.
 var hopByHopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
