front: a stream without a length is not complete if its target's process has ended

The kernel closes the connections of a process that ends in good order, so that a stream without a length looked complete when its target was killed between two events. On a route that resumes, the target's address is connected to before the answer ends; if it refuses, or the target has restarted, another one is asked from the last event. Targets that leave are not asked: they end their answers first. The cost is a connection for each stream without a length. Asking another target after every such stream would prefill each prompt twice.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"mime"
 	"net/http"
@@ -17,7 +18,7 @@
 
 // relay forwards the events of an answer that the caller lacks, so that a broken stream can be resumed
 // at an event boundary.
-func (t *try) relay(resp *http.Response, w *stallWatch) (result, error) {
+func (t *try) relay(ctx context.Context, resp *http.Response, w *stallWatch) (result, error) {
 	buffer := make([]byte, streamReadBytes)
 	scanner := &event.Scanner{Cursor: &t.exchange.cursor, Framed: !isUnframed(resp)}
 	defer func() { t.exchange.droppedEvents += scanner.Dropped() }()
@@ -37,7 +38,7 @@
 			t.exchange.endedWhole = scanner.HasEvents() && isUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
 			return resultBroken, scanErr
 		case eris.Is(err, io.EOF):
-			return t.endStream(resp, scanner)
+			return t.endStream(ctx, resp, scanner)
 		case err != nil:
 			return resultBroken, err
 		}
@@ -45,13 +46,16 @@
 }
 
 // endStream decides whether a stream that has ended is complete. The end of a connection tells less
-// than a length: the target may have broken off the answer after its head.
-func (t *try) endStream(resp *http.Response, scanner *event.Scanner) (result, error) {
+// than a length: the target may have broken off the answer after its head, or its process may have
+// ended between two events.
+func (t *try) endStream(ctx context.Context, resp *http.Response, scanner *event.Scanner) (result, error) {
 	x := t.exchange
 	switch {
 	case scanner.IsInside():
 		return resultBroken, errTruncatedEvent
 	case !isUnframed(resp):
+	case scanner.HasEvents() && t.targetHasEnded(ctx):
+		return resultBroken, errTargetEnded
 	case !scanner.HasEvents() && (x.answer.HeadSent() || x.call.LastEventID == ""):
 		return resultBroken, errTruncatedEvent
 	}
@@ -59,6 +63,12 @@
 	return resultDone, nil
 }
 
+// targetHasEnded reports whether the process of a target whose stream may be resumed has ended
+// unexpectedly.
+func (t *try) targetHasEnded(ctx context.Context) bool {
+	return t.exchange.route.Resumable && len(t.endedTargets(ctx, t.possiblyEnded(resultBroken))) > 0
+}
+
 // isUnframed reports whether the end of the answer is that of its connection.
 func isUnframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -61,6 +61,7 @@
 	errUnsealed       = eris.New("front: the answer lacks the target's digest")
 	errEncoded        = eris.New("front: the answer was encoded on its way")
 	errTruncatedEvent = eris.New("front: the stream ended inside an event")
+	errTargetEnded    = eris.New("front: the target ended, so that its stream may lack events")
 	errAnotherKind    = eris.New("front: the target did not resume the stream")
 	errStalled        = eris.New("front: the target sent nothing for too long")
 	errCallerWrite    = eris.New("front: the caller does not read")
@@ -126,7 +127,7 @@
 	}
 	x.unframed = isUnframed(resp)
 	x.progress.enter(PhaseAnswering, t.stage.clock.Now())
-	res, err := t.handleAnswer(resp, watch)
+	res, err := t.handleAnswer(ctx, resp, watch)
 	resp.Body.Close()
 	if res == resultBroken {
 		c.Discard()
@@ -237,7 +238,7 @@
 }
 
 // handleAnswer interprets the head of an answer and relays or buffers the body.
-func (t *try) handleAnswer(resp *http.Response, w *stallWatch) (result, error) {
+func (t *try) handleAnswer(ctx context.Context, resp *http.Response, w *stallWatch) (result, error) {
 	verdict := t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header)
 	t.wrongTarget = misdirected(resp) && t.findHelper(verdict.RefusedBy) == ""
 	if !t.wrongTarget {
@@ -258,7 +259,7 @@
 	case !t.continuesStream(resp):
 		return resultFailed, errAnotherKind
 	case success(resp.StatusCode) && t.exchange.route.Kind == fleet.KindStream:
-		return t.relay(resp, w)
+		return t.relay(ctx, resp, w)
 	}
 	return t.bufferAnswer(resp)
 }
