conn: the pool asks for paths without its lock

A box that reaches targets through others could stop answering for good: the janitor held the pool's lock while Paths.IsCurrent asked the gossip for relays, the gossip held its lock while it asked the follower of targets for its state, and the follower held its lock while it told the pool of new targets. The pool's lock is the last of every order now: it is not held while other parts are called. CloseExpired collects the idle connections, asks for their paths, and removes those that are still idle.

--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -13,7 +13,8 @@
 )
 
 // Pool keeps connections to targets by address. Its exported fields must be set before use; it is
-// safe for concurrent use.
+// safe for concurrent use. It calls neither Dialer nor Paths while it holds its lock, since they take
+// locks under which the pool is called.
 type Pool struct {
 	Clock barleystep.Clock
 	// Dialer opens the connections.
@@ -198,26 +199,55 @@
 // CloseExpired closes the connections that have been idle for too long, or whose path is not used any
 // more. It must be called periodically.
 func (p *Pool) CloseExpired() {
-	for _, c := range p.expired() {
+	now := p.Clock.Now()
+	expired := make(map[*Conn]bool)
+	for _, c := range p.idleConns() {
+		if now.Sub(c.since) >= maxIdle || !p.isCurrent(c.conn) {
+			expired[c.conn] = true
+		}
+	}
+	for _, c := range p.removeIdle(expired, now) {
 		p.discard(c)
 	}
 }
 
-func (p *Pool) expired() []*Conn {
-	now := p.Clock.Now()
+// idleConn is a connection that was idle since the given time.
+type idleConn struct {
+	conn  *Conn
+	since time.Time
+}
+
+func (p *Pool) idleConns() []idleConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []idleConn
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			list = append(list, idleConn{c, c.idle})
+		}
+	}
+	return list
+}
+
+// removeIdle removes those of the connections that are still idle, and returns them. Those that have
+// been used after the given time are kept.
+func (p *Pool) removeIdle(expired map[*Conn]bool, now time.Time) []*Conn {
+	if len(expired) == 0 {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var expired []*Conn
+	var removed []*Conn
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idle) < maxIdle && p.isCurrent(c) {
-				kept = append(kept, c)
+			if expired[c] && !c.idle.After(now) {
+				removed = append(removed, c)
 			} else {
-				expired = append(expired, c)
+				kept = append(kept, c)
 			}
 		}
 		p.idle[addr] = kept
 	}
-	return expired
+	return removed
 }
