--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -31,7 +31,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Accounts are the client accounts; if there are none, no request needs a key.
+	// Accounts are the client accounts. If it is nil, no request needs a key; if it is empty, no key is
+	// valid.
 	Accounts []Account
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -67,7 +67,7 @@
 func (v *View) Service(name string) *Service { return v.services[name] }
 
 // RequiresKeys reports whether requests on routes that are not public need a key.
-func (v *View) RequiresKeys() bool { return len(v.configuration.Accounts) > 0 }
+func (v *View) RequiresKeys() bool { return v.configuration.Accounts != nil }
 
 // Account returns the account that holds the key, nil if there is none.
 func (v *View) Account(key string) *Account { return v.accounts[key] }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,6 +14,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
 )
 
 func eventText(from, to int) string {
@@ -102,6 +103,10 @@
 // what was added, and its caller is to try another box.
 func TestRefusals(t *testing.T) {
 	known := newView()
+	withoutAccounts := fleet.NewView(fleet.Configuration{
+		Routes:   []fleet.Route{{Host: "h", Prefix: "/keyed/", Kind: fleet.KindOnce, Timeout: time.Second, MaxTries: 2}},
+		Accounts: []fleet.Account{},
+	})
 	cases := map[string]struct {
 		state   state
 		path    string
@@ -113,6 +118,7 @@
 		"no route":                           {state{view: known}, "/none/", "", nil, 404},
 		"no key":                             {state{view: known}, "/keyed/", "", nil, 401},
 		"unknown key":                        {state{view: known}, "/keyed/", "", []string{"Key", "z"}, 401},
+		"last account taken away":            {state{view: withoutAccounts}, "/keyed/", "", []string{"Key", "k"}, 401},
 		"key confirmation too old":           {state{view: known, age: freshness + 1}, "/keyed/", "", []string{"Key", "k"}, 503},
 		"keys never confirmed":               {state{view: known, age: -1}, "/keyed/", "", []string{"Key", "k"}, 503},
 		"no route, not confirmed":            {state{view: known, age: maxConfigurationAge + 1}, "/none/", "", nil, 503},
