front: the test of ended targets has one first target

TestUnframedStreamOfEndedTarget drew the first target by chance, so that the other one answered alone in some runs. The other target joins once the first has the request; the checks are as they were.

--- a/internal/front/stream_order_test.go
+++ b/internal/front/stream_order_test.go
@@ -14,6 +14,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/fleet"
 )
 
 const (
@@ -218,25 +219,24 @@
 // process of their target ended between two events: the kernel closes its connections in good order.
 func TestUnframedStreamOfEndedTarget(t *testing.T) {
 	c := quicktest.New(t)
-	ends := listen(t)
+	f := newFixture(t, state{view: newView()}, eventStream(4, 6, false))
+	ends, other := listen(t), f.targets[1]
+	f.targets = f.targets[:1]
+	f.targets[0].Addr = ends.Addr().String()
 	go func() {
 		connection, err := ends.Accept()
 		if err != nil {
 			return
 		}
+		defer connection.Close()
 		r, err := http.ReadRequest(bufio.NewReader(connection))
 		if err != nil {
 			return
 		}
+		f.change(func(targets []fleet.Target) []fleet.Target { return append(targets, other) })
 		ends.Close()
 		rawAnswer(unframedHead+eventText(1, 3))(connection, r)
-		connection.Close()
 	}()
-	f := newFixture(t, state{view: newView()}, eventStream(4, 6, false))
-	f.targets = f.targets[:2]
-	f.targets[0].Addr = ends.Addr().String()
-	f.targets[1].Slots = 1
-	f.targets[0].Slots = 40 // The first try goes to the target with more free slots.
 	got := f.do(t, http.MethodPost, "/stream/", "ask")
 	c.Check(got.body, quicktest.Equals, eventText(1, 6))
 	c.Check(got.broken, quicktest.IsFalse)
