--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -14,6 +14,8 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/fleet"
 )
 
 // TestReserve checks that for a prompt that exceeds an engine's memory, memory is reserved at
@@ -72,6 +74,39 @@
 	c.Check(strings.Count(f.target.kinds(), "S"), quicktest.Equals, 2)
 }
 
+// TestReservedMemoryOfLastSend guards against memory that is held at helpers for a silent target where the
+// request may not be sent again: on its last send, and on routes that don't resume.
+func TestReservedMemoryOfLastSend(t *testing.T) {
+	cases := map[string]func(r *fleet.Route){
+		"last send":     func(r *fleet.Route) { r.MaxTries = 1 },
+		"not resumable": func(r *fleet.Route) { r.Resumable = false },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			view := newView()
+			route := view.Route("h", "/giant/")
+			route.Objective, route.Timeout = time.Hour, 24*time.Hour
+			change(route)
+			release, sent := make(chan struct{}), make(chan struct{})
+			defer close(release)
+			silent := func(net.Conn, *http.Request) bool { close(sent); <-release; return false }
+			manual := clock.NewManual(time.Unix(1000, 0))
+			f := newFixtureAt(t, manual, state{view: view}, silent)
+			f.target.orders = []step{completeAnswer(http.StatusOK, "", "")}
+			answer := make(chan reply, 1)
+			go func() { answer <- f.do(t, http.MethodPost, "/giant/", "", "Prompt", "1200") }()
+			<-sent
+			const idleBound = 9 * time.Second // Memory may stay reserved and unused for so long.
+			for range idleBound / (100 * time.Millisecond) {
+				manual.Advance(100 * time.Millisecond)
+				runtime.Gosched()
+			}
+			c.Check((<-answer).status, quicktest.Equals, http.StatusBadGateway)
+		})
+	}
+}
+
 // TestPendingReleases checks that the server reports that memory is still being released after the
 // request has been answered. If the box terminates before that, the memory stays reserved until the
 // reservation expires.
