hangup: a request to reload that comes before main is ignored

A request to reload within some 5 ms of the start ended the process, since the default action of SIGHUP holds until the first line of main. A constructor that the dynamic loader runs ignores the signal now; signal.Notify takes it over later. Settings are read after that anyway.

TestReloadBeforeMain failed before.

--- a/cmd/barleystep-router/main.go
+++ b/cmd/barleystep-router/main.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep/internal/command"
+	_ "github.com/barleystep/barleystep/internal/hangup" // A reload may be requested before main is reached.
 	"github.com/barleystep/barleystep/internal/settings"
 )
 
--- a/cmd/barleystep-router/main_test.go
+++ b/cmd/barleystep-router/main_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -22,6 +24,21 @@
 	os.Exit(m.Run())
 }
 
+// initialStatus is what the kernel says of the process before main, or TestMain, is reached.
+var initialStatus, _ = os.ReadFile("/proc/self/status") // Empty elsewhere than on Linux.
+
+// TestReloadBeforeMain guards against a router that is ended by a request to reload its settings that
+// comes before main is reached.
+func TestReloadBeforeMain(t *testing.T) {
+	c := quicktest.New(t)
+	_, after, found := strings.Cut(string(initialStatus), "SigIgn:")
+	c.Assert(found, quicktest.IsTrue)
+	line, _, _ := strings.Cut(after, "\n")
+	ignored, err := strconv.ParseUint(strings.TrimSpace(line), 16, 64)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(ignored>>(syscall.SIGHUP-1)&1, quicktest.Equals, uint64(1))
+}
+
 // TestReloadWhileStarting guards against a router that is ended by a request to reload its settings
 // that comes before it watches them.
 func TestReloadWhileStarting(t *testing.T) {
--- a/cmd/barleystep-soak/main.go
+++ b/cmd/barleystep-soak/main.go
@@ -18,6 +18,7 @@
 	"github.com/barleystep/barleystep/internal/command"
 	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fault"
+	_ "github.com/barleystep/barleystep/internal/hangup" // A box may be asked to reload before it is set up.
 	"github.com/barleystep/barleystep/internal/router"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/internal/soak"
