conn: heads of answers and skipped answers are bounded

A target that sent a status line, a header or header lines without end filled the memory of the box with them within seconds, as net/http reads a head as a whole. A surplus answer of more than 1 MiB was skipped in part, and its rest could pass for the next answer; it ends the connection now.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -25,7 +25,8 @@
 	addr        string
 	generation  uint64 // generation is that of the address when the connection was made.
 	raw         net.Conn
-	reader      *bufio.Reader
+	input       *input
+	reader      *bufio.Reader // reader reads from input.
 	idle        time.Time     // idle is when the connection became idle.
 	idleTimeout time.Duration // idleTimeout is how long the target keeps it open while idle; zero if unknown.
 	// writeDone is closed when the request has been written; writeErr is set before.
@@ -61,7 +62,9 @@
 		return nil, err
 	}
 	for c.skipped = 0; c.skipped < maxSkipped; c.skipped++ {
+		c.input.beginHead()
 		resp, err = http.ReadResponse(c.reader, req)
+		c.input.endHead()
 		if err != nil {
 			return nil, eris.Wrap(err, "conn: read answer")
 		}
@@ -73,10 +76,9 @@
 			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop}
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
+		if err := skipBody(resp.Body); err != nil {
 			return nil, eris.Wrap(err, "conn: read surplus answer")
 		}
-		resp.Body.Close()
 	}
 	return nil, eris.Wrap(barleystep.ErrWrongAttempt, "conn: no answer to this request")
 }
@@ -84,10 +86,26 @@
 const (
 	// maxSkipped bounds the interim answers and answers to other requests that are skipped.
 	maxSkipped = 4
-	// maxSkippedBytes bounds the bytes read of one skipped answer.
+	// maxSkippedBytes bounds the body of a skipped answer, in bytes.
 	maxSkippedBytes = 1 << 20
 )
 
+// errSurplusTooLong means that an answer to another request is too long to be skipped.
+var errSurplusTooLong = eris.New("conn: a surplus answer is too long")
+
+// skipBody reads the body of an answer to another request. What is left of one that is too long could
+// pass for the next answer.
+func skipBody(body io.ReadCloser) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case n > maxSkippedBytes:
+		return errSurplusTooLong
+	}
+	return body.Close()
+}
+
 // write sends the head and, unless it is long, the body. A long body is written concurrently with
 // reading the answer, since targets may answer before they have read it.
 func (c *Conn) write(req *http.Request, body []byte) error {
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -141,7 +141,8 @@
 		p.idle = make(map[string][]*Conn)
 	}
 	p.open[addr]++
-	return &Conn{pool: p, addr: addr, generation: generation, raw: raw, reader: bufio.NewReaderSize(raw, readerSize)}, nil
+	in := &input{raw: raw}
+	return &Conn{pool: p, addr: addr, generation: generation, raw: raw, input: in, reader: bufio.NewReaderSize(in, readerSize)}, nil
 }
 
 // ConnRefused reports whether the machine at the address refuses connections to the port. No answer
