relay, command, engine, event: bounds on what else is read without end

Answers of relays to a request for a connection, heads of the store's answers and bodies of engines that are not streamed had no bound, or one of 10 MB. An event may have 64 KiB, for 1 MiB before: many targets at once may send one that doesn't end.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -194,7 +194,7 @@
 	return &platform.Store{
 		Addr:    strings.TrimPrefix(s.Platform.URL, "http://"),
 		Clock:   clk,
-		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns}},
+		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxStoreHead}},
 		Box:     s.Box.ID,
 		Timeout: s.Platform.Timeout.Or(defaultStoreTimeout),
 	}
@@ -203,3 +203,6 @@
 // maxIdleStoreConns is how many idle connections to the store are kept: one for each topic that
 // is watched, and some for single calls.
 const maxIdleStoreConns = 4
+
+// maxStoreHead bounds the head of an answer of the store, in bytes.
+const maxStoreHead = 64 << 10
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -91,6 +91,9 @@
 	return err
 }
 
+// maxBody bounds an answer that is not streamed, in bytes.
+const maxBody = 8 << 20
+
 // bodyStream returns an answer that is not streamed as a single event.
 type bodyStream struct {
 	resp *http.Response
@@ -112,10 +115,13 @@
 	if s.resp.ContentLength < 0 && len(s.resp.TransferEncoding) == 0 && s.resp.ProtoMajor == 1 {
 		return barleystep.Event{}, eris.Wrap(barleystep.ErrBrokenStream, "body has no end mark")
 	}
-	data, err := io.ReadAll(s.resp.Body)
+	data, err := io.ReadAll(io.LimitReader(s.resp.Body, maxBody+1))
 	if err != nil {
 		return barleystep.Event{}, eris.Wrap(barleystep.ErrBrokenStream, err.Error())
 	}
+	if len(data) > maxBody {
+		return barleystep.Event{}, eris.Wrap(barleystep.ErrBrokenStream, "the body is too long")
+	}
 	s.read = true
 	return barleystep.NewEvent(1, data, true), nil
 }
--- a/internal/event/scanner.go
+++ b/internal/event/scanner.go
@@ -21,7 +21,7 @@
 
 const (
 	// MaxBytes bounds an event in bytes.
-	MaxBytes = 1 << 20
+	MaxBytes = 64 << 10
 	// maxSkipped bounds the bytes between two events that the caller lacks: comments, blank lines and
 	// events that it has. An answer may repeat a stream from its start.
 	maxSkipped = 1 << 20
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -28,6 +29,8 @@
 	// headerFailure tells why a relay could not connect to the target.
 	headerFailure  = "Barleystep-Failure"
 	failureRefused = "refused"
+	// maxAnswerBytes bounds the answer of a relay, in bytes. It names a few boxes.
+	maxAnswerBytes = 16 << 10
 )
 
 // ErrUnreachable is returned when another box could not connect to the target either.
@@ -84,7 +87,7 @@
 	if err = req.Write(tcp); err != nil {
 		return nil, nil, eris.Wrap(err, "relay: send")
 	}
-	reader := bufio.NewReader(tcp)
+	reader := bufio.NewReader(io.LimitReader(tcp, maxAnswerBytes))
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "relay: read answer")
