front: buffered answers are bounded together, and refusals in time

Each answer on a route without streams could take 8 MiB; sixteen targets that sent bodies without an end had the box read 128 MiB at a time.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -51,7 +51,7 @@
 //
 // The context bounds the exchange, including the reading of the body.
 func (c *Conn) Send(ctx context.Context, req *http.Request, body []byte, accept func(http.Header) bool) (resp *http.Response, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.Interrupt)
 	defer func() {
 		if err != nil {
 			stop()
@@ -235,6 +235,9 @@
 	return err == nil && isClean
 }
 
+// Interrupt makes reads and writes fail from now on. It may be called from other goroutines.
+func (c *Conn) Interrupt() { _ = c.raw.SetDeadline(time.Unix(1, 0)) }
+
 // Discard closes the connection instead of returning it to its pool.
 func (c *Conn) Discard() {
 	c.broken = true
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -29,6 +29,8 @@
 	shutdown     *shutdown
 	rand         func() float64
 	limitHistory limitHistory
+	// buffered is the memory that buffered answers take, in bytes.
+	buffered quota
 	// pendingReleases counts the ended tries whose reserved helper memory is still being released.
 	pendingReleases atomic.Int64
 	// pendingChecks counts the targets that broke off a request and are looked at again.
@@ -80,6 +82,7 @@
 	defer release()
 	ctx, x.abort = context.WithCancelCause(ctx)
 	defer x.abort(nil)
+	defer func() { d.buffered.give(x.buffered) }()
 	d.budget.CountRequest(x.service)
 	x.firstTry = d.limitHistory.firstTry(d.clock, x)
 	job := d.job(x)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -43,6 +43,7 @@
 	partsOnce   sync.Once
 	abort       context.CancelCauseFunc // abort ends the delivery of the request.
 
+	buffered   int64 // buffered is the memory that answers to the request take, in bytes.
 	sends      int
 	mayHaveRun bool // mayHaveRun is set once a target may have run the request.
 	target     barleystep.TargetID
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -164,7 +164,7 @@
 		// Answers to orders may omit statements that others carry, so an omission revokes nothing.
 		t.noteStatement(r.target, t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header).Statement, time.Time{})
 	}
-	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes)); err != nil {
 		return 0
 	}
 	return resp.StatusCode
--- a/internal/front/stream_order_test.go
+++ b/internal/front/stream_order_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -293,3 +296,86 @@
 		})
 	}
 }
+
+// countingDialer opens connections and counts what is read of all of them.
+type countingDialer struct {
+	dialer conn.TCP
+	read   *atomic.Int64
+}
+
+// Dial opens a connection.
+func (d countingDialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := d.dialer.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{TCPConn: c.(*net.TCPConn), read: d.read}, nil
+}
+
+type countingConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+// Read counts what is read.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestManyEndlessAnswers guards against boxes whose memory is filled by many answers without an end, each of
+// which is below its own bound.
+func TestManyEndlessAnswers(t *testing.T) {
+	const requests = 16
+	cases := map[string]struct {
+		path, text string
+		most       int64 // most is how much a box may read of all answers.
+	}{
+		"bodies": {"/once/", "x", requests * 9 << 20},
+		"events": {"/plainstream/", "data: x\n", 4 << 20},
+		"lines":  {"/plainstream/", "x", 4 << 20},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			endless := func(connection net.Conn, r *http.Request) bool {
+				rawAnswer("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\n")(connection, r)
+				for block := strings.Repeat(tc.text, 4096/len(tc.text)); ; {
+					if _, err := io.WriteString(connection, block); err != nil {
+						return false
+					}
+				}
+			}
+			f := newFixture(t, state{view: newView()}, slices.Repeat([]step{endless}, requests)...)
+			f.targets[0].Slots, f.targets[1].Slots = requests, requests
+			var read atomic.Int64
+			f.front.Pool.Dialer = countingDialer{dialer: conn.TCP{Timeout: splitTimeout}, read: &read}
+			var all sync.WaitGroup
+			for range requests {
+				all.Go(func() {
+					c.Check(f.do(t, http.MethodPost, tc.path, "ask").status, quicktest.Equals, http.StatusBadGateway)
+				})
+			}
+			all.Wait()
+			c.Check(read.Load() <= tc.most, quicktest.IsTrue, quicktest.Commentf("%d bytes", read.Load()))
+		})
+	}
+}
+
+// TestSlowRefusal guards against requests that wait for the rest of an answer that says that they have not
+// run.
+func TestSlowRefusal(t *testing.T) {
+	c := quicktest.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	slow := func(connection net.Conn, r *http.Request) bool {
+		rawAnswer("HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\n")(connection, r)
+		<-release
+		return false
+	}
+	f := newFixture(t, state{view: newView()}, slow, completeAnswer(200, sealed, "good"))
+	got := f.do(t, http.MethodPost, "/once/", "ask")
+	c.Check(got.status, quicktest.Equals, http.StatusOK)
+	c.Check(got.body, quicktest.Equals, "good")
+}
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -24,6 +24,7 @@
 	stage     *deliver
 	exchange  *Exchange
 	placement *balance.Placement
+	conn      *conn.Conn // conn is the connection to the target.
 
 	// number is the sequence number of the try within the request, including tries that reached no
 	// target.
@@ -53,10 +54,6 @@
 	wrongTarget bool
 }
 
-// maxAnswerBytes bounds a buffered answer, in bytes. Longer ones do not occur on routes without
-// streams.
-const maxAnswerBytes = 8 << 20
-
 var (
 	errUnsealed       = eris.New("front: the answer lacks the target's digest")
 	errEncoded        = eris.New("front: the answer was encoded on its way")
@@ -71,6 +68,8 @@
 	errWithdrawn = eris.New("front: the target accepts no more requests")
 
 	errAnswerTooLong = eris.New("front: the answer is too long")
+	// errTooManyAnswers means that the answers of all requests are too long together.
+	errTooManyAnswers = eris.New("front: too many long answers at once")
 	// errUnconfirmedStatus means that a status guarantees that the request has not run, but the
 	// target does not state that. The request may have run, so the status is not relayed.
 	errUnconfirmedStatus = eris.New("front: the target does not say that the request has not run")
@@ -106,6 +105,7 @@
 		return resultNotSent, context.Cause(ctx)
 	}
 	t.logHelpers()
+	t.conn = c
 	watch := t.newStallWatch(cancel, c)
 	defer watch.stop()
 	if t.canResend() {
@@ -247,8 +247,7 @@
 	t.head = reply.FromTarget(t.placement.Target.ID, resp, verdict.HasDigest)
 	if verdict.NotRun {
 		t.blamed = t.findHelper(verdict.RefusedBy)
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
-		return resultNotRun, err
+		return resultNotRun, t.skipRefusal(resp)
 	}
 	t.exchange.mayHaveRun = true
 	switch {
@@ -284,10 +283,7 @@
 // bufferAnswer reads an answer that is not a stream and relays it once it is complete. A failure of
 // the target's own is kept until it is known whether another target does better.
 func (t *try) bufferAnswer(resp *http.Response) (result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
+	body, err := t.readBody(resp.Body)
 	if err != nil {
 		return resultBroken, err
 	}
