--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -116,9 +116,6 @@
 			dials++
 		}
 		if !d.shouldRetry(ctx, t, res, dials) {
-			if x.endedWhole && ctx.Err() == nil {
-				return next(ctx, x)
-			}
 			return d.finish(ctx, x, failed, err)
 		}
 		d.meter.AttemptRetried(res.String())
@@ -244,7 +241,8 @@
 }
 
 // finish ends a request that is not tried again. A complete failure from a target is relayed
-// unchanged, even if later tries failed in other ways.
+// unchanged, even if later tries failed in other ways. A stream that has ended as far as its target
+// tells is complete if no other target could be asked.
 func (d *deliver) finish(ctx context.Context, x *Exchange, failed *try, err error) error {
 	outcome := barleystep.OutcomeNotRun
 	if x.mayHaveRun {
@@ -257,9 +255,19 @@
 	switch {
 	case end == endCallerGone:
 		return barleystep.NewRefusal(barleystep.ReasonCallerGone, outcome, "The caller went away.")
+	case x.endedWhole:
+		return nil
 	case failed != nil && !x.answer.HeadSent():
 		failed.sendAnswer(failed.failure)
 		return nil
+	default:
+		return d.refusal(x, end, outcome, err)
+	}
+}
+
+// refusal returns the refusal of a request for which there is no answer.
+func (d *deliver) refusal(x *Exchange, end endReason, outcome barleystep.Outcome, err error) error {
+	switch {
 	case end == endDeadline:
 		return barleystep.NewRefusal(barleystep.ReasonDeadline, outcome, "The time limit was reached.")
 	case end == endShutdown && x.mayHaveRun:
