conn: an answer without a length is not whole if the request could not be written

A socket returns its pending error once. At the end of such an answer the write is ended and its error decides. TestResetWhileWriting, long and short body, failed before.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -73,7 +73,8 @@
 			continue
 		}
 		if accept(resp.Header) {
-			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop}
+			isUnframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop, isUnframed: isUnframed}
 			return resp, nil
 		}
 		if err := skipBody(resp.Body); err != nil {
@@ -156,6 +157,8 @@
 	stop   func() bool
 	closed bool
 	sawEOF bool
+	// isUnframed is set if the end of the connection is that of the body.
+	isUnframed bool
 }
 
 // Read reads the body. It returns io.EOF only when the body is complete.
@@ -164,12 +167,23 @@
 	if n > 0 {
 		b.conn.pool.noteHeard(b.conn)
 	}
+	if err == io.EOF && b.isUnframed && b.conn.writeFailed() {
+		return n, io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		b.sawEOF = true
 	}
 	return n, err
 }
 
+// writeFailed reports whether the request was not written whole when the target closed the connection.
+// If it was reset, that may only show in the write: a socket returns its pending error once.
+func (c *Conn) writeFailed() bool {
+	_ = c.raw.SetWriteDeadline(time.Unix(1, 0)) // The target reads no more.
+	<-c.writeDone
+	return c.writeErr != nil
+}
+
 // Close ends the use of the connection. The connection stays usable if the request was fully
 // written, the answer was read to its end and the context did not end before.
 func (b *answerBody) Close() error {
