--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -174,8 +174,9 @@
 	if err := writeSwitch(box, header); err != nil {
 		return
 	}
-	go s.copyToTarget(target, buffered.Reader, box)
-	err = sendFrames(box, target)
+	sender := &sender{target: target}
+	go s.copyToTarget(sender, buffered.Reader, box)
+	err = sendFrames(box, target, sender.failed)
 	if err != nil {
 		conn.Reset(box) // An answer that was cut short must not look complete.
 	}
@@ -194,17 +195,17 @@
 
 // copyToTarget copies what the box sends. When the box closes the connection, the request is over
 // for the target too.
-func (s *Server) copyToTarget(target net.Conn, from io.Reader, box net.Conn) {
+func (s *Server) copyToTarget(to *sender, from io.Reader, box net.Conn) {
 	buffer := make([]byte, maxFrameBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			if _, failed := target.Write(buffer[:n]); failed != nil {
+			if to.send(buffer[:n]) != nil {
 				return // The target's side ends the tunnel.
 			}
 		}
 		if err != nil {
-			_ = target.Close() // The other direction fails and ends the tunnel.
+			_ = to.target.Close() // The other direction fails and ends the tunnel.
 			conn.Reset(box)
 			return
 		}
--- a/internal/relay/tunnel.go
+++ b/internal/relay/tunnel.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync"
+	"time"
 )
 
 // frameHeaderBytes is the size of a frame's header, its length. What a target sends is framed on
@@ -56,11 +58,15 @@
 }
 
 // sendFrames copies what a target sends to the other box in frames. It returns nil when the target
-// has closed the connection and the end has been sent.
-func sendFrames(to io.Writer, from io.Reader) error {
+// has closed the connection. The end is sent unless sendFailed reports that sending to the target has
+// failed: if the connection was reset, that may only show there.
+func sendFrames(to io.Writer, from io.Reader, sendFailed func() bool) error {
 	buffer := make([]byte, frameHeaderBytes+maxFrameBytes)
 	for {
 		n, err := from.Read(buffer[frameHeaderBytes:])
+		if err == io.EOF && n == 0 && sendFailed() {
+			return nil
+		}
 		if n > 0 || err == io.EOF {
 			binary.BigEndian.PutUint16(buffer, uint16(n))
 			if _, failed := to.Write(buffer[:frameHeaderBytes+n]); failed != nil {
@@ -75,3 +81,27 @@
 		}
 	}
 }
+
+// sender sends to a target.
+type sender struct {
+	target net.Conn
+
+	mu  sync.Mutex // mu is held while sending.
+	err error
+}
+
+func (s *sender) send(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, s.err = s.target.Write(data)
+	return s.err
+}
+
+// failed reports whether sending has failed. It ends what is being sent, since it is called when the
+// target has closed the connection.
+func (s *sender) failed() bool {
+	_ = s.target.SetWriteDeadline(time.Unix(1, 0))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err != nil
+}
