--- a/internal/event/scanner.go
+++ b/internal/event/scanner.go
@@ -80,6 +80,9 @@
 // HasEvents reports whether the answer has had an event.
 func (s *Scanner) HasEvents() bool { return s.hasEvents }
 
+// IsBehind reports whether the answer has events, but none up to the caller's last one.
+func (s *Scanner) IsBehind() bool { return s.hasEvents && !s.continues && s.Cursor.has(s.last) }
+
 // Dropped returns the number of events that the caller had.
 func (s *Scanner) Dropped() int { return s.dropped }
 
@@ -149,7 +152,7 @@
 	switch {
 	case s.isEvent:
 		return s.endEvent()
-	case s.hasFields:
+	case s.hasFields && !s.Framed:
 		return ErrSurplus
 	default:
 		return s.skip()
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -35,7 +35,7 @@
 		}
 		switch {
 		case scanErr != nil:
-			t.exchange.endedWhole = scanner.HasEvents() && isUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
+			t.exchange.endedWhole = t.exchange.endedWhole || scanner.HasEvents() && isUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
 			return resultBroken, scanErr
 		case eris.Is(err, io.EOF):
 			return t.endStream(ctx, resp, scanner)
@@ -49,24 +49,24 @@
 // than a length: the target may have broken off the answer after its head, or its process may have
 // ended between two events.
 func (t *try) endStream(ctx context.Context, resp *http.Response, scanner *event.Scanner) (result, error) {
-	x := t.exchange
 	switch {
 	case scanner.IsInside():
 		return resultBroken, errTruncatedEvent
+	case scanner.IsBehind():
+		return resultBroken, event.ErrGap
 	case !isUnframed(resp):
-	case scanner.HasEvents() && t.targetHasEnded(ctx):
-		return resultBroken, errTargetEnded
-	case !scanner.HasEvents() && (x.answer.HeadSent() || x.call.LastEventID == ""):
+	case !scanner.HasEvents():
 		return resultBroken, errTruncatedEvent
+	case t.targetHasEnded(ctx):
+		return resultBroken, errTargetEnded
 	}
 	t.startAnswer()
 	return resultDone, nil
 }
 
-// targetHasEnded reports whether the process of a target whose stream may be resumed has ended
-// unexpectedly.
+// targetHasEnded reports whether the target's process has ended unexpectedly.
 func (t *try) targetHasEnded(ctx context.Context) bool {
-	return t.exchange.route.Resumable && len(t.endedTargets(ctx, t.possiblyEnded(resultBroken))) > 0
+	return len(t.endedTargets(ctx, t.possiblyEnded(resultBroken))) > 0
 }
 
 // isUnframed reports whether the end of the answer is that of its connection.
--- a/internal/front/stream_order_test.go
+++ b/internal/front/stream_order_test.go
@@ -127,6 +127,7 @@
 		"caller's own resume":           {[]step{rawAnswer(chunked(eventText(1, 6)))}, []string{"Last", "2"}, eventText(3, 6)},
 		"caller's own, cut before any":  {[]step{rawAnswer(unframedHead + eventText(1, 2) + "id: 3\nda"), rawAnswer(chunked(eventText(1, 6)))}, []string{"Last", "2"}, eventText(3, 6)},
 		"caller's own, cut after some":  {[]step{rawAnswer(unframedHead + eventText(1, 3) + "id: 4\nda"), rawAnswer(chunked(eventText(1, 6)))}, []string{"Last", "2"}, eventText(3, 6)},
+		"caller's own, head only":       {[]step{rawAnswer(unframedHead), rawAnswer(chunked(eventText(3, 6)))}, []string{"Last", "2"}, eventText(3, 6)},
 		"caller's own, has all of them": {[]step{rawAnswer(chunked())}, []string{"Last", "6"}, ""},
 	}
 	for name, tc := range cases {
@@ -152,6 +153,7 @@
 		"204":          rawAnswer("HTTP/1.1 204 X\r\nId: ID\r\nSeal: s\r\n\r\n"),
 		"another type": completeAnswer(200, sealed+"Content-Type: application/json\r\n", ""),
 	}
+	cases["earlier run"] = rawAnswer(chunked(eventText(1, 2)))
 	for name, second := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -221,28 +223,39 @@
 // TestUnframedStreamOfEndedTarget guards against streams without a length that look complete since the
 // process of their target ended between two events: the kernel closes its connections in good order.
 func TestUnframedStreamOfEndedTarget(t *testing.T) {
-	c := quicktest.New(t)
-	f := newFixture(t, state{view: newView()}, eventStream(4, 6, false))
-	ends, other := listen(t), f.targets[1]
-	f.targets = f.targets[:1]
-	f.targets[0].Addr = ends.Addr().String()
-	go func() {
-		connection, err := ends.Accept()
-		if err != nil {
-			return
-		}
-		defer connection.Close()
-		r, err := http.ReadRequest(bufio.NewReader(connection))
-		if err != nil {
-			return
-		}
-		f.change(func(targets []fleet.Target) []fleet.Target { return append(targets, other) })
-		ends.Close()
-		rawAnswer(unframedHead+eventText(1, 3))(connection, r)
-	}()
-	got := f.do(t, http.MethodPost, "/stream/", "ask")
-	c.Check(got.body, quicktest.Equals, eventText(1, 6))
-	c.Check(got.broken, quicktest.IsFalse)
+	cases := map[string]struct {
+		path, want string
+		broken     bool
+	}{
+		"resumable":     {"/stream/", eventText(1, 6), false},
+		"not resumable": {"/plainstream/", eventText(1, 3), true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(t, state{view: newView()}, eventStream(4, 6, false))
+			ends, other := listen(t), f.targets[1]
+			f.targets = f.targets[:1]
+			f.targets[0].Addr = ends.Addr().String()
+			go func() {
+				connection, err := ends.Accept()
+				if err != nil {
+					return
+				}
+				defer connection.Close()
+				r, err := http.ReadRequest(bufio.NewReader(connection))
+				if err != nil {
+					return
+				}
+				f.change(func(targets []fleet.Target) []fleet.Target { return append(targets, other) })
+				ends.Close()
+				rawAnswer(unframedHead+eventText(1, 3))(connection, r)
+			}()
+			got := f.do(t, http.MethodPost, tc.path, "ask")
+			c.Check(got.body, quicktest.Equals, tc.want)
+			c.Check(got.broken, quicktest.Equals, tc.broken)
+		})
+	}
 }
 
 // TestAbortedStreamToOldCaller guards against streams that break off and look complete to callers who
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -260,6 +260,7 @@
 	case success(resp.StatusCode) && t.exchange.route.Kind == fleet.KindStream:
 		return t.relay(ctx, resp, w)
 	}
+	w.recordActivity()
 	return t.bufferAnswer(resp)
 }
 
