soak, platform/platformtest: targets send more than their answer

Targets now send a second answer, a longer one to another request, or other bytes in one write with the last event of a stream without a length; events twice in a chunk; and heads and bodies of blank lines without end. The schedule draws these from a generator of its own, so that the other events of a seed stay.

The check of streams passed over bytes behind the last event, lines added inside an event, a ninth event of a stream that breaks off, and streams that end at the caller's time limit or with the box's kill. It judges all of these now; five of the nine new cases of TestCheck failed before.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -81,6 +81,9 @@
 	default:
 		c.checkAnswer(x)
 	}
+	if x.Status == http.StatusOK && strings.HasPrefix(string(x.Kind), "stream") {
+		c.checkStream(x)
+	}
 }
 
 // checkExecutions checks that a request that must not be repeated was executed at most once, and
@@ -117,9 +120,7 @@
 		c.checkOwnAnswer(x)
 	case digest.Status != x.Status:
 		c.addViolation("own answer", x.ID, "a %d under the digest of a %d", x.Status, digest.Status)
-	case x.Status == http.StatusOK && strings.HasPrefix(string(x.Kind), "stream"):
-		c.checkStream(x)
-	case x.Status == http.StatusOK:
+	case x.Status == http.StatusOK && !strings.HasPrefix(string(x.Kind), "stream"):
 		c.checkWholeAnswer(x, digest)
 	}
 }
@@ -138,22 +139,44 @@
 	}
 }
 
-// checkStream checks that events arrive in order, without gaps or duplicates, from targets that
-// executed this request, and that a stream that ends normally is complete.
+// checkStream checks that the events of this request arrive in order, without gaps, duplicates or
+// other bytes, and that a stream that ends normally is complete. A stream that breaks off may end
+// inside an event.
 func (c *check) checkStream(x *Call) {
 	events := strings.SplitAfter(x.Answer, "\n\n")
-	events = events[:len(events)-1] // The part after the last separator is not an event.
+	events, rest := events[:len(events)-1], events[len(events)-1]
 	for i, e := range events {
-		if !strings.HasPrefix(e, fmt.Sprintf("id: %d\ndata: %s ", i+1, x.ID)) {
+		if i >= platformtest.StreamEvents || !isEvent(e, x.ID, i+1) {
 			c.addViolation("stream order", x.ID, "event %d is %q", i+1, e)
 			return
 		}
 	}
-	if !x.Truncated && len(events) != platformtest.StreamEvents {
+	switch {
+	case rest != "" && (!x.Truncated || len(events) == platformtest.StreamEvents || !beginsEvent(rest, x.ID, len(events)+1)):
+		c.addViolation("stream order", x.ID, "%q follows event %d", rest, len(events))
+	case !x.Truncated && len(events) != platformtest.StreamEvents:
 		c.addViolation("stream order", x.ID, "it looks whole with %d events", len(events))
 	}
 }
 
+// isEvent reports whether the block is the event of the request with the number, and nothing else.
+func isEvent(block, request string, number int) bool {
+	data, ok := strings.CutPrefix(block, eventStart(request, number))
+	return ok && strings.IndexByte(data, '\n') == len(data)-len("\n\n")
+}
+
+// beginsEvent reports whether the text may be the start of the event.
+func beginsEvent(text, request string, number int) bool {
+	start := eventStart(request, number)
+	data, ok := strings.CutPrefix(strings.TrimSuffix(text, "\n"), start)
+	return strings.HasPrefix(start, text) || ok && !strings.Contains(data, "\n")
+}
+
+// eventStart returns what an event starts with, whichever target sends it.
+func eventStart(request string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s ", number, request)
+}
+
 // checkArrival checks what a target received against what the caller sent.
 func (c *check) checkArrival(a platformtest.Arrival, x *Call) {
 	if x == nil {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -117,6 +117,32 @@
 			call:  modified(stream, func(x *soak.Call) { x.Answer = x.Answer[:strings.Index(x.Answer, "id: 4")] }),
 			found: "stream order",
 		},
+		"stream truncated inside an event": {call: modified(stream, func(x *soak.Call) { x.Answer, x.Truncated = x.Answer[:strings.Index(x.Answer, "a: r1")], true })},
+		"stream repeats an event":          {call: modified(stream, func(x *soak.Call) { x.Answer = x.Answer[:strings.Index(x.Answer, "id: 2")] + x.Answer }), found: "stream order"},
+		"stream with its answer again":     {call: modified(stream, func(x *soak.Call) { x.Answer += "HTTP/1.1 200 X\r\n\r\n" + x.Answer }), found: "stream order"},
+		"stream with events of another request": {
+			call:  modified(stream, func(x *soak.Call) { x.Answer += "id: 9\ndata: other t0.1.200\n\n" }),
+			found: "stream order",
+		},
+		"stream with more events": {
+			call:  modified(stream, func(x *soak.Call) { x.Answer, x.Truncated = x.Answer+"id: 9\ndata: r1 t0.1.200\n\n", true }),
+			found: "stream order",
+		},
+		"stream with bytes inside an event": {
+			call:  modified(stream, func(x *soak.Call) { x.Answer = strings.TrimSuffix(x.Answer, "\n") + "noise\n\n" }),
+			found: "stream order",
+		},
+		"stream with bytes behind it": {call: modified(stream, func(x *soak.Call) { x.Answer += "noise" }), found: "stream order"},
+		"truncated stream with bytes that are no event": {
+			call:  modified(stream, func(x *soak.Call) { x.Answer, x.Truncated = x.Answer[:strings.Index(x.Answer, "id: 4")]+"noise", true }),
+			found: "stream order",
+		},
+		"stream out of order until the time limit": {
+			call: modified(stream, func(x *soak.Call) {
+				x.Answer, x.Truncated, x.TimedOut = x.Answer[strings.Index(x.Answer, "id: 2"):], true, true
+			}),
+			found: "stream order",
+		},
 		"never answered": {call: modified(once, func(x *soak.Call) { x.Ended = at(time.Minute) }), found: "time limit"},
 		"closed after it was forwarded": {
 			call: modified(once, unanswered), arrivals: []platformtest.Arrival{arrival(once, 1)}, found: "no answer lost",
@@ -305,7 +331,7 @@
 	c := quicktest.New(t)
 	run := soak.Setup{Seed: 2, Length: 20 * time.Second, Boxes: 3, Targets: 6, Profile: soak.ProfileUsual}
 	events := slices.DeleteFunc(soak.Schedule(run), func(e soak.Event) bool {
-		return slices.Contains([]soak.Action{soak.ActionRestart, soak.ActionForeign, soak.ActionDeadly, soak.ActionLeave, soak.ActionRest, soak.ActionSlowdown, soak.ActionKillLong, soak.ActionEvacuate, soak.ActionCold, soak.ActionCut, soak.ActionDeadlyPart, soak.ActionCrowd, soak.ActionMute, soak.ActionUnframed, soak.ActionVanish}, e.Action)
+		return slices.Contains([]soak.Action{soak.ActionRestart, soak.ActionForeign, soak.ActionDeadly, soak.ActionLeave, soak.ActionRest, soak.ActionSlowdown, soak.ActionKillLong, soak.ActionEvacuate, soak.ActionCold, soak.ActionCut, soak.ActionDeadlyPart, soak.ActionCrowd, soak.ActionMute, soak.ActionUnframed, soak.ActionVanish, soak.ActionExcess}, e.Action)
 	})
 	c.Assert(events, quicktest.HasLen, 43)
 	c.Check(events[0].String(), quicktest.Equals, "      2s spoil    3 for 2.822s hang 0.14")
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -79,6 +79,8 @@
 	ActionVanish Action = "vanish"
 	// ActionCold replaces a target, after the duration, by one that starts cold.
 	ActionCold Action = "cold"
+	// ActionExcess makes a target send more than its answer in the way that Detail names.
+	ActionExcess Action = "excess"
 )
 
 // Event is one entry of a schedule.
@@ -126,12 +128,13 @@
 	// all boxes of a hall.
 	cutGap       = 4 * time.Second
 	hallCutShare = 0.3
-	// deadlyPartGap, crowdGap, muteGap and unframedGap are the mean times between the faults that
-	// their names tell.
+	// deadlyPartGap, crowdGap, muteGap, unframedGap and excessGap are the mean times between the
+	// faults that their names tell.
 	deadlyPartGap = 9 * time.Second
 	crowdGap      = 7 * time.Second
 	muteGap       = 8 * time.Second
 	unframedGap   = 4 * time.Second
+	excessGap     = time.Second
 	// vanishGap is the mean time between leaves of targets that serve on for long.
 	// Short runs have none: a target that is away for vanishTime is away for much of them.
 	vanishGap    = 5 * time.Second
@@ -173,6 +176,7 @@
 	streamMutes
 	streamUnframed
 	streamVanishes
+	streamExcess
 )
 
 // eventSources returns the sources of a run's events.
@@ -192,6 +196,7 @@
 		{streamCrowds, crowdGap, map[Action]int{ActionCrowd: 1}},
 		{streamMutes, muteGap, map[Action]int{ActionMute: 1}},
 		{streamUnframed, unframedGap, map[Action]int{ActionUnframed: 1}},
+		{streamExcess, excessGap, map[Action]int{ActionExcess: 1}},
 	}
 	if s.Length >= vanishLength {
 		list = append(list, eventSource{streamVanishes, vanishGap, map[Action]int{ActionVanish: 1}})
@@ -244,29 +249,35 @@
 			Action:   list[r.IntN(len(list))],
 		}
 		e.Duration = min(e.Duration, (run.Length - quietEnd - e.At).Round(time.Millisecond))
-		e.detail(r, run.Boxes, run.targetCount())
+		e.detail(r, run)
 		events = append(events, e)
 	}
 	return events
 }
 
 // detail draws the box or target of the action and its parameters.
-func (e *Event) detail(r *rand.Rand, boxes, targets int) {
-	e.Index = r.IntN(targets)
+func (e *Event) detail(r *rand.Rand, run Setup) {
+	e.Index = r.IntN(run.targetCount())
 	switch e.Action {
 	case ActionTerm, ActionKill, ActionFreeze, ActionReload, ActionCrowd:
-		e.Index = r.IntN(boxes)
+		e.Index = r.IntN(run.Boxes)
 	case ActionUnframed:
 		e.Share = minShare + (maxShare-minShare)*r.Float64()
 	case ActionVanish:
 		e.Share = r.Float64()
 	case ActionCut:
-		e.Index = r.IntN(boxes)
+		e.Index = r.IntN(run.Boxes)
 		e.Detail = string(fault.Modes[r.IntN(len(fault.Modes))])
 		e.Share = r.Float64()
 	case ActionSpoil:
 		e.Detail = string(platformtest.TargetFaults[r.IntN(len(platformtest.TargetFaults))])
 		e.Share = minShare + (maxShare-minShare)*r.Float64()
+	case ActionExcess:
+		f := platformtest.ExcessFaults[r.IntN(len(platformtest.ExcessFaults))]
+		if slices.Contains(platformtest.StreamFaults, f) {
+			e.Index = r.IntN(run.Targets) // Only engines serve streams.
+		}
+		e.Detail, e.Share = string(f), maxShare
 	case ActionForeign:
 		e.Detail = foreignNames[r.IntN(len(foreignNames))]
 	case ActionStore:
--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -151,7 +151,7 @@
 		t.rest(ctx, e.Duration)
 	case ActionForeign:
 		t.overwriteEntry(ctx, e.Detail, max(e.Duration, foreignTime))
-	case ActionSpoil:
+	case ActionSpoil, ActionExcess:
 		t.addFault(platformtest.TargetFault(e.Detail), e.Share)
 		t.runner.sleep(ctx, e.Duration)
 		t.addFault(platformtest.TargetFault(e.Detail), -e.Share)
