--- a/internal/event/scanner_test.go
+++ b/internal/event/scanner_test.go
@@ -132,35 +132,48 @@
 	err               error
 }
 
+// progress counts what a Scanner has taken in, in bytes.
+type progress struct {
+	idle, held int // idle is counted since the last fresh event, held since a read last ended between events.
+	longest    int // longest is the length of the longest read.
+}
+
+// check fails if an event, or what lies between two of them, grows without bound.
+func (p progress) check(t *testing.T, read, fresh, count int, err error) {
+	t.Helper()
+	switch {
+	case fresh > p.held:
+		t.Fatalf("%d bytes of events out of %d", fresh, p.held)
+	case err != nil:
+	case p.longest == 1 && p.held > event.MaxBytes:
+		t.Fatalf("%d bytes of an event without an end", p.held)
+	case count == 0 && p.idle > maxSkipped+event.MaxBytes+read:
+		t.Fatalf("%d bytes without an event", p.idle)
+	}
+}
+
 // scan scans the reads and checks what holds for all of them: nothing follows an error, and neither an
 // event nor what lies between two grows without bound.
 func scan(t *testing.T, cursor event.Cursor, framed bool, reads ...[]byte) outcome {
 	t.Helper()
 	var got outcome
 	var fresh strings.Builder
+	var p progress
 	s := &event.Scanner{Cursor: &cursor, Framed: framed}
-	idle, held := 0, 0 // Bytes since the last fresh event, and since a read last ended between events.
-	longest := 0
 	for _, read := range reads {
 		text, count, err := s.Scan(read)
-		idle, held, longest = idle+len(read), held+len(read), max(longest, len(read))
-		switch {
-		case got.err != nil && (len(text) > 0 || count > 0 || err != got.err):
+		if got.err != nil && (len(text) > 0 || count > 0 || err != got.err) {
 			t.Fatalf("%d events and error %v after error %v", count, err, got.err)
-		case len(text) > held:
-			t.Fatalf("%d bytes of events out of %d", len(text), held)
-		case err == nil && longest == 1 && held > event.MaxBytes:
-			t.Fatalf("%d bytes of an event without an end", held)
-		case err == nil && count == 0 && idle > maxSkipped+event.MaxBytes+len(read):
-			t.Fatalf("%d bytes without an event", idle)
 		}
+		p.idle, p.held, p.longest = p.idle+len(read), p.held+len(read), max(p.longest, len(read))
+		p.check(t, len(read), len(text), count, err)
 		fresh.Write(text)
 		got.count, got.err = got.count+count, err
 		if count > 0 {
-			idle = 0
+			p.idle = 0
 		}
 		if !s.IsInside() {
-			held = 0
+			p.held = 0
 		}
 	}
 	return outcome{fresh.String(), got.count, s.Dropped(), s.IsInside(), s.HasEvents(), cursor, got.err}
