--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -9,9 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -24,7 +27,8 @@
 //	pause  ms between the halves of the body
 //	events, gap  a stream of so many events, gap ms apart
 //
-// Each event of its life is a line of JSON on standard output.
+// SIGUSR1 makes it leave the next prompt that several servers read unanswered, SIGUSR2 takes that back. Each event of
+// its life is a line of JSON on standard output.
 func runServer(args []string) {
 	f := flag.NewFlagSet("server", flag.ExitOnError)
 	listen := f.String("listen", "", "IP and port")
@@ -34,14 +38,24 @@
 	l, err := net.Listen("tcp", *listen)
 	must(err)
 	s := &server{id: *id, slots: make(chan struct{}, *slots)}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+	go func() {
+		for g := range signals {
+			s.hangs.Store(g == syscall.SIGUSR1)
+		}
+	}()
 	s.say("listening", "", l.Addr().String())
 	must(http.Serve(l, s))
 }
 
 type server struct {
-	id    string
-	slots chan struct{}
-	mu    sync.Mutex
+	id     string
+	slots  chan struct{}
+	memory memory
+	mu     sync.Mutex
+	// hangs is set while the server leaves the next long prompt unanswered.
+	hangs atomic.Bool
 }
 
 // said is a line that a server writes.
@@ -82,9 +96,7 @@
 		return
 	}
 	if r.URL.Path == "/api/order" {
-		data, _ := io.ReadAll(r.Body)
-		s.say("order", "", string(data))
-		_, _ = io.WriteString(w, `{"free":400000}`)
+		s.memory.order(s, w, r)
 		return
 	}
 	if id != "" {
@@ -115,6 +127,15 @@
 	}
 	defer func() { <-s.slots }()
 	s.say("run", id, "")
+	if helpers := r.Header.Get("Helpers"); helpers != "" {
+		if s.hangs.CompareAndSwap(true, false) {
+			s.say("hangs", id, helpers)
+			<-r.Context().Done()
+			return
+		}
+		s.say("uses", id, helpers)
+		defer s.say("used", id, helpers)
+	}
 	q := r.URL.Query()
 	ms := func(name string) time.Duration {
 		n, _ := strconv.Atoi(q.Get(name))
