--- a/review/rig2/case_stuck.go
+++ b/review/rig2/case_stuck.go
@@ -95,6 +95,7 @@
 		h := promptHeaders(id, 15000)
 		h["X-Barleystep-Token-Count"] = fmt.Sprintf("%d,800", longTokens)
 		h["X-Barleystep-Prompt-Prefix"] = fmt.Sprintf("5c1e07a2:40,%x:%d", id, longTokens-40)
+		w.note("client: sends %s, POST /audit/1 with %d tokens, to box %s", id, longTokens, boxes[i%len(boxes)].name)
 		a := ask(boxes[i%len(boxes)].front, "POST", host, fmt.Sprintf("/audit/1?events=6&gap=100&ms=%d", reading.Milliseconds()),
 			h, []byte(id), 12*time.Second)
 		w.note("client: %s gets %v", id, a)
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -14,11 +15,19 @@
 	"time"
 )
 
+// current is the world that is played, nil before it starts.
+var current *world
+
+// must ends the case, and all its processes, where it can't run.
 func must(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if current != nil {
+		current.end(2)
 	}
+	os.Exit(2)
 }
 
 // world is a small deployment: the store, boxes and servers, each box and server a process of its own.
@@ -49,9 +58,20 @@
 	must(err)
 	w := &world{store: newStore(), tmp: tmp, record: record, started: time.Now()}
 	w.addr = w.store.listen("127.0.0.1")
+	current = w
+	go w.endOnSignal()
 	return w
 }
 
+// endOnSignal ends the case, and all its processes, when it is stopped.
+func (w *world) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	w.note("the case is stopped")
+	w.end(2)
+}
+
 // note writes a line to the record.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
