--- a/review/rig2/case_stuck.go
+++ b/review/rig2/case_stuck.go
@@ -22,7 +22,7 @@
 	return time.Duration((n/256000 + n*n/2/1e6*0.0917/1000) * float64(time.Second))
 }
 
-// caseStuck has one of seven servers leave a long prompt unanswered, again and again, while others hold memory for it.
+// caseStuck has one of seven servers leave long prompts unanswered, in one spell after the other, while others hold memory for it.
 func caseStuck(dir string, trouble bool) {
 	const (
 		count  = 7
@@ -53,7 +53,7 @@
 		if id := w.lastFirst(); id != "" {
 			s = servers[id]
 		}
-		w.note("server %s leaves the next long prompt unanswered, for %v", s.id, spell)
+		w.note("server %s leaves a part of its long prompts unanswered, for %v", s.id, spell)
 		s.signal(syscall.SIGUSR1)
 		time.Sleep(spell)
 		s.signal(syscall.SIGUSR2)
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,7 +28,7 @@
 //	pause  ms between the halves of the body
 //	events, gap  a stream of so many events, gap ms apart
 //
-// SIGUSR1 makes it leave the next prompt that several servers read unanswered, SIGUSR2 takes that back. Each event of
+// SIGUSR1 makes it leave a part of the prompts that several servers read unanswered, SIGUSR2 takes that back. Each event of
 // its life is a line of JSON on standard output.
 func runServer(args []string) {
 	f := flag.NewFlagSet("server", flag.ExitOnError)
@@ -49,12 +50,15 @@
 	must(http.Serve(l, s))
 }
 
+// hangShare is the part of the prompts that several servers read that a server leaves unanswered while it hangs.
+const hangShare = 0.45
+
 type server struct {
 	id     string
 	slots  chan struct{}
 	memory memory
 	mu     sync.Mutex
-	// hangs is set while the server leaves the next long prompt unanswered.
+	// hangs is set while the server leaves a part of its long prompts unanswered.
 	hangs atomic.Bool
 }
 
@@ -128,7 +132,7 @@
 	defer func() { <-s.slots }()
 	s.say("run", id, "")
 	if helpers := r.Header.Get("Helpers"); helpers != "" {
-		if s.hangs.CompareAndSwap(true, false) {
+		if s.hangs.Load() && rand.Float64() < hangShare {
 			s.say("hangs", id, helpers)
 			<-r.Context().Done()
 			return
