--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -73,8 +73,7 @@
 			continue
 		}
 		if accept(resp.Header) {
-			isUnframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop, isUnframed: isUnframed}
+			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop, isUnframed: IsUnframed(resp)}
 			return resp, nil
 		}
 		if err := skipBody(resp.Body); err != nil {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -11,6 +11,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 )
 
 // eventStream reads a streamed answer. The id of each event is the attempt id, a slash and the
@@ -112,7 +113,7 @@
 	if s.read {
 		return barleystep.Event{}, io.EOF
 	}
-	if s.resp.ContentLength < 0 && len(s.resp.TransferEncoding) == 0 && s.resp.ProtoMajor == 1 {
+	if conn.IsUnframed(s.resp) {
 		return barleystep.Event{}, eris.Wrap(barleystep.ErrBrokenStream, "body has no end mark")
 	}
 	data, err := io.ReadAll(io.LimitReader(s.resp.Body, maxBody+1))
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/event"
 	"github.com/barleystep/barleystep/internal/reply"
 )
@@ -20,7 +21,7 @@
 // at an event boundary.
 func (t *try) relay(ctx context.Context, resp *http.Response, w *stallWatch) (result, error) {
 	buffer := make([]byte, streamReadBytes)
-	scanner := &event.Scanner{Cursor: &t.exchange.cursor, Framed: !isUnframed(resp)}
+	scanner := &event.Scanner{Cursor: &t.exchange.cursor, Framed: !conn.IsUnframed(resp)}
 	defer func() { t.exchange.droppedEvents += scanner.Dropped() }()
 	for {
 		n, err := resp.Body.Read(buffer)
@@ -35,7 +36,7 @@
 		}
 		switch {
 		case scanErr != nil:
-			t.exchange.endedWhole = t.exchange.endedWhole || scanner.HasEvents() && isUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
+			t.exchange.endedWhole = t.exchange.endedWhole || scanner.HasEvents() && conn.IsUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
 			return resultBroken, scanErr
 		case eris.Is(err, io.EOF):
 			return t.endStream(ctx, resp, scanner)
@@ -54,7 +55,7 @@
 		return resultBroken, errTruncatedEvent
 	case scanner.IsBehind():
 		return resultBroken, event.ErrGap
-	case !isUnframed(resp):
+	case !conn.IsUnframed(resp):
 	case !scanner.HasEvents():
 		return resultBroken, errTruncatedEvent
 	case t.targetHasEnded(ctx):
@@ -69,11 +70,6 @@
 	return len(t.endedTargets(ctx, t.possiblyEnded(resultBroken))) > 0
 }
 
-// isUnframed reports whether the end of the answer is that of its connection.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // continuesStream reports whether an answer is of the same kind as the one that the caller has begun to
 // receive, if any.
 func (t *try) continuesStream(resp *http.Response) bool {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -125,7 +125,7 @@
 		c.Release(nil)
 		return t.sendFailed(ctx, err)
 	}
-	x.unframed = isUnframed(resp)
+	x.unframed = conn.IsUnframed(resp)
 	x.progress.enter(PhaseAnswering, t.stage.clock.Now())
 	res, err := t.handleAnswer(ctx, resp, watch)
 	resp.Body.Close()
