front: a stream without a length is whole only if its target is known to live on

Callers got streams that ended as complete after some 20 of 60 events when several targets crashed at one moment and one box served.

Cause: the end of such a stream counted as complete unless the target's address was seen to refuse connections. A box in doubt turns a refused connection into ErrNoPath, since its word isn't to count against the target, and the stream passed for whole; so it did where connecting took too long. The lack of evidence against a target was taken for evidence that it lives.

Change: the question is asked the other way round, in try.isWhole: whole if the address accepts a connection, by any path, and no restart is known. What counts as evidence against a request is asked separately, as before.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -58,18 +58,13 @@
 	case !conn.IsUnframed(resp):
 	case !scanner.HasEvents():
 		return resultBroken, errTruncatedEvent
-	case t.targetHasEnded(ctx):
-		return resultBroken, errTargetEnded
+	case !t.isWhole(ctx, resp):
+		return resultBroken, errMayLackPart
 	}
 	t.startAnswer()
 	return resultDone, nil
 }
 
-// targetHasEnded reports whether the target's process has ended unexpectedly.
-func (t *try) targetHasEnded(ctx context.Context) bool {
-	return len(t.endedTargets(ctx, t.possiblyEnded(resultBroken))) > 0
-}
-
 // continuesStream reports whether an answer is of the same kind as the one that the caller has begun to
 // receive, if any.
 func (t *try) continuesStream(resp *http.Response) bool {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -58,7 +58,7 @@
 	errUnsealed       = eris.New("front: the answer lacks the target's digest")
 	errEncoded        = eris.New("front: the answer was encoded on its way")
 	errTruncatedEvent = eris.New("front: the stream ended inside an event")
-	errTargetEnded    = eris.New("front: the target ended, so that its stream may lack events")
+	errMayLackPart    = eris.New("front: the answer has no length, and its target is not known to live on")
 	errAnotherKind    = eris.New("front: the target did not resume the stream")
 	errStalled        = eris.New("front: the target sent nothing for too long")
 	errCallerWrite    = eris.New("front: the caller does not read")
--- /dev/null
+++ b/internal/front/whole.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/fleet"
+)
+
+// livenessTimeout bounds asking whether the processes of an answer's targets live on.
+const livenessTimeout = 300 * time.Millisecond
+
+// isWhole reports whether an answer that was read to its end is whole. One whose end is that of its
+// connection is whole only if the processes that it came from are known to live on: the system closes
+// the connections of a process that has ended in good order. Whether the end of a process is evidence
+// against the request is another question, see recordEnds.
+func (t *try) isWhole(ctx context.Context, resp *http.Response) bool {
+	return !conn.IsUnframed(resp) || t.areAlive(ctx, t.answering())
+}
+
+// answering returns the targets that the answer depends on.
+func (t *try) answering() []fleet.Target {
+	return t.possiblyEnded(resultBroken)
+}
+
+// areAlive reports whether all targets accept connections, and none has a successor.
+func (t *try) areAlive(ctx context.Context, targets []fleet.Target) bool {
+	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(livenessTimeout))
+	defer cancel()
+	alive := make([]bool, len(targets))
+	var wait sync.WaitGroup
+	for i, target := range targets {
+		wait.Go(func() {
+			alive[i] = t.stage.pool.Accepts(ctx, target.Addr) && !t.placement.HasRestarted(target.ID)
+		})
+	}
+	wait.Wait()
+	return !slices.Contains(alive, false)
+}
