front: whether a stream without a length is whole is asked about leaving targets too

Callers got 35 of 60 events of a stream as complete when its target, which had said that it leaves, ended.

Cause: the question went to the targets that count as evidence against a request when they end, and those that leave, or whose entry is gone, don't. Of them nothing was asked.

Change: it goes to the targets of the placement, listed or not. One that leaves and still accepts connections lives on. recordEnds leaves them out as before.

--- a/internal/front/unframed_test.go
+++ b/internal/front/unframed_test.go
@@ -101,6 +101,12 @@
 // unframedLists holds what has become of the target's entry when its answer ends.
 var unframedLists = map[string]func(f *unframedFixture){
 	"listed": func(*unframedFixture) {},
+	"leaving": func(f *unframedFixture) {
+		f.change(func(list []fleet.Target) []fleet.Target { list[0].Draining = true; return list })
+	},
+	"gone": func(f *unframedFixture) {
+		f.change(func(list []fleet.Target) []fleet.Target { return list[1:] })
+	},
 }
 
 func checkUnframed(t *testing.T, tc unframedCase, want reply, atAnswer func(f *unframedFixture)) {
@@ -116,7 +122,8 @@
 }
 
 // TestUnframedAnswerOfEndedTarget guards against answers without a length that pass for whole where it is
-// not known that the target's process lives on: it has ended, or cannot be asked.
+// not known that the target's process lives on: it has ended, announced or not, or
+// cannot be asked.
 func TestUnframedAnswerOfEndedTarget(t *testing.T) {
 	direct := func(d dialFunc) func(f *unframedFixture) {
 		return func(f *unframedFixture) { f.direct.Store(&d) }
@@ -146,7 +153,8 @@
 }
 
 // TestSoundUnframedAnswer guards against sound answers without a length that count as broken: their target
-// lives on, also where this box reaches it through others only.
+// lives on, also while it leaves, and also
+// where this box reaches it through others only.
 func TestSoundUnframedAnswer(t *testing.T) {
 	paths := map[string]func(f *unframedFixture){
 		"direct": func(*unframedFixture) {},
--- a/internal/front/whole.go
+++ b/internal/front/whole.go
@@ -23,9 +23,14 @@
 	return !conn.IsUnframed(resp) || t.areAlive(ctx, t.answering())
 }
 
-// answering returns the targets that the answer depends on.
+// answering returns the targets that the answer depends on, as they were when the try was placed. Their
+// entries may be gone since.
 func (t *try) answering() []fleet.Target {
-	return t.possiblyEnded(resultBroken)
+	list := []fleet.Target{t.placement.Target}
+	for _, h := range t.placement.Helpers {
+		list = append(list, fleet.Target{ID: h.ID, Addr: h.Addr, Hall: h.Hall})
+	}
+	return list
 }
 
 // areAlive reports whether all targets accept connections, and none has a successor.
