--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -145,17 +145,6 @@
 	return &Conn{pool: p, addr: addr, generation: generation, raw: raw, input: in, reader: bufio.NewReaderSize(in, readerSize)}, nil
 }
 
-// Accepts reports whether a process accepts connections at the address. False may also mean that this
-// box does not reach it.
-func (p *Pool) Accepts(ctx context.Context, addr string) bool {
-	raw, err := p.Dialer.Dial(ctx, addr)
-	if err != nil {
-		return false
-	}
-	_ = raw.Close() // Only the result of connecting matters.
-	return true
-}
-
 // ConnRefused reports whether the machine at the address refuses connections to the port. No answer
 // does not count as a refusal, and neither does a refusal that only this box gets.
 func (p *Pool) ConnRefused(ctx context.Context, addr string) bool {
--- a/internal/front/unframed_test.go
+++ b/internal/front/unframed_test.go
@@ -137,6 +137,13 @@
 			dial := dialFunc(f.dialer().Dial)
 			f.direct.Store(&dial)
 		},
+		"accepted for a moment longer": func(f *unframedFixture) {
+			go func() {
+				if c, err := f.listener.Accept(); err == nil {
+					c.Close()
+				}
+			}()
+		},
 		"no path": direct(func(context.Context, string) (net.Conn, error) { return nil, barleystep.ErrNoPath }),
 		"silent":  direct(func(context.Context, string) (net.Conn, error) { return nil, context.DeadlineExceeded }),
 		"reset":   direct(func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNRESET }),
