front: a buffered answer without a length is whole only if its target is known to live on

Callers got 200 with the first half of a body as the whole when a target crashed amid an answer without a length. The same holds for failures of targets, which are kept and relayed later.

Cause: bufferAnswer took the end of the connection for that of the body; only streams were asked about.

Change: bufferAnswer asks try.isWhole. What isn't whole is tried again where the route allows it, and answered with 502 otherwise.

--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -261,7 +261,7 @@
 		return t.relay(ctx, resp, w)
 	}
 	w.recordActivity()
-	return t.bufferAnswer(resp)
+	return t.bufferAnswer(ctx, resp)
 }
 
 // noteStatement takes in what a target states in an answer to a request that was sent at the given
@@ -283,11 +283,14 @@
 
 // bufferAnswer reads an answer that is not a stream and relays it once it is complete. A failure of
 // the target's own is kept until it is known whether another target does better.
-func (t *try) bufferAnswer(resp *http.Response) (result, error) {
+func (t *try) bufferAnswer(ctx context.Context, resp *http.Response) (result, error) {
 	body, err := t.readBody(resp.Body)
 	if err != nil {
 		return resultBroken, err
 	}
+	if !t.isWhole(ctx, resp) {
+		return resultBroken, errMayLackPart
+	}
 	t.begun = true
 	switch {
 	case impliesNotRun(resp.StatusCode):
--- a/internal/front/unframed_test.go
+++ b/internal/front/unframed_test.go
@@ -29,9 +29,13 @@
 // unframedCases returns the kinds of answers. A second target answers with the events from 4 to 6 or with
 // "good".
 func unframedCases() map[string]unframedCase {
+	const bodyHead, failureHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n\r\n", "HTTP/1.1 500 X\r\nId: ID\r\nSeal: s\r\n\r\n"
 	return map[string]unframedCase{
 		"resumable stream": {"/stream/", unframedHead + eventText(1, 3), reply{status: http.StatusOK, body: eventText(1, 6)}},
 		"stream":           {"/plainstream/", unframedHead + eventText(1, 3), reply{status: http.StatusOK, body: eventText(1, 3), broken: true}},
+		"repeatable":       {"/again/", bodyHead + "half", reply{status: http.StatusOK, body: "good"}},
+		"once":             {"/once/", bodyHead + "half", reply{status: http.StatusBadGateway}},
+		"failure":          {"/once/", failureHead + "half", reply{status: http.StatusBadGateway}},
 	}
 }
 
@@ -183,6 +187,9 @@
 	whole := map[string]reply{
 		"resumable stream": {status: http.StatusOK, body: eventText(1, 3)},
 		"stream":           {status: http.StatusOK, body: eventText(1, 3)},
+		"repeatable":       {status: http.StatusOK, body: "half"},
+		"once":             {status: http.StatusOK, body: "half"},
+		"failure":          {status: http.StatusInternalServerError, body: "half"},
 	}
 	for kind, tc := range unframedCases() {
 		for path, atEnd := range paths {
