--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -58,7 +58,7 @@
 	errUnsealed       = eris.New("front: the answer lacks the target's digest")
 	errEncoded        = eris.New("front: the answer was encoded on its way")
 	errTruncatedEvent = eris.New("front: the stream ended inside an event")
-	errTargetEnded    = eris.New("front: the target ended, so that its stream may lack events")
+	errMayLackPart    = eris.New("front: the answer has no length, and its target is not known to live on")
 	errAnotherKind    = eris.New("front: the target did not resume the stream")
 	errStalled        = eris.New("front: the target sent nothing for too long")
 	errCallerWrite    = eris.New("front: the caller does not read")
@@ -125,7 +125,7 @@
 		c.Release(nil)
 		return t.sendFailed(ctx, err)
 	}
-	x.unframed = isUnframed(resp)
+	x.unframed = conn.IsUnframed(resp)
 	x.progress.enter(PhaseAnswering, t.stage.clock.Now())
 	res, err := t.handleAnswer(ctx, resp, watch)
 	resp.Body.Close()
@@ -261,7 +261,7 @@
 		return t.relay(ctx, resp, w)
 	}
 	w.recordActivity()
-	return t.bufferAnswer(resp)
+	return t.bufferAnswer(ctx, resp)
 }
 
 // noteStatement takes in what a target states in an answer to a request that was sent at the given
@@ -283,11 +283,14 @@
 
 // bufferAnswer reads an answer that is not a stream and relays it once it is complete. A failure of
 // the target's own is kept until it is known whether another target does better.
-func (t *try) bufferAnswer(resp *http.Response) (result, error) {
+func (t *try) bufferAnswer(ctx context.Context, resp *http.Response) (result, error) {
 	body, err := t.readBody(resp.Body)
 	if err != nil {
 		return resultBroken, err
 	}
+	if !t.isWhole(ctx, resp) {
+		return resultBroken, errMayLackPart
+	}
 	t.begun = true
 	switch {
 	case impliesNotRun(resp.StatusCode):
