front: say when a request that ends during a stop was sent

The line of a request that a stopping box cut told neither when, counted from the start of the stop, it ended nor when it was sent, so that cuts by late admission, by late placement and by slow targets looked the same.

Lines of requests that end while the box stops now have stopping_for and since_sent; all lines have max_output, the most tokens that the caller allows.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -45,7 +45,8 @@
 
 	buffered   int64 // buffered is the memory that answers to the request take, in bytes.
 	sends      int
-	mayHaveRun bool // mayHaveRun is set once a target may have run the request.
+	mayHaveRun bool      // mayHaveRun is set once a target may have run the request.
+	sentAt     time.Time // sentAt is when the request was last sent to a target.
 	target     barleystep.TargetID
 	helpers    int
 	relay      string // relay is the box through which the last send went, empty for a direct one.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -246,7 +246,7 @@
 	e.Str("request", x.call.RequestID).Str("outcome", outcome.String()).Int("status", head.Status()).
 		Int("sends", x.sends).Str("target", string(x.target)).Int("helpers", x.helpers).
 		Str("relay", x.relay).Str("source", string(head.Source())).Bool("sealed", head.Sealed()).
-		Int("prompt", x.call.PromptTokens).Int("events", x.events).
+		Int("prompt", x.call.PromptTokens).Int("max_output", x.call.MaxOutputTokens).Int("events", x.events).
 		Bool("unframed", x.unframed).Int("dropped_events", x.droppedEvents)
 	if x.view != nil {
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.viewAge)
@@ -261,12 +261,25 @@
 	if x.told > 0 {
 		e.Dur("retry_after", x.told).Dur("capacity_after", x.capacityAfter)
 	}
+	s.logShutdown(x, e)
 	if len(x.passedOver) > 0 {
 		e.Strs("passed_over", x.passedOver)
 	}
 	e.Dur("queued", x.queued).Dur("expected", x.expected).Dur("first", x.timeToFirst).Dur("pause", x.maxPause).Dur("took", s.Clock.Now().Sub(x.started)).Msg(logPrefix + "A request ended.")
 }
 
+// logShutdown adds how long the box has been stopping, and how long ago the request was sent to its
+// last target.
+func (s *Server) logShutdown(x *Exchange, e *log.Entry) {
+	if !s.shutdown.hasBegun() {
+		return
+	}
+	e.Dur("stopping_for", s.shutdown.lasted())
+	if x.sends > 0 {
+		e.Dur("since_sent", s.Clock.Now().Sub(x.sentAt))
+	}
+}
+
 // withDeadline returns a context that ends at the request's deadline.
 func withDeadline(ctx context.Context, clk barleystep.Clock, x *Exchange) (context.Context, context.CancelFunc) {
 	return clock.WithDeadline(ctx, clk, x.deadline)
--- a/internal/front/shutdown.go
+++ b/internal/front/shutdown.go
@@ -17,9 +17,10 @@
 // shutdown tells requests when the box shuts down. Use newShutdown to create one.
 type shutdown struct {
 	clock barleystep.Clock
-	// started is cancelled when a shutdown begins; end is set before.
+	// started is cancelled when a shutdown begins; begun and end are set before.
 	started context.Context
 	start   context.CancelFunc
+	begun   time.Time
 	end     time.Time
 }
 
@@ -31,13 +32,19 @@
 
 // begin starts a shutdown that completes at end. It must be called once.
 func (s *shutdown) begin(end time.Time) {
-	s.end = end
+	s.begun, s.end = s.clock.Now(), end
 	s.start()
 }
 
+// hasBegun reports whether a shutdown has begun.
+func (s *shutdown) hasBegun() bool { return s.started.Err() != nil }
+
+// lasted returns how long ago the shutdown began.
+func (s *shutdown) lasted() time.Duration { return s.clock.Now().Sub(s.begun) }
+
 // endsWithin reports whether the box shuts down within d.
 func (s *shutdown) endsWithin(d time.Duration) bool {
-	return s.started.Err() != nil && s.clock.Now().Add(d).After(s.end)
+	return s.hasBegun() && s.clock.Now().Add(d).After(s.end)
 }
 
 // withDeadline returns a context that ends with errStopping as its cause at the given margin before
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -118,6 +118,7 @@
 	x.expected = t.placement.ExpectedTTFT()
 	x.listAge = t.placement.ListAge()
 	t.sent = t.stage.clock.Now()
+	x.sentAt = t.sent
 	x.progress.enterSent(x.target, t.sent)
 	resp, err := c.Send(ctx, t.outgoingRequest(left), x.body, t.isOwnAnswer)
 	t.skippedAnswers = c.Skipped()
