front: admit requests on a stopping box by their longest answer

Callers of a stopping box had streams cut when it ended, some of them taken seconds after the stop had begun.

- A request was judged by the mean answer on an idle engine.
- A wait for a place ended only when idle engines could no longer have given the mean answer, so what had waited was sent too late.

A request is now judged by its longest answer at the pace of the streams that the box has seen lately (a prior of busy engines by the cost model), a margin for slower ones, the slowness of its target and twice the expected first event, which one in twenty exceeded. Waits end at the same bound. A caller's resumption is judged like any request. A stream that the box itself resumes is not: it may be nearly complete, so it is resumed while an event can still come, and else given up at once, so that its caller resumes it elsewhere.

--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -58,6 +58,14 @@
 // ExpectedTTFT returns the expected time to the first event, zero if unknown.
 func (p *Placement) ExpectedTTFT() time.Duration { return p.expectedTTFT }
 
+// Slowness returns the factor by which the target is slower than others, 1 unless it counts as slow.
+func (p *Placement) Slowness() float64 {
+	b := p.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slowness(p.Target.ID)
+}
+
 // part is the work of a try at one target.
 type part struct {
 	target    barleystep.TargetID
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -80,7 +80,7 @@
 // caller that has not left.
 func (b *Balancer) isAskedAgain(j Job) bool {
 	now := b.Clock.Now()
-	return !now.Before(b.waitDeadline(j)) && now.Add(j.minTTFT()).Before(j.FirstEventDeadline)
+	return !now.Before(b.waitDeadline(j)) && now.Add(j.MinTTFT()).Before(j.FirstEventDeadline)
 }
 
 // NextStart returns when the earliest planned prompt may be placed, zero if none is planned.
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -140,7 +140,7 @@
 	if j.FirstEventDeadline.IsZero() {
 		return until
 	}
-	if latest := j.FirstEventDeadline.Add(-j.minTTFT()); latest.Before(until) {
+	if latest := j.FirstEventDeadline.Add(-j.MinTTFT()); latest.Before(until) {
 		return latest
 	}
 	return until
@@ -149,7 +149,7 @@
 // firstTryDeadline returns until when a long prompt waits on its caller's first try: while it can be
 // in time. Its caller is then told to come back, and waits for longer on that last try.
 func (j Job) firstTryDeadline() time.Time {
-	until := j.firstArrival().Add(j.Objective - j.minTTFT())
+	until := j.firstArrival().Add(j.Objective - j.MinTTFT())
 	if least := j.Arrival.Add(j.Objective / minLongWaitDivisor); until.Before(least) {
 		return least
 	}
@@ -188,9 +188,9 @@
 		Msg(logPrefix + "A long prompt timed out waiting for engines.")
 }
 
-// minTTFT returns the approximate time to the job's first event if all engines that may help are
+// MinTTFT returns the approximate time to the job's first event if all engines that may help are
 // idle.
-func (j Job) minTTFT() time.Duration {
+func (j Job) MinTTFT() time.Duration {
 	switch {
 	case j.Cost == nil:
 		return 0
@@ -212,12 +212,12 @@
 
 // MinTotalTime returns the approximate time to the job's last event if all engines that may help
 // are idle, zero if unknown.
-func (j Job) MinTotalTime() time.Duration { return j.minTTFT() + j.DecodeTime() }
+func (j Job) MinTotalTime() time.Duration { return j.MinTTFT() + j.DecodeTime() }
 
 // cannotMeetDeadline reports whether the job's caller would give up before the first event even on
 // idle engines.
 func (b *Balancer) cannotMeetDeadline(j Job) bool {
-	return !j.FirstEventDeadline.IsZero() && b.Clock.Now().Add(j.minTTFT()).After(j.FirstEventDeadline)
+	return !j.FirstEventDeadline.IsZero() && b.Clock.Now().Add(j.MinTTFT()).After(j.FirstEventDeadline)
 }
 
 // serveQueues places queued jobs as far as there is room. On news from peers, all boxes have seen
--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -52,6 +52,14 @@
 	return time.Duration(m.MeanOutputTokens) * (m.Step + m.PerStream)
 }
 
+// BusyStep returns the duration of a token step in which all slots decode streams after prompts of
+// mean length.
+func (m CostModel) BusyStep() time.Duration {
+	const thousand = 1000
+	context := float64(min(m.Slots*(m.MeanPromptTokens+m.MeanOutputTokens), m.KVTokens)) / thousand
+	return m.Step + time.Duration(m.Slots)*m.PerStream + time.Duration(context*float64(m.PerContext))
+}
+
 // Pass returns the duration of a pass with one decoding stream.
 func (m CostModel) Pass() time.Duration {
 	return time.Duration(m.Stride) * (m.Step + m.PerStream)
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -29,6 +29,7 @@
 	shutdown     *shutdown
 	rand         func() float64
 	limitHistory limitHistory
+	answerTimes  answerTimes
 	// buffered is the memory that buffered answers take, in bytes.
 	buffered quota
 	// pendingReleases counts the ended tries whose reserved helper memory is still being released.
@@ -104,6 +105,7 @@
 		}
 		placement.Done(t.report(ctx, res))
 		if res == resultDone {
+			d.answerTimes.note(d.clock.Now(), x, job.Cost)
 			return next(ctx, x)
 		}
 		d.logFailedTry(x, t, res, err)
@@ -139,20 +141,16 @@
 }
 
 // place obtains a placement for the request. It returns errStopping as soon as it is known that the
-// answer cannot be complete before the box shuts down. A stream that has begun is instead resumed
-// for as long as the box serves, because its caller cannot start it again on another box.
+// answer may not be complete before the box shuts down.
 func (d *deliver) place(ctx context.Context, x *Exchange, job *balance.Job) (*balance.Placement, error) {
 	if err := d.checkSuspect(x, job); err != nil {
 		return nil, err
 	}
-	if x.answer.HeadSent() {
-		return d.requestPlacement(ctx, x, *job)
-	}
-	minTime := job.MinTotalTime()
-	if d.shutdown.endsWithin(minTime) {
+	needed := d.timeNeeded(x, *job, job.MinTTFT(), 1)
+	if d.shutdown.endsWithin(needed) {
 		return nil, errStopping
 	}
-	ctx, release := d.shutdown.withDeadline(ctx, minTime)
+	ctx, release := d.shutdown.withDeadline(ctx, needed)
 	defer release()
 	p, err := d.requestPlacement(ctx, x, *job)
 	switch {
@@ -160,13 +158,41 @@
 		return nil, errStopping
 	case err != nil:
 		return nil, err
-	case d.shutdown.endsWithin(p.ExpectedTTFT() + job.DecodeTime()):
+	case d.isTooLate(x, *job, p):
 		p.Cancel()
 		return nil, errStopping
 	}
 	return p, nil
 }
 
+// isTooLate reports whether the box may shut down before the answer of the placement is complete.
+func (d *deliver) isTooLate(x *Exchange, job balance.Job, p *balance.Placement) bool {
+	return d.shutdown.hasBegun() && d.shutdown.endsWithin(d.timeNeeded(x, job, p.ExpectedTTFT(), p.Slowness()))
+}
+
+const (
+	// ttftFactor multiplies the expected time to the first event and ttftMargin is added to it: one
+	// first event in twenty comes later than that.
+	ttftFactor = 2
+	ttftMargin = 150 * time.Millisecond
+)
+
+// timeNeeded returns how long an answer with the expected time to the first event may take on targets
+// that are slower than others by the factor. A stream that has begun is resumed wherever it can go on
+// before the box shuts down: it may be nearly complete, and its caller must otherwise resume it on
+// another box.
+func (d *deliver) timeNeeded(x *Exchange, job balance.Job, ttft time.Duration, slowness float64) time.Duration {
+	switch {
+	case x.answer.HeadSent():
+		return ttft
+	case job.Cost == nil:
+		return d.answerTimes.answerTime(d.clock.Now(), x.route)
+	default:
+		decode := time.Duration(slowness * float64(d.answerTimes.decodeTime(d.clock.Now(), job)))
+		return ttftFactor*ttft + ttftMargin + decode
+	}
+}
+
 // requestPlacement asks the balancer for a placement. A request that may have run cannot be refused
 // as not run, and a begun stream would be cut off. While all targets are full, it therefore asks
 // again for such a request until ctx ends.
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -43,7 +43,11 @@
 	if err != nil {
 		prompt = 0
 	}
-	return barleystep.CallerHeaders{RequestID: h.Get("Id"), APIKey: h.Get("Key"), TimeLimit: limit, PromptTokens: prompt, SharedParts: h["Part"], LastEventID: h.Get("Last")}
+	output, err := strconv.Atoi(h.Get("Output"))
+	if err != nil {
+		output = 0
+	}
+	return barleystep.CallerHeaders{RequestID: h.Get("Id"), APIKey: h.Get("Key"), TimeLimit: limit, PromptTokens: prompt, MaxOutputTokens: output, SharedParts: h["Part"], LastEventID: h.Get("Last")}
 }
 
 func (protocol) SetTargetHeaders(h http.Header, d barleystep.TargetHeaders) {
