front: judge a request again just before it is sent

On a stopping box a request could be sent after they had taken so long that its answer was cut. It is now judged once more and refused as not run (503).

TestShutdownChecksBeforeSending failed before: with 1.5 s for the connection and 3 s left, a prompt that takes 0.9 s to prefill was sent.

--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -104,6 +104,11 @@
 		c.Release(nil)
 		return resultNotSent, context.Cause(ctx)
 	}
+	if t.stage.isTooLate(x, t.stage.job(x), t.placement) {
+		c.Release(nil)
+		t.needsPlacement = true
+		return resultNotSent, errStopping
+	}
 	t.logHelpers()
 	t.conn = c
 	watch := t.newStallWatch(cancel, c)
