front: refuse requests whose bodies are late on a stopping box

Whether the box refuses requests was asked once, at the head, so that one whose body came slowly was placed and sent long after all others were refused. It is asked again when the body is complete, and incomplete bodies are aborted when the refusals begin instead of at the end of the stop, so that their callers have the time for another box. The phase is left before the question, so that no request that passes it is aborted.

--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -13,16 +14,24 @@
 )
 
 // read buffers the whole body, so that it can be sent more than once.
-type read struct{}
+type read struct {
+	clock barleystep.Clock
+	// rejecting is set once the box refuses further requests.
+	rejecting *atomic.Bool
+}
 
-// Run refuses bodies over the configured size, and those that are incomplete when the box shuts
-// down.
+// Run refuses bodies over the configured size, and requests that are incomplete when the box begins
+// to refuse further ones.
 func (s *read) Run(ctx context.Context, x *Exchange, next Next) error {
-	if x.r.ContentLength == 0 {
-		return next(ctx, x)
+	if x.r.ContentLength != 0 {
+		if err := s.readBody(x); err != nil {
+			return err
+		}
 	}
-	if err := s.readBody(x); err != nil {
-		return err
+	// The phase is left first: whoever sets rejecting aborts the requests that are still in it.
+	x.progress.enter(PhaseWaiting, s.clock.Now())
+	if s.rejecting.Load() {
+		return stoppingRefusal()
 	}
 	return next(ctx, x)
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -79,7 +79,7 @@
 	s.pipeline = Pipeline{
 		&route{clock: s.Clock, configuration: s.Configuration, loader: s.Loader, maxAge: s.MaxConfigurationAge},
 		&authenticate{freshness: &s.freshness},
-		&read{},
+		&read{clock: s.Clock, rejecting: &s.rejecting},
 		s.deliver,
 	}
 	return s
@@ -96,14 +96,18 @@
 func (s *Server) BeginShutdown(end time.Time) {
 	s.shuttingDown.Store(true)
 	s.shutdown.begin(end)
-	go s.abortPendingBodies(end)
+	go s.abortPendingBodiesAt(end)
 }
 
-// abortPendingBodies aborts the reading of bodies that are incomplete at end. It leaves requests in
-// later phases alone, because their connections are still read to detect that the caller
-// disconnects.
-func (s *Server) abortPendingBodies(end time.Time) {
+// abortPendingBodiesAt aborts the reading of bodies that are incomplete at end.
+func (s *Server) abortPendingBodiesAt(end time.Time) {
 	clock.Sleep(context.Background(), s.Clock, end.Sub(s.Clock.Now()))
+	s.abortPendingBodies()
+}
+
+// abortPendingBodies aborts the reading of incomplete bodies. It leaves requests in later phases
+// alone, because their connections are still read to detect that the caller disconnects.
+func (s *Server) abortPendingBodies() {
 	for _, x := range s.active.oldest(math.MaxInt) {
 		if phase, _, _ := x.progress.snapshot(); phase == PhaseReading {
 			x.answer.AbortRequestBody()
@@ -111,8 +115,11 @@
 	}
 }
 
-// RejectNew refuses all further requests.
-func (s *Server) RejectNew() { s.rejecting.Store(true) }
+// RejectNew refuses all further requests, and those whose bodies are incomplete.
+func (s *Server) RejectNew() {
+	s.rejecting.Store(true)
+	s.abortPendingBodies()
+}
 
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return s.active.count() }
