router: refuse all requests half a second earlier during a stop

Refusals began 3 s after the start of a stop, exactly when what callers send may no longer be cut.

TestScheduleRefusesInTime failed before (3 s).

--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -17,9 +17,9 @@
 	// noticePeriod is how long a stopping box serves as before: the platform removes it from
 	// rotation after two failed readiness probes, one per second.
 	noticePeriod = 2500 * time.Millisecond
-	// refuseDelay is when a stopping box begins to refuse new requests, since those accepted
-	// later might not finish in time.
-	refuseDelay = 3 * time.Second
+	// refuseDelay is when a stopping box begins to refuse all new requests. Callers that come
+	// later use connections from before the stop and reach another box when they retry.
+	refuseDelay = 2500 * time.Millisecond
 	// answerMargin, closeMargin and exitMargin are how long before the end of the grace period
 	// the other steps take place. A box with a tenth of a core writes some dozens of answers
 	// between the first and the last of them.
--- a/internal/router/shutdown_internal_test.go
+++ b/internal/router/shutdown_internal_test.go
@@ -97,3 +97,17 @@
 		})
 	}
 }
+
+// TestScheduleRefusesInTime checks that a stopping box begins to refuse requests well before callers
+// may no longer expect an answer from it. It guards against requests that are sent within that time
+// and reach a slow box after it.
+func TestScheduleRefusesInTime(t *testing.T) {
+	const (
+		sentBy = 3 * time.Second        // sentBy is until when callers may expect an answer.
+		margin = 400 * time.Millisecond // margin is how late a slow box may see the request.
+	)
+	c := quicktest.New(t)
+	for _, grace := range []time.Duration{minFullGrace, time.Hour} {
+		c.Check(newSchedule(grace).refuseAt <= sentBy-margin, quicktest.IsTrue)
+	}
+}
