--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -79,7 +79,7 @@
 	s.pipeline = Pipeline{
 		&route{clock: s.Clock, configuration: s.Configuration, loader: s.Loader, maxAge: s.MaxConfigurationAge},
 		&authenticate{freshness: &s.freshness},
-		&read{},
+		&read{clock: s.Clock, rejecting: &s.rejecting},
 		s.deliver,
 	}
 	return s
@@ -96,14 +96,18 @@
 func (s *Server) BeginShutdown(end time.Time) {
 	s.shuttingDown.Store(true)
 	s.shutdown.begin(end)
-	go s.abortPendingBodies(end)
+	go s.abortPendingBodiesAt(end)
 }
 
-// abortPendingBodies aborts the reading of bodies that are incomplete at end. It leaves requests in
-// later phases alone, because their connections are still read to detect that the caller
-// disconnects.
-func (s *Server) abortPendingBodies(end time.Time) {
+// abortPendingBodiesAt aborts the reading of bodies that are incomplete at end.
+func (s *Server) abortPendingBodiesAt(end time.Time) {
 	clock.Sleep(context.Background(), s.Clock, end.Sub(s.Clock.Now()))
+	s.abortPendingBodies()
+}
+
+// abortPendingBodies aborts the reading of incomplete bodies. It leaves requests in later phases
+// alone, because their connections are still read to detect that the caller disconnects.
+func (s *Server) abortPendingBodies() {
 	for _, x := range s.active.oldest(math.MaxInt) {
 		if phase, _, _ := x.progress.snapshot(); phase == PhaseReading {
 			x.answer.AbortRequestBody()
@@ -111,8 +115,11 @@
 	}
 }
 
-// RejectNew refuses all further requests.
-func (s *Server) RejectNew() { s.rejecting.Store(true) }
+// RejectNew refuses all further requests, and those whose bodies are incomplete.
+func (s *Server) RejectNew() {
+	s.rejecting.Store(true)
+	s.abortPendingBodies()
+}
 
 // Running returns the number of requests being served.
 func (s *Server) Running() int { return s.active.count() }
@@ -246,7 +253,7 @@
 	e.Str("request", x.call.RequestID).Str("outcome", outcome.String()).Int("status", head.Status()).
 		Int("sends", x.sends).Str("target", string(x.target)).Int("helpers", x.helpers).
 		Str("relay", x.relay).Str("source", string(head.Source())).Bool("sealed", head.Sealed()).
-		Int("prompt", x.call.PromptTokens).Int("events", x.events).
+		Int("prompt", x.call.PromptTokens).Int("max_output", x.call.MaxOutputTokens).Int("events", x.events).
 		Bool("unframed", x.unframed).Int("dropped_events", x.droppedEvents)
 	if x.view != nil {
 		e.Int64("configuration", x.view.Version()).Dur("configuration_age", x.viewAge)
@@ -261,12 +268,25 @@
 	if x.told > 0 {
 		e.Dur("retry_after", x.told).Dur("capacity_after", x.capacityAfter)
 	}
+	s.logShutdown(x, e)
 	if len(x.passedOver) > 0 {
 		e.Strs("passed_over", x.passedOver)
 	}
 	e.Dur("queued", x.queued).Dur("expected", x.expected).Dur("first", x.timeToFirst).Dur("pause", x.maxPause).Dur("took", s.Clock.Now().Sub(x.started)).Msg(logPrefix + "A request ended.")
 }
 
+// logShutdown adds how long the box has been stopping, and how long ago the request was sent to its
+// last target.
+func (s *Server) logShutdown(x *Exchange, e *log.Entry) {
+	if !s.shutdown.hasBegun() {
+		return
+	}
+	e.Dur("stopping_for", s.shutdown.lasted())
+	if x.sends > 0 {
+		e.Dur("since_sent", s.Clock.Now().Sub(x.sentAt))
+	}
+}
+
 // withDeadline returns a context that ends at the request's deadline.
 func withDeadline(ctx context.Context, clk barleystep.Clock, x *Exchange) (context.Context, context.CancelFunc) {
 	return clock.WithDeadline(ctx, clk, x.deadline)
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -104,6 +104,11 @@
 		c.Release(nil)
 		return resultNotSent, context.Cause(ctx)
 	}
+	if t.stage.isTooLate(x, t.stage.job(x), t.placement) {
+		c.Release(nil)
+		t.needsPlacement = true
+		return resultNotSent, errStopping
+	}
 	t.logHelpers()
 	t.conn = c
 	watch := t.newStallWatch(cancel, c)
@@ -118,6 +123,7 @@
 	x.expected = t.placement.ExpectedTTFT()
 	x.listAge = t.placement.ListAge()
 	t.sent = t.stage.clock.Now()
+	x.sentAt = t.sent
 	x.progress.enterSent(x.target, t.sent)
 	resp, err := c.Send(ctx, t.outgoingRequest(left), x.body, t.isOwnAnswer)
 	t.skippedAnswers = c.Skipped()
