router: logs the connections and the refusals of a stop

A stopping box writes one line at its end: when it began to refuse, how many connections were between requests, had a request waiting to be read or in progress at that time and at the exit, and how many refusals it gave, and when.

Callers' connections are wrapped for that. What resets a connection accepts a wrapped one.

--- a/internal/conn/tcp.go
+++ b/internal/conn/tcp.go
@@ -43,7 +43,7 @@
 
 // Reset closes a connection so that its peer does not take the end for a regular one.
 func Reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // The connection is dropped either way.
 	}
 	_ = c.Close()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -54,6 +54,7 @@
 	shuttingDown atomic.Bool
 	rejecting    atomic.Bool
 	shutdown     *shutdown
+	stopRefusals stopRefusals
 }
 
 const logPrefix = "front: "
@@ -170,6 +171,9 @@
 	}
 	r := barleystep.AsRefusal(err)
 	x.told = r.RetryAfter()
+	if r.Reason() == barleystep.ReasonStopping {
+		s.stopRefusals.add(s.Clock.Now())
+	}
 	s.Meter.RequestRefused(string(r.Reason()), r.Outcome().String())
 	headSent := x.answer.HeadSent()
 	if !headSent && r.Reason() != barleystep.ReasonCallerGone {
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -37,6 +37,8 @@
 	// with a request in progress.
 	idle   map[net.Conn]time.Time
 	active map[net.Conn]struct{}
+	// open holds all connections.
+	open map[*callerConn]struct{}
 }
 
 const (
@@ -62,7 +64,7 @@
 	server := l.start(socket)
 	l.log.Info().Str("addr", l.addr).Msg(logPrefix + "Accepting callers.")
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(socket) }()
+	go func() { done <- server.Serve(callerSocket{socket}) }()
 	for {
 		select {
 		case err = <-done:
@@ -87,6 +89,7 @@
 	defer l.mu.Unlock()
 	l.idle = make(map[net.Conn]time.Time)
 	l.active = make(map[net.Conn]struct{})
+	l.open = make(map[*callerConn]struct{})
 	l.socket = socket
 	l.server = &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, ConnState: l.trackConn}
 	l.accepting.Store(true)
@@ -137,6 +140,7 @@
 func (l *listener) trackConn(c net.Conn, s http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.trackOpen(c, s)
 	delete(l.idle, c)
 	delete(l.active, c)
 	switch s {
@@ -163,3 +167,43 @@
 		}
 	}
 }
+
+// trackOpen follows which connections are open.
+func (l *listener) trackOpen(c net.Conn, s http.ConnState) {
+	caller, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	caller.enter(s)
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(l.open, caller)
+	} else {
+		l.open[caller] = struct{}{}
+	}
+}
+
+// openConns counts open connections.
+type openConns struct {
+	// idle counts those between requests, with received and unread those in which data of a
+	// request has been read or waits to be read. active counts those with a request in progress.
+	idle, received, unread, active int
+}
+
+// countOpen counts the open connections.
+func (l *listener) countOpen() (n openConns) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		switch {
+		case !c.betweenRequests():
+			n.active++
+		case c.hasUnreadInput():
+			n.unread++
+		case c.received.Load():
+			n.received++
+		default:
+			n.idle++
+		}
+	}
+	return n
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -339,13 +339,30 @@
 		clock.Sleep(ctx, r.Clock, steps.refuseAt-steps.notice)
 	}
 	r.front.RejectNew()
+	before, refused := r.callers.countOpen(), r.Clock.Now()
 	r.drain(ctx, started.Add(steps.closeAt))
+	r.logCallers(started, refused, before)
 	if n := r.front.Running(); n > 0 {
 		r.Log.Warn().Int("running", n).Msg(logPrefix + "Aborting running requests at the end of the grace period.")
 		r.front.LogUnfinished()
 	}
 }
 
+// logCallers logs the connections that are open when the box begins to refuse and when it exits,
+// and the refusals.
+func (r *Router) logCallers(started, refused time.Time, before openConns) {
+	refusals, now := r.front.StopRefusals(), r.Clock.Now()
+	after := r.callers.countOpen()
+	e := r.Log.Info().Dur("refused_after", refused.Sub(started)).Dur("took", now.Sub(started)).
+		Int("idle_before", before.idle).Int("received_before", before.received).Int("unread_before", before.unread).Int("active_before", before.active).
+		Int("idle", after.idle).Int("received", after.received).Int("unread", after.unread).Int("active", after.active).
+		Int("refusals", refusals.Count)
+	if refusals.Count > 0 {
+		e.Dur("first_refusal", refusals.First.Sub(started)).Dur("last_refusal", refusals.Last.Sub(started))
+	}
+	e.Msg(logPrefix + "Callers' connections at the end of the stop.")
+}
+
 // drain lets running requests finish until ctx ends. It refuses new callers until all others
 // are answered, at the latest until the given time. After that no callers are accepted, so that
 // the last refusals are sent before the process exits.
