front: answers of requests that came before the stop close their connections

What callers saw: kept connections whose running answer ended after SIGTERM and did not say that its box stops, so that they sent it further requests, or met its exit.

Cause: whether an answer closes its connection was decided when its request came. Change: the start of a stop tells the answers that have no head yet.

TestStopTellsRunningRequests fails without it: the 503 leaves the connection open.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -96,6 +96,9 @@
 // is known, while its caller still has time for another box.
 func (s *Server) BeginShutdown(end time.Time) {
 	s.shuttingDown.Store(true)
+	for _, x := range s.active.oldest(math.MaxInt) {
+		x.answer.SetConnectionClose()
+	}
 	s.shutdown.begin(end)
 	go s.abortPendingBodies(end)
 }
--- a/internal/reply/writer.go
+++ b/internal/reply/writer.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,20 +14,20 @@
 )
 
 // Writer sends one answer to one caller. Use NewWriter to create one. It must be used by one
-// goroutine, except for AbortRequestBody.
+// goroutine, except for AbortRequestBody and SetConnectionClose.
 type Writer struct {
 	w         http.ResponseWriter
 	head      Head
 	headSent  bool
-	closeConn bool
+	closeConn atomic.Bool
 }
 
 // NewWriter returns a writer for an answer that has not begun.
 func NewWriter(w http.ResponseWriter) *Writer { return &Writer{w: w} }
 
 // SetConnectionClose makes the answer close the caller's connection. It has no effect once the head
-// has been sent.
-func (w *Writer) SetConnectionClose() { w.closeConn = true }
+// has been sent. It may be called from other goroutines.
+func (w *Writer) SetConnectionClose() { w.closeConn.Store(true) }
 
 // HeadSent reports whether the head has been sent. Only one head can be sent.
 func (w *Writer) HeadSent() bool { return w.headSent }
@@ -77,7 +78,7 @@
 	header := w.w.Header()
 	clear(header)
 	maps.Copy(header, h.header)
-	if w.closeConn {
+	if w.closeConn.Load() {
 		header.Set("Connection", "close")
 	}
 	w.w.WriteHeader(h.status)
--- a/internal/router/stop_conns_internal_test.go
+++ b/internal/router/stop_conns_internal_test.go
@@ -232,6 +232,22 @@
 	}
 }
 
+// TestStopTellsRunningRequests guards against answers of a stopping box that leave their connections
+// open, since their requests came before the stop.
+func TestStopTellsRunningRequests(t *testing.T) {
+	c := quicktest.New(t)
+	f := newStopFixture(t)
+	caller := f.dialKept(t)
+	caller.send(request)
+	await(t, func() bool { return f.front.Running() == 1 })
+	f.stop(t, 0)
+	status, closes := caller.ask(f, "")
+	c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
+	c.Check(closes, quicktest.IsTrue)
+	f.clk.Advance(noticePeriod)
+	f.finish(t, time.Second)
+}
+
 // TestStopExpectContinue guards against callers that are told to send their body and get no answer.
 func TestStopExpectContinue(t *testing.T) {
 	c := quicktest.New(t)
