--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -54,6 +54,7 @@
 	shuttingDown atomic.Bool
 	rejecting    atomic.Bool
 	shutdown     *shutdown
+	stopRefusals stopRefusals
 }
 
 const logPrefix = "front: "
@@ -95,6 +96,9 @@
 // is known, while its caller still has time for another box.
 func (s *Server) BeginShutdown(end time.Time) {
 	s.shuttingDown.Store(true)
+	for _, x := range s.active.oldest(math.MaxInt) {
+		x.answer.SetConnectionClose()
+	}
 	s.shutdown.begin(end)
 	go s.abortPendingBodiesAt(end)
 }
@@ -177,6 +181,9 @@
 	}
 	r := barleystep.AsRefusal(err)
 	x.told = r.RetryAfter()
+	if r.Reason() == barleystep.ReasonStopping {
+		s.stopRefusals.add(s.Clock.Now())
+	}
 	s.Meter.RequestRefused(string(r.Reason()), r.Outcome().String())
 	headSent := x.answer.HeadSent()
 	if !headSent && r.Reason() != barleystep.ReasonCallerGone {
