front: memory that no request uses is released by a bound of its own

Memory set aside at six targets stayed unused for 12 s, where 9 s are allowed, while a target left a long prompt unanswered whose first event was expected after 4.8 s.

Cause: the bound was part of the watch for silent targets: twice the expected time where that is longer, and not kept at all where no other target was free or no retry was left.

If it isn't, or nobody says so, the try ends and the memory is released, whatever was expected; the request goes on elsewhere where it may. A prompt that is being read keeps its memory, also beyond 7 s, so that long readings aren't ended for it.

--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -84,6 +84,10 @@
 
 func (protocol) ReleaseRequest(id string) (*http.Request, []byte) { return order("/release/" + id) }
 
+func (protocol) UsageRequest() (*http.Request, []byte) { return order("/usage") }
+
+func (protocol) ReadUsage(body []byte, id string) bool { return string(body) == "used "+id }
+
 func order(path string) (*http.Request, []byte) {
 	return &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: path}, Header: http.Header{}}, nil
 }
@@ -126,7 +130,7 @@
 }
 
 func isOrder(r *http.Request) bool {
-	return strings.HasPrefix(r.RequestURI, "/reserve/") || strings.HasPrefix(r.RequestURI, "/release/")
+	return strings.HasPrefix(r.RequestURI, "/reserve/") || strings.HasPrefix(r.RequestURI, "/release/") || r.RequestURI == "/usage"
 }
 
 // listenerCount counts the listeners of these tests.
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -34,6 +34,13 @@
 	maxReleaseTries = 3
 )
 
+// maxUnusedTime is how long reserved memory is kept that no request has used. Targets count memory as
+// withheld after 9 s; finding out and releasing it takes a few orders.
+const maxUnusedTime = 7 * time.Second
+
+// errUnusedMemory means that the target has not begun the prompt for which memory is reserved at helpers.
+var errUnusedMemory = eris.New("front: the target leaves memory at helpers unused")
+
 // errNoMemory means that a helper did not reserve memory.
 var errNoMemory = eris.New("front: a helper has no memory for the prompt")
 
@@ -68,6 +75,7 @@
 		return nil
 	}
 	t.renewalsDone = make(chan struct{})
+	t.reservedAt = t.stage.clock.Now()
 	if !t.orderAll(ctx, t.reserveAt) {
 		t.noMemory = true
 		close(t.renewalsDone)
@@ -109,6 +117,39 @@
 	}()
 }
 
+// endUnused ends the try if the reserved memory is still unused after maxUnusedTime, whatever answer is
+// expected and whether another target can take the request.
+func (t *try) endUnused(ctx context.Context, cancel context.CancelCauseFunc, w *stallWatch) {
+	left := t.reservedAt.Add(maxUnusedTime).Sub(t.stage.clock.Now())
+	if !clock.Sleep(ctx, t.stage.clock, left) || w.hasHeard() || t.isMemoryUsed(ctx) {
+		return
+	}
+	t.stage.log.Warn().Str("request", t.exchange.call.RequestID).Str("target", string(t.placement.Target.ID)).
+		Dur("after", maxUnusedTime).Msg(logPrefix + "Memory at helpers is unused. It is released, and the try ends.")
+	cancel(errUnusedMemory)
+}
+
+// maxUsageCalls is how many helpers are asked whether the memory is used. The first ones are filled first.
+const maxUsageCalls = 2
+
+// isMemoryUsed reports whether a helper states that the reserved memory is in use.
+func (t *try) isMemoryUsed(ctx context.Context) bool {
+	for _, r := range t.reserved[:min(maxUsageCalls, len(t.reserved))] {
+		if t.isUsedAt(ctx, r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *try) isUsedAt(ctx context.Context, r reservation) bool {
+	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
+	defer cancel()
+	req, body := t.stage.protocol.UsageRequest()
+	status, answer := t.sendOrder(ctx, r, req, body)
+	return status == http.StatusOK && t.stage.protocol.ReadUsage(answer, r.ID)
+}
+
 // orderAll sends an order to all helpers concurrently and reports whether all accepted it.
 func (t *try) orderAll(ctx context.Context, send func(context.Context, reservation) bool) bool {
 	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
@@ -134,40 +175,42 @@
 		return true
 	}
 	req, body := t.stage.protocol.ReserveRequest(r.Reservation)
-	return t.sendOrder(ctx, r, req, body) == http.StatusOK
+	status, _ := t.sendOrder(ctx, r, req, body)
+	return status == http.StatusOK
 }
 
 func (t *try) releaseAt(ctx context.Context, r reservation) bool {
 	req, body := t.stage.protocol.ReleaseRequest(r.ID)
-	status := t.sendOrder(ctx, r, req, body)
+	status, _ := t.sendOrder(ctx, r, req, body)
 	return status > 0 && status < http.StatusInternalServerError
 }
 
-// sendOrder sends one order and returns the status of the answer, 0 if there was none. The target's
+// sendOrder sends one order and returns status and body of the answer, 0 if there was none. The target's
 // statement in the answer is taken in as from any other answer.
 //
 // Answers to orders do not name the order that they belong to. Each order therefore uses a
 // connection of its own, on which no late answer to anything else can arrive.
-func (t *try) sendOrder(ctx context.Context, r reservation, req *http.Request, body []byte) int {
+func (t *try) sendOrder(ctx context.Context, r reservation, req *http.Request, body []byte) (status int, answer []byte) {
 	c, err := t.stage.pool.Dial(ctx, r.addr)
 	if err != nil {
-		return 0
+		return 0, nil
 	}
 	defer c.Discard()
 	req.Host = r.addr
 	resp, err := c.Send(ctx, req, body, t.isOrderAnswer)
 	if err != nil {
-		return 0
+		return 0, nil
 	}
 	defer resp.Body.Close()
 	if !misdirected(resp) {
 		// Answers to orders may omit statements that others carry, so an omission revokes nothing.
 		t.noteStatement(r.target, t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header).Statement, time.Time{})
 	}
-	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes)); err != nil {
-		return 0
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	if err != nil {
+		return 0, nil
 	}
-	return resp.StatusCode
+	return resp.StatusCode, answer
 }
 
 // isOrderAnswer reports whether an answer may belong to an order: it names no request.
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -106,6 +106,69 @@
 	}
 }
 
+// TestUnusedMemoryOfLateAnswer guards against memory that is held at helpers, unused, for as long as the answer
+// is expected to take, while the target leaves the prompt unanswered or no other target is free. Memory that
+// a request uses is kept.
+func TestUnusedMemoryOfLateAnswer(t *testing.T) {
+	cases := map[string]struct {
+		change func(f *fixture)
+		isUsed bool
+	}{
+		"may move":      {func(*fixture) {}, false},
+		"no retry left": {func(f *fixture) { f.front.Budget.SetLimits(0, 0) }, false},
+		"last send":     {func(f *fixture) { f.view.Route("h", "/giant/").MaxTries = 1 }, false},
+		"used":          {func(f *fixture) { f.view.Route("h", "/giant/").MaxTries = 1 }, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			view := newView()
+			route := view.Route("h", "/giant/")
+			route.Objective, route.Timeout = time.Hour, 24*time.Hour
+			slow := *engineCost
+			slow.PrefillRate = 60 // The first event is expected after 7 s.
+			view.Service("engines").Cost = &slow
+			sent, begin, end := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			defer close(end)
+			silent := func(k net.Conn, r *http.Request) bool {
+				close(sent)
+				select {
+				case <-begin:
+					return eventStream(1, 2, false)(k, r)
+				case <-end:
+					return false
+				}
+			}
+			manual := clock.NewManual(time.Unix(1000, 0))
+			f := newFixtureAt(t, manual, state{view: view}, silent, eventStream(1, 2, false))
+			tc.change(f)
+			asked := make(chan struct{}, 64)
+			f.target.orders = []step{func(k net.Conn, r *http.Request) bool {
+				if r.RequestURI == "/usage" && tc.isUsed {
+					asked <- struct{}{}
+					return completeAnswer(http.StatusOK, "", "used r1-1")(k, r)
+				}
+				return completeAnswer(http.StatusOK, "", "")(k, r)
+			}}
+			answer := make(chan reply, 1)
+			go func() { answer <- f.do(t, http.MethodPost, "/giant/", "", "Prompt", "1200") }()
+			<-sent
+			manual.Advance(7 * time.Second) // Less than the 9 s for which memory may be unused.
+			for !f.target.hasReleased() && len(asked) == 0 {
+				runtime.Gosched()
+			}
+			if !tc.isUsed {
+				return
+			}
+			close(begin)
+			c.Check((<-answer).status, quicktest.Equals, http.StatusOK)
+		})
+	}
+}
+
+// hasReleased reports whether memory was released at a helper.
+func (s *server) hasReleased() bool { return strings.Contains(s.kinds(), "F") }
+
 // TestPendingReleases checks that the server reports that memory is still being released after the
 // request has been answered. If the box terminates before that, the memory stays reserved until the
 // reservation expires.
@@ -263,6 +326,7 @@
 			kinds = append(kinds, 'R')
 		case strings.HasPrefix(r.RequestURI, "/release/"):
 			kinds = append(kinds, 'F')
+		case isOrder(r): // Its usage is asked for.
 		default:
 			kinds = append(kinds, 'S')
 		}
--- a/internal/front/stall_watch.go
+++ b/internal/front/stall_watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -21,8 +22,8 @@
 	// isTargetDown reports whether the target, or the path to it, seems to be down.
 	isTargetDown func() bool
 	maxPause     time.Duration
-	// endsWithAnswer is set if the target is only watched until it first sends something.
-	endsWithAnswer bool
+	// heard is set once the target has sent something of the answer.
+	heard atomic.Bool
 
 	mu        sync.Mutex
 	lastHeard time.Time // lastHeard is when the target last sent something.
@@ -38,9 +39,6 @@
 	minSilence = 1500 * time.Millisecond
 	// minSilenceDown is the minimum silence if the target seems to be down.
 	minSilenceDown = 500 * time.Millisecond
-	// maxReservedSilence is the silence allowed to a target for whose prompt other targets hold memory,
-	// unless its answer is expected later than half of that: memory may stay unused for 9 s.
-	maxReservedSilence = 7 * time.Second
 	// claimRetryInterval is the interval for trying again to move a request that no other target
 	// can take. A silent target is better than none.
 	claimRetryInterval = 200 * time.Millisecond
@@ -55,17 +53,14 @@
 	expectedWaitFactor = 2
 )
 
-// newStallWatch starts watching a try. Requests that may not move to another target are only watched
-// while other targets hold memory for them, since they gain nothing from being cancelled. Those that
-// are not streams move only if the path to their target is lost.
+// newStallWatch starts watching a try. Requests that may not move to another target are not watched,
+// since they gain nothing from being cancelled. Those that are not streams move only if the path to
+// their target is lost.
 func (t *try) newStallWatch(cancel context.CancelCauseFunc, c *conn.Conn) *stallWatch {
 	x := t.exchange
 	w := &stallWatch{clock: t.stage.clock, cancel: cancel, claim: t.claimRetry, done: make(chan struct{})}
 	w.isTargetDown = func() bool { return t.targetDown() || c.IsStranded() }
 	if !t.canResend() {
-		if len(t.reserved) > 0 {
-			w.watchReserved(t.reservedSilence())
-		}
 		return w
 	}
 	if x.route.Kind != fleet.KindStream {
@@ -77,31 +72,12 @@
 	}
 	w.maxPause = max(pauseFactor*x.route.MaxPause, minSilence)
 	first := max(firstEventFactor*x.route.Objective, minSilence) + expectedWaitFactor*t.placement.ExpectedTTFT()
-	if len(t.reserved) > 0 {
-		first = min(first, t.reservedSilence())
-	}
 	w.lastHeard = w.clock.Now()
 	w.deadline = w.lastHeard.Add(first)
 	go w.run()
 	return w
 }
 
-// reservedSilence returns the silence allowed to a target for whose prompt other targets hold memory.
-func (t *try) reservedSilence() time.Duration {
-	return max(maxReservedSilence, expectedWaitFactor*t.placement.ExpectedTTFT())
-}
-
-// watchReserved starts watching a request that moves nowhere: after the silence it ends, so that the
-// memory held for it is free.
-func (w *stallWatch) watchReserved(silence time.Duration) {
-	w.endsWithAnswer = true
-	w.claim = func() bool { return true }
-	w.isTargetDown = func() bool { return false }
-	w.lastHeard = w.clock.Now()
-	w.deadline = w.lastHeard.Add(silence)
-	go w.run()
-}
-
 func (w *stallWatch) run() {
 	for wait := minSilenceDown; ; {
 		timer := w.clock.NewTimer(wait)
@@ -144,9 +120,7 @@
 
 // recordActivity records that the target sent something.
 func (w *stallWatch) recordActivity() {
-	if w.endsWithAnswer {
-		w.stop()
-	}
+	w.heard.Store(true)
 	if w.maxPause == 0 {
 		return
 	}
@@ -156,6 +130,9 @@
 	w.deadline = w.lastHeard.Add(w.maxPause)
 }
 
+// hasHeard reports whether the target has sent something of the answer.
+func (w *stallWatch) hasHeard() bool { return w.heard.Load() }
+
 func (w *stallWatch) stop() { w.once.Do(func() { close(w.done) }) }
 
 // claimRetry reports whether another target can take the request from a silent one, and charges the
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -38,6 +38,8 @@
 	failure        []byte     // failure is the body of the target's own failure, kept to be relayed later.
 	// reserved holds the reservations at helpers.
 	reserved []reservation
+	// reservedAt is when the first order for them was sent.
+	reservedAt time.Time
 	// renewalsDone is closed when no renewal is in flight any more.
 	renewalsDone chan struct{}
 	retryPaid    atomic.Bool // retryPaid is set once the next try has been charged to the retry budget.
@@ -108,6 +110,9 @@
 	t.conn = c
 	watch := t.newStallWatch(cancel, c)
 	defer watch.stop()
+	if len(t.reserved) > 0 {
+		go t.endUnused(ctx, cancel, watch)
+	}
 	if t.canResend() {
 		go t.abandonRestarted(ctx, cancel)
 	}
@@ -164,8 +169,10 @@
 }
 
 func stallError(ctx context.Context, err error) error {
-	if err != nil && eris.Is(context.Cause(ctx), errStalled) {
-		return errStalled
+	for _, cause := range []error{errStalled, errUnusedMemory} {
+		if err != nil && eris.Is(context.Cause(ctx), cause) {
+			return cause
+		}
 	}
 	return err
 }
--- a/protocol.go
+++ b/protocol.go
@@ -94,6 +94,10 @@
 	ReserveRequest(r Reservation) (req *http.Request, body []byte)
 	// ReleaseRequest returns the request that ends a reservation.
 	ReleaseRequest(id string) (req *http.Request, body []byte)
+	// UsageRequest returns the request for a target's state, and ReadUsage reads from the body of its
+	// answer whether a request uses the reservation.
+	UsageRequest() (req *http.Request, body []byte)
+	ReadUsage(body []byte, id string) (isUsed bool)
 	// SetResponseHeaders sets the headers of a response that the box itself generates.
 	SetResponseHeaders(h http.Header, id string, retryAfter time.Duration)
 }
