front: an answer without a length isn't whole if its target has a successor

A target that has restarted at its address accepts connections again, and so does another target that took its address: the part of an answer that the earlier process gave passed for whole.

Change: try.isWhole also asks whether a later incarnation or another target at the address is listed, as the evidence against requests does. Another target that was listed beside it with the same or no time of start doesn't count as a successor.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -82,14 +82,21 @@
 }
 
 // HasSuccessor reports whether a later incarnation of the target, or another target at its address,
-// is listed.
+// is listed. One that is listed at the address beside it counts only if it has started at another time.
 func (b *Balancer) HasSuccessor(old fleet.Target) bool {
-	return slices.ContainsFunc(b.Targets(), func(t fleet.Target) bool {
-		if t.ID == old.ID {
-			return t.Restarted(old.StartMS)
+	isListed, hasOther := false, false
+	for _, t := range b.Targets() {
+		isOwn := t.ID == old.ID
+		switch {
+		case (isOwn || t.Addr == old.Addr) && t.Restarted(old.StartMS):
+			return true
+		case isOwn:
+			isListed = true
+		case t.Addr == old.Addr:
+			hasOther = true
 		}
-		return t.Addr == old.Addr
-	})
+	}
+	return hasOther && !isListed
 }
 
 func isAvoided(j Job, id barleystep.TargetID) bool {
--- a/internal/front/unframed_test.go
+++ b/internal/front/unframed_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// TestUnframedAnswerOfRestartedTarget guards against answers without a length that pass for whole since
+// another process than the one that gave them accepts connections at the address.
+func TestUnframedAnswerOfRestartedTarget(t *testing.T) {
+	successors := map[string]func(list []fleet.Target) []fleet.Target{
+		"same id": func(list []fleet.Target) []fleet.Target { list[0].StartMS++; return list },
+		"another id": func(list []fleet.Target) []fleet.Target {
+			return append(list[1:], fleet.Target{ID: "d", Service: "s", Addr: list[0].Addr, StartMS: 2, Draining: true})
+		},
+		"another id, both listed": func(list []fleet.Target) []fleet.Target {
+			return append(list, fleet.Target{ID: "d", Service: "s", Addr: list[0].Addr, StartMS: 2, Draining: true})
+		},
+	}
+	for kind, tc := range unframedCases() {
+		for name, successor := range successors {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				checkUnframed(t, tc, tc.want, func(f *unframedFixture) { f.change(successor) })
+			})
+		}
+	}
+}
+
 // TestSoundUnframedAnswer guards against sound answers without a length that count as broken: their target
 // lives on, also while it leaves, and also
 // where this box reaches it through others only.
--- a/internal/front/whole.go
+++ b/internal/front/whole.go
@@ -41,7 +41,8 @@
 	var wait sync.WaitGroup
 	for i, target := range targets {
 		wait.Go(func() {
-			alive[i] = t.stage.pool.Accepts(ctx, target.Addr) && !t.placement.HasRestarted(target.ID)
+			alive[i] = t.stage.pool.Accepts(ctx, target.Addr) &&
+				!t.placement.HasRestarted(target.ID) && !t.stage.balancer.HasSuccessor(target)
 		})
 	}
 	wait.Wait()
