front: a stream that another answer follows is whole only if its target is known to live on

endedWhole, which completes such a stream where it can't be resumed, was set without asking whether the target's process lives on. It is the same question as at the end of the connection, and try.isWhole answers it now.

Evidence: the kind 'followed stream' of front.TestUnframedAnswerOfEndedTarget and front.TestUnframedAnswerOfRestartedTarget: 18 and 3 cases failed before. go test ./internal/front passes.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -36,7 +36,9 @@
 		}
 		switch {
 		case scanErr != nil:
-			t.exchange.endedWhole = t.exchange.endedWhole || scanner.HasEvents() && conn.IsUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer)
+			if scanner.HasEvents() && conn.IsUnframed(resp) && eris.Is(scanErr, event.ErrNextAnswer) && t.isWhole(ctx, resp) {
+				t.exchange.endedWhole = true
+			}
 			return resultBroken, scanErr
 		case eris.Is(err, io.EOF):
 			return t.endStream(ctx, resp, scanner)
--- a/internal/front/unframed_test.go
+++ b/internal/front/unframed_test.go
@@ -33,6 +33,7 @@
 	return map[string]unframedCase{
 		"resumable stream": {"/stream/", unframedHead + eventText(1, 3), reply{status: http.StatusOK, body: eventText(1, 6)}},
 		"stream":           {"/plainstream/", unframedHead + eventText(1, 3), reply{status: http.StatusOK, body: eventText(1, 3), broken: true}},
+		"followed stream":  {"/plainstream/", unframedHead + eventText(1, 3) + unframedHead, reply{status: http.StatusOK, body: eventText(1, 3), broken: true}},
 		"repeatable":       {"/again/", bodyHead + "half", reply{status: http.StatusOK, body: "good"}},
 		"once":             {"/once/", bodyHead + "half", reply{status: http.StatusBadGateway}},
 		"failure":          {"/once/", failureHead + "half", reply{status: http.StatusBadGateway}},
@@ -208,6 +209,7 @@
 	whole := map[string]reply{
 		"resumable stream": {status: http.StatusOK, body: eventText(1, 3)},
 		"stream":           {status: http.StatusOK, body: eventText(1, 3)},
+		"followed stream":  {status: http.StatusOK, body: eventText(1, 3)},
 		"repeatable":       {status: http.StatusOK, body: "half"},
 		"once":             {status: http.StatusOK, body: "half"},
 		"failure":          {status: http.StatusInternalServerError, body: "half"},
