--- a/internal/front/shutdown_admission_test.go
+++ b/internal/front/shutdown_admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -144,6 +145,40 @@
 	}
 }
 
+// TestShutdownRetriesUnanswered checks that a stopping box retries a request whose target broke off
+// before it answered if the usual answer can be complete. It guards against failures that callers
+// would not have seen otherwise, since such a request can't be refused as not run.
+func TestShutdownRetriesUnanswered(t *testing.T) {
+	cases := map[string]struct {
+		left   time.Duration
+		status int
+	}{
+		"time for the mean answer": {2 * time.Second, http.StatusOK},
+		"no time for it":           {500 * time.Millisecond, http.StatusBadGateway},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			release := make(chan struct{})
+			f, manual, _ := newSingleEngineFixture(t, func(net.Conn, *http.Request) bool { <-release; return false }, eventStream(1, 2, false))
+			f.targets = append(f.targets, f.targets[0])
+			f.targets[1].ID = "other"
+			f.view.Route("h", "/giant/").Resumable = true
+			f.setCost(func(m *fleet.CostModel) { m.MeanOutputTokens, m.KVTokens = 1000, 10000 })
+			answer := make(chan reply, 1)
+			go func() {
+				answer <- f.do(t, http.MethodPost, "/giant/", "body", "Prompt", "10", "Output", "3000")
+			}()
+			for f.target.requestCount() == 0 {
+				runtime.Gosched()
+			}
+			f.front.BeginShutdown(manual.Now().Add(tc.left))
+			close(release)
+			c.Check((<-answer).status, quicktest.Equals, tc.status)
+		})
+	}
+}
+
 // TestShutdownCallersResumption checks that a stopping box judges a stream that its caller resumes as
 // it does others. It guards against resumed streams that are cut again.
 func TestShutdownCallersResumption(t *testing.T) {
