router: sees a request either in the socket or as received

Reads record what has arrived under the connection's lock.

The tests wait for the timers and requests that they mean.

--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -46,17 +46,48 @@
 		if c.closeReleased() {
 			return 0, io.EOF
 		}
-		n, err = c.TCPConn.Read(p)
-		if n > 0 {
-			c.receive()
+		if n, err = c.readArrived(p); !c.resume(err) {
 			return n, err
 		}
-		if !c.resume(err) {
-			return n, err
+	}
+}
+
+// readArrived waits for data and reads it. That it was read is recorded at the same time, so that a
+// request is always seen either in the socket or as received.
+func (c *callerConn) readArrived(p []byte) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var result error
+	err = raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, result = syscall.Read(int(fd), p)
+		if n > 0 {
+			c.receive()
 		}
+		return !eris.Is(result, syscall.EAGAIN) && !eris.Is(result, syscall.EINTR)
+	})
+	var failed *net.OpError
+	switch {
+	case eris.As(err, &failed):
+		failed.Op = opRead
+		return 0, failed
+	case err != nil:
+		return 0, err
+	case result != nil:
+		return 0, &net.OpError{Op: opRead, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(opRead, result)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	default:
+		return n, nil
 	}
 }
 
+// opRead names the operation in errors, as the net package does.
+const opRead = "read"
+
 // SetReadDeadline sets the deadline of reads.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -77,8 +108,6 @@
 
 // receive records that data was read.
 func (c *callerConn) receive() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.betweenRequests() && !c.received {
 		c.received = true
 		c.since = c.clock.Now()
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -177,9 +177,12 @@
 	return n
 }
 
-// abortReads makes reads from callers fail. Requests that are incomplete are answered at once.
-func (l *listener) abortReads() {
+// abortBodies makes reads of bodies fail. Requests whose bodies are incomplete are answered at once.
+func (l *listener) abortBodies() {
+	now := l.clock.Now()
 	for _, c := range l.open() {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
+		if c.status(now) == connActive {
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
+		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -363,7 +363,7 @@
 	if settled {
 		return released
 	}
-	more, _ := r.settle(ctx, r.callers.abortReads)
+	more, _ := r.settle(ctx, r.callers.abortBodies)
 	return released + more
 }
 
--- a/internal/router/schedule.go
+++ b/internal/router/schedule.go
@@ -8,7 +8,7 @@
 	// requests if requests are still running.
 	notice, refuseAt time.Duration
 	// answerBy is when all running requests must be answered, closeAt when new callers are no
-	// longer accepted to be refused, readBy when requests that are not complete are not read any
+	// longer accepted to be refused, readBy when bodies that are not complete are not read any
 	// further, and exitAt when the process exits even if answers are
 	// still in transit.
 	answerBy, closeAt, readBy, exitAt time.Duration
--- a/internal/router/shutdown_internal_test.go
+++ b/internal/router/shutdown_internal_test.go
@@ -58,7 +58,7 @@
 			r, clk, caller := newStoppingRouter(t, grace)
 			done := make(chan struct{})
 			go func() { r.shutDown(context.Background()); close(done) }()
-			const timers = 2 // The timers of the exit and of the notice period.
+			const timers = 3 // The timers of the exit, of pending bodies and of the notice period.
 			for clk.PendingTimers() < timers {
 				runtime.Gosched()
 			}
--- a/internal/router/stop_conns_internal_test.go
+++ b/internal/router/stop_conns_internal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/front"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/platform"
@@ -24,11 +26,14 @@
 	*Router
 	clk  *clock.Manual
 	done chan struct{} // done is closed when the stop has ended.
-	// held makes requests for /held wait until it is closed.
-	held chan struct{}
+	// holding is set once a request for /held runs, which waits until held is closed.
+	holding atomic.Bool
+	held    chan struct{}
 }
 
-func newStopFixture(t *testing.T) *stopFixture {
+// newStopFixture returns a router without a configuration. It refuses requests at once, or if loading
+// is set once the time for which they wait is over.
+func newStopFixture(t *testing.T, loading bool) *stopFixture {
 	exporter, err := metric.NewExporter()
 	quicktest.Assert(t, err, quicktest.IsNil)
 	f := &stopFixture{clk: clock.NewManual(time.Unix(1000, 0)), done: make(chan struct{}), held: make(chan struct{})}
@@ -41,10 +46,20 @@
 		ReadyHandler: func(func() bool) http.Handler { return http.NotFoundHandler() },
 	}
 	f.build()
+	if !loading {
+		f.front = &front.Server{
+			Clock: f.clk, Protocol: f.Protocol, Configuration: f.configuration, Balancer: f.balancer,
+			Pool: f.pool, Budget: f.budget, Meter: exporter.Meter(), Log: f.Log,
+		}
+		f.callers.handler = f.front.Handler()
+	}
 	mux := http.NewServeMux()
 	mux.Handle("/", f.callers.handler)
 	mux.HandleFunc("/served", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("/held", func(http.ResponseWriter, *http.Request) { <-f.held })
+	mux.HandleFunc("/held", func(http.ResponseWriter, *http.Request) {
+		f.holding.Store(true)
+		<-f.held
+	})
 	f.callers.handler = mux
 	f.serve(t)
 	return f
@@ -68,7 +83,7 @@
 			f.clk.Advance(time.Second)
 		}
 	})
-	await(t, f.callers.accepting.Load)
+	await(t, func() bool { return f.callers.accepting.Load() && f.clk.PendingTimers() == 1 })
 }
 
 // stop begins the stop and advances the clock by d.
@@ -84,20 +99,19 @@
 func (f *stopFixture) stopRefusing(t *testing.T) {
 	f.stop(t, noticePeriod)
 	await(t, func() bool {
-		f.dial(t).ask(f, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		f.dial(t).ask("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		return f.front.StopRefusals().Count > 0
 	})
+	await(t, func() bool { return f.front.Running() == 0 })
 	f.clk.Advance(pollInterval)
 }
 
 // finish advances the clock until the stop has ended, by at most the given time.
 func (f *stopFixture) finish(t *testing.T, atMost time.Duration) {
-	for range atMost / pollInterval {
-		if before := f.clk.PendingTimers(); isClosed(f.done) || before == 0 {
-			break
-		}
+	const turns = 1000 // For which other goroutines can run after each step.
+	for advanced := time.Duration(0); advanced < atMost && !isClosed(f.done); advanced += pollInterval {
 		f.clk.Advance(pollInterval)
-		for range 1000 {
+		for range turns {
 			runtime.Gosched()
 		}
 	}
@@ -139,7 +153,7 @@
 // dialKept returns a connection that has carried a request before.
 func (f *stopFixture) dialKept(t *testing.T) *stopCaller {
 	c := f.dial(t)
-	status, closes := c.ask(f, "GET /served HTTP/1.1\r\nHost: h\r\n\r\n")
+	status, closes := c.ask("GET /served HTTP/1.1\r\nHost: h\r\n\r\n")
 	quicktest.Assert(t, status, quicktest.Equals, http.StatusOK)
 	quicktest.Assert(t, closes, quicktest.IsFalse)
 	return c
@@ -151,29 +165,18 @@
 }
 
 // ask sends text and returns the status of the answer, 0 if there is none or it is not complete, and
-// whether the answer says that the connection is closed. It advances the clock by at most a second
-// while the request waits in the box.
-func (c *stopCaller) ask(f *stopFixture, text string) (status int, closes bool) {
+// whether the answer says that the connection is closed.
+func (c *stopCaller) ask(text string) (status int, closes bool) {
 	c.send(text)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		resp, err := http.ReadResponse(c.in, nil)
-		if err != nil {
-			return
-		}
-		defer resp.Body.Close()
-		if _, err := io.Copy(io.Discard, resp.Body); err == nil {
-			status, closes = resp.StatusCode, resp.Close
-		}
-	}()
-	for advanced := time.Duration(0); !isClosed(done); runtime.Gosched() {
-		if advanced < time.Second && f.front.Running() > 0 {
-			f.clk.Advance(pollInterval)
-			advanced += pollInterval
-		}
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, false
 	}
-	return status, closes
+	defer resp.Body.Close()
+	if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, false
+	}
+	return resp.StatusCode, resp.Close
 }
 
 // isAtEnd waits for the end of the connection and reports whether nothing came before it.
@@ -202,32 +205,32 @@
 	for name, text := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			f := newStopFixture(t)
+			f := newStopFixture(t, false)
 			served, refused, running := f.dialKept(t), f.dialKept(t), f.dialKept(t)
 			running.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
-			await(t, func() bool { return f.callers.count()[connActive] == 1 })
+			await(t, f.holding.Load)
 			f.stop(t, 0)
-			status, closes := served.ask(f, text)
+			status, closes := served.ask(text)
 			c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
 			c.Check(closes, quicktest.IsTrue)
 			c.Check(served.isAtEnd(), quicktest.IsTrue)
 			f.clk.Advance(refuseDelay)
 			await(t, func() bool {
-				f.dial(t).ask(f, request)
+				f.dial(t).ask(request)
 				return f.front.StopRefusals().Count > 0
 			})
 			f.clk.Advance(pollInterval)
-			status, closes = refused.ask(f, text)
+			status, closes = refused.ask(text)
 			c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
 			c.Check(closes, quicktest.IsTrue)
 			c.Check(refused.isAtEnd(), quicktest.IsTrue)
 			close(f.held)
-			status, _ = running.ask(f, "")
+			status, _ = running.ask("")
 			c.Check(status, quicktest.Equals, http.StatusOK)
-			if status, closes = running.ask(f, text); status != 0 { // The connection may be closed by now, as idle.
+			if status, closes = running.ask(text); status != 0 { // The connection may be closed by now, as idle.
 				c.Check(closes, quicktest.IsTrue)
 			}
-			f.finish(t, time.Second)
+			f.finish(t, refuseDelay)
 		})
 	}
 }
@@ -236,25 +239,26 @@
 // open, since their requests came before the stop.
 func TestStopTellsRunningRequests(t *testing.T) {
 	c := quicktest.New(t)
-	f := newStopFixture(t)
+	f := newStopFixture(t, true)
 	caller := f.dialKept(t)
 	caller.send(request)
-	await(t, func() bool { return f.front.Running() == 1 })
+	await(t, func() bool { return f.clk.PendingTimers() == 2 }) // Those of the sweep and of the request.
 	f.stop(t, 0)
-	status, closes := caller.ask(f, "")
+	f.clk.Advance(time.Second) // More than requests wait.
+	status, closes := caller.ask("")
 	c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
 	c.Check(closes, quicktest.IsTrue)
 	f.clk.Advance(noticePeriod)
-	f.finish(t, time.Second)
+	f.finish(t, refuseDelay)
 }
 
 // TestStopExpectContinue guards against callers that are told to send their body and get no answer.
 func TestStopExpectContinue(t *testing.T) {
 	c := quicktest.New(t)
-	f := newStopFixture(t)
+	f := newStopFixture(t, false)
 	caller, running := f.dialKept(t), f.dialKept(t)
 	running.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
-	await(t, func() bool { return f.callers.count()[connActive] == 1 })
+	await(t, f.holding.Load)
 	f.stopRefusing(t)
 	caller.send(headPart + "Expect: 100-continue\r\n" + restOfHead)
 	resp, err := http.ReadResponse(caller.in, nil)
@@ -267,7 +271,7 @@
 	c.Check(resp.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
 	c.Check(resp.Close, quicktest.IsTrue)
 	close(f.held)
-	f.finish(t, time.Second)
+	f.finish(t, refuseDelay)
 }
 
 // TestStopAnswersArrivedRequests guards against requests that a box has begun to read, or that wait
@@ -277,7 +281,7 @@
 	for name, kept := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			f := newStopFixture(t)
+			f := newStopFixture(t, false)
 			caller := f.dial(t)
 			if kept {
 				caller = f.dialKept(t)
@@ -287,10 +291,10 @@
 			await(t, func() bool { return f.callers.count()[connReceiving] == 1 })
 			f.clk.Advance(noticePeriod)
 			await(t, f.callers.isClosed)
-			status, closes := caller.ask(f, restOfHead+"body")
+			status, closes := caller.ask(restOfHead + "body")
 			c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
 			c.Check(closes, quicktest.IsTrue)
-			f.finish(t, time.Second)
+			f.finish(t, refuseDelay)
 		})
 	}
 }
@@ -299,26 +303,26 @@
 // is on its way.
 func TestStopAnswersNewConnections(t *testing.T) {
 	c := quicktest.New(t)
-	f := newStopFixture(t)
+	f := newStopFixture(t, false)
 	f.stop(t, noticePeriod-pollInterval)
 	caller := f.dial(t)
 	await(t, func() bool { return f.callers.count()[connNew] == 1 })
 	f.clk.Advance(pollInterval)
 	await(t, f.callers.isClosed)
-	status, closes := caller.ask(f, request)
+	status, closes := caller.ask(request)
 	c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
 	c.Check(closes, quicktest.IsTrue)
-	f.finish(t, time.Second)
+	f.finish(t, refuseDelay)
 }
 
 // TestStopAnswersIncompleteBodies guards against refusals that are cut by the exit, since the body
 // of their request was still being read.
 func TestStopAnswersIncompleteBodies(t *testing.T) {
 	c := quicktest.New(t)
-	f := newStopFixture(t)
+	f := newStopFixture(t, false)
 	caller, running := f.dialKept(t), f.dialKept(t)
 	running.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
-	await(t, func() bool { return f.callers.count()[connActive] == 1 })
+	await(t, f.holding.Load)
 	f.stopRefusing(t)
 	f.clk.Advance(defaultGrace - closeMargin - noticePeriod - 2*pollInterval)
 	caller.send(headPart)
@@ -326,26 +330,26 @@
 	f.clk.Advance(pollInterval)
 	await(t, f.callers.isClosed)
 	caller.send(restOfHead)
-	await(t, func() bool { return f.callers.count()[connActive] == 2 })
+	await(t, func() bool { return f.front.Running() == 1 })
 	f.clk.Advance(closeMargin - readMargin)
-	status, closes := caller.ask(f, "")
+	status, closes := caller.ask("")
 	c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
 	c.Check(closes, quicktest.IsTrue)
 	c.Check(isClosed(f.done), quicktest.IsFalse)
 	close(f.held)
-	f.finish(t, time.Second)
+	f.finish(t, refuseDelay)
 }
 
 // TestStopIdle checks that connections of callers that send nothing, or stop amid the head of a
 // request, do not delay the exit of a box, and are closed in order.
 func TestStopIdle(t *testing.T) {
 	c := quicktest.New(t)
-	f := newStopFixture(t)
+	f := newStopFixture(t, false)
 	idle, stalled := f.dialKept(t), f.dialKept(t)
 	stalled.send(headPart)
 	await(t, func() bool { return f.callers.count()[connReceiving] == 1 })
 	f.stop(t, noticePeriod)
-	f.finish(t, 10*pollInterval)
+	f.finish(t, refuseDelay)
 	c.Check(idle.isAtEnd(), quicktest.IsTrue)
 }
 
