soak: accounts for each request that a stopping box took

The soak called a stop clean in which streams were cut, or kept connections closed, as long as no request that a target had got went unanswered.

Each call that was at a box between SIGTERM and its end now has to have one of the allowed ends (checkStops): a complete answer or a refusal, which say that the connection is closed if they were asked for after the signal; a broken stream only if its target or the box's links failed within the last 3 s, or if it began before the signal and the box worked on it for 7 s of its grace; no answer only on a kept connection that the request crossed, at most three times a stop, and with no request served a second later. Faults of targets are recorded by slot for that.

The part on kept connections has been shown by planted histories only.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -42,9 +42,11 @@
 	long      func() bool
 	longRand  *rand.Rand
 	longCalls *longCalls
-	load      load
-	client    *http.Client
-	number    int
+	// stopRand draws the calls to boxes that are stopping.
+	stopRand *rand.Rand
+	load     load
+	client   *http.Client
+	number   int
 }
 
 const (
@@ -78,6 +80,7 @@
 
 		deadlyRand: rand.New(rand.NewPCG(seed, streamDeadly+uint64(number))),
 		longRand:   rand.New(rand.NewPCG(seed, streamLong+uint64(number))),
+		stopRand:   rand.New(rand.NewPCG(seed, streamStopCalls+uint64(number))),
 		partRand:   rand.New(rand.NewPCG(seed, streamDeadlyParts+uint64(number))),
 		client:     &http.Client{Transport: &http.Transport{DisableCompression: true}},
 	}
@@ -90,7 +93,7 @@
 		if crowded := c.crowded(); crowded != nil && c.partRand.IntN(crowdEvery) > 0 {
 			b = crowded
 		}
-		c.history.RecordCall(c.call(b, c.randomCall()))
+		c.history.RecordCall(c.call(c.randomStopCall(b, c.randomCall())))
 		timer := c.clock.NewTimer(time.Duration(c.rand.ExpFloat64() * float64(thinkTime)))
 		select {
 		case <-ctx.Done():
@@ -156,11 +159,12 @@
 			}
 		},
 	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.callersAddr+x.Path, strings.NewReader(x.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.callersAddr+x.Path, c.body(x))
 	if err != nil {
 		panic(err) // Unreachable: the address and the path come from this package.
 	}
 	req.Host = host
+	req.ContentLength = int64(len(x.Body))
 	req.GetBody = nil // Keeps the transport from resending the request.
 	req.Close = c.crowded() != nil
 	platformtest.SetCallerHeaders(req.Header, x.ID, x.Key)
@@ -171,7 +175,7 @@
 	resp, err := c.send(b, req, x)
 	if err == nil {
 		defer resp.Body.Close()
-		x.Status, x.Header = resp.StatusCode, resp.Header
+		x.Status, x.Header, x.Closes = resp.StatusCode, resp.Header, resp.Close
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		x.Answer, x.Truncated = string(data), err != nil
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -53,6 +53,7 @@
 	c.checkEvacuations(calls)
 	c.checkCold(calls)
 	c.checkCuts()
+	c.checkStops()
 	sort.Strings(c.violations)
 	return c.violations
 }
--- a/internal/soak/check_stop.go
+++ b/internal/soak/check_stop.go
@@ -14,7 +14,7 @@
 // was killed or has not accepted the request. A box has accepted what it forwarded to a target, and
 // what was sent well before the close.
 func (c *check) checkUnanswered(x *Call) {
-	if x.ConnectFailed || x.TimedOut || c.killed(x) || c.frozen(x) {
+	if c.excused(x) {
 		return
 	}
 	incarnation := incarnationID(x.Box, x.Incarnation)
@@ -30,6 +30,104 @@
 	}
 }
 
+const (
+	// signalTime is how long a box may take to notice that it was told to stop.
+	signalTime = 500 * time.Millisecond
+	// servedGrace is for how long of its grace period a stopping box works on what it has accepted.
+	servedGrace = 7 * time.Second
+	// breakTime is how long after a fault at its target an answer may break: silence is noticed late.
+	breakTime = 3 * time.Second
+	// maxCrossings bounds the requests that cross the closes of one stop.
+	maxCrossings = 3
+)
+
+// checkStops accounts for each request that was at a box between the signal to stop and its end. It
+// has one of these ends:
+//   - a complete answer, or a refusal. Those to requests sent after the signal say that the connection
+//     is closed.
+//   - a broken stream. Its target or the box's links failed, or it began before the signal, and was cut when the box had
+//     worked on it for servedGrace.
+//   - no answer, since it crossed the close of a kept connection. These are few, and the box serves
+//     nobody afterwards: it closes connections that say nothing when it ends, not before.
+//
+// Boxes that were killed or frozen are excused, and so are requests whose callers gave up.
+func (c *check) checkStops() {
+	crossed := make(map[string][]*Call)
+	served := make(map[string]time.Time) // served holds when the last answered request was sent.
+	for i := range c.history.calls {
+		x := &c.history.calls[i]
+		id := incarnationID(x.Box, x.Incarnation)
+		stopped, stopping := c.history.stopping[id]
+		if !stopping || x.Ended.Before(stopped) || c.excused(x) {
+			continue
+		}
+		switch {
+		case x.Status == 0 && c.wasRead(x): // checkUnanswered reports it.
+		case x.Status == 0:
+			crossed[id] = append(crossed[id], x)
+		case x.Truncated:
+			c.checkCutStream(x, stopped)
+		default:
+			c.checkTold(x, stopped)
+		}
+		if x.Status != 0 && x.Started.After(served[id]) {
+			served[id] = x.Started
+		}
+	}
+	for id, list := range crossed {
+		c.checkCrossings(id, list, served[id])
+	}
+}
+
+// excused reports whether the box need not have answered: it was killed or frozen, or the caller did
+// not connect or gave up.
+func (c *check) excused(x *Call) bool {
+	return x.ConnectFailed || x.TimedOut || c.killed(x) || c.frozen(x)
+}
+
+// wasRead reports whether the box has read the request: it has passed it on, or had the time to.
+func (c *check) wasRead(x *Call) bool {
+	return len(c.arrivals[x.ID]) > 0 || !x.Sent.IsZero() && x.Ended.Sub(x.Sent) > closeRaceWindow
+}
+
+// checkTold checks that an answer to a request that was sent while the box was stopping closes its
+// connection.
+func (c *check) checkTold(x *Call, stopped time.Time) {
+	if x.Started.After(stopped.Add(signalTime)) && !x.Closes {
+		c.addViolation("told close", x.ID, "the %d leaves the connection open%s", x.Status, c.describeStop(x))
+	}
+}
+
+// checkCutStream checks that a stop has not cut a stream that could have ended or been refused.
+func (c *check) checkCutStream(x *Call, stopped time.Time) {
+	if x.Started.Before(stopped) && x.Ended.Sub(stopped) >= servedGrace {
+		return
+	}
+	faults := slices.Clone(c.history.cut[x.Box])
+	for _, a := range c.arrivals[x.ID] {
+		faults = append(faults, c.history.troubled[c.history.slots[a.Target]]...)
+	}
+	if slices.ContainsFunc(faults, func(f interval) bool { return f.overlaps(x.Ended.Add(-breakTime), x.Ended) }) {
+		return
+	}
+	c.addViolation("no stream cut by a stop", x.ID, "%s broke off after %d bytes%s", x.Kind, len(x.Answer), c.describeStop(x))
+}
+
+// checkCrossings checks the requests without an answer of one stop.
+func (c *check) checkCrossings(id string, list []*Call, served time.Time) {
+	if len(list) > maxCrossings {
+		c.addViolation("few cross the close", list[0].ID, "and %d others: %s closed connections without an answer%s", len(list)-1, id, c.describeStop(list[0]))
+	}
+	for _, x := range list {
+		switch {
+		case !x.Reused:
+			c.addViolation("new connections are answered", x.ID, "%s closed one without an answer%s", id, c.describeStop(x))
+		case served.After(x.Ended.Add(closeRaceWindow)):
+			c.addViolation("open until the end", x.ID, "%s closed a kept connection, and served %s later%s", id, served.Sub(x.Ended), c.describeStop(x))
+		}
+	}
+}
+
 // describeStop says how long after the box was told to stop the call started and ended, or returns
 // an empty string.
 func (c *check) describeStop(x *Call) string {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -74,6 +74,7 @@
 func newConnCall(id string, sent time.Duration, unsent bool) soak.Call {
 	x := refused(soak.KindNonIdempotent, http.StatusServiceUnavailable)
 	x.ID, x.Started, x.Ended = id, at(sent), at(sent+time.Millisecond)
+	x.Closes = true
 	x.Header = answered(id, "")
 	if x.ConnectFailed = unsent; unsent {
 		unanswered(&x)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -33,6 +33,8 @@
 	Body        string
 	// DeadlyPart is set if the prompt has a part that crashes each target which begins to answer it.
 	DeadlyPart bool
+	// SlowBody is set if the body is sent in parts with pauses.
+	SlowBody bool
 	// Oversized is set if the prompt exceeds the KV cache of an engine.
 	Oversized bool
 	// TimeLimit is how long the caller waits.
@@ -48,6 +50,8 @@
 	ConnectFailed bool
 	// TimedOut is set if the time limit passed before the answer was complete.
 	TimedOut bool
+	// Closes is set if the answer says that the connection is closed after it.
+	Closes bool
 	// Status is 0 if no response header arrived. Truncated is set if the body is incomplete.
 	Status    int
 	Header    http.Header
@@ -80,6 +84,9 @@
 	silenced  map[string][]interval
 	evacuated map[string][]interval
 	halls     map[string]string
+	// slots maps targets to their slots, and troubled holds the intervals of faults at each slot.
+	slots    map[string]int
+	troubled map[int][]interval
 	// left holds when targets left the list, by their ids.
 	left map[string]time.Time
 	// cut holds the intervals in which each box had no links to targets.
@@ -120,6 +127,8 @@
 		silenced:    make(map[string][]interval),
 		evacuated:   make(map[string][]interval),
 		halls:       make(map[string]string),
+		slots:       make(map[string]int),
+		troubled:    make(map[int][]interval),
 		left:        make(map[string]time.Time),
 		cut:         make(map[string][]interval),
 		revoked:     make(map[string]time.Time),
@@ -221,6 +230,28 @@
 	h.halls[target] = hall
 }
 
+// RecordSlot records the slot of a target.
+func (h *History) RecordSlot(target string, slot int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.slots[target] = slot
+}
+
+// RecordTrouble records that there was a fault at the target of a slot.
+func (h *History) RecordTrouble(slot int, from, to time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.troubled[slot] = append(h.troubled[slot], interval{from, to})
+}
+
+// isStopping reports whether an incarnation of a box was told to stop.
+func (h *History) isStopping(box string, incarnation int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, stopping := h.stopping[incarnationID(box, incarnation)]
+	return stopping
+}
+
 // RecordSilence records that the connections to a target are stalled from now on.
 func (h *History) RecordSilence(target string, at time.Time) {
 	h.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -177,6 +177,7 @@
 	streamUnframed
 	streamVanishes
 	streamExcess
+	streamStopCalls // streamStopCalls draws the calls to boxes that are stopping.
 )
 
 // eventSources returns the sources of a run's events.
--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	t.runner.history.RecordTarget(t.id, hallOf(t.number))
+	t.runner.history.RecordSlot(t.id, t.number)
 	return t.startProcess(ctx, cold)
 }
 
@@ -86,6 +87,8 @@
 	t.mu.Lock()
 	current := t.child == c
 	t.mu.Unlock()
+	at := t.runner.Clock.Now()
+	t.runner.history.RecordTrouble(t.number, at, at)
 	if current && ctx.Err() == nil {
 		t.replace(ctx, crashRestartDelay, false, false)
 	}
@@ -134,6 +137,8 @@
 
 // inject injects a fault at the slot's target.
 func (t *targetSlot) inject(ctx context.Context, e Event) {
+	from := t.runner.Clock.Now()
+	defer func() { t.runner.history.RecordTrouble(t.number, from, t.runner.Clock.Now()) }()
 	switch e.Action {
 	case ActionCrash:
 		t.replace(ctx, e.Duration, false, false)
