lead: messages between box and lead are bounded

Both ends read messages of any length into memory: connect-go has no bound of its own. An answer that is too long is a failed call, after which the box places the prompt itself: the client's own error has the code of a refusal because of load, so only one from the wire counts as that.

--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -99,7 +99,7 @@
 	switch {
 	case err == nil:
 		return decodePlan(resp.Msg), nil
-	case connect.CodeOf(err) == connect.CodeResourceExhausted:
+	case connect.CodeOf(err) == connect.CodeResourceExhausted && connect.IsWireError(err): // Else the answer was too long.
 		return balance.Plan{}, c.refusal(err)
 	case connect.CodeOf(err) == connect.CodeDeadlineExceeded && callCtx.Err() == nil:
 		return balance.Plan{}, balance.ErrCannotMeetDeadline
@@ -130,7 +130,7 @@
 func (c *Client) PrefillDone(plan uint64) { go c.sendPrefillDone(plan) }
 
 func (c *Client) service(addr string) placementv1connect.PlacementServiceClient {
-	return placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr)
+	return placementv1connect.NewPlacementServiceClient(c.HTTP, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 func (c *Client) sendPrefillDone(plan uint64) {
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -45,9 +45,12 @@
 	return s.windowCount > maxShortPerSecond
 }
 
+// maxMessageBytes bounds a request or an answer, in bytes. Large ones name many targets to avoid.
+const maxMessageBytes = 64 << 10
+
 // Handler returns the handler for other boxes.
 func (s *Server) Handler() (path string, h http.Handler) {
-	return placementv1connect.NewPlacementServiceHandler(s)
+	return placementv1connect.NewPlacementServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // longPromptHold and shortPromptHold are how long a call is held while its prompt waits for
