gossip: changes of another box, and requests for them, are bounded

A box read what another one answered for a topic whole into memory, of any length, and the server any request: connect-go has no bound of its own. 4 KiB now bound a request (three numbers), 16 MiB an answer, as much as a page of the store, from which the same records come. A follower asks the next box or the store after a failed answer.

--- a/internal/gossip/changes.go
+++ b/internal/gossip/changes.go
@@ -98,9 +98,16 @@
 	return nil, connect.NewError(connect.CodeUnavailable, nil)
 }
 
+const (
+	// maxChangesRequestBytes bounds a request for changes, in bytes.
+	maxChangesRequestBytes = 4 << 10
+	// maxChangesBytes bounds the changes of another box, in bytes, like a page of the store.
+	maxChangesBytes = 16 << 20
+)
+
 // Handler returns the HTTP handler for requests of other boxes, and its path.
 func (s *Server) Handler() (path string, h http.Handler) {
-	return gossipv1connect.NewChangeServiceHandler(s)
+	return gossipv1connect.NewChangeServiceHandler(s, connect.WithReadMaxBytes(maxChangesRequestBytes))
 }
 
 // Client implements follow.Peers over Connect.
@@ -111,7 +118,7 @@
 
 // Changes fetches the changes of a topic after the revision since from the box at addr.
 func (c *Client) Changes(ctx context.Context, addr string, topic barleystep.Topic, since barleystep.Revision) (u follow.Update, err error) {
-	client := gossipv1connect.NewChangeServiceClient(c.HTTP, "http://"+addr)
+	client := gossipv1connect.NewChangeServiceClient(c.HTTP, "http://"+addr, connect.WithReadMaxBytes(maxChangesBytes))
 	name := wireTopics[topic]
 	var resp *connect.Response[gossipv1.GetChangesResponse]
 	err = conn.Repeat(ctx, c.Clock, c.HTTP, conn.SilentTimeout, func(ctx context.Context) (err error) {
