--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -67,7 +67,7 @@
 
 func (c *Client) rpcClient(addr string) peerv1connect.PeerClient {
 	c.init()
-	return peerv1connect.NewPeerClient(c.http, c.scheme+addr, connect.WithInterceptors(c.Auth))
+	return peerv1connect.NewPeerClient(c.http, c.scheme+addr, connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(c.Auth))
 }
 
 // Endpoint returns the capacity endpoint of another box, or false if its address is unknown.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,10 +41,13 @@
 // confirmInterval is the time between messages of Follow that only confirm the current version.
 const confirmInterval = time.Second
 
+// maxMessageBytes bounds one message of a peer, in bytes. The longest are snapshots of configurations.
+const maxMessageBytes = 16 << 20
+
 // Handler returns the handler for peers.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerHandler(handler{s}, connect.WithInterceptors(s.Auth)))
+	mux.Handle(peerv1connect.NewPeerHandler(handler{s}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(s.Auth)))
 	if s.Forwarded != nil {
 		mux.Handle("/v1/", s.Auth.RequireBox(s.Forwarded))
 	}
