admin, cli: requests and answers of the administration are bounded

A request was read whole before its token was checked, so that anyone who reaches the listener could fill the box's memory. 16 MiB now bound a request, 32 MiB an answer that the command line reads (a comparison holds what was before and after).

--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -38,9 +38,12 @@
 
 const logPrefix = "admin: "
 
+// maxMessageBytes bounds a request, in bytes. The longest are configurations.
+const maxMessageBytes = 16 << 20
+
 // Handler returns the API's handler and the path to mount it at.
 func (s *Service) Handler() (path string, h http.Handler) {
-	return adminv1connect.NewAdminHandler(api{s}, connect.WithInterceptors(newAuth(s.Operators)))
+	return adminv1connect.NewAdminHandler(api{s}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(newAuth(s.Operators)))
 }
 
 // api implements the API's RPC methods.
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -113,6 +113,9 @@
 	return fallback
 }
 
+// maxMessageBytes bounds an answer, in bytes. The longest list the changes between two configurations.
+const maxMessageBytes = 32 << 20
+
 // client returns a client of the administration API that sends the operator's token.
 func (a *app) client() adminv1connect.AdminClient {
 	if a.token == "" {
@@ -124,7 +127,7 @@
 			return next(ctx, req)
 		}
 	})
-	return adminv1connect.NewAdminClient(http.DefaultClient, a.server, connect.WithInterceptors(withToken))
+	return adminv1connect.NewAdminClient(http.DefaultClient, a.server, connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(withToken))
 }
 
 // print writes the message as JSON, or the header and rows as a table.
