mutex: the order of locks is checked under the tag lockorder

internal/mutex has the locks of the program. They are aliases of package sync's; with the tag they are go-deadlock's, with its timeout off, and a graph of all locks beside it: the library compares pairs only (a trial with three locks in a circle: none found). A violation prints where each lock was taken under the one before it and ends the process with status 2.

mutex.TestOrder shows that it bites: pairs, circles of three and four, one through a reader, and no alarm for what is in order.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test soak regressions lint model generate placement balance capacity
+.PHONY: run test soak lockorder regressions lint model generate placement balance capacity
 
 # run starts a small hall on loopback.
 run:
@@ -19,6 +19,14 @@
 	$(GO) build -o target/ ./cmd/barleystep-soak
 	target/barleystep-soak --seed $(SEED) --length $(LENGTH)
 
+# lockorder runs the tests of the packages that hold locks, and a short soak, with locks that check their
+# order.
+LOCKORDER := mutex conn follow front gossip lead peer relay router suspect version
+lockorder:
+	skip=$$(.ci/known-red.sh); $(GO) test -tags lockorder -timeout 10m $${skip:+-skip "$$skip"} $(LOCKORDER:%=./internal/%)
+	$(GO) build -tags lockorder -o target/barleystep-soak-lockorder ./cmd/barleystep-soak
+	target/barleystep-soak-lockorder --seed $(SEED) --length 10s
+
 # regressions runs the seeds of the soak that have failed once, with --ci those of CI.
 REGRESSIONS ?=
 regressions:
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -16,6 +15,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/schedule"
 	"github.com/barleystep/barleystep/internal/suspect"
 )
@@ -142,7 +142,7 @@
 	// Meter counts the callers that come back after a refusal; nil counts nothing.
 	Meter *metric.Meter
 
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	states map[barleystep.TargetID]*targetState
 	// declined holds the targets that may be leaving or resting, so that a plan request to the lead
 	// does not scan all states.
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -4,10 +4,10 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Budget is one box's share of the retries that all boxes together may make for each service. Its
@@ -21,7 +21,7 @@
 	// Box is the name of this box. It decides which boxes round a fractional share up.
 	Box barleystep.BoxID
 
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	start    time.Time
 	ratio    float64
 	extra    float64
--- a/internal/capacity/allocator.go
+++ b/internal/capacity/allocator.go
@@ -12,6 +12,7 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/place"
 )
 
@@ -30,7 +31,7 @@
 	Meter    *metric.Meter
 	Settings Settings
 
-	mu           sync.Mutex
+	mu           mutex.Mutex
 	pools        map[string]*pool
 	avoidedUntil map[barleystep.BoxID]time.Time
 }
@@ -38,7 +39,7 @@
 // pool is the state that a box keeps of one pool.
 type pool struct {
 	name     string
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	holder   *Holder
 	lastUsed time.Time
 }
@@ -109,7 +110,7 @@
 
 // cancelOnMove cancels the request when another box becomes the dispenser.
 func (a *Allocator) cancelOnMove(ctx context.Context, id barleystep.BoxID, pool string, cancel context.CancelFunc) (hasMoved func() bool) {
-	var mu sync.Mutex
+	var mu mutex.Mutex
 	isMoved := false
 	go func() {
 		for {
--- a/internal/capacity/endpoint.go
+++ b/internal/capacity/endpoint.go
@@ -12,6 +12,7 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Endpoint gives the boxes of a hall access to a pool's dispenser. It is a LocalEndpoint on the box
@@ -40,14 +41,14 @@
 
 	once     sync.Once
 	newPools chan string
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	pools    map[string]*localPool
 }
 
 // localPool is a pool whose dispenser runs at this endpoint.
 type localPool struct {
 	name      string
-	mu        sync.Mutex
+	mu        mutex.Mutex
 	dispenser *Dispenser
 	version   int64
 	waiting   map[barleystep.AttemptID]chan Grant
--- a/internal/clock/alarm.go
+++ b/internal/clock/alarm.go
@@ -1,9 +1,10 @@
 package clock
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // minAlarm is the shortest timer that is reset on waking; a shorter one is late by at most its own
@@ -16,7 +17,7 @@
 // alarmSet holds the timers that have neither fired nor been stopped.
 type alarmSet struct {
 	watchers atomic.Int32
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	set      map[*alarm]struct{}
 }
 
--- a/internal/clock/manual.go
+++ b/internal/clock/manual.go
@@ -1,16 +1,16 @@
 package clock
 
 import (
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Manual is a clock that moves only when advanced. Its zero value stands at the zero time. It is
 // safe for concurrent use.
 type Manual struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	now    time.Time
 	timers map[*manualTimer]struct{}
 }
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Pool keeps connections to targets by address. Its exported fields must be set before use; it is
@@ -22,7 +22,7 @@
 	// Paths tells which connections take a path that works; nil means all.
 	Paths barleystep.Paths
 
-	mu   sync.Mutex
+	mu   mutex.Mutex
 	idle map[string][]*Conn
 	open map[string]int
 	// owners maps addresses to the targets that they belong to, as last set by SetTargets.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Pool holds the clients of the configured targets. Its exported field is set before use; it is
@@ -15,7 +16,7 @@
 
 	once  sync.Once
 	http  *http.Client
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	byURL map[clientKey]*Client
 }
 
--- a/internal/fault/link.go
+++ b/internal/fault/link.go
@@ -12,6 +12,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Mode is the state of a link.
@@ -41,7 +42,7 @@
 type Link struct {
 	Dialer barleystep.Dialer
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	mode  Mode
 	conns map[*linkConn]struct{}
 }
@@ -89,7 +90,7 @@
 	net.Conn
 	link *Link
 
-	mu sync.Mutex
+	mu mutex.Mutex
 	// mute is set if nothing is sent, deaf if nothing is received.
 	mute, deaf bool
 	// unblocked is closed when a deadline in the past is set or the connection is closed.
--- a/internal/follow/configuration.go
+++ b/internal/follow/configuration.go
@@ -1,7 +1,6 @@
 package follow
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/strict"
 )
 
@@ -27,7 +27,7 @@
 	view      atomic.Pointer[fleet.View]
 	confirmed atomic.Int64 // confirmed is when the last confirmation was requested, in nanoseconds after origin.
 
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	origin time.Time
 	// invalid is set while the newest version cannot be decoded, so that no confirmation proves
 	// that keys are current.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -16,6 +15,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Handler receives what a Follower reads. Its methods are called one at a time.
@@ -65,7 +65,7 @@
 	// while, unless Await is called.
 	AwaitsPeers bool
 
-	mu        sync.Mutex
+	mu        mutex.Mutex
 	loaded    bool
 	revision  barleystep.Revision
 	changeLog changeLog
--- a/internal/follow/health.go
+++ b/internal/follow/health.go
@@ -1,14 +1,15 @@
 package follow
 
 import (
-	"sync"
 	"time"
+
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // StoreHealth tracks whether a box's calls to the store are answered, over all topics that it follows.
 // Its zero value is ready to use.
 type StoreHealth struct {
-	mu sync.Mutex
+	mu mutex.Mutex
 	// times are when the latest calls were made that have failed in a row, the last one first; zero if
 	// there are fewer.
 	times [unavailableFailures]time.Time
--- a/internal/follow/targets.go
+++ b/internal/follow/targets.go
@@ -1,7 +1,6 @@
 package follow
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Targets is the set of targets that this box uses. Its exported fields are set before use; it
@@ -21,7 +21,7 @@
 	// call methods of the set other than List.
 	OnChange func()
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	targets map[string]fleet.Target
 	// graceUntil holds the targets whose record disappeared while the store was unavailable,
 	// and until when they are still used.
--- a/internal/front/active_requests.go
+++ b/internal/front/active_requests.go
@@ -3,12 +3,13 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
+
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // activeRequests is the set of requests being served. The zero value is empty.
 type activeRequests struct {
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	requests map[*Exchange]struct{}
 }
 
--- a/internal/front/limit_history.go
+++ b/internal/front/limit_history.go
@@ -1,17 +1,17 @@
 package front
 
 import (
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // limitHistory tracks the time limits that the callers of each route usually set. A caller that
 // retries after a refusal sets a shorter limit, and the difference is the time since its first
 // attempt. The zero value is ready to use; it is safe for concurrent use.
 type limitHistory struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	routes map[string]*longestLimit
 }
 
--- a/internal/front/progress.go
+++ b/internal/front/progress.go
@@ -1,10 +1,10 @@
 package front
 
 import (
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Phase is the stage that a request has reached.
@@ -33,7 +33,7 @@
 // progress publishes the phase of a request to other goroutines. The zero value is that of a new
 // request.
 type progress struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	phase  Phase
 	since  time.Time
 	target barleystep.TargetID
--- a/internal/gate/prompt.go
+++ b/internal/gate/prompt.go
@@ -2,12 +2,12 @@
 
 import (
 	"strings"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // prompt holds the fields of a body that placement and admission need.
@@ -115,7 +115,7 @@
 // Estimator estimates prompt lengths in tokens from the usage that engines report. Its zero value
 // is ready to use; it is safe for concurrent use.
 type Estimator struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	ratios map[string]float64 // ratios holds bytes per token by model.
 }
 
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -13,7 +13,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -23,6 +22,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // TopicFollower is the state of one topic of the store on this box.
@@ -70,7 +70,7 @@
 	Network barleystep.Network
 	Log     *log.Logger
 
-	mu          sync.Mutex
+	mu          mutex.Mutex
 	origin      time.Time
 	incarnation uint64
 	socket      barleystep.Socket
--- a/internal/keeper/watcher.go
+++ b/internal/keeper/watcher.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/place"
 )
 
@@ -29,7 +29,7 @@
 	// Interval is the time between refreshes; the default is 1 second.
 	Interval time.Duration
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	state HallState
 }
 
--- a/internal/lead/client.go
+++ b/internal/lead/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,6 +15,7 @@
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 const logPrefix = "lead: "
@@ -31,7 +31,7 @@
 	// Meter counts the times that refusals carry; nil counts nothing.
 	Meter *metric.Meter
 
-	mu sync.Mutex
+	mu mutex.Mutex
 	// bypassUntil is when short prompts may be sent to the lead again.
 	bypassUntil time.Time
 }
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,6 +14,7 @@
 	"github.com/barleystep/barleystep/api/placement/v1/placementv1connect"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Server places prompts for other boxes.
@@ -24,7 +24,7 @@
 	// View returns the configuration in force, nil if there is none.
 	View func() *fleet.View
 
-	mu sync.Mutex
+	mu mutex.Mutex
 	// windowStart begins the one-second window in which windowCount calls were counted.
 	windowStart time.Time
 	windowCount int
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/place"
 )
 
@@ -29,7 +29,7 @@
 	// Interval is the time between calls of Rebalance; the default is 5 seconds.
 	Interval time.Duration
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	buckets map[string]*bucket
 	needs   map[barleystep.HallID]needs
 }
--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -10,6 +9,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Sender sends heartbeats to other boxes. It does not block: heartbeats that cannot be sent at once
@@ -37,7 +37,7 @@
 	// ListInterval is the time between reads of the platform's list; the default is 5 seconds.
 	ListInterval time.Duration
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	state   *State
 	changed chan struct{}
 }
--- a/internal/object/memory.go
+++ b/internal/object/memory.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Memory is an in-memory object store. Its zero value is empty and ready to use; it is safe for
@@ -17,7 +17,7 @@
 	// is not executed and returns that error.
 	FaultFunc func(op, name string) error
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	objects map[string][]byte
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/barleystep/barleystep/api/peer/v1/peerv1connect"
 	"github.com/barleystep/barleystep/internal/capacity"
 	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/version"
 )
 
@@ -33,7 +34,7 @@
 	once             sync.Once
 	http             *http.Client
 	scheme           string
-	mu               sync.Mutex
+	mu               mutex.Mutex
 	heartbeatStreams map[string]*heartbeatStream
 	controlStreams   map[string]*controlStream
 }
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
@@ -10,6 +9,7 @@
 	"github.com/barleystep/barleystep"
 	peerv1 "github.com/barleystep/barleystep/api/peer/v1"
 	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // controlStream is the stream of reports and notices to the box that allocates a pool's capacity.
@@ -18,9 +18,9 @@
 	stream *connect.BidiStreamForClient[peerv1.TalkRequest, peerv1.TalkResponse]
 	cancel context.CancelFunc
 
-	sendMu  sync.Mutex // sendMu keeps messages in the order of pending.
+	sendMu  mutex.Mutex // sendMu keeps messages in the order of pending.
 	names   names
-	mu      sync.Mutex // mu guards the fields below; it is never held while sending.
+	mu      mutex.Mutex // mu guards the fields below; it is never held while sending.
 	pending []chan<- reportReply
 	err     error
 }
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -2,8 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
+
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Candidates are the addresses of boxes that may connect to targets for this one, by preference.
@@ -16,7 +17,7 @@
 // memory remembers what other boxes have told as relays. The zero value is ready to use; it is safe
 // for concurrent use.
 type memory struct {
-	mu sync.Mutex
+	mu mutex.Mutex
 	// failedUntil holds until when boxes are passed over that did not connect, hintedUntil until when
 	// boxes are used that another relay has named.
 	failedUntil map[string]time.Time
--- a/internal/relay/monitor.go
+++ b/internal/relay/monitor.go
@@ -2,13 +2,13 @@
 package relay
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 const logPrefix = "relay: "
@@ -22,7 +22,7 @@
 	// OnCutOff is called when this box has found that it reaches no target itself. It may be nil.
 	OnCutOff func()
 
-	mu sync.Mutex
+	mu mutex.Mutex
 	// failures holds when connecting directly to an address last failed. A direct connection to any
 	// address clears it. relayed holds when another box last connected to an address.
 	failures map[string]time.Time
--- a/internal/relay/tunnel.go
+++ b/internal/relay/tunnel.go
@@ -4,8 +4,9 @@
 	"encoding/binary"
 	"io"
 	"net"
-	"sync"
 	"time"
+
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // frameHeaderBytes is the size of a frame's header, its length. What a target sends is framed on
@@ -86,7 +87,7 @@
 type sender struct {
 	target net.Conn
 
-	mu  sync.Mutex // mu is held while sending.
+	mu  mutex.Mutex // mu is held while sending.
 	err error
 }
 
--- a/internal/soak/box.go
+++ b/internal/soak/box.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -18,6 +17,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/fault"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // box supervises the process of a box, which is restarted whenever it exits.
@@ -31,7 +31,7 @@
 	clock       barleystep.Clock
 	history     *History
 
-	mu          sync.Mutex
+	mu          mutex.Mutex
 	cmd         *exec.Cmd
 	incarnation int
 	// links tells the current process the mode of its links to targets. cuts counts the current cuts,
--- a/internal/soak/child.go
+++ b/internal/soak/child.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"io"
 	"os/exec"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -66,7 +66,7 @@
 	encoder *json.Encoder
 	addr    string
 
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	number   int
 	reserved int
 	pending  map[int]chan struct{}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -57,7 +57,7 @@
 
 // History records everything that callers and targets observed. It is safe for concurrent use.
 type History struct {
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	calls    []Call
 	arrivals []platformtest.Arrival
 	// bodies holds one copy of each body of the calls and arrivals: there are few distinct ones,
--- a/internal/soak/long_calls.go
+++ b/internal/soak/long_calls.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -28,7 +28,7 @@
 // longCalls counts, by box, the oversized prompts whose answers have not begun. It is safe for
 // concurrent use.
 type longCalls struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	counts map[string]int
 	// changed is closed and replaced when a count changes.
 	changed chan struct{}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -12,13 +12,14 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // proxy forwards connections from boxes to one target and can reset, stall or delay them.
 type proxy struct {
 	clock    barleystep.Clock
 	listener net.Listener
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	target   string // target is the target's own address.
 	conns    map[net.Conn]struct{}
 	// stalled counts the active faults under which nothing is forwarded, slow those under which
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -42,8 +43,8 @@
 	vanishing atomic.Bool
 	probes    int // probes counts the callers made to probe boxes.
 	// configMu serializes changes of the configuration, storeMu faults of the store.
-	configMu    sync.Mutex
-	storeMu     sync.Mutex
+	configMu    mutex.Mutex
+	storeMu     mutex.Mutex
 	storeFaults []string
 	// long counts the current periods in which callers send additional oversized prompts, longKills
 	// the boxes killed while such a prompt waited or was being prefilled.
--- a/internal/soak/standin.go
+++ b/internal/soak/standin.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,12 +14,13 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/conn"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
 // output writes reports to the parent process.
 type output struct {
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	encoder *json.Encoder
 }
 
@@ -84,7 +84,7 @@
 type resettableListener struct {
 	net.Listener
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	conns []net.Conn
 }
 
--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"maps"
-	"sync"
 	"time"
 
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/platform/platformtest"
 )
 
@@ -16,7 +16,7 @@
 	number  int
 	service string
 
-	mu         sync.Mutex
+	mu         mutex.Mutex
 	generation int
 	id         string
 	born       time.Time // born is when the process was started.
--- a/internal/standin/boxes.go
+++ b/internal/standin/boxes.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // BoxList is a stand-in for the platform's list of boxes. Its zero value is an empty list.
 type BoxList struct {
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	boxes []barleystep.Box
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,13 +10,13 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 const (
@@ -67,7 +67,7 @@
 	// ChecksFence makes the engine refuse orders with a fencing token older than the last one.
 	ChecksFence bool
 
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	attempts map[string]*attemptState
 	runs     map[string]int
 	leaving  bool
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 const readLimit = 64 << 20
@@ -15,7 +15,7 @@
 // Service is a stand-in plain service. It counts the calls of each attempt and describes the
 // request in its answer.
 type Service struct {
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	calls map[string]int
 }
 
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 const logPrefix = "suspect: "
@@ -20,7 +20,7 @@
 	Clock barleystep.Clock
 	Log   *log.Logger
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	known map[Digest]Evidence
 	// onRefused is called after the status of a request or part becomes Refused.
 	onRefused func()
--- a/internal/table/faulty.go
+++ b/internal/table/faulty.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Failure is a way in which a call of a Faulty table fails.
@@ -33,7 +33,7 @@
 	// Table is the wrapped table; it must be set.
 	Table barleystep.Table
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	plan    func(call Call) Failure
 	delayed []barleystep.Txn
 	stale   map[string]barleystep.Row
--- a/internal/table/memory.go
+++ b/internal/table/memory.go
@@ -7,15 +7,15 @@
 	"context"
 	"sort"
 	"strings"
-	"sync"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Memory keeps all rows in memory. Its zero value is an empty table; it is safe
 // for concurrent use.
 type Memory struct {
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	rows    map[string]barleystep.Row
 	version int64
 	reads   int64
--- a/internal/version/follower.go
+++ b/internal/version/follower.go
@@ -1,7 +1,6 @@
 package version
 
 import (
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -9,6 +8,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/config"
 	"github.com/barleystep/barleystep/internal/metric"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Follower holds the current version of the configuration on this box. It never goes back to an
@@ -21,7 +21,7 @@
 	// 4 seconds.
 	ConfirmationTTL time.Duration
 
-	mu        sync.Mutex
+	mu        mutex.Mutex
 	view      *config.View
 	history   []Increment // history holds the latest increments, the oldest first.
 	confirmed time.Time
