router, front: the last two locks are those of internal/mutex

Mechanical, on its own for merging: router/listener.go and front/stall_watch.go. With them every lock outside tests is checked under the tag lockorder.

--- a/internal/front/stall_watch.go
+++ b/internal/front/stall_watch.go
@@ -8,6 +8,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // stallWatch cancels a try whose target is silent for too long, so that the request can move to
@@ -24,7 +25,7 @@
 	// endsWithAnswer is set if the target is only watched until it first sends something.
 	endsWithAnswer bool
 
-	mu        sync.Mutex
+	mu        mutex.Mutex
 	lastHeard time.Time // lastHeard is when the target last sent something.
 	deadline  time.Time // deadline is when the target is given up.
 	done      chan struct{}
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // listener accepts callers. Unlike http.Server, it takes the idle timeout of connections from
@@ -28,7 +28,7 @@
 	// accepting is set while callers can connect.
 	accepting atomic.Bool
 
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	server *http.Server
 	socket net.Listener
 	// closed is set once no more connections are accepted.
