conn: errors do not quote malformed answers

A caller whose target sent bytes that are no HTTP got 502 with these bytes in its text ("malformed HTTP response \"mark-0\""): net/http quotes lines of heads, lengths and trailers in its errors, and the box sends their text. The bytes may be the rest of another caller's answer on the same connection, and they were also quoted of answers to other requests that are skipped.

Only the ends and failures of the connection itself are reported as they are now; anything else that net/http says of an answer is "the answer is malformed".

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -66,7 +66,7 @@
 		resp, err = http.ReadResponse(c.reader, req) //nolint:forbidigo // The input bounds the head.
 		c.input.endHead()
 		if err != nil {
-			return nil, eris.Wrap(err, "conn: read answer")
+			return nil, eris.Wrap(c.input.readError(err), "conn: read answer")
 		}
 		c.pool.noteHeard(c)
 		if resp.StatusCode < http.StatusOK {
@@ -77,7 +77,7 @@
 			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop, isUnframed: isUnframed}
 			return resp, nil
 		}
-		if err := skipBody(resp.Body); err != nil {
+		if err := c.skipBody(resp.Body); err != nil {
 			return nil, eris.Wrap(err, "conn: read surplus answer")
 		}
 	}
@@ -96,11 +96,11 @@
 
 // skipBody reads the body of an answer to another request. What is left of one that is too long could
 // pass for the next answer.
-func skipBody(body io.ReadCloser) error {
+func (c *Conn) skipBody(body io.ReadCloser) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
 	switch {
 	case err != nil:
-		return err
+		return c.input.readError(err)
 	case n > maxSkippedBytes:
 		return errSurplusTooLong
 	}
@@ -173,7 +173,7 @@
 	if err == io.EOF {
 		b.sawEOF = true
 	}
-	return n, err
+	return n, b.conn.input.readError(err)
 }
 
 // writeFailed reports whether the request was not written whole when the target closed the connection.
--- a/internal/conn/input.go
+++ b/internal/conn/input.go
@@ -1,6 +1,7 @@
 package conn
 
 import (
+	"io"
 	"net"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,7 @@
 	raw    net.Conn
 	inHead bool
 	left   int // left is how much of a head may still be read.
+	err    error
 }
 
 func (i *input) beginHead() { i.inHead, i.left = true, maxHeadBytes }
@@ -24,14 +26,28 @@
 func (i *input) endHead() { i.inHead = false }
 
 // Read reads from the connection.
-func (i *input) Read(p []byte) (int, error) {
+func (i *input) Read(p []byte) (n int, err error) {
+	defer func() { i.err = err }()
 	if !i.inHead {
 		return i.raw.Read(p)
 	}
 	if i.left <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := i.raw.Read(p[:min(len(p), i.left)])
+	n, err = i.raw.Read(p[:min(len(p), i.left)])
 	i.left -= n
 	return n, err
 }
+
+// errMalformed means that an answer is not one of HTTP.
+var errMalformed = eris.New("conn: the answer is malformed")
+
+// readError returns the error to report for one of net/http, which quotes malformed answers. They may be
+// another caller's, and the texts of errors are sent to callers.
+func (i *input) readError(err error) error {
+	isEnd := err == nil || eris.Is(err, io.EOF) || eris.Is(err, io.ErrUnexpectedEOF)
+	if isEnd || i.err != nil && eris.Is(err, i.err) {
+		return err
+	}
+	return errMalformed
+}
