--- a/tools/lint/testdata/reads/reads.go
+++ b/tools/lint/testdata/forbidden/reads.go
@@ -1,5 +1,5 @@
-// Package reads reads from peers. Lines whose reads have no bound end with "want".
-package reads
+// Package forbidden reads from peers. Lines whose reads have no bound end with "want".
+package forbidden
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 	"net/http"
 	"net/textproto"
 
-	"github.com/barleystep/barleystep/tools/lint/testdata/reads/fakeconnect"
+	"github.com/barleystep/barleystep/tools/lint/testdata/forbidden/fakeconnect"
 )
 
 // maxBytes bounds a body, in bytes.
