--- a/internal/front/answer_times.go
+++ b/internal/front/answer_times.go
@@ -2,17 +2,17 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // answerTimes knows how long answers have taken lately, so that a stopping box can tell which ones
 // it can still complete. The zero value is ready to use; it is safe for concurrent use.
 type answerTimes struct {
-	mu sync.Mutex
+	mu mutex.Mutex
 	// paces holds the pace of each service of engines, and longest the longest answer of each
 	// route to other services.
 	paces   map[string]*pace
--- a/internal/front/stop_refusals.go
+++ b/internal/front/stop_refusals.go
@@ -1,8 +1,9 @@
 package front
 
 import (
-	"sync"
 	"time"
+
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // StopRefusals is how many requests a stopping box has refused, and when it refused the first and
@@ -14,7 +15,7 @@
 
 // stopRefusals counts refusals of a stopping box. The zero value is ready for use.
 type stopRefusals struct {
-	mu  sync.Mutex
+	mu  mutex.Mutex
 	now StopRefusals
 }
 
--- a/internal/lead/server.go
+++ b/internal/lead/server.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,6 +14,7 @@
 	"github.com/barleystep/barleystep/api/placement/v1/placementv1connect"
 	"github.com/barleystep/barleystep/internal/balance"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // Server places prompts for other boxes.
@@ -24,7 +24,7 @@
 	// View returns the configuration in force, nil if there is none.
 	View func() *fleet.View
 
-	mu sync.Mutex
+	mu mutex.Mutex
 	// windowStart begins the one-second window in which windowCount calls were counted.
 	windowStart time.Time
 	windowCount int
@@ -45,9 +45,12 @@
 	return s.windowCount > maxShortPerSecond
 }
 
+// maxMessageBytes bounds a request or an answer, in bytes. Large ones name many targets to avoid.
+const maxMessageBytes = 64 << 10
+
 // Handler returns the handler for other boxes.
 func (s *Server) Handler() (path string, h http.Handler) {
-	return placementv1connect.NewPlacementServiceHandler(s)
+	return placementv1connect.NewPlacementServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // longPromptHold and shortPromptHold are how long a call is held while its prompt waits for
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/barleystep/barleystep/api/peer/v1/peerv1connect"
 	"github.com/barleystep/barleystep/internal/capacity"
 	"github.com/barleystep/barleystep/internal/member"
+	"github.com/barleystep/barleystep/internal/mutex"
 	"github.com/barleystep/barleystep/internal/version"
 )
 
@@ -33,7 +34,7 @@
 	once             sync.Once
 	http             *http.Client
 	scheme           string
-	mu               sync.Mutex
+	mu               mutex.Mutex
 	heartbeatStreams map[string]*heartbeatStream
 	controlStreams   map[string]*controlStream
 }
@@ -67,7 +68,7 @@
 
 func (c *Client) rpcClient(addr string) peerv1connect.PeerClient {
 	c.init()
-	return peerv1connect.NewPeerClient(c.http, c.scheme+addr, connect.WithInterceptors(c.Auth))
+	return peerv1connect.NewPeerClient(c.http, c.scheme+addr, connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(c.Auth))
 }
 
 // Endpoint returns the capacity endpoint of another box, or false if its address is unknown.
--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -5,13 +5,13 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // callerConn is the connection of a caller. It can be closed between requests without losing one
@@ -20,7 +20,7 @@
 	*net.TCPConn
 	clock barleystep.Clock
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	state http.ConnState
 	// received is set once data of a request that has not begun was read. since is when that was,
 	// or else when the connection entered its state.
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/mutex"
 )
 
 // listener accepts callers. Unlike http.Server, it takes the idle timeout of connections from
@@ -30,7 +30,7 @@
 	// accepting is set while callers can connect.
 	accepting atomic.Bool
 
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	socket callerSocket
 	// closed is set once no more connections are accepted.
 	closed bool
