--- a/internal/balance/fairness.go
+++ b/internal/balance/fairness.go
@@ -84,18 +84,11 @@
 	return t
 }
 
-// noteAsked counts a try of a long prompt once: if it was placed before, that placement no longer
-// counts. The more engines a prompt needs, the more often one of them fails it.
+// noteAsked counts a try of a long prompt.
 func (b *Balancer) noteAsked(j Job) {
-	if !IsLongPrompt(j) {
-		return
-	}
-	c := b.sizeStatsOf(j).count(b.Clock.Now(), j)
-	if j.Replacement {
-		c.placed = max(c.placed-1, 0)
-		return
+	if IsLongPrompt(j) {
+		b.sizeStatsOf(j).count(b.Clock.Now(), j).asked++
 	}
-	c.asked++
 }
 
 // notePlaced counts a try of a long prompt that was placed.
