front: the pace of services with short answers is learned

A stopping box judged streams by the cost model for as long as it ran where answers are short: 5,000 tokens at the model's pace were added to those seen, which are 600 streams of eight tokens.

Four mean answers are added now, which is about as much as before for answers of some 1,400 tokens. TestAnswerTimesLearnsShortAnswers failed before.

--- a/internal/front/answer_times.go
+++ b/internal/front/answer_times.go
@@ -28,10 +28,10 @@
 }
 
 const (
-	// paceDecay is the mean age of the streams that count. paceWeight is the number of tokens, at
-	// the pace of busy engines, that is added to them.
-	paceDecay  = 30 * time.Second
-	paceWeight = 5000
+	// paceDecay is the mean age of the streams that count. To these, priorAnswers mean answers at the
+	// pace of busy engines are added.
+	paceDecay    = 30 * time.Second
+	priorAnswers = 4
 	// slowStreamFactor multiplies the mean pace: one stream in some dozens is slower than that.
 	slowStreamFactor = 1.25
 	// longOutputFactor multiplies the mean output where the caller states no limit.
@@ -98,7 +98,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pace(now, j.Service)
-	perToken := (p.seconds + paceWeight*j.Cost.BusyStep().Seconds()) / (p.tokens + paceWeight)
+	prior := priorAnswers * max(j.Cost.MeanOutputTokens, j.Cost.Stride, 1)
+	perToken := (p.seconds + float64(prior)*j.Cost.BusyStep().Seconds()) / (p.tokens + float64(prior))
 	return time.Duration(float64(tokens) * perToken * slowStreamFactor * float64(time.Second))
 }
 
--- a/internal/front/answer_times_internal_test.go
+++ b/internal/front/answer_times_internal_test.go
@@ -19,7 +19,7 @@
 		last  = 100 * time.Second
 	)
 	start := time.Unix(1000, 0)
-	cost := &fleet.CostModel{Slots: 1, Stride: 50, Step: token}
+	cost := &fleet.CostModel{Slots: 1, Stride: 50, Step: token, MeanOutputTokens: 1250}
 	route := &fleet.Route{Name: "r", Objective: time.Second, Timeout: time.Minute}
 	job := balance.Job{Service: "s", OutputTokens: 1000, Cost: cost}
 	stream := func(sends int) *Exchange {
@@ -63,3 +63,20 @@
 		c.Check(a.answerTime(start.Add(4*recentPeriod), route), quicktest.Equals, answerObjectives*route.Objective)
 	})
 }
+
+// TestAnswerTimesLearnsShortAnswers guards against services with short answers whose pace is taken from
+// the cost model for as long as the box runs.
+func TestAnswerTimesLearnsShortAnswers(t *testing.T) {
+	c := quicktest.New(t)
+	const token = time.Millisecond
+	start := time.Unix(1000, 0)
+	cost := &fleet.CostModel{Slots: 1, Stride: 8, Step: token, MeanOutputTokens: 64}
+	var a answerTimes
+	for range 20 {
+		x := &Exchange{service: "s", sends: 1, events: 9, started: start}
+		x.lastWrite = start.Add(64 * 3 * token)
+		a.note(start.Add(time.Second), x, cost)
+	}
+	got := a.decodeTime(start.Add(time.Second), balance.Job{Service: "s", OutputTokens: 64, Cost: cost})
+	c.Check(float64(got) > 2.5*slowStreamFactor*float64(64*token), quicktest.IsTrue, quicktest.Commentf("%v", got))
+}
