conn: a target that resets further connections lives on

Callers of a sound target that had its most connections would have lost answers without a length: 502 on routes that run once, streams that break off after their last event.

An address that accepts and resets four connections in a row, over some 0.2 s, counts as alive now; a process that ends closes its socket, and the next connection is refused. TestSoundUnframedAnswer, its connections used up, failed before.

The end of a connection is also seen where the box had no processor time until after the wait (TestAccepts, late: failed before).

--- a/internal/conn/accept.go
+++ b/internal/conn/accept.go
@@ -2,29 +2,80 @@
 
 import (
 	"context"
+	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// settleTime is how long a connection must stay open until the process that accepted it counts as alive.
-// The system of a process that is ending accepts connections until it closes the listening socket, and
-// resets those that no process has taken.
-const settleTime = 20 * time.Millisecond
+const (
+	// settleTime is how long a connection must stay open until the process that accepted it counts as
+	// alive. The system of a process that is ending accepts connections until it closes the listening
+	// socket, and resets those that no process has taken.
+	settleTime = 20 * time.Millisecond
+	// acceptTries is how many connections in a row an address must accept and reset until its process
+	// counts as alive: one that has its most connections resets further ones. retryPause is the pause
+	// between them, in which the socket of a process that is ending closes.
+	acceptTries = 4
+	retryPause  = 40 * time.Millisecond
+)
 
-// Accepts reports whether a process accepts connections at the address, and keeps them. False may also
-// mean that this box does not reach it, or not before the context ends.
+// Accepts reports whether a process accepts connections at the address, and keeps them or goes on
+// accepting them. False may also mean that this box does not reach it, or not before the context ends.
 func (p *Pool) Accepts(ctx context.Context, addr string) bool {
-	raw, err := p.Dialer.Dial(ctx, addr)
-	if err != nil {
-		return false
+	for range acceptTries {
+		raw, err := p.Dialer.Dial(ctx, addr)
+		switch {
+		case err != nil && !eris.Is(err, syscall.ECONNRESET):
+			return false
+		case err == nil && staysOpen(ctx, raw):
+			return true
+		}
+		pause := time.NewTimer(retryPause)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return false
+		}
 	}
+	return true
+}
+
+// staysOpen reports whether the peer keeps the connection open for settleTime, and closes it.
+func staysOpen(ctx context.Context, raw net.Conn) bool {
 	defer func() { _ = raw.Close() }()                  // Nothing was sent on it.
 	_ = raw.SetReadDeadline(time.Now().Add(settleTime)) // Without it, the end of the context ends the read.
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	var one [1]byte
-	_, err = raw.Read(one[:])
-	return err == nil || eris.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil
+	_, err := raw.Read(one[:])
+	if err == nil {
+		return true
+	}
+	if !eris.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil {
+		return false
+	}
+	return !hasEnded(raw) // The deadline counts first, even if the end has arrived in time.
+}
+
+// hasEnded reports whether the end of the connection has arrived, without waiting.
+func hasEnded(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = peeked != syscall.EAGAIN && n <= 0
+	})
+	return err != nil || ended
 }
