front: a stopping box retries what may have run also without a cost model

A request that may have run, on a route to a service without a cost model, got 502 on a stopping box though another target had seconds for it: it was judged by the longest answer, as one that can be refused as not run. The pace seen decides for those of services with a model too, in place of an idle engine's.

--- a/internal/front/answer_times.go
+++ b/internal/front/answer_times.go
@@ -95,12 +95,21 @@
 	if tokens <= 0 {
 		tokens = longOutputFactor * j.Cost.MeanOutputTokens
 	}
+	return time.Duration(slowStreamFactor * float64(tokens) * a.tokenSeconds(now, j) * float64(time.Second))
+}
+
+// meanDecodeTime returns how long an answer of mean length takes after its first event on such engines.
+func (a *answerTimes) meanDecodeTime(now time.Time, j balance.Job) time.Duration {
+	return time.Duration(float64(j.Cost.MeanOutputTokens) * a.tokenSeconds(now, j) * float64(time.Second))
+}
+
+// tokenSeconds returns the time between two tokens of a stream, in seconds.
+func (a *answerTimes) tokenSeconds(now time.Time, j balance.Job) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pace(now, j.Service)
-	prior := priorAnswers * max(j.Cost.MeanOutputTokens, j.Cost.Stride, 1)
-	perToken := (p.seconds + float64(prior)*j.Cost.BusyStep().Seconds()) / (p.tokens + float64(prior))
-	return time.Duration(float64(tokens) * perToken * slowStreamFactor * float64(time.Second))
+	prior := float64(priorAnswers * max(j.Cost.MeanOutputTokens, j.Cost.Stride, 1))
+	return (p.seconds + prior*j.Cost.BusyStep().Seconds()) / (p.tokens + prior)
 }
 
 // answerTime returns how long an answer on a route to a service without a cost model may take.
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -181,15 +181,15 @@
 // that are slower than others by the factor. A stream that has begun is resumed wherever it can go on
 // before the box shuts down: it may be nearly complete, and its caller must otherwise resume it on
 // another box. For the same reason a mean answer decides where a target may have run the request,
-// which can't be refused as not run.
+// which can't be refused as not run, and nothing does where the mean isn't known.
 func (d *deliver) timeNeeded(x *Exchange, job balance.Job, ttft time.Duration, slowness float64) time.Duration {
 	switch {
-	case x.answer.HeadSent():
+	case x.answer.HeadSent(), x.mayHaveRun && job.Cost == nil:
 		return ttft
+	case x.mayHaveRun:
+		return ttft + d.answerTimes.meanDecodeTime(d.clock.Now(), job)
 	case job.Cost == nil:
 		return d.answerTimes.answerTime(d.clock.Now(), x.route)
-	case x.mayHaveRun:
-		return ttft + job.DecodeTime()
 	default:
 		decode := time.Duration(slowness * float64(d.answerTimes.decodeTime(d.clock.Now(), job)))
 		return ttftFactor*ttft + ttftMargin + decode
--- a/internal/front/shutdown_admission_test.go
+++ b/internal/front/shutdown_admission_test.go
@@ -199,3 +199,30 @@
 		})
 	}
 }
+
+// TestShutdownRetriesWithoutCostModel guards against requests that may have run, and are given up on a
+// stopping box though another target has the time for them: no refusal as not run is possible.
+func TestShutdownRetriesWithoutCostModel(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		left   time.Duration
+		second step
+	}{
+		"stream":     {"/stream/", 8 * time.Second, eventStream(1, 3, false)},
+		"repeatable": {"/again/", 3 * objective, completeAnswer(http.StatusOK, sealed, "good")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			manual := clock.NewManual(time.Unix(1000, 0))
+			var f *fixture
+			first := func(net.Conn, *http.Request) bool {
+				f.front.BeginShutdown(manual.Now().Add(tc.left))
+				return false
+			}
+			f = newFixtureAt(t, manual, state{view: newView()}, first, tc.second)
+			c.Check(f.do(t, http.MethodPost, tc.path, "ask").status, quicktest.Equals, http.StatusOK)
+			c.Check(f.target.requestCount(), quicktest.Equals, 2)
+		})
+	}
+}
