router: no connection is missed or kept for good around a stop

A byte after an answer kept a connection open for good, since it counted as a request that is arriving (TestStrayBytesAreNoRequest). A connection that was accepted, and that the HTTP server had not seen yet, was missed by the stop, and reset at the exit (TestCloseAwaitsAcceptedConnections). A stalled head whose rest has arrived counts as unread.

--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -129,6 +129,17 @@
 	return now.Sub(c.since)
 }
 
+// stalledFor returns for how long data of a request that has not begun has been there, zero if there is
+// none. The HTTP server waits for the first bytes of a further request without a limit.
+func (c *callerConn) stalledFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.betweenRequests() || !c.received {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
 // release closes the connection unless a request is in progress or has arrived, read or not.
 //
 // The goroutine that reads closes it: one that closes it from outside would lose a request that is
@@ -203,10 +214,10 @@
 		return connActive
 	case c.received && now.Sub(c.since) < headWait:
 		return connReceiving
-	case c.received:
-		return connStalled
 	case c.hasUnreadInput():
 		return connUnread
+	case c.received:
+		return connStalled
 	case c.releasing:
 		return connClosing
 	case c.state == http.StateNew && now.Sub(c.since) < firstRequestWait:
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -32,6 +32,9 @@
 
 	mu     mutex.Mutex
 	socket callerSocket
+	// served is closed once the HTTP server has taken the last connection from the socket; it is nil
+	// before it takes the first.
+	served chan struct{}
 	// closed is set once no more connections are accepted.
 	closed bool
 	// conns holds the open connections.
@@ -61,7 +64,7 @@
 	server := l.start(socket)
 	l.log.Info().Str("addr", l.addr).Msg(logPrefix + "Accepting callers.")
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(l.socket) }()
+	go func() { done <- l.serve(server) }()
 	for {
 		select {
 		case err = <-done:
@@ -80,6 +83,16 @@
 	}
 }
 
+// serve takes connections from the socket until it is closed.
+func (l *listener) serve(server *http.Server) error {
+	served := make(chan struct{})
+	defer close(served)
+	l.mu.Lock()
+	l.served = served
+	l.mu.Unlock()
+	return server.Serve(l.socket)
+}
+
 // start creates the server for the callers of the socket.
 func (l *listener) start(socket net.Listener) *http.Server {
 	l.mu.Lock()
@@ -97,17 +110,25 @@
 // still served.
 func (l *listener) close(ctx context.Context) {
 	l.mu.Lock()
-	socket := l.socket
+	socket, served := l.socket, l.served
 	l.mu.Unlock()
 	if socket.Listener != nil {
 		socket.awaitAccepted(ctx)
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.closed = true
+	l.mu.Unlock()
 	l.accepting.Store(false)
-	if socket.Listener != nil {
-		_ = socket.Close() // The socket is not used again.
+	if socket.Listener == nil {
+		return
+	}
+	_ = socket.Close() // The socket is not used again.
+	if served == nil {
+		return
+	}
+	select {
+	case <-served: // All accepted connections are known.
+	case <-ctx.Done():
 	}
 }
 
@@ -158,7 +179,10 @@
 	}
 	now := l.clock.Now()
 	for _, c := range l.open() {
-		if c.idleFor(now) > limit+idleMargin {
+		switch {
+		case c.stalledFor(now) > headerTimeout+idleMargin:
+			_ = c.Close() // The caller may have closed it already.
+		case c.idleFor(now) > limit+idleMargin:
 			c.release()
 		}
 	}
--- a/internal/router/stop_conns_internal_test.go
+++ b/internal/router/stop_conns_internal_test.go
@@ -411,3 +411,62 @@
 	await(t, func() bool { return isClosed(done) })
 	c.Check(l.isClosed(), quicktest.IsTrue)
 }
+
+// TestStrayBytesAreNoRequest guards against connections that stay open for good since a byte came after
+// an answer: the HTTP server waits for the rest of a head without a limit until it has four bytes.
+func TestStrayBytesAreNoRequest(t *testing.T) {
+	cases := map[string]string{"nothing": "", "one byte": "G", "line end": "\r\n"}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newStopFixture(t, false)
+			const limit = 5 * time.Second
+			f.callers.idleTimeout = func() time.Duration { return limit }
+			caller := f.dialKept(t)
+			caller.send(text)
+			await(t, func() bool { n := f.callers.count(); return n[connReceiving] > 0 == (text != "") && n[connUnread] == 0 })
+			f.clk.Advance(limit + headerTimeout + 2*idleMargin)
+			f.callers.closeIdle()
+			c.Check(caller.isAtEnd(), quicktest.IsTrue)
+		})
+	}
+}
+
+// TestCloseAwaitsAcceptedConnections guards against the loss of a request on a connection that was
+// accepted when the box stopped, and that the HTTP server had not seen yet.
+func TestCloseAwaitsAcceptedConnections(t *testing.T) {
+	c := quicktest.New(t)
+	socket, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	late := &lateListener{Listener: socket, gate: make(chan struct{})}
+	l := &listener{clock: clock.NewManual(time.Unix(1000, 0)), handler: http.NotFoundHandler(), log: &log.Logger{Level: log.PanicLevel}}
+	server := l.start(late)
+	go l.serve(server)
+	caller, err := net.Dial("tcp4", socket.Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	t.Cleanup(func() { caller.Close(); server.Close() })
+	await(t, late.accepted.Load)
+	closed := make(chan struct{})
+	go func() { l.close(context.Background()); close(closed) }()
+	await(t, l.isClosed)
+	close(late.gate)
+	<-closed
+	c.Check(l.open(), quicktest.HasLen, 1)
+}
+
+// lateListener returns accepted connections once its gate is closed.
+type lateListener struct {
+	net.Listener
+	accepted atomic.Bool
+	gate     chan struct{}
+}
+
+// Accept waits for a connection.
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Store(true)
+		<-l.gate
+	}
+	return c, err
+}
