--- a/internal/soak/target_slot.go
+++ b/internal/soak/target_slot.go
@@ -77,6 +77,9 @@
 // crashRestartDelay is the time between the unexpected exit of a target and its replacement.
 const crashRestartDelay = time.Second
 
+// exitNotice is how long before its exit is seen the connections of a target may have closed.
+const exitNotice = time.Second
+
 // watch replaces a process that exits without being killed by the run. Such an exit is not
 // announced.
 func (t *targetSlot) watch(ctx context.Context, c *child) {
@@ -88,7 +91,7 @@
 	current := t.child == c
 	t.mu.Unlock()
 	at := t.runner.Clock.Now()
-	t.runner.history.RecordTrouble(t.number, at, at)
+	t.runner.history.RecordTrouble(t.number, at.Add(-exitNotice), at)
 	if current && ctx.Err() == nil {
 		t.replace(ctx, crashRestartDelay, false, false)
 	}
