--- a/internal/conn/accept.go
+++ b/internal/conn/accept.go
@@ -58,24 +58,6 @@
 	if !eris.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil {
 		return false
 	}
-	return !hasEnded(raw) // The deadline counts first, even if the end has arrived in time.
-}
-
-// hasEnded reports whether the end of the connection has arrived, without waiting.
-func hasEnded(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	ended := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = peeked != syscall.EAGAIN && n <= 0
-	})
-	return err != nil || ended
+	n, err := Peek(raw) // The deadline counts first, even if the end has arrived in time.
+	return n > 0 || eris.Is(err, syscall.EAGAIN) || eris.Is(err, errNoSocket)
 }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -231,21 +231,8 @@
 
 // isClean reports whether the connection is open and has received nothing since its last answer.
 func (c *Conn) isClean() bool {
-	s, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isClean := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isClean = peeked == syscall.EAGAIN
-	})
-	return err == nil && isClean
+	_, err := Peek(c.raw)
+	return eris.Is(err, syscall.EAGAIN) || eris.Is(err, errNoSocket)
 }
 
 // Interrupt makes reads and writes fail from now on. It may be called from other goroutines.
--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/mutex"
 )
 
@@ -193,16 +194,8 @@
 // hasUnreadInput reports whether data, but not the end of the stream, has arrived that has not been
 // read.
 func (c *callerConn) hasUnreadInput() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // On an error, n is not positive.
-	})
-	return err == nil && n > 0
+	n, _ := conn.Peek(c.TCPConn) // On an error, nothing has arrived.
+	return n > 0
 }
 
 // status returns what the connection is doing.
