router: the state and the deadline of a connection change together when bodies are aborted

Between the look at its state and the deadline a connection could come to rest, and a request that arrives then would have been closed unread. An interrupted read is repeated at once instead of waiting for more data.

--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -64,11 +64,13 @@
 	err = raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		n, result = syscall.Read(int(fd), p)
+		for n, result = syscall.Read(int(fd), p); result == syscall.EINTR; {
+			n, result = syscall.Read(int(fd), p)
+		}
 		if n > 0 {
 			c.receive()
 		}
-		return !eris.Is(result, syscall.EAGAIN) && !eris.Is(result, syscall.EINTR)
+		return result != syscall.EAGAIN
 	})
 	var failed *net.OpError
 	switch {
@@ -156,6 +158,17 @@
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
 }
 
+// abortRequest makes reading the body of a request in progress fail.
+func (c *callerConn) abortRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.betweenRequests() {
+		return
+	}
+	c.deadline = time.Unix(1, 0)
+	_ = c.TCPConn.SetReadDeadline(c.deadline) // It fails on a closed connection only.
+}
+
 // closeReleased closes the connection if it was released and nothing has arrived.
 func (c *callerConn) closeReleased() bool {
 	c.mu.Lock()
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -203,10 +203,7 @@
 
 // abortBodies makes reads of bodies fail. Requests whose bodies are incomplete are answered at once.
 func (l *listener) abortBodies() {
-	now := l.clock.Now()
 	for _, c := range l.open() {
-		if c.status(now) == connActive {
-			_ = c.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
-		}
+		c.abortRequest()
 	}
 }
