conn: whether a process keeps its connections is asked by the pool's clock

Accepts took the time from the operating system. Tests with a clock that is advanced by hand give the pool of the fixture the system's, since no step of theirs advances it between an answer and its caller; TestOnceOnSilentConnection, which needs the pool's clock, sets it. No assertion is changed.

--- a/internal/conn/accept.go
+++ b/internal/conn/accept.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 const (
@@ -30,14 +32,9 @@
 		switch {
 		case err != nil && !eris.Is(err, syscall.ECONNRESET):
 			return false
-		case err == nil && staysOpen(ctx, raw):
+		case err == nil && p.staysOpen(ctx, raw):
 			return true
-		}
-		pause := time.NewTimer(retryPause)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
+		case !clock.Sleep(ctx, p.Clock, retryPause):
 			return false
 		}
 	}
@@ -45,10 +42,11 @@
 }
 
 // staysOpen reports whether the peer keeps the connection open for settleTime, and closes it.
-func staysOpen(ctx context.Context, raw net.Conn) bool {
-	defer func() { _ = raw.Close() }()                  // Nothing was sent on it.
-	_ = raw.SetReadDeadline(time.Now().Add(settleTime)) // Without it, the end of the context ends the read.
-	stop := context.AfterFunc(ctx, func() { _ = raw.SetReadDeadline(time.Unix(1, 0)) })
+func (p *Pool) staysOpen(ctx context.Context, raw net.Conn) bool {
+	defer func() { _ = raw.Close() }() // Nothing was sent on it.
+	settled, cancel := clock.WithDeadline(ctx, p.Clock, p.Clock.Now().Add(settleTime))
+	defer cancel()
+	stop := context.AfterFunc(settled, func() { _ = raw.SetReadDeadline(time.Unix(1, 0)) }) // Ends the read.
 	defer stop()
 	var one [1]byte
 	_, err := raw.Read(one[:])
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -326,11 +326,12 @@
 		Protocol:      protocol{},
 		Configuration: s,
 		Balancer:      &balance.Balancer{Clock: clk, Targets: f.list, Suspects: &suspect.Registry{Clock: clk}},
-		Pool:          &conn.Pool{Clock: clk, Dialer: conn.TCP{Timeout: 10 * time.Second}},
-		Budget:        retryBudget,
-		Meter:         exporter.Meter(),
-		Log:           quiet,
-		Rand:          func() float64 { return f.random },
+		// Whether a target lives on is asked for some milliseconds after each answer without a length.
+		Pool:   &conn.Pool{Clock: clock.System{}, Dialer: conn.TCP{Timeout: 10 * time.Second}},
+		Budget: retryBudget,
+		Meter:  exporter.Meter(),
+		Log:    quiet,
+		Rand:   func() float64 { return f.random },
 
 		MaxConfigurationAge: maxConfigurationAge,
 	}
--- a/internal/front/link_test.go
+++ b/internal/front/link_test.go
@@ -26,7 +26,7 @@
 	manual := clock.NewManual(time.Unix(1000, 0))
 	f := newFixtureAt(t, manual, state{view: newView()}, completeAnswer(200, sealed, "one"), completeAnswer(200, sealed, "two"))
 	link := &fault.Link{Dialer: conn.TCP{Timeout: 10 * time.Second}}
-	f.front.Pool.Dialer = link
+	f.front.Pool.Clock, f.front.Pool.Dialer = manual, link
 	c.Assert(f.do(t, http.MethodPost, "/once/", "").body, quicktest.Equals, "one")
 	link.Set(fault.ModeSilent)
 	link.Set(fault.ModeOpen) // Open connections stay silent.
