front: a request's job is only built for a stop when there is one

Each send built it to ask whether a box that is not stopping stops too soon. stallError names its two causes without a loop.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -158,7 +158,7 @@
 		return nil, errStopping
 	case err != nil:
 		return nil, err
-	case d.isTooLate(x, *job, p):
+	case d.isTooLate(x, p):
 		p.Cancel()
 		return nil, errStopping
 	}
@@ -166,8 +166,8 @@
 }
 
 // isTooLate reports whether the box may shut down before the answer of the placement is complete.
-func (d *deliver) isTooLate(x *Exchange, job balance.Job, p *balance.Placement) bool {
-	return d.shutdown.hasBegun() && d.shutdown.endsWithin(d.timeNeeded(x, job, p.ExpectedTTFT(), p.Slowness()))
+func (d *deliver) isTooLate(x *Exchange, p *balance.Placement) bool {
+	return d.shutdown.hasBegun() && d.shutdown.endsWithin(d.timeNeeded(x, d.job(x), p.ExpectedTTFT(), p.Slowness()))
 }
 
 const (
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -106,7 +106,7 @@
 		c.Release(nil)
 		return resultNotSent, context.Cause(ctx)
 	}
-	if t.stage.isTooLate(x, t.stage.job(x), t.placement) {
+	if t.stage.isTooLate(x, t.placement) {
 		c.Release(nil)
 		t.needsPlacement = true
 		return resultNotSent, errStopping
@@ -175,10 +175,9 @@
 }
 
 func stallError(ctx context.Context, err error) error {
-	for _, cause := range []error{errStalled, errUnusedMemory} {
-		if err != nil && eris.Is(context.Cause(ctx), cause) {
-			return cause
-		}
+	cause := context.Cause(ctx)
+	if err != nil && (eris.Is(cause, errStalled) || eris.Is(cause, errUnusedMemory)) {
+		return cause
 	}
 	return err
 }
