--- a/internal/front/helper.go
+++ b/internal/front/helper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,18 +48,13 @@
 	helpers := t.placement.Helpers
 	dialCtx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(helperDialTimeout))
 	defer cancel()
-	reached := make([]bool, len(helpers))
-	var wait sync.WaitGroup
-	for i, h := range helpers {
-		wait.Go(func() {
-			err := t.stage.pool.EnsureConn(dialCtx, h.Addr)
-			reached[i] = err == nil
-			if err != nil && dialCtx.Err() == nil && !eris.Is(err, barleystep.ErrNoPath) {
-				t.placement.NoteUnreachable(h.ID)
-			}
-		})
-	}
-	wait.Wait()
+	reached := each(len(helpers), func(i int) bool {
+		err := t.stage.pool.EnsureConn(dialCtx, helpers[i].Addr)
+		if err != nil && dialCtx.Err() == nil && !eris.Is(err, barleystep.ErrNoPath) {
+			t.placement.NoteUnreachable(helpers[i].ID)
+		}
+		return err == nil
+	})
 	var unreachable []barleystep.TargetID
 	for i, h := range helpers {
 		if !reached[i] {
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -4,8 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -154,18 +154,8 @@
 func (t *try) orderAll(ctx context.Context, send func(context.Context, reservation) bool) bool {
 	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
 	defer cancel()
-	accepted := make([]bool, len(t.reserved))
-	var wait sync.WaitGroup
-	for i, r := range t.reserved {
-		wait.Go(func() { accepted[i] = send(ctx, r) })
-	}
-	wait.Wait()
-	for _, ok := range accepted {
-		if !ok {
-			return false
-		}
-	}
-	return true
+	accepted := each(len(t.reserved), func(i int) bool { return send(ctx, t.reserved[i]) })
+	return !slices.Contains(accepted, false)
 }
 
 // reserveAt reserves memory at a helper. A helper that has restarted holds nothing of the prompt,
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep"
@@ -194,18 +193,14 @@
 func (t *try) endedTargets(ctx context.Context, candidates []fleet.Target) []fleet.Target {
 	dialCtx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(helperDialTimeout))
 	defer cancel()
-	ended := make([]bool, len(candidates))
-	var wait sync.WaitGroup
-	for i, target := range candidates {
-		wait.Go(func() {
-			refused := t.stage.pool.ConnRefused(dialCtx, target.Addr)
-			if refused {
-				t.placement.NoteUnreachable(target.ID)
-			}
-			ended[i] = refused || t.placement.HasRestarted(target.ID)
-		})
-	}
-	wait.Wait()
+	ended := each(len(candidates), func(i int) bool {
+		target := candidates[i]
+		refused := t.stage.pool.ConnRefused(dialCtx, target.Addr)
+		if refused {
+			t.placement.NoteUnreachable(target.ID)
+		}
+		return refused || t.placement.HasRestarted(target.ID)
+	})
 	var list []fleet.Target
 	for i, target := range candidates {
 		if ended[i] {
--- a/internal/front/whole.go
+++ b/internal/front/whole.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/barleystep/barleystep/internal/clock"
@@ -37,14 +36,10 @@
 func (t *try) areAlive(ctx context.Context, targets []fleet.Target) bool {
 	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(livenessTimeout))
 	defer cancel()
-	alive := make([]bool, len(targets))
-	var wait sync.WaitGroup
-	for i, target := range targets {
-		wait.Go(func() {
-			alive[i] = t.stage.pool.Accepts(ctx, target.Addr) &&
-				!t.placement.HasRestarted(target.ID) && !t.stage.balancer.HasSuccessor(target)
-		})
-	}
-	wait.Wait()
+	alive := each(len(targets), func(i int) bool {
+		target := targets[i]
+		return t.stage.pool.Accepts(ctx, target.Addr) &&
+			!t.placement.HasRestarted(target.ID) && !t.stage.balancer.HasSuccessor(target)
+	})
 	return !slices.Contains(alive, false)
 }
