--- a/internal/soak/check_stop.go
+++ b/internal/soak/check_stop.go
@@ -45,8 +45,9 @@
 // has one of these ends:
 //   - a complete answer, or a refusal. Those to requests sent after the signal say that the connection
 //     is closed.
-//   - a broken stream. Its target or the box's links failed, or it began before the signal, and was cut when the box had
-//     worked on it for servedGrace.
+//   - a broken stream. Its target or the box's links failed just before, or at any time if another target
+//     could have resumed it; or it began before the signal, and was cut when the box had worked on it for
+//     servedGrace.
 //   - no answer, since it crossed the close of a kept connection. These are few, and the box serves
 //     nobody afterwards: it closes connections that say nothing when it ends, not before.
 //
