--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -104,6 +104,12 @@
 	if l.MaxBody < 0 {
 		c.reject("limits.body", l.MaxBody, "a number of bytes above 0")
 	}
+	if l.MemoryMB < 0 {
+		c.reject("limits.memory_mb", l.MemoryMB, "a number of megabytes above 0")
+	}
+	if l.Descriptors < 0 {
+		c.reject("limits.descriptors", l.Descriptors, "a number above 0")
+	}
 	c.positive("limits.min_time", l.MinTime)
 	c.positive("limits.max_time", l.MaxTime)
 	c.positive("limits.stall", l.StallTimeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,6 +122,11 @@
 	// Notice is the time between the failure of the readiness probe and the stop, in which the
 	// load balancer reacts; the default is 5 seconds.
 	Notice Duration `toml:"notice"`
+	// MemoryMB is the memory that the process may use, in megabytes; the default is 256.
+	MemoryMB int `toml:"memory_mb"`
+	// Descriptors is how many descriptors the process may have open; the default is the limit of the
+	// operating system.
+	Descriptors int `toml:"descriptors"`
 }
 
 // Capacity tunes the dispensers, which share out the capacity of engines.
