--- a/internal/crowd/check_test.go
+++ b/internal/crowd/check_test.go
@@ -43,7 +43,8 @@
 
 // checkPeaks checks that the process has stayed within its machine.
 func (f *fixture) checkPeaks(c *quicktest.C) {
-	peak, open := f.process.peak.Load(), f.process.maxDescriptors.Load()
+	f.process.read()
+	peak, open := f.process.peak, f.process.maxDescriptors
 	c.Logf("peak %d MB, %d descriptors", peak/bytesPerMB, open)
 	c.Check(peak <= memoryMB*bytesPerMB, quicktest.IsTrue, quicktest.Commentf("peak of %d MB", peak/bytesPerMB))
 	c.Check(open < descriptors, quicktest.IsTrue, quicktest.Commentf("%d descriptors", open))
--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -31,8 +30,9 @@
 	exited chan struct{}
 	// peak is the largest sum seen of the memory in use and the bytes that wait in its sockets, and
 	// maxDescriptors the largest number of descriptors.
-	peak           atomic.Int64
-	maxDescriptors atomic.Int64
+	mu             sync.Mutex
+	peak           int64
+	maxDescriptors int64
 	done           sync.WaitGroup
 }
 
@@ -71,11 +71,18 @@
 // sample keeps the peaks until ctx ends.
 func (r *process) sample(ctx context.Context) {
 	for clock.Sleep(ctx, clock.System{}, sampleInterval) {
-		r.peak.Store(max(r.peak.Load(), r.status("VmRSS:")+r.unread(), r.status("VmHWM:")))
-		r.maxDescriptors.Store(max(r.maxDescriptors.Load(), r.descriptors()))
+		r.read()
 	}
 }
 
+// read raises the peaks to what the process takes now. The kernel's own peak lacks what waits in sockets.
+func (r *process) read() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peak = max(r.peak, r.status("VmRSS:")+r.unread(), r.status("VmHWM:"))
+	r.maxDescriptors = max(r.maxDescriptors, r.descriptors())
+}
+
 // status returns a field of the kernel's status of the process, in bytes.
 func (r *process) status(field string) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
