guard, router: callers' heads and connections draw on one budget of memory

Callers saw 503, and the router took 2,872 MB of a machine of 284 MB, while 600 clients sent heads of short lines without end; 353 to 460 MB for legal heads; all 1,500 descriptors for silent connections.

Cause: max_header_bytes and header_timeout_ms were decoded and used nowhere, so that net/http's 1 MiB and 10 s held; net/http makes a map of a head before any code of ours sees it; nothing sums what all connections hold or bounds their number.

The listener now reads a head itself and passes it to net/http once it is whole, within the limit, and its memory is granted: its text twice and 512 bytes a line. A fifth of the process's memory is the budget, a quarter of which is kept for those who hold under 64 KiB. Once it is spent, the largest of those who have not finished to send lose their connections; whole heads wait for up to the header timeout. Places are three eighths of the descriptors; a further connection takes that of the one that is idle for the longest. The kernel's buffers of a connection are bounded, and a client that reads nothing for 10 s is cut.

--- /dev/null
+++ b/internal/guard/listener.go
@@ -0,0 +1,230 @@
+package guard
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+const (
+	// defaultHeaderBytes bounds heads, in bytes, and defaultHeaderTimeout the time in which they come, if
+	// nothing else is configured.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	// sweepMargin is how much longer than the limit a head may take, since it may still be on its way.
+	sweepMargin = time.Second
+	// socketBytes is the size of the kernel's buffers for what a client has sent and what it has not read,
+	// in bytes. The kernel doubles it.
+	socketBytes = 32 << 10
+)
+
+// Limits are the limits of a request. Zero values stand for the defaults.
+type Limits struct {
+	// HeaderBytes bounds a head, in bytes, and HeaderTimeout the time in which it comes.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+}
+
+func (l Limits) headerBytes() int {
+	if l.HeaderBytes <= 0 {
+		return defaultHeaderBytes
+	}
+	return l.HeaderBytes
+}
+
+func (l Limits) headerTimeout() time.Duration {
+	if l.HeaderTimeout <= 0 {
+		return defaultHeaderTimeout
+	}
+	return l.HeaderTimeout
+}
+
+// Listener accepts the connections of clients. Its exported fields are set before use.
+type Listener struct {
+	net.Listener
+	Budget *Budget
+	// MaxConns bounds the open connections; zero means no bound.
+	MaxConns int
+	// Limits returns the limits in force; nil stands for the defaults.
+	Limits func() Limits
+	// Opaque is set if the connections carry something else than HTTP/1 in clear text, so that only their
+	// number and their writes are bounded.
+	Opaque bool
+
+	open int // open is guarded by the lock of the budget.
+}
+
+// Listen listens at the address with buffers of the kernel that are bounded.
+func Listen(ctx context.Context, network, addr string) (net.Listener, error) {
+	return (&net.ListenConfig{Control: boundBuffers}).Listen(ctx, network, addr)
+}
+
+// boundBuffers bounds the kernel's buffers of a socket and of those that are accepted from it. An idle
+// client and one that does not read take no more than these.
+func boundBuffers(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// On an error the defaults of the system hold.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes)
+	})
+}
+
+func (l *Listener) limits() Limits {
+	if l.Limits == nil {
+		return Limits{}
+	}
+	return l.Limits()
+}
+
+// Accept waits for a connection that has a place.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(raw); c != nil {
+			return c, nil
+		}
+		_ = raw.Close() // Nothing was read from it.
+	}
+}
+
+// admit returns the guarded connection, nil if there is no place for it.
+func (l *Listener) admit(raw net.Conn) *Conn {
+	b := l.Budget
+	b.mu.Lock()
+	c := &Conn{Conn: raw, listener: l, since: b.Clock.Now()}
+	victim, ok := l.makePlace()
+	var victims []*Conn
+	if ok {
+		victims, ok = b.makeRoom(c, connBytes)
+	}
+	if ok {
+		b.grant(c, connBytes)
+		if b.conns == nil {
+			b.conns = make(map[*Conn]struct{})
+		}
+		b.conns[c] = struct{}{}
+		l.open++
+	} else {
+		b.counts.NoPlace++
+	}
+	b.mu.Unlock()
+	if victim != nil {
+		victim.leave()
+	}
+	evict(victims)
+	if !ok {
+		return nil
+	}
+	return c
+}
+
+// makePlace reports whether a further connection has a place, at the cost of the one that it returns: the
+// one that has been idle or unfinished for the longest.
+func (l *Listener) makePlace() (victim *Conn, ok bool) {
+	if l.MaxConns <= 0 || l.open < l.MaxConns {
+		return nil, true
+	}
+	now := l.Budget.Clock.Now()
+	for c := range l.Budget.conns {
+		if c.listener != l || c.evicted || (c.phase != phaseIdle && !c.mayBeEvicted(now)) {
+			continue
+		}
+		if victim == nil || c.isWorseThan(victim) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return nil, false
+	}
+	l.Budget.expel(victim)
+	return victim, true
+}
+
+// isWorseThan orders connections that lose their places: idle ones come first, then those that have done
+// the same for longer.
+func (c *Conn) isWorseThan(other *Conn) bool {
+	if (c.phase == phaseIdle) != (other.phase == phaseIdle) {
+		return c.phase == phaseIdle
+	}
+	return c.since.Before(other.since)
+}
+
+// leave closes a connection that has lost its place.
+func (c *Conn) leave() {
+	b := c.listener.Budget
+	b.mu.Lock()
+	idle := c.phase == phaseIdle
+	b.mu.Unlock()
+	r, ok := c.Conn.(interface{ Release() })
+	switch {
+	case idle && ok:
+		r.Release()
+	case idle:
+		_ = c.Close() // The client may have closed it already.
+	default:
+		c.abort()
+	}
+}
+
+// remove gives back what a closed connection holds.
+func (l *Listener) remove(c *Conn) {
+	b := l.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.conns[c]; !ok {
+		return
+	}
+	delete(b.conns, c)
+	if !c.evicted {
+		l.open--
+	}
+	b.takeBack(c, c.held)
+	c.evicted = true
+	b.grantWaiting()
+}
+
+// ConnContext adds a connection to the context of its requests, where From finds it.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if g, ok := c.(*Conn); ok {
+		return context.WithValue(ctx, contextKey{}, g)
+	}
+	return ctx
+}
+
+// Track follows the state of a connection for the HTTP server.
+func (l *Listener) Track(c net.Conn, s http.ConnState) {
+	g, ok := c.(*Conn)
+	switch {
+	case !ok:
+	case s == http.StateIdle:
+		g.endRequest()
+	case s != http.StateClosed:
+		g.enter(connState(s))
+	}
+}
+
+// Sweep closes the connections of clients that have stalled, and logs what clients were denied. It is to be
+// called about once a second.
+func (l *Listener) Sweep() {
+	b := l.Budget
+	timeout := l.limits().headerTimeout()
+	b.mu.Lock()
+	now := b.Clock.Now()
+	var stalled []*Conn
+	for c := range b.conns {
+		if c.listener == l && !l.Opaque && c.isStalled(now, timeout) {
+			stalled = append(stalled, c)
+		}
+	}
+	b.counts.Stalled += int64(len(stalled))
+	b.mu.Unlock()
+	for _, c := range stalled {
+		_ = c.Close() // The client may have closed it already.
+	}
+	b.report()
+}
--- /dev/null
+++ b/internal/guard/state.go
@@ -0,0 +1,105 @@
+package guard
+
+import (
+	"net/http"
+	"time"
+)
+
+// enter records that the connection has entered a phase.
+func (c *Conn) enter(p phase) {
+	b := c.listener.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.phase != p && c.phase != phaseTaken {
+		c.phase, c.since = p, b.Clock.Now()
+	}
+}
+
+// progress records that a further part of a body has come.
+func (c *Conn) progress() {
+	b := c.listener.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.phase == phaseBody {
+		c.since = b.Clock.Now()
+	}
+}
+
+// awaitsHead reports whether what is read next is of a head.
+func (c *Conn) awaitsHead() bool {
+	if c.listener.Opaque {
+		return false
+	}
+	b := c.listener.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.phase < phaseBody
+}
+
+func (c *Conn) isServed() bool {
+	b := c.listener.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.phase >= phaseServed
+}
+
+func (c *Conn) isEvicted() bool {
+	b := c.listener.Budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.evicted
+}
+
+// mayBeEvicted reports whether the client has not finished to send its request, or does not read its
+// answer. The lock of the budget is held.
+func (c *Conn) mayBeEvicted(now time.Time) bool {
+	switch {
+	case c.evicted:
+		return false
+	case c.phase == phaseHead, c.phase == phaseBody:
+		return true
+	default:
+		return !c.writing.IsZero() && now.Sub(c.writing) > slowWrite
+	}
+}
+
+// isStalled reports whether the client has sent nothing for too long. The lock of the budget is held.
+func (c *Conn) isStalled(now time.Time, headerTimeout time.Duration) bool {
+	switch c.phase {
+	case phaseHead:
+		return now.Sub(c.since) > headerTimeout+sweepMargin
+	case phaseBody:
+		return now.Sub(c.since) > maxStall
+	default:
+		return false
+	}
+}
+
+// endRequest gives back what the last request held. What the HTTP server has read of a further one is
+// charged before it is parsed.
+func (c *Conn) endRequest() {
+	b := c.listener.Budget
+	b.mu.Lock()
+	b.takeBack(c, max(0, c.held-connBytes))
+	b.grantWaiting()
+	b.mu.Unlock()
+	c.scan.begin()
+	if c.scan.lines > 0 {
+		if c.awaitMemory() != nil {
+			c.abort()
+		}
+	}
+	c.enter(phaseIdle)
+}
+
+// connState returns the phase of a connection in a state of the HTTP server.
+func connState(s http.ConnState) phase {
+	switch s {
+	case http.StateActive:
+		return phaseBody
+	case http.StateHijacked:
+		return phaseTaken
+	default:
+		return phaseIdle
+	}
+}
--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -29,7 +29,7 @@
 	since    time.Time
 	// releasing is set while Read is to close the connection if nothing has arrived.
 	releasing bool
-	// deadline is the read deadline of the HTTP server, which release replaces while woken is set.
+	// deadline is the read deadline of the HTTP server, which Release replaces while woken is set.
 	deadline time.Time
 	woken    bool
 }
@@ -143,11 +143,11 @@
 	return now.Sub(c.since)
 }
 
-// release closes the connection unless a request is in progress or has arrived, read or not.
+// Release closes the connection unless a request is in progress or has arrived, read or not.
 //
 // The goroutine that reads closes it: one that closes it from outside would lose a request that is
 // read at the same time.
-func (c *callerConn) release() {
+func (c *callerConn) Release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.betweenRequests() || c.received || c.releasing {
@@ -185,7 +185,7 @@
 	return true
 }
 
-// resume reports whether a read is to be repeated that failed because release has woken it.
+// resume reports whether a read is to be repeated that failed because Release has woken it.
 func (c *callerConn) resume(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -14,6 +14,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/mutex"
 )
 
@@ -26,6 +27,8 @@
 	log     *log.Logger
 	// idleTimeout returns how long a connection may be idle; zero or less means no limit.
 	idleTimeout func() time.Duration
+	// guard bounds what callers make the process hold; nil stands for one with its defaults.
+	guard *guard.Listener
 
 	// accepting is set while callers can connect.
 	accepting atomic.Bool
@@ -57,7 +60,7 @@
 			err = eris.Wrap(err, "router: callers")
 		}
 	}()
-	socket, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", l.addr)
+	socket, err := guard.Listen(ctx, "tcp4", l.addr)
 	if err != nil {
 		return err
 	}
@@ -79,6 +82,7 @@
 		}
 		if clock.Sleep(ctx, l.clock, sweepInterval) {
 			l.closeIdle()
+			l.guard.Sweep()
 		}
 	}
 }
@@ -90,7 +94,7 @@
 	l.mu.Lock()
 	l.served = served
 	l.mu.Unlock()
-	return server.Serve(l.socket)
+	return server.Serve(l.guard)
 }
 
 // start creates the server for the callers of the socket.
@@ -99,8 +103,12 @@
 	defer l.mu.Unlock()
 	l.conns = make(map[*callerConn]struct{})
 	l.socket = callerSocket{socket, l.clock}
+	if l.guard == nil {
+		l.guard = &guard.Listener{Budget: &guard.Budget{Clock: l.clock}}
+	}
+	l.guard.Listener = l.socket
 	l.accepting.Store(true)
-	return &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, ConnState: l.trackConn}
+	return &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, ConnState: l.trackConn, ConnContext: l.guard.ConnContext}
 }
 
 // String returns the service name in the supervisor's log lines.
@@ -140,6 +148,10 @@
 
 // trackConn follows the state of a connection.
 func (l *listener) trackConn(c net.Conn, s http.ConnState) {
+	if guarded, ok := c.(*guard.Conn); ok {
+		l.guard.Track(guarded, s)
+		c = guarded.NetConn()
+	}
 	caller, ok := c.(*callerConn)
 	if !ok {
 		return
@@ -183,7 +195,7 @@
 		case c.stalledFor(now) > headerTimeout+idleMargin:
 			_ = c.Close() // The caller may have closed it already.
 		case c.idleFor(now) > limit+idleMargin:
-			c.release()
+			c.Release()
 		}
 	}
 }
@@ -194,7 +206,7 @@
 	now := l.clock.Now()
 	for _, c := range l.open() {
 		if c.status(now) == connIdle {
-			c.release()
+			c.Release()
 			n++
 		}
 	}
--- a/internal/router/listener_internal_test.go
+++ b/internal/router/listener_internal_test.go
@@ -38,7 +38,7 @@
 				c.Assert(err, quicktest.IsNil)
 				await(t, box.hasUnreadInput)
 			}
-			box.release()
+			box.Release()
 			n, err := box.Read(make([]byte, 1))
 			if !arrived {
 				c.Check(err, quicktest.Equals, io.EOF)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 	"github.com/barleystep/barleystep/internal/follow"
 	"github.com/barleystep/barleystep/internal/front"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/lead"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/plane"
@@ -62,6 +63,7 @@
 	plane         *plane.Plane
 	front         *front.Server
 	callers       *listener
+	memory        *guard.Budget
 	top           *suture.Supervisor
 	stopping      chan struct{}
 	// freshness and grace are settings that may change at run time, in nanoseconds.
@@ -112,6 +114,7 @@
 	meter := r.Exporter.Meter()
 	s := r.Settings
 	r.stopping = make(chan struct{})
+	r.memory = &guard.Budget{Clock: r.Clock, Memory: s.Limits.Memory(), Log: r.Log}
 	if r.Dialer == nil {
 		r.Dialer = conn.TCP{Timeout: DialTimeout}
 	}
@@ -193,9 +196,19 @@
 		clock:       r.Clock,
 		log:         r.Log,
 		idleTimeout: r.idleTimeout,
+		guard:       &guard.Listener{Budget: r.memory, MaxConns: guard.CallerPlaces(s.Limits.Descriptors), Limits: r.headLimits},
 	}
 }
 
+// headLimits returns the limits of callers' heads.
+func (r *Router) headLimits() guard.Limits {
+	v := r.configuration.View()
+	if v == nil {
+		return guard.Limits{}
+	}
+	return guard.Limits{HeaderBytes: v.Limits().HeaderBytes, HeaderTimeout: v.Limits().HeaderTimeout}
+}
+
 // buildRelay creates what connects to targets through other boxes, and for them.
 func (r *Router) buildRelay() {
 	key := signature.Key{Secret: r.Settings.Peers.Secret, Box: barleystep.BoxID(r.Settings.Box.ID), Clock: r.Clock}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -129,6 +129,11 @@
 	Descriptors int `toml:"descriptors"`
 }
 
+// Memory returns the memory that the process may use in bytes, zero if it is not stated.
+func (l Limits) Memory() int64 { return int64(l.MemoryMB) * bytesPerMB }
+
+const bytesPerMB = 1_000_000
+
 // Capacity tunes the dispensers, which share out the capacity of engines.
 type Capacity struct {
 	// Interval is the time between a box's reports; the default is 1 second.
