front: bodies draw on the budget as they arrive, within the request's deadline

The router took 665 MB of 284 while 600 clients announced bodies of 1 MiB and sent one byte or all but one.

Cause: readBody grew its buffer by the length that is announced, nothing summed them, and a body that never came whole was waited for without end; so was the rest of a body whose request is refused.

Bodies now take memory as they arrive, doubling, and draw on the budget before they do. One for which there is none is refused as not run (no_memory), with a Retry-After, since another box may have some. Bodies that have not come whole by the request's deadline are refused as not run; a refusal waits for the rest of a body for 200 ms at most.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/event"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/pipeline"
 	"github.com/barleystep/barleystep/internal/reply"
 	"github.com/barleystep/barleystep/internal/suspect"
@@ -18,6 +19,7 @@
 type Exchange struct {
 	r       *http.Request
 	answer  *reply.Writer
+	conn    *guard.Conn // conn is the caller's connection, nil if nothing bounds what it holds.
 	started time.Time
 	call    barleystep.CallerHeaders
 	// progress is the current phase of the request, readable by other goroutines.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/fleet"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/reply"
 )
@@ -157,10 +158,14 @@
 	x := &Exchange{
 		r:       r,
 		answer:  reply.NewWriter(w),
+		conn:    guard.From(r.Context()),
 		started: s.Clock.Now(),
 		call:    s.Protocol.ReadCallerHeaders(r.Header),
 	}
 	x.progress.enter(PhaseReading, x.started)
+	if r.ContentLength == 0 {
+		x.conn.RequestRead()
+	}
 	s.active.add(x)
 	defer s.active.remove(x)
 	if s.shuttingDown.Load() {
@@ -216,9 +221,13 @@
 
 // drainBody reads what is left of the body before an answer that closes the connection. A caller that
 // still writes it would find the connection reset, and lose the answer; net/http does the same on
-// connections that stay open.
+// connections that stay open, where the time for it is bounded too.
 func (s *Server) drainBody(x *Exchange) {
-	if x.r.ContentLength == 0 || (!x.r.Close && !s.shuttingDown.Load()) {
+	if x.r.ContentLength == 0 {
+		return
+	}
+	if !x.r.Close && !s.shuttingDown.Load() {
+		x.answer.SetBodyDeadline(clock.WallTime(s.Clock, s.Clock.Now().Add(drainTimeout)))
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/reply/writer.go
+++ b/internal/reply/writer.go
@@ -54,7 +54,12 @@
 // AbortRequestBody makes reading the caller's body fail from now on; the answer can still be sent.
 // It may be called from other goroutines.
 func (w *Writer) AbortRequestBody() {
-	_ = http.NewResponseController(w.w).SetReadDeadline(time.Unix(1, 0)) // Test recorders do not support deadlines.
+	w.SetBodyDeadline(time.Unix(1, 0))
+}
+
+// SetBodyDeadline makes reading the caller's body fail after the time of the operating system's clock.
+func (w *Writer) SetBodyDeadline(t time.Time) {
+	_ = http.NewResponseController(w.w).SetReadDeadline(t) // Test recorders do not support deadlines.
 }
 
 // Reset resets the caller's connection. To callers of HTTP/1.0, the end of a connection that is closed is
--- a/refusal.go
+++ b/refusal.go
@@ -38,6 +38,7 @@
 	ReasonWrongAttempt          Reason = "foreign_answer"
 	ReasonCallerGone            Reason = "caller_gone"
 	ReasonStopping              Reason = "stopping"
+	ReasonNoMemory              Reason = "no_memory"
 	ReasonNoConfiguration       Reason = "no_configuration"
 	ReasonKeysNotConfirmed      Reason = "keys_not_proved_current"
 	ReasonOutdatedConfiguration Reason = "configuration_not_confirmed"
