--- a/internal/front/buffer.go
+++ b/internal/front/buffer.go
@@ -53,6 +53,9 @@
 			return nil, errTooManyAnswers
 		}
 		x.buffered += bufferStep
+		if !x.conn.Take(bufferStep) {
+			return nil, errTooManyAnswers
+		}
 		_, err := io.CopyN(&buffer, body, bufferStep)
 		switch {
 		case buffer.Len() > maxAnswerBytes:
