web: the ports for other boxes, probes and metrics are bounded as that of callers

600 clients with heads without end at one of them took 2,521 to 2,886 MB; silent connections took all 1,500 descriptors.

Cause: these ports had net/http's limits only and no bound on connections. They now draw on the same budget, with heads of 16 KiB, 16 connections for probes and for metrics, and an eighth of the descriptors for other boxes. What a relay writes to a box that does not read is bounded in time as any answer.

--- a/internal/conn/tcp.go
+++ b/internal/conn/tcp.go
@@ -34,9 +34,16 @@
 
 // DetectLoss makes a connection that was accepted end when its peer is silent, as those that Dial
 // opens do.
-func DetectLoss(c *net.TCPConn) {
-	_ = c.SetKeepAliveConfig(keepAliveConfig) // A connection without it ends later.
-	if raw, err := c.SyscallConn(); err == nil {
+func DetectLoss(c net.Conn) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetKeepAliveConfig(keepAliveConfig) // A connection without it ends later.
+	if raw, err := tcp.SyscallConn(); err == nil {
 		_ = setUnackedTimeout("", "", raw)
 	}
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -168,9 +168,7 @@
 		return
 	}
 	defer func() { _ = box.Close() }()
-	if tcp, ok := box.(*net.TCPConn); ok {
-		conn.DetectLoss(tcp)
-	}
+	conn.DetectLoss(box)
 	if err := writeSwitch(box, header); err != nil {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -278,11 +278,11 @@
 		r.top.Add(f)
 	}
 	r.top.Add(r.callers)
-	r.top.Add(r.webServer("ready", s.Listen.Ready, r.ReadyHandler(r.Ready)))
+	r.top.Add(r.webServer("ready", s.Listen.Ready, guard.ProbePlaces, r.ReadyHandler(r.Ready)))
 	if s.Listen.Admin != "" {
-		r.top.Add(r.webServer("metrics", s.Listen.Admin, r.Exporter))
+		r.top.Add(r.webServer("metrics", s.Listen.Admin, guard.ProbePlaces, r.Exporter))
 	}
-	r.top.Add(r.webServer("peers", s.Listen.Peers, r.peers()))
+	r.top.Add(r.webServer("peers", s.Listen.Peers, guard.PeerPlaces(s.Limits.Descriptors), r.peers()))
 	r.top.Add(r.plane.Node())
 	r.top.Add(r.plane.Archive())
 	r.top.Add(&balance.Planner{Clock: r.Clock, Balancer: r.balancer})
@@ -301,8 +301,8 @@
 	return mux
 }
 
-func (r *Router) webServer(name, addr string, h http.Handler) *web.Server {
-	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: r.Clock, Log: r.Log}
+func (r *Router) webServer(name, addr string, places int, h http.Handler) *web.Server {
+	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: r.Clock, Log: r.Log, Memory: r.memory, MaxConns: places}
 }
 
 // idleTimeout returns the idle timeout of callers' connections, zero while there is no
--- a/internal/web/server.go
+++ b/internal/web/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
+	"github.com/barleystep/barleystep/internal/guard"
 )
 
 // Server is an HTTP listener. Its exported fields are set before Serve.
@@ -29,6 +30,11 @@
 	Grace time.Duration
 	// Unencrypted allows HTTP/2 without TLS, for connections between boxes.
 	Unencrypted bool
+	// Memory is the memory that the clients of the process may hold; nil stands for a budget of the
+	// listener's own.
+	Memory *guard.Budget
+	// MaxConns bounds the open connections; zero means no bound.
+	MaxConns int
 	// TLS encrypts the connections; nil disables encryption.
 	TLS *tls.Config
 
@@ -37,7 +43,13 @@
 	addr  string
 }
 
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds how long a client may take to send a head, and maxHeaderBytes its size, in
+	// bytes.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 16 << 10
+	sweepInterval  = time.Second
+)
 
 const logPrefix = "web: "
 
@@ -48,14 +60,23 @@
 			err = eris.Wrapf(err, "web: %s", s.Name)
 		}
 	}()
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+	socket, err := guard.Listen(ctx, "tcp", s.Addr)
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, Protocols: s.protocols()}
+	l := s.guard(socket)
+	h := &http.Server{
+		Handler:           guard.RecordReads(s.Handler),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         s.protocols(),
+		ConnState:         l.Track,
+		ConnContext:       l.ConnContext,
+	}
 	s.listening(l.Addr().String())
 	failed := make(chan error, 1)
 	go func() { failed <- s.accept(h, l) }()
+	go func() { _ = clock.Repeat(ctx, s.Clock, sweepInterval, func(context.Context) { l.Sweep() }) }() // It ends with ctx.
 	select {
 	case err = <-failed:
 		return err
@@ -64,6 +85,22 @@
 	}
 }
 
+// guard returns the listener that bounds what clients make the process hold.
+func (s *Server) guard(socket net.Listener) *guard.Listener {
+	memory := s.Memory
+	if memory == nil {
+		memory = &guard.Budget{Clock: s.Clock, Log: s.Log}
+	}
+	limits := guard.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout}
+	return &guard.Listener{
+		Listener: socket,
+		Budget:   memory,
+		MaxConns: s.MaxConns,
+		Limits:   func() guard.Limits { return limits },
+		Opaque:   s.Unencrypted || s.TLS != nil,
+	}
+}
+
 func (s *Server) accept(h *http.Server, l net.Listener) error {
 	if s.TLS == nil {
 		return h.Serve(l)
