guard: clients that send without a pause share the processor

Ordinary callers got 503 (keys_not_proved_current) beside 300 clients that send requests ahead and read no refusal: the box had not heard of the store for 6.7 s.

Cause: a goroutine that always finds further input runs for a whole time slice of 10 ms. With 300 of them on one processor, each of the steps in which the store's answer is received waits for up to 3 s.

A connection now lets others run before each further read of a request, and before a request that net/http has read already.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -67,6 +68,8 @@
 	// head is a head that has come in parts, and rest what the HTTP server has not taken of it.
 	head []byte
 	rest []byte
+	// reads counts the reads of the current request.
+	reads int
 }
 
 // errLongHead means that a head is over the limit, and errNoMemory that there is no memory for it.
@@ -87,6 +90,7 @@
 	if c.awaitsHead() {
 		return c.readHead(p)
 	}
+	c.yield()
 	n, err = c.Conn.Read(p)
 	c.progress()
 	c.scan.skip(p[:n])
@@ -125,6 +129,14 @@
 // IsEvicted reports whether the client's request must be refused since others need its memory or place.
 func (c *Conn) IsEvicted() bool { return c != nil && c.isEvicted() }
 
+// yield lets other goroutines run. A client that sends without a pause would else keep the processor for
+// whole time slices, and many of them would delay the control of the process by seconds.
+func (c *Conn) yield() {
+	if c.reads++; c.reads > 1 {
+		runtime.Gosched()
+	}
+}
+
 // readHead reads a head. One that comes in parts is kept here until it is whole.
 func (c *Conn) readHead(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
@@ -163,6 +175,7 @@
 				return err
 			}
 		}
+		c.yield()
 		n, err := c.Conn.Read(c.head[len(c.head):cap(c.head)])
 		read := c.head[len(c.head) : len(c.head)+n]
 		c.head = c.head[:len(c.head)+n]
@@ -247,6 +260,7 @@
 			return
 		}
 		left -= n
+		runtime.Gosched()
 	}
 }
 
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"time"
 )
 
@@ -83,8 +84,10 @@
 	b.takeBack(c, max(0, c.held-connBytes))
 	b.grantWaiting()
 	b.mu.Unlock()
+	c.reads = 0
 	c.scan.begin()
 	if c.scan.lines > 0 {
+		runtime.Gosched() // As yield does, since the next request may need no read.
 		if c.awaitMemory() != nil {
 			c.abort()
 		}
