command: the memory limit of the garbage collector follows the settings

The heap may grow to three times what is in use (GOGC=200 in the deployments), more than the machine has once the budget of callers is in use. Above 70 % of the process's memory it is collected more often.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/settings"
 	"github.com/barleystep/barleystep/platform"
 )
@@ -75,6 +76,7 @@
 			if err != nil {
 				return err
 			}
+			limitMemory(s.Limits)
 			l := NewLogger(s.Log)
 			defer closeLog(l)
 			err = p.Run(cmd.Context(), s, l)
@@ -89,6 +91,21 @@
 	return root
 }
 
+// memoryPercent is the part of the memory of a process above which its garbage is collected more often than
+// the processor's time suggests. The rest is for what the kernel holds for it.
+const memoryPercent = 70
+
+// limitMemory sets the memory that the process tries not to exceed, unless its environment does.
+func limitMemory(l settings.Limits) {
+	memory := l.Memory()
+	if memory == 0 {
+		memory = guard.DefaultMemory
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memory * memoryPercent / 100)
+	}
+}
+
 // readSettings reads and checks the settings file.
 func (p Program) readSettings(file string) (settings.Settings, error) {
 	s, err := settings.Read(file)
