gate, box: the entry's callers draw on a budget as the router's do

2,986 MB for heads of short lines without end, 665 MB for legal bodies that are not ended, all descriptors for silent connections, at the program of the OpenAI interface.

--- a/internal/box/admin.go
+++ b/internal/box/admin.go
@@ -12,6 +12,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/admin"
 	"github.com/barleystep/barleystep/internal/engine"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/member"
 	"github.com/barleystep/barleystep/internal/metric"
 	"github.com/barleystep/barleystep/internal/settings"
@@ -72,6 +73,9 @@
 		Clock:   a.Clock,
 		Log:     a.Log,
 		Grace:   adminGrace,
+
+		Memory:   &guard.Budget{Clock: a.Clock, Memory: a.Settings.Limits.Memory(), Log: a.Log},
+		MaxConns: guard.PeerPlaces(a.Settings.Limits.Descriptors),
 	}
 	a.tree = supervisor.New("admin", a.Log, adminGrace)
 	a.tree.Add(reader)
--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -16,6 +16,7 @@
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/engine"
 	"github.com/barleystep/barleystep/internal/gate"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/identity"
 	"github.com/barleystep/barleystep/internal/limit"
 	"github.com/barleystep/barleystep/internal/metric"
@@ -128,6 +129,7 @@
 		ids:            identity.NewGenerator(id, identity.NewIncarnation(e.Clock)),
 		tls:            encryption,
 		advertisedAddr: e.Settings.Listen.Peers,
+		memory:         &guard.Budget{Clock: e.Clock, Memory: e.Settings.Limits.Memory(), Log: e.Log},
 	}
 	e.endpoint = e.newEndpoint()
 	e.node.build(ctx, e.endpoint)
@@ -151,8 +153,8 @@
 	e.server.Forwarder = e.node.forwarder()
 	handler := e.server.Handler()
 	e.node.setHandlers(handler)
-	e.callers = e.newListener("callers", e.Settings.Listen.Callers, handler)
-	e.admin = e.newListener("admin", e.Settings.Listen.Admin, e.status())
+	e.callers = e.newListener("callers", e.Settings.Listen.Callers, guard.CallerPlaces(e.Settings.Limits.Descriptors), handler)
+	e.admin = e.newListener("admin", e.Settings.Listen.Admin, guard.ProbePlaces, e.status())
 	poller := &capacity.Poller{
 		Clock:         e.Clock,
 		Endpoint:      e.endpoint,
@@ -246,8 +248,8 @@
 	}
 }
 
-func (e *Entry) newListener(name, addr string, h http.Handler) *web.Server {
-	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: e.Clock, Log: e.Log, Grace: e.grace()}
+func (e *Entry) newListener(name, addr string, places int, h http.Handler) *web.Server {
+	return &web.Server{Name: name, Addr: addr, Handler: h, Clock: e.Clock, Log: e.Log, Grace: e.grace(), Memory: e.node.memory, MaxConns: places}
 }
 
 // Ready returns a channel that is closed once callers can connect.
--- a/internal/box/node.go
+++ b/internal/box/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/capacity"
+	"github.com/barleystep/barleystep/internal/guard"
 	"github.com/barleystep/barleystep/internal/identity"
 	"github.com/barleystep/barleystep/internal/member"
 	"github.com/barleystep/barleystep/internal/metric"
@@ -34,6 +35,7 @@
 	ids            *identity.Generator
 	tls            *tls.Config // tls encrypts connections between boxes; nil leaves them unencrypted.
 	advertisedAddr string      // advertisedAddr is the peer listener's address for other boxes.
+	memory         *guard.Budget
 
 	tracker  *member.Tracker
 	follower *version.Follower
@@ -90,6 +92,8 @@
 		Addr:        n.settings.Listen.Peers,
 		Clock:       n.clock,
 		Log:         n.log,
+		Memory:      n.memory,
+		MaxConns:    guard.PeerPlaces(n.settings.Limits.Descriptors),
 		Unencrypted: true,
 		TLS:         n.tls,
 	}
--- a/internal/gate/classify.go
+++ b/internal/gate/classify.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -13,6 +12,7 @@
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/clock"
 	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/guard"
 )
 
 // classify parses the request's headers and body, and sets its class, deadline and prompt.
@@ -120,6 +120,8 @@
 	switch {
 	case eris.As(err, &tooLarge):
 		return refuse(barleystep.ReasonBodyTooLarge, fmt.Sprintf("The body is over %d bytes.", c.limits.Body))
+	case eris.Is(err, guard.ErrNoMemory), guard.From(x.r.Context()).IsEvicted():
+		return refuse(barleystep.ReasonNoMemory, "This box has no memory for the request.").WithRetryAfter(time.Second)
 	case err != nil:
 		return refuse(barleystep.ReasonCallerGone, "The body could not be read.")
 	case x.isService():
@@ -129,12 +131,9 @@
 	return c.model(x, body)
 }
 
-// readBody reads the body into one buffer of the size in Content-Length.
+// readBody reads the body, whose memory the caller's connection holds.
 func (c *classify) readBody(x *Exchange) ([]byte, error) {
-	size := min(max(x.r.ContentLength, 0), c.limits.Body)
-	buffer := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	_, err := buffer.ReadFrom(http.MaxBytesReader(x.w, x.r.Body, c.limits.Body))
-	return buffer.Bytes(), err
+	return guard.From(x.r.Context()).ReadBody(http.MaxBytesReader(x.w, x.r.Body, c.limits.Body), min(x.r.ContentLength, c.limits.Body))
 }
 
 func (c *classify) checkService(x *Exchange) error {
