guard, router: no place for a moment is waited for, and tests of the guard

Found by the crowds beside a load of 20: with 600 legal requests on 463 places all others were refused at once, the ordinary caller among them (EOF beside and after the crowd). Whole heads that wait for memory can now lose their place, and a connection waits for up to a second for one. Larger heads take up to half of the budget, so that requests that have begun get memory for their bodies; a single one is served however many lines it has. An evicted connection is refused at once instead of waiting for memory, and connections of HTTP/2 hold nothing, since several requests share them.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: run test soak lockorder regressions lint model generate placement balance capacity
+.PHONY: run test crowd soak lockorder regressions lint model generate placement balance capacity
 
 # run starts a small hall on loopback.
 run:
@@ -12,6 +12,11 @@
 	skip=$$(.ci/known-red.sh); $(GO) test -race -timeout 45m $${skip:+-skip "$$skip"} ./...
 	skip=$$(.ci/known-red.sh); $(GO) test -timeout 20m $${skip:+-skip "$$skip"} ./internal/plane
 
+# crowd runs clients that do not keep to the limits at the programs, built without the race detector, whose
+# memory would be measured too. The tests run one at a time, beside no others.
+crowd:
+	skip=$$(.ci/known-red.sh); $(GO) test -tags crowd -count=1 -timeout 15m $${skip:+-skip "$$skip"} ./internal/crowd
+
 # soak runs processes under faults drawn from SEED for LENGTH and checks every promise.
 SEED ?= 2
 LENGTH ?= 20s
--- a/internal/guard/budget.go
+++ b/internal/guard/budget.go
@@ -19,6 +19,9 @@
 	// reserveDivisor, is kept for those who hold no more.
 	smallHolding   = 64 << 10
 	reserveDivisor = 4
+	// headDivisor is the divisor of the budget that gives what larger heads may take before their requests
+	// begin, so that those that have begun get memory for their bodies and answers.
+	headDivisor = 2
 )
 
 // Budget is the memory that the connections of a process may hold together. Its exported fields are set
@@ -85,7 +88,7 @@
 // false if the memory is not to be had now.
 func (b *Budget) take(c *Conn, n int64) bool {
 	b.mu.Lock()
-	ok, victims := b.tryTake(c, n)
+	ok, victims := b.tryTake(c, n, reserveLimit)
 	if !ok {
 		b.counts.NoMemory++
 	}
@@ -95,8 +98,8 @@
 }
 
 // tryTake is take with the lock held. The caller must evict the victims.
-func (b *Budget) tryTake(c *Conn, n int64) (ok bool, victims []*Conn) {
-	victims, ok = b.makeRoom(c, n)
+func (b *Budget) tryTake(c *Conn, n int64, limitOf func(limit int64) int64) (ok bool, victims []*Conn) {
+	victims, ok = b.makeRoom(c, n, limitOf)
 	if ok {
 		b.grant(c, n)
 	}
@@ -106,15 +109,17 @@
 // await is take for a request that has arrived whole, which waits up to the limit for the memory.
 func (b *Budget) await(c *Conn, n int64, limit time.Duration) bool {
 	b.mu.Lock()
-	ok, victims := b.tryTake(c, n)
+	n = min(n, headLimit(b.Limit())-c.held) // A single request is served however many lines it has.
+	ok, victims := b.tryTake(c, n, headLimit)
 	w := &waiter{conn: c, n: n, ended: make(chan struct{})}
-	if !ok {
+	lost := c.evicted
+	if !ok && !lost {
 		b.waiting = append(b.waiting, w)
 	}
 	b.mu.Unlock()
 	evict(victims)
-	if ok {
-		return true
+	if ok || lost {
+		return ok
 	}
 	timer := b.Clock.NewTimer(limit)
 	defer timer.Stop()
@@ -144,6 +149,16 @@
 	b.grantWaiting()
 }
 
+// add adds a connection that has a place and memory.
+func (b *Budget) add(c *Conn) {
+	if b.conns == nil {
+		b.conns = make(map[*Conn]struct{})
+	}
+	b.conns[c] = struct{}{}
+	c.listener.open++
+	b.grant(c, connBytes)
+}
+
 func (b *Budget) grant(c *Conn, n int64) {
 	b.used += n
 	c.held += n
@@ -158,7 +173,7 @@
 // grantWaiting grants what fits to those who wait, in order, and ends the waits of closed connections.
 func (b *Budget) grantWaiting() {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
-		if w.granted = b.fits(w.conn, w.n); w.granted {
+		if w.granted = b.fits(w.conn, w.n, headLimit); w.granted {
 			b.grant(w.conn, w.n)
 		}
 		ended := w.granted || w.conn.evicted
@@ -169,21 +184,27 @@
 	})
 }
 
-// fits reports whether n more bytes for the connection are within the budget.
-func (b *Budget) fits(c *Conn, n int64) bool {
+// reserveLimit and headLimit return what larger holders, and those whose requests begin, may take of a
+// budget.
+func reserveLimit(limit int64) int64 { return limit - limit/reserveDivisor }
+func headLimit(limit int64) int64    { return limit / headDivisor }
+
+// fits reports whether n more bytes for the connection are within the budget, or within what limitOf leaves
+// of it if the connection then holds more than an ordinary one.
+func (b *Budget) fits(c *Conn, n int64, limitOf func(limit int64) int64) bool {
 	limit := b.Limit()
 	if c.held+n > smallHolding {
-		limit -= limit / reserveDivisor
+		limit = limitOf(limit)
 	}
 	return !c.evicted && b.used+n <= limit
 }
 
 // makeRoom takes the memory of larger holders until n bytes fit, and returns them.
-func (b *Budget) makeRoom(c *Conn, n int64) (victims []*Conn, ok bool) {
+func (b *Budget) makeRoom(c *Conn, n int64, limitOf func(limit int64) int64) (victims []*Conn, ok bool) {
 	if c.evicted || n > b.Limit() {
 		return nil, false
 	}
-	for !b.fits(c, n) {
+	for !b.fits(c, n, limitOf) {
 		v := b.largest(c.held + n)
 		if v == nil {
 			return victims, false
@@ -198,7 +219,7 @@
 func (b *Budget) largest(n int64) (found *Conn) {
 	now := b.Clock.Now()
 	for c := range b.conns {
-		if c.held > n && c.mayBeEvicted(now) {
+		if c.held > n && c.claim(now) == claimUnfinished {
 			found, n = c, c.held
 		}
 	}
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -87,6 +87,9 @@
 		}
 		return n, nil
 	}
+	if c.listener.Opaque {
+		return c.Conn.Read(p)
+	}
 	if c.awaitsHead() {
 		return c.readHead(p)
 	}
@@ -357,5 +360,5 @@
 		_ = c.Close() // The HTTP server may have closed it already.
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // It fails on a closed connection only.
 }
--- a/internal/guard/listener.go
+++ b/internal/guard/listener.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/barleystep/barleystep/internal/clock"
 )
 
 const (
@@ -54,6 +56,8 @@
 	Opaque bool
 
 	open int // open is guarded by the lock of the budget.
+	// fullSince is since when there has been no place, zero if there is one.
+	fullSince time.Time
 }
 
 // Listen listens at the address with buffers of the kernel that are bounded.
@@ -85,14 +89,40 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.admit(raw); c != nil {
+		if c := l.awaitPlace(raw); c != nil {
 			return c, nil
 		}
 		_ = raw.Close() // Nothing was read from it.
 	}
 }
 
-// admit returns the guarded connection, nil if there is no place for it.
+const (
+	// placeWait is how long connections wait for a place from when there is none; until there is one again,
+	// others are closed at once. placeInterval is how often it is looked for.
+	placeWait     = time.Second
+	placeInterval = 10 * time.Millisecond
+)
+
+// awaitPlace returns the guarded connection, nil if there is no place for it.
+func (l *Listener) awaitPlace(raw net.Conn) *Conn {
+	clk := l.Budget.Clock
+	for {
+		if c := l.admit(raw); c != nil {
+			l.fullSince = time.Time{}
+			return c
+		}
+		if l.fullSince.IsZero() {
+			l.fullSince = clk.Now()
+		}
+		if clk.Now().Sub(l.fullSince) >= placeWait {
+			l.Budget.count(func(n *Counts) { n.NoPlace++ })
+			return nil
+		}
+		clock.Sleep(context.Background(), clk, placeInterval)
+	}
+}
+
+// admit returns the guarded connection, nil if there is no place for it now.
 func (l *Listener) admit(raw net.Conn) *Conn {
 	b := l.Budget
 	b.mu.Lock()
@@ -100,17 +130,10 @@
 	victim, ok := l.makePlace()
 	var victims []*Conn
 	if ok {
-		victims, ok = b.makeRoom(c, connBytes)
+		victims, ok = b.makeRoom(c, connBytes, reserveLimit)
 	}
 	if ok {
-		b.grant(c, connBytes)
-		if b.conns == nil {
-			b.conns = make(map[*Conn]struct{})
-		}
-		b.conns[c] = struct{}{}
-		l.open++
-	} else {
-		b.counts.NoPlace++
+		b.add(c)
 	}
 	b.mu.Unlock()
 	if victim != nil {
@@ -123,18 +146,14 @@
 	return c
 }
 
-// makePlace reports whether a further connection has a place, at the cost of the one that it returns: the
-// one that has been idle or unfinished for the longest.
+// makePlace reports whether a further connection has a place, at the cost of the one that it returns.
 func (l *Listener) makePlace() (victim *Conn, ok bool) {
 	if l.MaxConns <= 0 || l.open < l.MaxConns {
 		return nil, true
 	}
 	now := l.Budget.Clock.Now()
 	for c := range l.Budget.conns {
-		if c.listener != l || c.evicted || (c.phase != phaseIdle && !c.mayBeEvicted(now)) {
-			continue
-		}
-		if victim == nil || c.isWorseThan(victim) {
+		if c.listener == l && c.claim(now) != claimKept && (victim == nil || c.leavesBefore(victim, now)) {
 			victim = c
 		}
 	}
@@ -142,18 +161,10 @@
 		return nil, false
 	}
 	l.Budget.expel(victim)
+	l.Budget.grantWaiting()
 	return victim, true
 }
 
-// isWorseThan orders connections that lose their places: idle ones come first, then those that have done
-// the same for longer.
-func (c *Conn) isWorseThan(other *Conn) bool {
-	if (c.phase == phaseIdle) != (other.phase == phaseIdle) {
-		return c.phase == phaseIdle
-	}
-	return c.since.Before(other.since)
-}
-
 // leave closes a connection that has lost its place.
 func (c *Conn) leave() {
 	b := c.listener.Budget
@@ -188,9 +199,10 @@
 	b.grantWaiting()
 }
 
-// ConnContext adds a connection to the context of its requests, where From finds it.
+// ConnContext adds a connection to the context of its requests, where From finds it. One that carries several
+// requests at a time holds none of them.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if g, ok := c.(*Conn); ok {
+	if g, ok := c.(*Conn); ok && !l.Opaque {
 		return context.WithValue(ctx, contextKey{}, g)
 	}
 	return ctx
@@ -200,7 +212,7 @@
 func (l *Listener) Track(c net.Conn, s http.ConnState) {
 	g, ok := c.(*Conn)
 	switch {
-	case !ok:
+	case !ok, l.Opaque:
 	case s == http.StateIdle:
 		g.endRequest()
 	case s != http.StateClosed:
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -28,9 +28,6 @@
 
 // awaitsHead reports whether what is read next is of a head.
 func (c *Conn) awaitsHead() bool {
-	if c.listener.Opaque {
-		return false
-	}
 	b := c.listener.Budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -51,17 +48,45 @@
 	return c.evicted
 }
 
-// mayBeEvicted reports whether the client has not finished to send its request, or does not read its
-// answer. The lock of the budget is held.
-func (c *Conn) mayBeEvicted(now time.Time) bool {
+// claim is the claim of a connection to its place. Those with the lowest lose it first.
+type claim uint8
+
+const (
+	// claimIdle is that of a connection without a request, and claimUnfinished that of a client that has not
+	// sent its request whole or does not read its answer.
+	claimIdle claim = iota
+	claimUnfinished
+	// claimWaiting is that of a whole request that waits for memory.
+	claimWaiting
+	// claimKept is that of a connection that cannot lose its place.
+	claimKept
+)
+
+// claim returns the connection's claim. The lock of the budget is held.
+func (c *Conn) claim(now time.Time) claim {
 	switch {
 	case c.evicted:
-		return false
+		return claimKept // It has lost its place already.
+	case c.phase == phaseIdle:
+		return claimIdle
 	case c.phase == phaseHead, c.phase == phaseBody:
-		return true
+		return claimUnfinished
+	case c.phase == phaseWaiting:
+		return claimWaiting
+	case !c.writing.IsZero() && now.Sub(c.writing) > slowWrite:
+		return claimUnfinished
 	default:
-		return !c.writing.IsZero() && now.Sub(c.writing) > slowWrite
+		return claimKept
+	}
+}
+
+// leavesBefore orders the connections that may lose their places: of those with the same claim, the one that
+// has done the same for the longest is first.
+func (c *Conn) leavesBefore(other *Conn, now time.Time) bool {
+	if a, b := c.claim(now), other.claim(now); a != b {
+		return a < b
 	}
+	return c.since.Before(other.since)
 }
 
 // isStalled reports whether the client has sent nothing for too long. The lock of the budget is held.
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -19,6 +19,7 @@
 	r.Exporter.Observe("barleystep_boxes_believed", "Boxes that share the retry budget.", "state", func() []metric.Sample {
 		return []metric.Sample{{Label: "counted", Value: float64(r.plane.Node().BoxCount())}}
 	})
+	r.Exporter.Observe("barleystep_clients", "The bytes that the connections of clients hold, and may hold together, their number, and what clients were denied since the start.", "state", r.clients)
 	r.Exporter.Observe("barleystep_store_calls", "Calls to the platform's store since the start, by topic, by what the box reads for others, and by outcome.", "reason", r.storeCalls)
 	r.Exporter.Observe("barleystep_records_refused", "Records of the store that another writer left, since the start, by topic and by what is wrong with them.", "reason", r.recordsRefused)
 	if r.DroppedLines != nil {
@@ -68,6 +69,21 @@
 	}
 }
 
+func (r *Router) clients() []metric.Sample {
+	used, conns := r.memory.Usage()
+	counts := r.memory.Counts()
+	return []metric.Sample{
+		{Label: "bytes held", Value: float64(used)},
+		{Label: "bytes allowed", Value: float64(r.memory.Limit())},
+		{Label: "connections", Value: float64(conns)},
+		{Label: "evicted", Value: float64(counts.Evicted)},
+		{Label: "no memory", Value: float64(counts.NoMemory)},
+		{Label: "no place", Value: float64(counts.NoPlace)},
+		{Label: "long heads", Value: float64(counts.LongHeads)},
+		{Label: "stalled", Value: float64(counts.Stalled)},
+	}
+}
+
 func (r *Router) storeCalls() []metric.Sample {
 	var list []metric.Sample
 	for topic, f := range r.plane.Followers() {
