router: a connection's state is recorded before its memory is given back

TestStrayBytesAreNoRequest hung once in 12 runs: it advanced its clock while the connection still counted as active, since giving back memory came first.

--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -148,15 +148,16 @@
 
 // trackConn follows the state of a connection.
 func (l *listener) trackConn(c net.Conn, s http.ConnState) {
+	inner := c
 	if guarded, ok := c.(*guard.Conn); ok {
-		l.guard.Track(guarded, s)
-		c = guarded.NetConn()
+		inner = guarded.NetConn()
 	}
-	caller, ok := c.(*callerConn)
+	caller, ok := inner.(*callerConn)
 	if !ok {
 		return
 	}
 	caller.enter(s)
+	defer l.guard.Track(c, s) // It comes last, since it may wait for memory.
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s == http.StateClosed || s == http.StateHijacked {
