guard, conn: places are bounded by the memory too, and closing connections by the descriptors

Found by reading, shown by a trial: with 4,100 descriptors 1,437 callers could each leave 64 KB unread in the socket of their stream's target, 92 MB beside a heap of 70 % of 184 MB; and of 1,400 clients that do not finish their heads 1,417 descriptors were open at 866 places, since a refusal lingers for half a second.

--- a/internal/box/entry.go
+++ b/internal/box/entry.go
@@ -153,7 +153,7 @@
 	e.server.Forwarder = e.node.forwarder()
 	handler := e.server.Handler()
 	e.node.setHandlers(handler)
-	e.callers = e.newListener("callers", e.Settings.Listen.Callers, guard.CallerPlaces(e.Settings.Limits.Descriptors), handler)
+	e.callers = e.newListener("callers", e.Settings.Listen.Callers, guard.CallerPlaces(e.Settings.Limits.Descriptors, e.Settings.Limits.Memory()), handler)
 	e.admin = e.newListener("admin", e.Settings.Listen.Admin, guard.ProbePlaces, e.status())
 	poller := &capacity.Poller{
 		Clock:         e.Clock,
--- a/internal/conn/tcp.go
+++ b/internal/conn/tcp.go
@@ -17,6 +17,9 @@
 	// unackedTimeout bounds how long sent bytes may stay unacknowledged, so that a target that lost
 	// power is detected.
 	unackedTimeout = 2 * time.Second
+	// receiveBytes is the size of the kernel's buffer for what a target has sent, in bytes, which it
+	// doubles. A caller that does not read its stream fills it.
+	receiveBytes = 32 << 10
 	// tcpUserTimeout is the Linux option TCP_USER_TIMEOUT, which package syscall lacks.
 	tcpUserTimeout = 0x12
 )
@@ -28,7 +31,7 @@
 func (d TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
-	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig, Control: setUnackedTimeout}
+	dialer := net.Dialer{KeepAliveConfig: keepAliveConfig, Control: setOptions}
 	return dialer.DialContext(ctx, "tcp4", addr)
 }
 
@@ -56,6 +59,18 @@
 	_ = c.Close()
 }
 
+// setOptions sets the options of a connection before it is opened.
+func setOptions(network, address string, raw syscall.RawConn) error {
+	err := raw.Control(func(fd uintptr) {
+		// On an error the default of the system holds.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(network, address, raw)
+}
+
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
 	var set error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/guard/budget.go
+++ b/internal/guard/budget.go
@@ -156,6 +156,7 @@
 	}
 	b.conns[c] = struct{}{}
 	c.listener.open++
+	c.listener.total++
 	b.grant(c, connBytes)
 }
 
--- a/internal/guard/listener.go
+++ b/internal/guard/listener.go
@@ -55,7 +55,10 @@
 	// number and their writes are bounded.
 	Opaque bool
 
-	open int // open is guarded by the lock of the budget.
+	// open is the number of connections that have places, and total that of all, with those that are about
+	// to close. They are guarded by the lock of the budget.
+	open  int
+	total int
 	// fullSince is since when there has been no place, zero if there is one.
 	fullSince time.Time
 }
@@ -165,14 +168,21 @@
 	return victim, true
 }
 
+// closingDivisor is the divisor of the places that gives how many more connections may be about to close.
+const closingDivisor = 8
+
 // leave closes a connection that has lost its place.
 func (c *Conn) leave() {
 	b := c.listener.Budget
 	b.mu.Lock()
 	idle := c.phase == phaseIdle
+	l := c.listener
+	crowded := l.total > l.MaxConns+l.MaxConns/closingDivisor
 	b.mu.Unlock()
 	r, ok := c.Conn.(interface{ Release() })
 	switch {
+	case crowded:
+		_ = c.Close() // There is no descriptor left for an answer that closes the connection in good order.
 	case idle && ok:
 		r.Release()
 	case idle:
@@ -191,6 +201,7 @@
 		return
 	}
 	delete(b.conns, c)
+	l.total--
 	if !c.evicted {
 		l.open--
 	}
--- a/internal/router/listener_internal_test.go
+++ b/internal/router/listener_internal_test.go
@@ -86,7 +86,10 @@
 			f.callers.idleTimeout = func() time.Duration { return limit }
 			caller := f.dialKept(t)
 			caller.send(text)
-			await(t, func() bool { n := f.callers.count(); return n[connReceiving] > 0 == (text != "") && n[connUnread] == 0 && n[connActive] == 0 })
+			await(t, func() bool {
+				n := f.callers.count()
+				return n[connReceiving] > 0 == (text != "") && n[connUnread] == 0 && n[connActive] == 0
+			})
 			f.clk.Advance(limit + headerTimeout + 2*idleMargin)
 			f.callers.closeIdle()
 			c.Check(caller.isAtEnd(), quicktest.IsTrue)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -196,7 +196,7 @@
 		clock:       r.Clock,
 		log:         r.Log,
 		idleTimeout: r.idleTimeout,
-		guard:       &guard.Listener{Budget: r.memory, MaxConns: guard.CallerPlaces(s.Limits.Descriptors), Limits: r.headLimits},
+		guard:       &guard.Listener{Budget: r.memory, MaxConns: guard.CallerPlaces(s.Limits.Descriptors, s.Limits.Memory()), Limits: r.headLimits},
 	}
 }
 
