guard: connections of HTTP/2 between boxes keep their places

Found at the read-through: nothing is known of their requests, so that all counted as idle, and the oldest of them, other boxes, would lose their places to silent connections. TestOpaqueConnectionsKeepPlaces fails without it.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -132,7 +132,7 @@
 // IsEvicted reports whether the client's request must be refused since others need its memory or place.
 func (c *Conn) IsEvicted() bool { return c != nil && c.isEvicted() }
 
-// yield lets other goroutines run. A client that sends without a pause would else keep the processor for
+// yield lets other goroutines run. A client that sends without a pause would otherwise keep the processor for
 // whole time slices, and many of them would delay the control of the process by seconds.
 func (c *Conn) yield() {
 	if c.reads++; c.reads > 1 {
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -34,13 +34,18 @@
 }
 
 func newFixture(t *testing.T, memory int64, places int) *fixture {
+	return newFixtureOf(t, memory, places, false)
+}
+
+// newFixtureOf returns a fixture whose connections may be opaque.
+func newFixtureOf(t *testing.T, memory int64, places int, opaque bool) *fixture {
 	c := quicktest.New(t)
 	f := &fixture{budget: &guard.Budget{Clock: clock.System{}, Memory: memory}, release: make(chan struct{})}
 	socket, err := guard.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	f.addr = socket.Addr().String()
 	f.listener = &guard.Listener{
-		Listener: socket, Budget: f.budget, MaxConns: places,
+		Listener: socket, Budget: f.budget, MaxConns: places, Opaque: opaque,
 		Limits: func() guard.Limits { return guard.Limits{HeaderBytes: headerBytes, HeaderTimeout: timeout} },
 	}
 	server := &http.Server{Handler: http.HandlerFunc(f.serve), ConnState: f.listener.Track, ConnContext: f.listener.ConnContext}
@@ -288,3 +293,23 @@
 		c.Check(status, quicktest.Equals, http.StatusOK)
 	}
 }
+
+// TestOpaqueConnectionsKeepPlaces guards against connections between boxes that are closed as idle, since
+// nothing is known of their requests, when others connect.
+func TestOpaqueConnectionsKeepPlaces(t *testing.T) {
+	c := quicktest.New(t)
+	const places = 2
+	f := newFixtureOf(t, 0, places, true)
+	kept := []caller{f.dial(t), f.dial(t)}
+	for _, k := range kept {
+		k.send(t, post("", "first"))
+		status, _ := k.answer(t)
+		c.Check(status, quicktest.Equals, http.StatusOK)
+	}
+	c.Check(f.dial(t).isClosed(), quicktest.IsTrue)
+	for _, k := range kept {
+		k.send(t, post("", "second"))
+		status, _ := k.answer(t)
+		c.Check(status, quicktest.Equals, http.StatusOK)
+	}
+}
--- a/internal/guard/listener.go
+++ b/internal/guard/listener.go
@@ -130,6 +130,9 @@
 	b := l.Budget
 	b.mu.Lock()
 	c := &Conn{Conn: raw, listener: l, since: b.Clock.Now()}
+	if l.Opaque {
+		c.phase = phaseServed // Whether it is idle is not known.
+	}
 	victim, ok := l.makePlace()
 	var victims []*Conn
 	if ok {
