router, guard: bytes read ahead count as before; the end of a write takes no lock

TestStopAnswersArrivedRequests failed once beside load (race detector, load 25): since a byte that net/http reads ahead counted as received before the rest was read, so that the stop saw an unread request. That change is taken back.

The end of a write is recorded without the budget's lock, so that the time between an answer and the idle connection is no longer than before.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,14 +55,16 @@
 	listener *Listener
 
 	// These fields are guarded by the lock of the budget.
-	phase   phase
-	since   time.Time // since is when the phase began, or when a part of a body came last.
-	held    int64
-	evicted bool
-	// writing is when the write in progress began, zero if there is none. writeDeadline is the deadline of
-	// the handler.
-	writing       time.Time
-	writeDeadline time.Time
+	phase         phase
+	since         time.Time // since is when the phase began, or when a part of a body came last.
+	held          int64
+	evicted       bool
+	writeDeadline time.Time // writeDeadline is the deadline of the handler.
+
+	opened time.Time // opened is when the connection was accepted.
+	// writing is when the write in progress began, as the time since the connection was accepted, zero if
+	// there is none.
+	writing atomic.Int64
 
 	// These fields are used by the goroutine that reads only.
 	scan headScan
@@ -269,7 +272,7 @@
 
 // Write writes a part of an answer. It fails if the client reads nothing for too long.
 func (c *Conn) Write(p []byte) (n int, err error) {
-	defer c.endWrite()
+	defer c.writing.Store(0)
 	for first := true; first || len(p) > 0; first = false {
 		part := p[:min(len(p), writeBytes)]
 		_ = c.Conn.SetWriteDeadline(c.beginWrite()) // It fails on a closed connection only.
@@ -288,19 +291,19 @@
 	b := c.listener.Budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.writing = b.Clock.Now()
-	deadline := clock.WallTime(b.Clock, c.writing.Add(maxStall))
+	now := b.Clock.Now()
+	c.writing.Store(int64(max(now.Sub(c.opened), 1)))
+	deadline := clock.WallTime(b.Clock, now.Add(maxStall))
 	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
 		return c.writeDeadline
 	}
 	return deadline
 }
 
-func (c *Conn) endWrite() {
-	b := c.listener.Budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c.writing = time.Time{}
+// writesSlowly reports whether the client has not read its answer for a while.
+func (c *Conn) writesSlowly(now time.Time) bool {
+	began := time.Duration(c.writing.Load())
+	return began > 0 && now.Sub(c.opened)-began > slowWrite
 }
 
 // SetWriteDeadline sets the deadline of writes.
--- a/internal/guard/listener.go
+++ b/internal/guard/listener.go
@@ -129,7 +129,8 @@
 func (l *Listener) admit(raw net.Conn) *Conn {
 	b := l.Budget
 	b.mu.Lock()
-	c := &Conn{Conn: raw, listener: l, since: b.Clock.Now()}
+	now := b.Clock.Now()
+	c := &Conn{Conn: raw, listener: l, opened: now, since: now}
 	if l.Opaque {
 		c.phase = phaseServed // Whether it is idle is not known.
 	}
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -73,7 +73,7 @@
 		return claimUnfinished
 	case c.phase == phaseWaiting:
 		return claimWaiting
-	case !c.writing.IsZero() && now.Sub(c.writing) > slowWrite:
+	case c.writesSlowly(now):
 		return claimUnfinished
 	default:
 		return claimKept
--- a/internal/router/caller_conn.go
+++ b/internal/router/caller_conn.go
@@ -27,9 +27,6 @@
 	// or else when the connection entered its state.
 	received bool
 	since    time.Time
-	// early is set once a byte of a further request was read while one is in progress: the HTTP server waits
-	// for the end of the connection with reads of one byte.
-	early bool
 	// releasing is set while Read is to close the connection if nothing has arrived.
 	releasing bool
 	// deadline is the read deadline of the HTTP server, which Release replaces while woken is set.
@@ -71,7 +68,7 @@
 			n, result = syscall.Read(int(fd), p)
 		}
 		if n > 0 {
-			c.receive(len(p))
+			c.receive()
 		}
 		return result != syscall.EAGAIN
 	})
@@ -108,17 +105,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = s
-	c.received = c.early && s == http.StateIdle
-	c.early = false
+	c.received = false
 	c.since = c.clock.Now()
 }
 
-// receive records that data was read into a buffer of the size.
-func (c *callerConn) receive(size int) {
-	switch {
-	case !c.betweenRequests():
-		c.early = size == 1
-	case !c.received:
+// receive records that data was read.
+func (c *callerConn) receive() {
+	if c.betweenRequests() && !c.received {
 		c.received = true
 		c.since = c.clock.Now()
 	}
