--- a/internal/router/listener_internal_test.go
+++ b/internal/router/listener_internal_test.go
@@ -85,6 +85,7 @@
 			const limit = 5 * time.Second
 			f.callers.idleTimeout = func() time.Duration { return limit }
 			caller := f.dialKept(t)
+			await(t, func() bool { return f.callers.count()[connIdle] == 1 }) // The HTTP server may read a byte before.
 			caller.send(text)
 			await(t, func() bool {
 				n := f.callers.count()
