guard: a head that came in parts is forgotten once the HTTP server has it

Cause: Conn.head kept the bytes of a head that had come in parts, and the next such head on the connection was put behind them, so that the HTTP server read the old request with the new body. TestSplitRequests splits only once a connection. TestHeadsInParts sends several heads in parts on one: it failed before (body 0 in place of body 1).

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -68,7 +68,7 @@
 
 	// These fields are used by the goroutine that reads only.
 	scan headScan
-	// head is a head that has come in parts, and rest what the HTTP server has not taken of it.
+	// head is the part that has come of a head, and rest what the HTTP server has not taken of the last one.
 	head []byte
 	rest []byte
 	// reads counts the reads of the current request.
@@ -85,9 +85,7 @@
 func (c *Conn) Read(p []byte) (n int, err error) {
 	if len(c.rest) > 0 {
 		n = copy(p, c.rest)
-		if c.rest = c.rest[n:]; len(c.rest) == 0 {
-			c.rest, c.head = nil, nil
-		}
+		c.keep(c.rest[n:])
 		return n, nil
 	}
 	if c.listener.Opaque {
@@ -156,16 +154,25 @@
 		return n, nil
 	}
 	c.enter(phaseHead)
-	if err = c.readRest(p[:n]); err != nil {
-		c.head = nil
+	err = c.readRest(p[:n])
+	head := c.head
+	c.head = nil
+	if err != nil {
 		return 0, c.refuse(err, p)
 	}
-	c.rest = c.head
-	n = copy(p, c.rest)
-	c.rest = c.rest[n:]
+	n = copy(p, head)
+	c.keep(head[n:])
 	return n, nil
 }
 
+// keep keeps what the HTTP server has not taken of a head.
+func (c *Conn) keep(rest []byte) {
+	if len(rest) == 0 {
+		rest = nil // Frees the head.
+	}
+	c.rest = rest
+}
+
 // readRest reads the rest of a head that begins with part.
 func (c *Conn) readRest(part []byte) error {
 	if err := c.grow(len(part) + minHeadBytes); err != nil {
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -159,6 +159,27 @@
 	await(t, func() bool { return f.held() == 0 })
 }
 
+// TestHeadsInParts guards against a head that is served again, in front of the next one of its connection
+// that comes in parts.
+func TestHeadsInParts(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, 0, 0)
+	k := f.dial(t)
+	for i := range 4 {
+		want := fmt.Sprint("body ", i)
+		text := post("", want)
+		const first = 10 // Bytes of the head.
+		k.send(t, text[:first])
+		const idle = 16 << 10 // What a connection holds that has sent nothing.
+		await(t, func() bool { return f.held() > idle })
+		k.send(t, text[first:])
+		status, body := k.answer(t)
+		c.Assert(status, quicktest.Equals, http.StatusOK)
+		c.Assert(body, quicktest.Equals, want)
+	}
+	c.Check(f.served.Load(), quicktest.Equals, int64(4))
+}
+
 // TestHeadLimit guards against heads over the limit that are served, and legal ones that are refused, with
 // any body behind them.
 func TestHeadLimit(t *testing.T) {
