guard: requests in random parts, several on one connection

TestRandomParts sends 400 connections with six requests each over pipes, which keep the parts (seed 7).

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -180,6 +181,74 @@
 	c.Check(f.served.Load(), quicktest.Equals, int64(4))
 }
 
+// pipeListener accepts connections in memory, which keep what is sent in the same parts.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	if c, ok := <-l; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l pipeListener) Close() error { return nil }
+
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestRandomParts guards against requests that differ from what was sent, however several of them on one
+// connection are divided.
+func TestRandomParts(t *testing.T) {
+	const (
+		connections = 400
+		requests    = 6
+		seed        = 7
+	)
+	c := quicktest.New(t)
+	f := newFixture(t, 0, 0)
+	accepted := make(pipeListener)
+	listener := &guard.Listener{Listener: accepted, Budget: f.budget, Limits: f.listener.Limits}
+	server := &http.Server{Handler: http.HandlerFunc(f.serve), ConnState: listener.Track, ConnContext: listener.ConnContext}
+	go func() { _ = server.Serve(listener) }() // It ends with the test.
+	t.Cleanup(func() {
+		close(accepted)
+		_ = server.Close()
+	})
+	random := rand.New(rand.NewPCG(seed, 0))
+	for i := range connections {
+		var text strings.Builder
+		var want []string
+		for j := range requests {
+			body := strings.Repeat(fmt.Sprintf("%d.%d\r\n\r\n", i, j), 1+random.IntN(300))
+			line := "P: " + strings.Repeat("p", random.IntN(3000)) + "\r\n"
+			if random.IntN(2) == 0 {
+				text.WriteString(post(line, body))
+			} else {
+				text.WriteString(chunked(body))
+			}
+			want = append(want, body)
+		}
+		raw, remote := net.Pipe()
+		accepted <- remote
+		go func(text string) {
+			sizes := rand.New(rand.NewPCG(seed, uint64(i)))
+			for len(text) > 0 {
+				n := min(len(text), 1+sizes.IntN(1+sizes.IntN(3000)))
+				if _, err := io.WriteString(raw, text[:n]); err != nil {
+					return
+				}
+				text = text[n:]
+			}
+		}(text.String())
+		k := caller{raw, bufio.NewReader(raw)}
+		for j := range requests {
+			status, body := k.answer(t)
+			c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("connection %d, request %d", i, j))
+			c.Assert(body, quicktest.Equals, want[j], quicktest.Commentf("connection %d, request %d", i, j))
+		}
+		_ = raw.Close()
+	}
+}
+
 // TestHeadLimit guards against heads over the limit that are served, and legal ones that are refused, with
 // any body behind them.
 func TestHeadLimit(t *testing.T) {
