--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 # crowd runs clients that do not keep to the limits at the programs, built without the race detector, whose
 # memory would be measured too. The tests run one at a time, beside no others.
 crowd:
-	skip=$$(.ci/known-red.sh); $(GO) test -tags crowd -count=1 -timeout 15m $${skip:+-skip "$$skip"} ./internal/crowd
+	skip=$$(.ci/known-red.sh); $(GO) test -tags crowd -count=1 -timeout 15m $${skip:+-skip "$$skip"} ./platform/crowd
 
 # soak runs processes under faults drawn from SEED for LENGTH and checks every promise.
 SEED ?= 2
