--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -11,8 +11,8 @@
 // its announced length.
 const firstBodyBytes = 4 << 10
 
-// ErrNoMemory is returned when there is no memory for a body.
-var ErrNoMemory = eris.New("guard: there is no memory for the body")
+// ErrNoMemory is returned when there is no memory for a request.
+var ErrNoMemory = eris.New("guard: there is no memory for the request")
 
 // ReadBody reads a whole body, which the connection holds until its request ends. announced is the length
 // that the client has announced, below zero if it has not.
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -75,11 +75,8 @@
 	reads int
 }
 
-// errLongHead means that a head is over the limit, and errNoMemory that there is no memory for it.
-var (
-	errLongHead = eris.New("guard: the head is over the limit")
-	errNoMemory = eris.New("guard: there is no memory for the request")
-)
+// errLongHead means that a head is over the limit.
+var errLongHead = eris.New("guard: the head is over the limit")
 
 // Read reads for the HTTP server, or for the handler that has taken the connection over.
 func (c *Conn) Read(p []byte) (n int, err error) {
@@ -212,7 +209,7 @@
 // grow adds n bytes to the capacity of the head.
 func (c *Conn) grow(n int) error {
 	if !c.Take(int64(n)) {
-		return errNoMemory
+		return ErrNoMemory
 	}
 	larger := make([]byte, len(c.head), cap(c.head)+n)
 	copy(larger, c.head)
@@ -232,7 +229,7 @@
 	cost := int64(c.scan.bytes*textCopies + c.scan.lines*lineBytes)
 	c.enter(phaseWaiting)
 	if !c.listener.Budget.await(c, cost, c.listener.limits().headerTimeout()) {
-		return errNoMemory
+		return ErrNoMemory
 	}
 	return nil
 }
@@ -244,7 +241,7 @@
 	case eris.Is(err, errLongHead):
 		c.listener.Budget.count(func(n *Counts) { n.LongHeads++ })
 		c.answer("431 Request Header Fields Too Large", "The head is over the limit.", buffer)
-	case eris.Is(err, errNoMemory), c.isEvicted():
+	case eris.Is(err, ErrNoMemory), c.isEvicted():
 		c.answer("503 Service Unavailable\r\nRetry-After: 1", "not run: The box has no memory for the request.", buffer)
 	default:
 		return err
