front: an order for memory that has no answer is sent again

Each was sent once. One without an answer within 500 ms sent the prompt back to the lead for another gang, four times at most. Where 0.35 of the orders get no answer, 0.001 of the gangs start. Renewals had the same fault: memory whose renewals were not answered three times expired under its stream. Class: an operation that needs all of its parts, with no repetition of a part.

Orders are idempotent, so each is sent again every 60 ms until it is answered; earlier copies go on waiting, for targets that are busy.

TestUnansweredOrders failed before (503, memory given back).

--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -30,6 +30,9 @@
 	renewInterval = time.Second
 	// orderTimeout bounds one order to a target, which normally answers within milliseconds.
 	orderTimeout = 500 * time.Millisecond
+	// orderRepeatInterval is the interval at which an order without an answer is sent again. A prompt
+	// needs the answers of all its helpers, so that it would rarely start if each were asked once.
+	orderRepeatInterval = 60 * time.Millisecond
 	// maxReleaseTries bounds the tries to release a reservation; after that it expires by itself.
 	maxReleaseTries = 3
 )
@@ -145,8 +148,7 @@
 func (t *try) isUsedAt(ctx context.Context, r reservation) bool {
 	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
 	defer cancel()
-	req, body := t.stage.protocol.UsageRequest()
-	status, answer := t.sendOrder(ctx, r, req, body)
+	status, answer := t.order(ctx, r, t.stage.protocol.UsageRequest)
 	return status == http.StatusOK && t.stage.protocol.ReadUsage(answer, r.ID)
 }
 
@@ -164,43 +166,89 @@
 	if t.placement.HasRestarted(r.target) {
 		return true
 	}
-	req, body := t.stage.protocol.ReserveRequest(r.Reservation)
-	status, _ := t.sendOrder(ctx, r, req, body)
+	status, _ := t.order(ctx, r, func() (*http.Request, []byte) { return t.stage.protocol.ReserveRequest(r.Reservation) })
 	return status == http.StatusOK
 }
 
 func (t *try) releaseAt(ctx context.Context, r reservation) bool {
-	req, body := t.stage.protocol.ReleaseRequest(r.ID)
-	status, _ := t.sendOrder(ctx, r, req, body)
+	status, _ := t.order(ctx, r, func() (*http.Request, []byte) { return t.stage.protocol.ReleaseRequest(r.ID) })
 	return status > 0 && status < http.StatusInternalServerError
 }
 
-// sendOrder sends one order and returns status and body of the answer, 0 if there was none. The target's
-// statement in the answer is taken in as from any other answer.
+// orderAnswer is the answer to an order; its status is 0 if there was none.
+type orderAnswer struct {
+	status int
+	body   []byte
+}
+
+// order sends an order until it is answered, the target can't be reached or the context ends, and returns
+// status and body of the answer, 0 if there was none. Orders are idempotent. Earlier copies go on waiting
+// for their answers, since a busy target may take longer than orderRepeatInterval.
+func (t *try) order(ctx context.Context, r reservation, newRequest func() (*http.Request, []byte)) (status int, answer []byte) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers, unreachable := make(chan orderAnswer), make(chan struct{}, 1)
+	send := func() {
+		a, reached := t.sendOrder(ctx, r, newRequest)
+		if !reached {
+			select {
+			case unreachable <- struct{}{}:
+			default:
+			}
+		}
+		if a.status == 0 {
+			return
+		}
+		select {
+		case answers <- a:
+		case <-ctx.Done():
+		}
+	}
+	for {
+		go send()
+		timer := t.stage.clock.NewTimer(orderRepeatInterval)
+		select {
+		case a := <-answers:
+			timer.Stop()
+			return a.status, a.body
+		case <-unreachable:
+			timer.Stop()
+			return 0, nil
+		case <-ctx.Done():
+			timer.Stop()
+			return 0, nil
+		case <-timer.C():
+		}
+	}
+}
+
+// sendOrder sends one copy of an order and returns the answer; reached is false if no connection could be
+// made. The target's statement in the answer is taken in as from any other answer.
 //
-// Answers to orders do not name the order that they belong to. Each order therefore uses a
+// Answers to orders do not name the order that they belong to. Each copy therefore uses a
 // connection of its own, on which no late answer to anything else can arrive.
-func (t *try) sendOrder(ctx context.Context, r reservation, req *http.Request, body []byte) (status int, answer []byte) {
+func (t *try) sendOrder(ctx context.Context, r reservation, newRequest func() (*http.Request, []byte)) (a orderAnswer, reached bool) {
 	c, err := t.stage.pool.Dial(ctx, r.addr)
 	if err != nil {
-		return 0, nil
+		return orderAnswer{}, false
 	}
 	defer c.Discard()
+	req, body := newRequest()
 	req.Host = r.addr
 	resp, err := c.Send(ctx, req, body, t.isOrderAnswer)
 	if err != nil {
-		return 0, nil
+		return orderAnswer{}, true
 	}
 	defer resp.Body.Close()
 	if !misdirected(resp) {
 		// Answers to orders may omit statements that others carry, so an omission revokes nothing.
 		t.noteStatement(r.target, t.stage.protocol.ReadResponseHead(resp.StatusCode, resp.Header).Statement, time.Time{})
 	}
-	answer, err = io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
 	if err != nil {
-		return 0, nil
+		return orderAnswer{}, true
 	}
-	return resp.StatusCode, answer
+	return orderAnswer{resp.StatusCode, answer}, true
 }
 
 // isOrderAnswer reports whether an answer may belong to an order: it names no request.
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// TestUnansweredOrders guards against prompts over an engine's memory that hardly ever start while some of
+// the orders for memory get no answer: one such helper sent the whole prompt back for other engines.
+func TestUnansweredOrders(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(t, state{view: newView()}, eventStream(1, 2, false))
+	end := make(chan struct{})
+	defer close(end)
+	unanswered := func(net.Conn, *http.Request) bool { <-end; return false }
+	ok := completeAnswer(http.StatusOK, "", "")
+	f.target.orders = []step{unanswered, ok, unanswered, unanswered, ok}
+	got := f.do(t, http.MethodPost, "/giant/", "", "Prompt", "1200")
+	c.Check(got.status, quicktest.Equals, http.StatusOK)
+	before, _, _ := strings.Cut(f.target.kinds(), "S")
+	c.Check(strings.Trim(before, "R"), quicktest.Equals, "", quicktest.Commentf("memory was given back, to be reserved at other helpers"))
+}
+
 // TestReservedMemoryOfSilentTarget guards against memory that is held at helpers, renewed each second, for
 // a target that never begins the prompt.
 func TestReservedMemoryOfSilentTarget(t *testing.T) {
