--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -145,6 +145,8 @@
 	own := Work{Long: 1, PendingPrefills: 1}
 	if kvTokens == 0 {
 		own.KVTokens = j.PromptTokens + j.OutputTokens
+	} else {
+		p.kvTokens, p.maxPartKVTokens = j.PromptTokens+j.OutputTokens, int(maxKVPart*float64(j.Cost.KVTokens))
 	}
 	p.parts = append(p.parts, &part{target: first.ID, work: own, prefill: prefill, pass: j.Cost.Pass()})
 	for _, t := range helpers {
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -33,6 +33,10 @@
 	charged time.Duration
 	service string
 	account string
+	// kvTokens is the KV cache, in tokens, that the helpers reserve together, and maxPartKVTokens the most
+	// that one engine has for parts of prompts; both are zero if the first engine holds the prompt.
+	kvTokens        int
+	maxPartKVTokens int
 	// plan is the lead's plan id while the lead must still be told that the prompt was prefilled;
 	// zero if it was placed here.
 	plan         uint64
@@ -114,25 +118,27 @@
 	b.noteReport(id, Report{Unreachable: true})
 }
 
-// DropHelpers takes helpers off the placement, so that the others prefill more. If the prompt's KV
-// cache is spread over its helpers, it reports false and changes nothing: the prompt has to be
-// placed again.
+// DropHelpers takes helpers off the placement, so that the others prefill more, and hold more of a prompt
+// whose KV cache is spread over them. It reports false and changes nothing if they lack the KV cache for
+// that: the prompt has to be placed again.
 func (p *Placement) DropHelpers(silent []barleystep.TargetID) bool {
 	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.Helpers[0].KVTokens > 0 {
+	isSilent := func(id barleystep.TargetID) bool { return slices.Contains(silent, id) }
+	remaining := slices.DeleteFunc(slices.Clone(p.Helpers), func(h Helper) bool { return isSilent(h.ID) })
+	if !p.spreadKVCache(remaining) {
 		return false
 	}
+	p.Helpers = remaining
 	before := len(p.parts)
 	p.parts = slices.DeleteFunc(p.parts, func(own *part) bool {
-		out := slices.Contains(silent, own.target)
+		out := isSilent(own.target)
 		if out {
 			b.releasePart(own)
 		}
 		return out
 	})
-	p.Helpers = slices.DeleteFunc(p.Helpers, func(h Helper) bool { return slices.Contains(silent, h.ID) })
 	for _, own := range p.parts {
 		more := own.prefill*time.Duration(before)/time.Duration(len(p.parts)) - own.prefill
 		own.prefill += more
@@ -141,6 +147,33 @@
 	return true
 }
 
+// spreadKVCache spreads the KV cache of the prompt evenly over the helpers, in the placement's parts too. It
+// reports false and changes nothing if they lack it.
+func (p *Placement) spreadKVCache(helpers []Helper) bool {
+	if p.kvTokens == 0 {
+		return true
+	}
+	if len(helpers) == 0 {
+		return false
+	}
+	tokens := p.kvTokens/len(helpers) + 1
+	clear(p.balancer.workCache)
+	for _, h := range helpers {
+		if p.balancer.totalWork(h.ID).KVTokens-h.KVTokens+tokens > p.maxPartKVTokens {
+			return false
+		}
+	}
+	for i := range helpers {
+		helpers[i].KVTokens = tokens
+	}
+	for _, own := range p.parts {
+		if own.work.KVTokens > 0 {
+			own.work.KVTokens = tokens
+		}
+	}
+	return true
+}
+
 func (p *Placement) notePrefilled() {
 	if p.prefilled {
 		return
