balance: sizes lag by the callers that were refused, not by tries, placements or waits

Cause: a class of sizes goes first where it is placed at under 0.7 of the rate of all. Counted were placements, also of a try whose engines failed and of a caller that came back, and as not placed all that still waited. Classes settled where 0.7 of all are placed, and of what is placed the longest lose more; and where nobody is refused in the end, sizes that only waited went first. The largest class had so few callers that it hardly ever lagged.

A caller now counts once: as decided when its first try is placed or refused because of load, as placed when any try is, and no longer if its engines fail. A class lags by its own callers or by those of its size and larger, below 0.75 of all. The lead is told of replacements by a new field of PlaceRequest; boxes that do not send it count as before.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -69,6 +69,9 @@
 	FirstArrival time.Time
 	// CallerRetry is set if the caller has come back after a refusal, and so will not retry again.
 	CallerRetry bool
+	// Replacement is set if this try of the caller was placed before, on targets that did not serve
+	// it.
+	Replacement bool
 	// FirstEventDeadline is when the caller stops waiting for the first event; zero if unknown.
 	FirstEventDeadline time.Time
 	// Avoid lists targets that have already failed the request.
@@ -244,7 +247,7 @@
 	defer b.mu.Unlock()
 	if first {
 		b.noteLongDemand(j)
-		b.noteAsked(j)
+		b.noteReplaced(j)
 		b.noteReturned(j)
 	}
 	return b.placeArrived(j)
--- a/internal/balance/fairness.go
+++ b/internal/balance/fairness.go
@@ -5,17 +5,19 @@
 	"time"
 )
 
-// sizeStats counts, for one service, how many long prompts of each size were asked for and how many
-// were placed, so that those that need the most engine time do not starve behind all others.
+// sizeStats counts, for one service, how many callers with long prompts of each size were placed and how
+// many refused, so that those that need the most engine time do not starve behind all others. Those that
+// still wait do not count: where all are placed in the end, no size lags.
 type sizeStats struct {
-	sizes [sizeClasses]tryCount
+	sizes [sizeClasses]callerCount
 	at    time.Time
 }
 
-// tryCount is a pair of decaying counts of tries.
-type tryCount struct {
-	asked  float64
-	placed float64
+// callerCount is a pair of decaying counts of callers: of those that were placed or refused on their first
+// try, and of those that were placed on any of their tries.
+type callerCount struct {
+	decided float64
+	placed  float64
 }
 
 const (
@@ -23,13 +25,13 @@
 	// prompt; the first holds all below minSize.
 	sizeClasses = 10
 	minSize     = 125 * time.Millisecond
-	// sizeStatsDecay is the mean age of the tries that count.
+	// sizeStatsDecay is the mean age of the callers that count.
 	sizeStatsDecay = 8 * time.Second
-	// sizePrior is the number of tries at the overall rate that are added to those of a class, so
+	// sizePrior is the number of callers at the overall rate that are added to those of a class, so
 	// that a few refusals carry little weight.
 	sizePrior = 2
 	// lagThreshold is the part of the overall rate below which a class lags.
-	lagThreshold = 0.7
+	lagThreshold = 0.75
 )
 
 // sizeClass returns the size class of a long prompt.
@@ -38,37 +40,50 @@
 	return min(max(doublings+1, 0), sizeClasses-1)
 }
 
-// rate returns the part of the tries that were placed, 1 if there were none.
-func (c tryCount) rate() float64 {
-	if c.asked <= 0 {
+// rate returns the part of the callers that were placed, 1 if there were none.
+func (c callerCount) rate() float64 {
+	if c.decided <= 0 {
 		return 1
 	}
-	return min(c.placed/c.asked, 1)
+	return min(c.placed/c.decided, 1)
+}
+
+func (c *callerCount) add(o callerCount) {
+	c.decided += o.decided
+	c.placed += o.placed
 }
 
 // count returns the counts of the job's class, decayed to now.
-func (t *sizeStats) count(now time.Time, j Job) *tryCount {
+func (t *sizeStats) count(now time.Time, j Job) *callerCount {
 	keep := math.Exp(-float64(now.Sub(t.at)) / float64(sizeStatsDecay))
 	t.at = now
 	for i := range t.sizes {
-		t.sizes[i].asked *= keep
+		t.sizes[i].decided *= keep
 		t.sizes[i].placed *= keep
 	}
 	return &t.sizes[sizeClass(j)]
 }
 
-// lag returns by how much the rate of the job's class is below lagThreshold of the overall rate,
-// zero if it is not.
+// lag returns by how much the rate of the job's class, or that of its class and all larger ones, is below
+// lagThreshold of the overall rate, zero if neither is. The largest classes alone have too few callers to
+// tell.
 func (t *sizeStats) lag(j Job) float64 {
-	var all tryCount
-	for _, c := range t.sizes {
-		all.asked += c.asked
-		all.placed += c.placed
+	var all, larger callerCount
+	own := sizeClass(j)
+	for i, c := range t.sizes {
+		all.add(c)
+		if i >= own {
+			larger.add(c)
+		}
+	}
+	rate := all.rate()
+	prior := callerCount{decided: sizePrior, placed: sizePrior * rate}
+	lag := 0.0
+	for _, c := range [...]callerCount{t.sizes[own], larger} {
+		c.add(prior)
+		lag = max(lag, lagThreshold*rate-c.rate())
 	}
-	own := t.sizes[sizeClass(j)]
-	own.asked += sizePrior
-	own.placed += sizePrior * all.rate()
-	return max(lagThreshold*all.rate()-own.rate(), 0)
+	return lag
 }
 
 // sizeStatsOf returns the statistics of the job's service.
@@ -84,17 +99,35 @@
 	return t
 }
 
-// noteAsked counts a try of a long prompt.
-func (b *Balancer) noteAsked(j Job) {
-	if IsLongPrompt(j) {
-		b.sizeStatsOf(j).count(b.Clock.Now(), j).asked++
+// isFirstDecision reports whether the outcome of the job's wait is the first of its caller.
+func (j Job) isFirstDecision() bool { return !j.CallerRetry && !j.Replacement }
+
+// notePlaced counts the caller of a long prompt that was placed.
+func (b *Balancer) notePlaced(j Job) {
+	if !IsLongPrompt(j) {
+		return
+	}
+	c := b.sizeStatsOf(j).count(b.Clock.Now(), j)
+	c.placed++
+	if j.isFirstDecision() {
+		c.decided++
 	}
 }
 
-// notePlaced counts a try of a long prompt that was placed.
-func (b *Balancer) notePlaced(j Job) {
-	if IsLongPrompt(j) {
-		b.sizeStatsOf(j).count(b.Clock.Now(), j).placed++
+// noteReplaced takes back the count of a placement whose targets did not serve the long prompt. The more
+// engines a prompt needs, the more often one of them fails it.
+func (b *Balancer) noteReplaced(j Job) {
+	if !IsLongPrompt(j) || !j.Replacement {
+		return
+	}
+	c := b.sizeStatsOf(j).count(b.Clock.Now(), j)
+	c.placed = max(c.placed-1, 0)
+}
+
+// noteRefused counts the caller of a long prompt that was refused because of load.
+func (b *Balancer) noteRefused(j Job) {
+	if IsLongPrompt(j) && j.isFirstDecision() {
+		b.sizeStatsOf(j).count(b.Clock.Now(), j).decided++
 	}
 }
 
--- a/internal/balance/refused.go
+++ b/internal/balance/refused.go
@@ -86,6 +86,7 @@
 func (b *Balancer) refusal(w *QueuedJob) error {
 	j := w.job
 	b.noteReturnEnded(j, false)
+	b.noteRefused(j)
 	if j.Cost == nil || j.isSuspect() || w.held == holdLimit {
 		return ErrFull
 	}
--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -98,6 +98,7 @@
 			return d.finish(ctx, x, failed, err)
 		}
 		tries++
+		job.Replacement = true // If this try fails, the next one replaces it.
 		t := &try{stage: d, exchange: x, placement: placement, number: tries, isolated: job.EndedTargets > 0}
 		res, err := t.run(ctx)
 		if res == resultDone {
@@ -136,6 +137,7 @@
 			return p, err
 		default:
 			p.Cancel()
+			job.Replacement = true
 		}
 	}
 }
--- a/internal/lab/attempt.go
+++ b/internal/lab/attempt.go
@@ -136,6 +136,7 @@
 		MaxPause:           r.tightestPause,
 		FirstArrival:       first,
 		CallerRetry:        r.tries > 1,
+		Replacement:        r.sends+r.replans > 0,
 		FirstEventDeadline: first.Add(kind.Deadline),
 	}
 }
--- a/internal/lead/wire.go
+++ b/internal/lead/wire.go
@@ -30,6 +30,7 @@
 		Box:          barleystep.BoxID(m.GetBox()),
 		Account:      m.GetAccount(),
 		CallerRetry:  m.GetReturned(),
+		Replacement:  m.GetReplacement(),
 	}
 	if s := view.Service(j.Service); s != nil {
 		j.Cost = s.Cost
@@ -66,6 +67,7 @@
 		Box:         string(j.Box),
 		Account:     j.Account,
 		Returned:    j.CallerRetry,
+		Replacement: j.Replacement,
 	}
 	if j.Suspect != (suspect.Digest{}) {
 		m.Suspect, m.Ended = j.Suspect[:], int32(j.EndedTargets)
--- a/internal/lead/wire_internal_test.go
+++ b/internal/lead/wire_internal_test.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// TestReplacementEncoded checks that the lead learns whether a prompt was placed before. Without the
+// field it would count each placement of a try as one more try that was placed.
+func TestReplacementEncoded(t *testing.T) {
+	for name, replacement := range map[string]bool{"first placement": false, "engines did not respond": true} {
+		t.Run(name, func(t *testing.T) {
+			j := balance.Job{Service: "s", PromptTokens: 1, Replacement: replacement}
+			got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(j), time.Unix(1000, 0))
+			quicktest.Check(t, got.Replacement, quicktest.Equals, replacement)
+		})
+	}
+}
+
 // TestBoxEncoded checks that the lead learns which box asks, and that a request of an older box,
 // which sends no id, is not taken for one of the lead's own.
 func TestBoxEncoded(t *testing.T) {
