balance: a prompt whose engines failed keeps its turn

What callers saw: long prompts that had got engines were refused, the longest most often, since one of 17 engines fails more often than one of two.

Cause: such a prompt was placed again as one that comes late: behind all that can be in time, and then only on engines that are otherwise idle.

It now goes before others, and is planned although it would be late. TestFailedTargetsKeepTurn failed before.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -163,7 +163,8 @@
 }
 
 // plan plans one waiting long prompt and places it if it may start. If it can't be in time it is
-// planned only where allowLate is set and engines are otherwise idle.
+// planned only where allowLate is set and engines are otherwise idle, or where its targets failed:
+// then it was in time to be planned.
 func (b *Balancer) plan(w *QueuedJob, allowLate bool) planOutcome {
 	j := w.job
 	candidates, h, err := b.usableTargets(j)
@@ -183,7 +184,7 @@
 		w.held = h
 		return planHeld
 	}
-	if !allowLate && b.waited(j)+g.expectedTTFT > j.Objective {
+	if !allowLate && !j.Replacement && b.waited(j)+g.expectedTTFT > j.Objective {
 		w.held = holdLate
 		return planLate
 	}
--- a/internal/balance/plan_test.go
+++ b/internal/balance/plan_test.go
@@ -99,3 +99,30 @@
 		})
 	}
 }
+
+// TestFailedTargetsKeepTurn guards against prompts that lose their turn because their engines failed: those
+// that need the most engines, of which one fails more often, then had to wait behind all others, and
+// could no longer be in time.
+func TestFailedTargetsKeepTurn(t *testing.T) {
+	const small, large = 50_000, 200_000
+	for name, replaced := range map[string]bool{"engines failed": true, "first placement": false} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := newFixture(1)
+			busy := f.place(t, engineJob(small))
+			ask := func(prompt int, replacement bool) *balance.QueuedJob {
+				j := engineJob(prompt)
+				j.Replacement, j.CallerRetry = replacement, replacement // Waits though it would be late.
+				_, w, err := f.TryPlace(context.Background(), j)
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(w, quicktest.IsNotNil)
+				return w
+			}
+			first, second := ask(small, false), ask(large, replaced)
+			busy.NoteFirstEvent()
+			busy.Done(balance.Report{})
+			c.Check(len(second.Ready()) == 1, quicktest.Equals, replaced)
+			c.Check(len(first.Ready()) == 1, quicktest.Equals, !replaced)
+		})
+	}
+}
