balance: a prompt that is placed again is no new demand

Cause: a prompt whose engines do not respond is placed again at once, and each time adds its whole prefill to the demand of the service. The regions of engines, and what refused callers are told, depend on it.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -67,9 +67,10 @@
 }
 
 // noteLongDemand adds a long prompt to the demand when it first arrives, whether it is placed or
-// not: if refused prompts did not count, refusals would lower the number of engines for the next.
+// not: if refused prompts did not count, refusals would lower the number of engines for the next. It
+// counts once per try, however often it is placed.
 func (b *Balancer) noteLongDemand(j Job) {
-	if !IsLongPrompt(j) {
+	if !IsLongPrompt(j) || j.Replacement {
 		return
 	}
 	b.noteDemand(j, j.Cost.Prefill(j.PromptTokens), true)
--- a/internal/balance/plan_test.go
+++ b/internal/balance/plan_test.go
@@ -126,3 +126,18 @@
 		})
 	}
 }
+
+// TestReplacementIsNoDemand guards against a prompt whose engines do not respond, and which is placed
+// again at once, counting as several prompts in the demand.
+func TestReplacementIsNoDemand(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFixture(18)
+	demand := func() float64 { return f.Snapshot().Demands[balance.KeyOf("s")].Long }
+	j := engineJob(longPrompt)
+	f.place(t, j).Cancel()
+	once := demand()
+	c.Assert(once > 0, quicktest.IsTrue)
+	j.Replacement = true
+	f.place(t, j).Cancel()
+	c.Check(demand(), quicktest.Equals, once)
+}
