balance: while others wait, no engines for a prompt whose caller will have left

What callers saw: long prompts are refused in bursts while engines read for callers that have left.

Cause: the cost of a choice of engines knows the objective, not when the caller leaves. A prompt that has waited for long is given the two or three engines that are cheapest then, and its caller is gone before its first event.

TestCallerLeavesBeforeFirstEvent failed before.

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -73,8 +73,9 @@
 		Msg(logPrefix + "The engines of a long prompt were chosen.")
 }
 
-// bestAssignment returns the assignment with the lowest cost to callers.
-func (b *Balancer) bestAssignment(j Job, engines []fleet.Target) assignment {
+// bestAssignment returns the assignment with the lowest cost to callers, or why there is none. While
+// others wait, an assignment whose first event comes after the caller has left is none.
+func (b *Balancer) bestAssignment(j Job, engines []fleet.Target) (best assignment, h holdReason) {
 	prefill := j.Cost.Prefill(j.PromptTokens)
 	r := b.plannedRegions(j, engines)
 	decoders := r.decoders
@@ -87,18 +88,39 @@
 	if j.NoHelpers {
 		most = 0
 	}
-	best, least := assignment{}, math.Inf(1)
+	late, least := false, math.Inf(1)
 	for _, k := range helperCounts {
 		if k > most {
 			break
 		}
 		g, ok := b.evaluate(j, first, list, k)
-		if ok && g.cost < least {
+		switch {
+		case !ok:
+		case b.wastesEngines(j, g):
+			late = true
+		case g.cost < least:
 			best, least = g, g.cost
 		}
 	}
 	best.shortEngines, best.longEngines = len(r.short), len(r.long())
-	return best
+	switch {
+	case least < math.Inf(1):
+		return best, holdNone
+	case late:
+		return best, holdLate
+	default:
+		return best, holdMemory
+	}
+}
+
+// wastesEngines reports whether the job's caller is expected to leave before the first event, while
+// other long prompts wait for the engines. Estimates are rough, so engines that nobody waits for are
+// used nevertheless.
+func (b *Balancer) wastesEngines(j Job, g assignment) bool {
+	if j.FirstEventDeadline.IsZero() || len(b.longQueue) <= 1 {
+		return false
+	}
+	return b.Clock.Now().Add(g.expectedTTFT).After(j.FirstEventDeadline)
 }
 
 // evaluate returns the assignment of the prompt to the first engine and as many helpers of the list,
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -200,11 +200,11 @@
 
 // planAssignment returns the best assignment of a long prompt, or why there is none.
 func (b *Balancer) planAssignment(j Job, engines []fleet.Target) (g assignment, h holdReason) {
-	g = b.bestAssignment(j, b.withoutSlow(j, engines))
+	if g, h = b.bestAssignment(j, b.withoutSlow(j, engines)); h != holdNone {
+		return g, h
+	}
 	gain := promptWorth(j)*(1+lateAnswerWorth) - latenessLoss(j, g.expectedTTFT)
 	switch {
-	case g.first.ID == "":
-		return g, holdMemory
 	case isOversized(j) && g.stallCost > gain:
 		return g, holdStreams
 	case !isOversized(j) && b.shouldDefer(j, g):
--- a/internal/balance/plan_test.go
+++ b/internal/balance/plan_test.go
@@ -141,3 +141,37 @@
 	f.place(t, j).Cancel()
 	c.Check(demand(), quicktest.Equals, once)
 }
+
+// TestCallerLeavesBeforeFirstEvent checks that while others wait, a long prompt is not placed on engines
+// that would prefill it for longer than its caller waits, but as soon as there are enough. It guards
+// against engine time for callers that have left, which the waiting prompts lack.
+func TestCallerLeavesBeforeFirstEvent(t *testing.T) {
+	c := quicktest.New(t)
+	const patience = 4 * time.Second
+	f := newFixture(8)
+	all := f.targets
+	f.targets = all[:1]
+	busy := balance.NewSnapshot()
+	busy.Work[balance.KeyOf(string(all[0].ID))] = balance.Work{Backlog: time.Second}
+	f.SetOthers(busy)
+	wait := func(objective time.Duration) *balance.QueuedJob {
+		j := engineJob(longPrompt) // One engine needs 2.9 s.
+		j.Objective = objective
+		j.FirstEventDeadline = f.clock.Now().Add(patience)
+		_, w, err := f.TryPlace(context.Background(), j)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(w, quicktest.IsNotNil)
+		return w
+	}
+	waits := []*balance.QueuedJob{wait(patience), wait(patience)}
+	f.clock.Advance(2 * time.Second)
+	f.SetOthers(balance.NewSnapshot())
+	for _, w := range waits {
+		c.Assert(w.Ready(), quicktest.HasLen, 0)
+	}
+	f.targets = all
+	f.ServePlanned()
+	c.Assert(waits[0].Ready(), quicktest.HasLen, 1)
+	p := <-waits[0].Ready()
+	c.Check(p.ExpectedTTFT() <= patience-2*time.Second, quicktest.IsTrue)
+}
