balance: an account is charged once for a prompt whose engines failed

What callers saw: accounts with long prompts wait behind others for engine time that they did not get, as their prompts are placed again.

Cause: the lead charges an account at each placement, and learns of none that came to nothing.

A replacement is not charged. TestShareCharges failed before in its new case.

--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -157,9 +157,9 @@
 }
 
 // chargeShare charges the account with the engine time of a placement. Only grants are charged, so
-// that a caller that returns after a refusal is charged once.
+// that a caller that returns after a refusal is charged once, and so is one whose targets failed it.
 func (b *Balancer) chargeShare(j Job, p *Placement) {
-	if !j.hasShare() {
+	if !j.hasShare() || j.Replacement {
 		return
 	}
 	p.service, p.account, p.charged = j.Service, j.Account, j.Cost.Prefill(j.PromptTokens)
--- a/internal/balance/shares_internal_test.go
+++ b/internal/balance/shares_internal_test.go
@@ -131,6 +131,11 @@
 			f.clock.Advance(time.Second)
 			p.Cancel()
 		}, 0},
+		"engines failed, placed again": {shareLong, func(f *shareFixture, j Job) {
+			f.place(j).Done(Report{Failed: true})
+			j.Replacement = true
+			f.place(j)
+		}, 1},
 		"box killed, returns by another": {shareLong, func(f *shareFixture, j Job) {
 			j.Box, j.ForPeer = "killed", true
 			f.HandOver(f.place(j))
