--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -181,22 +181,17 @@
 	body   []byte
 }
 
-// order sends an order until it is answered, the target can't be reached or the context ends, and returns
-// status and body of the answer, 0 if there was none. Orders are idempotent. Earlier copies go on waiting
-// for their answers, since a busy target may take longer than orderRepeatInterval.
+// order sends an order until it is answered or the context ends, and returns status and body of the
+// answer, 0 if there was none. It gives up at once if the target can't be reached for the first copy.
+// Orders are idempotent. Earlier copies go on waiting for their answers, since a busy target may take
+// longer than orderRepeatInterval.
 func (t *try) order(ctx context.Context, r reservation, newRequest func() (*http.Request, []byte)) (status int, answer []byte) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers, unreachable := make(chan orderAnswer), make(chan struct{}, 1)
-	send := func() {
+	answers := make(chan orderAnswer)
+	send := func(isFirst bool) {
 		a, reached := t.sendOrder(ctx, r, newRequest)
-		if !reached {
-			select {
-			case unreachable <- struct{}{}:
-			default:
-			}
-		}
-		if a.status == 0 {
+		if a.status == 0 && (reached || !isFirst) {
 			return
 		}
 		select {
@@ -204,16 +199,13 @@
 		case <-ctx.Done():
 		}
 	}
-	for {
-		go send()
+	for isFirst := true; ; isFirst = false {
+		go send(isFirst)
 		timer := t.stage.clock.NewTimer(orderRepeatInterval)
 		select {
 		case a := <-answers:
 			timer.Stop()
 			return a.status, a.body
-		case <-unreachable:
-			timer.Stop()
-			return 0, nil
 		case <-ctx.Done():
 			timer.Stop()
 			return 0, nil
