front: orders are repeated with clock.Sleep, and a replacement is noted where it is placed

Found on reading the change again: the loop over a timer of its own, with three ways to stop it, had clock.Sleep beside it, and Job.Replacement was set in two places after the same call. Behaviour is as before.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -98,7 +98,6 @@
 			return d.finish(ctx, x, failed, err)
 		}
 		tries++
-		job.Replacement = true // If this try fails, the next one replaces it.
 		t := &try{stage: d, exchange: x, placement: placement, number: tries, isolated: job.EndedTargets > 0}
 		res, err := t.run(ctx)
 		if res == resultDone {
@@ -130,6 +129,7 @@
 func (d *deliver) placeUnsuspected(ctx context.Context, x *Exchange, job *balance.Job) (*balance.Placement, error) {
 	for {
 		p, err := d.place(ctx, x, job)
+		job.Replacement = job.Replacement || err == nil // Any later placement replaces this one.
 		switch {
 		case eris.Is(err, balance.ErrSuspectCleared):
 			d.awaitCleared(ctx, x, job)
@@ -137,7 +137,6 @@
 			return p, err
 		default:
 			p.Cancel()
-			job.Replacement = true
 		}
 	}
 }
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -189,28 +189,31 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan orderAnswer)
-	send := func(isFirst bool) {
-		a, reached := t.sendOrder(ctx, r, newRequest)
-		if a.status == 0 && (reached || !isFirst) {
-			return
-		}
+	deliver := func(a orderAnswer) {
 		select {
 		case answers <- a:
 		case <-ctx.Done():
 		}
 	}
-	for isFirst := true; ; isFirst = false {
-		go send(isFirst)
-		timer := t.stage.clock.NewTimer(orderRepeatInterval)
-		select {
-		case a := <-answers:
-			timer.Stop()
-			return a.status, a.body
-		case <-ctx.Done():
-			timer.Stop()
-			return 0, nil
-		case <-timer.C():
+	go func() {
+		if a, reached := t.sendOrder(ctx, r, newRequest); a.status > 0 || !reached {
+			deliver(a)
 		}
+	}()
+	go func() {
+		for clock.Sleep(ctx, t.stage.clock, orderRepeatInterval) {
+			go func() {
+				if a, _ := t.sendOrder(ctx, r, newRequest); a.status > 0 {
+					deliver(a)
+				}
+			}()
+		}
+	}()
+	select {
+	case a := <-answers:
+		return a.status, a.body
+	case <-ctx.Done():
+		return 0, nil
 	}
 }
 
