balance: one check of the KV cache for parts of a prompt; the reason why there is no assignment is its own state

In bestAssignment the reason was derived from two other variables at the end. A constant of a test is named as elsewhere. Behaviour is as before.

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -88,7 +88,8 @@
 	if j.NoHelpers {
 		most = 0
 	}
-	late, least := false, math.Inf(1)
+	h = holdMemory
+	least := math.Inf(1)
 	for _, k := range helperCounts {
 		if k > most {
 			break
@@ -97,20 +98,15 @@
 		switch {
 		case !ok:
 		case b.wastesEngines(j, g):
-			late = true
+			if h == holdMemory {
+				h = holdLate
+			}
 		case g.cost < least:
-			best, least = g, g.cost
+			best, least, h = g, g.cost, holdNone
 		}
 	}
 	best.shortEngines, best.longEngines = len(r.short), len(r.long())
-	switch {
-	case least < math.Inf(1):
-		return best, holdNone
-	case late:
-		return best, holdLate
-	default:
-		return best, holdMemory
-	}
+	return best, h
 }
 
 // wastesEngines reports whether the job's caller is expected to leave before the first event, while
@@ -168,7 +164,7 @@
 	if kvTokens == 0 {
 		own.KVTokens = j.PromptTokens + j.OutputTokens
 	} else {
-		p.kvTokens, p.maxPartKVTokens = j.PromptTokens+j.OutputTokens, int(maxKVPart*float64(j.Cost.KVTokens))
+		p.kvTokens, p.cost = j.PromptTokens+j.OutputTokens, j.Cost
 	}
 	p.parts = append(p.parts, &part{target: first.ID, work: own, prefill: prefill, pass: j.Cost.Pass()})
 	for _, t := range helpers {
--- a/internal/balance/placement.go
+++ b/internal/balance/placement.go
@@ -33,10 +33,10 @@
 	charged time.Duration
 	service string
 	account string
-	// kvTokens is the KV cache, in tokens, that the helpers reserve together, and maxPartKVTokens the most
-	// that one engine has for parts of prompts; both are zero if the first engine holds the prompt.
-	kvTokens        int
-	maxPartKVTokens int
+	// kvTokens is the KV cache, in tokens, that the helpers reserve together, and cost the cost model of
+	// their engines; both are unset if the first engine holds the prompt.
+	kvTokens int
+	cost     *fleet.CostModel
 	// plan is the lead's plan id while the lead must still be told that the prompt was prefilled;
 	// zero if it was placed here.
 	plan         uint64
@@ -156,10 +156,10 @@
 	if len(helpers) == 0 {
 		return false
 	}
-	tokens := p.kvTokens/len(helpers) + 1
+	tokens := partKVTokens(p.kvTokens, len(helpers))
 	clear(p.balancer.workCache)
 	for _, h := range helpers {
-		if p.balancer.totalWork(h.ID).KVTokens-h.KVTokens+tokens > p.maxPartKVTokens {
+		if !hasKVCache(p.balancer.totalWork(h.ID).KVTokens-h.KVTokens, tokens, p.cost) {
 			return false
 		}
 	}
--- a/internal/balance/plan_test.go
+++ b/internal/balance/plan_test.go
@@ -147,7 +147,7 @@
 // against engine time for callers that have left, which the waiting prompts lack.
 func TestCallerLeavesBeforeFirstEvent(t *testing.T) {
 	c := quicktest.New(t)
-	const patience = 4 * time.Second
+	const callerTimeout = 4 * time.Second
 	f := newFixture(8)
 	all := f.targets
 	f.targets = all[:1]
@@ -157,13 +157,13 @@
 	wait := func(objective time.Duration) *balance.QueuedJob {
 		j := engineJob(longPrompt) // One engine needs 2.9 s.
 		j.Objective = objective
-		j.FirstEventDeadline = f.clock.Now().Add(patience)
+		j.FirstEventDeadline = f.clock.Now().Add(callerTimeout)
 		_, w, err := f.TryPlace(context.Background(), j)
 		c.Assert(err, quicktest.IsNil)
 		c.Assert(w, quicktest.IsNotNil)
 		return w
 	}
-	waits := []*balance.QueuedJob{wait(patience), wait(patience)}
+	waits := []*balance.QueuedJob{wait(callerTimeout), wait(callerTimeout)}
 	f.clock.Advance(2 * time.Second)
 	f.SetOthers(balance.NewSnapshot())
 	for _, w := range waits {
@@ -173,5 +173,5 @@
 	f.ServePlanned()
 	c.Assert(waits[0].Ready(), quicktest.HasLen, 1)
 	p := <-waits[0].Ready()
-	c.Check(p.ExpectedTTFT() <= patience-2*time.Second, quicktest.IsTrue)
+	c.Check(p.ExpectedTTFT() <= callerTimeout-2*time.Second, quicktest.IsTrue)
 }
