--- a/internal/lead/wire_internal_test.go
+++ b/internal/lead/wire_internal_test.go
@@ -11,13 +11,18 @@
 	"github.com/barleystep/barleystep/internal/fleet"
 )
 
+// recode returns the job as the lead decodes it.
+func recode(j balance.Job) balance.Job {
+	return decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(j), time.Unix(1000, 0))
+}
+
 // TestReturnedEncoded checks that the lead learns whether a caller retries after a refusal. Without
 // the field it would treat every prompt as a retry.
 func TestReturnedEncoded(t *testing.T) {
 	for name, returned := range map[string]bool{"first try": false, "retry after a refusal": true} {
 		t.Run(name, func(t *testing.T) {
 			j := balance.Job{Service: "s", PromptTokens: 1, CallerRetry: returned}
-			got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(j), time.Unix(1000, 0))
+			got := recode(j)
 			quicktest.Check(t, got.CallerRetry, quicktest.Equals, returned)
 		})
 	}
@@ -29,7 +34,7 @@
 	for name, replacement := range map[string]bool{"first placement": false, "engines did not respond": true} {
 		t.Run(name, func(t *testing.T) {
 			j := balance.Job{Service: "s", PromptTokens: 1, Replacement: replacement}
-			got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(j), time.Unix(1000, 0))
+			got := recode(j)
 			quicktest.Check(t, got.Replacement, quicktest.Equals, replacement)
 		})
 	}
@@ -40,7 +45,7 @@
 func TestBoxEncoded(t *testing.T) {
 	for name, box := range map[string]barleystep.BoxID{"asking box": "hala1-e3", "older box": ""} {
 		t.Run(name, func(t *testing.T) {
-			got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(balance.Job{Service: "s", Box: box}), time.Unix(1000, 0))
+			got := recode(balance.Job{Service: "s", Box: box})
 			quicktest.Check(t, got.Box, quicktest.Equals, box)
 		})
 	}
@@ -49,6 +54,6 @@
 // TestAccountEncoded checks that the lead learns the client account of the caller. Without it, the
 // lead could not share engines among accounts.
 func TestAccountEncoded(t *testing.T) {
-	got := decodeJob(fleet.NewView(fleet.Configuration{}), encodeJob(balance.Job{Service: "s", Account: "a"}), time.Unix(1000, 0))
+	got := recode(balance.Job{Service: "s", Account: "a"})
 	quicktest.Check(t, got.Account, quicktest.Equals, "a")
 }
