--- a/internal/front/shutdown_log_test.go
+++ b/internal/front/shutdown_log_test.go
@@ -32,11 +32,14 @@
 	c := quicktest.New(t)
 	const delay = 250 * time.Millisecond
 	f, manual, out := newSingleEngineFixture(t, eventStream(1, 2, false), eventStream(1, 2, false))
+	f.front.Pool.Clock = manual
 	f.front.Pool.Dialer = &slowDialer{inner: f.front.Pool.Dialer, clock: manual, delay: delay}
 	f.doLong(t)
 	lines := out.drain(t)
 	c.Assert(lines, quicktest.HasLen, 1)
 	c.Check(lines[0]["stopping_for"], quicktest.IsNil)
+	f.waitRunning(0)
+	manual.Advance(time.Minute) // The stand-in has closed the connection, which is too old to be used again.
 	f.front.BeginShutdown(manual.Now().Add(time.Hour))
 	f.doLong(t)
 	lines = out.drain(t)
