balance: failed prompts keep no turn, and late assignments are allowed again

Prompts whose targets failed went before all others although late, and where engines read until the caller left others waited to the end instead.

--- a/internal/balance/assignment.go
+++ b/internal/balance/assignment.go
@@ -73,9 +73,8 @@
 		Msg(logPrefix + "The engines of a long prompt were chosen.")
 }
 
-// bestAssignment returns the assignment with the lowest cost to callers, or why there is none. While
-// others wait, an assignment whose first event comes after the caller has left is none.
-func (b *Balancer) bestAssignment(j Job, engines []fleet.Target) (best assignment, h holdReason) {
+// bestAssignment returns the assignment with the lowest cost to callers.
+func (b *Balancer) bestAssignment(j Job, engines []fleet.Target) assignment {
 	prefill := j.Cost.Prefill(j.PromptTokens)
 	r := b.plannedRegions(j, engines)
 	decoders := r.decoders
@@ -88,35 +87,18 @@
 	if j.NoHelpers {
 		most = 0
 	}
-	h = holdMemory
-	least := math.Inf(1)
+	best, least := assignment{}, math.Inf(1)
 	for _, k := range helperCounts {
 		if k > most {
 			break
 		}
 		g, ok := b.evaluate(j, first, list, k)
-		switch {
-		case !ok:
-		case b.wastesEngines(j, g):
-			if h == holdMemory {
-				h = holdLate
-			}
-		case g.cost < least:
-			best, least, h = g, g.cost, holdNone
+		if ok && g.cost < least {
+			best, least = g, g.cost
 		}
 	}
 	best.shortEngines, best.longEngines = len(r.short), len(r.long())
-	return best, h
-}
-
-// wastesEngines reports whether the job's caller is expected to leave before the first event, while
-// other long prompts wait for the engines. Estimates are rough, so engines that nobody waits for are
-// used nevertheless.
-func (b *Balancer) wastesEngines(j Job, g assignment) bool {
-	if j.FirstEventDeadline.IsZero() || len(b.longQueue) <= 1 {
-		return false
-	}
-	return b.Clock.Now().Add(g.expectedTTFT).After(j.FirstEventDeadline)
+	return best
 }
 
 // evaluate returns the assignment of the prompt to the first engine and as many helpers of the list,
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -163,8 +163,7 @@
 }
 
 // plan plans one waiting long prompt and places it if it may start. If it can't be in time it is
-// planned only where allowLate is set and engines are otherwise idle, or where its targets failed:
-// then it was in time to be planned.
+// planned only where allowLate is set and engines are otherwise idle.
 func (b *Balancer) plan(w *QueuedJob, allowLate bool) planOutcome {
 	j := w.job
 	candidates, h, err := b.usableTargets(j)
@@ -184,7 +183,7 @@
 		w.held = h
 		return planHeld
 	}
-	if !allowLate && !j.Replacement && b.waited(j)+g.expectedTTFT > j.Objective {
+	if !allowLate && b.waited(j)+g.expectedTTFT > j.Objective {
 		w.held = holdLate
 		return planLate
 	}
@@ -200,11 +199,11 @@
 
 // planAssignment returns the best assignment of a long prompt, or why there is none.
 func (b *Balancer) planAssignment(j Job, engines []fleet.Target) (g assignment, h holdReason) {
-	if g, h = b.bestAssignment(j, b.withoutSlow(j, engines)); h != holdNone {
-		return g, h
-	}
+	g = b.bestAssignment(j, b.withoutSlow(j, engines))
 	gain := promptWorth(j)*(1+lateAnswerWorth) - latenessLoss(j, g.expectedTTFT)
 	switch {
+	case g.first.ID == "":
+		return g, holdMemory
 	case isOversized(j) && g.stallCost > gain:
 		return g, holdStreams
 	case !isOversized(j) && b.shouldDefer(j, g):
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -343,13 +343,9 @@
 	}
 }
 
-// longGoesBefore reports whether a long prompt goes before another: those whose targets failed have
-// had their turn and keep it, then the size class that lags most goes first, then prompts that can
-// still be in time, and among these the shortest.
+// longGoesBefore reports whether a long prompt goes before another: the size class that lags most
+// goes first, then prompts that can still be in time, and among these the shortest.
 func (w *QueuedJob) longGoesBefore(o *QueuedJob, now time.Time) bool {
-	if w.job.Replacement != o.job.Replacement {
-		return w.job.Replacement
-	}
 	if w.lag != o.lag {
 		return w.lag > o.lag
 	}
