lab: engines that leave orders without an answer

A scenario now has periods in which a fraction of the orders for memory gets no answer; boxes send them again as internal/front does, and place the prompt again where that does not help. Orders that are carried out late are not simulated. Scenarios without such periods draw the same numbers as before.

TestSizesBesideLostOrders checks the users' rule, half of the kind's rate.

--- a/internal/lab/attempt.go
+++ b/internal/lab/attempt.go
@@ -278,7 +278,7 @@
 	return c
 }
 
-// replan places a request again if its placement does not work without the dead helpers.
+// replan places a request again whose placement does not work, without dead helpers or for lack of memory.
 func (d *day) replan(b *box, r *request, avoid []barleystep.TargetID, c *choice) {
 	c.placement.Done(balance.Report{})
 	r.sends--
@@ -350,8 +350,13 @@
 	a.run.believedDown = func(e *engine) bool { return b.balancer.IsDown(e.id()) }
 	r.run = a.run
 	r.abandon = func() { a.end(balance.Report{}) }
-	d.timeline.After(networkDelay, func() {
-		if r.run == a.run && !r.ended && !a.run.over {
+	took, reserved := d.reserveMemory(c)
+	d.timeline.After(took+networkDelay, func() {
+		switch {
+		case r.run != a.run || r.ended || a.run.over:
+		case !reserved:
+			a.withdraw()
+		default:
 			c.count(b)
 			d.noteSent(r, c)
 			c.first.start(a.run)
@@ -359,6 +364,13 @@
 	})
 }
 
+// withdraw places a request again for which helpers did not reserve memory.
+func (a *attempt) withdraw() {
+	a.request.abandon = nil
+	a.run.stop()
+	a.day.replan(a.box, a.request, a.avoid, a.choice)
+}
+
 // event delivers an event to the caller. The last one ends the request.
 func (a *attempt) event(p pass) {
 	r := a.request
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -216,6 +216,22 @@
 	return lab.Run(scenario, lab.Balancer, seed).Kinds[2]
 }
 
+// TestSizesBesideLostOrders guards against the longest prompts being served at less than half the rate of
+// their kind while engines leave orders without an answer: a prompt that exceeds an engine's KV cache
+// needs the answers of up to 16 helpers, and each was asked once.
+func TestSizesBesideLostOrders(t *testing.T) {
+	t.Parallel()
+	for _, draw := range []uint64{11, 12} {
+		t.Run(fmt.Sprint(draw), func(t *testing.T) {
+			t.Parallel()
+			scenario := drawFamilySeed(t, "engines go while long prompts come", draw)
+			scenario.Boxes, scenario.Crashes = 40, 0
+			scenario.OrderLosses = []lab.OrderLoss{{Fraction: 0.35, Until: scenario.Length}}
+			checkSizes(t, lab.Run(scenario, lab.Balancer, draw).Kinds[2])
+		})
+	}
+}
+
 // checkSizes checks that the longest prompts are served at no less than half the rate of their
 // kind.
 func checkSizes(t *testing.T, long lab.KindResult) {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -89,6 +89,8 @@
 	ColdStarts  []HallPeriod
 	// Slowdowns are the periods in which some of the engines are slower.
 	Slowdowns []Slowdown
+	// OrderLosses are the periods in which engines leave orders without an answer.
+	OrderLosses []OrderLoss
 	// BoxKills are the times from which on a box is killed as soon as it has parts of long prompts
 	// on many engines.
 	BoxKills []time.Duration
