--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -95,6 +96,7 @@
 // period.
 func (r *Router) Run(ctx context.Context) error {
 	r.build()
+	r.logStart()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := r.top.ServeBackground(work)
@@ -109,6 +111,13 @@
 	return nil
 }
 
+// logStart logs the limits in force. Zero descriptors stand for the limit of the operating system.
+func (r *Router) logStart() {
+	s := r.Settings
+	r.Log.Info().Str("box", s.Box.ID).Str("hall", s.Box.Hall).Int64("memory", cmp.Or(s.Limits.Memory(), guard.DefaultMemory)).Int("descriptors", s.Limits.Descriptors).
+		Int("caller_places", r.callers.guard.MaxConns).Dur("grace", time.Duration(r.grace.Load())).Msg(logPrefix + "Starting.")
+}
+
 // build creates the components from the settings.
 func (r *Router) build() {
 	meter := r.Exporter.Meter()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -186,7 +186,7 @@
 	return time.Duration(d)
 }
 
-// Read reads and validates the file.
+// Read reads and validates the file and the environment variables that override it.
 func Read(name string) (s Settings, err error) {
 	defer func() {
 		if err != nil {
@@ -197,9 +197,11 @@
 	if err != nil {
 		return Settings{}, err
 	}
-	s, err = Parse(text)
+	if s, err = Parse(text); err != nil {
+		return Settings{}, err
+	}
 	s.file = name
-	return s, err
+	return s, s.Limits.readEnvironment()
 }
 
 // Parse parses and validates the text of a file. The error has one line for each problem:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -68,3 +70,93 @@
 		})
 	}
 }
+
+// TestEnvironment checks that the environment overrides the limits of the file, which may be filled by
+// somebody who does not know the machine.
+func TestEnvironment(t *testing.T) {
+	const file = "[box]\nid = \"b\"\nhall = \"h\"\n[limits]\nmemory_mb = 100\n"
+	cases := map[string]struct {
+		memory, descriptors string
+		want                [2]int
+		err                 string
+	}{
+		"none":        {"", "", [2]int{100, 0}, ""},
+		"both":        {"284", "4100", [2]int{284, 4100}, ""},
+		"no number":   {"284 MB", "", [2]int{}, `.*BARLEYSTEP_MEMORY_MB = "284 MB": must be a number above 0`},
+		"not above 0": {"", "0", [2]int{}, `.*BARLEYSTEP_DESCRIPTORS = "0": must be a number above 0`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			t.Setenv(settings.MemoryVariable, tc.memory)
+			t.Setenv(settings.DescriptorsVariable, tc.descriptors)
+			name := filepath.Join(t.TempDir(), "settings.toml")
+			c.Assert(os.WriteFile(name, []byte(file), 0o600), quicktest.IsNil)
+			s, err := settings.Read(name)
+			if tc.err != "" {
+				c.Check(err, quicktest.ErrorMatches, tc.err)
+				return
+			}
+			c.Check(err, quicktest.IsNil)
+			c.Check([2]int{s.Limits.MemoryMB, s.Limits.Descriptors}, quicktest.Equals, tc.want)
+		})
+	}
+}
+
+// TestEveryKey guards against files of earlier releases that are refused: none of their keys may go.
+func TestEveryKey(t *testing.T) {
+	const file = `
+[box]
+id = "b"
+hall = "h"
+cores = 0.4
+link_mbit = 1000.0
+[listen]
+callers = "127.0.0.1:1"
+admin = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+ready = "127.0.0.1:4"
+[platform]
+url = "http://127.0.0.1:5"
+timeout = "1s"
+within = "2000ms"
+leave_within = "2000ms"
+[peers]
+secret = "s"
+certificate = "c"
+key = "k"
+authority = "a"
+trusted = true
+seeds = ["127.0.0.1:3"]
+[keys]
+freshness = "5000ms"
+[retries]
+ratio = 0.2
+extra = 106
+window = "10s"
+[limits]
+body = 1
+min_time = "1s"
+max_time = "2s"
+stall = "20s"
+rest = "1m"
+grace = "8s"
+notice = "5s"
+memory_mb = 284
+descriptors = 4100
+[capacity]
+interval = "1s"
+long_part = 1
+short_memory = 0.1
+window = "600ms"
+[[admin.operator]]
+name = "o"
+sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+role = "team"
+team = "t"
+[log]
+level = "info"
+`
+	_, err := settings.Parse([]byte(file))
+	quicktest.Check(t, err, quicktest.IsNil)
+}
