front: reservations of a request's next try have an id of their own

Cause: a reservation's id was the request's id and the number of the try. A caller that repeats its request, at this box or another, repeats its id. Targets take the second reservation for a renewal of the first: its time unused goes on from there, the late release of the first frees the memory of the second, and one ticket may be used by two requests. Change: the id has a random part for each process and a count. Evidence: TestReservationsOfRepeatedRequest found one id instead of four on and passes now. Test changed: TestUnusedMemoryOfLateAnswer reads the id from the reservation, as it is no longer r1-1.

--- a/internal/front/deliver.go
+++ b/internal/front/deliver.go
@@ -32,6 +32,10 @@
 	answerTimes  answerTimes
 	// buffered is the memory that buffered answers take, in bytes.
 	buffered quota
+	// instance tells the reservations of this process from those of other boxes, and reservations counts
+	// its own.
+	instance     string
+	reservations atomic.Uint64
 	// pendingReleases counts the ended tries whose reserved helper memory is still being released.
 	pendingReleases atomic.Int64
 	// pendingChecks counts the targets that broke off a request and are looked at again.
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -53,24 +53,26 @@
 	for _, h := range t.placement.Helpers {
 		id := ""
 		if h.KVTokens > 0 {
-			id = t.reservationID()
+			id = t.reservationID
 		}
 		list = append(list, barleystep.Helper{Addr: h.Addr, ReservationID: id})
 	}
 	return list
 }
 
-// reservationID returns the id of the try's reservations, one at each helper.
-func (t *try) reservationID() string {
-	return t.exchange.call.RequestID + "-" + strconv.Itoa(t.number)
+// newReservationID returns an id for the reservations of one try, one at each helper. A caller that repeats
+// its request, here or at another box, repeats its id too, and targets would take both tries' memory for one.
+func (d *deliver) newReservationID(request string) string {
+	return request + "-" + d.instance + "-" + strconv.FormatUint(d.reservations.Add(1), 10)
 }
 
 // reserve reserves memory at the helpers for which the placement asks for it, and renews it until
 // the context ends.
 func (t *try) reserve(ctx context.Context) error {
+	t.reservationID = t.stage.newReservationID(t.exchange.call.RequestID)
 	for _, h := range t.placement.Helpers {
 		if h.KVTokens > 0 {
-			r := barleystep.Reservation{ID: t.reservationID(), Tokens: h.KVTokens, Hold: reservationTTL}
+			r := barleystep.Reservation{ID: t.reservationID, Tokens: h.KVTokens, Hold: reservationTTL}
 			t.reserved = append(t.reserved, reservation{h.ID, h.Addr, r})
 		}
 	}
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -162,7 +163,7 @@
 			f.target.orders = []step{func(k net.Conn, r *http.Request) bool {
 				if r.RequestURI == "/usage" && tc.isUsed {
 					asked <- struct{}{}
-					return completeAnswer(http.StatusOK, "", "used r1-1")(k, r)
+					return completeAnswer(http.StatusOK, "", "used "+f.target.reservationIDs()[0])(k, r)
 				}
 				return completeAnswer(http.StatusOK, "", "")(k, r)
 			}}
@@ -182,6 +183,36 @@
 	}
 }
 
+// TestReservationsOfRepeatedRequest guards against memory of a caller's second try, here or at another box,
+// that counts as that of its first: the release of the first would free it, and its time unused would go on.
+func TestReservationsOfRepeatedRequest(t *testing.T) {
+	c := quicktest.New(t)
+	var ids []string
+	for range 2 {
+		f := newFixture(t, state{view: newView()}, eventStream(1, 2, false), eventStream(1, 2, false))
+		f.target.orders = []step{completeAnswer(http.StatusOK, "", "")}
+		for range 2 {
+			c.Check(f.do(t, http.MethodPost, "/giant/", "", "Prompt", "1200").status, quicktest.Equals, http.StatusOK)
+		}
+		ids = append(ids, f.target.reservationIDs()...)
+	}
+	slices.Sort(ids)
+	c.Check(slices.Compact(ids), quicktest.HasLen, 4)
+}
+
+// reservationIDs returns the ids under which memory was reserved.
+func (s *server) reservationIDs() (ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.requests {
+		if rest, ok := strings.CutPrefix(r.RequestURI, "/reserve/"); ok {
+			id, _, _ := strings.Cut(rest, "/")
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // hasReleased reports whether memory was released at a helper.
 func (s *server) hasReleased() bool { return strings.Contains(s.kinds(), "F") }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,7 @@
 		log:      s.Log,
 		shutdown: s.shutdown,
 		rand:     s.Rand,
+		instance: strconv.FormatUint(rand.Uint64(), 36),
 	}
 	if s.deliver.rand == nil {
 		s.deliver.rand = rand.Float64
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -36,8 +36,9 @@
 	skippedAnswers int        // skippedAnswers counts the answers to other requests that came before it.
 	begun          bool       // begun is set once the first event or the complete answer has arrived.
 	failure        []byte     // failure is the body of the target's own failure, kept to be relayed later.
-	// reserved holds the reservations at helpers.
-	reserved []reservation
+	// reserved holds the reservations at helpers, which share reservationID.
+	reserved      []reservation
+	reservationID string
 	// reservedAt is when the first order for them was sent.
 	reservedAt time.Time
 	// renewalsDone is closed when no renewal is in flight any more.
