front: reservations of unused memory end by themselves within the bound

Cause, by the code and shown by the test: each renewal held for 3.5 s, also the last one before the try ended at up to 8 s, and a release may get no answer. Memory that no request uses then lasts until 11.5 s; 9 s are allowed. The questions whether it is used were asked one after the other, 0.5 s each. No release is needed for the bound.

--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -31,8 +31,29 @@
 	"github.com/barleystep/barleystep/internal/suspect"
 )
 
-// protocol is a minimal barleystep.Protocol for these tests.
-type protocol struct{}
+// protocol is a minimal barleystep.Protocol for these tests. If holds is not nil, it keeps when the
+// reservations that were ordered end.
+type protocol struct{ holds *holds }
+
+// holds keeps when reservations end, without the delays of their orders.
+type holds struct {
+	clock barleystep.Clock
+	mu    sync.Mutex
+	ends  []time.Time
+}
+
+func (h *holds) add(r barleystep.Reservation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ends = append(h.ends, h.clock.Now().Add(r.Hold))
+}
+
+// latest returns when the reservation that lasts longest ends.
+func (h *holds) latest() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.MaxFunc(h.ends, time.Time.Compare)
+}
 
 func (protocol) ReadCallerHeaders(h http.Header) barleystep.CallerHeaders {
 	limit, err := time.ParseDuration(h.Get("Limit"))
@@ -82,7 +103,10 @@
 	}
 }
 
-func (protocol) ReserveRequest(r barleystep.Reservation) (*http.Request, []byte) {
+func (p protocol) ReserveRequest(r barleystep.Reservation) (*http.Request, []byte) {
+	if p.holds != nil {
+		p.holds.add(r)
+	}
 	return order("/reserve/" + r.ID + "/" + fmt.Sprint(r.Tokens))
 }
 
@@ -281,6 +305,8 @@
 	random float64
 	// metrics exports the front's metrics.
 	metrics *metric.Exporter
+	// holds are the reservations that were ordered.
+	holds *holds
 	// targets are those that the balancer knows; mu is held when they change during a test.
 	mu      sync.Mutex
 	targets []fleet.Target
@@ -305,7 +331,7 @@
 }
 
 func newFixtureAt(t *testing.T, clk barleystep.Clock, s state, steps ...step) *fixture {
-	f := &fixture{target: &server{steps: steps}, view: s.view}
+	f := &fixture{target: &server{steps: steps}, view: s.view, holds: &holds{clock: clk}}
 	addr := f.target.start(t)
 	f.targets = []fleet.Target{
 		{ID: "a", Service: "s", Addr: addr, Slots: 4},
@@ -323,7 +349,7 @@
 	f.metrics = exporter
 	f.front = &front.Server{
 		Clock:         clk,
-		Protocol:      protocol{},
+		Protocol:      protocol{f.holds},
 		Configuration: s,
 		Balancer:      &balance.Balancer{Clock: clk, Targets: f.list, Suspects: &suspect.Registry{Clock: clk}},
 		// Whether a target lives on is asked for some milliseconds after each answer without a length.
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -37,9 +37,14 @@
 	maxReleaseTries = 3
 )
 
-// maxUnusedTime is how long reserved memory is kept that no request has used. Targets count memory as
-// withheld after 9 s; finding out and releasing it takes a few orders.
-const maxUnusedTime = 7 * time.Second
+const (
+	// maxUnusedTime is how long reserved memory is kept that no request has used. Targets count memory as
+	// withheld after 9 s.
+	maxUnusedTime = 7 * time.Second
+	// maxUnusedHold is how long after the first order a reservation of unused memory may last, so that it
+	// ends in time without a release. One order tells whether the memory is used, another one renews it.
+	maxUnusedHold = maxUnusedTime + 2*orderTimeout
+)
 
 // errUnusedMemory means that the target has not begun the prompt for which memory is reserved at helpers.
 var errUnusedMemory = eris.New("front: the target leaves memory at helpers unused")
@@ -72,33 +77,58 @@
 	t.reservationID = t.stage.newReservationID(t.exchange.call.RequestID)
 	for _, h := range t.placement.Helpers {
 		if h.KVTokens > 0 {
-			r := barleystep.Reservation{ID: t.reservationID, Tokens: h.KVTokens, Hold: reservationTTL}
+			r := barleystep.Reservation{ID: t.reservationID, Tokens: h.KVTokens}
 			t.reserved = append(t.reserved, reservation{h.ID, h.Addr, r})
 		}
 	}
 	if len(t.reserved) == 0 {
 		return nil
 	}
-	t.renewalsDone = make(chan struct{})
 	t.reservedAt = t.stage.clock.Now()
 	if !t.orderAll(ctx, t.reserveAt) {
 		t.noMemory = true
-		close(t.renewalsDone)
 		return eris.Wrap(barleystep.ErrNotStarted, errNoMemory.Error())
 	}
-	go t.renew(ctx)
+	t.renewals.Go(func() { t.renew(ctx) })
 	return nil
 }
 
-// renew renews the reservations until the context ends.
+// unusedFor returns for how long memory has been reserved; isUsed is set if it is known to be used.
+func (t *try) unusedFor() (d time.Duration, isUsed bool) {
+	return t.stage.clock.Now().Sub(t.reservedAt), t.memoryUsed.Load()
+}
+
+// holdTime returns how long a reservation that is ordered now lasts.
+func holdTime(unusedFor time.Duration, isUsed bool) time.Duration {
+	if isUsed {
+		return reservationTTL
+	}
+	return max(min(reservationTTL, maxUnusedHold-unusedFor), time.Millisecond)
+}
+
+// renew renews the reservations until the context ends. Unused ones are not renewed once they last until
+// maxUnusedHold: a late copy of such an order would shorten those that follow when the memory is used.
 func (t *try) renew(ctx context.Context) {
-	defer close(t.renewalsDone)
+	isLast := false
 	for clock.Sleep(ctx, t.stage.clock, renewInterval) {
-		if !t.orderAll(ctx, t.reserveAt) && ctx.Err() == nil {
-			t.stage.log.Warn().Str("request", t.exchange.call.RequestID).
-				Msg(logPrefix + "A memory reservation at a helper could not be renewed. The renewal is tried again.")
+		unusedFor, isUsed := t.unusedFor()
+		if !isUsed && (isLast || unusedFor >= maxUnusedTime) {
+			continue
 		}
+		isLast = t.renewOnce(ctx) && holdTime(unusedFor, isUsed) < reservationTTL
+	}
+}
+
+// renewOnce renews the reservations and reports whether all helpers accepted that.
+func (t *try) renewOnce(ctx context.Context) bool {
+	if t.orderAll(ctx, t.reserveAt) {
+		return true
+	}
+	if ctx.Err() == nil {
+		t.stage.log.Warn().Str("request", t.exchange.call.RequestID).
+			Msg(logPrefix + "A memory reservation at a helper could not be renewed. The renewal is tried again.")
 	}
+	return false
 }
 
 // release frees the reservations after the try has ended. It waits for renewals in flight, which
@@ -110,7 +140,7 @@
 	t.stage.pendingReleases.Add(1)
 	go func() {
 		defer t.stage.pendingReleases.Add(-1)
-		<-t.renewalsDone
+		t.renewals.Wait()
 		for range maxReleaseTries {
 			if t.orderAll(ctx, t.releaseAt) {
 				return
@@ -124,21 +154,24 @@
 
 // watchMemory ends the try if the reserved memory is still unused after maxUnusedTime, whatever answer is
 // expected and whether another target can take the request.
-func (t *try) watchMemory(ctx context.Context, cancel context.CancelCauseFunc, w *stallWatch) {
+func (t *try) watchMemory(ctx context.Context, cancel context.CancelCauseFunc) {
 	timer := t.stage.clock.NewTimer(t.reservedAt.Add(maxUnusedTime).Sub(t.stage.clock.Now()))
-	go func() {
+	t.renewals.Go(func() {
 		defer timer.Stop()
 		select {
 		case <-timer.C():
-			t.endUnused(ctx, cancel, w)
+			t.endUnused(ctx, cancel)
 		case <-ctx.Done():
 		}
-	}()
+	})
 }
 
-// endUnused ends the try unless the reserved memory is used.
-func (t *try) endUnused(ctx context.Context, cancel context.CancelCauseFunc, w *stallWatch) {
-	if w.hasHeard() || t.isMemoryUsed(ctx) {
+// endUnused ends the try unless the reserved memory is used. Memory that is used is renewed at once, since
+// its reservations last until maxUnusedHold.
+func (t *try) endUnused(ctx context.Context, cancel context.CancelCauseFunc) {
+	if t.memoryUsed.Load() || t.isMemoryUsed(ctx) {
+		t.memoryUsed.Store(true)
+		t.renewOnce(ctx)
 		return
 	}
 	t.stage.log.Warn().Str("request", t.exchange.call.RequestID).Str("target", string(t.placement.Target.ID)).
@@ -149,14 +182,11 @@
 // maxUsageCalls is how many helpers are asked whether the memory is used. The first ones are filled first.
 const maxUsageCalls = 2
 
-// isMemoryUsed reports whether a helper states that the reserved memory is in use.
+// isMemoryUsed reports whether a helper states that the reserved memory is in use. It takes up to
+// orderTimeout.
 func (t *try) isMemoryUsed(ctx context.Context) bool {
-	for _, r := range t.reserved[:min(maxUsageCalls, len(t.reserved))] {
-		if t.isUsedAt(ctx, r) {
-			return true
-		}
-	}
-	return false
+	used := each(min(maxUsageCalls, len(t.reserved)), func(i int) bool { return t.isUsedAt(ctx, t.reserved[i]) })
+	return slices.Contains(used, true)
 }
 
 func (t *try) isUsedAt(ctx context.Context, r reservation) bool {
@@ -180,7 +210,12 @@
 	if t.placement.HasRestarted(r.target) {
 		return true
 	}
-	status, _ := t.order(ctx, r, func() (*http.Request, []byte) { return t.stage.protocol.ReserveRequest(r.Reservation) })
+	status, _ := t.order(ctx, r, func() (*http.Request, []byte) {
+		// Each copy of the order is sent later than the one before.
+		held := r.Reservation
+		held.Hold = holdTime(t.unusedFor())
+		return t.stage.protocol.ReserveRequest(held)
+	})
 	return status == http.StatusOK
 }
 
--- a/internal/front/stall_watch.go
+++ b/internal/front/stall_watch.go
@@ -24,7 +24,7 @@
 	isTargetDown func() bool
 	maxPause     time.Duration
 	// heard is set once the target has sent something of the answer.
-	heard atomic.Bool
+	heard *atomic.Bool
 
 	mu        mutex.Mutex
 	lastHeard time.Time // lastHeard is when the target last sent something.
@@ -59,7 +59,7 @@
 // their target is lost.
 func (t *try) newStallWatch(cancel context.CancelCauseFunc, c *conn.Conn) *stallWatch {
 	x := t.exchange
-	w := &stallWatch{clock: t.stage.clock, cancel: cancel, claim: t.claimRetry, done: make(chan struct{})}
+	w := &stallWatch{clock: t.stage.clock, cancel: cancel, claim: t.claimRetry, heard: &t.memoryUsed, done: make(chan struct{})}
 	w.isTargetDown = func() bool { return t.targetDown() || c.IsStranded() }
 	if !t.canResend() {
 		return w
@@ -131,9 +131,6 @@
 	w.deadline = w.lastHeard.Add(w.maxPause)
 }
 
-// hasHeard reports whether the target has sent something of the answer.
-func (w *stallWatch) hasHeard() bool { return w.heard.Load() }
-
 func (w *stallWatch) stop() { w.once.Do(func() { close(w.done) }) }
 
 // claimRetry reports whether another target can take the request from a silent one, and charges the
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,10 +42,13 @@
 	reservationID string
 	// reservedAt is when the first order for them was sent.
 	reservedAt time.Time
-	// renewalsDone is closed when no renewal is in flight any more.
-	renewalsDone chan struct{}
-	retryPaid    atomic.Bool // retryPaid is set once the next try has been charged to the retry budget.
-	noMemory     bool        // noMemory is set if helpers had no memory to reserve.
+	// renewals are what renews the reservations.
+	renewals sync.WaitGroup
+	// memoryUsed is set once the target has sent an event or a final answer, or a helper states that the
+	// reserved memory is in use.
+	memoryUsed atomic.Bool
+	retryPaid  atomic.Bool // retryPaid is set once the next try has been charged to the retry budget.
+	noMemory   bool        // noMemory is set if helpers had no memory to reserve.
 	// unreachable holds the helpers that could not be reached. needsPlacement is set if the request
 	// needs a new placement though the target did not fail.
 	unreachable    []barleystep.TargetID
@@ -117,7 +121,7 @@
 	watch := t.newStallWatch(cancel, c)
 	defer watch.stop()
 	if len(t.reserved) > 0 {
-		t.watchMemory(ctx, cancel, watch)
+		t.watchMemory(ctx, cancel)
 	}
 	if t.canResend() {
 		go t.abandonRestarted(ctx, cancel)
