front: memory that late copies of orders reserve is released again

Cause: orders are sent again every 60 ms until answered. A target that leaves a copy unanswered may carry it out up to 12 s later, also after the release; it then reserves the memory for nobody, and several in a row for longer than 3.5 s. A planned stop does not wait for these.

--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,15 @@
 	target barleystep.TargetID
 	addr   string
 	barleystep.Reservation
+	// unanswered is when a copy of an order for it was last sent that may get no answer, in Unix
+	// nanoseconds; zero if none was.
+	unanswered atomic.Int64
+}
+
+// mayReturn reports whether a copy of an order may still be carried out that the target left unanswered.
+func (r *reservation) mayReturn(now time.Time) bool {
+	unanswered := r.unanswered.Load()
+	return unanswered > 0 && now.Sub(time.Unix(0, unanswered)) < maxOrderDelay
 }
 
 const (
@@ -33,6 +43,11 @@
 	// orderRepeatInterval is the interval at which an order without an answer is sent again. A prompt
 	// needs the answers of all its helpers, so that it would rarely start if each were asked once.
 	orderRepeatInterval = 60 * time.Millisecond
+	// maxOrderDelay is how long after it was sent a target may carry out an order that it leaves unanswered.
+	maxOrderDelay = 12 * time.Second
+	// repeatReleaseInterval is the interval of the releases in that time. It is shorter than the 4 s after
+	// which targets count memory as lost.
+	repeatReleaseInterval = 3 * time.Second
 	// maxReleaseTries bounds the tries to release a reservation; after that it expires by itself.
 	maxReleaseTries = 3
 )
@@ -78,14 +93,14 @@
 	for _, h := range t.placement.Helpers {
 		if h.KVTokens > 0 {
 			r := barleystep.Reservation{ID: t.reservationID, Tokens: h.KVTokens}
-			t.reserved = append(t.reserved, reservation{h.ID, h.Addr, r})
+			t.reserved = append(t.reserved, &reservation{target: h.ID, addr: h.Addr, Reservation: r})
 		}
 	}
 	if len(t.reserved) == 0 {
 		return nil
 	}
 	t.reservedAt = t.stage.clock.Now()
-	if !t.orderAll(ctx, t.reserveAt) {
+	if !t.orderAll(ctx, t.reserved, t.reserveAt) {
 		t.noMemory = true
 		return eris.Wrap(barleystep.ErrNotStarted, errNoMemory.Error())
 	}
@@ -121,7 +136,7 @@
 
 // renewOnce renews the reservations and reports whether all helpers accepted that.
 func (t *try) renewOnce(ctx context.Context) bool {
-	if t.orderAll(ctx, t.reserveAt) {
+	if t.orderAll(ctx, t.reserved, t.reserveAt) {
 		return true
 	}
 	if ctx.Err() == nil {
@@ -139,19 +154,37 @@
 	}
 	t.stage.pendingReleases.Add(1)
 	go func() {
-		defer t.stage.pendingReleases.Add(-1)
 		t.renewals.Wait()
-		for range maxReleaseTries {
-			if t.orderAll(ctx, t.releaseAt) {
-				return
-			}
-			clock.Sleep(ctx, t.stage.clock, orderTimeout)
-		}
-		t.stage.log.Warn().Str("request", t.exchange.call.RequestID).Dur("hold", reservationTTL).
-			Msg(logPrefix + "A memory reservation at a helper could not be released. It expires after its hold time.")
+		t.releaseOnce(ctx)
+		t.stage.pendingReleases.Add(-1)
+		t.releaseAgain(ctx)
 	}()
 }
 
+// releaseOnce frees the reservations, in several tries if need be.
+func (t *try) releaseOnce(ctx context.Context) {
+	for range maxReleaseTries {
+		if t.orderAll(ctx, t.reserved, t.releaseAt) {
+			return
+		}
+		clock.Sleep(ctx, t.stage.clock, orderTimeout)
+	}
+	t.stage.log.Warn().Str("request", t.exchange.call.RequestID).Dur("hold", reservationTTL).
+		Msg(logPrefix + "A memory reservation at a helper could not be released. It expires after its hold time.")
+}
+
+// releaseAgain frees memory that is reserved again when targets carry out late copies of orders.
+func (t *try) releaseAgain(ctx context.Context) {
+	for {
+		now := t.stage.clock.Now()
+		late := slices.DeleteFunc(slices.Clone(t.reserved), func(r *reservation) bool { return !r.mayReturn(now) })
+		if len(late) == 0 || !clock.Sleep(ctx, t.stage.clock, repeatReleaseInterval) {
+			return
+		}
+		t.orderAll(ctx, late, t.releaseAt)
+	}
+}
+
 // watchMemory ends the try if the reserved memory is still unused after maxUnusedTime, whatever answer is
 // expected and whether another target can take the request.
 func (t *try) watchMemory(ctx context.Context, cancel context.CancelCauseFunc) {
@@ -189,37 +222,44 @@
 	return slices.Contains(used, true)
 }
 
-func (t *try) isUsedAt(ctx context.Context, r reservation) bool {
+func (t *try) isUsedAt(ctx context.Context, r *reservation) bool {
 	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
 	defer cancel()
 	status, answer := t.order(ctx, r, t.stage.protocol.UsageRequest)
 	return status == http.StatusOK && t.stage.protocol.ReadUsage(answer, r.ID)
 }
 
-// orderAll sends an order to all helpers concurrently and reports whether all accepted it.
-func (t *try) orderAll(ctx context.Context, send func(context.Context, reservation) bool) bool {
+// orderAll sends an order to the helpers of the list concurrently and reports whether all accepted it.
+func (t *try) orderAll(ctx context.Context, list []*reservation, send func(context.Context, *reservation) bool) bool {
 	ctx, cancel := clock.WithDeadline(ctx, t.stage.clock, t.stage.clock.Now().Add(orderTimeout))
 	defer cancel()
-	accepted := each(len(t.reserved), func(i int) bool { return send(ctx, t.reserved[i]) })
+	accepted := each(len(list), func(i int) bool { return send(ctx, list[i]) })
 	return !slices.Contains(accepted, false)
 }
 
 // reserveAt reserves memory at a helper. A helper that has restarted holds nothing of the prompt,
 // so reserving memory there would only withhold it from others.
-func (t *try) reserveAt(ctx context.Context, r reservation) bool {
+func (t *try) reserveAt(ctx context.Context, r *reservation) bool {
 	if t.placement.HasRestarted(r.target) {
 		return true
 	}
+	var copies atomic.Int64
 	status, _ := t.order(ctx, r, func() (*http.Request, []byte) {
+		if copies.Add(1) > 1 { // At most one copy is known to be answered.
+			r.unanswered.Store(t.stage.clock.Now().UnixNano())
+		}
 		// Each copy of the order is sent later than the one before.
 		held := r.Reservation
 		held.Hold = holdTime(t.unusedFor())
 		return t.stage.protocol.ReserveRequest(held)
 	})
+	if status == 0 {
+		r.unanswered.Store(t.stage.clock.Now().UnixNano())
+	}
 	return status == http.StatusOK
 }
 
-func (t *try) releaseAt(ctx context.Context, r reservation) bool {
+func (t *try) releaseAt(ctx context.Context, r *reservation) bool {
 	status, _ := t.order(ctx, r, func() (*http.Request, []byte) { return t.stage.protocol.ReleaseRequest(r.ID) })
 	return status > 0 && status < http.StatusInternalServerError
 }
@@ -234,7 +274,7 @@
 // answer, 0 if there was none. It gives up at once if the target can't be reached for the first copy.
 // Orders are idempotent. Earlier copies go on waiting for their answers, since a busy target may take
 // longer than orderRepeatInterval.
-func (t *try) order(ctx context.Context, r reservation, newRequest func() (*http.Request, []byte)) (status int, answer []byte) {
+func (t *try) order(ctx context.Context, r *reservation, newRequest func() (*http.Request, []byte)) (status int, answer []byte) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan orderAnswer)
@@ -271,7 +311,7 @@
 //
 // Answers to orders do not name the order that they belong to. Each copy therefore uses a
 // connection of its own, on which no late answer to anything else can arrive.
-func (t *try) sendOrder(ctx context.Context, r reservation, newRequest func() (*http.Request, []byte)) (a orderAnswer, reached bool) {
+func (t *try) sendOrder(ctx context.Context, r *reservation, newRequest func() (*http.Request, []byte)) (a orderAnswer, reached bool) {
 	c, err := t.stage.pool.Dial(ctx, r.addr)
 	if err != nil {
 		return orderAnswer{}, false
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -38,7 +38,7 @@
 	begun          bool       // begun is set once the first event or the complete answer has arrived.
 	failure        []byte     // failure is the body of the target's own failure, kept to be relayed later.
 	// reserved holds the reservations at helpers, which share reservationID.
-	reserved      []reservation
+	reserved      []*reservation
 	reservationID string
 	// reservedAt is when the first order for them was sent.
 	reservedAt time.Time
--- a/internal/front/unused_memory_test.go
+++ b/internal/front/unused_memory_test.go
@@ -110,3 +110,34 @@
 	leave()
 	<-answer
 }
+
+// TestLateCopiesAreReleased guards against memory that is set aside for nobody, when a target carries out
+// copies of orders that it left unanswered after their try was over.
+func TestLateCopiesAreReleased(t *testing.T) {
+	c := quicktest.New(t)
+	end := make(chan struct{})
+	defer close(end)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	f := newFixtureAt(t, manual, state{view: newView()}, eventStream(1, 2, false))
+	ok := completeAnswer(http.StatusOK, "", "")
+	f.target.orders = []step{func(net.Conn, *http.Request) bool { <-end; return false }, ok}
+	answer := make(chan reply, 1)
+	go func() { answer <- f.do(t, http.MethodPost, "/giant/", "", "Prompt", "1200") }()
+	for strings.Count(f.target.kinds(), "R") < 2 {
+		runtime.Gosched()
+	}
+	manual.Advance(60 * time.Millisecond) // The order is sent again.
+	c.Check((<-answer).status, quicktest.Equals, http.StatusOK)
+	for f.front.PendingReleases() > 0 {
+		runtime.Gosched()
+	}
+	first := strings.Count(f.target.kinds(), "F")
+	released := manual.Now()
+	for strings.Count(f.target.kinds(), "F") == first && manual.Now().Sub(released) < 20*time.Second {
+		manual.Advance(10 * time.Millisecond)
+		for range 1000 {
+			runtime.Gosched()
+		}
+	}
+	c.Check(strings.Count(f.target.kinds(), "F") > first, quicktest.IsTrue)
+}
