conn: a status that is none ends the exchange

Here also an order to a target that counted as accepted, and statuses of 600 and above that reached the callers of streams. Cause: every status below 200 was taken for an interim answer, and what follows its head, its body too, was read as the next one. net/http reads +20 and 999 as statuses too. Change: final are 200 to 599, interim 100 to 199 without 101 and without an announced body; any other head ends the exchange and the connection. So does a surplus answer whose body net/http would not read. engine.Client takes a status that is none as unknown instead of believing its 'not started', and the gate no longer hands it to WriteHeader, which panics.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -62,21 +62,17 @@
 		return nil, err
 	}
 	for c.skipped = 0; c.skipped < maxSkipped; c.skipped++ {
-		c.input.beginHead()
-		resp, err = http.ReadResponse(c.reader, req) //nolint:forbidigo // The input bounds the head.
-		c.input.endHead()
-		if err != nil {
-			return nil, eris.Wrap(c.input.readError(err), "conn: read answer")
+		if resp, err = c.readHead(req); err != nil {
+			return nil, eris.Wrap(err, "conn: read answer")
 		}
-		c.pool.noteHeard(c)
-		if resp.StatusCode < http.StatusOK {
+		if isInterim(resp) {
 			continue
 		}
 		if accept(resp.Header) {
 			resp.Body = &answerBody{conn: c, body: resp.Body, stop: stop, isUnframed: IsUnframed(resp)}
 			return resp, nil
 		}
-		if err := c.skipBody(resp.Body); err != nil {
+		if err := c.skipBody(resp); err != nil {
 			return nil, eris.Wrap(err, "conn: read surplus answer")
 		}
 	}
@@ -93,17 +89,35 @@
 // errSurplusTooLong means that an answer to another request is too long to be skipped.
 var errSurplusTooLong = eris.New("conn: a surplus answer is too long")
 
-// skipBody reads the body of an answer to another request. What is left of one that is too long could
-// pass for the next answer.
-func (c *Conn) skipBody(body io.ReadCloser) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+// readHead reads the head of an answer, final or interim.
+func (c *Conn) readHead(req *http.Request) (resp *http.Response, err error) {
+	c.input.beginHead()
+	resp, err = http.ReadResponse(c.reader, req) //nolint:forbidigo // The input bounds the head.
+	c.input.endHead()
+	if err != nil {
+		return nil, c.input.readError(err)
+	}
+	c.pool.noteHeard(c)
+	if !isInterim(resp) && !IsFinalStatus(resp.StatusCode) {
+		return nil, errMalformed
+	}
+	return resp, nil
+}
+
+// skipBody reads the body of an answer to another request. What is left of one that is too long, or that
+// net/http does not read, could pass for the next answer.
+func (c *Conn) skipBody(resp *http.Response) error {
+	if hasHiddenBody(resp) {
+		return errMalformed
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
 	switch {
 	case err != nil:
 		return c.input.readError(err)
 	case n > maxSkippedBytes:
 		return errSurplusTooLong
 	}
-	return body.Close()
+	return resp.Body.Close()
 }
 
 // write sends the head and, unless it is long, the body. A long body is written concurrently with
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 )
 
 const (
@@ -133,6 +134,10 @@
 }
 
 func (c *Client) openStream(resp *http.Response, a barleystep.Attempt) (barleystep.Stream, error) {
+	if err := checkStatus(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	if resp.Header.Get(HeaderStarted) == "false" {
 		drain(resp.Body)
 		_ = resp.Body.Close()
@@ -148,6 +153,14 @@
 	return &bodyStream{resp: resp}, nil
 }
 
+// checkStatus returns an error if the status of an answer is none, which says nothing of what was done.
+func checkStatus(resp *http.Response) error {
+	if conn.IsFinalStatus(resp.StatusCode) {
+		return nil
+	}
+	return eris.Wrapf(barleystep.ErrUnknownEffect, "target answered with status %03d", resp.StatusCode)
+}
+
 func (c *Client) maxEventSize() int {
 	if c.MaxEventSize == 0 {
 		return defaultMaxEventSize
@@ -216,6 +229,9 @@
 	}
 	defer resp.Body.Close()
 	defer drain(resp.Body)
+	if err := checkStatus(resp); err != nil {
+		return err
+	}
 	switch {
 	case resp.StatusCode == http.StatusConflict:
 		return barleystep.ErrConflict
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -117,6 +117,33 @@
 	}
 }
 
+// TestStatusThatIsNone guards against an answer with a status such as 000 that says whether an attempt or an
+// order was run.
+func TestStatusThatIsNone(t *testing.T) {
+	id := attempt(1).ID.String()
+	cases := map[string]string{
+		"own answer":  "HTTP/1.1 000 X\r\nBarleystep-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n{}",
+		"not started": "HTTP/1.1 000 X\r\nBarleystep-Started: false\r\nContent-Length: 0\r\n\r\n",
+		"above 599":   "HTTP/1.1 600 X\r\nBarleystep-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n{}",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(c, text)
+					_ = c.Close()
+				}
+			}))
+			t.Cleanup(server.Close)
+			client := &engine.Client{URL: server.URL, HTTP: engine.NewHTTP(4)}
+			_, err := client.Start(t.Context(), attempt(1))
+			quicktest.Check(t, err, quicktest.ErrorIs, barleystep.ErrUnknownEffect)
+			quicktest.Check(t, client.Order(t.Context(), barleystep.Order{}), quicktest.ErrorIs, barleystep.ErrUnknownEffect)
+		})
+	}
+}
+
 // TestBrokenBodies checks that truncated and inconsistent answers are detected.
 func TestBrokenBodies(t *testing.T) {
 	id := attempt(1).ID.String()
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleystep/barleystep"
 	"github.com/barleystep/barleystep/internal/config"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/metric"
 )
 
@@ -58,6 +59,9 @@
 		return f.lostRefusal(ctx, x)
 	}
 	defer resp.Body.Close()
+	if !conn.IsFinalStatus(resp.StatusCode) {
+		return f.lostRefusal(ctx, x)
+	}
 	if resp.Header.Get(HeaderOutcome) == barleystep.OutcomeNotRun.String() {
 		return err
 	}
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"syscall"
@@ -184,6 +186,28 @@
 	}
 }
 
+// TestRelayStatusThatIsNone guards against a relay's answer with a status such as 000 that says something of
+// the target, or whose body is taken for the relay's consent.
+func TestRelayStatusThatIsNone(t *testing.T) {
+	const consent = "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: barleystep-relay\r\n\r\n"
+	for _, line := range []string{"000 X", "099 X", "+20 X", "100 X", "600 X", "20 X", ""} {
+		t.Run(line, func(t *testing.T) {
+			f := newFixture(t)
+			relayServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", line, len(consent), consent)
+					_ = c.Close()
+				}
+			}))
+			t.Cleanup(relayServer.Close)
+			_, _, err := f.connector.Connect(t.Context(), relayServer.Listener.Addr().String(), f.target.Addr().String())
+			quicktest.Assert(t, err, quicktest.IsNotNil)
+			quicktest.Check(t, eris.Is(err, relay.ErrUnreachable), quicktest.IsFalse)
+		})
+	}
+}
+
 // TestRelayNamesOthers checks that a relay names other boxes of its hall.
 func TestRelayNamesOthers(t *testing.T) {
 	f := newFixture(t)
