--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -89,9 +89,11 @@
 // reserve reserves memory at the helpers for which the placement asks for it, and renews it until
 // the context ends.
 func (t *try) reserve(ctx context.Context) error {
-	t.reservationID = t.stage.newReservationID(t.exchange.call.RequestID)
 	for _, h := range t.placement.Helpers {
 		if h.KVTokens > 0 {
+			if t.reservationID == "" {
+				t.reservationID = t.stage.newReservationID(t.exchange.call.RequestID)
+			}
 			r := barleystep.Reservation{ID: t.reservationID, Tokens: h.KVTokens}
 			t.reserved = append(t.reserved, &reservation{target: h.ID, addr: h.Addr, Reservation: r})
 		}
