--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -72,7 +72,7 @@
 	}()
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := c.request(httptrace.WithClientTrace(ctx, trace), a)
+	req, err := c.request(httptrace.WithClientTrace(conn.WithInterimCheck(ctx), trace), a)
 	if err != nil {
 		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
 	}
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+PathOrders, io.NopCloser(bytes.NewReader(body)))
+	req, err := http.NewRequestWithContext(conn.WithInterimCheck(ctx), http.MethodPost, c.URL+PathOrders, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return err
 	}
@@ -242,7 +242,7 @@
 }
 
 func (c *Client) control(ctx context.Context, method, path string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, nil)
+	req, err := http.NewRequestWithContext(conn.WithInterimCheck(ctx), method, c.URL+path, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -124,6 +124,7 @@
 	cases := map[string]string{
 		"own answer":  "HTTP/1.1 000 X\r\nBarleystep-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n{}",
 		"not started": "HTTP/1.1 000 X\r\nBarleystep-Started: false\r\nContent-Length: 0\r\n\r\n",
+		"interim":     "HTTP/1.1 100 X\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\nBarleystep-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n{}",
 		"above 599":   "HTTP/1.1 600 X\r\nBarleystep-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n{}",
 	}
 	for name, text := range cases {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/barleystep/barleystep"
+	"github.com/barleystep/barleystep/internal/conn"
 	"github.com/barleystep/barleystep/internal/place"
 )
 
@@ -55,7 +56,7 @@
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	// NopCloser hides that the body can be rewound, so that the transport does not send it twice.
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, c.scheme+addr+r.URL.RequestURI(), io.NopCloser(bytes.NewReader(body)))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(conn.WithInterimCheck(ctx), trace), r.Method, c.scheme+addr+r.URL.RequestURI(), io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, eris.Wrap(barleystep.ErrNotStarted, err.Error())
 	}
